At most once, not run, own answer, leaving: schedule tests over the real decisions

Cause: the decisions were written with the hazards in mind but nothing brought the failures about.

Each checker is shown to catch planted faults.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -135,7 +135,7 @@
     , settings_(std::move(settings))
     , incarnation_(randomIdentity())
     , metrics_(settings_.maxAccountSeries)
-    , core_(coreSettings(settings_, incarnation_))
+    , core_(coreSettings(settings_, incarnation_), loop.now())
     , tasks_(*this)
 {
     knowledge_.listen(*this);
--- a/src/decision/dispatch/agentcore.cpp
+++ b/src/decision/dispatch/agentcore.cpp
@@ -17,13 +17,16 @@
 
 } // namespace
 
-AgentCore::AgentCore(const Settings &settings)
+AgentCore::AgentCore(const Settings &settings, TimePoint now)
     : settings_(settings)
     , ledger_(settings.ledgerCapacity)
     , tickets_(settings.self, settings.incarnation, settings.seed, settings.ticketCapacity)
     , keyHome_(settings.self, settings.keyHome)
+    , grants_(settings.keyHome.lease)
     , tokensPerSecond_(settings.initialTokensPerSecond)
-{}
+{
+    grants_.holdBack(now + settings.keyHome.lease);
+}
 
 void AgentCore::applyConfig(const ConfigDocument &document)
 {
@@ -37,6 +40,12 @@
     }
 }
 
+void AgentCore::onGranted(const InstanceId &member, std::uint64_t set, TimePoint askedAt,
+                          TimePoint now, WallMillis wall)
+{
+    keyHome_.onGrant(member, set, askedAt, now, wall);
+}
+
 Duration AgentCore::predictedWait(const AccountId &account) const
 {
     if (running_.size() < settings_.slots && queue_.size() == 0) {
--- a/src/decision/dispatch/agentcore.h
+++ b/src/decision/dispatch/agentcore.h
@@ -77,7 +77,9 @@
         KeyHome::Settings keyHome;
     };
 
-    explicit AgentCore(const Settings &settings);
+    // `now` is the start of this incarnation. It grants nothing for a lease, because it cannot know
+    // what the incarnation before it promised.
+    AgentCore(const Settings &settings, TimePoint now);
 
     // Takes the claims of the accounts and the upstream's slots from a configuration.
     void applyConfig(const ConfigDocument &document);
@@ -105,7 +107,18 @@
 
     AgentReport report() const;
     Ticket issueTicket() { return tickets_.issue(); }
-    KeyHome &keyHome() { return keyHome_; }
+
+    // The agents of this agent's service in this hall, as the newest list names them.
+    void setKeyMembers(MemberSet set) { keyHome_.setMembers(std::move(set)); }
+    const MemberSet &keyMembers() const { return keyHome_.members(); }
+    // The platform was asked at `at` or later and confirmed that list.
+    void confirmKeyView(TimePoint at) { keyHome_.confirmView(at); }
+    // Another agent asks this one to promise a member set.
+    bool onGrantAsked(std::uint64_t set, TimePoint now) { return grants_.grant(set, now); }
+    // Another agent has promised `set`; it was asked at `askedAt`.
+    void onGranted(const InstanceId &member, std::uint64_t set, TimePoint askedAt, TimePoint now,
+                   WallMillis wall);
+    bool holdsAllGrants(TimePoint now) const { return keyHome_.holdsAll(now); }
     Incarnation incarnation() const { return settings_.incarnation; }
     const RunLedger &ledger() const { return ledger_; }
 
@@ -139,6 +152,7 @@
     RunLedger ledger_;
     TicketBook tickets_;
     KeyHome keyHome_;
+    GrantBook grants_;
     std::unordered_map<RequestId, Running> running_;
     std::unordered_map<RequestId, Proof> proofs_;
     double tokensPerSecond_;
--- a/src/decision/once/keyhome.cpp
+++ b/src/decision/once/keyhome.cpp
@@ -143,7 +143,8 @@
         return KeyVerdict::SeenBefore;
     }
     const auto time = keyTime(key);
-    if (!time || !tenured_ || !holdsAll(now)) {
+    const bool viewFresh = now - viewConfirmedAt_ < settings_.viewLease;
+    if (!time || !tenured_ || !viewFresh || !holdsAll(now)) {
         return KeyVerdict::Unsure;
     }
     if (rendezvousHome(set_, scoped) != self_) {
--- a/src/decision/once/keyhome.h
+++ b/src/decision/once/keyhome.h
@@ -11,6 +11,11 @@
 // A grant is measured from when it was asked for, on the asker's monotonic clock, and is promised
 // from when it was answered, on the granter's; the asker's lease therefore ends first.
 //
+// Two sets that share no member could be in use at once when a whole pool is replaced while its old
+// members live on behind a cut. An agent therefore acts as a home only under a list that the
+// platform has confirmed within `viewLease`, and operators do not replace a whole pool within that
+// time.
+//
 // When the set changes, the new homes have no record of the old ones' keys. A home accepts only
 // keys that were made after it got its set (`tenure`), with a margin for the callers' clocks; older
 // keys are refused as not provable.
@@ -21,6 +26,7 @@
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -90,6 +96,7 @@
     struct Settings
     {
         Duration lease = std::chrono::seconds(3);
+        Duration viewLease = std::chrono::minutes(10);
         WallMillis clockMargin = std::chrono::seconds(2);
         std::size_t maxKeys = 100'000;
     };
@@ -102,6 +109,9 @@
     void onGrant(const InstanceId &member, std::uint64_t set, TimePoint askedAt, TimePoint now,
                  WallMillis wall);
 
+    // The platform was asked at `at` or later and confirmed the list that the set was made from.
+    void confirmView(TimePoint at) { viewConfirmedAt_ = std::max(viewConfirmedAt_, at); }
+
     // Tells whether every member's grant is in force.
     bool holdsAll(TimePoint now) const;
     // Decides on a request with `key`, and records the key if it is accepted.
@@ -120,6 +130,7 @@
     Settings settings_;
     MemberSet set_;
     std::map<InstanceId, TimePoint> grantedUntil_;
+    TimePoint viewConfirmedAt_{};
     bool tenured_ = false;
     WallMillis tenure_{}; // Keys at or before this time are refused.
     std::unordered_set<std::string> keys_;
--- /dev/null
+++ b/test/decision/dispatch/dispatchschedule_test.cpp
@@ -0,0 +1,103 @@
+// Seeded schedules over the real entry and agent decisions: the answer goes to its own caller, not
+// run means not run, at most once, and a leaving upstream gets no new work.
+#include "decision/dispatch/dispatchworld.h"
+
+#include <cstdlib>
+#include <fmt/format.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch::test;
+
+namespace {
+
+// The number of seeds in CI; SEAMARCH_SEEDS sets another for a long search.
+std::uint64_t seedCount()
+{
+    const char *text = std::getenv("SEAMARCH_SEEDS");
+    return text == nullptr ? 2000 : std::strtoull(text, nullptr, 10);
+}
+
+DispatchWorld::Options optionsOf(std::uint64_t seed, PlantedFault fault = PlantedFault::None)
+{
+    DispatchWorld::Options options;
+    options.seed = seed;
+    options.fault = fault;
+    options.operations = 40;
+    return options;
+}
+
+// Returns the first violation that a planted fault leads to within some seeds.
+std::string firstViolation(PlantedFault fault, std::uint64_t seeds)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto violations = DispatchWorld(optionsOf(seed, fault)).run();
+        if (!violations.empty()) {
+            return violations.front();
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_GROUP(DispatchScheduleTest){};
+
+TEST(DispatchScheduleTest, HoldsItsInvariantsOverManySchedules)
+{
+    int answered = 0;
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        DispatchWorld world(optionsOf(seed));
+        const auto violations = world.run();
+        if (!violations.empty()) {
+            FAIL(fmt::format("seed {}: {}", seed, violations.front()).c_str());
+        }
+        answered += world.answered();
+    }
+    // A world that refuses everything would hold every invariant.
+    CHECK(answered > static_cast<int>(seedCount()) * 20);
+}
+
+TEST(DispatchScheduleTest, AnswersEverythingWhenNothingFails)
+{
+    DispatchWorld::Options options = optionsOf(7);
+    options.faults = false;
+    DispatchWorld world(options);
+
+    const auto violations = world.run();
+
+    CHECK_EQUAL(0U, violations.size());
+    CHECK_EQUAL(options.operations, world.answered());
+    CHECK_EQUAL(0, world.notRun());
+    CHECK_EQUAL(0, world.unknown());
+}
+
+TEST(DispatchScheduleTest, CheckerCatchesTrustInAReplacedAgent)
+{
+    CHECK(!firstViolation(PlantedFault::TrustReplacedAgent, 500).empty());
+}
+
+TEST(DispatchScheduleTest, CheckerCatchesAForgottenTombstone)
+{
+    CHECK(!firstViolation(PlantedFault::ForgetTombstone, 500).empty());
+}
+
+TEST(DispatchScheduleTest, CheckerCatchesARetryOfAnUnknownOutcome)
+{
+    CHECK(!firstViolation(PlantedFault::RetryUnknown, 500).empty());
+}
+
+TEST(DispatchScheduleTest, CheckerCatchesADroppedTicket)
+{
+    CHECK(!firstViolation(PlantedFault::DropTicket, 500).empty());
+}
+
+TEST(DispatchScheduleTest, CheckerCatchesSwappedAnswers)
+{
+    CHECK(!firstViolation(PlantedFault::SwapAnswers, 500).empty());
+}
+
+TEST(DispatchScheduleTest, CheckerCatchesALeavingAgentThatTakesWork)
+{
+    CHECK(!firstViolation(PlantedFault::KeepServingLeaving, 500).empty());
+}
--- /dev/null
+++ b/test/decision/dispatch/dispatchworld.cpp
@@ -0,0 +1,628 @@
+#include "decision/dispatch/dispatchworld.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace seamarch::test {
+namespace {
+
+constexpr Duration kLease = std::chrono::seconds(3);
+constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
+constexpr Duration kEnd = std::chrono::seconds(60);
+constexpr Duration kQuietFrom = std::chrono::seconds(40); // Nothing fails from here on.
+constexpr int kMaxAttempts = 5;
+const TargetName kTarget("portal");
+const HallId kHall("north");
+const AccountId kAccount("bids");
+
+std::string keyAt(WallMillis wall, std::uint64_t low)
+{
+    const auto millis = static_cast<std::uint64_t>(wall.count());
+    return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}", millis >> 16U, millis & 0xffffU,
+                       low & 0xfffU, (low >> 12U) & 0xfffU, low & 0xffffffffffffU);
+}
+
+} // namespace
+
+DispatchWorld::DispatchWorld(const Options &options)
+    : options_(options)
+    , random_(options.seed)
+    , entries_(static_cast<std::size_t>(options.entries))
+    , agents_(static_cast<std::size_t>(options.agents))
+{
+    for (std::size_t index = 0; index < agents_.size(); ++index) {
+        agents_[index].id = InstanceId(fmt::format("portal-{}", index));
+    }
+    publishList();
+    for (std::size_t index = 0; index < agents_.size(); ++index) {
+        startAgent(index);
+    }
+    for (std::size_t index = 0; index < entries_.size(); ++index) {
+        startEntry(index);
+    }
+}
+
+void DispatchWorld::at(TimePoint time, std::function<void()> action)
+{
+    events_.push({std::max(time, now_), nextSequence_++, std::move(action)});
+}
+
+Duration DispatchWorld::randomDelay(double lowMs, double highMs)
+{
+    return fromSeconds(std::uniform_real_distribution<double>(lowMs, highMs)(random_) / 1000.0);
+}
+
+bool DispatchWorld::chance(double probability)
+{
+    return std::bernoulli_distribution(probability)(random_);
+}
+
+std::size_t DispatchWorld::pickIndex(std::size_t size)
+{
+    return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
+}
+
+WallMillis DispatchWorld::wall() const
+{
+    constexpr WallMillis kStart(1'700'000'000'000);
+    return kStart + std::chrono::duration_cast<WallMillis>(now_.time_since_epoch());
+}
+
+void DispatchWorld::publishList()
+{
+    InstanceList list;
+    list.version = ListVersion(lists_.size() + 1);
+    for (std::size_t index = 0; index < agents_.size(); ++index) {
+        if (delisted_ == index) {
+            continue;
+        }
+        InstanceRecord record;
+        record.id = agents_[index].id;
+        record.hall = kHall;
+        record.serves = {kTarget};
+        list.instances.push_back(record);
+    }
+    lists_.push_back(list);
+}
+
+void DispatchWorld::applyMembers(std::size_t agent, const InstanceList &list)
+{
+    std::vector<InstanceId> members;
+    for (const InstanceRecord &record : list.instances) {
+        members.push_back(record.id);
+    }
+    agents_[agent].core->setKeyMembers(makeMemberSet(members));
+}
+
+// The list drops an agent that may well live, or takes it back; every process hears of it late.
+void DispatchWorld::relist()
+{
+    if (delisted_) {
+        delisted_.reset();
+    } else {
+        delisted_ = pickIndex(agents_.size());
+    }
+    publishList();
+    const InstanceList list = lists_.back();
+    for (std::size_t index = 0; index < agents_.size(); ++index) {
+        atAgent(index, randomDelay(10, 9000), [this, index, list] { applyMembers(index, list); });
+    }
+    for (std::size_t index = 0; index < entries_.size(); ++index) {
+        atEntry(index, entries_[index].incarnation, randomDelay(10, 9000),
+                [this, index, list] { entries_[index].core->applyList(list); });
+    }
+}
+
+void DispatchWorld::startEntry(std::size_t index)
+{
+    Entry &entry = entries_[index];
+    entry.incarnation = Incarnation(nextIncarnation_++);
+    EntryCore::Settings settings;
+    settings.hall = kHall;
+    settings.incarnation = entry.incarnation;
+    settings.seed = random_();
+    settings.lease = kLease;
+    entry.core = std::make_unique<EntryCore>(settings, std::make_unique<TwoChoicesRouter>());
+    ConfigDocument config;
+    AccountConfig account;
+    account.id = kAccount;
+    account.homeHall = kHall;
+    config.accounts.push_back(account);
+    entry.core->applyConfig(config);
+    entry.core->applyList(lists_.back());
+    for (std::size_t agent = 0; agent < agents_.size(); ++agent) {
+        heartbeatLoop(index, agent);
+    }
+}
+
+void DispatchWorld::startAgent(std::size_t index)
+{
+    Agent &agent = agents_[index];
+    agent.incarnation = Incarnation(nextIncarnation_++);
+    agent.jobs.clear();
+    agent.leftAt.reset();
+    AgentCore::Settings settings;
+    settings.self = agent.id;
+    settings.incarnation = agent.incarnation;
+    settings.seed = random_();
+    settings.slots = 2;
+    settings.ledgerCapacity = 40;
+    settings.keyHome.lease = kLease;
+    agent.core = std::make_unique<AgentCore>(settings, now_);
+    // A process that starts may see a list that is older than what others see.
+    applyMembers(index,
+                 lists_[lists_.size() > 1 && chance(0.5) ? lists_.size() - 2 : lists_.size() - 1]);
+    grantLoop(index);
+}
+
+void DispatchWorld::atEntry(std::size_t index, Incarnation meant, Duration delay,
+                            std::function<void()> action)
+{
+    after(delay, [this, index, meant, action] {
+        const Entry &entry = entries_[index];
+        if (entry.incarnation != meant) {
+            return;
+        }
+        if (now_ < entry.pausedUntil) {
+            atEntry(index, meant, entry.pausedUntil - now_, action);
+            return;
+        }
+        action();
+    });
+}
+
+void DispatchWorld::atAgent(std::size_t index, Duration delay, std::function<void()> action)
+{
+    after(delay, [this, index, action] {
+        const Agent &agent = agents_[index];
+        if (now_ < agent.pausedUntil) {
+            atAgent(index, agent.pausedUntil - now_, action);
+            return;
+        }
+        action();
+    });
+}
+
+void DispatchWorld::heartbeatLoop(std::size_t entry, std::size_t agent)
+{
+    const Incarnation meant = entries_[entry].incarnation;
+    atEntry(entry, meant, kHeartbeat, [this, entry, agent, meant] {
+        const TimePoint askedAt = now_;
+        if (!options_.faults || !chance(0.05)) {
+            atAgent(agent, randomDelay(0.5, 20), [this, entry, agent, meant, askedAt] {
+                const AgentReport report = agents_[agent].core->report();
+                atEntry(entry, meant, randomDelay(0.5, 20), [this, entry, agent, report, askedAt] {
+                    entries_[entry].core->onReport(agents_[agent].id, report, askedAt, now_);
+                });
+            });
+        }
+        heartbeatLoop(entry, agent);
+    });
+}
+
+void DispatchWorld::grantLoop(std::size_t index)
+{
+    const Incarnation meant = agents_[index].incarnation;
+    atAgent(index, kHeartbeat, [this, index, meant] {
+        if (agents_[index].incarnation != meant) {
+            return;
+        }
+        const std::uint64_t set = agents_[index].core->keyMembers().hash;
+        const TimePoint askedAt = now_;
+        for (std::size_t other = 0; other < agents_.size(); ++other) {
+            atAgent(other, randomDelay(0.5, 30), [this, index, other, meant, set, askedAt] {
+                if (!agents_[other].core->onGrantAsked(set, now_)) {
+                    return;
+                }
+                atAgent(index, randomDelay(0.5, 30), [this, index, other, meant, set, askedAt] {
+                    Agent &asker = agents_[index];
+                    if (asker.incarnation == meant) {
+                        asker.core->onGranted(agents_[other].id, set, askedAt, now_, wall());
+                    }
+                });
+            });
+        }
+        grantLoop(index);
+    });
+}
+
+void DispatchWorld::tickLoop()
+{
+    for (std::size_t index = 0; index < entries_.size(); ++index) {
+        if (now_ >= entries_[index].pausedUntil) {
+            EntryActions actions;
+            entries_[index].core->onTick(now_, actions);
+            carryOut(index, actions);
+        }
+    }
+    for (std::size_t index = 0; index < agents_.size(); ++index) {
+        if (now_ >= agents_[index].pausedUntil) {
+            AgentActions actions;
+            agents_[index].core->onTick(now_, actions);
+            carryOut(index, actions);
+        }
+    }
+    after(std::chrono::milliseconds(50), [this] { tickLoop(); });
+}
+
+// Something fails every second or so.
+void DispatchWorld::disturb()
+{
+    if (now_.time_since_epoch() > kQuietFrom) {
+        return;
+    }
+    const std::size_t agent = pickIndex(agents_.size());
+    const std::size_t entry = pickIndex(entries_.size());
+    switch (pickIndex(7)) {
+    case 0: // An agent is killed and replaced.
+        agents_[agent].pausedUntil = {};
+        startAgent(agent);
+        loseCalls(agent);
+        break;
+    case 1: // An agent is paused and wakes late.
+        agents_[agent].pausedUntil = now_ + randomDelay(100, 8000);
+        break;
+    case 2: // An entry is paused and wakes late.
+        entries_[entry].pausedUntil = now_ + randomDelay(100, 8000);
+        break;
+    case 3: // An entry is killed and replaced; its callers see broken connections.
+        for (const auto &[id, operation] : operationOf_) {
+            if (id.entry == entries_[entry].incarnation && !toldNotRun_.contains(id)) {
+                onFailed({id, FailureCode::UpstreamUnreachable, Outcome::Unknown, {}}, operation);
+            }
+        }
+        startEntry(entry);
+        break;
+    case 4: // The connections to an agent break while both sides live.
+        loseCalls(agent);
+        break;
+    case 5: // An agent is told to leave, and its replacement comes later.
+        if (!agents_[agent].leftAt) {
+            AgentActions actions;
+            agents_[agent].core->leave(actions);
+            agents_[agent].leftAt = now_;
+            carryOut(agent, actions);
+            after(randomDelay(6000, 9000), [this, agent] {
+                startAgent(agent);
+                loseCalls(agent);
+            });
+        }
+        break;
+    case 6:
+        relist();
+        break;
+    default:
+        break;
+    }
+    after(randomDelay(300, 1500), [this] { disturb(); });
+}
+
+void DispatchWorld::loseCalls(std::size_t agent)
+{
+    for (const auto &[id, index] : agentOf_) {
+        if (index != agent) {
+            continue;
+        }
+        const std::size_t entry = entryIndex(id.entry);
+        if (entry == entries_.size()) {
+            continue;
+        }
+        atEntry(entry, id.entry, randomDelay(0.1, 200), [this, entry, request = id, agent] {
+            const auto current = agentOf_.find(request);
+            if (current == agentOf_.end() || current->second != agent) {
+                return;
+            }
+            EntryActions actions;
+            if (options_.fault == PlantedFault::RetryUnknown) {
+                entries_[entry].core->onNotWritten(request, now_, actions);
+            } else {
+                entries_[entry].core->onLost(request, now_, actions);
+            }
+            carryOut(entry, actions);
+        });
+    }
+}
+
+void DispatchWorld::beginOperation(int index)
+{
+    Operation &operation = operations_[static_cast<std::size_t>(index)];
+    operation.kind = static_cast<Kind>(pickIndex(4));
+    if (operation.kind == Kind::Ticketed) {
+        operation.ticket = agents_[pickIndex(agents_.size())].core->issueTicket();
+    }
+    if (operation.kind == Kind::Keyed) {
+        operation.key = keyAt(wall(), random_());
+    }
+    attempt(index);
+}
+
+void DispatchWorld::attempt(int index)
+{
+    Operation &operation = operations_[static_cast<std::size_t>(index)];
+    if (operation.done || operation.attempts >= kMaxAttempts) {
+        return;
+    }
+    const std::size_t entry = pickIndex(entries_.size());
+    if (now_ < entries_[entry].pausedUntil) {
+        after(std::chrono::milliseconds(100), [this, index] { attempt(index); });
+        return;
+    }
+    ++operation.attempts;
+    EntryRequest request;
+    request.account = kAccount;
+    request.target = kTarget;
+    request.promptTokens = 100;
+    request.repeatable = operation.kind == Kind::Repeatable;
+    request.deadline = std::chrono::seconds(10);
+    request.ticket = operation.ticket;
+    request.callerKey = operation.key;
+    EntryActions actions;
+    const RequestId id = entries_[entry].core->begin(request, now_, actions);
+    operationOf_[id] = index;
+    carryOut(entry, actions);
+}
+
+void DispatchWorld::carryOut(std::size_t entry, const EntryActions &actions)
+{
+    for (const EntryAction &action : actions) {
+        if (const auto *call = std::get_if<SendCall>(&action)) {
+            sendCall(entry, *call);
+        } else if (const auto *cancel = std::get_if<SendCancel>(&action)) {
+            sendCancel(entry, *cancel);
+        } else if (const auto *failure = std::get_if<FailRequest>(&action)) {
+            onFailed(*failure,
+                     operationOf_.contains(failure->id) ? operationOf_.at(failure->id) : -1);
+        }
+    }
+}
+
+std::size_t DispatchWorld::agentIndex(const InstanceId &id) const
+{
+    const auto found = std::find_if(agents_.begin(), agents_.end(),
+                                    [&id](const Agent &agent) { return agent.id == id; });
+    return static_cast<std::size_t>(found - agents_.begin());
+}
+
+std::size_t DispatchWorld::entryIndex(Incarnation incarnation) const
+{
+    const auto found =
+        std::find_if(entries_.begin(), entries_.end(), [incarnation](const Entry &entry) {
+            return entry.incarnation == incarnation;
+        });
+    return static_cast<std::size_t>(found - entries_.begin());
+}
+
+void DispatchWorld::sendCall(std::size_t entry, const SendCall &call)
+{
+    const std::size_t agent = agentIndex(call.agent);
+    const Agent &target = agents_[agent];
+    const bool left = target.leftAt && target.incarnation == call.agentIncarnation;
+    if (left && now_ > *target.leftAt + kLease + kHeartbeat) {
+        violate(fmt::format("request {} sent to an agent that left {} s ago", call.id.counter,
+                            toSeconds(now_ - *target.leftAt)));
+    }
+    agentOf_[call.id] = agent;
+    // begin() returns the id after its actions, so the operation is looked up on delivery.
+    const bool lost = options_.faults && chance(0.03);
+    const bool doubled = options_.faults && chance(0.05);
+    if (!lost) {
+        atAgent(agent, randomDelay(0.5, 30),
+                [this, entry, call, agent] { deliverCall(entry, call, agent, true); });
+    }
+    if (doubled) {
+        // The answer to a late copy comes on a connection that nobody listens to any more.
+        atAgent(agent, randomDelay(0.5, 4000),
+                [this, entry, call, agent] { deliverCall(entry, call, agent, false); });
+    }
+    if (lost) {
+        atEntry(entry, call.id.entry, randomDelay(10, 500), [this, entry, call] {
+            EntryActions actions;
+            entries_[entry].core->onLost(call.id, now_, actions);
+            carryOut(entry, actions);
+        });
+    }
+}
+
+void DispatchWorld::deliverCall(std::size_t entry, const SendCall &call, std::size_t agent,
+                                bool listened)
+{
+    const int operation = operationOf_.at(call.id);
+    const Operation &wanted = operations_[static_cast<std::size_t>(operation)];
+    AgentCall message;
+    message.id = call.id;
+    message.account = kAccount;
+    message.promptTokens = 100;
+    message.deadline = call.deadline;
+    message.agentIncarnation = call.agentIncarnation;
+    message.callerKey = wanted.key;
+    if (options_.fault != PlantedFault::DropTicket) {
+        message.ticket = wanted.ticket;
+    }
+    Agent &target = agents_[agent];
+    AgentActions actions;
+    const StartVerdict verdict = target.core->onCall(message, now_, wall(), actions);
+    const bool takesLeaving = options_.fault == PlantedFault::KeepServingLeaving && target.leftAt;
+    if (verdict.accepted || takesLeaving) {
+        target.jobs.emplace(call.id, operation);
+        if (target.leftAt) {
+            violate(fmt::format("a leaving agent took request {}", call.id.counter));
+        }
+        carryOut(agent, actions);
+        return;
+    }
+    if (!listened) {
+        return;
+    }
+    atEntry(entry, call.id.entry, randomDelay(0.5, 30), [this, entry, call, verdict, agent] {
+        const auto current = agentOf_.find(call.id);
+        if (current == agentOf_.end() || current->second != agent) {
+            return;
+        }
+        EntryActions entryActions;
+        entries_[entry].core->onRefused(call.id, verdict.failure, verdict.outcome,
+                                        verdict.retryAfter, now_, entryActions);
+        carryOut(entry, entryActions);
+    });
+}
+
+void DispatchWorld::sendCancel(std::size_t entry, const SendCancel &cancel)
+{
+    if (options_.faults && chance(0.1)) {
+        return;
+    }
+    const std::size_t agent = agentIndex(cancel.agent);
+    atAgent(agent, randomDelay(0.5, 60), [this, entry, cancel, agent] {
+        Agent &target = agents_[agent];
+        AgentActions actions;
+        bool notRun = true;
+        if (options_.fault != PlantedFault::ForgetTombstone) {
+            const Incarnation meant = options_.fault == PlantedFault::TrustReplacedAgent
+                                          ? target.incarnation
+                                          : cancel.agentIncarnation;
+            notRun = target.core->onCancel(cancel.id, meant, now_, actions);
+        }
+        carryOut(agent, actions);
+        atEntry(entry, cancel.id.entry, randomDelay(0.5, 60), [this, entry, cancel, notRun] {
+            EntryActions entryActions;
+            entries_[entry].core->onCancelled(cancel.id, notRun, now_, entryActions);
+            carryOut(entry, entryActions);
+        });
+    });
+}
+
+void DispatchWorld::carryOut(std::size_t agent, const AgentActions &actions)
+{
+    for (const AgentAction &action : actions) {
+        if (const auto *start = std::get_if<StartUpstream>(&action)) {
+            runUpstream(agent, start->id);
+        } else if (const auto *report = std::get_if<ReportNotRun>(&action)) {
+            const std::size_t entry = entryIndex(report->id.entry);
+            if (entry == entries_.size()) {
+                continue;
+            }
+            atEntry(entry, report->id.entry, randomDelay(0.5, 30),
+                    [this, entry, agent, told = *report] {
+                        const auto current = agentOf_.find(told.id);
+                        if (current == agentOf_.end() || current->second != agent) {
+                            return;
+                        }
+                        EntryActions entryActions;
+                        entries_[entry].core->onRefused(told.id, told.failure, Outcome::NotRun,
+                                                        told.retryAfter, now_, entryActions);
+                        carryOut(entry, entryActions);
+                    });
+        }
+    }
+}
+
+void DispatchWorld::runUpstream(std::size_t agent, RequestId id)
+{
+    const Incarnation meant = agents_[agent].incarnation;
+    if (options_.faults && chance(0.03)) {
+        atAgent(agent, randomDelay(0.1, 5), [this, agent, id, meant] {
+            AgentActions actions;
+            if (agents_[agent].incarnation == meant) {
+                agents_[agent].core->onNotStarted(id, now_, actions);
+                carryOut(agent, actions);
+            }
+        });
+        return;
+    }
+    const int operation = operationOf_.at(id);
+    ++runsOf_[id];
+    ++operations_[static_cast<std::size_t>(operation)].runs;
+    if (toldNotRun_.contains(id)) {
+        violate(fmt::format("request {} ran after its caller was told 'not run'", id.counter));
+    }
+    atAgent(agent, randomDelay(20, 400), [this, agent, id, meant, operation] {
+        if (agents_[agent].incarnation != meant) {
+            return;
+        }
+        AgentActions actions;
+        agents_[agent].core->onEnded(id, now_, actions);
+        carryOut(agent, actions);
+        sendAnswer(agent, id, operation);
+    });
+}
+
+void DispatchWorld::sendAnswer(std::size_t agent, RequestId id, int operation)
+{
+    RequestId to = id;
+    if (options_.fault == PlantedFault::SwapAnswers && chance(0.1) && id.counter > 1) {
+        --to.counter;
+    }
+    const std::size_t entry = entryIndex(to.entry);
+    if (entry == entries_.size()) {
+        return;
+    }
+    const int copies = options_.faults && chance(0.05) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        atEntry(entry, to.entry, randomDelay(0.5, 100), [this, entry, agent, to, operation] {
+            EntryCore &core = *entries_[entry].core;
+            if (!core.onAnswer(to, agents_[agent].id)) {
+                return;
+            }
+            if (operationOf_.at(to) != operation) {
+                violate(fmt::format("request {} got another's answer", to.counter));
+            }
+            core.onComplete(to, agents_[agent].id);
+            agentOf_.erase(to);
+            ++answered_;
+            operations_[static_cast<std::size_t>(operation)].done = true;
+        });
+    }
+}
+
+void DispatchWorld::onFailed(const FailRequest &failure, int operation)
+{
+    agentOf_.erase(failure.id);
+    if (failure.outcome == Outcome::NotRun) {
+        ++notRun_;
+        toldNotRun_.insert(failure.id);
+        if (runsOf_[failure.id] > 0) {
+            violate(fmt::format("request {} ran and its caller was told 'not run' ({})",
+                                failure.id.counter, toString(failure.failure)));
+        }
+    } else {
+        ++unknown_;
+    }
+    if (operation < 0) {
+        return;
+    }
+    // A caller sends again what was not run, and what may be sent again.
+    const Kind kind = operations_[static_cast<std::size_t>(operation)].kind;
+    const bool bound = kind == Kind::Ticketed || kind == Kind::Keyed;
+    if (failure.outcome == Outcome::NotRun || bound || kind == Kind::Repeatable) {
+        after(randomDelay(50, 1500), [this, operation] { attempt(operation); });
+    }
+}
+
+std::vector<std::string> DispatchWorld::run()
+{
+    operations_.resize(static_cast<std::size_t>(options_.operations));
+    for (int index = 0; index < options_.operations; ++index) {
+        // The first leases and key-home grants are in place after a few seconds.
+        at(TimePoint(std::chrono::seconds(8)) + randomDelay(0, 30'000),
+           [this, index] { beginOperation(index); });
+    }
+    tickLoop();
+    if (options_.faults) {
+        at(TimePoint(std::chrono::seconds(8)), [this] { disturb(); });
+    }
+    while (!events_.empty() && events_.top().at.time_since_epoch() < kEnd) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = event.at;
+        event.action();
+    }
+    for (std::size_t index = 0; index < operations_.size(); ++index) {
+        const Operation &operation = operations_[index];
+        if (operation.kind != Kind::Repeatable && operation.runs > 1) {
+            violate(fmt::format("operation {} of kind {} ran {} times", index,
+                                static_cast<int>(operation.kind), operation.runs));
+        }
+    }
+    return violations_;
+}
+
+} // namespace seamarch::test
--- /dev/null
+++ b/test/decision/once/runledger_test.cpp
@@ -0,0 +1,90 @@
+#include "decision/once/runledger.h"
+
+#include "decision/once/ticketbook.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+RequestId request(std::uint64_t counter)
+{
+    return {Incarnation(1), counter};
+}
+
+} // namespace
+
+TEST_GROUP(RunLedgerTest)
+{
+    RunLedger ledger{2};
+};
+
+TEST(RunLedgerTest, CancelBeforeArrivalLeavesATombstone)
+{
+    CHECK(ledger.cancel(request(1)));
+
+    CHECK_FALSE(ledger.enqueue(request(1)));
+}
+
+TEST(RunLedgerTest, CancelAfterTheStartProvesNothing)
+{
+    ledger.enqueue(request(1));
+    ledger.start(request(1));
+
+    CHECK_FALSE(ledger.cancel(request(1)));
+}
+
+TEST(RunLedgerTest, ForgottenRequestsStayRefused)
+{
+    for (std::uint64_t counter = 1; counter <= 5; ++counter) {
+        ledger.enqueue(request(counter));
+        ledger.start(request(counter));
+        ledger.finish(request(counter));
+    }
+
+    CHECK(ledger.state(request(1)) == RunState::Forgotten);
+    CHECK_FALSE(ledger.enqueue(request(1)));
+    CHECK_FALSE(ledger.cancel(request(1)));
+    CHECK_EQUAL(2U, ledger.size());
+}
+
+TEST_GROUP(TicketBookTest)
+{
+    TicketBook book{InstanceId("portal.1"), Incarnation(7), 42, 2};
+};
+
+TEST(TicketBookTest, RedeemsATicketOnce)
+{
+    const Ticket ticket = book.issue();
+
+    CHECK(book.redeem(ticket) == TicketVerdict::Fresh);
+    CHECK(book.redeem(ticket) == TicketVerdict::Spent);
+}
+
+TEST(TicketBookTest, ForgetsTheOldestAndRefusesIt)
+{
+    const Ticket oldest = book.issue();
+    book.issue();
+    book.issue();
+
+    CHECK(book.redeem(oldest) == TicketVerdict::Unknown);
+}
+
+TEST(TicketBookTest, RefusesATicketOfAnotherIncarnation)
+{
+    Ticket ticket = book.issue();
+    ticket.incarnation = Incarnation(8);
+
+    CHECK(book.redeem(ticket) == TicketVerdict::Unknown);
+}
+
+TEST(TicketBookTest, ReadsWhatItWrites)
+{
+    const Ticket ticket = book.issue();
+
+    const auto read = parseTicket(formatTicket(ticket));
+
+    CHECK(read == ticket);
+    CHECK_FALSE(parseTicket("portal.1.7").has_value() && parseTicket("x").has_value());
+}
