--- /dev/null
+++ b/bench/fairnessfigures.cpp
@@ -0,0 +1,236 @@
+#include "decision/dispatch/agentcore.h"
+#include "figures.h"
+#include "virtualfleet.h"
+
+#include <cmath>
+#include <fmt/format.h>
+#include <map>
+#include <queue>
+
+namespace seamarch::bench {
+namespace {
+
+// One agent before an engine with a few slots; accounts send through it in virtual time.
+class OneAgent
+{
+public:
+    explicit OneAgent(std::uint32_t slots)
+        : core_(settingsOf(slots), TimePoint{})
+    {}
+
+    void setShare(const std::string &account, double share)
+    {
+        ConfigDocument document;
+        for (const auto &[name, held] : shares_) {
+            AccountConfig config;
+            config.id = AccountId(name);
+            config.share = held;
+            config.maxQueued = 100'000;
+            document.accounts.push_back(config);
+        }
+        shares_[account] = share;
+        AccountConfig config;
+        config.id = AccountId(account);
+        config.share = share;
+        config.maxQueued = 100'000;
+        document.accounts.push_back(config);
+        core_.applyConfig(document);
+    }
+
+    // A request with a declared and a true length arrives.
+    void send(const std::string &account, Tokens declared, Tokens actual, double deadline = 1e6)
+    {
+        const RequestId id{Incarnation(1), ++counter_};
+        works_[id] = {account, actual, now_};
+        AgentCall call;
+        call.id = id;
+        call.account = AccountId(account);
+        call.answerTokens = declared;
+        call.deadline = fromSeconds(deadline);
+        call.agentIncarnation = Incarnation(1);
+        AgentActions actions;
+        const StartVerdict verdict = core_.onCall(call, now_, {}, actions);
+        refused += verdict.accepted ? 0 : 1;
+        carryOut(actions);
+    }
+
+    void runUntil(double seconds)
+    {
+        const TimePoint end{fromSeconds(seconds)};
+        while (!ends_.empty() && ends_.top().first <= end) {
+            const auto [at, id] = ends_.top();
+            ends_.pop();
+            now_ = at;
+            const Work &work = works_.at(id);
+            core_.onTokens(id, work.actual);
+            AgentActions actions;
+            core_.onEnded(id, now_, actions);
+            carryOut(actions);
+        }
+        now_ = end;
+        AgentActions actions;
+        core_.onTick(now_, actions);
+        carryOut(actions);
+    }
+
+    // Returns the tokens that were generated for each account between two moments.
+    std::map<std::string, double> served(double from, double to) const
+    {
+        std::map<std::string, double> tokens;
+        for (const Run &run : runs_) {
+            const double overlap = std::min(run.end, to) - std::max(run.start, from);
+            tokens[run.account] += std::max(0.0, overlap) / kSecondsPerToken;
+        }
+        return tokens;
+    }
+
+    std::map<std::string, std::vector<double>> waits;
+    int refused = 0;
+
+private:
+    struct Work
+    {
+        std::string account;
+        Tokens actual = 0;
+        TimePoint arrived;
+    };
+
+    static AgentCore::Settings settingsOf(std::uint32_t slots)
+    {
+        AgentCore::Settings settings;
+        settings.self = InstanceId("bid-1");
+        settings.incarnation = Incarnation(1);
+        settings.slots = slots;
+        return settings;
+    }
+
+    struct Run
+    {
+        std::string account;
+        double start = 0.0;
+        double end = 0.0;
+    };
+
+    static constexpr double kSecondsPerToken = 0.005;
+
+    void carryOut(const AgentActions &actions)
+    {
+        for (const AgentAction &action : actions) {
+            if (const auto *start = std::get_if<StartUpstream>(&action)) {
+                const Work &work = works_.at(start->id);
+                waits[work.account].push_back(toSeconds(now_ - work.arrived));
+                const double seconds = static_cast<double>(work.actual) * kSecondsPerToken;
+                const double startsAt = toSeconds(now_.time_since_epoch());
+                runs_.push_back({work.account, startsAt, startsAt + seconds});
+                ends_.emplace(now_ + fromSeconds(seconds), start->id);
+            } else if (std::holds_alternative<ReportNotRun>(action)) {
+                ++refused;
+            }
+        }
+    }
+
+    using End = std::pair<TimePoint, RequestId>;
+
+    AgentCore core_;
+    TimePoint now_{};
+    std::uint64_t counter_ = 0;
+    std::map<std::string, double> shares_;
+    std::vector<Run> runs_;
+    std::map<RequestId, Work> works_;
+    std::priority_queue<End, std::vector<End>, std::greater<>> ends_;
+};
+
+// Largest relative error of a backlogged account's part over five seconds.
+double shareError()
+{
+    OneAgent agent(16);
+    const std::map<std::string, double> shares = {{"large", 4.0}, {"middle", 2.0}, {"small", 1.0}};
+    std::mt19937_64 random(5);
+    std::exponential_distribution<double> length(1.0 / 60.0);
+    double total = 0.0;
+    for (const auto &[account, share] : shares) {
+        agent.setShare(account, share);
+        total += share;
+    }
+    for (int index = 0; index < 3000; ++index) {
+        for (const auto &[account, share] : shares) {
+            // The small account declares a quarter of what it takes.
+            const auto actual = static_cast<Tokens>(1.0 + length(random));
+            agent.send(account, account == "small" ? actual / 4 + 1 : actual, actual);
+        }
+    }
+    agent.runUntil(10.0);
+    const auto tokens = agent.served(5.0, 10.0);
+    double served = 0.0;
+    for (const auto &[account, count] : tokens) {
+        served += count;
+    }
+    double worst = 0.0;
+    for (const auto &[account, share] : shares) {
+        const double part = tokens.at(account) / served;
+        worst = std::max(worst, std::abs(part - share / total) / (share / total));
+    }
+    return worst;
+}
+
+// The 95th percentile of a light account's wait, beside a flood or alone among the same load of
+// many light accounts.
+double lightWait(bool flood)
+{
+    OneAgent agent(16);
+    std::mt19937_64 random(9);
+    agent.setShare("light", 1.0);
+    std::exponential_distribution<double> gap(8.0);
+    double nextLight = 0.0;
+    for (int step = 0; step < 600; ++step) {
+        const double now = step * 0.1;
+        if (flood) {
+            for (int burst = 0; burst < 40; ++burst) {
+                agent.send("flood", 40, 40);
+            }
+        }
+        while (nextLight <= now) {
+            agent.send("light", 40, 40);
+            nextLight += gap(random);
+        }
+        agent.runUntil(now + 0.1);
+    }
+    return percentileOf(agent.waits.at("light"), 0.95);
+}
+
+FleetResult overloaded(double load)
+{
+    FleetOptions options;
+    options.load = load;
+    options.deadlineSeconds = 10.0;
+    options.seconds = 200.0;
+    return runFleet(options);
+}
+
+} // namespace
+
+void addFairnessFigures(Figures &figures)
+{
+    figures.push_back({"fairness.share_error_5s", shareError(), "part", 0.06, true, 0.0, "exact"});
+    // One request of the flood may hold each slot when a light one arrives: 40 tokens of 5 ms.
+    constexpr double kOneService = 0.2;
+    figures.push_back({"fairness.light_wait_beside_flood_p95", lightWait(true), "s", kOneService,
+                       true, lightWait(false), "alone"});
+    double peak = 0.0;
+    for (const double load : {0.8, 0.9, 1.0, 1.2, 1.5}) {
+        peak = std::max(peak, overloaded(load).goodput());
+    }
+    const FleetResult twice = overloaded(2.0);
+    figures.push_back({"overload.goodput_at_twice_the_load", twice.goodput() / peak, "of peak",
+                       0.95, false, 1.0, "peak"});
+    figures.push_back(
+        {"overload.sends_per_request",
+         static_cast<double>(twice.sends - twice.moves) / static_cast<double>(twice.offered),
+         "ratio", 1.1, true, 1.0, "no retries"});
+    figures.push_back({"overload.late_or_lost",
+                       static_cast<double>(twice.offered - twice.completed - twice.refused)
+                           / static_cast<double>(twice.offered),
+                       "part", 0.05, true, 0.0, "none"});
+}
+
+} // namespace seamarch::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -53,6 +53,8 @@
     using namespace seamarch::bench;
     constexpr std::pair<const char *, void (*)(Figures &)> kParts[] = {
         {"placement", addPlacementFigures},
+        {"routing", addRoutingFigures},
+        {"fairness", addFairnessFigures},
     };
     Figures figures;
     for (const auto &[name, add] : kParts) {
--- /dev/null
+++ b/bench/routingfigures.cpp
@@ -0,0 +1,97 @@
+#include "figures.h"
+#include "virtualfleet.h"
+
+#include <fmt/format.h>
+
+namespace seamarch::bench {
+namespace {
+
+// Three seeds are pooled, so that one lucky schedule does not make the figure.
+FleetResult pooled(FleetOptions options)
+{
+    FleetResult all;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        options.seed = seed;
+        const FleetResult one = runFleet(options);
+        all.firstTokens.insert(all.firstTokens.end(), one.firstTokens.begin(),
+                               one.firstTokens.end());
+        all.cachedTokens += one.cachedTokens;
+        all.cacheableTokens += one.cacheableTokens;
+    }
+    return all;
+}
+
+template <typename Policy>
+FleetResult with(FleetOptions options)
+{
+    options.router = [] { return std::make_unique<Policy>(); };
+    // The baselines leave a request where they have put it.
+    const bool ours = std::is_same_v<Policy, ExpectedWaitRouter>;
+    options.freeNotices = ours ? options.freeNotices : 0;
+    return pooled(options);
+}
+
+FleetResult clairvoyant(FleetOptions options)
+{
+    options.clairvoyant = true;
+    return pooled(options);
+}
+
+void addLoadFigures(Figures &figures, double load)
+{
+    FleetOptions options;
+    options.load = load;
+    const FleetResult ours = with<ExpectedWaitRouter>(options);
+    const FleetResult two = with<TwoChoicesRouter>(options);
+    const FleetResult best = clairvoyant(options);
+    const auto name = [load](const char *what) {
+        return fmt::format("routing.load{:.0f}.{}", load * 100, what);
+    };
+    const double p95 = ours.percentile(0.95);
+    figures.push_back({name("first_token_p50"), ours.percentile(0.5), "s", 1.3, true,
+                       two.percentile(0.5), "two choices"});
+    figures.push_back({name("first_token_p95"), p95, "s", load > 0.9 ? 4.0 : 1.3, true,
+                       two.percentile(0.95), "two choices"});
+    figures.push_back({name("first_token_p99"), ours.percentile(0.99), "s", load > 0.9 ? 8.0 : 2.6,
+                       true, two.percentile(0.99), "two choices"});
+    figures.push_back({name("p95_to_two_choices"), p95 / two.percentile(0.95), "ratio", 0.8, true,
+                       1.0, "two choices"});
+    figures.push_back({name("p95_to_clairvoyant"), p95 / best.percentile(0.95), "ratio", 2.2, true,
+                       two.percentile(0.95) / best.percentile(0.95), "two choices"});
+}
+
+} // namespace
+
+void addRoutingFigures(Figures &figures)
+{
+    for (const double load : {0.6, 0.8, 0.95}) {
+        addLoadFigures(figures, load);
+    }
+    FleetOptions options;
+    const FleetResult ours = with<ExpectedWaitRouter>(options);
+    figures.push_back({"routing.load80.p95_to_round_robin",
+                       ours.percentile(0.95) / with<RoundRobinRouter>(options).percentile(0.95),
+                       "ratio", 0.8, true, 1.0, "round robin"});
+    figures.push_back({"routing.load80.p95_to_least_in_flight",
+                       ours.percentile(0.95) / with<LeastInFlightRouter>(options).percentile(0.95),
+                       "ratio", 0.8, true, 1.0, "least in flight"});
+    const FleetResult best = clairvoyant(options);
+    figures.push_back({"routing.load80.cache_tokens_kept", ours.cachedTokens / best.cachedTokens,
+                       "ratio", 0.7, false,
+                       with<TwoChoicesRouter>(options).cachedTokens / best.cachedTokens,
+                       "two choices, to clairvoyant"});
+    for (const double lag : {0.1, 2.0}) {
+        FleetOptions lagged = options;
+        lagged.reportLagSeconds = lag;
+        figures.push_back({fmt::format("routing.load80.lag{:.0f}ms.first_token_p95", lag * 1000),
+                           with<ExpectedWaitRouter>(lagged).percentile(0.95), "s", 1.6, true,
+                           with<TwoChoicesRouter>(lagged).percentile(0.95), "two choices"});
+    }
+    FleetOptions lossy = options;
+    lossy.lostReports = 0.3;
+    figures.push_back({"routing.load80.lost30.first_token_p95",
+                       with<ExpectedWaitRouter>(lossy).percentile(0.95), "s", 1.6, true,
+                       with<TwoChoicesRouter>(lossy).percentile(0.95), "two choices"});
+}
+
+} // namespace seamarch::bench
--- /dev/null
+++ b/bench/virtualfleet.cpp
@@ -0,0 +1,446 @@
+#include "virtualfleet.h"
+
+#include "decision/fairness/cost.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace seamarch::bench {
+namespace {
+
+constexpr double kPrefillTokensPerSecond = 20'000.0;
+constexpr double kSecondsPerToken = 0.03;
+constexpr double kMeanPrompt = 2000.0;
+constexpr double kMeanAnswer = 120.0;
+constexpr std::size_t kPrefixes = 300;
+constexpr std::size_t kCachedPrefixes = 40; // That one engine can hold.
+constexpr double kPrefixPart = 0.8;         // Of a prompt.
+constexpr double kSlowSpeed = 0.6;
+constexpr double kWarmUp = 0.2; // Part of the run that is not counted.
+const TargetName kTarget("bid");
+const HallId kHall("north");
+const AccountId kAccount("officers");
+
+struct Work
+{
+    TimePoint arrived{};
+    std::uint64_t prefix = 0;
+    Tokens prompt = 0;
+    Tokens answer = 0;
+    bool counted = false;
+};
+
+class Fleet
+{
+public:
+    explicit Fleet(const FleetOptions &options)
+        : options_(options)
+        , random_(options.seed)
+    {
+        for (int index = 0; index < options_.agents; ++index) {
+            makeAgent(index);
+        }
+        for (int index = 0; index < options_.entries; ++index) {
+            makeEntry();
+        }
+        std::vector<double> weights;
+        for (std::size_t prefix = 0; prefix < kPrefixes; ++prefix) {
+            weights.push_back(1.0 / static_cast<double>(prefix + 1));
+        }
+        prefixes_ = std::discrete_distribution<std::uint64_t>(weights.begin(), weights.end());
+    }
+
+    FleetResult run()
+    {
+        result_.seconds = options_.seconds * (1.0 - kWarmUp);
+        for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+            heartbeat(entry);
+        }
+        tick();
+        at(TimePoint(std::chrono::seconds(6)), [this] { arrive(); });
+        const TimePoint end{fromSeconds(options_.seconds + 6.0)};
+        while (!events_.empty() && events_.top().at < end) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.at;
+            event.action();
+        }
+        return result_;
+    }
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t sequence = 0;
+        std::function<void()> action;
+
+        bool operator>(const Event &other) const
+        {
+            return std::pair(at, sequence) > std::pair(other.at, other.sequence);
+        }
+    };
+
+    struct Engine
+    {
+        std::unique_ptr<AgentCore> core;
+        double speed = 1.0;
+        std::deque<std::uint64_t> cache; // Most recent first.
+        std::uint32_t running = 0;       // Of the clairvoyant queue.
+    };
+
+    void at(TimePoint time, std::function<void()> action)
+    {
+        events_.push({time, nextSequence_++, std::move(action)});
+    }
+
+    void after(double seconds, std::function<void()> action)
+    {
+        at(now_ + fromSeconds(seconds), std::move(action));
+    }
+
+    void makeAgent(int index)
+    {
+        AgentCore::Settings settings;
+        settings.self = InstanceId(fmt::format("bid-{:02}", index));
+        settings.incarnation = Incarnation(static_cast<std::uint64_t>(index) + 1);
+        settings.slots = options_.slots;
+        Engine engine;
+        engine.speed = index < options_.slowAgents ? kSlowSpeed : 1.0;
+        settings.initialTokensPerSecond = capacityTokens() * engine.speed;
+        engine.core = std::make_unique<AgentCore>(settings, now_);
+        InstanceRecord record;
+        record.id = settings.self;
+        record.hall = kHall;
+        record.serves = {kTarget};
+        list_.instances.push_back(record);
+        engines_.push_back(std::move(engine));
+    }
+
+    void makeEntry()
+    {
+        list_.version = ListVersion(1);
+        EntryCore::Settings settings;
+        settings.hall = kHall;
+        settings.incarnation = Incarnation(1000 + entries_.size());
+        settings.seed = random_();
+        settings.lease = std::chrono::hours(1);
+        settings.slowStart = std::chrono::seconds(1);
+        auto core = std::make_unique<EntryCore>(
+            settings, options_.router ? options_.router() : std::make_unique<ExpectedWaitRouter>());
+        core->applyList(list_);
+        entries_.push_back(std::move(core));
+    }
+
+    static double meanCost()
+    {
+        return static_cast<double>(
+            requestCost(static_cast<Tokens>(kMeanPrompt), static_cast<Tokens>(kMeanAnswer)));
+    }
+
+    // Cost that a normal engine works off in a second when all slots are busy.
+    double capacityTokens() const
+    {
+        const double seconds =
+            kMeanPrompt / kPrefillTokensPerSecond + kMeanAnswer * kSecondsPerToken;
+        return options_.slots * meanCost() / seconds;
+    }
+
+    double requestsPerSecond() const
+    {
+        const double fast = options_.agents - options_.slowAgents * (1.0 - kSlowSpeed);
+        return options_.load * fast * capacityTokens() / meanCost();
+    }
+
+    void heartbeat(std::size_t entry)
+    {
+        std::uniform_real_distribution<double> jitter(0.8, 1.2);
+        after(options_.reportLagSeconds * jitter(random_), [this, entry] {
+            for (std::size_t index = 0; index < engines_.size(); ++index) {
+                if (firstReports_ > 0 && chance(options_.lostReports)) {
+                    continue;
+                }
+                EntryActions actions;
+                entries_[entry]->onReport(list_.instances[index].id, engines_[index].core->report(),
+                                          now_, now_, actions);
+                if (options_.freeNotices > 0) {
+                    carryOut(entry, actions);
+                }
+            }
+            heartbeat(entry);
+        });
+        firstReports_ = now_.time_since_epoch() > std::chrono::seconds(5) ? 1 : 0;
+    }
+
+    bool chance(double probability) { return std::bernoulli_distribution(probability)(random_); }
+
+    void tick()
+    {
+        for (std::size_t index = 0; index < engines_.size(); ++index) {
+            AgentActions actions;
+            engines_[index].core->onTick(now_, actions);
+            carryOut(index, actions);
+        }
+        after(0.05, [this] { tick(); });
+    }
+
+    void arrive()
+    {
+        std::exponential_distribution<double> gap(requestsPerSecond());
+        after(gap(random_), [this] { arrive(); });
+        Work work;
+        work.arrived = now_;
+        work.prefix = prefixes_(random_) + 1;
+        work.prompt = 200
+                      + static_cast<Tokens>(std::exponential_distribution<double>(
+                          1.0 / (kMeanPrompt - 200))(random_));
+        work.answer = 1
+                      + static_cast<Tokens>(
+                          std::exponential_distribution<double>(1.0 / kMeanAnswer)(random_));
+        work.counted = toSeconds(now_.time_since_epoch()) > 6.0 + options_.seconds * kWarmUp;
+        result_.offered += work.counted ? 1 : 0;
+        if (options_.clairvoyant) {
+            waiting_.push_back(work);
+            serveWaiting();
+            return;
+        }
+        const std::size_t entry = pickEntry();
+        EntryRequest request;
+        request.account = kAccount;
+        request.target = kTarget;
+        request.promptTokens = work.prompt;
+        request.answerTokens = static_cast<Tokens>(kMeanAnswer); // What callers declare.
+        request.prefixHash = chance(options_.lostReports) ? 0 : work.prefix;
+        request.repeatable = true;
+        request.deadline = fromSeconds(options_.deadlineSeconds);
+        EntryActions actions;
+        const RequestId id = entries_[entry]->begin(request, now_, actions);
+        works_[id] = work;
+        entryOf_[id] = entry;
+        carryOut(entry, actions);
+    }
+
+    void announceFree(std::size_t index)
+    {
+        // A few entries drawn at random hear of it.
+        for (int notice = 0; notice < options_.freeNotices; ++notice) {
+            const std::size_t entry = pickEntry();
+            after(0.0015, [this, entry, index] {
+                EntryActions actions;
+                entries_[entry]->onFree(list_.instances[index].id, engines_[index].core->report(),
+                                        now_, actions);
+                carryOut(entry, actions);
+            });
+        }
+    }
+
+    std::size_t pickEntry()
+    {
+        return std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_);
+    }
+
+    void withdraw(std::size_t entry, const SendWithdraw &request)
+    {
+        after(0.0015, [this, entry, request] {
+            const std::size_t index = indexOf(request.agent);
+            const bool notRun =
+                engines_[index].core->onWithdraw(request.id, request.agentIncarnation);
+            result_.moves += notRun ? 1 : 0;
+            after(0.0015, [this, entry, request, notRun] {
+                EntryActions actions;
+                entries_[entry]->onWithdrawn(request.id, request.agent, notRun, now_, actions);
+                carryOut(entry, actions);
+            });
+        });
+    }
+
+    std::size_t indexOf(const InstanceId &agent) const
+    {
+        const auto found =
+            std::find_if(list_.instances.begin(), list_.instances.end(),
+                         [&agent](const InstanceRecord &each) { return each.id == agent; });
+        return static_cast<std::size_t>(found - list_.instances.begin());
+    }
+
+    void carryOut(std::size_t entry, const EntryActions &actions)
+    {
+        for (const EntryAction &action : actions) {
+            if (const auto *taken = std::get_if<SendWithdraw>(&action)) {
+                withdraw(entry, *taken);
+                continue;
+            }
+            if (const auto *call = std::get_if<SendCall>(&action)) {
+                result_.sends += works_.at(call->id).counted ? 1 : 0;
+                after(0.0015, [this, entry, call = *call] { deliver(entry, call); });
+            } else if (const auto *failure = std::get_if<FailRequest>(&action)) {
+                result_.refused += works_.at(failure->id).counted ? 1 : 0;
+            }
+        }
+    }
+
+    void deliver(std::size_t entry, const SendCall &call)
+    {
+        const std::size_t index = indexOf(call.agent);
+        const Work &work = works_.at(call.id);
+        AgentCall message;
+        message.id = call.id;
+        message.account = kAccount;
+        message.promptTokens = work.prompt;
+        message.answerTokens = static_cast<Tokens>(kMeanAnswer);
+        message.deadline = call.deadline;
+        message.agentIncarnation = call.agentIncarnation;
+        AgentActions actions;
+        const StartVerdict verdict = engines_[index].core->onCall(message, now_, {}, actions);
+        carryOut(index, actions);
+        if (verdict.accepted) {
+            after(0.0015, [this, entry, id = call.id, verdict] {
+                entries_[entry]->onAccepted(id, verdict.started);
+            });
+        } else {
+            after(0.0015, [this, entry, id = call.id, verdict] {
+                EntryActions next;
+                entries_[entry]->onRefused(id, verdict.failure, verdict.outcome, verdict.retryAfter,
+                                           now_, next);
+                carryOut(entry, next);
+            });
+        }
+    }
+
+    void carryOut(std::size_t index, const AgentActions &actions)
+    {
+        for (const AgentAction &action : actions) {
+            if (std::holds_alternative<AnnounceFree>(action)) {
+                announceFree(index);
+            } else if (const auto *start = std::get_if<StartUpstream>(&action)) {
+                const RequestId id = start->id;
+                const Work &work = works_.at(id);
+                const double seconds = serve(index, work);
+                after(seconds, [this, index, id] { finish(index, id); });
+            } else if (const auto *report = std::get_if<ReportNotRun>(&action)) {
+                EntryActions next;
+                const std::size_t entry = entryOf_.at(report->id);
+                entries_[entry]->onRefused(report->id, report->failure, Outcome::NotRun,
+                                           report->retryAfter, now_, next);
+                carryOut(entry, next);
+            }
+        }
+    }
+
+    // Starts a request on an engine; returns how long it holds its slot.
+    double serve(std::size_t index, const Work &work)
+    {
+        Engine &engine = engines_[index];
+        const auto cached = std::find(engine.cache.begin(), engine.cache.end(), work.prefix);
+        const double prefixTokens = kPrefixPart * static_cast<double>(work.prompt);
+        const bool hit = cached != engine.cache.end();
+        if (hit) {
+            engine.cache.erase(cached);
+        }
+        engine.cache.push_front(work.prefix);
+        if (engine.cache.size() > kCachedPrefixes) {
+            engine.cache.pop_back();
+        }
+        const double left = static_cast<double>(work.prompt) - (hit ? prefixTokens : 0.0);
+        const double prefill = left / kPrefillTokensPerSecond / engine.speed;
+        const double first = prefill + kSecondsPerToken / engine.speed;
+        if (work.counted) {
+            result_.cacheableTokens += prefixTokens;
+            result_.cachedTokens += hit ? prefixTokens : 0.0;
+            result_.firstTokens.push_back(toSeconds(now_ - work.arrived) + first);
+        }
+        return prefill + static_cast<double>(work.answer) * kSecondsPerToken / engine.speed;
+    }
+
+    void finish(std::size_t index, RequestId id)
+    {
+        const Work &work = works_.at(id);
+        const bool inTime = toSeconds(now_ - work.arrived) <= options_.deadlineSeconds;
+        result_.completed += work.counted && inTime ? 1 : 0;
+        AgentCore &core = *engines_[index].core;
+        core.onTokens(id, work.answer);
+        AgentActions actions;
+        core.onEnded(id, now_, actions);
+        EntryCore &entry = *entries_[entryOf_.at(id)];
+        const InstanceId &agent = list_.instances[index].id;
+        if (entry.onAnswer(id, agent)) {
+            entry.onComplete(id, agent);
+        }
+        carryOut(index, actions);
+    }
+
+    // The clairvoyant queue: the oldest request goes to the best free slot of the whole fleet.
+    void serveWaiting()
+    {
+        while (!waiting_.empty()) {
+            const Work work = waiting_.front();
+            std::size_t best = engines_.size();
+            double bestPrice = 0.0;
+            for (std::size_t index = 0; index < engines_.size(); ++index) {
+                const Engine &engine = engines_[index];
+                if (engine.running >= options_.slots) {
+                    continue;
+                }
+                const bool hit = std::find(engine.cache.begin(), engine.cache.end(), work.prefix)
+                                 != engine.cache.end();
+                const double price =
+                    (hit ? 1.0 - kPrefixPart : 1.0) / engine.speed + 0.01 * engine.running;
+                if (best == engines_.size() || price < bestPrice) {
+                    best = index;
+                    bestPrice = price;
+                }
+            }
+            if (best == engines_.size()) {
+                return;
+            }
+            waiting_.pop_front();
+            ++engines_[best].running;
+            const double seconds = serve(best, work);
+            after(seconds, [this, best, work] {
+                --engines_[best].running;
+                const bool inTime = toSeconds(now_ - work.arrived) <= options_.deadlineSeconds;
+                result_.completed += work.counted && inTime ? 1 : 0;
+                serveWaiting();
+            });
+        }
+    }
+
+    FleetOptions options_;
+    std::mt19937_64 random_;
+    TimePoint now_{};
+    std::uint64_t nextSequence_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::vector<std::unique_ptr<EntryCore>> entries_;
+    std::vector<Engine> engines_;
+    InstanceList list_;
+    std::discrete_distribution<std::uint64_t> prefixes_;
+    std::map<RequestId, Work> works_;
+    std::map<RequestId, std::size_t> entryOf_;
+    std::deque<Work> waiting_;
+    FleetResult result_;
+    int firstReports_ = 0;
+};
+
+} // namespace
+
+double percentileOf(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    const auto index = static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + index, values.end());
+    return values[static_cast<std::size_t>(index)];
+}
+
+double FleetResult::percentile(double part) const
+{
+    return percentileOf(firstTokens, part);
+}
+
+FleetResult runFleet(const FleetOptions &options)
+{
+    return Fleet(options).run();
+}
+
+} // namespace seamarch::bench
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -15,6 +15,7 @@
 using nlohmann::json;
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr std::size_t kFreeNotices = 4; // Entries that hear of a free slot.
 // What may wait for an entry that lags; beyond it the upstream is not read.
 constexpr std::size_t kPendingHighWater = 64 * 1024;
 constexpr std::string_view kEventPrefix = "data: ";
@@ -78,6 +79,7 @@
         builder.setFailure(static_cast<std::uint16_t>(verdict.failure));
         builder.setNotRun(verdict.outcome == Outcome::NotRun);
         builder.setRetryAfterMicros(verdict.retryAfter.count());
+        builder.setStarted(verdict.started);
         return kj::READY_NOW;
     }
 
@@ -90,6 +92,15 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> withdraw(WithdrawContext context) override
+    {
+        const auto params = context.getParams();
+        const bool notRun = service_.onWithdraw(readRequestId(params.getId()),
+                                                Incarnation(params.getAgentIncarnation()));
+        context.getResults().setNotRun(notRun);
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> issueTicket(IssueTicketContext context) override
     {
         context.getResults().setTicket(formatTicket(service_.core_.issueTicket()));
@@ -136,6 +147,7 @@
     , incarnation_(randomIdentity())
     , metrics_(settings_.maxAccountSeries)
     , core_(coreSettings(settings_, incarnation_), loop.now())
+    , random_(incarnation_.value())
     , tasks_(*this)
 {
     knowledge_.listen(*this);
@@ -253,6 +265,15 @@
     return notRun;
 }
 
+bool AgentService::onWithdraw(RequestId id, Incarnation meant)
+{
+    const bool notRun = core_.onWithdraw(id, meant);
+    if (notRun) {
+        jobs_.erase(id);
+    }
+    return notRun;
+}
+
 void AgentService::carryOut(const AgentActions &actions)
 {
     for (const AgentAction &action : actions) {
@@ -286,6 +307,27 @@
     sendFailure(action.id, action.failure, Outcome::NotRun, action.retryAfter);
 }
 
+void AgentService::carryOut(const AnnounceFree & /*action*/)
+{
+    // A few entries drawn at random hear of it: enough that one of them has a request that waits.
+    std::vector<Connection *> entries;
+    for (auto &[id, connection] : connections_) {
+        if (connection.sink != nullptr) {
+            entries.push_back(&connection);
+        }
+    }
+    for (std::size_t notice = 0; notice < kFreeNotices && !entries.empty(); ++notice) {
+        std::uniform_int_distribution<std::size_t> draw(0, entries.size() - 1);
+        const std::size_t index = draw(random_);
+        KJ_IF_MAYBE (sink, entries[index]->sink) {
+            auto request = sink->freeRequest();
+            writeReport(core_.report(), request.initStatus());
+            tasks_.add(request.send().ignoreResult());
+        }
+        entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
 void AgentService::onUpstreamHead(RequestId id, int status, const std::string &contentType)
 {
     const auto found = jobs_.find(id);
@@ -327,7 +369,7 @@
     const json answer = json::parse(job.pending, nullptr, false);
     const auto usage = answer.is_object() ? answer.find("usage") : answer.end();
     if (answer.is_object() && usage != answer.end() && usage->is_object()) {
-        core_.onTokens(id, usage->value("total_tokens", 0U));
+        core_.onTokens(id, usage->value("completion_tokens", 0U));
     }
 }
 
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -19,6 +19,7 @@
 #include <kj/async.h>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <tl/expected.hpp>
 #include <unordered_map>
@@ -94,6 +95,7 @@
 
     StartVerdict onStart(ConnectionId connection, wire::Call::Reader call);
     bool onCancel(RequestId id, Incarnation meant);
+    bool onWithdraw(RequestId id, Incarnation meant);
 
     void onUpstreamHead(RequestId id, int status, const std::string &contentType);
     void onUpstreamPiece(RequestId id, std::string_view piece);
@@ -103,6 +105,7 @@
     void carryOut(const StartUpstream &action);
     void carryOut(const AbortUpstream &action);
     void carryOut(const ReportNotRun &action);
+    void carryOut(const AnnounceFree &action);
     void sendFailure(RequestId id, FailureCode failure, Outcome outcome, Duration retryAfter);
     void flushLater(RequestId id);
     void flush(RequestId id);
@@ -131,6 +134,7 @@
     std::unordered_map<RequestId, Job> jobs_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
     ConnectionId nextConnection_ = 1;
+    std::mt19937_64 random_;
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
     std::uint64_t finished_ = 0;
--- a/src/decision/dispatch/agentcore.cpp
+++ b/src/decision/dispatch/agentcore.cpp
@@ -1,6 +1,9 @@
 #include "decision/dispatch/agentcore.h"
 
+#include "decision/fairness/cost.h"
+
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace seamarch {
@@ -8,11 +11,14 @@
 
 constexpr Duration kRateWindow = std::chrono::seconds(1);
 constexpr double kRateWeight = 0.3;
+constexpr double kMaxLengthRatio = 4.0;
+constexpr double kLengthWeight = 0.05;
+constexpr int kServiceMargin = 2; // An answer may well be twice as long as is usual.
 constexpr Duration kShortRetry = std::chrono::milliseconds(250);
 
 StartVerdict refused(FailureCode failure, Duration retryAfter = kShortRetry)
 {
-    return {false, failure, Outcome::NotRun, retryAfter};
+    return {false, false, failure, Outcome::NotRun, retryAfter};
 }
 
 } // namespace
@@ -57,6 +63,31 @@
     return fromSeconds((queue_.tokensAhead(account) + firstEnd) / tokensPerSecond_);
 }
 
+Tokens AgentCore::expectedAnswer(const AccountId &account, Tokens declared) const
+{
+    const auto found = lengthRatios_.find(account);
+    const double ratio = found == lengthRatios_.end() ? 1.0 : found->second;
+    return static_cast<Tokens>(std::ceil(ratio * static_cast<double>(declared)));
+}
+
+void AgentCore::learnLength(const Running &running)
+{
+    if (running.produced <= 0.0 || running.declared <= 0.0) {
+        return;
+    }
+    const double observed = std::min(running.produced / running.declared, kMaxLengthRatio);
+    const auto [ratio, added] = lengthRatios_.try_emplace(running.account, observed);
+    ratio->second += kLengthWeight * (observed - ratio->second);
+}
+
+Duration AgentCore::predictedService(const AccountId &account, Tokens promptTokens,
+                                     Tokens answerTokens) const
+{
+    const auto cost =
+        static_cast<double>(requestCost(promptTokens, expectedAnswer(account, answerTokens)));
+    return fromSeconds(cost * settings_.slots / tokensPerSecond_);
+}
+
 std::optional<StartVerdict> AgentCore::refuseBeforeProof(const AgentCall &call) const
 {
     if (call.agentIncarnation != settings_.incarnation) {
@@ -65,9 +96,13 @@
     if (leaving_) {
         return refused(FailureCode::UpstreamLeaving);
     }
+    // An answer that comes after its deadline is work for nothing, so the request's own run counts.
     const Duration wait = predictedWait(call.account);
-    if (wait > call.deadline) {
-        return refused(FailureCode::DeadlineUnreachable, wait - call.deadline);
+    const Duration service = predictedService(call.account, call.promptTokens, call.answerTokens);
+    const Duration needed = wait + kServiceMargin * service;
+    if (needed > call.deadline) {
+        return refused(FailureCode::DeadlineUnreachable,
+                       std::min(needed - call.deadline, wait + kShortRetry));
     }
     return std::nullopt;
 }
@@ -81,9 +116,9 @@
             break;
         case TicketVerdict::Spent:
             // This copy does not run; the one before it may have, so the caller learns 'unknown'.
-            return StartVerdict{false, FailureCode::TicketSpent, Outcome::Unknown, {}};
+            return StartVerdict{false, false, FailureCode::TicketSpent, Outcome::Unknown, {}};
         case TicketVerdict::Unknown:
-            return StartVerdict{false, FailureCode::TicketSpent, Outcome::Unknown, {}};
+            return StartVerdict{false, false, FailureCode::TicketSpent, Outcome::Unknown, {}};
         }
     }
     if (call.callerKey.empty()) {
@@ -93,11 +128,12 @@
     case KeyVerdict::Accept:
         return std::nullopt;
     case KeyVerdict::SeenBefore:
-        return StartVerdict{false, FailureCode::KeySeenBefore, Outcome::Unknown, {}};
+        return StartVerdict{false, false, FailureCode::KeySeenBefore, Outcome::Unknown, {}};
     case KeyVerdict::NotHome:
     case KeyVerdict::Unsure:
         // An earlier copy may have run at an earlier home, so no more than 'unknown' is true.
-        return StartVerdict{false, FailureCode::KeyHomeUnsure, Outcome::Unknown, kShortRetry};
+        return StartVerdict{false, false, FailureCode::KeyHomeUnsure, Outcome::Unknown,
+                            kShortRetry};
     }
     return std::nullopt;
 }
@@ -107,7 +143,7 @@
 {
     if (ledger_.state(call.id) != RunState::Unknown) {
         // A copy of a request that is known here. Its first copy speaks for itself.
-        return {false, FailureCode::Cancelled, Outcome::Unknown, {}};
+        return {false, false, FailureCode::Cancelled, Outcome::Unknown, {}};
     }
     if (const auto verdict = refuseBeforeProof(call)) {
         return *verdict;
@@ -116,7 +152,10 @@
     request.id = call.id;
     request.account = call.account;
     request.priority = call.priority;
-    request.expected = call.promptTokens + call.answerTokens;
+    const Tokens answer = expectedAnswer(call.account, call.answerTokens);
+    request.expected = requestCost(call.promptTokens, answer);
+    request.promptCost = requestCost(call.promptTokens, 0);
+    request.answerTokens = call.answerTokens;
     request.arrived = now;
     request.deadline = now + call.deadline;
     if (!queue_.push(request)) {
@@ -131,7 +170,7 @@
         proofs_[call.id] = {call.ticket, call.account, call.callerKey};
     }
     startNext(now, actions);
-    return {true, FailureCode::NoUpstream, Outcome::NotRun, {}};
+    return {true, running_.contains(call.id), FailureCode::NoUpstream, Outcome::NotRun, {}};
 }
 
 void AgentCore::startNext(TimePoint now, AgentActions &actions)
@@ -141,7 +180,8 @@
         if (!request) {
             return;
         }
-        if (request->deadline <= now) {
+        const Duration service = predictedService(request->account, 0, request->answerTokens);
+        if (request->deadline <= now + service) {
             queue_.charge(request->account, -static_cast<double>(request->expected));
             refuseWaiting(*request, FailureCode::DeadlineUnreachable, kShortRetry, actions);
             continue;
@@ -149,7 +189,9 @@
         ledger_.start(request->id);
         proofs_.erase(request->id);
         const auto expected = static_cast<double>(request->expected);
-        running_[request->id] = {request->account, expected, 0.0};
+        const auto promptCost = static_cast<double>(request->promptCost);
+        running_[request->id] = {request->account, expected, promptCost,
+                                 static_cast<double>(request->answerTokens), 0.0};
         runningTokens_ += expected;
         actions.emplace_back(StartUpstream{request->id});
     }
@@ -188,6 +230,14 @@
         onEnded(id, now, actions);
         return false;
     }
+    return onWithdraw(id, meant);
+}
+
+bool AgentCore::onWithdraw(RequestId id, Incarnation meant)
+{
+    if (meant != settings_.incarnation || running_.contains(id)) {
+        return false;
+    }
     queue_.remove(id);
     const bool notRun = ledger_.cancel(id);
     if (notRun) {
@@ -207,7 +257,7 @@
     running.produced += added;
     servedInWindow_ += added;
     // What goes beyond the declared length is charged as it is produced.
-    const double beyond = running.produced - running.expected;
+    const double beyond = running.promptCost + running.produced - running.expected;
     if (beyond > 0.0) {
         queue_.charge(running.account, beyond);
         running.expected += beyond;
@@ -232,11 +282,13 @@
     ledger_.finish(id);
     // A plain service reports no tokens: the whole expected cost counts as served.
     const bool counted = running.produced > 0.0;
-    if (!counted) {
-        servedInWindow_ += running.expected;
-    }
-    settle(running, counted ? running.produced : running.expected);
+    learnLength(running);
+    servedInWindow_ += counted ? running.promptCost : running.expected;
+    settle(running, counted ? running.promptCost + running.produced : running.expected);
     startNext(now, actions);
+    if (running_.size() < settings_.slots && !leaving_) {
+        actions.emplace_back(AnnounceFree{});
+    }
 }
 
 void AgentCore::onNotStarted(RequestId id, TimePoint now, AgentActions &actions)
@@ -290,6 +342,7 @@
     report.queuedRequests = static_cast<std::uint32_t>(queue_.size());
     report.runningRequests = static_cast<std::uint32_t>(running_.size());
     report.tokensPerSecond = tokensPerSecond_;
+    report.slots = settings_.slots;
     return report;
 }
 
--- a/src/decision/dispatch/agentcore.h
+++ b/src/decision/dispatch/agentcore.h
@@ -59,7 +59,11 @@
     Duration retryAfter{};
 };
 
-using AgentAction = std::variant<StartUpstream, AbortUpstream, ReportNotRun>;
+// Tell an entry or two that a slot is free and nothing waits for it here.
+struct AnnounceFree
+{};
+
+using AgentAction = std::variant<StartUpstream, AbortUpstream, ReportNotRun, AnnounceFree>;
 using AgentActions = std::vector<AgentAction>;
 
 class AgentCore
@@ -90,7 +94,10 @@
     // The entry gives a request up. Returns true when it is proved that it did not and will not
     // run. A cancel that means another incarnation proves nothing: its request may have run there.
     bool onCancel(RequestId id, Incarnation meant, TimePoint now, AgentActions &actions);
-    // The upstream has produced answer tokens.
+    // An entry takes a request back to send it elsewhere, unless it has started. Returns true when
+    // it is proved that it did not and will not run here.
+    bool onWithdraw(RequestId id, Incarnation meant);
+    // The upstream has generated answer tokens.
     void onTokens(RequestId id, Tokens count);
     // The upstream has ended a request, well or not.
     void onEnded(RequestId id, TimePoint now, AgentActions &actions);
@@ -126,7 +133,9 @@
     struct Running
     {
         AccountId account;
-        double expected = 0.0; // Tokens that it was charged so far.
+        double expected = 0.0; // Cost that it was charged so far.
+        double promptCost = 0.0;
+        double declared = 0.0; // Answer tokens that the caller declared.
         double produced = 0.0;
     };
 
@@ -142,6 +151,10 @@
     std::optional<StartVerdict> checkProof(const AgentCall &call, TimePoint now, WallMillis wall);
     void giveProofBack(RequestId id);
     Duration predictedWait(const AccountId &account) const;
+    Duration predictedService(const AccountId &account, Tokens promptTokens,
+                              Tokens answerTokens) const;
+    Tokens expectedAnswer(const AccountId &account, Tokens declared) const;
+    void learnLength(const Running &running);
     void startNext(TimePoint now, AgentActions &actions);
     void refuseWaiting(const QueuedRequest &request, FailureCode failure, Duration retryAfter,
                        AgentActions &actions);
@@ -156,6 +169,9 @@
     std::unordered_map<RequestId, Running> running_;
     std::unordered_map<RequestId, Proof> proofs_;
     double tokensPerSecond_;
+    // What an account's answers turn out to be over what it declares. Accounts differ: some declare
+    // the most that they would take.
+    std::unordered_map<AccountId, double> lengthRatios_;
     double servedInWindow_ = 0.0;
     double runningTokens_ = 0.0;
     TimePoint windowStart_{};
--- a/src/decision/dispatch/entrycore.cpp
+++ b/src/decision/dispatch/entrycore.cpp
@@ -1,5 +1,7 @@
 #include "decision/dispatch/entrycore.h"
 
+#include "decision/fairness/cost.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,11 +9,10 @@
 namespace {
 
 constexpr Duration kRetryAfterNoUpstream = std::chrono::seconds(1);
-constexpr double kDefaultTokensPerSecond = 1000.0;
 
-double expectedTokens(const EntryRequest &request)
+double expectedCost(const EntryRequest &request)
 {
-    return static_cast<double>(request.promptTokens + request.answerTokens);
+    return static_cast<double>(requestCost(request.promptTokens, request.answerTokens));
 }
 
 } // namespace
@@ -62,7 +63,7 @@
 }
 
 void EntryCore::onReport(const InstanceId &agent, const AgentReport &report, TimePoint askedAt,
-                         TimePoint now)
+                         TimePoint now, EntryActions &actions)
 {
     const bool reborn = members_.onReport(agent, report, askedAt, now);
     LoadEstimate &load = loads_[agent];
@@ -71,8 +72,10 @@
         outliers_.forget(agent);
         prefixes_.forget(agent);
     }
-    const auto pending = static_cast<double>(report.queuedTokens + report.runningTokens);
-    load.onReport(pending, report.tokensPerSecond, askedAt);
+    load.onReport(report, askedAt);
+    if (report.queuedRequests == 0 && load.freeSlots() >= 1.0) {
+        moveOneTo(agent, now, actions);
+    }
 }
 
 RequestId EntryCore::begin(const EntryRequest &request, TimePoint now, EntryActions &actions)
@@ -102,8 +105,11 @@
     request.agentIncarnation = member.report.incarnation;
     request.phase = Phase::Sent;
     request.tried.insert(request.agent);
+    request.sentAt = now;
+    request.moveTo.reset();
+    request.waits = false;
     ++request.attempts;
-    loads_[request.agent].onSent(id, expectedTokens(request.request), now);
+    loads_[request.agent].onSent(id, expectedCost(request.request), now);
     if (request.request.prefixHash != 0) {
         prefixes_.learn(request.request.prefixHash, request.agent, now);
     }
@@ -181,9 +187,9 @@
     const LoadEstimate &load = loads_[id];
     RouteCandidate candidate;
     candidate.agent = id;
-    candidate.pendingTokens = load.pending(now);
-    candidate.tokensPerSecond =
-        load.tokensPerSecond() > 0.0 ? load.tokensPerSecond() : kDefaultTokensPerSecond;
+    candidate.pendingCost = load.pending(now);
+    candidate.freeSlots = load.freeSlots();
+    candidate.wait = load.expectedWait(now);
     candidate.ownInFlight = load.inFlight();
     candidate.readiness = readiness(member, now);
     const auto distance = distances_.find(member.record.hall);
@@ -314,6 +320,84 @@
     retryOrFail(id, FailureCode::UpstreamUnreachable, kRetryAfterNoUpstream, now, actions);
 }
 
+void EntryCore::onAccepted(RequestId id, bool started)
+{
+    Request *request = find(id);
+    if (request != nullptr) {
+        request->waits = !started;
+    }
+}
+
+std::optional<RequestId> EntryCore::findMovable(const InstanceId &to) const
+{
+    const Member *member = members_.find(to);
+    std::optional<RequestId> oldest;
+    TimePoint oldestSentAt{};
+    for (const auto &[id, request] : requests_) {
+        const auto &serves = member->record.serves;
+        const bool bound = request.request.ticket || !request.request.callerKey.empty();
+        const bool waits = request.phase == Phase::Sent && request.waits && !request.moveTo;
+        const bool fits =
+            !bound && request.agent != to && request.moves < settings_.maxMoves
+            && std::find(serves.begin(), serves.end(), request.request.target) != serves.end();
+        if (waits && fits && (!oldest || request.sentAt < oldestSentAt)) {
+            oldest = id;
+            oldestSentAt = request.sentAt;
+        }
+    }
+    return oldest;
+}
+
+void EntryCore::onFree(const InstanceId &agent, const AgentReport &report, TimePoint now,
+                       EntryActions &actions)
+{
+    if (!members_.mayReceive(agent, now) || outliers_.ejected(agent, now)) {
+        return;
+    }
+    const Member &member = *members_.find(agent);
+    if (member.report.incarnation != report.incarnation || report.leaving) {
+        return;
+    }
+    moveOneTo(agent, now, actions);
+}
+
+void EntryCore::moveOneTo(const InstanceId &agent, TimePoint now, EntryActions &actions)
+{
+    const auto id = members_.mayReceive(agent, now) ? findMovable(agent) : std::nullopt;
+    if (!id) {
+        return;
+    }
+    Request &request = requests_.at(*id);
+    request.moveTo = agent;
+    ++request.moves;
+    actions.emplace_back(SendWithdraw{*id, request.agent, request.agentIncarnation});
+}
+
+void EntryCore::onWithdrawn(RequestId id, const InstanceId &from, bool notRun, TimePoint now,
+                            EntryActions &actions)
+{
+    Request *request = find(id);
+    if (request == nullptr || request->agent != from || !request->moveTo) {
+        return;
+    }
+    const InstanceId to = *request->moveTo;
+    request->moveTo.reset();
+    if (!notRun || request->phase != Phase::Sent) {
+        // It has started meanwhile; the free slot is offered to the next one that waits.
+        request->waits = false;
+        moveOneTo(to, now, actions);
+        return;
+    }
+    leaveAgent(id, *request);
+    if (!members_.mayReceive(to, now)) {
+        retryOrFail(id, FailureCode::NoUpstream, kRetryAfterNoUpstream, now, actions);
+        return;
+    }
+    ++moves_;
+    --request->attempts;
+    dispatch(id, *request, to, now, actions);
+}
+
 bool EntryCore::onAnswer(RequestId id, const InstanceId &agent)
 {
     Request *request = find(id);
--- a/src/decision/dispatch/entrycore.h
+++ b/src/decision/dispatch/entrycore.h
@@ -66,6 +66,14 @@
     Incarnation agentIncarnation;
 };
 
+// Ask the agent to give the request back unless it has started.
+struct SendWithdraw
+{
+    RequestId id;
+    InstanceId agent;
+    Incarnation agentIncarnation;
+};
+
 // Tell the caller that the request failed. The request is over.
 struct FailRequest
 {
@@ -75,7 +83,7 @@
     Duration retryAfter{};
 };
 
-using EntryAction = std::variant<SendCall, SendCancel, FailRequest>;
+using EntryAction = std::variant<SendCall, SendCancel, SendWithdraw, FailRequest>;
 using EntryActions = std::vector<EntryAction>;
 
 class EntryCore
@@ -90,6 +98,7 @@
         Duration resolveTime = std::chrono::seconds(1);
         Duration slowStart = std::chrono::seconds(5);
         std::uint32_t maxAttempts = 3;
+        std::uint32_t maxMoves = 3;
         RetryBudget::Settings retryBudget;
         OutlierDetector::Settings outliers;
     };
@@ -102,10 +111,12 @@
     void applyList(const InstanceList &list);
     // A heartbeat that was asked for at `askedAt` has been answered.
     void onReport(const InstanceId &agent, const AgentReport &report, TimePoint askedAt,
-                  TimePoint now);
+                  TimePoint now, EntryActions &actions);
 
     // Admits a request and sends it, or fails it.
     RequestId begin(const EntryRequest &request, TimePoint now, EntryActions &actions);
+    // The agent has accepted the request and started it, or has it wait.
+    void onAccepted(RequestId id, bool started);
     // The agent says that it did not run, or that it may have; `outcome` tells which.
     void onRefused(RequestId id, FailureCode failure, Outcome outcome, Duration retryAfter,
                    TimePoint now, EntryActions &actions);
@@ -115,6 +126,13 @@
     void onLost(RequestId id, TimePoint now, EntryActions &actions);
     // The agent has answered a cancel.
     void onCancelled(RequestId id, bool notRun, TimePoint now, EntryActions &actions);
+    // An agent has a free slot and nothing that waits for it: a request of this entry that waits
+    // elsewhere is taken back from there, to be sent to this agent.
+    void onFree(const InstanceId &agent, const AgentReport &report, TimePoint now,
+                EntryActions &actions);
+    // The agent has answered a withdrawal.
+    void onWithdrawn(RequestId id, const InstanceId &from, bool notRun, TimePoint now,
+                     EntryActions &actions);
     // The first part of the answer is here. Returns false when the request is not this agent's
     // any more; the part is then dropped.
     bool onAnswer(RequestId id, const InstanceId &agent);
@@ -128,6 +146,7 @@
     const MemberTable &members() const { return members_; }
     std::size_t inFlight() const { return requests_.size(); }
     std::uint64_t retries() const { return retries_; }
+    std::uint64_t moves() const { return moves_; }
     std::uint64_t droppedAnswers() const { return droppedAnswers_; }
     // Returns the time after which `agent` gets no more new work unless it answers again.
     TimePoint leaseUntil(const InstanceId &agent) const;
@@ -145,6 +164,10 @@
         std::uint32_t attempts = 0;
         bool mayHaveRun = false; // An attempt ended without a proof that it did not run.
         std::set<InstanceId> tried;
+        TimePoint sentAt{};
+        std::uint32_t moves = 0;
+        bool waits = false;               // Waits at its agent, as far as is known.
+        std::optional<InstanceId> moveTo; // Set while a withdrawal is under way.
         TimePoint giveUpAt{};
     };
 
@@ -162,6 +185,8 @@
     Choice chooseKeyHome(const Request &request, TimePoint now) const;
     Choice chooseByRouter(const Request &request, TimePoint now);
     RouteCandidate candidateFor(const Member &member, const Request &request, TimePoint now);
+    std::optional<RequestId> findMovable(const InstanceId &to) const;
+    void moveOneTo(const InstanceId &agent, TimePoint now, EntryActions &actions);
     double readiness(const Member &member, TimePoint now) const;
     void retryOrFail(RequestId id, FailureCode failure, Duration retryAfter, TimePoint now,
                      EntryActions &actions);
@@ -186,6 +211,7 @@
     std::unordered_map<RequestId, Request> requests_;
     std::uint64_t nextCounter_ = 1;
     std::uint64_t retries_ = 0;
+    std::uint64_t moves_ = 0;
     std::uint64_t droppedAnswers_ = 0;
 };
 
--- a/src/decision/dispatch/verdict.h
+++ b/src/decision/dispatch/verdict.h
@@ -10,6 +10,7 @@
 struct StartVerdict
 {
     bool accepted = false;
+    bool started = false; // Accepted, and it did not have to wait.
     FailureCode failure = FailureCode::NoUpstream;
     Outcome outcome = Outcome::NotRun;
     Duration retryAfter{};
--- a/src/decision/fairness/fairqueue.h
+++ b/src/decision/fairness/fairqueue.h
@@ -29,7 +29,9 @@
     RequestId id;
     AccountId account;
     std::uint8_t priority = 0;
-    Tokens expected = 0; // Prompt tokens plus the declared answer tokens.
+    Tokens expected = 0;   // Cost by the declared answer tokens, see cost.h.
+    Tokens promptCost = 0; // The part of it that the prompt makes.
+    Tokens answerTokens = 0;
     TimePoint arrived;
     TimePoint deadline;
 };
--- a/src/decision/membership/membertable.h
+++ b/src/decision/membership/membertable.h
@@ -28,6 +28,7 @@
     Tokens runningTokens = 0;
     std::uint32_t queuedRequests = 0;
     std::uint32_t runningRequests = 0;
+    std::uint32_t slots = 1; // Requests that the upstream runs at once.
     double tokensPerSecond = 0.0;
 };
 
--- a/src/decision/routing/loadestimate.cpp
+++ b/src/decision/routing/loadestimate.cpp
@@ -3,24 +3,32 @@
 #include <algorithm>
 
 namespace seamarch {
+namespace {
 
-void LoadEstimate::onReport(double pendingTokens, double tokensPerSecond, TimePoint askedAt)
+constexpr double kDefaultRate = 1000.0; // Cost a second, until an agent has reported its own.
+
+} // namespace
+
+void LoadEstimate::onReport(const AgentReport &report, TimePoint askedAt)
 {
-    reported_ = pendingTokens;
-    tokensPerSecond_ = tokensPerSecond;
+    report_ = report;
     reportedAt_ = askedAt;
-    sentSince_ = 0.0;
+    costSince_ = 0.0;
+    sentSince_ = 0;
+    endedSince_ = 0;
     for (const auto &[id, sent] : inFlight_) {
         if (sent.at >= askedAt) {
-            sentSince_ += sent.tokens;
+            costSince_ += sent.cost;
+            ++sentSince_;
         }
     }
 }
 
-void LoadEstimate::onSent(RequestId id, double tokens, TimePoint now)
+void LoadEstimate::onSent(RequestId id, double cost, TimePoint now)
 {
-    inFlight_[id] = {tokens, now};
-    sentSince_ += tokens;
+    inFlight_[id] = {cost, now};
+    costSince_ += cost;
+    ++sentSince_;
 }
 
 void LoadEstimate::onEnded(RequestId id)
@@ -31,7 +39,10 @@
     }
     const Sent &sent = found->second;
     if (sent.at >= reportedAt_) {
-        sentSince_ = std::max(0.0, sentSince_ - sent.tokens);
+        costSince_ = std::max(0.0, costSince_ - sent.cost);
+        sentSince_ -= sentSince_ > 0 ? 1 : 0;
+    } else {
+        ++endedSince_;
     }
     inFlight_.erase(found);
 }
@@ -39,14 +50,46 @@
 void LoadEstimate::reset()
 {
     inFlight_.clear();
-    sentSince_ = 0.0;
-    reported_ = 0.0;
+    report_ = {};
+    costSince_ = 0.0;
+    sentSince_ = 0;
+    endedSince_ = 0;
+}
+
+double LoadEstimate::rate() const
+{
+    return report_.tokensPerSecond > 0.0 ? report_.tokensPerSecond : kDefaultRate;
+}
+
+double LoadEstimate::queued(TimePoint now) const
+{
+    const double worked = toSeconds(now - reportedAt_) * rate();
+    return std::max(0.0, static_cast<double>(report_.queuedTokens) - worked);
 }
 
 double LoadEstimate::pending(TimePoint now) const
 {
-    const double worked = toSeconds(now - reportedAt_) * tokensPerSecond_;
-    return std::max(0.0, reported_ - worked) + sentSince_;
+    const double worked = toSeconds(now - reportedAt_) * rate();
+    const auto reported = static_cast<double>(report_.queuedTokens + report_.runningTokens);
+    return std::max(0.0, reported - worked) + costSince_;
+}
+
+double LoadEstimate::freeSlots() const
+{
+    const double taken = static_cast<double>(report_.runningRequests) + report_.queuedRequests
+                         + sentSince_ - endedSince_;
+    return static_cast<double>(report_.slots) - std::max(0.0, taken);
+}
+
+Duration LoadEstimate::expectedWait(TimePoint now) const
+{
+    if (freeSlots() >= 1.0) {
+        return {};
+    }
+    // The next slot to come free is the first of those that run; what is queued goes before.
+    const double slots = std::max<double>(1.0, report_.slots);
+    const double firstEnd = static_cast<double>(report_.runningTokens) / slots;
+    return fromSeconds((queued(now) + costSince_ + firstEnd) / rate());
 }
 
 } // namespace seamarch
--- a/src/decision/routing/loadestimate.h
+++ b/src/decision/routing/loadestimate.h
@@ -1,16 +1,16 @@
 // Corrects an agent's lagged load report with what this entry has sent to it and heard since.
 //
 // A report says what was queued and running when it was made. Until the next one arrives, the entry
-// adds the tokens of each request that it sends, takes away those of each that ends, and lets the
-// reported backlog shrink at the reported rate.
+// adds each request that it sends, takes away each that ends, and lets the reported queue shrink at
+// the reported rate.
 //
 // The class is pure and single-threaded; one object for each agent.
 #pragma once
 
+#include "decision/membership/membertable.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
-#include <deque>
 #include <unordered_map>
 
 namespace seamarch {
@@ -19,28 +19,36 @@
 {
 public:
     // A report that was asked for at `askedAt` has arrived.
-    void onReport(double pendingTokens, double tokensPerSecond, TimePoint askedAt);
-    void onSent(RequestId id, double tokens, TimePoint now);
+    void onReport(const AgentReport &report, TimePoint askedAt);
+    void onSent(RequestId id, double cost, TimePoint now);
     void onEnded(RequestId id);
     // Forgets what is in flight, because the agent is a new incarnation.
     void reset();
 
-    // Returns the estimate of the tokens that are queued or running at `now`.
+    // Returns the estimated cost of all that is queued or running at `now`.
     double pending(TimePoint now) const;
-    double tokensPerSecond() const { return tokensPerSecond_; }
+    // Returns the estimated number of slots that a new request would find free; may be negative.
+    double freeSlots() const;
+    // Returns how long a request that is sent now is expected to wait for its start.
+    Duration expectedWait(TimePoint now) const;
     std::uint32_t inFlight() const { return static_cast<std::uint32_t>(inFlight_.size()); }
 
 private:
     struct Sent
     {
-        double tokens = 0.0;
+        double cost = 0.0;
         TimePoint at;
     };
 
-    double reported_ = 0.0;
-    double tokensPerSecond_ = 0.0;
+    double rate() const;
+    double queued(TimePoint now) const;
+
+    AgentReport report_;
     TimePoint reportedAt_{};
-    double sentSince_ = 0.0; // Tokens sent after the report was asked for and not yet ended.
+    // Sent after the report was asked for and not yet ended.
+    double costSince_ = 0.0;
+    std::uint32_t sentSince_ = 0;
+    std::uint32_t endedSince_ = 0; // Of those that the report counts.
     std::unordered_map<RequestId, Sent> inFlight_;
 };
 
--- a/src/decision/routing/router.cpp
+++ b/src/decision/routing/router.cpp
@@ -40,12 +40,12 @@
     std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
     const std::size_t first = draw(random);
     const std::size_t second = draw(random);
-    return candidates[first].pendingTokens <= candidates[second].pendingTokens ? first : second;
+    return candidates[first].pendingCost <= candidates[second].pendingCost ? first : second;
 }
 
 double ExpectedWaitRouter::price(const RouteCandidate &candidate, const RouteRequest &request) const
 {
-    const double wait = candidate.pendingTokens / std::max(1.0, candidate.tokensPerSecond);
+    const double wait = toSeconds(candidate.wait);
     const double left =
         std::max(0.0, static_cast<double>(request.promptTokens) - candidate.cachedTokens);
     const double prefill = left / settings_.prefillTokensPerSecond;
--- a/src/decision/routing/router.h
+++ b/src/decision/routing/router.h
@@ -22,8 +22,9 @@
 struct RouteCandidate
 {
     InstanceId agent;
-    double pendingTokens = 0.0;   // Queued and running at the agent, corrected by the entry.
-    double tokensPerSecond = 1.0; // How fast the agent's upstream works pending tokens off.
+    double pendingCost = 0.0; // Queued and running at the agent, corrected by the entry.
+    double freeSlots = 0.0;   // That a new request would find.
+    Duration wait{};          // Expected until a new request starts.
     std::uint32_t ownInFlight = 0;
     double cachedTokens = 0.0; // Expected number of prompt tokens that its cache holds.
     Duration distance{};       // One-way delay to it.
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -22,6 +22,12 @@
         return listener_.onPart(agent_, readRequestId(params.getId()), params.getPart());
     }
 
+    kj::Promise<void> free(FreeContext context) override
+    {
+        listener_.onFree(agent_, readReport(context.getParams().getStatus()));
+        return kj::READY_NOW;
+    }
+
 private:
     AgentLinkListener &listener_;
     InstanceId agent_;
@@ -144,7 +150,7 @@
         [this, id](capnp::Response<wire::Agent::StartResults> &&answer) {
             const auto verdict = answer.getVerdict();
             const Outcome outcome = verdict.getNotRun() ? Outcome::NotRun : Outcome::Unknown;
-            context_.listener.onVerdict(id, {verdict.getAccepted(),
+            context_.listener.onVerdict(id, {verdict.getAccepted(), verdict.getStarted(),
                                              static_cast<FailureCode>(verdict.getFailure()),
                                              outcome, Duration(verdict.getRetryAfterMicros())});
         },
@@ -166,6 +172,21 @@
         [this, id](kj::Exception && /*error*/) { context_.listener.onCancelVerdict(id, false); }));
 }
 
+void AgentLink::withdraw(const SendWithdraw &withdrawal)
+{
+    auto message = agent().withdrawRequest();
+    writeRequestId(withdrawal.id, message.initId());
+    message.setAgentIncarnation(withdrawal.agentIncarnation.value());
+    const RequestId id = withdrawal.id;
+    tasks_.add(message.send().then(
+        [this, id](capnp::Response<wire::Agent::WithdrawResults> &&answer) {
+            context_.listener.onWithdrawVerdict(id, id_, answer.getNotRun());
+        },
+        [this, id](kj::Exception && /*error*/) {
+            context_.listener.onWithdrawVerdict(id, id_, false);
+        }));
+}
+
 void AgentLink::issueTicket(std::function<void(std::string)> done)
 {
     auto message = agent().issueTicketRequest();
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -39,6 +39,9 @@
     // A call ended without a verdict. `written` tells whether it may have reached the agent.
     virtual void onCallFailed(RequestId id, bool written) = 0;
     virtual void onCancelVerdict(RequestId id, bool notRun) = 0;
+    virtual void onWithdrawVerdict(RequestId id, const InstanceId &agent, bool notRun) = 0;
+    // The agent has a free slot and nothing that waits for it.
+    virtual void onFree(const InstanceId &agent, const AgentReport &report) = 0;
     // The connection broke; calls that were accepted over it get no more parts.
     virtual void onLinkClosed(const InstanceId &agent) = 0;
     // A part of an answer. The promise resolves when the request can take more.
@@ -68,6 +71,7 @@
     void heartbeat();
     void start(const SendCall &call, const EntryRequest &request, const CallPayload &payload);
     void cancel(const SendCancel &cancel);
+    void withdraw(const SendWithdraw &withdrawal);
     // Asks for a ticket; `done` gets an empty text when the agent cannot be reached.
     void issueTicket(std::function<void(std::string)> done);
 
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -326,6 +326,16 @@
     agent->cancel(action);
 }
 
+void EntryService::carryOut(const SendWithdraw &action)
+{
+    AgentLink *agent = link(action.agent);
+    if (agent == nullptr) {
+        loop_.post([this, action] { onWithdrawVerdict(action.id, action.agent, false); });
+        return;
+    }
+    agent->withdraw(action);
+}
+
 void EntryService::carryOut(const FailRequest &action)
 {
     const auto found = flights_.find(action.id);
@@ -408,12 +418,15 @@
 void EntryService::onHeartbeat(const InstanceId &agent, const AgentReport &report,
                                TimePoint askedAt)
 {
-    core_.onReport(agent, report, askedAt, loop_.now());
+    EntryActions actions;
+    core_.onReport(agent, report, askedAt, loop_.now(), actions);
+    carryOut(actions);
 }
 
 void EntryService::onVerdict(RequestId id, const StartVerdict &verdict)
 {
     if (verdict.accepted) {
+        core_.onAccepted(id, verdict.started);
         return;
     }
     EntryActions actions;
@@ -439,6 +452,20 @@
     carryOut(actions);
 }
 
+void EntryService::onWithdrawVerdict(RequestId id, const InstanceId &agent, bool notRun)
+{
+    EntryActions actions;
+    core_.onWithdrawn(id, agent, notRun, loop_.now(), actions);
+    carryOut(actions);
+}
+
+void EntryService::onFree(const InstanceId &agent, const AgentReport &report)
+{
+    EntryActions actions;
+    core_.onFree(agent, report, loop_.now(), actions);
+    carryOut(actions);
+}
+
 void EntryService::onLinkClosed(const InstanceId &agent)
 {
     std::vector<RequestId> lost;
@@ -571,6 +598,7 @@
             {"inFlight", flights_.size()},
             {"answered", answered_},
             {"retries", core_.retries()},
+            {"moves", core_.moves()},
             {"droppedAnswers", core_.droppedAnswers()},
             {"agents", agents}};
 }
--- a/src/entry/entryservice.h
+++ b/src/entry/entryservice.h
@@ -90,6 +90,8 @@
     void onVerdict(RequestId id, const StartVerdict &verdict) override;
     void onCallFailed(RequestId id, bool written) override;
     void onCancelVerdict(RequestId id, bool notRun) override;
+    void onWithdrawVerdict(RequestId id, const InstanceId &agent, bool notRun) override;
+    void onFree(const InstanceId &agent, const AgentReport &report) override;
     void onLinkClosed(const InstanceId &agent) override;
     kj::Promise<void> onPart(const InstanceId &agent, RequestId id,
                              wire::Part::Reader part) override;
@@ -106,6 +108,7 @@
     void carryOut(const EntryActions &actions);
     void carryOut(const SendCall &action);
     void carryOut(const SendCancel &action);
+    void carryOut(const SendWithdraw &action);
     void carryOut(const FailRequest &action);
     void answerFailure(ExchangeId exchange, FailureCode code, Outcome outcome, Duration retryAfter,
                        const std::string &detail);
--- a/src/net/wireconvert.cpp
+++ b/src/net/wireconvert.cpp
@@ -39,6 +39,7 @@
     report.queuedRequests = reader.getQueuedRequests();
     report.runningRequests = reader.getRunningRequests();
     report.tokensPerSecond = reader.getTokensPerSecond();
+    report.slots = reader.getSlots();
     return report;
 }
 
@@ -51,6 +52,7 @@
     builder.setQueuedRequests(report.queuedRequests);
     builder.setRunningRequests(report.runningRequests);
     builder.setTokensPerSecond(report.tokensPerSecond);
+    builder.setSlots(report.slots);
 }
 
 std::optional<VersionedUpdate> readUpdate(wire::Update::Reader reader)
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -38,6 +38,7 @@
   failure @1 :UInt16;        # A FailureCode; meaningful when not accepted.
   notRun @2 :Bool;           # The refusal proves that this request did not run.
   retryAfterMicros @3 :Int64;
+  started @4 :Bool;          # It has started already; else it waits.
 }
 
 # A piece of an answer. A short answer is one part that has a head, a body and the end.
@@ -68,6 +69,10 @@
   queuedRequests @11 :UInt32;
   runningRequests @12 :UInt32;
   tokensPerSecond @13 :Float64;
+  slots @14 :UInt32;
+  clockMicros @15 :Int64;    # The sender's monotonic clock; means something to the sender only.
+  echoMicros @16 :Int64;     # The receiver's clock, as the sender last heard it.
+  listAgeMicros @17 :Int64;  # How long ago the platform confirmed the list; negative: never.
 }
 
 # A version range (from, to] of a document.
@@ -89,6 +94,8 @@
 interface AnswerSink {
   # Returns when the receiver can take more of this answer.
   part @0 (id :RequestId, part :Part) -> ();
+  # The agent has a free slot and nothing that waits for it.
+  free @1 (status :Status) -> ();
 }
 
 interface Agent extends(Peer) {
@@ -98,6 +105,8 @@
   # Cancels a request; leaves a tombstone, so that a late copy does not start. An agent of another
   # incarnation than the one meant proves nothing.
   cancel @2 (id :RequestId, agentIncarnation :UInt64) -> (notRun :Bool);
+  # Takes a request back if it has not started; one that has started goes on undisturbed.
+  withdraw @5 (id :RequestId, agentIncarnation :UInt64) -> (notRun :Bool);
   issueTicket @3 () -> (ticket :Text);
   # Asks for a key-home grant on a member set.
   grant @4 (memberSet :UInt64) -> (granted :Bool);
--- a/test/decision/dispatch/dispatchworld.cpp
+++ b/test/decision/dispatch/dispatchworld.cpp
@@ -192,7 +192,10 @@
             atAgent(agent, randomDelay(0.5, 20), [this, entry, agent, meant, askedAt] {
                 const AgentReport report = agents_[agent].core->report();
                 atEntry(entry, meant, randomDelay(0.5, 20), [this, entry, agent, report, askedAt] {
-                    entries_[entry].core->onReport(agents_[agent].id, report, askedAt, now_);
+                    EntryActions actions;
+                    entries_[entry].core->onReport(agents_[agent].id, report, askedAt, now_,
+                                                   actions);
+                    carryOut(entry, actions);
                 });
             });
         }
