Whole-process failure tests; key-home grants between agents; one kind of link

Cause: the invariants were proved over the decisions only; keys had no carrier between processes.

Change: fourteen tests run separate processes on loopback through kill, SIGSTOP, planned stop of an agent and of an entry, a lost answer, a dead upstream, tickets, keys, leaving by list, a service that serves old versions, platform loss and bad input. Agents ask each other for grants; the list's age travels with the heartbeats, dated by the receiver's own echoed clock. Three copies of connecting and reconnecting became RpcLink. Moves of waiting requests joined the schedules, with a planted lie.

Found: an agent crashed at the end of a planned stop, because the library told destroyed objects of closed connections; the loop now closes them first (kept as a test: exit status 0).

--- a/bench/loadtool.cpp
+++ b/bench/loadtool.cpp
@@ -234,6 +234,7 @@
     }
     Load load(**loop, **client, options);
     load.run();
+    (*loop)->shutDown();
     const Tally &tally = load.tally();
     const json result = {{"requests", tally.requests},
                          {"answered", tally.answered},
--- a/scripts/localsite.py
+++ b/scripts/localsite.py
@@ -15,7 +15,7 @@
 import urllib.request
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-BIN = os.path.join(ROOT, "build", "bin")
+BIN = os.environ.get("SEAMARCH_BIN", os.path.join(ROOT, "build", "bin"))
 _ports = itertools.count(int(os.environ.get("SEAMARCH_TEST_PORT", "21000")))
 
 
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -2,10 +2,10 @@
 
 #include "base/digest.h"
 #include "base/log.h"
+#include "base/wallclock.h"
 #include "net/wireconvert.h"
 
 #include <algorithm>
-#include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -14,6 +14,7 @@
 
 using nlohmann::json;
 
+constexpr Duration kGrantPeriod = std::chrono::milliseconds(500);
 constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr std::size_t kFreeNotices = 4; // Entries that hear of a free slot.
 // What may wait for an entry that lags; beyond it the upstream is not read.
@@ -32,12 +33,6 @@
     return core;
 }
 
-WallMillis wallNow()
-{
-    return std::chrono::duration_cast<WallMillis>(
-        std::chrono::system_clock::now().time_since_epoch());
-}
-
 std::size_t countEvents(std::string_view piece)
 {
     std::size_t count = 0;
@@ -107,7 +102,26 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> grant(GrantContext context) override
+    {
+        const std::uint64_t set = context.getParams().getMemberSet();
+        context.getResults().setGranted(
+            service_.core_.onGrantAsked(set, service_.loop_.now()));
+        return kj::READY_NOW;
+    }
+
 private:
+    void onPeerStatus(wire::Status::Reader status) override
+    {
+        // The list was confirmed `age` before the peer sent this, and it sent this after it heard
+        // the clock that it echoes; so the confirmation is no older than that.
+        const Duration age(status.getListAgeMicros());
+        const bool same = status.getListVersion() == service_.knowledge_.versions().list;
+        if (same && age >= Duration {} && status.getEchoMicros() != 0) {
+            service_.core_.confirmKeyView(TimePoint(Duration(status.getEchoMicros())) - age);
+        }
+    }
+
     void fillStatus(wire::Status::Builder status) override
     {
         status.setInstance(service_.settings_.instance.value());
@@ -187,6 +201,9 @@
     if (!listening) {
         return listening;
     }
+    grants_ = std::make_unique<GrantNetwork>(loop_, *transport_, core_, settings_.instance,
+                                             settings_.hall);
+    grantTimer_ = std::make_unique<PeriodicTimer>(loop_, kGrantPeriod, [this] { grants_->tick(); });
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     return {};
 }
@@ -224,6 +241,7 @@
     AgentCall decided;
     decided.id = readRequestId(call.getId());
     decided.account = AccountId(toString(call.getAccount()));
+    decided.target = TargetName(toString(call.getTarget()));
     decided.priority = call.getPriority();
     decided.promptTokens = call.getPromptTokens();
     decided.answerTokens = call.getMaxTokens();
@@ -494,6 +512,8 @@
 
 void AgentService::onInstances(const InstanceList &list)
 {
+    // Links must not be taken away inside one of their own callbacks.
+    loop_.post([this] { grants_->setInstances(knowledge_.list()); });
     const auto self = std::find_if(
         list.instances.begin(), list.instances.end(),
         [this](const InstanceRecord &record) { return record.id == settings_.instance; });
@@ -530,6 +550,7 @@
             {"tokensPerSecond", report.tokensPerSecond},
             {"connections", connections_.size()},
             {"ledger", core_.ledger().size()},
+            {"keyHome", core_.holdsAllGrants(loop_.now())},
             {"finished", finished_}};
 }
 
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -5,6 +5,7 @@
 // that pieces that arrive meanwhile are joined and a slow caller holds up only its own request.
 #pragma once
 
+#include "agent/grantnetwork.h"
 #include "decision/dispatch/agentcore.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
@@ -132,7 +133,9 @@
     std::unique_ptr<OperatorServer> operators_;
     std::map<ConnectionId, Connection> connections_;
     std::unordered_map<RequestId, Job> jobs_;
+    std::unique_ptr<GrantNetwork> grants_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
+    std::unique_ptr<PeriodicTimer> grantTimer_;
     ConnectionId nextConnection_ = 1;
     std::mt19937_64 random_;
     bool stopping_ = false;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -68,6 +68,7 @@
     logLine(LogLevel::Info, "started");
     (*loop)->run();
     signalledLoop = nullptr;
+    (*loop)->shutDown();
     return kExitOk;
 }
 
--- a/src/decision/dispatch/agentcore.cpp
+++ b/src/decision/dispatch/agentcore.cpp
@@ -46,6 +46,12 @@
     }
 }
 
+void AgentCore::setKeyMembers(TargetName target, MemberSet set)
+{
+    keyTarget_ = std::move(target);
+    keyHome_.setMembers(std::move(set));
+}
+
 void AgentCore::onGranted(const InstanceId &member, std::uint64_t set, TimePoint askedAt,
                           TimePoint now, WallMillis wall)
 {
@@ -124,6 +130,10 @@
     if (call.callerKey.empty()) {
         return std::nullopt;
     }
+    if (call.target != keyTarget_) {
+        return StartVerdict {false, false, FailureCode::KeyHomeUnsure, Outcome::Unknown,
+                             kShortRetry};
+    }
     switch (keyHome_.accept(call.account, call.callerKey, now, wall)) {
     case KeyVerdict::Accept:
         return std::nullopt;
--- a/src/decision/dispatch/agentcore.h
+++ b/src/decision/dispatch/agentcore.h
@@ -30,6 +30,7 @@
 {
     RequestId id;
     AccountId account;
+    TargetName target;
     std::uint8_t priority = 0;
     Tokens promptTokens = 0;
     Tokens answerTokens = 0;
@@ -116,7 +117,7 @@
     Ticket issueTicket() { return tickets_.issue(); }
 
     // The agents of this agent's service in this hall, as the newest list names them.
-    void setKeyMembers(MemberSet set) { keyHome_.setMembers(std::move(set)); }
+    void setKeyMembers(TargetName target, MemberSet set);
     const MemberSet &keyMembers() const { return keyHome_.members(); }
     // The platform was asked at `at` or later and confirmed that list.
     void confirmKeyView(TimePoint at) { keyHome_.confirmView(at); }
@@ -166,6 +167,7 @@
     TicketBook tickets_;
     KeyHome keyHome_;
     GrantBook grants_;
+    TargetName keyTarget_; // Keys are honoured for requests to it only.
     std::unordered_map<RequestId, Running> running_;
     std::unordered_map<RequestId, Proof> proofs_;
     double tokensPerSecond_;
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -36,9 +36,11 @@
 AgentLink::AgentLink(const Context &context, InstanceId agent, SocketAddress address)
     : context_(context)
     , id_(std::move(agent))
-    , address_(std::move(address))
+    , link_(context.loop, context.transport, std::move(address))
     , tasks_(*this)
-{}
+{
+    link_.setHandlers([this] { onOpened(); }, [this] { onClosed(); });
+}
 
 AgentLink::~AgentLink() = default;
 
@@ -48,36 +50,16 @@
             {{"agent", id_.value()}, {"message", exception.getDescription().cStr()}});
 }
 
-wire::Agent::Client &AgentLink::agent()
-{
-    if (peer_ == nullptr) {
-        connect();
-    }
-    return agent_;
-}
-
-void AgentLink::connect()
+void AgentLink::onOpened()
 {
-    const std::uint64_t generation = ++generation_;
-    peer_ = RpcPeer::client(context_.transport.connect(address_));
-    peer_->onClosed([this, generation] {
-        // The peer must not be destroyed inside its own callback.
-        context_.loop.post([this, generation] { onClosed(generation); });
-    });
-    agent_ = peer_->bootstrap().castAs<wire::Agent>();
-    auto request = agent_.openRequest();
+    auto request = agent().openRequest();
     request.setEntryIncarnation(context_.incarnation.value());
     request.setSink(kj::heap<Sink>(context_.listener, id_));
     tasks_.add(request.send().ignoreResult());
 }
 
-void AgentLink::onClosed(std::uint64_t generation)
+void AgentLink::onClosed()
 {
-    if (generation != generation_ || peer_ == nullptr) {
-        return;
-    }
-    agent_ = nullptr;
-    peer_ = nullptr;
     heartbeatInFlight_ = false;
     context_.listener.onLinkClosed(id_);
 }
@@ -92,8 +74,10 @@
     auto status = request.initStatus();
     status.setInstance(context_.self.value());
     status.setIncarnation(context_.incarnation.value());
-    writeVersions(context_.knowledge.versions(), status);
     const TimePoint askedAt = context_.loop.now();
+    writeVersions(context_.knowledge.versions(), status);
+    status.setListAgeMicros(context_.knowledge.listAge(askedAt).count());
+    status.setEchoMicros(agentClock_);
     tasks_.add(request.send().then(
         [this, askedAt](capnp::Response<wire::Peer::ExchangeResults> &&answer) {
             heartbeatInFlight_ = false;
@@ -106,6 +90,7 @@
                            wire::Update::Reader list, TimePoint askedAt)
 {
     const KnownVersions known = readVersions(status);
+    agentClock_ = status.getClockMicros();
     context_.knowledge.hear(known);
     context_.knowledge.apply({readUpdate(config), readUpdate(list)});
     if (status.getWantsUpdate()) {
@@ -154,7 +139,7 @@
                                              static_cast<FailureCode>(verdict.getFailure()),
                                              outcome, Duration(verdict.getRetryAfterMicros())});
         },
-        [this, id, wroteAny = peer_->wroteAny()](kj::Exception && /*error*/) {
+        [this, id, wroteAny = link_.wroteAny()](kj::Exception && /*error*/) {
             context_.listener.onCallFailed(id, *wroteAny);
         }));
 }
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -8,7 +8,7 @@
 #include "decision/dispatch/verdict.h"
 #include "net/eventloop.h"
 #include "net/rawtransport.h"
-#include "net/rpcpeer.h"
+#include "net/rpclink.h"
 #include "platform/knowledge.h"
 #include "wire/seamarch.capnp.h"
 
@@ -75,14 +75,14 @@
     // Asks for a ticket; `done` gets an empty text when the agent cannot be reached.
     void issueTicket(std::function<void(std::string)> done);
 
-    const SocketAddress &address() const { return address_; }
+    const SocketAddress &address() const { return link_.address(); }
 
 private:
     class Sink;
 
-    wire::Agent::Client &agent();
-    void connect();
-    void onClosed(std::uint64_t generation);
+    wire::Agent::Client agent() { return link_.capability().castAs<wire::Agent>(); }
+    void onOpened();
+    void onClosed();
     void onExchange(wire::Status::Reader status, wire::Update::Reader config,
                     wire::Update::Reader list, TimePoint askedAt);
     void offer(const KnownVersions &peer);
@@ -90,11 +90,9 @@
 
     Context context_;
     InstanceId id_;
-    SocketAddress address_;
-    std::uint64_t generation_ = 0;
+    RpcLink link_;
     bool heartbeatInFlight_ = false;
-    std::unique_ptr<RpcPeer> peer_;
-    wire::Agent::Client agent_{nullptr}; // Usable while `peer_` is set.
+    std::int64_t agentClock_ = 0; // As last heard; echoed, so that the agent can date what it hears.
     kj::TaskSet tasks_;
 };
 
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -39,13 +39,21 @@
 
 EventLoop::~EventLoop()
 {
+    shutDown();
+}
+
+void EventLoop::shutDown()
+{
+    if (context_ == nullptr) {
+        return;
+    }
     for (auto &[id, timer] : timers_) {
         lws_sul_cancel(&timer->entry);
     }
     timers_.clear();
-    if (context_ != nullptr) {
-        lws_context_destroy(context_);
-    }
+    lws_context *context = context_;
+    lws_context_destroy(context);
+    context_ = nullptr;
 }
 
 tl::expected<std::unique_ptr<EventLoop>, NetError> EventLoop::create()
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -65,6 +65,10 @@
     // May be called from a signal handler.
     void stop();
 
+    // Closes every connection. Called after run() and before the servers, clients and transports of
+    // the loop are destroyed, because the library tells them of each close.
+    void shutDown();
+
 private:
     struct Timer;
 
--- a/src/platform/knowledge.cpp
+++ b/src/platform/knowledge.cpp
@@ -64,6 +64,7 @@
         return UpdateResult::Damaged;
     }
     list_ = std::move(next);
+    listConfirmedAt_.reset();
     instanceList_ = std::move(*list);
     for (KnowledgeListener *listener : listeners_) {
         listener->onInstances(instanceList_);
@@ -111,6 +112,16 @@
     }
 }
 
+void Knowledge::confirmList(TimePoint askedAt)
+{
+    listConfirmedAt_ = std::max(listConfirmedAt_.value_or(askedAt), askedAt);
+}
+
+Duration Knowledge::listAge(TimePoint now) const
+{
+    return listConfirmedAt_ ? now - *listConfirmedAt_ : Duration(-1);
+}
+
 KnownVersions Knowledge::versions() const
 {
     return {config_.version(), config_.digest(), config_.floor(), list_.version(), list_.digest()};
--- a/src/platform/knowledge.h
+++ b/src/platform/knowledge.h
@@ -10,6 +10,7 @@
 #include "config/parse.h"
 #include "config/versioned.h"
 #include "seamarch/configdocument.h"
+#include "seamarch/units.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -57,6 +58,11 @@
     // Learns what a peer knows; only the floor follows from it.
     void hear(const KnownVersions &peer);
 
+    // The platform was asked at `askedAt` or later and confirmed the list that is held.
+    void confirmList(TimePoint askedAt);
+    // Returns how long ago the platform confirmed the list; negative when it never did.
+    Duration listAge(TimePoint now) const;
+
     KnownVersions versions() const;
     // Returns what a peer with `peer` lacks.
     KnowledgeUpdates updatesFor(const KnownVersions &peer) const;
@@ -81,6 +87,7 @@
     VersionedDocument list_;
     ConfigDocument configDocument_;
     InstanceList instanceList_;
+    std::optional<TimePoint> listConfirmedAt_;
     std::uint64_t announced_ = 0;
     std::uint64_t conflicts_ = 0;
     std::vector<KnowledgeListener *> listeners_;
--- a/src/platform/peernetwork.cpp
+++ b/src/platform/peernetwork.cpp
@@ -24,12 +24,15 @@
 {
     const KnownVersions peer = readVersions(context.getParams().getStatus());
     knowledge_.hear(peer);
+    onPeerStatus(context.getParams().getStatus());
     auto results = context.getResults();
     const KnowledgeUpdates updates = knowledge_.updatesFor(peer);
     writeUpdate(updates.config, results.initConfig());
     writeUpdate(updates.list, results.initList());
     auto status = results.initStatus();
     writeVersions(knowledge_.versions(), status);
+    status.setClockMicros(loop_.now().time_since_epoch().count());
+    status.setListAgeMicros(knowledge_.listAge(loop_.now()).count());
     status.setWantsUpdate(wantsUpdate(peer));
     fillStatus(status);
     return kj::READY_NOW;
@@ -152,8 +155,12 @@
         }
         (near ? hallPeers_ : farPeers_).push_back(record.id);
         kept.insert(record.id);
+        const SocketAddress address {record.address, record.port};
         Link &link = links_[record.id];
-        link.address = {record.address, record.port};
+        if (link.rpc == nullptr || link.rpc->address() != address) {
+            link.rpc = std::make_unique<RpcLink>(loop_, transport_, address);
+            link.inFlight = false;
+        }
     }
     order_.setEntries(std::move(hallEntries));
     std::erase_if(links_, [&kept](const auto &entry) { return !kept.contains(entry.first); });
@@ -192,23 +199,6 @@
     return listed_ && order_.allHeard(loop_.now());
 }
 
-void PeerNetwork::connect(const InstanceId &entry, Link &link)
-{
-    const std::uint64_t generation = ++link.generation;
-    link.peer = RpcPeer::client(transport_.connect(link.address));
-    link.client = link.peer->bootstrap().castAs<wire::Peer>();
-    link.peer->onClosed([this, entry, generation] {
-        loop_.post([this, entry, generation] {
-            const auto found = links_.find(entry);
-            if (found != links_.end() && found->second.generation == generation) {
-                found->second.client = nullptr;
-                found->second.peer = nullptr;
-                found->second.inFlight = false;
-            }
-        });
-    });
-}
-
 void PeerNetwork::exchangeWith(const InstanceId &entry)
 {
     const auto found = links_.find(entry);
@@ -218,11 +208,8 @@
     Link &link = found->second;
     const TimePoint askedAt = loop_.now();
     order_.onAsked(entry, askedAt);
-    if (link.peer == nullptr) {
-        connect(entry, link);
-    }
     link.inFlight = true;
-    auto request = link.client.exchangeRequest();
+    auto request = link.rpc->capability().castAs<wire::Peer>().exchangeRequest();
     auto status = request.initStatus();
     status.setInstance(settings_.self.value());
     status.setIncarnation(settings_.incarnation.value());
@@ -249,11 +236,15 @@
     order_.onAnswer(entry, askedAt);
     const KnownVersions known = readVersions(answer.getStatus());
     knowledge_.hear(known);
+    const Duration listAge(answer.getStatus().getListAgeMicros());
+    if (listAge >= Duration {} && known.list == knowledge_.versions().list) {
+        knowledge_.confirmList(askedAt - listAge);
+    }
     // Applying a list may change the links, so nothing of this link is used after it.
     const bool wants = answer.getStatus().getWantsUpdate();
-    if (wants && found != links_.end() && found->second.peer != nullptr) {
+    if (wants && found != links_.end()) {
         const KnowledgeUpdates updates = knowledge_.updatesFor(known);
-        auto request = found->second.client.offerRequest();
+        auto request = found->second.rpc->capability().castAs<wire::Peer>().offerRequest();
         writeUpdate(updates.config, request.initConfig());
         writeUpdate(updates.list, request.initList());
         tasks_.add(request.send().ignoreResult());
--- a/src/platform/peernetwork.h
+++ b/src/platform/peernetwork.h
@@ -11,7 +11,7 @@
 
 #include "net/eventloop.h"
 #include "net/rawtransport.h"
-#include "net/rpcpeer.h"
+#include "net/rpclink.h"
 #include "platform/knowledge.h"
 #include "wire/seamarch.capnp.h"
 
@@ -37,6 +37,8 @@
     kj::Promise<void> offer(OfferContext context) override;
 
 protected:
+    // A peer has told its status.
+    virtual void onPeerStatus(wire::Status::Reader /*status*/) {}
     // Fills what is particular to the process; versions are filled already.
     virtual void fillStatus(wire::Status::Builder status) = 0;
 
@@ -115,15 +117,11 @@
 private:
     struct Link
     {
-        SocketAddress address;
-        std::uint64_t generation = 0;
+        std::unique_ptr<RpcLink> rpc;
         bool inFlight = false;
-        std::unique_ptr<RpcPeer> peer;
-        wire::Peer::Client client{nullptr}; // Usable while `peer` is set.
     };
 
     void exchangeWith(const InstanceId &entry);
-    void connect(const InstanceId &entry, Link &link);
     void onAnswer(const InstanceId &entry, wire::Peer::ExchangeResults::Reader answer,
                   TimePoint askedAt);
     void taskFailed(kj::Exception &&exception) override;
--- a/src/platform/watcher.cpp
+++ b/src/platform/watcher.cpp
@@ -91,6 +91,7 @@
 void Watch::ask()
 {
     ++calls_;
+    askedAt_ = loop_.now();
     HttpCallRequest request;
     request.address = platform_;
     request.path = fmt::format("{}?after={}", path_, version_);
@@ -107,7 +108,9 @@
     reachable_ = true;
     const std::uint64_t before = version_;
     if (status == kStatusOk) {
-        version_ = std::max(version_, deliver_(body));
+        version_ = std::max(version_, deliver_(body, askedAt_));
+    } else {
+        deliver_({}, askedAt_);
     }
     if (status == kStatusOk && version_ == before) {
         // An old or faulty document: asking again at once would turn in a tight loop.
@@ -135,15 +138,29 @@
                                  const SocketAddress &platform, std::uint64_t seed)
     : knowledge_(knowledge)
     , config_(loop, client, platform, "/config", seed,
-              [&knowledge](const std::string &text) {
-                  knowledge.acceptConfig(text);
-                  return knowledge.versions().config;
-              })
-    , list_(loop, client, platform, "/instances", seed + 1, [&knowledge](const std::string &text) {
-        knowledge.acceptList(text);
-        return knowledge.versions().list;
-    })
-{}
+              [this](const std::string &text, TimePoint /*askedAt*/) { return takeConfig(text); })
+    , list_(loop, client, platform, "/instances", seed + 1,
+            [this](const std::string &text, TimePoint askedAt) { return takeList(text, askedAt); })
+{
+}
+
+std::uint64_t PlatformWatcher::takeConfig(const std::string &text)
+{
+    if (!text.empty()) {
+        knowledge_.acceptConfig(text);
+    }
+    return knowledge_.versions().config;
+}
+
+std::uint64_t PlatformWatcher::takeList(const std::string &text, TimePoint askedAt)
+{
+    const bool confirmed
+        = text.empty() || knowledge_.acceptList(text) == UpdateResult::Applied;
+    if (confirmed) {
+        knowledge_.confirmList(askedAt);
+    }
+    return knowledge_.versions().list;
+}
 
 void PlatformWatcher::setActive(bool active)
 {
--- a/src/platform/watcher.h
+++ b/src/platform/watcher.h
@@ -21,8 +21,9 @@
 class Watch
 {
 public:
-    // Hands a document over; returns the version that is then held.
-    using Deliver = std::function<std::uint64_t(const std::string &)>;
+    // Hands a document over, or an empty text when nothing has changed, with the time at which the
+    // service was asked; returns the version that is then held.
+    using Deliver = std::function<std::uint64_t(const std::string &, TimePoint)>;
 
     Watch(EventLoop &loop, HttpClient &client, SocketAddress platform, std::string path,
           std::uint64_t seed, Deliver deliver);
@@ -53,6 +54,7 @@
     Deliver deliver_;
     std::uint64_t version_ = 0;
     std::uint64_t calls_ = 0;
+    TimePoint askedAt_ {};
     HttpCallId call_ = 0;
     TimerId timer_ = 0;
     int failures_ = 0;
@@ -78,6 +80,9 @@
     std::uint64_t calls() const { return config_.calls() + list_.calls(); }
 
 private:
+    std::uint64_t takeConfig(const std::string &text);
+    std::uint64_t takeList(const std::string &text, TimePoint askedAt);
+
     Knowledge &knowledge_;
     detail::Watch config_;
     detail::Watch list_;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -73,5 +73,6 @@
         return 3;
     }
     (*loop)->run();
+    (*loop)->shutDown();
     return 0;
 }
--- a/test/decision/dispatch/dispatchschedule_test.cpp
+++ b/test/decision/dispatch/dispatchschedule_test.cpp
@@ -46,6 +46,7 @@
 TEST(DispatchScheduleTest, HoldsItsInvariantsOverManySchedules)
 {
     int answered = 0;
+    int moved = 0;
     for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
         DispatchWorld world(optionsOf(seed));
         const auto violations = world.run();
@@ -53,9 +54,11 @@
             FAIL(fmt::format("seed {}: {}", seed, violations.front()).c_str());
         }
         answered += world.answered();
+        moved += world.moved();
     }
     // A world that refuses everything would hold every invariant.
     CHECK(answered > static_cast<int>(seedCount()) * 20);
+    CHECK(moved > static_cast<int>(seedCount()) / 2);
 }
 
 TEST(DispatchScheduleTest, AnswersEverythingWhenNothingFails)
@@ -87,6 +90,11 @@
     CHECK(!firstViolation(PlantedFault::RetryUnknown, 500).empty());
 }
 
+TEST(DispatchScheduleTest, CheckerCatchesALieAboutAWithdrawal)
+{
+    CHECK(!firstViolation(PlantedFault::LieAboutWithdrawal, 500).empty());
+}
+
 TEST(DispatchScheduleTest, CheckerCatchesADroppedTicket)
 {
     CHECK(!firstViolation(PlantedFault::DropTicket, 500).empty());
--- a/test/decision/dispatch/dispatchworld.cpp
+++ b/test/decision/dispatch/dispatchworld.cpp
@@ -91,7 +91,7 @@
     for (const InstanceRecord &record : list.instances) {
         members.push_back(record.id);
     }
-    agents_[agent].core->setKeyMembers(makeMemberSet(members));
+    agents_[agent].core->setKeyMembers(kTarget, makeMemberSet(members));
 }
 
 // The list drops an agent that may well live, or takes it back; every process hears of it late.
@@ -145,7 +145,7 @@
     settings.self = agent.id;
     settings.incarnation = agent.incarnation;
     settings.seed = random_();
-    settings.slots = 2;
+    settings.slots = 1;
     settings.ledgerCapacity = 40;
     settings.keyHome.lease = kLease;
     agent.core = std::make_unique<AgentCore>(settings, now_);
@@ -372,6 +372,8 @@
             sendCall(entry, *call);
         } else if (const auto *cancel = std::get_if<SendCancel>(&action)) {
             sendCancel(entry, *cancel);
+        } else if (const auto *withdrawal = std::get_if<SendWithdraw>(&action)) {
+            sendWithdraw(entry, *withdrawal);
         } else if (const auto *failure = std::get_if<FailRequest>(&action)) {
             onFailed(*failure,
                      operationOf_.contains(failure->id) ? operationOf_.at(failure->id) : -1);
@@ -434,6 +436,7 @@
     AgentCall message;
     message.id = call.id;
     message.account = kAccount;
+    message.target = kTarget;
     message.promptTokens = 100;
     message.deadline = call.deadline;
     message.agentIncarnation = call.agentIncarnation;
@@ -445,6 +448,11 @@
     AgentActions actions;
     const StartVerdict verdict = target.core->onCall(message, now_, wall(), actions);
     const bool takesLeaving = options_.fault == PlantedFault::KeepServingLeaving && target.leftAt;
+    if (verdict.accepted && listened) {
+        atEntry(entry, call.id.entry, randomDelay(0.5, 30), [this, entry, call, verdict] {
+            entries_[entry].core->onAccepted(call.id, verdict.started);
+        });
+    }
     if (verdict.accepted || takesLeaving) {
         target.jobs.emplace(call.id, operation);
         if (target.leftAt) {
@@ -493,9 +501,44 @@
     });
 }
 
+void DispatchWorld::sendWithdraw(std::size_t entry, const SendWithdraw &withdrawal)
+{
+    const std::size_t agent = agentIndex(withdrawal.agent);
+    if (options_.faults && chance(0.1)) {
+        return;
+    }
+    atAgent(agent, randomDelay(0.5, 200), [this, entry, withdrawal, agent] {
+        bool notRun = agents_[agent].core->onWithdraw(withdrawal.id, withdrawal.agentIncarnation);
+        notRun = notRun || options_.fault == PlantedFault::LieAboutWithdrawal;
+        moved_ += notRun ? 1 : 0;
+        atEntry(entry, withdrawal.id.entry, randomDelay(0.5, 200),
+                [this, entry, withdrawal, notRun] {
+                    EntryActions actions;
+                    entries_[entry].core->onWithdrawn(withdrawal.id, withdrawal.agent, notRun, now_,
+                                                      actions);
+                    carryOut(entry, actions);
+                });
+    });
+}
+
+void DispatchWorld::announceFree(std::size_t agent)
+{
+    const std::size_t entry = pickIndex(entries_.size());
+    atEntry(entry, entries_[entry].incarnation, randomDelay(0.5, 100), [this, entry, agent] {
+        EntryActions actions;
+        entries_[entry].core->onFree(agents_[agent].id, agents_[agent].core->report(), now_,
+                                     actions);
+        carryOut(entry, actions);
+    });
+}
+
 void DispatchWorld::carryOut(std::size_t agent, const AgentActions &actions)
 {
     for (const AgentAction &action : actions) {
+        if (std::holds_alternative<AnnounceFree>(action)) {
+            announceFree(agent);
+            continue;
+        }
         if (const auto *start = std::get_if<StartUpstream>(&action)) {
             runUpstream(agent, start->id);
         } else if (const auto *report = std::get_if<ReportNotRun>(&action)) {
@@ -537,7 +580,7 @@
     if (toldNotRun_.contains(id)) {
         violate(fmt::format("request {} ran after its caller was told 'not run'", id.counter));
     }
-    atAgent(agent, randomDelay(20, 400), [this, agent, id, meant, operation] {
+    atAgent(agent, randomDelay(50, 1200), [this, agent, id, meant, operation] {
         if (agents_[agent].incarnation != meant) {
             return;
         }
@@ -605,7 +648,7 @@
     operations_.resize(static_cast<std::size_t>(options_.operations));
     for (int index = 0; index < options_.operations; ++index) {
         // The first leases and key-home grants are in place after a few seconds.
-        at(TimePoint(std::chrono::seconds(8)) + randomDelay(0, 30'000),
+        at(TimePoint(std::chrono::seconds(8)) + randomDelay(0, 15'000),
            [this, index] { beginOperation(index); });
     }
     tickLoop();
--- a/test/decision/dispatch/dispatchworld.h
+++ b/test/decision/dispatch/dispatchworld.h
@@ -27,6 +27,7 @@
     RetryUnknown,       // A lost call counts as never written.
     DropTicket,         // The ticket is taken off on the way.
     SwapAnswers,        // Now and then an answer goes to another request.
+    LieAboutWithdrawal,  // A request that has started is said to have been given back.
     KeepServingLeaving, // A leaving agent goes on taking work.
 };
 
@@ -51,6 +52,7 @@
     int answered() const { return answered_; }
     int notRun() const { return notRun_; }
     int unknown() const { return unknown_; }
+    int moved() const { return moved_; }
 
 private:
     enum class Kind { Repeatable, Plain, Ticketed, Keyed };
@@ -126,6 +128,8 @@
     void sendCall(std::size_t entry, const SendCall &call);
     void deliverCall(std::size_t entry, const SendCall &call, std::size_t agent, bool listened);
     void sendCancel(std::size_t entry, const SendCancel &cancel);
+    void sendWithdraw(std::size_t entry, const SendWithdraw &withdrawal);
+    void announceFree(std::size_t agent);
     void carryOut(std::size_t agent, const AgentActions &actions);
     void runUpstream(std::size_t agent, RequestId id);
     void sendAnswer(std::size_t agent, RequestId id, int operation);
@@ -154,6 +158,7 @@
     int answered_ = 0;
     int notRun_ = 0;
     int unknown_ = 0;
+    int moved_ = 0;
 };
 
 } // namespace seamarch::test
--- /dev/null
+++ b/test/process/process_test.py
@@ -0,0 +1,283 @@
+"""Whole processes under kill, pause, planned stop, stale configuration and platform loss.
+
+Waits are bounded but generous, and no verdict depends on how long a thing took.
+"""
+
+import json
+import os
+import signal
+import sys
+import threading
+import time
+import unittest
+import urllib.request
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "scripts"))
+from localsite import Site, call, key_of  # noqa: E402
+
+QUICK_ENTRY = ["--heartbeat-ms", "100", "--lease-ms", "1000", "--stop-delay-ms", "300"]
+QUICK_AGENT = ["--lease-ms", "1000"]
+AUTH = {"Authorization": f"Bearer {key_of('bids')}", "Content-Type": "application/json"}
+
+
+def make_site(engines=2, services=0, entries=2):
+    site = Site("test", entry_options=QUICK_ENTRY, agent_options=QUICK_AGENT,
+                log_path=os.environ.get("SEAMARCH_TEST_LOG"))
+    site.add_accounts(["bids"], homeHall="north")
+    site.config["models"].append({"name": "bid", "version": "v1"})
+    site.config["services"].append({"name": "portal", "routes": [
+        {"method": "POST", "path": "/letters", "repeatable": False},
+        {"method": "POST", "path": "/status", "repeatable": True}]})
+    site.add_pool("bid", engines, "engine")
+    site.add_pool("portal", services, "service")
+    site.add_entries(entries)
+    site.publish_and_wait()
+    return site
+
+
+def chat(tokens, stream, prompt="tender 7"):
+    return json.dumps({"model": "bid", "max_tokens": tokens, "stream": stream,
+                       "messages": [{"role": "user", "content": prompt}]})
+
+
+def letter(entry, body, **headers):
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return call(entry, "/services/portal/letters", body, {**AUTH, **named})
+
+
+def code_of(text):
+    return json.loads(text)["error"]["code"]
+
+
+class Stream(threading.Thread):
+    """Reads a streamed answer to its end in the background."""
+
+    def __init__(self, entry, tokens, prompt="tender 7"):
+        super().__init__()
+        self.request = urllib.request.Request(f"http://{entry}/v1/chat/completions",
+                                              data=chat(tokens, True, prompt).encode(), headers=AUTH)
+        self.text = ""
+        self.error = None
+        self.started = threading.Event()
+        self.start()
+
+    def run(self):
+        try:
+            with urllib.request.urlopen(self.request, timeout=60) as answer:
+                for line in answer:
+                    self.text += line.decode()
+                    self.started.set()
+        except Exception as error:  # Any break of the connection.
+            self.error = error
+        self.started.set()
+
+    def whole(self):
+        return self.error is None and self.text.rstrip().endswith("data: [DONE]")
+
+    def tokens(self):
+        return self.text.count("chat.completion.chunk")
+
+
+class ProcessTest(unittest.TestCase):
+    def test_killed_agent_breaks_its_streams_and_no_others(self):
+        with make_site() as site:
+            for name in site.upstreams:
+                site.control(site.upstreams[name], {"stepMs": 20})
+            entry = site.entries["entry-1"]
+            streams = [Stream(entry, 100, f"tender {index}") for index in range(8)]
+            for stream in streams:
+                stream.started.wait(20)
+            site.processes["bid-1"].end()
+            for stream in streams:
+                stream.join(30)
+            broken = [stream for stream in streams if not stream.whole()]
+            self.assertTrue(0 < len(broken) < 8)
+            for stream in broken:
+                self.assertNotIn("[DONE]", stream.text)
+            for index, stream in enumerate(streams):
+                for line in stream.text.splitlines():
+                    if "chat.completion.chunk" in line:
+                        self.assertIn(f"tender {index} ", line)
+            status, _, _ = call(entry, "/v1/chat/completions", chat(2, False), AUTH)
+            self.assertEqual(status, 200)
+
+    def test_planned_stop_of_an_agent_cuts_nothing_off(self):
+        with make_site() as site:
+            for name in site.upstreams:
+                site.control(site.upstreams[name], {"stepMs": 20})
+            streams = [Stream(site.entries["entry-1"], 100) for _ in range(8)]
+            for stream in streams:
+                stream.started.wait(20)
+            site.processes["bid-1"].send(signal.SIGTERM)
+            for stream in streams:
+                stream.join(30)
+            self.assertTrue(all(stream.whole() for stream in streams))
+            self.assertEqual([stream.tokens() for stream in streams], [100] * 8)
+            self.assertEqual(site.processes["bid-1"].wait(20), 0)
+
+    def test_planned_stop_of_an_entry_cuts_nothing_off(self):
+        with make_site() as site:
+            for name in site.upstreams:
+                site.control(site.upstreams[name], {"stepMs": 20})
+            streams = [Stream(site.entries["entry-1"], 100) for _ in range(8)]
+            for stream in streams:
+                stream.started.wait(20)
+            site.processes["entry-1"].send(signal.SIGTERM)
+            site.wait_until("readiness goes down", lambda: call(
+                site.operators["entry-1"], "/readyz")[0] in (503, 0))
+            for stream in streams:
+                stream.join(30)
+            self.assertTrue(all(stream.whole() for stream in streams))
+            self.assertEqual(site.processes["entry-1"].wait(20), 0)
+
+    def test_paused_agent_gets_no_new_work_and_wakes_harmlessly(self):
+        with make_site(engines=0, services=2, entries=1) as site:
+            entry = site.entries["entry-1"]
+            paused = site.processes["portal-1"]
+            paused.send(signal.SIGSTOP)
+            site.wait_until("the lease runs out", lambda: not site.status("entry-1")
+                            .get("agents", {}).get("portal-1", {}).get("mayReceive", True))
+            answers = [letter(entry, f"letter {index}")[0] for index in range(10)]
+            self.assertEqual(answers, [200] * 10)
+            paused.send(signal.SIGCONT)
+            site.wait_until("the agent is back", lambda: site.status("entry-1")
+                            ["agents"]["portal-1"]["mayReceive"])
+            runs = site.runs("portal")
+            self.assertEqual(sorted(runs), sorted(set(runs)))
+            self.assertEqual(len(runs), 10)
+
+    def test_lost_answer_is_unknown_and_runs_once(self):
+        with make_site(engines=0, services=2) as site:
+            for name in site.upstreams:
+                site.control(site.upstreams[name], {"dropAnswers": True})
+            status, headers, text = letter(site.entries["entry-1"], "letter 1")
+            self.assertEqual((status, headers["Seamarch-Outcome"], code_of(text)),
+                             (502, "unknown", "upstream_failed"))
+            self.assertEqual(site.runs("portal"), ["letter 1"])
+
+    def test_dead_upstream_is_not_run_and_served_elsewhere(self):
+        with make_site(engines=0, services=2, entries=1) as site:
+            site.processes["portal-1.upstream"].end()
+            answers = [letter(site.entries["entry-1"], f"letter {index}")[0] for index in range(8)]
+            self.assertEqual(answers, [200] * 8)
+
+    def test_ticket_runs_once_through_any_entry(self):
+        with make_site(engines=0, services=2) as site:
+            status, _, text = call(site.entries["entry-1"], "/v1/tickets",
+                                   json.dumps({"target": "portal"}), AUTH)
+            self.assertEqual(status, 200)
+            ticket = json.loads(text)["ticket"]
+            first = letter(site.entries["entry-1"], "visit", Seamarch_Ticket=ticket)
+            second = letter(site.entries["entry-2"], "visit", Seamarch_Ticket=ticket)
+            self.assertEqual(first[0], 200)
+            self.assertEqual((second[0], code_of(second[2])), (409, "ticket_spent"))
+            self.assertEqual(site.runs("portal"), ["visit"])
+
+    def test_ticket_dies_with_its_agent(self):
+        with make_site(engines=0, services=2) as site:
+            _, _, text = call(site.entries["entry-1"], "/v1/tickets",
+                              json.dumps({"target": "portal"}), AUTH)
+            ticket = json.loads(text)["ticket"]
+            site.restart(ticket.rsplit(".", 2)[0])
+            site.wait_until("the new agent is usable", lambda: all(
+                agent["mayReceive"] for agent in site.status("entry-2")["agents"].values()))
+            site.wait_until("the ticket is dead", lambda: letter(
+                site.entries["entry-2"], "visit", Seamarch_Ticket=ticket)[0] == 409)
+            self.assertEqual(site.runs("portal"), [])
+
+    def test_key_runs_once_through_any_entry(self):
+        with make_site(engines=0, services=3) as site:
+            def fresh_key():
+                millis = int(time.time() * 1000)
+                return f"{millis >> 16:08x}-{millis & 0xffff:04x}-7abc-8abc-{os.urandom(6).hex()}"
+            answers = []
+
+            def accepted():
+                key = fresh_key()
+                answer = letter(site.entries["entry-1"], key, Idempotency_Key=key)
+                if answer[0] == 200:
+                    answers.append(key)
+                return answer[0] == 200
+            site.wait_until("the homes hold their grants", accepted, 30)
+            key = answers[0]
+            again = letter(site.entries["entry-2"], key, Idempotency_Key=key)
+            self.assertEqual((again[0], code_of(again[2])), (409, "key_seen_before"))
+            self.assertEqual(site.runs("portal").count(key), 1)
+
+    def test_leaving_agent_gets_no_new_work(self):
+        with make_site(engines=0, services=2, entries=1) as site:
+            site.set_state("portal-1", "leaving")
+            site.publish_list()
+            site.wait_until("the agent leaves", lambda: not site.status("entry-1")
+                            ["agents"]["portal-1"]["mayReceive"])
+            for index in range(10):
+                self.assertEqual(letter(site.entries["entry-1"], f"letter {index}")[0], 200)
+            self.assertEqual(site.control(site.upstreams["portal-1"], {})["runs"], 0)
+
+    def test_configuration_never_goes_back(self):
+        with make_site(entries=3) as site:
+            site.publish_config()
+            site.publish_config()
+            version = site.config["version"]
+            everyone = list(site.entries) + ["bid-1", "bid-2"]
+            site.wait_until("the change is in force everywhere", lambda: all(
+                site.status(name).get("configVersion") == version for name in everyone))
+            site.control(site.platform, {"serveOld": True})
+            site.restart("entry-2")
+            site.wait_until("the restarted entry is ready", lambda: site.status("entry-2")
+                            .get("ready"))
+            self.assertEqual(site.status("entry-2")["configVersion"], version)
+            self.assertEqual(site.status("entry-1")["configVersion"], version)
+
+    def test_serves_on_without_the_platform(self):
+        with make_site(entries=3) as site:
+            site.control(site.platform, {"down": True})
+            status, _, _ = call(site.entries["entry-1"], "/v1/chat/completions", chat(2, False), AUTH)
+            self.assertEqual(status, 200)
+
+    def test_bad_input_has_its_own_code(self):
+        with make_site(engines=1, entries=1) as site:
+            entry = site.entries["entry-1"]
+            cases = [
+                ("/v1/chat/completions", "{", AUTH, 400, "bad_request"),
+                ("/v1/chat/completions", '{"model": "bid"}', AUTH, 400, "bad_request"),
+                ("/v1/chat/completions", '{"model": "no", "messages": [1]}', AUTH, 404, "not_found"),
+                ("/v1/chat/completions", chat(0, False), AUTH, 400, "bad_request"),
+                ("/v1/chat/completions", chat(1, False), {}, 401, "unauthorized"),
+                ("/v1/chat/completions", chat(1, False), {"Authorization": "Bearer x"}, 401,
+                 "unauthorized"),
+                ("/nowhere", "{}", AUTH, 404, "not_found"),
+                ("/services/none/x", "{}", AUTH, 404, "not_found"),
+                ("/services/portal/nowhere", "{}", AUTH, 404, "not_found"),
+                ("/v1/models", "{}", AUTH, 405, "method_not_allowed"),
+                ("/services/portal/letters", "x", {**AUTH, "Seamarch-Ticket": "x"}, 400,
+                 "bad_request"),
+                ("/services/portal/letters", "x", {**AUTH, "Idempotency-Key": "x"}, 400,
+                 "bad_request"),
+                ("/v1/chat/completions", chat(1, False), {**AUTH, "Seamarch-Deadline-Ms": "-1"},
+                 400, "bad_request"),
+                ("/v1/chat/completions", "x" * (9 * 1024 * 1024), AUTH, 413, "payload_too_large"),
+            ]
+            for path, body, headers, status, code in cases:
+                answer = call(entry, path, body, headers)
+                if answer[0] == 0 and status == 413:
+                    continue  # The server closed while the client was still sending.
+                self.assertEqual((answer[0], code_of(answer[2])), (status, code), body[:60])
+                self.assertEqual(answer[1]["Seamarch-Outcome"], "not-run")
+
+    def test_caller_that_leaves_cancels_the_upstream(self):
+        with make_site(engines=1, entries=1) as site:
+            upstream = site.upstreams["bid-1"]
+            site.control(upstream, {"stepMs": 50})
+            request = urllib.request.Request(
+                f"http://{site.entries['entry-1']}/v1/chat/completions",
+                data=chat(1000, True).encode(), headers=AUTH)
+            answer = urllib.request.urlopen(request, timeout=20)
+            answer.readline()
+            answer.close()
+            site.wait_until("the engine stops", lambda: site.control(upstream, {})["running"] == 0)
+            self.assertEqual(site.control(upstream, {})["cancelled"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
