The operators' tool: status, validate, diff, plan, confirm

Cause: intents had no way to become a document that an operator can confirm.

A plan carries the next document, what changes, what it costs and a digest; `confirm` re-checks the base and prints the document. A home hall cannot be changed, because two halls could then run one key.

Conclusion: the path from an intent to a published document is whole; placement plans are left.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -105,8 +105,7 @@
     kj::Promise<void> grant(GrantContext context) override
     {
         const std::uint64_t set = context.getParams().getMemberSet();
-        context.getResults().setGranted(
-            service_.core_.onGrantAsked(set, service_.loop_.now()));
+        context.getResults().setGranted(service_.core_.onGrantAsked(set, service_.loop_.now()));
         return kj::READY_NOW;
     }
 
@@ -117,7 +116,7 @@
         // the clock that it echoes; so the confirmation is no older than that.
         const Duration age(status.getListAgeMicros());
         const bool same = status.getListVersion() == service_.knowledge_.versions().list;
-        if (same && age >= Duration {} && status.getEchoMicros() != 0) {
+        if (same && age >= Duration{} && status.getEchoMicros() != 0) {
             service_.core_.confirmKeyView(TimePoint(Duration(status.getEchoMicros())) - age);
         }
     }
--- a/src/agent/grantnetwork.cpp
+++ b/src/agent/grantnetwork.cpp
@@ -18,15 +18,13 @@
     , self_(std::move(self))
     , hall_(std::move(hall))
     , tasks_(*this)
-{
-}
+{}
 
 GrantNetwork::~GrantNetwork() = default;
 
 void GrantNetwork::taskFailed(kj::Exception &&exception)
 {
-    logLine(LogLevel::Debug, "grant.task-failed",
-            {{"message", exception.getDescription().cStr()}});
+    logLine(LogLevel::Debug, "grant.task-failed", {{"message", exception.getDescription().cStr()}});
 }
 
 void GrantNetwork::setInstances(const InstanceList &list)
@@ -35,12 +33,12 @@
                                   [this](const InstanceRecord &each) { return each.id == self_; });
     std::vector<InstanceId> members;
     std::set<InstanceId> kept;
-    const TargetName target
-        = own == list.instances.end() || own->serves.empty() ? TargetName() : own->serves.front();
+    const TargetName target =
+        own == list.instances.end() || own->serves.empty() ? TargetName() : own->serves.front();
     for (const InstanceRecord &record : list.instances) {
         const auto &serves = record.serves;
         const bool member = record.hall == hall_ && !target.value().empty()
-            && std::find(serves.begin(), serves.end(), target) != serves.end();
+                            && std::find(serves.begin(), serves.end(), target) != serves.end();
         if (!member) {
             continue;
         }
@@ -49,7 +47,7 @@
             continue;
         }
         kept.insert(record.id);
-        const SocketAddress address {record.address, record.port};
+        const SocketAddress address{record.address, record.port};
         auto &link = links_[record.id];
         if (link == nullptr || link->address() != address) {
             link = std::make_unique<RpcLink>(loop_, transport_, address);
--- /dev/null
+++ b/src/config/plan.cpp
@@ -0,0 +1,288 @@
+#include "config/plan.h"
+
+#include "config/parse.h"
+#include "config/versioned.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fmt/format.h>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+using nlohmann::json;
+
+tl::unexpected<PlanError> failure(PlanError::Kind kind, std::string message)
+{
+    return tl::unexpected(PlanError{kind, std::move(message)});
+}
+
+// Returns the element of the array `list` whose field `key` is `name`; null when there is none.
+json *findNamed(json &document, const char *list, const char *key, const std::string &name)
+{
+    const auto array = document.find(list);
+    if (array == document.end()) {
+        return nullptr;
+    }
+    for (json &element : *array) {
+        if (element.value(key, "") == name) {
+            return &element;
+        }
+    }
+    return nullptr;
+}
+
+// Sets one field and tells what changed; false when it has that value already.
+template <typename Value>
+bool setField(json &element, const char *field, const Value &value, const std::string &label,
+              Plan &plan)
+{
+    const auto before = element.find(field);
+    const std::string old = before == element.end() ? "unset" : before->dump();
+    const json next(value);
+    if (before != element.end() && *before == next) {
+        return false;
+    }
+    element[field] = next;
+    plan.changes.push_back(fmt::format("{}: {} from {} to {}", label, field, old, next.dump()));
+    return true;
+}
+
+std::uint32_t countAgents(const std::optional<InstanceList> &instances, const TargetName &target,
+                          const std::optional<HallId> &hall)
+{
+    if (!instances) {
+        return 0;
+    }
+    const auto counts = [&](const InstanceRecord &record) {
+        const auto &serves = record.serves;
+        return record.role == InstanceRole::Agent && (!hall || record.hall == *hall)
+               && std::find(serves.begin(), serves.end(), target) != serves.end();
+    };
+    return static_cast<std::uint32_t>(
+        std::count_if(instances->instances.begin(), instances->instances.end(), counts));
+}
+
+// What taking `lost` out of `all` serving replicas costs.
+double partOf(std::uint32_t lost, std::uint32_t all)
+{
+    return all == 0 ? 0.0 : static_cast<double>(lost) / all;
+}
+
+tl::expected<bool, PlanError> apply(const ShareIntent &intent, json &document, Plan &plan,
+                                    const std::optional<InstanceList> & /*instances*/)
+{
+    json *account = findNamed(document, "accounts", "id", intent.account.value());
+    if (account == nullptr) {
+        document["accounts"].push_back({{"id", intent.account.value()}, {"share", intent.share}});
+        plan.changes.push_back(fmt::format("new client account {} with share {}; add its key's "
+                                           "digest to keySha256 before publishing",
+                                           intent.account.value(), intent.share));
+        return true;
+    }
+    return setField(*account, "share", intent.share, "client account " + intent.account.value(),
+                    plan);
+}
+
+tl::expected<bool, PlanError> apply(const DrainHallIntent &intent, json &document, Plan &plan,
+                                    const std::optional<InstanceList> &instances)
+{
+    json *hall = findNamed(document, "halls", "id", intent.hall.value());
+    if (hall == nullptr) {
+        return failure(PlanError::Kind::UnknownName,
+                       fmt::format("no hall '{}' is configured", intent.hall.value()));
+    }
+    for (const json &model : document.value("models", json::array())) {
+        const TargetName name(model.value("name", ""));
+        const std::uint32_t lost = countAgents(instances, name, intent.hall);
+        const std::uint32_t all = countAgents(instances, name, std::nullopt);
+        plan.cost.replicas += lost;
+        plan.cost.capacityLostPart = std::max(plan.cost.capacityLostPart, partOf(lost, all));
+    }
+    return setField(*hall, "draining", intent.draining, "hall " + intent.hall.value(), plan);
+}
+
+tl::expected<bool, PlanError> apply(const DrainInstanceIntent &intent, json &document, Plan &plan,
+                                    const std::optional<InstanceList> &instances)
+{
+    json *upstream = findNamed(document, "upstreams", "agent", intent.agent.value());
+    if (upstream == nullptr) {
+        return failure(
+            PlanError::Kind::UnknownName,
+            fmt::format("no upstream of agent '{}' is configured", intent.agent.value()));
+    }
+    plan.cost.replicas = 1;
+    if (instances) {
+        for (const InstanceRecord &record : instances->instances) {
+            for (const TargetName &target : record.serves) {
+                if (record.id == intent.agent) {
+                    const auto all = countAgents(instances, target, std::nullopt);
+                    plan.cost.capacityLostPart =
+                        std::max(plan.cost.capacityLostPart, partOf(1, all));
+                }
+            }
+        }
+    }
+    return setField(*upstream, "draining", intent.draining, "upstream of " + intent.agent.value(),
+                    plan);
+}
+
+tl::expected<bool, PlanError> apply(const ModelVersionIntent &intent, json &document, Plan &plan,
+                                    const std::optional<InstanceList> &instances)
+{
+    json *model = findNamed(document, "models", "name", intent.model.value());
+    if (model == nullptr) {
+        return failure(PlanError::Kind::UnknownName,
+                       fmt::format("no model '{}' is configured", intent.model.value()));
+    }
+    const std::uint32_t replicas = countAgents(instances, intent.model, std::nullopt);
+    const std::uint32_t floor = model->value("minServing", 1U);
+    const std::uint32_t atOnce = replicas > floor ? replicas - floor : 0;
+    const double rate = document.value("weightStoreGbPerSecond", 1.0);
+    plan.cost.replicas = replicas;
+    plan.cost.movedGigabytes = model->value("weightGb", 0.0) * replicas;
+    plan.cost.weightStoreSeconds = plan.cost.movedGigabytes / rate;
+    plan.cost.capacityLostPart = partOf(std::min<std::uint32_t>(atOnce, 1), replicas);
+    plan.cost.rounds = replicas;
+    if (replicas > 0 && atOnce == 0) {
+        plan.changes.push_back(fmt::format("warning: minServing {} leaves no replica of {} to be "
+                                           "reloaded; nothing will move",
+                                           floor, intent.model.value()));
+    }
+    return setField(*model, "version", intent.version, "model " + intent.model.value(), plan);
+}
+
+} // namespace
+
+ConfigFaults changeFaults(const ConfigDocument &from, const ConfigDocument &to)
+{
+    ConfigFaults faults;
+    for (std::size_t index = 0; index < to.accounts.size(); ++index) {
+        const AccountConfig &account = to.accounts[index];
+        const auto before =
+            std::find_if(from.accounts.begin(), from.accounts.end(),
+                         [&account](const AccountConfig &each) { return each.id == account.id; });
+        const bool moved = before != from.accounts.end() && !before->homeHall.value().empty()
+                           && before->homeHall != account.homeHall;
+        if (moved) {
+            // A process that has not heard of the change would still honour keys in the old hall.
+            faults.push_back({elementPath("accounts", index) + ".homeHall",
+                              "a home hall cannot be changed, since two halls could then run one "
+                              "key; create a new client account"});
+        }
+    }
+    return faults;
+}
+
+tl::expected<Plan, PlanError> makePlan(const json &base, const Intent &intent,
+                                       const std::optional<InstanceList> &instances)
+{
+    const auto before = readConfig(base);
+    if (!before) {
+        return failure(PlanError::Kind::Faulty, describe(before.error()));
+    }
+    Plan plan;
+    plan.baseVersion = before->version.value();
+    plan.baseDigest = documentDigest(base);
+    plan.document = base;
+    plan.document["base"] = plan.baseVersion;
+    plan.document["version"] = plan.baseVersion + 1;
+    const auto changed = std::visit(
+        [&](const auto &each) { return apply(each, plan.document, plan, instances); }, intent);
+    if (!changed) {
+        return tl::unexpected(changed.error());
+    }
+    if (!*changed) {
+        return failure(PlanError::Kind::NoChange, "the configuration says so already");
+    }
+    const auto after = readConfig(plan.document);
+    if (!after) {
+        return failure(PlanError::Kind::Faulty, describe(after.error()));
+    }
+    plan.digest = documentDigest(plan.document);
+    return plan;
+}
+
+tl::expected<json, PlanError> confirmPlan(const Plan &plan, std::uint64_t digest,
+                                          const json &current)
+{
+    if (digest != plan.digest || documentDigest(plan.document) != plan.digest) {
+        return failure(PlanError::Kind::WrongDigest,
+                       fmt::format("expected the digest {}, found {}; look at the plan again",
+                                   digestText(plan.digest), digestText(digest)));
+    }
+    const auto now = readConfig(current);
+    if (!now) {
+        return failure(PlanError::Kind::Faulty, describe(now.error()));
+    }
+    if (documentDigest(current) != plan.baseDigest) {
+        return failure(PlanError::Kind::BaseMoved,
+                       fmt::format("planned on version {}, but the configuration is now at version "
+                                   "{}; plan again",
+                                   plan.baseVersion, now->version.value()));
+    }
+    const auto next = readConfig(plan.document);
+    if (!next) {
+        return failure(PlanError::Kind::Faulty, describe(next.error()));
+    }
+    const ConfigFaults faults = changeFaults(*now, *next);
+    if (!faults.empty()) {
+        return failure(PlanError::Kind::Faulty, describe(faults));
+    }
+    return plan.document;
+}
+
+json planToJson(const Plan &plan)
+{
+    return {{"baseVersion", plan.baseVersion},
+            {"baseDigest", digestText(plan.baseDigest)},
+            {"document", plan.document},
+            {"changes", plan.changes},
+            {"cost",
+             {{"movedGb", plan.cost.movedGigabytes},
+              {"weightStoreSeconds", plan.cost.weightStoreSeconds},
+              {"capacityLostPart", plan.cost.capacityLostPart},
+              {"replicas", plan.cost.replicas},
+              {"rounds", plan.cost.rounds}}},
+            {"digest", digestText(plan.digest)}};
+}
+
+tl::expected<Plan, PlanError> planFromJson(const json &value)
+{
+    ConfigFaults faults;
+    ObjectReader reader(value, "", faults);
+    Plan plan;
+    plan.baseVersion = reader.integer("baseVersion", Presence::Required, 1, 1ULL << 53U);
+    const auto baseDigest = parseDigest(reader.text("baseDigest", Presence::Required));
+    const auto digest = parseDigest(reader.text("digest", Presence::Required));
+    plan.document = reader.object("document", Presence::Required);
+    if (!faults.empty() || !baseDigest || !digest) {
+        return failure(PlanError::Kind::Faulty,
+                       "not a plan; expected a file that 'seamarch plan --out' wrote\n"
+                           + describe(faults));
+    }
+    plan.baseDigest = *baseDigest;
+    plan.digest = *digest;
+    return plan;
+}
+
+std::string digestText(std::uint64_t digest)
+{
+    return fmt::format("{:016x}", digest);
+}
+
+std::optional<std::uint64_t> parseDigest(std::string_view text)
+{
+    constexpr int kHexBase = 16;
+    std::uint64_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value, kHexBase);
+    if (text.size() != 16 || error != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace seamarch
--- a/src/decision/dispatch/agentcore.cpp
+++ b/src/decision/dispatch/agentcore.cpp
@@ -131,8 +131,8 @@
         return std::nullopt;
     }
     if (call.target != keyTarget_) {
-        return StartVerdict {false, false, FailureCode::KeyHomeUnsure, Outcome::Unknown,
-                             kShortRetry};
+        return StartVerdict{false, false, FailureCode::KeyHomeUnsure, Outcome::Unknown,
+                            kShortRetry};
     }
     switch (keyHome_.accept(call.account, call.callerKey, now, wall)) {
     case KeyVerdict::Accept:
--- a/src/net/rpclink.cpp
+++ b/src/net/rpclink.cpp
@@ -8,8 +8,7 @@
     : loop_(loop)
     , transport_(transport)
     , address_(std::move(address))
-{
-}
+{}
 
 RpcLink::~RpcLink() = default;
 
--- a/src/net/rpclink.h
+++ b/src/net/rpclink.h
@@ -40,7 +40,7 @@
     std::function<void()> onOpened_;
     std::function<void()> onClosed_;
     std::unique_ptr<RpcPeer> peer_;
-    capnp::Capability::Client capability_ {nullptr};
+    capnp::Capability::Client capability_{nullptr};
     // Posted work asks whether the link still exists and which connection it speaks of.
     std::shared_ptr<std::uint64_t> generation_ = std::make_shared<std::uint64_t>(0);
 };
--- a/src/platform/peernetwork.cpp
+++ b/src/platform/peernetwork.cpp
@@ -155,7 +155,7 @@
         }
         (near ? hallPeers_ : farPeers_).push_back(record.id);
         kept.insert(record.id);
-        const SocketAddress address {record.address, record.port};
+        const SocketAddress address{record.address, record.port};
         Link &link = links_[record.id];
         if (link.rpc == nullptr || link.rpc->address() != address) {
             link.rpc = std::make_unique<RpcLink>(loop_, transport_, address);
@@ -237,7 +237,7 @@
     const KnownVersions known = readVersions(answer.getStatus());
     knowledge_.hear(known);
     const Duration listAge(answer.getStatus().getListAgeMicros());
-    if (listAge >= Duration {} && known.list == knowledge_.versions().list) {
+    if (listAge >= Duration{} && known.list == knowledge_.versions().list) {
         knowledge_.confirmList(askedAt - listAge);
     }
     // Applying a list may change the links, so nothing of this link is used after it.
--- a/src/platform/watcher.cpp
+++ b/src/platform/watcher.cpp
@@ -141,8 +141,7 @@
               [this](const std::string &text, TimePoint /*askedAt*/) { return takeConfig(text); })
     , list_(loop, client, platform, "/instances", seed + 1,
             [this](const std::string &text, TimePoint askedAt) { return takeList(text, askedAt); })
-{
-}
+{}
 
 std::uint64_t PlatformWatcher::takeConfig(const std::string &text)
 {
@@ -154,8 +153,7 @@
 
 std::uint64_t PlatformWatcher::takeList(const std::string &text, TimePoint askedAt)
 {
-    const bool confirmed
-        = text.empty() || knowledge_.acceptList(text) == UpdateResult::Applied;
+    const bool confirmed = text.empty() || knowledge_.acceptList(text) == UpdateResult::Applied;
     if (confirmed) {
         knowledge_.confirmList(askedAt);
     }
--- a/src/platform/watcher.h
+++ b/src/platform/watcher.h
@@ -54,7 +54,7 @@
     Deliver deliver_;
     std::uint64_t version_ = 0;
     std::uint64_t calls_ = 0;
-    TimePoint askedAt_ {};
+    TimePoint askedAt_{};
     HttpCallId call_ = 0;
     TimerId timer_ = 0;
     int failures_ = 0;
--- /dev/null
+++ b/src/tool/fetch.cpp
@@ -0,0 +1,76 @@
+#include "tool/fetch.h"
+
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(10);
+constexpr int kStatusOk = 200;
+
+struct Answer
+{
+    int status = 0;
+    std::string body;
+    bool complete = false;
+};
+
+class Receiver final : public HttpCallReceiver
+{
+public:
+    Receiver(EventLoop &loop, Answer &answer)
+        : loop_(loop)
+        , answer_(answer)
+    {}
+
+    void onHead(int status, const std::string & /*contentType*/) override
+    {
+        answer_.status = status;
+    }
+    void onPiece(std::string_view piece) override { answer_.body += piece; }
+    void onEnd(HttpCallEnd end) override
+    {
+        answer_.complete = end == HttpCallEnd::Complete;
+        loop_.stop();
+    }
+
+private:
+    EventLoop &loop_;
+    Answer &answer_;
+};
+
+} // namespace
+
+tl::expected<std::string, NetError> fetch(const SocketAddress &address, const std::string &path)
+{
+    auto loop = EventLoop::create();
+    if (!loop) {
+        return tl::unexpected(loop.error());
+    }
+    auto client = HttpClient::create(**loop);
+    if (!client) {
+        return tl::unexpected(client.error());
+    }
+    Answer answer;
+    HttpCallRequest request;
+    request.address = address;
+    request.path = path;
+    (*client)->call(std::move(request), std::make_unique<Receiver>(**loop, answer));
+    (*loop)->schedule(kPatience, [&loop] { (*loop)->stop(); });
+    (*loop)->run();
+    (*loop)->shutDown();
+    if (!answer.complete || answer.status != kStatusOk) {
+        return tl::unexpected(
+            NetError{NetError::Kind::ConnectFailed,
+                     fmt::format("expected an answer of {}:{}{} with status 200, found {}",
+                                 address.host, address.port, path,
+                                 answer.status == 0 ? "none" : std::to_string(answer.status))});
+    }
+    return std::move(answer.body);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/tool/main.cpp
@@ -0,0 +1,380 @@
+// seamarch: the operators' tool. It reads, plans and prints; it publishes nothing.
+#include "base/digest.h"
+#include "base/settings.h"
+#include "config/parse.h"
+#include "config/plan.h"
+#include "config/versioned.h"
+#include "tool/fetch.h"
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <set>
+#include <sstream>
+
+namespace seamarch {
+namespace {
+
+using nlohmann::json;
+using Arguments = std::map<std::string, docopt::value>;
+
+constexpr int kExitOk = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitUnreachable = 3;
+constexpr int kExitConflict = 4;
+
+constexpr const char *kUsage = R"(seamarch - the operators' tool
+
+Usage:
+  seamarch status --operators=LIST [--json]
+  seamarch validate FILE [--json]
+  seamarch diff FROM TO [--json]
+  seamarch plan share ACCOUNT SHARE [--json] [options]
+  seamarch plan drain-hall HALL [--undo] [--json] [options]
+  seamarch plan drain-instance AGENT [--undo] [--json] [options]
+  seamarch plan model MODEL VERSION [--json] [options]
+  seamarch confirm PLAN DIGEST [--json] [options]
+  seamarch digest [--json]
+  seamarch version [--json]
+  seamarch (-h | --help)
+
+The current configuration comes from the platform's service or from a file. A plan changes nothing;
+'confirm' checks that the configuration is still the one planned on and prints the document to
+publish. 'digest' reads a bearer key from standard input and prints what goes into keySha256.
+
+Options:
+  --platform=ADDRESS  IP:PORT of the platform's service.
+  --base=FILE         The current configuration, instead of asking the platform.
+  --instances=FILE    The instance list, instead of asking the platform.
+  --out=FILE          Where to write the plan, for 'confirm'.
+  --undo              End a drain instead of starting it.
+  --operators=LIST    Operators' addresses of processes, IP:PORT, separated by commas.
+  --json              Print JSON.
+  -h --help           Show this text.
+
+Exit status: 0 done; 1 refused, with the reason; 2 wrong use; 3 not reachable; 4 the configuration
+has changed since the plan was made.
+)";
+
+int fail(int code, const std::string &message)
+{
+    fmt::print(stderr, "seamarch: {}\n", message);
+    return code;
+}
+
+std::optional<std::string> textOf(const Arguments &arguments, const char *name)
+{
+    const auto found = arguments.find(name);
+    if (found == arguments.end() || !found->second.isString()) {
+        return std::nullopt;
+    }
+    return found->second.asString();
+}
+
+bool isSet(const Arguments &arguments, const char *name)
+{
+    const auto found = arguments.find(name);
+    return found != arguments.end() && found->second.isBool() && found->second.asBool();
+}
+
+// Why something could not be read, with the exit status that goes with it.
+struct ReadError
+{
+    int exitCode = kExitRefused;
+    std::string message;
+};
+
+tl::expected<std::string, ReadError> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return tl::unexpected(ReadError{kExitRefused, fmt::format("cannot read '{}'", path)});
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+tl::expected<json, ReadError> readJsonFile(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    auto value = parseJson(*text);
+    if (!value) {
+        return tl::unexpected(ReadError{kExitRefused, path + ": " + describe(value.error())});
+    }
+    return *value;
+}
+
+// Reads a document from a file if one is named, else from the platform.
+tl::expected<json, ReadError> readDocument(const Arguments &arguments, const char *fileOption,
+                                           const std::string &path)
+{
+    if (const auto file = textOf(arguments, fileOption)) {
+        return readJsonFile(*file);
+    }
+    const auto platform = textOf(arguments, "--platform");
+    const auto address = platform ? parseHostPort(*platform) : std::nullopt;
+    if (!address) {
+        return tl::unexpected(ReadError{
+            kExitUsage, fmt::format("expected --platform=IP:PORT or {}=FILE", fileOption)});
+    }
+    const auto text = fetch({address->host, address->port}, path + "?after=0");
+    if (!text) {
+        return tl::unexpected(ReadError{kExitUnreachable, text.error().message});
+    }
+    auto value = parseJson(*text);
+    if (!value) {
+        return tl::unexpected(ReadError{kExitRefused, describe(value.error())});
+    }
+    return *value;
+}
+
+int runValidate(const Arguments &arguments)
+{
+    const auto value = readJsonFile(arguments.at("FILE").asString());
+    if (!value) {
+        return fail(value.error().exitCode, value.error().message);
+    }
+    const auto document = readConfig(*value);
+    if (isSet(arguments, "--json")) {
+        json faults = json::array();
+        if (!document) {
+            for (const ConfigFault &fault : document.error()) {
+                faults.push_back({{"path", fault.path}, {"message", fault.message}});
+            }
+        }
+        fmt::print("{}\n", json{{"valid", document.has_value()}, {"faults", faults}}.dump());
+    } else if (document) {
+        fmt::print("valid: version {}, {} client accounts, {} models, {} services\n",
+                   document->version.value(), document->accounts.size(), document->models.size(),
+                   document->services.size());
+    } else {
+        fmt::print("{}", describe(document.error()));
+    }
+    return document ? kExitOk : kExitRefused;
+}
+
+int runDiff(const Arguments &arguments)
+{
+    const auto from = readJsonFile(arguments.at("FROM").asString());
+    const auto to = readJsonFile(arguments.at("TO").asString());
+    if (!from || !to) {
+        return fail(kExitRefused, (from ? to : from).error().message);
+    }
+    const json patch = json::diff(*from, *to);
+    ConfigFaults faults;
+    const auto before = readConfig(*from);
+    const auto after = readConfig(*to);
+    if (before && after) {
+        faults = changeFaults(*before, *after);
+    }
+    if (isSet(arguments, "--json")) {
+        fmt::print("{}\n", json{{"patch", patch}, {"allowed", faults.empty()}}.dump());
+    } else {
+        for (const json &step : patch) {
+            fmt::print("{} {} {}\n", step.value("op", ""), step.value("path", ""),
+                       step.contains("value") ? step["value"].dump() : "");
+        }
+        fmt::print("{}", describe(faults));
+    }
+    return faults.empty() ? kExitOk : kExitRefused;
+}
+
+tl::expected<Intent, ReadError> readIntent(const Arguments &arguments)
+{
+    const bool undo = isSet(arguments, "--undo");
+    if (isSet(arguments, "share")) {
+        const std::string text = arguments.at("SHARE").asString();
+        char *end = nullptr;
+        const double share = std::strtod(text.c_str(), &end);
+        if (text.empty() || *end != '\0') {
+            return tl::unexpected(
+                ReadError{kExitUsage, fmt::format("expected a number as SHARE, found '{}'", text)});
+        }
+        return ShareIntent{AccountId(arguments.at("ACCOUNT").asString()), share};
+    }
+    if (isSet(arguments, "drain-hall")) {
+        return DrainHallIntent{HallId(arguments.at("HALL").asString()), !undo};
+    }
+    if (isSet(arguments, "drain-instance")) {
+        return DrainInstanceIntent{InstanceId(arguments.at("AGENT").asString()), !undo};
+    }
+    return ModelVersionIntent{TargetName(arguments.at("MODEL").asString()),
+                              arguments.at("VERSION").asString()};
+}
+
+void printPlan(const Plan &plan)
+{
+    fmt::print("plan on version {} for version {}\n", plan.baseVersion, plan.baseVersion + 1);
+    for (const std::string &change : plan.changes) {
+        fmt::print("  {}\n", change);
+    }
+    fmt::print("cost: {} replicas, {:.1f} GB of weights, {:.0f} s of the weight store, {:.0f}% of "
+               "capacity lost at the worst moment\n",
+               plan.cost.replicas, plan.cost.movedGigabytes, plan.cost.weightStoreSeconds,
+               plan.cost.capacityLostPart * 100.0);
+    fmt::print("digest: {}\n", digestText(plan.digest));
+}
+
+int runPlan(const Arguments &arguments)
+{
+    const auto intent = readIntent(arguments);
+    if (!intent) {
+        return fail(intent.error().exitCode, intent.error().message);
+    }
+    const auto base = readDocument(arguments, "--base", "/config");
+    if (!base) {
+        return fail(base.error().exitCode, base.error().message);
+    }
+    std::optional<InstanceList> instances;
+    if (textOf(arguments, "--instances") || textOf(arguments, "--platform")) {
+        const auto value = readDocument(arguments, "--instances", "/instances");
+        auto list = value ? readInstances(*value) : tl::unexpected(ConfigFaults{});
+        if (!list) {
+            return fail(kExitRefused,
+                        "the instance list cannot be read, so the cost cannot be told");
+        }
+        instances = std::move(*list);
+    }
+    const auto plan = makePlan(*base, *intent, instances);
+    if (!plan) {
+        return fail(kExitRefused, plan.error().message);
+    }
+    if (const auto out = textOf(arguments, "--out")) {
+        std::ofstream file(*out, std::ios::binary);
+        file << planToJson(*plan).dump(2) << '\n';
+        if (!file.flush()) {
+            return fail(kExitRefused, fmt::format("cannot write '{}'", *out));
+        }
+    }
+    if (isSet(arguments, "--json")) {
+        fmt::print("{}\n", planToJson(*plan).dump());
+    } else {
+        printPlan(*plan);
+    }
+    return kExitOk;
+}
+
+int runConfirm(const Arguments &arguments)
+{
+    const auto value = readJsonFile(arguments.at("PLAN").asString());
+    if (!value) {
+        return fail(value.error().exitCode, value.error().message);
+    }
+    const auto plan = planFromJson(*value);
+    if (!plan) {
+        return fail(kExitRefused, plan.error().message);
+    }
+    const auto digest = parseDigest(arguments.at("DIGEST").asString());
+    if (!digest) {
+        return fail(kExitUsage, "expected DIGEST as 16 hexadecimal digits");
+    }
+    const auto current = readDocument(arguments, "--base", "/config");
+    if (!current) {
+        return fail(current.error().exitCode, current.error().message);
+    }
+    const auto document = confirmPlan(*plan, *digest, *current);
+    if (!document) {
+        const bool moved = document.error().kind == PlanError::Kind::BaseMoved;
+        return fail(moved ? kExitConflict : kExitRefused, document.error().message);
+    }
+    fmt::print("{}\n", document->dump(2));
+    return kExitOk;
+}
+
+int runStatus(const Arguments &arguments)
+{
+    std::istringstream list(arguments.at("--operators").asString());
+    json all = json::array();
+    std::set<std::uint64_t> versions;
+    int unreachable = 0;
+    std::string item;
+    while (std::getline(list, item, ',')) {
+        const auto address = parseHostPort(item);
+        if (!address) {
+            return fail(kExitUsage, fmt::format("expected IP:PORT, found '{}'", item));
+        }
+        const auto text = fetch({address->host, address->port}, "/status");
+        const json state = text ? json::parse(*text, nullptr, false) : json();
+        if (!state.is_object()) {
+            ++unreachable;
+            all.push_back({{"address", item}, {"reachable", false}});
+            continue;
+        }
+        versions.insert(state.value("configVersion", 0ULL));
+        all.push_back(state);
+    }
+    const std::uint64_t highest = versions.empty() ? 0 : *versions.rbegin();
+    const bool everywhere = versions.size() == 1 && unreachable == 0;
+    if (isSet(arguments, "--json")) {
+        fmt::print(
+            "{}\n",
+            json{{"processes", all}, {"configVersion", highest}, {"inForceEverywhere", everywhere}}
+                .dump());
+    } else {
+        for (const json &state : all) {
+            fmt::print("{:<8} {:<20} ready={} config={} list={}\n", state.value("role", "?"),
+                       state.value("instance", state.value("address", "?")),
+                       state.value("ready", false), state.value("configVersion", 0ULL),
+                       state.value("listVersion", 0ULL));
+        }
+        fmt::print("configuration {} is {}in force everywhere; {} not reachable\n", highest,
+                   everywhere ? "" : "not ", unreachable);
+    }
+    return unreachable == 0 ? kExitOk : kExitUnreachable;
+}
+
+int runDigest(const Arguments &arguments)
+{
+    std::string key;
+    std::getline(std::cin, key);
+    if (key.empty()) {
+        return fail(kExitUsage, "expected a bearer key on standard input, found none");
+    }
+    const std::string digest = sha256Hex(key);
+    fmt::print("{}\n", isSet(arguments, "--json") ? json{{"keySha256", digest}}.dump() : digest);
+    return kExitOk;
+}
+
+int runVersion(const Arguments &arguments)
+{
+    const std::string version = SEAMARCH_VERSION;
+    fmt::print("{}\n", isSet(arguments, "--json") ? json{{"version", version}}.dump() : version);
+    return kExitOk;
+}
+
+int run(const std::vector<std::string> &words)
+{
+    constexpr std::pair<const char *, int (*)(const Arguments &)> kCommands[] = {
+        {"status", runStatus},   {"validate", runValidate}, {"diff", runDiff},
+        {"plan", runPlan},       {"confirm", runConfirm},   {"digest", runDigest},
+        {"version", runVersion},
+    };
+    Arguments arguments;
+    try {
+        arguments = docopt::docopt_parse(kUsage, words, true, false);
+    } catch (const docopt::DocoptExitHelp &) {
+        fmt::print("{}", kUsage);
+        return kExitOk;
+    } catch (const std::exception &error) {
+        return fail(kExitUsage, fmt::format("{}; see 'seamarch --help'", error.what()));
+    }
+    for (const auto &[name, command] : kCommands) {
+        if (isSet(arguments, name)) {
+            return command(arguments);
+        }
+    }
+    return kExitUsage;
+}
+
+} // namespace
+} // namespace seamarch
+
+int main(int argc, char **argv)
+{
+    return seamarch::run({argv + 1, argv + argc});
+}
