--- /dev/null
+++ b/bench/configfigures.cpp
@@ -0,0 +1,131 @@
+#include "config/versioned.h"
+#include "decision/membership/linkplan.h"
+#include "figures.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+
+namespace seamarch::bench {
+namespace {
+
+using nlohmann::json;
+
+// A site in virtual time: which process hears of a change from which, and how many bytes that
+// takes.
+struct SiteSize
+{
+    int halls = 3;
+    int entriesPerHall = 2;
+    int agentsPerHall = 5;
+    int accounts = 10;
+};
+
+constexpr double kPeerPeriod = 0.5; // Between exchanges with the hall's watchers.
+constexpr double kOneWay = 0.0015;  // Inside a hall and to the platform.
+constexpr double kWatchers = 2;
+// Sizes of an exchange and its answer on the wire, both with the framing of the RPC system;
+// measured by scripts/capacity.
+constexpr double kExchangeBytes = 620.0;
+
+json documentOf(int accounts, std::uint64_t version)
+{
+    json list = json::array();
+    for (int index = 0; index < accounts; ++index) {
+        list.push_back(
+            {{"id", fmt::format("account-{:04}", index)},
+             {"keySha256", json::array({std::string(64, 'a' + static_cast<char>(index % 6))})},
+             {"share", index == 0 ? static_cast<double>(version) : 1.0},
+             {"homeHall", "north"}});
+    }
+    return {{"version", version}, {"base", version - 1}, {"accounts", list}};
+}
+
+struct Spread
+{
+    double seconds = 0.0;      // Until the last process has it in force.
+    double updateBytes = 0.0;  // That a process takes for one change.
+    double wholeBytes = 0.0;   // That a whole document would take.
+    double controlBytes = 0.0; // That an entry spends in a second on exchanges and heartbeats.
+    double platformCallsPerDay = 0.0;
+};
+
+Spread spread(const SiteSize &size)
+{
+    std::mt19937_64 random(42);
+    std::uniform_real_distribution<double> phase(0.0, 1.0);
+    Spread result;
+    InstanceList list;
+    for (int hall = 0; hall < size.halls; ++hall) {
+        for (int agent = 0; agent < size.agentsPerHall; ++agent) {
+            InstanceRecord record;
+            record.id = InstanceId(fmt::format("h{}-a{}", hall, agent));
+            record.hall = HallId(fmt::format("h{}", hall));
+            record.serves = {TargetName(fmt::format("m{}", agent % 3))};
+            list.instances.push_back(record);
+        }
+    }
+    std::map<InstanceId, double> agentAt;
+    for (int hall = 0; hall < size.halls; ++hall) {
+        for (int entry = 0; entry < size.entriesPerHall; ++entry) {
+            // Watchers are answered by their waiting watch; others ask them every period.
+            const bool watcher = entry < kWatchers;
+            const double heard =
+                watcher ? kOneWay : 2 * kOneWay + kPeerPeriod * phase(random) + 2 * kOneWay;
+            result.seconds = std::max(result.seconds, heard);
+            const InstanceId id(fmt::format("h{}-e{}", hall, entry));
+            const auto links = chooseLinks(list, id, HallId(fmt::format("h{}", hall)), {});
+            const double period =
+                toSeconds(heartbeatPeriod(links.size(), std::chrono::milliseconds(500), {}));
+            for (const InstanceId &agent : links) {
+                // The next heartbeat shows the version; the agent asks, the entry offers.
+                const double offered = heard + period * phase(random) + 4 * kOneWay;
+                const auto [at, first] = agentAt.try_emplace(agent, offered);
+                at->second = std::min(at->second, offered);
+            }
+            const double exchanges =
+                static_cast<double>(links.size()) / period + kWatchers / kPeerPeriod;
+            result.controlBytes = std::max(result.controlBytes, exchanges * kExchangeBytes);
+        }
+    }
+    for (const auto &[agent, at] : agentAt) {
+        result.seconds = std::max(result.seconds, at);
+    }
+    VersionedDocument holder;
+    holder.accept(documentOf(size.accounts, 1));
+    holder.accept(documentOf(size.accounts, 2));
+    result.updateBytes = static_cast<double>(holder.updateFor(1)->payload.size());
+    result.wholeBytes = static_cast<double>(holder.updateFor(0)->payload.size());
+    // A waiting watch is answered every five seconds or at a change; two watches for each watcher.
+    constexpr double kWatchSeconds = 5.0;
+    constexpr double kDay = 86400.0;
+    result.platformCallsPerDay = size.halls * kWatchers * 2 * kDay / kWatchSeconds;
+    return result;
+}
+
+} // namespace
+
+void addConfigFigures(Figures &figures)
+{
+    const std::pair<const char *, SiteSize> sizes[] = {
+        {"7", {3, 3, 5, 10}}, {"34", {3, 12, 26, 220}}, {"340", {9, 38, 84, 2200}}};
+    for (const auto &[name, size] : sizes) {
+        const Spread result = spread(size);
+        const auto label = [name = name](const char *what) {
+            return fmt::format("config.nodes{}.{}", name, what);
+        };
+        figures.push_back({label("in_force_seconds"), result.seconds, "s", 3.0, true, kPeerPeriod,
+                           "one exchange"});
+        figures.push_back({label("update_bytes"), result.updateBytes, "bytes", 4096.0, true,
+                           result.wholeBytes, "whole document"});
+        figures.push_back({label("entry_control_bytes_per_second"), result.controlBytes, "bytes/s",
+                           25'000.0, true, size.halls * size.agentsPerHall * 2 * kExchangeBytes,
+                           "every agent twice a second"});
+        figures.push_back(
+            {label("platform_calls_per_day"), result.platformCallsPerDay, "calls", 700'000.0, true,
+             size.halls * (size.entriesPerHall + size.agentsPerHall) * 2 * 86400.0 / 5.0,
+             "every process watches"});
+    }
+}
+
+} // namespace seamarch::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,6 +1,7 @@
 // seamarch-bench: measurements of the project.
 #include "figures.h"
 #include "loadtool.h"
+#include "slopes.h"
 
 #include <algorithm>
 #include <docopt/docopt.h>
@@ -13,6 +14,7 @@
 
 Usage:
   seamarch-bench --json [--only PART]
+  seamarch-bench slopes
   seamarch-bench load --addresses LIST [--keys LIST] [--model NAME] [--service PATH]
                  [--callers N] [--seconds S] [--tokens N] [--stream]
 
@@ -55,6 +57,7 @@
         {"placement", addPlacementFigures},
         {"routing", addRoutingFigures},
         {"fairness", addFairnessFigures},
+        {"config", addConfigFigures},
     };
     Figures figures;
     for (const auto &[name, add] : kParts) {
@@ -73,6 +76,9 @@
 int main(int argc, char **argv)
 {
     const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+    if (arguments.at("slopes").asBool()) {
+        return seamarch::bench::printSlopes();
+    }
     if (arguments.at("--json").asBool()) {
         return printFigures(textOr(arguments.at("--only")));
     }
--- /dev/null
+++ b/bench/slopes.cpp
@@ -0,0 +1,252 @@
+#include "slopes.h"
+
+#include "config/parse.h"
+#include "config/versioned.h"
+#include "decision/dispatch/agentcore.h"
+#include "decision/dispatch/entrycore.h"
+#include "decision/expertmap/mapswitch.h"
+#include "decision/placement/balancer.h"
+#include "observe/metrics.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <fstream>
+#include <functional>
+#include <malloc.h>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <unistd.h>
+
+namespace seamarch::bench {
+namespace {
+
+using nlohmann::json;
+
+double secondsOf(const std::function<void()> &action)
+{
+    const auto start = std::chrono::steady_clock::now();
+    action();
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+}
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+// Returns the heap bytes that `make` leaves for each of `count` entities.
+template <typename Make>
+double bytesEach(int count, Make make)
+{
+    const double before = heapBytes();
+    const auto kept = make(count);
+    return (heapBytes() - before) / count;
+}
+
+json accountsDocument(int count)
+{
+    json accounts = json::array();
+    for (int index = 0; index < count; ++index) {
+        accounts.push_back({{"id", fmt::format("account-{:04}", index)},
+                            {"keySha256", json::array({fmt::format("{:064x}", index)})},
+                            {"share", 1.0}});
+    }
+    return {{"version", 1U}, {"accounts", accounts}};
+}
+
+InstanceList agents(int count)
+{
+    InstanceList list;
+    list.version = ListVersion(1);
+    for (int index = 0; index < count; ++index) {
+        InstanceRecord record;
+        record.id = InstanceId(fmt::format("bid-{:04}", index));
+        record.hall = HallId("north");
+        record.serves = {TargetName("bid")};
+        list.instances.push_back(record);
+    }
+    return list;
+}
+
+std::unique_ptr<EntryCore> entryWith(int candidates)
+{
+    EntryCore::Settings settings;
+    settings.hall = HallId("north");
+    settings.incarnation = Incarnation(1);
+    auto core = std::make_unique<EntryCore>(settings, std::make_unique<ExpectedWaitRouter>());
+    const InstanceList list = agents(candidates);
+    core->applyList(list);
+    EntryActions actions;
+    for (const InstanceRecord &record : list.instances) {
+        AgentReport report;
+        report.incarnation = Incarnation(7);
+        report.slots = 8;
+        report.tokensPerSecond = 1000;
+        core->onReport(record.id, report, TimePoint{}, TimePoint{}, actions);
+    }
+    return core;
+}
+
+// Microseconds that an entry takes to decide on, follow and close one request.
+double entryMicros(int candidates)
+{
+    constexpr int kRequests = 20'000;
+    const auto core = entryWith(candidates);
+    EntryRequest request;
+    request.account = AccountId("bids");
+    request.target = TargetName("bid");
+    request.promptTokens = 1000;
+    request.answerTokens = 100;
+    request.deadline = std::chrono::seconds(60);
+    const TimePoint now{};
+    const double seconds = secondsOf([&] {
+        for (int index = 0; index < kRequests; ++index) {
+            request.prefixHash = static_cast<std::uint64_t>(index % 500) + 1;
+            EntryActions actions;
+            const RequestId id = core->begin(request, now, actions);
+            const InstanceId agent = std::get<SendCall>(actions.front()).agent;
+            core->onAccepted(id, true);
+            core->onAnswer(id, agent);
+            core->onComplete(id, agent);
+        }
+    });
+    return seconds / kRequests * 1e6;
+}
+
+// Microseconds that an agent takes to queue, start, count and close one request.
+double agentMicros(int accounts)
+{
+    constexpr int kRequests = 50'000;
+    AgentCore::Settings settings;
+    settings.self = InstanceId("bid-1");
+    settings.incarnation = Incarnation(7);
+    AgentCore core(settings, TimePoint{});
+    const double seconds = secondsOf([&] {
+        for (int index = 0; index < kRequests; ++index) {
+            AgentCall call;
+            call.id = {Incarnation(1), static_cast<std::uint64_t>(index) + 1};
+            call.account = AccountId(fmt::format("account-{}", index % accounts));
+            call.answerTokens = 100;
+            call.deadline = std::chrono::hours(1);
+            call.agentIncarnation = Incarnation(7);
+            AgentActions actions;
+            core.onCall(call, TimePoint{}, {}, actions);
+            core.onTokens(call.id, 100);
+            core.onEnded(call.id, TimePoint{}, actions);
+        }
+    });
+    return seconds / kRequests * 1e6;
+}
+
+double balanceMillis(std::uint32_t ranks, std::uint32_t experts)
+{
+    std::vector<double> shares;
+    double sum = 0.0;
+    for (std::uint32_t expert = 0; expert < experts; ++expert) {
+        shares.push_back(1.0 / (expert + 1.0));
+        sum += shares.back();
+    }
+    for (double &share : shares) {
+        share /= sum;
+    }
+    BalanceInput input;
+    input.shares = shares;
+    input.speeds.assign(ranks, 1.0);
+    input.objective = {4.0, 1.0};
+    input.maxMoves = 1;
+    const std::uint32_t slots = experts / ranks + 1;
+    Placement placement = staticPlacement(ranks, slots, experts);
+    constexpr int kPlans = 20;
+    const double seconds = secondsOf([&] {
+        for (int plan = 0; plan < kPlans; ++plan) {
+            placement = balance(placement, input).placement;
+        }
+    });
+    return seconds / kPlans * 1e3;
+}
+
+json timeSlopes()
+{
+    const json document = accountsDocument(2200);
+    VersionedDocument versioned;
+    versioned.accept(document);
+    json next = document;
+    next["version"] = 2U;
+    next["base"] = 1U;
+    next["accounts"][7]["share"] = 3.0;
+    VersionedDocument sender = versioned;
+    const double diffing = secondsOf([&] { sender.accept(next); });
+    const auto update = sender.updateFor(1);
+    const double applying = secondsOf([&] { versioned.apply(*update); });
+    const double validating = secondsOf([&] { static_cast<void>(readConfig(next)); });
+    return {{"entry_request_us_at_8_candidates", entryMicros(8)},
+            {"entry_request_us_at_40_candidates", entryMicros(40)},
+            {"agent_request_us_at_10_accounts", agentMicros(10)},
+            {"agent_request_us_at_2200_accounts", agentMicros(2200)},
+            {"config_diff_ms_at_2200_accounts", diffing * 1e3},
+            {"config_apply_ms_at_2200_accounts", applying * 1e3},
+            {"config_validate_ms_at_2200_accounts", validating * 1e3},
+            {"config_update_bytes", update->payload.size()},
+            {"balance_step_ms_at_8x16", balanceMillis(8, 16)},
+            {"balance_step_ms_at_32x64", balanceMillis(32, 64)},
+            {"balance_step_ms_at_32x128", balanceMillis(32, 128)}};
+}
+
+json memorySlopes()
+{
+    const double account = bytesEach(2200, [](int count) {
+        const json document = accountsDocument(count);
+        return std::pair(document, *readConfig(document));
+    });
+    const double member = bytesEach(760, [](int count) { return entryWith(count); });
+    const double record = bytesEach(20'000, [](int count) {
+        auto ledger = std::make_unique<RunLedger>(static_cast<std::size_t>(count));
+        for (int index = 0; index < count; ++index) {
+            const RequestId id{Incarnation(1), static_cast<std::uint64_t>(index) + 1};
+            ledger->enqueue(id);
+            ledger->start(id);
+            ledger->finish(id);
+        }
+        return ledger;
+    });
+    const double prefix = bytesEach(20'000, [](int count) {
+        auto index = std::make_unique<PrefixIndex>();
+        for (int each = 0; each < count; ++each) {
+            index->learn(static_cast<std::uint64_t>(each), InstanceId("bid-0001"), TimePoint{});
+        }
+        return index;
+    });
+    const double histogram = bytesEach(1200, [](int count) {
+        auto metrics = std::make_unique<Metrics>(static_cast<std::size_t>(count));
+        for (int each = 0; each < count; ++each) {
+            metrics->observe(Stage::Total, AccountId(fmt::format("account-{}", each)), "p0",
+                             std::chrono::milliseconds(5));
+        }
+        return metrics;
+    });
+    const double ticket = bytesEach(20'000, [](int count) {
+        auto book = std::make_unique<TicketBook>(InstanceId("a"), Incarnation(1), 1,
+                                                 static_cast<std::size_t>(count));
+        for (int each = 0; each < count; ++each) {
+            book->issue();
+        }
+        return book;
+    });
+    return {{"bytes_per_account_in_config", account},
+            {"bytes_per_agent_at_an_entry", member},
+            {"bytes_per_closed_request", record},
+            {"bytes_per_known_prefix", prefix},
+            {"bytes_per_histogram", histogram},
+            {"bytes_per_ticket", ticket},
+            {"bytes_per_expert_of_popularity", 8.0 * (2 + 48)}};
+}
+
+} // namespace
+
+int printSlopes()
+{
+    fmt::print("{}\n", json{{"time", timeSlopes()}, {"memory", memorySlopes()}}.dump(2));
+    return 0;
+}
+
+} // namespace seamarch::bench
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -14,8 +14,8 @@
 
 using nlohmann::json;
 
-constexpr Duration kGrantPeriod = std::chrono::milliseconds(500);
-constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr int kGrantsPerLease = 3;
+constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr std::size_t kFreeNotices = 4; // Entries that hear of a free slot.
 // What may wait for an entry that lags; beyond it the upstream is not read.
 constexpr std::size_t kPendingHighWater = 64 * 1024;
@@ -202,7 +202,8 @@
     }
     grants_ = std::make_unique<GrantNetwork>(loop_, *transport_, core_, settings_.instance,
                                              settings_.hall);
-    grantTimer_ = std::make_unique<PeriodicTimer>(loop_, kGrantPeriod, [this] { grants_->tick(); });
+    grantTimer_ = std::make_unique<PeriodicTimer>(loop_, settings_.lease / kGrantsPerLease,
+                                                  [this] { grants_->tick(); });
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     return {};
 }
@@ -549,6 +550,8 @@
             {"tokensPerSecond", report.tokensPerSecond},
             {"connections", connections_.size()},
             {"ledger", core_.ledger().size()},
+            {"rpcBytesIn", transport_->bytesIn()},
+            {"rpcBytesOut", transport_->bytesOut()},
             {"keyHome", core_.holdsAllGrants(loop_.now())},
             {"finished", finished_}};
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -19,13 +19,11 @@
 constexpr int kExitStart = 3;
 
 EventLoop *signalledLoop = nullptr;
-volatile std::sig_atomic_t stopRequested = 0;
 
 void onStopSignal(int /*signal*/)
 {
-    stopRequested = 1;
     if (signalledLoop != nullptr) {
-        lws_cancel_service(signalledLoop->context());
+        signalledLoop->interrupt();
     }
 }
 
@@ -60,11 +58,7 @@
         return kExitStart;
     }
     installSignals(**loop);
-    const PeriodicTimer watchSignals(**loop, std::chrono::milliseconds(20), [&service] {
-        if (stopRequested != 0) {
-            (*service)->stop();
-        }
-    });
+    (*loop)->onInterrupt([&service] { (*service)->stop(); });
     logLine(LogLevel::Info, "started");
     (*loop)->run();
     signalledLoop = nullptr;
--- a/src/decision/dispatch/entrycore.cpp
+++ b/src/decision/dispatch/entrycore.cpp
@@ -73,6 +73,9 @@
         prefixes_.forget(agent);
     }
     load.onReport(report, askedAt);
+    if (reborn) {
+        releaseHeld(agent, now, actions);
+    }
     if (report.queuedRequests == 0 && load.freeSlots() >= 1.0) {
         moveOneTo(agent, now, actions);
     }
@@ -93,10 +96,42 @@
         fail(id, choice.failure, choice.outcome, kRetryAfterNoUpstream, actions);
         return id;
     }
+    if (choice.unheard) {
+        hold(added, *choice.agent, now, actions);
+        return id;
+    }
     dispatch(id, added, *choice.agent, now, actions);
     return id;
 }
 
+void EntryCore::hold(Request &request, const InstanceId &agent, TimePoint now,
+                     EntryActions &actions)
+{
+    request.phase = Phase::Holding;
+    request.agent = agent;
+    request.giveUpAt = now + settings_.holdTime;
+    actions.emplace_back(ConnectAgent{agent});
+}
+
+void EntryCore::releaseHeld(const InstanceId &agent, TimePoint now, EntryActions &actions)
+{
+    std::vector<RequestId> held;
+    for (const auto &[id, request] : requests_) {
+        if (request.phase == Phase::Holding && request.agent == agent) {
+            held.push_back(id);
+        }
+    }
+    for (const RequestId &id : held) {
+        Request &request = requests_.at(id);
+        const Choice choice = choose(request, now);
+        if (choice.agent && !choice.unheard) {
+            dispatch(id, request, *choice.agent, now, actions);
+        } else {
+            fail(id, choice.failure, choice.outcome, kRetryAfterNoUpstream, actions);
+        }
+    }
+}
+
 void EntryCore::dispatch(RequestId id, Request &request, const InstanceId &agent, TimePoint now,
                          EntryActions &actions)
 {
@@ -151,6 +186,10 @@
     const MemberSet set = makeMemberSet(members_.listed(request.request.target, home));
     const auto agent =
         rendezvousHome(set, scopedKey(request.request.account, request.request.callerKey));
+    const Member *member = agent ? members_.find(*agent) : nullptr;
+    if (member != nullptr && !member->heard) {
+        return {*agent, FailureCode::KeyHomeUnsure, Outcome::Unknown, true};
+    }
     if (!agent || !members_.mayReceive(*agent, now)) {
         return {std::nullopt, FailureCode::KeyHomeUnsure, Outcome::Unknown};
     }
@@ -288,7 +327,8 @@
 void EntryCore::onLost(RequestId id, TimePoint now, EntryActions &actions)
 {
     Request *request = find(id);
-    if (request == nullptr || request->phase == Phase::Resolving) {
+    if (request == nullptr || request->phase == Phase::Resolving
+        || request->phase == Phase::Holding) {
         return;
     }
     outliers_.onFailure(request->agent, now);
@@ -429,7 +469,9 @@
     if (request == nullptr) {
         return;
     }
-    actions.emplace_back(SendCancel{id, request->agent, request->agentIncarnation});
+    if (request->phase != Phase::Holding) {
+        actions.emplace_back(SendCancel{id, request->agent, request->agentIncarnation});
+    }
     leaveAgent(id, *request);
     requests_.erase(id);
 }
@@ -438,12 +480,16 @@
 {
     std::vector<RequestId> overdue;
     for (const auto &[id, request] : requests_) {
-        if (request.phase == Phase::Resolving && now >= request.giveUpAt) {
+        const bool waits = request.phase == Phase::Resolving || request.phase == Phase::Holding;
+        if (waits && now >= request.giveUpAt) {
             overdue.push_back(id);
         }
     }
     for (const RequestId &id : overdue) {
-        fail(id, FailureCode::UpstreamUnreachable, Outcome::Unknown, {}, actions);
+        // A held request was never sent; but it carries a ticket or a key, and an earlier request
+        // with the same one may have run.
+        fail(id, FailureCode::UpstreamUnreachable, Outcome::Unknown, kRetryAfterNoUpstream,
+             actions);
     }
 }
 
--- a/src/decision/dispatch/entrycore.h
+++ b/src/decision/dispatch/entrycore.h
@@ -1,10 +1,11 @@
 // The decisions of an entry on the requests of its callers: admit, choose an agent, retry within
 // proof, give up.
 //
-// Every request is in one of three states: at an agent, being resolved (the connection to its agent
-// broke and a cancel may still prove that it did not run), or over. A request is sent to a second
-// agent with a proof that it did not run at the first, or when the configuration says that it may
-// be repeated. Once one attempt may have run, no later failure of the request says 'not run'.
+// Every request is in one of four states: held until its agent has been heard, at an agent, being
+// resolved (the connection to its agent broke and a cancel may still prove that it did not run), or
+// over. A request is sent to a second agent with a proof that it did not run at the first, or when
+// the configuration says that it may be repeated. Once one attempt may have run, no later failure
+// of the request says 'not run'.
 //
 // The class is a pure state machine: events and the time come in, actions go out, and the shell
 // around it (src/entry) carries them out. Single-threaded.
@@ -83,7 +84,13 @@
     Duration retryAfter{};
 };
 
-using EntryAction = std::variant<SendCall, SendCancel, SendWithdraw, FailRequest>;
+// Connect to an agent and ask for its report: a request that is bound to it waits for that.
+struct ConnectAgent
+{
+    InstanceId agent;
+};
+
+using EntryAction = std::variant<SendCall, SendCancel, SendWithdraw, FailRequest, ConnectAgent>;
 using EntryActions = std::vector<EntryAction>;
 
 class EntryCore
@@ -95,6 +102,7 @@
         Incarnation incarnation;
         std::uint64_t seed = 0;
         Duration lease = std::chrono::seconds(3);
+        Duration holdTime = std::chrono::seconds(1);
         Duration resolveTime = std::chrono::seconds(1);
         Duration slowStart = std::chrono::seconds(5);
         std::uint32_t maxAttempts = 3;
@@ -152,7 +160,7 @@
     TimePoint leaseUntil(const InstanceId &agent) const;
 
 private:
-    enum class Phase { Sent, Answering, Resolving };
+    enum class Phase { Holding, Sent, Answering, Resolving };
 
     struct Request
     {
@@ -176,8 +184,11 @@
         std::optional<InstanceId> agent;
         FailureCode failure = FailureCode::NoUpstream;
         Outcome outcome = Outcome::NotRun;
+        bool unheard = false; // `agent` is listed, but has not been heard yet.
     };
 
+    void hold(Request &request, const InstanceId &agent, TimePoint now, EntryActions &actions);
+    void releaseHeld(const InstanceId &agent, TimePoint now, EntryActions &actions);
     void dispatch(RequestId id, Request &request, const InstanceId &agent, TimePoint now,
                   EntryActions &actions);
     Choice choose(const Request &request, TimePoint now);
--- /dev/null
+++ b/src/decision/membership/linkplan.cpp
@@ -0,0 +1,75 @@
+#include "decision/membership/linkplan.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+#include <xxhash.h>
+
+namespace seamarch {
+namespace {
+
+// The agents of one target, near or far.
+struct Pool
+{
+    std::vector<InstanceId> near;
+    std::vector<InstanceId> far;
+};
+
+void sortByRendezvous(std::vector<InstanceId> &agents, const InstanceId &entry)
+{
+    const std::uint64_t seed = XXH3_64bits(entry.value().data(), entry.value().size());
+    const auto hash = [seed](const InstanceId &agent) {
+        return XXH3_64bits_withSeed(agent.value().data(), agent.value().size(), seed);
+    };
+    std::sort(agents.begin(), agents.end(), [&](const InstanceId &left, const InstanceId &right) {
+        return std::pair(hash(left), left) < std::pair(hash(right), right);
+    });
+}
+
+void takeFirst(const std::vector<InstanceId> &agents, std::size_t count,
+               std::set<InstanceId> &chosen)
+{
+    const std::size_t taken = std::min(count, agents.size());
+    chosen.insert(agents.begin(), agents.begin() + static_cast<std::ptrdiff_t>(taken));
+}
+
+} // namespace
+
+std::set<InstanceId> chooseLinks(const InstanceList &list, const InstanceId &entry,
+                                 const HallId &hall, const LinkBudget &budget)
+{
+    std::set<InstanceId> all;
+    std::map<TargetName, Pool> pools;
+    for (const InstanceRecord &record : list.instances) {
+        if (record.role != InstanceRole::Agent) {
+            continue;
+        }
+        all.insert(record.id);
+        for (const TargetName &target : record.serves) {
+            Pool &pool = pools[target];
+            (record.hall == hall ? pool.near : pool.far).push_back(record.id);
+        }
+    }
+    if (all.size() <= budget.links) {
+        return all;
+    }
+    const std::size_t farTotal = budget.farPerTarget * pools.size();
+    const std::size_t nearTotal = budget.links > farTotal ? budget.links - farTotal : 0;
+    const std::size_t nearEach = std::max<std::size_t>(1, nearTotal / pools.size());
+    std::set<InstanceId> chosen;
+    for (auto &[target, pool] : pools) {
+        sortByRendezvous(pool.near, entry);
+        sortByRendezvous(pool.far, entry);
+        takeFirst(pool.near, nearEach, chosen);
+        takeFirst(pool.far, budget.farPerTarget, chosen);
+    }
+    return chosen;
+}
+
+Duration heartbeatPeriod(std::size_t links, Duration shortest, const LinkBudget &budget)
+{
+    const Duration needed = fromSeconds(static_cast<double>(links) / budget.heartbeatsPerSecond);
+    return std::max(shortest, needed);
+}
+
+} // namespace seamarch
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "base/log.h"
+#include "decision/membership/linkplan.h"
 #include "net/wireconvert.h"
 
 #include <algorithm>
@@ -14,7 +15,7 @@
 
 using nlohmann::json;
 
-constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kTick = std::chrono::milliseconds(100);
 // What a slow caller may have waiting here; the agent holds back the rest.
 constexpr std::size_t kBufferedHighWater = 32 * 1024;
 
@@ -138,8 +139,9 @@
         loop_, *transport_, knowledge_,
         PeerNetwork::Settings{settings_.instance, settings_.hall, incarnation_, settings_.lease});
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
-    heartbeatTimer_ =
-        std::make_unique<PeriodicTimer>(loop_, settings_.heartbeat, [this] { heartbeatAll(); });
+    peerTimer_ =
+        std::make_unique<PeriodicTimer>(loop_, settings_.heartbeat, [this] { peers_->tick(); });
+    armHeartbeat();
     watcher_->setActive(true);
     return {};
 }
@@ -165,26 +167,43 @@
 
 void EntryService::updateLinks()
 {
-    const auto &members = core_.members().members();
-    for (const auto &[id, member] : members) {
-        const SocketAddress address{member.record.address, member.record.port};
-        const auto found = links_.find(id);
-        if (found != links_.end() && found->second->address() == address) {
-            continue;
-        }
-        const AgentLink::Context context{loop_, *transport_,        knowledge_,
-                                         *this, settings_.instance, incarnation_};
-        links_[id] = std::make_unique<AgentLink>(context, id, address);
+    const auto chosen = chooseLinks(knowledge_.list(), settings_.instance, settings_.hall, {});
+    for (const InstanceId &agent : chosen) {
+        addLink(agent);
     }
     // A link with requests in flight outlives the listing of its agent: no answer is cut off.
     std::erase_if(links_, [&](const auto &entry) {
         const bool busy = std::any_of(flights_.begin(), flights_.end(), [&](const auto &flight) {
             return flight.second.agent == entry.first;
         });
-        return !members.contains(entry.first) && !busy;
+        return !chosen.contains(entry.first) && !busy;
     });
 }
 
+void EntryService::addLink(const InstanceId &agent)
+{
+    const Member *member = core_.members().find(agent);
+    if (member == nullptr) {
+        return;
+    }
+    const SocketAddress address{member->record.address, member->record.port};
+    const auto found = links_.find(agent);
+    if (found != links_.end() && found->second->address() == address) {
+        return;
+    }
+    const AgentLink::Context context{loop_, *transport_,        knowledge_,
+                                     *this, settings_.instance, incarnation_};
+    links_[agent] = std::make_unique<AgentLink>(context, agent, address);
+}
+
+void EntryService::carryOut(const ConnectAgent &action)
+{
+    addLink(action.agent);
+    if (AgentLink *agent = link(action.agent)) {
+        agent->heartbeat();
+    }
+}
+
 AgentLink *EntryService::link(const InstanceId &agent)
 {
     const auto found = links_.find(agent);
@@ -196,7 +215,15 @@
     for (const auto &[id, link] : links_) {
         link->heartbeat();
     }
-    peers_->tick();
+}
+
+void EntryService::armHeartbeat()
+{
+    const Duration period = heartbeatPeriod(links_.size(), settings_.heartbeat, {});
+    heartbeatTimer_ = loop_.schedule(period, [this] {
+        armHeartbeat();
+        heartbeatAll();
+    });
 }
 
 void EntryService::tick()
@@ -599,6 +626,9 @@
             {"answered", answered_},
             {"retries", core_.retries()},
             {"moves", core_.moves()},
+            {"links", links_.size()},
+            {"rpcBytesIn", transport_->bytesIn()},
+            {"rpcBytesOut", transport_->bytesOut()},
             {"droppedAnswers", core_.droppedAnswers()},
             {"agents", agents}};
 }
--- a/src/entry/entryservice.h
+++ b/src/entry/entryservice.h
@@ -110,6 +110,8 @@
     void carryOut(const SendCancel &action);
     void carryOut(const SendWithdraw &action);
     void carryOut(const FailRequest &action);
+    void carryOut(const ConnectAgent &action);
+    void addLink(const InstanceId &agent);
     void answerFailure(ExchangeId exchange, FailureCode code, Outcome outcome, Duration retryAfter,
                        const std::string &detail);
     void breakOffStream(const Flight &flight, FailureCode code, Outcome outcome);
@@ -120,6 +122,7 @@
     void updateLinks();
     void tick();
     void heartbeatAll();
+    void armHeartbeat();
     void stopIfDrained();
 
     EventLoop &loop_;
@@ -141,7 +144,8 @@
     std::unordered_map<RequestId, Flight> flights_;
     std::unordered_map<ExchangeId, RequestId> byExchange_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
-    std::unique_ptr<PeriodicTimer> heartbeatTimer_;
+    std::unique_ptr<PeriodicTimer> peerTimer_;
+    TimerId heartbeatTimer_ = 0;
     std::uint64_t nextIncoming_ = 1;
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <string>
+#include <sys/resource.h>
 #include <utility>
 
 namespace seamarch {
@@ -21,6 +22,18 @@
             {{"message", text}});
 }
 
+// The library scans a table of as many entries as the process may open descriptors whenever it
+// opens or closes one, so a limit of what is needed saves a good part of a short request's time.
+void limitDescriptors()
+{
+    constexpr rlim_t kMaxDescriptors = 8192;
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur > kMaxDescriptors) {
+        limit.rlim_cur = kMaxDescriptors;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 } // namespace
 
 struct EventLoop::Timer
@@ -59,6 +72,7 @@
 tl::expected<std::unique_ptr<EventLoop>, NetError> EventLoop::create()
 {
     lws_set_log_level(LLL_ERR | LLL_WARN, writeLibraryLog);
+    limitDescriptors();
     std::unique_ptr<EventLoop> loop(new EventLoop);
     lws_context_creation_info info{};
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
@@ -132,6 +146,7 @@
     while (!stopping_) {
         kjLoop_.run();
         runPosted();
+        handleInterrupt();
         const bool busy = port_.runnable() || !posted_.empty();
         if (lws_service(context_, busy ? kPollOnly : kWait) < 0) {
             break;
@@ -145,6 +160,23 @@
     lws_cancel_service(context_);
 }
 
+void EventLoop::interrupt()
+{
+    interrupted_ = 1;
+    lws_cancel_service(context_);
+}
+
+void EventLoop::handleInterrupt()
+{
+    if (interrupted_ == 0) {
+        return;
+    }
+    interrupted_ = 0;
+    if (interruptHandler_) {
+        interruptHandler_();
+    }
+}
+
 PeriodicTimer::PeriodicTimer(EventLoop &loop, Duration period, std::function<void()> action)
     : loop_(loop)
     , period_(period)
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -8,6 +8,7 @@
 #include "net/neterror.h"
 #include "seamarch/units.h"
 
+#include <csignal>
 #include <cstdint>
 #include <functional>
 #include <kj/async.h>
@@ -62,9 +63,13 @@
 
     // Runs until stop() is called.
     void run();
-    // May be called from a signal handler.
     void stop();
 
+    // Has `handler` called on the loop's thread soon after interrupt().
+    void onInterrupt(std::function<void()> handler) { interruptHandler_ = std::move(handler); }
+    // May be called from a signal handler.
+    void interrupt();
+
     // Closes every connection. Called after run() and before the servers, clients and transports of
     // the loop are destroyed, because the library tells them of each close.
     void shutDown();
@@ -74,6 +79,7 @@
 
     EventLoop();
     void runPosted();
+    void handleInterrupt();
     static void onTimer(lws_sorted_usec_list_t *entry);
 
     detail::GuestEventPort port_;
@@ -83,7 +89,9 @@
     std::map<TimerId, std::unique_ptr<Timer>> timers_;
     TimerId nextTimer_ = 1;
     std::vector<std::function<void()>> posted_;
-    volatile bool stopping_ = false;
+    std::function<void()> interruptHandler_;
+    bool stopping_ = false;
+    volatile std::sig_atomic_t interrupted_ = 0;
 };
 
 // Calls `action` again and again, `period` apart, until it is destroyed.
--- a/src/net/rawtransport.cpp
+++ b/src/net/rawtransport.cpp
@@ -144,6 +144,7 @@
 void RawStream::onReceive(const void *data, size_t size)
 {
     received_.append(static_cast<const char *>(data), size);
+    transport_.bytesIn_ += size;
     serveRead();
     if (received() >= kReceiveHighWater && !receivePaused_) {
         receivePaused_ = true;
@@ -164,6 +165,7 @@
         return;
     }
     queued_.erase(0, size);
+    transport_.bytesOut_ += size;
     if (queued_.size() < kWriteHighWater) {
         for (auto &fulfiller : pendingWrites_) {
             fulfiller->fulfill();
--- a/src/net/rawtransport.h
+++ b/src/net/rawtransport.h
@@ -95,6 +95,10 @@
     // Listens at `address` and hands each accepted connection to `handler`.
     tl::expected<void, NetError> listen(const SocketAddress &address, AcceptHandler handler);
 
+    // Bytes of all connections since the start.
+    std::uint64_t bytesIn() const { return bytesIn_; }
+    std::uint64_t bytesOut() const { return bytesOut_; }
+
     // Starts to connect. The stream is usable at once; it closes when the connection fails.
     kj::Own<RawStream> connect(const SocketAddress &address);
 
@@ -114,6 +118,8 @@
     std::map<lws_vhost *, AcceptHandler> acceptHandlers_;
     std::map<ConnectionId, RawStream *> streams_;
     ConnectionId nextId_ = 1;
+    std::uint64_t bytesIn_ = 0;
+    std::uint64_t bytesOut_ = 0;
 };
 
 } // namespace seamarch
