--- a/bench/configfigures.cpp
+++ b/bench/configfigures.cpp
@@ -21,12 +21,12 @@
     int accounts = 10;
 };
 
-constexpr double kPeerPeriod = 0.5; // Between exchanges with the hall's watchers.
-constexpr double kOneWay = 0.0015;  // Inside a hall and to the platform.
+constexpr double kPeerWait = 5.0;  // An exchange with a watcher waits for a change.
+constexpr double kOneWay = 0.0015; // Inside a hall and to the platform.
 constexpr double kWatchers = 2;
 // Sizes of an exchange and its answer on the wire, both with the framing of the RPC system;
 // measured by scripts/capacity.
-constexpr double kExchangeBytes = 620.0;
+constexpr double kExchangeBytes = 576.0;
 
 json documentOf(int accounts, std::uint64_t version)
 {
@@ -68,10 +68,10 @@
     std::map<InstanceId, double> agentAt;
     for (int hall = 0; hall < size.halls; ++hall) {
         for (int entry = 0; entry < size.entriesPerHall; ++entry) {
-            // Watchers are answered by their waiting watch; others ask them every period.
+            // Watchers are answered by their waiting watch, and answer the exchanges that wait at
+            // them.
             const bool watcher = entry < kWatchers;
-            const double heard =
-                watcher ? kOneWay : 2 * kOneWay + kPeerPeriod * phase(random) + 2 * kOneWay;
+            const double heard = watcher ? kOneWay : 2 * kOneWay;
             result.seconds = std::max(result.seconds, heard);
             const InstanceId id(fmt::format("h{}-e{}", hall, entry));
             const auto links = chooseLinks(list, id, HallId(fmt::format("h{}", hall)), {});
@@ -83,8 +83,10 @@
                 const auto [at, first] = agentAt.try_emplace(agent, offered);
                 at->second = std::min(at->second, offered);
             }
+            // A watcher answers the waiting exchanges of all other entries of its hall.
+            const double waiting = watcher ? size.entriesPerHall / kPeerWait : 0.0;
             const double exchanges =
-                static_cast<double>(links.size()) / period + kWatchers / kPeerPeriod;
+                static_cast<double>(links.size()) / period + kWatchers / kPeerWait + waiting;
             result.controlBytes = std::max(result.controlBytes, exchanges * kExchangeBytes);
         }
     }
@@ -114,12 +116,12 @@
         const auto label = [name = name](const char *what) {
             return fmt::format("config.nodes{}.{}", name, what);
         };
-        figures.push_back({label("in_force_seconds"), result.seconds, "s", 3.0, true, kPeerPeriod,
-                           "one exchange"});
+        figures.push_back({label("in_force_seconds"), result.seconds, "s", 3.0, true, kPeerWait,
+                           "asking every five seconds"});
         figures.push_back({label("update_bytes"), result.updateBytes, "bytes", 4096.0, true,
                            result.wholeBytes, "whole document"});
         figures.push_back({label("entry_control_bytes_per_second"), result.controlBytes, "bytes/s",
-                           25'000.0, true, size.halls * size.agentsPerHall * 2 * kExchangeBytes,
+                           15'000.0, true, size.halls * size.agentsPerHall * 2 * kExchangeBytes,
                            "every agent twice a second"});
         figures.push_back(
             {label("platform_calls_per_day"), result.platformCallsPerDay, "calls", 700'000.0, true,
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -50,7 +50,7 @@
 {
 public:
     AgentEnd(AgentService &service, ConnectionId connection)
-        : PeerServer(service.knowledge_, service.loop_)
+        : PeerServer(service.knowledge_, service.changes_, service.loop_)
         , service_(service)
         , connection_(connection)
     {}
@@ -159,11 +159,13 @@
     , settings_(std::move(settings))
     , incarnation_(randomIdentity())
     , metrics_(settings_.maxAccountSeries)
+    , changes_(loop)
     , core_(coreSettings(settings_, incarnation_), loop.now())
     , random_(incarnation_.value())
     , tasks_(*this)
 {
     knowledge_.listen(*this);
+    knowledge_.listen(changes_);
 }
 
 AgentService::~AgentService() noexcept = default;
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -127,6 +127,7 @@
     Incarnation incarnation_;
     Metrics metrics_;
     Knowledge knowledge_;
+    ChangeSignal changes_;
     AgentCore core_;
     std::unique_ptr<RawTransport> transport_;
     std::unique_ptr<HttpClient> client_;
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -22,7 +22,8 @@
   --hall NAME                Data hall of this instance.
   --listen ADDRESS           Where callers connect; for an agent: where entries connect.
   --operator-listen ADDRESS  Where /healthz, /readyz, /metrics and /status are served.
-  --lease-ms N               How long a heartbeat's answer is good for (default 3000).
+  --lease-ms N               How long a heartbeat's answer is good for (default 5000 for
+                             an entry, 3000 for an agent).
   --stop-deadline-ms N       When a planned stop gives up waiting (default 120000).
   --max-account-series N     Client accounts with metrics of their own (default 300).
   --log-level LEVEL          debug, info, warning or error (default info).
@@ -63,7 +64,7 @@
     settings.maxBodyBytes = reader.integer("max-body-bytes", 1, 1ULL << 30U, settings.maxBodyBytes);
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
     settings.heartbeat = reader.milliseconds("heartbeat-ms", 10, kMaxMillis, 500);
-    settings.lease = reader.milliseconds("lease-ms", 50, kMaxMillis, 3000);
+    settings.lease = reader.milliseconds("lease-ms", 50, kMaxMillis, 5000);
     settings.stopDelay = reader.milliseconds("stop-delay-ms", 0, kMaxMillis, 2000);
     settings.stopDeadline = reader.milliseconds("stop-deadline-ms", 1, kMaxMillis, 120'000);
     return settings;
--- a/src/decision/membership/linkplan.h
+++ b/src/decision/membership/linkplan.h
@@ -22,7 +22,7 @@
 {
     std::size_t links = 40;          // Connections to agents that an entry keeps.
     std::size_t farPerTarget = 3;    // Of them, in other halls, for each target.
-    double heartbeatsPerSecond = 20; // Over all of them.
+    double heartbeatsPerSecond = 18; // Over all of them.
 };
 
 // Returns the agents that the entry keeps connections to.
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -60,7 +60,7 @@
 {
 public:
     PeerEnd(EntryService &service, Knowledge &knowledge, EventLoop &loop)
-        : PeerServer(knowledge, loop)
+        : PeerServer(knowledge, service.changes_, loop)
         , service_(service)
     {}
 
@@ -80,10 +80,12 @@
     , settings_(std::move(settings))
     , incarnation_(randomIdentity())
     , metrics_(settings_.maxAccountSeries)
+    , changes_(loop)
     , filters_(makeCallerFilters(directory_))
     , core_(coreSettings(settings_, incarnation_), std::make_unique<ExpectedWaitRouter>())
 {
     knowledge_.listen(*this);
+    knowledge_.listen(changes_);
 }
 
 EntryService::~EntryService() = default;
--- a/src/entry/entryservice.h
+++ b/src/entry/entryservice.h
@@ -38,7 +38,7 @@
     std::size_t maxBodyBytes = 8U * 1024U * 1024U;
     std::size_t maxAccountSeries = 300;
     Duration heartbeat = std::chrono::milliseconds(500);
-    Duration lease = std::chrono::seconds(3);
+    Duration lease = std::chrono::seconds(5);
     Duration stopDelay = std::chrono::seconds(2);
     Duration stopDeadline = std::chrono::seconds(120);
 };
@@ -130,6 +130,7 @@
     Incarnation incarnation_;
     Metrics metrics_;
     Knowledge knowledge_;
+    ChangeSignal changes_;
     CallerDirectory directory_;
     std::vector<std::unique_ptr<RequestFilter>> filters_;
     EntryCore core_;
--- a/src/platform/peernetwork.cpp
+++ b/src/platform/peernetwork.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::size_t kWatchersPerHall = 2;
+// An exchange with a watcher waits for a change, so that few of them carry it at once.
+constexpr Duration kWaitForChange = std::chrono::seconds(5);
+constexpr Duration kLongestWait = std::chrono::seconds(10);
+constexpr Duration kWatcherLease = std::chrono::seconds(12);
 constexpr Duration kAskAgain = std::chrono::milliseconds(300);
 
 std::uint64_t orderHash(const InstanceId &entry)
@@ -20,11 +24,59 @@
 
 } // namespace
 
+kj::Promise<void> ChangeSignal::wait(Duration longest)
+{
+    const std::uint64_t id = next_++;
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    waiting_.emplace(id, kj::mv(paf.fulfiller));
+    loop_.schedule(longest, [this, id] {
+        const auto found = waiting_.find(id);
+        if (found != waiting_.end()) {
+            found->second->fulfill();
+            waiting_.erase(found);
+        }
+    });
+    return kj::mv(paf.promise);
+}
+
+void ChangeSignal::onConfig(const ConfigDocument & /*document*/)
+{
+    wakeAll();
+}
+
+void ChangeSignal::onInstances(const InstanceList & /*list*/)
+{
+    wakeAll();
+}
+
+void ChangeSignal::wakeAll()
+{
+    for (auto &[id, fulfiller] : waiting_) {
+        fulfiller->fulfill();
+    }
+    waiting_.clear();
+}
+
 kj::Promise<void> PeerServer::exchange(ExchangeContext context)
 {
     const KnownVersions peer = readVersions(context.getParams().getStatus());
     knowledge_.hear(peer);
     onPeerStatus(context.getParams().getStatus());
+    const Duration wait(context.getParams().getWaitMicros());
+    const KnowledgeUpdates updates = knowledge_.updatesFor(peer);
+    const bool nothingNew = !updates.config && !updates.list && !knowledge_.lags(peer);
+    if (wait <= Duration{} || !nothingNew) {
+        answer(context, peer);
+        return kj::READY_NOW;
+    }
+    // The connection may be gone by then; its calls are dropped with it.
+    return changes_.wait(std::min(wait, kLongestWait)).then([this, context, peer]() mutable {
+        answer(context, peer);
+    });
+}
+
+void PeerServer::answer(ExchangeContext context, const KnownVersions &peer)
+{
     auto results = context.getResults();
     const KnowledgeUpdates updates = knowledge_.updatesFor(peer);
     writeUpdate(updates.config, results.initConfig());
@@ -35,7 +87,6 @@
     status.setListAgeMicros(knowledge_.listAge(loop_.now()).count());
     status.setWantsUpdate(wantsUpdate(peer));
     fillStatus(status);
-    return kj::READY_NOW;
 }
 
 bool PeerServer::wantsUpdate(const KnownVersions &peer)
@@ -108,12 +159,19 @@
     return found;
 }
 
+bool WatchOrder::unheard(const InstanceId &entry, TimePoint now) const
+{
+    const auto found = heard_.find(entry);
+    if (found == heard_.end() || !found->second.asked) {
+        return true;
+    }
+    return !found->second.everAnswered && now - found->second.firstAsked <= startLease_;
+}
+
 bool WatchOrder::allHeard(TimePoint now) const
 {
     return std::all_of(order_.begin(), order_.end(), [&](const InstanceId &entry) {
-        const auto found = heard_.find(entry);
-        const bool answered = found != heard_.end() && found->second.everAnswered;
-        return entry == self_ || answered || silent(entry, now);
+        return entry == self_ || !unheard(entry, now);
     });
 }
 
@@ -123,7 +181,7 @@
     , transport_(transport)
     , knowledge_(knowledge)
     , settings_(settings)
-    , order_(settings.self, settings.lease)
+    , order_(settings.self, kWatcherLease, settings.lease)
     , tasks_(*this)
 {}
 
@@ -214,6 +272,7 @@
     status.setInstance(settings_.self.value());
     status.setIncarnation(settings_.incarnation.value());
     writeVersions(knowledge_.versions(), status);
+    request.setWaitMicros(hallHeard() ? kWaitForChange.count() : 0);
     tasks_.add(request.send().then(
         [this, entry, askedAt](capnp::Response<wire::Peer::ExchangeResults> &&answer) {
             onAnswer(entry, answer, askedAt);
--- a/src/platform/peernetwork.h
+++ b/src/platform/peernetwork.h
@@ -24,12 +24,36 @@
 
 namespace seamarch {
 
+// Lets exchanges wait for a change of what this process knows. One per process; it outlives the
+// serving ends.
+class ChangeSignal final : public KnowledgeListener
+{
+public:
+    explicit ChangeSignal(EventLoop &loop)
+        : loop_(loop)
+    {}
+
+    // Resolves at the next change, or after `longest`.
+    kj::Promise<void> wait(Duration longest);
+
+    void onConfig(const ConfigDocument &document) override;
+    void onInstances(const InstanceList &list) override;
+
+private:
+    void wakeAll();
+
+    EventLoop &loop_;
+    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<void>>> waiting_;
+    std::uint64_t next_ = 1;
+};
+
 // The answering side of the exchange between processes.
 class PeerServer : public virtual wire::Peer::Server
 {
 public:
-    PeerServer(Knowledge &knowledge, EventLoop &loop)
+    PeerServer(Knowledge &knowledge, ChangeSignal &changes, EventLoop &loop)
         : knowledge_(knowledge)
+        , changes_(changes)
         , loop_(loop)
     {}
 
@@ -43,9 +67,11 @@
     virtual void fillStatus(wire::Status::Builder status) = 0;
 
 private:
+    void answer(ExchangeContext context, const KnownVersions &peer);
     bool wantsUpdate(const KnownVersions &peer);
 
     Knowledge &knowledge_;
+    ChangeSignal &changes_;
     EventLoop &loop_;
     TimePoint askAgainAt_{};
 };
@@ -54,9 +80,13 @@
 class WatchOrder
 {
 public:
-    explicit WatchOrder(InstanceId self, Duration lease)
+    // A watcher is silent when it has not answered for `lease`. At the start an entry that has
+    // never answered counts as heard after `startLease`, so that a dead one does not hold the start
+    // up.
+    WatchOrder(InstanceId self, Duration lease, Duration startLease)
         : self_(std::move(self))
         , lease_(lease)
+        , startLease_(startLease)
     {}
 
     // Takes the entries of the hall, this one included or not.
@@ -80,9 +110,11 @@
     };
 
     bool silent(const InstanceId &entry, TimePoint now) const;
+    bool unheard(const InstanceId &entry, TimePoint now) const;
 
     InstanceId self_;
     Duration lease_;
+    Duration startLease_;
     std::vector<InstanceId> order_;
     std::map<InstanceId, Heard> heard_;
 };
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -85,8 +85,9 @@
 
 # Any two processes compare what they know through this interface.
 interface Peer {
-  # Compares versions. The answer carries an update when the responder knows a higher version.
-  exchange @0 (status :Status) -> (status :Status, config :Update, list :Update);
+  # Compares versions. The answer carries an update when the responder knows a higher version; when
+  # it does not, it may wait for one as long as the caller allows.
+  exchange @0 (status :Status, waitMicros :Int64) -> (status :Status, config :Update, list :Update);
   # Hands over updates because the peer asked for them. Returns what it then knows.
   offer @1 (config :Update, list :Update) -> (status :Status);
 }
--- a/test/decision/membership/linkplan_test.cpp
+++ b/test/decision/membership/linkplan_test.cpp
@@ -72,7 +72,6 @@
 
 TEST(LinkPlanTest, ManyLinksAreAskedLessOften)
 {
-    CHECK(heartbeatPeriod(10, std::chrono::milliseconds(500), {})
-          == std::chrono::milliseconds(500));
-    CHECK(heartbeatPeriod(40, std::chrono::milliseconds(500), {}) == std::chrono::seconds(2));
+    CHECK(heartbeatPeriod(9, std::chrono::milliseconds(500), {}) == std::chrono::milliseconds(500));
+    CHECK(heartbeatPeriod(36, std::chrono::milliseconds(500), {}) == std::chrono::seconds(2));
 }
