Turns for reloads: a floor on serving capacity without a coordinator

Cause: a rollout from lagging views can take too many replicas out at once. Change: TurnBook and TurnTaker; every member of the pool gives at most (pool - floor) turns, asked in the order of names, without a clock; a new life gives none until all others are heard. Measured: 500 schedules of five agents that are replaced, with lost, late and doubled messages: never more than two upstreams out, all reloaded at the end; three planted faults are caught.

--- /dev/null
+++ b/test/decision/rollout/turns_test.cpp
@@ -0,0 +1,286 @@
+#include "decision/rollout/turns.h"
+
+#include <fmt/format.h>
+#include <functional>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+enum class PlantedFault { None, ForgetBook, AskNotAll, ExpireTurns };
+
+// A pool that reloads all its upstreams. Agents are replaced, messages are lost, late and doubled.
+class PoolWorld
+{
+public:
+    PoolWorld(std::uint64_t seed, PlantedFault fault) : random_(seed), fault_(fault)
+    {
+        std::vector<InstanceId> names;
+        for (std::size_t index = 0; index < kAgents; ++index) {
+            names.push_back(name(index));
+        }
+        members_ = makeMemberSet(names);
+        for (std::size_t index = 0; index < kAgents; ++index) {
+            start(index);
+        }
+    }
+
+    // Returns the largest number of upstreams that were out of service at once.
+    int run()
+    {
+        for (now_ = 0; now_ < kSteps; ++now_) {
+            deliver();
+            for (std::size_t index = 0; index < kAgents; ++index) {
+                act(index);
+            }
+            // An agent is replaced; its upstream stays as it was.
+            if (now_ < kSteps / 2 && chance(0.02)) {
+                start(pick());
+            }
+            int down = 0;
+            for (const Agent &agent : agents_) {
+                down += agent.down ? 1 : 0;
+            }
+            worst_ = std::max(worst_, down);
+        }
+        return worst_;
+    }
+
+    bool allReloaded() const
+    {
+        for (const Agent &agent : agents_) {
+            if (!agent.reloaded || agent.down) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    static constexpr std::size_t kAgents = 5;
+    static constexpr std::uint32_t kAtOnce = 2;
+    static constexpr int kSteps = 4000;
+
+    struct Agent
+    {
+        std::unique_ptr<TurnBook> book;
+        std::unique_ptr<TurnTaker> taker;
+        Incarnation life;
+        bool down = false;     // Of the upstream; outlives the agent.
+        bool reloaded = false; // Of the upstream.
+        int backAt = 0;
+    };
+
+    struct Message
+    {
+        int at = 0;
+        std::size_t to = 0;
+        Incarnation meant;
+        std::function<void()> action;
+    };
+
+    static InstanceId name(std::size_t index) { return InstanceId(fmt::format("bid-{}", index)); }
+    bool chance(double probability) { return std::bernoulli_distribution(probability)(random_); }
+    std::size_t pick() { return std::uniform_int_distribution<std::size_t>(0, kAgents - 1)(random_); }
+
+    void start(std::size_t index)
+    {
+        Agent &agent = agents_[index];
+        agent.life = Incarnation(++lives_);
+        agent.book = std::make_unique<TurnBook>(name(index));
+        agent.book->setPool(members_, kAtOnce);
+        agent.taker = std::make_unique<TurnTaker>();
+        agent.taker->setPool(members_);
+        if (fault_ == PlantedFault::ForgetBook) {
+            for (std::size_t other = 0; other < kAgents; ++other) {
+                agent.book->learn(name(other), agents_[other].life, false);
+            }
+        }
+        if (agent.down) {
+            // The engine tells the new life that it is being reloaded: it counts itself.
+            agent.taker->want();
+            agent.taker->onGiven(name(index));
+        }
+    }
+
+    void send(std::size_t to, Incarnation meant, std::function<void()> action)
+    {
+        if (chance(0.05)) {
+            return;
+        }
+        const int copies = chance(0.05) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            const int late = chance(0.05) ? 60 : 4;
+            const int wait = std::uniform_int_distribution<int>(1, late)(random_);
+            messages_.push_back({now_ + wait, to, meant, action});
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        std::erase_if(messages_, [&](const Message &message) {
+            if (message.at <= now_) {
+                due.push_back(message);
+            }
+            return message.at <= now_;
+        });
+        for (const Message &message : due) {
+            // Messages of a connection to an earlier life are gone with it.
+            if (agents_[message.to].life == message.meant) {
+                message.action();
+            }
+        }
+    }
+
+    void tellStatus(std::size_t index)
+    {
+        const Agent &agent = agents_[index];
+        for (std::size_t other = 0; other < kAgents; ++other) {
+            const bool holds = agent.taker->holdsAny();
+            send(other, agents_[other].life, [this, index, other, life = agent.life, holds] {
+                if (agents_[index].life == life) {
+                    agents_[other].book->learn(name(index), life, holds);
+                }
+            });
+        }
+    }
+
+    void askNext(std::size_t index)
+    {
+        Agent &agent = agents_[index];
+        const auto member = agent.taker->next();
+        if (!member) {
+            return;
+        }
+        const auto to = static_cast<std::size_t>(member->value().back() - '0');
+        const Incarnation life = agent.life;
+        const Incarnation granter = agents_[to].life;
+        send(to, granter, [this, index, to, life, granter] {
+            if (!agents_[to].book->give(name(index), life)) {
+                return;
+            }
+            send(index, life, [this, index, to, granter] {
+                // A turn of an earlier life counts: that life's successor learns of it.
+                static_cast<void>(granter);
+                agents_[index].taker->onGiven(name(to));
+            });
+        });
+    }
+
+    void act(std::size_t index)
+    {
+        Agent &agent = agents_[index];
+        if (now_ % 5 == static_cast<int>(index)) {
+            tellStatus(index);
+        }
+        if (!agent.reloaded) {
+            agent.taker->want();
+        }
+        if (now_ % 3 == 0) {
+            askNext(index);
+        }
+        if (fault_ == PlantedFault::ExpireTurns && chance(0.01)) {
+            agent.book->release(name(pick()), agents_[pick()].life);
+            for (std::size_t other = 0; other < kAgents; ++other) {
+                agent.book->release(name(other), agents_[other].life);
+            }
+        }
+        const bool enough = agent.taker->holdsAll()
+            || (fault_ == PlantedFault::AskNotAll && agent.taker->holdsAny());
+        if (enough && !agent.down && !agent.reloaded) {
+            agent.down = true;
+            agent.backAt = now_ + 50;
+        }
+        if (agent.down && now_ >= agent.backAt) {
+            agent.down = false;
+            agent.reloaded = true;
+            for (const InstanceId &member : agent.taker->done()) {
+                releaseAt(static_cast<std::size_t>(member.value().back() - '0'), index);
+            }
+        }
+        // A release that was lost is said again until the pool is through.
+        if (agent.reloaded && now_ % 20 == 0) {
+            for (std::size_t to = 0; to < kAgents; ++to) {
+                releaseAt(to, index);
+            }
+        }
+    }
+
+    void releaseAt(std::size_t to, std::size_t index)
+    {
+        const Incarnation life = agents_[index].life;
+        send(to, agents_[to].life,
+             [this, to, index, life] { agents_[to].book->release(name(index), life); });
+    }
+
+    std::mt19937_64 random_;
+    PlantedFault fault_;
+    MemberSet members_;
+    Agent agents_[kAgents];
+    std::vector<Message> messages_;
+    std::uint64_t lives_ = 0;
+    int now_ = 0;
+    int worst_ = 0;
+};
+
+bool caught(PlantedFault fault)
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        if (PoolWorld(seed, fault).run() > 2) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_GROUP(TurnsTest) {};
+
+TEST(TurnsTest, KeepsTheFloorOverManySchedules)
+{
+    int through = 0;
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        PoolWorld world(seed, PlantedFault::None);
+        const int worst = world.run();
+        if (worst > 2) {
+            FAIL(fmt::format("seed {}: {} upstreams were out at once", seed, worst).c_str());
+        }
+        through += world.allReloaded() ? 1 : 0;
+    }
+    CHECK_EQUAL(500, through);
+}
+
+TEST(TurnsTest, CheckerCatchesABookThatIsForgotten)
+{
+    CHECK(caught(PlantedFault::ForgetBook));
+}
+
+TEST(TurnsTest, CheckerCatchesTurnsOfSomeMembersOnly)
+{
+    CHECK(caught(PlantedFault::AskNotAll));
+}
+
+TEST(TurnsTest, CheckerCatchesTurnsThatExpire)
+{
+    CHECK(caught(PlantedFault::ExpireTurns));
+}
+
+TEST(TurnsTest, NewLifeGivesNothingUntilAllAreHeard)
+{
+    TurnBook book(InstanceId("a"));
+    book.setPool(makeMemberSet({InstanceId("a"), InstanceId("b"), InstanceId("c")}), 1);
+    book.learn(InstanceId("b"), Incarnation(1), true);
+
+    CHECK_FALSE(book.give(InstanceId("c"), Incarnation(2)));
+    book.learn(InstanceId("c"), Incarnation(2), false);
+    CHECK_FALSE(book.give(InstanceId("c"), Incarnation(2)));
+    book.release(InstanceId("b"), Incarnation(1));
+    CHECK(book.give(InstanceId("c"), Incarnation(2)));
+}
