Rollouts carried out: agents order their engines by turns and fences

Cause: a confirmed model version reached every agent, and nothing carried it out.

Change: OrderDriver brings an agent's engine to the published version: turns of every member of the pool, no new work, drained, ordered under the configuration's version, served again. The turns travel on the agents' links. Book entries tell what was given from what was only heard of, and turns are numbered so that a late word ends no newer turn.

--- a/bench/configfigures.cpp
+++ b/bench/configfigures.cpp
@@ -32,11 +32,10 @@
 {
     json list = json::array();
     for (int index = 0; index < accounts; ++index) {
-        list.push_back(
-            {{"id", fmt::format("account-{:04}", index)},
-             {"keySha256", json::array({std::string(64, 'a' + static_cast<char>(index % 6))})},
-             {"share", index == 0 ? static_cast<double>(version) : 1.0},
-             {"homeHall", "north"}});
+        list.push_back({{"id", fmt::format("account-{:04}", index)},
+                        {"keySha256", json::array({fmt::format("{:064x}", index)})},
+                        {"share", index == 0 ? static_cast<double>(version) : 1.0},
+                        {"homeHall", "north"}});
     }
     return {{"version", version}, {"base", version - 1}, {"accounts", list}};
 }
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -102,9 +102,30 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> turn(TurnContext context) override
+    {
+        const auto params = context.getParams();
+        context.getResults().setGiven(
+            service_.turnBook_.give(InstanceId(toString(params.getInstance())),
+                                    Incarnation(params.getIncarnation()), params.getNumber()));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> releaseTurn(ReleaseTurnContext context) override
+    {
+        const auto params = context.getParams();
+        service_.turnBook_.release(InstanceId(toString(params.getInstance())),
+                                   Incarnation(params.getIncarnation()), params.getNumber());
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> grant(GrantContext context) override
     {
-        const std::uint64_t set = context.getParams().getMemberSet();
+        const auto params = context.getParams();
+        const std::uint64_t set = params.getMemberSet();
+        service_.turnBook_.learn(InstanceId(toString(params.getInstance())),
+                                 {Incarnation(params.getIncarnation()), params.getTurnsReleased(),
+                                  params.getHoldsTurn()});
         context.getResults().setGranted(service_.core_.onGrantAsked(set, service_.loop_.now()));
         return kj::READY_NOW;
     }
@@ -161,6 +182,7 @@
     , metrics_(settings_.maxAccountSeries)
     , changes_(loop)
     , core_(coreSettings(settings_, incarnation_), loop.now())
+    , turnBook_(settings_.instance)
     , random_(incarnation_.value())
     , tasks_(*this)
 {
@@ -202,10 +224,16 @@
     if (!listening) {
         return listening;
     }
-    grants_ = std::make_unique<GrantNetwork>(loop_, *transport_, core_, settings_.instance,
-                                             settings_.hall);
-    grantTimer_ = std::make_unique<PeriodicTimer>(loop_, settings_.lease / kGrantsPerLease,
-                                                  [this] { grants_->tick(); });
+    orders_ = std::make_unique<OrderDriver>(loop_, *client_, static_cast<OrderHost &>(*this),
+                                            settings_.instance, settings_.upstream);
+    grants_ = std::make_unique<GrantNetwork>(
+        GrantNetwork::Context{loop_, *transport_, core_, turnBook_, orders_->turns(),
+                              settings_.instance, incarnation_, settings_.hall});
+    grantTimer_ = std::make_unique<PeriodicTimer>(loop_, settings_.lease / kGrantsPerLease, [this] {
+        grants_->tick();
+        grants_->askTurn();
+        orders_->tick();
+    });
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     return {};
 }
@@ -506,16 +534,49 @@
     flush(id);
 }
 
+void AgentService::setServing(bool serving)
+{
+    AgentActions actions;
+    core_.setServing(serving, actions);
+    carryOut(actions);
+}
+
+void AgentService::releaseTurn(const InstanceId &member)
+{
+    grants_->releaseTurn(member);
+}
+
+void AgentService::updateTarget()
+{
+    const auto &instances = knowledge_.list().instances;
+    const auto self = std::find_if(instances.begin(), instances.end(), [this](const auto &record) {
+        return record.id == settings_.instance;
+    });
+    if (self == instances.end() || self->serves.empty() || !knowledge_.configInForce()) {
+        return;
+    }
+    for (const ModelConfig &model : knowledge_.config().models) {
+        if (model.name == self->serves.front()) {
+            orders_->setTarget(model.version, knowledge_.config().version);
+            grants_->setFloor(model.minServing);
+        }
+    }
+}
+
 void AgentService::onConfig(const ConfigDocument &document)
 {
     core_.applyConfig(document);
+    loop_.post([this] { updateTarget(); });
     metrics_.set("seamarch_config_version", static_cast<double>(document.version.value()));
 }
 
 void AgentService::onInstances(const InstanceList &list)
 {
     // Links must not be taken away inside one of their own callbacks.
-    loop_.post([this] { grants_->setInstances(knowledge_.list()); });
+    loop_.post([this] {
+        grants_->setInstances(knowledge_.list());
+        updateTarget();
+    });
     const auto self = std::find_if(
         list.instances.begin(), list.instances.end(),
         [this](const InstanceRecord &record) { return record.id == settings_.instance; });
@@ -555,6 +616,8 @@
             {"rpcBytesIn", transport_->bytesIn()},
             {"rpcBytesOut", transport_->bytesOut()},
             {"keyHome", core_.holdsAllGrants(loop_.now())},
+            {"engineVersion", orders_->engineVersion()},
+            {"reloading", orders_->reloading()},
             {"finished", finished_}};
 }
 
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "agent/grantnetwork.h"
+#include "agent/orderdriver.h"
 #include "decision/dispatch/agentcore.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
@@ -42,6 +43,7 @@
 
 class AgentService final : private KnowledgeListener,
                            private StatusSource,
+                           private OrderHost,
                            private kj::TaskSet::ErrorHandler
 {
 public:
@@ -118,6 +120,10 @@
     void onInstances(const InstanceList &list) override;
     bool ready(std::string &reason) const override;
     nlohmann::json status() const override;
+    void setServing(bool serving) override;
+    bool upstreamIdle() const override { return core_.idle(); }
+    void releaseTurn(const InstanceId &member) override;
+    void updateTarget();
     void taskFailed(kj::Exception &&exception) override;
     void tick();
     void stopIfDrained();
@@ -134,6 +140,8 @@
     std::unique_ptr<OperatorServer> operators_;
     std::map<ConnectionId, Connection> connections_;
     std::unordered_map<RequestId, Job> jobs_;
+    TurnBook turnBook_;
+    std::unique_ptr<OrderDriver> orders_;
     std::unique_ptr<GrantNetwork> grants_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
     std::unique_ptr<PeriodicTimer> grantTimer_;
--- a/src/agent/grantnetwork.cpp
+++ b/src/agent/grantnetwork.cpp
@@ -10,13 +10,8 @@
 
 namespace seamarch {
 
-GrantNetwork::GrantNetwork(EventLoop &loop, RawTransport &transport, AgentCore &core,
-                           InstanceId self, HallId hall)
-    : loop_(loop)
-    , transport_(transport)
-    , core_(core)
-    , self_(std::move(self))
-    , hall_(std::move(hall))
+GrantNetwork::GrantNetwork(const Context &context)
+    : context_(context)
     , tasks_(*this)
 {}
 
@@ -29,43 +24,106 @@
 
 void GrantNetwork::setInstances(const InstanceList &list)
 {
-    const auto own = std::find_if(list.instances.begin(), list.instances.end(),
-                                  [this](const InstanceRecord &each) { return each.id == self_; });
+    const auto own =
+        std::find_if(list.instances.begin(), list.instances.end(),
+                     [this](const InstanceRecord &each) { return each.id == context_.self; });
     std::vector<InstanceId> members;
     std::set<InstanceId> kept;
     const TargetName target =
         own == list.instances.end() || own->serves.empty() ? TargetName() : own->serves.front();
     for (const InstanceRecord &record : list.instances) {
         const auto &serves = record.serves;
-        const bool member = record.hall == hall_ && !target.value().empty()
+        const bool member = record.hall == context_.hall && !target.value().empty()
                             && std::find(serves.begin(), serves.end(), target) != serves.end();
         if (!member) {
             continue;
         }
         members.push_back(record.id);
-        if (record.id == self_) {
+        if (record.id == context_.self) {
             continue;
         }
         kept.insert(record.id);
         const SocketAddress address{record.address, record.port};
         auto &link = links_[record.id];
         if (link == nullptr || link->address() != address) {
-            link = std::make_unique<RpcLink>(loop_, transport_, address);
+            link = std::make_unique<RpcLink>(context_.loop, context_.transport, address);
         }
     }
     std::erase_if(links_, [&kept](const auto &entry) { return !kept.contains(entry.first); });
-    core_.setKeyMembers(target, makeMemberSet(std::move(members)));
+    context_.core.setKeyMembers(target, makeMemberSet(std::move(members)));
+    updatePool();
+}
+
+void GrantNetwork::setFloor(std::uint32_t minServing)
+{
+    minServing_ = minServing;
+    updatePool();
+}
+
+void GrantNetwork::updatePool()
+{
+    const MemberSet &members = context_.core.keyMembers();
+    const auto size = static_cast<std::uint32_t>(members.members.size());
+    context_.book.setPool(members, size > minServing_ ? size - minServing_ : 0);
+    context_.taker.setPool(members);
+}
+
+void GrantNetwork::askTurn()
+{
+    const auto member = context_.taker.next();
+    if (!member) {
+        return;
+    }
+    if (*member == context_.self) {
+        if (context_.book.give(context_.self, context_.incarnation, context_.taker.number())) {
+            context_.taker.onGiven(context_.self);
+            askTurn();
+        }
+        return;
+    }
+    const auto link = links_.find(*member);
+    if (link == links_.end()) {
+        return;
+    }
+    auto request = link->second->capability().castAs<wire::Agent>().turnRequest();
+    request.setInstance(context_.self.value());
+    request.setIncarnation(context_.incarnation.value());
+    request.setNumber(context_.taker.number());
+    tasks_.add(request.send().then(
+        [this, asked = *member,
+         number = context_.taker.number()](capnp::Response<wire::Agent::TurnResults> &&answer) {
+            if (answer.getGiven() && number == context_.taker.number()) {
+                context_.taker.onGiven(asked);
+                askTurn();
+            }
+        },
+        [](kj::Exception && /*error*/) {}));
+}
+
+void GrantNetwork::releaseTurn(const InstanceId &member)
+{
+    const std::uint64_t released = context_.taker.state(context_.incarnation).released;
+    const auto link = links_.find(member);
+    if (member == context_.self || link == links_.end()) {
+        context_.book.release(member, context_.incarnation, released);
+        return;
+    }
+    auto request = link->second->capability().castAs<wire::Agent>().releaseTurnRequest();
+    request.setInstance(context_.self.value());
+    request.setIncarnation(context_.incarnation.value());
+    request.setNumber(released);
+    tasks_.add(request.send().ignoreResult());
 }
 
 void GrantNetwork::tick()
 {
-    const std::uint64_t set = core_.keyMembers().hash;
-    const TimePoint now = loop_.now();
-    if (core_.keyMembers().members.empty()) {
+    const std::uint64_t set = context_.core.keyMembers().hash;
+    const TimePoint now = context_.loop.now();
+    if (context_.core.keyMembers().members.empty()) {
         return;
     }
-    if (core_.onGrantAsked(set, now)) {
-        core_.onGranted(self_, set, now, now, wallNow());
+    if (context_.core.onGrantAsked(set, now)) {
+        context_.core.onGranted(context_.self, set, now, now, wallNow());
     }
     for (const auto &[member, link] : links_) {
         ask(member, *link);
@@ -74,14 +132,19 @@
 
 void GrantNetwork::ask(const InstanceId &member, RpcLink &link)
 {
-    const std::uint64_t set = core_.keyMembers().hash;
-    const TimePoint askedAt = loop_.now();
+    const std::uint64_t set = context_.core.keyMembers().hash;
+    const TimePoint askedAt = context_.loop.now();
     auto request = link.capability().castAs<wire::Agent>().grantRequest();
     request.setMemberSet(set);
+    request.setInstance(context_.self.value());
+    request.setIncarnation(context_.incarnation.value());
+    const TurnState turns = context_.taker.state(context_.incarnation);
+    request.setTurnsReleased(turns.released);
+    request.setHoldsTurn(turns.holds);
     tasks_.add(request.send().then(
         [this, member, set, askedAt](capnp::Response<wire::Agent::GrantResults> &&answer) {
             if (answer.getGranted()) {
-                core_.onGranted(member, set, askedAt, loop_.now(), wallNow());
+                context_.core.onGranted(member, set, askedAt, context_.loop.now(), wallNow());
             }
         },
         [](kj::Exception && /*error*/) {}));
--- /dev/null
+++ b/src/agent/orderdriver.cpp
@@ -0,0 +1,192 @@
+#include "agent/orderdriver.h"
+
+#include "base/log.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kStatusOk = 200;
+constexpr Duration kCollectTime = std::chrono::seconds(30); // Beyond it the turns are given back.
+constexpr int kStatusNotFound = 404;
+constexpr const char *kOrdersPath = "/v1/orders";
+
+std::optional<EngineState> readState(const std::string &body)
+{
+    const json value = json::parse(body, nullptr, false);
+    if (!value.is_object() || !value.contains("version") || !value["version"].is_string()) {
+        return std::nullopt;
+    }
+    EngineState state;
+    state.version = value["version"].get<std::string>();
+    state.fence = value.value("fence", 0ULL);
+    state.loading = value.value("loading", false);
+    return state;
+}
+
+} // namespace
+
+// Reads the engine's answer to a question or an order; both are its state.
+class OrderDriver::Receiver final : public HttpCallReceiver
+{
+public:
+    explicit Receiver(OrderDriver &driver)
+        : driver_(driver)
+    {}
+
+    void onHead(int status, const std::string & /*contentType*/) override { status_ = status; }
+    void onPiece(std::string_view piece) override { body_ += piece; }
+    void onEnd(HttpCallEnd end) override
+    {
+        driver_.inFlight_ = false;
+        driver_.unable_ = status_ == kStatusNotFound;
+        const bool good = end == HttpCallEnd::Complete && status_ == kStatusOk;
+        driver_.onState(good ? readState(body_) : std::nullopt);
+    }
+
+private:
+    OrderDriver &driver_;
+    int status_ = 0;
+    std::string body_;
+};
+
+OrderDriver::OrderDriver(EventLoop &loop, HttpClient &client, OrderHost &host, InstanceId self,
+                         SocketAddress engine)
+    : loop_(loop)
+    , client_(client)
+    , host_(host)
+    , self_(std::move(self))
+    , address_(std::move(engine))
+{}
+
+void OrderDriver::setTarget(std::string version, ConfigVersion config)
+{
+    target_ = std::move(version);
+    config_ = config;
+}
+
+void OrderDriver::ask()
+{
+    inFlight_ = true;
+    HttpCallRequest request;
+    request.address = address_;
+    request.path = kOrdersPath;
+    client_.call(std::move(request), std::make_unique<Receiver>(*this));
+}
+
+void OrderDriver::order()
+{
+    inFlight_ = true;
+    HttpCallRequest request;
+    request.address = address_;
+    request.method = "POST";
+    request.path = kOrdersPath;
+    request.contentType = "application/json";
+    request.body = json{{"fence", config_.value()}, {"version", target_}}.dump();
+    client_.call(std::move(request), std::make_unique<Receiver>(*this));
+    logLine(LogLevel::Info, "order.given", {{"version", target_}, {"fence", config_.value()}});
+}
+
+void OrderDriver::onState(const std::optional<EngineState> &state)
+{
+    if (!state) {
+        return;
+    }
+    const bool first = !asked_;
+    asked_ = true;
+    engine_ = *state;
+    if (first && engine_.loading) {
+        // The life of this agent before this one ordered it and died: its turn is this one's.
+        turns_.want();
+        turns_.onGiven(self_);
+        host_.setServing(false);
+        step_ = Step::Loading;
+    }
+}
+
+void OrderDriver::tick()
+{
+    if (inFlight_ || unable_ || target_.empty()) {
+        return;
+    }
+    if (!asked_ || step_ == Step::Ordering || step_ == Step::Loading) {
+        if (asked_) {
+            advance();
+        }
+        if (!inFlight_) {
+            ask();
+        }
+        return;
+    }
+    advance();
+}
+
+void OrderDriver::advance()
+{
+    const bool due = engine_.version != target_ && engine_.fence < config_.value();
+    switch (step_) {
+    case Step::Resting:
+        if (due) {
+            collect();
+        }
+        return;
+    case Step::Collecting:
+        if (!due) {
+            finish();
+        } else if (turns_.holdsAll()) {
+            host_.setServing(false);
+            step_ = Step::Draining;
+        } else if (loop_.now() - collectingSince_ > kCollectTime) {
+            giveTurnsBack();
+            collect();
+        }
+        return;
+    case Step::Draining:
+        if (host_.upstreamIdle()) {
+            // The engine's state is asked once more right before the order, for its fence.
+            step_ = Step::Ordering;
+        }
+        return;
+    case Step::Ordering:
+        if (due) {
+            order();
+            step_ = Step::Loading;
+        } else {
+            finish();
+        }
+        return;
+    case Step::Loading:
+        if (!engine_.loading && !due) {
+            finish();
+        }
+        return;
+    }
+}
+
+void OrderDriver::collect()
+{
+    turns_.want();
+    collectingSince_ = loop_.now();
+    step_ = Step::Collecting;
+}
+
+void OrderDriver::giveTurnsBack()
+{
+    for (const InstanceId &member : turns_.done()) {
+        host_.releaseTurn(member);
+    }
+}
+
+void OrderDriver::finish()
+{
+    step_ = Step::Resting;
+    host_.setServing(true);
+    giveTurnsBack();
+    logLine(LogLevel::Info, "order.done", {{"version", engine_.version}});
+}
+
+} // namespace seamarch
--- a/src/decision/dispatch/agentcore.cpp
+++ b/src/decision/dispatch/agentcore.cpp
@@ -99,7 +99,7 @@
     if (call.agentIncarnation != settings_.incarnation) {
         return refused(FailureCode::UpstreamUnreachable);
     }
-    if (leaving_) {
+    if (leaving_ || !serving_) {
         return refused(FailureCode::UpstreamLeaving);
     }
     // An answer that comes after its deadline is work for nothing, so the request's own run counts.
@@ -296,7 +296,7 @@
     servedInWindow_ += counted ? running.promptCost : running.expected;
     settle(running, counted ? running.promptCost + running.produced : running.expected);
     startNext(now, actions);
-    if (running_.size() < settings_.slots && !leaving_) {
+    if (running_.size() < settings_.slots && !leaving_ && serving_) {
         actions.emplace_back(AnnounceFree{});
     }
 }
@@ -334,19 +334,32 @@
     servedInWindow_ = 0.0;
 }
 
-void AgentCore::leave(AgentActions &actions)
+void AgentCore::refuseAllWaiting(AgentActions &actions)
 {
-    leaving_ = true;
     for (const QueuedRequest &request : queue_.takeAll()) {
         refuseWaiting(request, FailureCode::UpstreamLeaving, kShortRetry, actions);
     }
 }
 
+void AgentCore::leave(AgentActions &actions)
+{
+    leaving_ = true;
+    refuseAllWaiting(actions);
+}
+
+void AgentCore::setServing(bool serving, AgentActions &actions)
+{
+    serving_ = serving;
+    if (!serving) {
+        refuseAllWaiting(actions);
+    }
+}
+
 AgentReport AgentCore::report() const
 {
     AgentReport report;
     report.incarnation = settings_.incarnation;
-    report.leaving = leaving_;
+    report.leaving = leaving_ || !serving_;
     report.queuedTokens = queue_.queuedTokens();
     report.runningTokens = static_cast<Tokens>(runningTokens_);
     report.queuedRequests = static_cast<std::uint32_t>(queue_.size());
--- a/src/decision/dispatch/agentcore.h
+++ b/src/decision/dispatch/agentcore.h
@@ -110,6 +110,8 @@
     // Takes no new work from now on; what waits is reported as not run, what runs goes on.
     void leave(AgentActions &actions);
     bool leaving() const { return leaving_; }
+    // Takes no new work while the upstream is being reloaded; what waits is reported as not run.
+    void setServing(bool serving, AgentActions &actions);
     // Tells whether nothing waits and nothing runs.
     bool idle() const { return running_.empty() && queue_.size() == 0; }
 
@@ -148,6 +150,7 @@
         std::string callerKey;
     };
 
+    void refuseAllWaiting(AgentActions &actions);
     std::optional<StartVerdict> refuseBeforeProof(const AgentCall &call) const;
     std::optional<StartVerdict> checkProof(const AgentCall &call, TimePoint now, WallMillis wall);
     void giveProofBack(RequestId id);
@@ -178,6 +181,7 @@
     double runningTokens_ = 0.0;
     TimePoint windowStart_{};
     bool leaving_ = false;
+    bool serving_ = true;
 };
 
 } // namespace seamarch
--- a/src/decision/rollout/turns.cpp
+++ b/src/decision/rollout/turns.cpp
@@ -15,51 +15,55 @@
     std::erase_if(given_, unlisted);
 }
 
-void TurnBook::learn(const InstanceId &member, Incarnation incarnation, bool holds)
+void TurnBook::learn(const InstanceId &member, const TurnState &state)
 {
-    heard_[member] = incarnation;
+    heard_[member] = state.incarnation;
     const auto given = given_.find(member);
-    if (given != given_.end() && given->second != incarnation) {
+    const bool over = given != given_.end()
+                      && (given->second.incarnation != state.incarnation
+                          || given->second.number <= state.released);
+    if (over) {
         given_.erase(given);
     }
-    // What a member says of itself counts when this life has not given it a turn: an earlier life
-    // may have. A turn that was given here ends only by release().
-    if (holds) {
-        given_[member] = incarnation;
+    // An earlier life of this agent may have given the turn.
+    if (state.holds) {
+        given_.try_emplace(member, Given{state.incarnation, state.released + 1, true});
     }
 }
 
 bool TurnBook::ready() const
 {
-    return std::all_of(members_.members.begin(), members_.members.end(),
-                       [this](const InstanceId &member) {
-                           return member == self_ || heard_.contains(member);
-                       });
+    return std::all_of(
+        members_.members.begin(), members_.members.end(),
+        [this](const InstanceId &member) { return member == self_ || heard_.contains(member); });
 }
 
-bool TurnBook::give(const InstanceId &asker, Incarnation incarnation)
+bool TurnBook::give(const InstanceId &asker, Incarnation incarnation, std::uint64_t number)
 {
     const auto held = given_.find(asker);
-    if (held != given_.end() && held->second == incarnation) {
+    const bool same = held != given_.end() && held->second.incarnation == incarnation
+                      && held->second.number == number;
+    if (same && !held->second.heardOf) {
         return true;
     }
     if (!ready()) {
         return false;
     }
-    if (held != given_.end()) {
-        given_.erase(held);
-    }
-    if (given_.size() >= atOnce_) {
+    // What was only heard of counts as a turn of its holder, and is given only if there is room:
+    // each of several askers may have a part of the turns from earlier lives.
+    const std::size_t others = given_.size() - (held == given_.end() ? 0 : 1);
+    if (others >= atOnce_) {
         return false;
     }
-    given_[asker] = incarnation;
+    given_[asker] = {incarnation, number, false};
     return true;
 }
 
-void TurnBook::release(const InstanceId &asker, Incarnation incarnation)
+void TurnBook::release(const InstanceId &asker, Incarnation incarnation, std::uint64_t number)
 {
     const auto held = given_.find(asker);
-    if (held != given_.end() && held->second == incarnation) {
+    if (held != given_.end() && held->second.incarnation == incarnation
+        && held->second.number <= number) {
         given_.erase(held);
     }
 }
@@ -98,6 +102,7 @@
 std::set<InstanceId> TurnTaker::done()
 {
     wanted_ = false;
+    ++released_;
     std::set<InstanceId> held;
     held.swap(held_);
     return held;
--- a/src/decision/rollout/turns.h
+++ b/src/decision/rollout/turns.h
@@ -1,15 +1,19 @@
 // Turns for taking an upstream out of service, without anybody in charge.
 //
-// An agent that must reload its upstream first gets a turn from every member of its pool (the agents
-// of its service in its hall). A member gives at most `atOnce` turns at a time. Members are asked one
-// after the other in the order of their names, so two askers meet at the first member that they share
-// and neither waits for the other in a circle.
+// An agent that must reload its upstream first gets a turn from every member of its pool (the
+// agents of its service in its hall). A member gives at most `atOnce` turns at a time. Members are
+// asked one after the other in the order of their names, so two askers meet at the first member
+// that they share and neither waits for the other in a circle.
 //
-// No clock is involved: a turn ends when its holder gives it back, is replaced by a new life, or is no
-// longer listed. A holder that dies holds the others up until then; they wait rather than overrun the
-// floor. A new life has forgotten which turns it gave, so it gives none until every other member has
-// told it whether it holds one. As long as two lists share a member, no more than `atOnce` upstreams
-// of the pool are out of service at any time.
+// No clock is involved: a turn ends when its holder gives it back, is replaced by a new life, or is
+// no longer listed. Answers of an earlier life of a member must not come after the first word to
+// its new life, which one connection for each pair of agents sees to. A holder that dies holds the
+// others up until then; they wait rather than overrun the floor. A new life has forgotten which
+// turns it gave, so it gives none until every other member has told it whether it holds one. As
+// long as two lists share a member, no more than `atOnce` upstreams of the pool are out of service
+// at any time.
+//
+// Askers that hold some turns and do not get the others give all back after a while and start anew.
 //
 // The classes are pure and single-threaded.
 #pragma once
@@ -24,20 +28,31 @@
 
 namespace seamarch {
 
+// How an asker stands.
+struct TurnState
+{
+    Incarnation incarnation;
+    std::uint64_t released = 0; // All its turns up to this number are given back.
+    bool holds = false;         // Some member has given it the turn with the next number.
+};
+
 // The granter's side.
 class TurnBook
 {
 public:
-    explicit TurnBook(InstanceId self) : self_(std::move(self)) {}
+    explicit TurnBook(InstanceId self)
+        : self_(std::move(self))
+    {}
 
     // Takes the members of the pool and how many may hold a turn at once.
     void setPool(const MemberSet &members, std::uint32_t atOnce);
-    // A member has told which life it is and whether it holds a turn.
-    void learn(const InstanceId &member, Incarnation incarnation, bool holds);
+    // A member has told how it stands.
+    void learn(const InstanceId &member, const TurnState &state);
     // Asks for a turn. Giving it again to its holder is not a second turn.
-    bool give(const InstanceId &asker, Incarnation incarnation);
-    // The holder gives its turn back.
-    void release(const InstanceId &asker, Incarnation incarnation);
+    bool give(const InstanceId &asker, Incarnation incarnation, std::uint64_t number);
+    // The holder gives all turns up to `number` back. A late message about an older turn does not
+    // end a newer one.
+    void release(const InstanceId &asker, Incarnation incarnation, std::uint64_t number);
 
     // Tells whether every other member has been heard, so that turns may be given.
     bool ready() const;
@@ -48,7 +63,14 @@
     MemberSet members_;
     std::uint32_t atOnce_ = 1;
     std::map<InstanceId, Incarnation> heard_;
-    std::map<InstanceId, Incarnation> given_;
+    struct Given
+    {
+        Incarnation incarnation;
+        std::uint64_t number = 0;
+        bool heardOf = false; // Told by its holder; this life has not given it.
+    };
+
+    std::map<InstanceId, Given> given_;
 };
 
 // The asker's side: collects turns in order and knows when all are held.
@@ -58,19 +80,24 @@
     void setPool(const MemberSet &members);
     // Starts to collect turns; nothing changes when it has started already.
     void want() { wanted_ = true; }
+    // Returns how this agent stands, for the other members.
+    TurnState state(Incarnation incarnation) const { return {incarnation, released_, holdsAny()}; }
+    // Returns the number of the turn that is wanted.
+    std::uint64_t number() const { return released_ + 1; }
     // Returns the member to ask next; nothing when no turn is wanted or all are held.
     std::optional<InstanceId> next() const;
     void onGiven(const InstanceId &member);
     // Tells whether the upstream may be taken out of service.
     bool holdsAll() const;
-    // Tells whether a turn may be held anywhere: the book of this agent counts itself by it.
     bool holdsAny() const { return wanted_ && !held_.empty(); }
-    // The upstream is back in service. Returns the members to give the turns back to.
+    // The upstream is back in service, or this agent gives up for now. Returns the members to give
+    // the turns back to.
     std::set<InstanceId> done();
 
 private:
     MemberSet members_;
     std::set<InstanceId> held_;
+    std::uint64_t released_ = 0;
     bool wanted_ = false;
 };
 
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -109,6 +109,10 @@
   # Takes a request back if it has not started; one that has started goes on undisturbed.
   withdraw @5 (id :RequestId, agentIncarnation :UInt64) -> (notRun :Bool);
   issueTicket @3 () -> (ticket :Text);
-  # Asks for a key-home grant on a member set.
-  grant @4 (memberSet :UInt64) -> (granted :Bool);
+  # Asks for a key-home grant on a member set, and tells whether the asker holds a turn to reload.
+  grant @4 (memberSet :UInt64, instance :Text, incarnation :UInt64, turnsReleased :UInt64,
+            holdsTurn :Bool) -> (granted :Bool);
+  # Asks for a turn to take an upstream out of service, or gives it back.
+  turn @6 (instance :Text, incarnation :UInt64, number :UInt64) -> (given :Bool);
+  releaseTurn @7 (instance :Text, incarnation :UInt64, number :UInt64) -> ();
 }
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -11,7 +11,8 @@
 // A batching model engine behind the common JSON form. The answer to a prompt is the prompt's last
 // message with a number before each word, so that a caller can check that the answer is its own.
 // Control: {"stepMs": 5} between tokens, {"dieAfter": N} aborts each answer after N tokens,
-// {"stalled": true} stops all streams.
+// {"stalled": true} stops all streams, {"loadMs": N} is how long a load takes, {"ignoresFences":
+// true} takes orders under any fence.
 class Engine final : public StandIn
 {
 public:
@@ -28,6 +29,31 @@
         std::string model;
     };
 
+    void serveOrder(ExchangeId exchange, const HttpRequest &request, const json &body)
+    {
+        if (request.method == "POST") {
+            const auto fence = body.value("fence", 0ULL);
+            if (fence < fence_ && !ignoresFences_) {
+                respondJson(exchange, 409, orderState());
+                return;
+            }
+            lowFences_ += fence < fence_ ? 1 : 0;
+            fence_ = fence;
+            loading_ = true;
+            loop().schedule(std::chrono::milliseconds(loadMs_),
+                            [this, version = body.value("version", "")] {
+                                version_ = version;
+                                loading_ = false;
+                            });
+        }
+        respondJson(exchange, 200, orderState());
+    }
+
+    json orderState() const
+    {
+        return {{"version", version_}, {"fence", fence_}, {"loading", loading_}};
+    }
+
     static std::string lastText(const json &body, bool chat)
     {
         if (!chat) {
@@ -42,6 +68,10 @@
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
         const json body = json::parse(request.body, nullptr, false);
+        if (request.path == "/v1/orders") {
+            serveOrder(exchange, request, body);
+            return;
+        }
         if (request.method != "POST" || !body.is_object()) {
             respondJson(exchange, 400, {{"error", {{"message", "bad request"}}}});
             return;
@@ -159,7 +189,10 @@
         stepMs_ = change.value("stepMs", stepMs_);
         dieAfter_ = change.value("dieAfter", dieAfter_);
         stalled_ = change.value("stalled", stalled_);
-        return {{"runs", runs_}, {"running", streams_.size()}, {"cancelled", cancelled_}};
+        loadMs_ = change.value("loadMs", loadMs_);
+        ignoresFences_ = change.value("ignoresFences", ignoresFences_);
+        return {{"runs", runs_},       {"running", streams_.size()}, {"cancelled", cancelled_},
+                {"version", version_}, {"loading", loading_},        {"lowFences", lowFences_}};
     }
 
     std::map<ExchangeId, Stream> streams_;
@@ -168,6 +201,12 @@
     std::uint64_t dieAfter_ = 0;
     int stepMs_ = 2;
     bool stalled_ = false;
+    std::string version_ = "v1";
+    std::uint64_t fence_ = 0;
+    std::uint64_t lowFences_ = 0;
+    int loadMs_ = 200;
+    bool loading_ = false;
+    bool ignoresFences_ = false;
 };
 
 } // namespace
--- a/test/process/process_test.py
+++ b/test/process/process_test.py
@@ -237,6 +237,31 @@
             status, _, _ = call(site.entries["entry-1"], "/v1/chat/completions", chat(2, False), AUTH)
             self.assertEqual(status, 200)
 
+    def test_rollout_keeps_the_floor_and_cuts_nothing_off(self):
+        with make_site(engines=3, entries=1) as site:
+            for upstream in site.upstreams.values():
+                site.control(upstream, {"stepMs": 10, "ignoresFences": True, "loadMs": 500})
+            streams = [Stream(site.entries["entry-1"], 100) for _ in range(6)]
+            for stream in streams:
+                stream.started.wait(20)
+            site.config["models"][0].update(version="v2", minServing=2)
+            site.publish_config()
+            worst = []
+
+            def reloaded():
+                states = [site.control(upstream, {}) for upstream in site.upstreams.values()]
+                worst.append(sum(state["loading"] for state in states))
+                return all(state["version"] == "v2" for state in states)
+            site.wait_until("all engines are reloaded", reloaded, 60)
+            for stream in streams:
+                stream.join(30)
+            self.assertTrue(all(stream.whole() for stream in streams))
+            self.assertEqual(max(worst), 1)
+            self.assertEqual(sum(site.control(upstream, {})["lowFences"]
+                                 for upstream in site.upstreams.values()), 0)
+            site.wait_until("all agents serve again", lambda: all(
+                agent["mayReceive"] for agent in site.status("entry-1")["agents"].values()))
+
     def test_bad_input_has_its_own_code(self):
         with make_site(engines=1, entries=1) as site:
             entry = site.entries["entry-1"]
