--- a/bench/loadtool.cpp
+++ b/bench/loadtool.cpp
@@ -115,7 +115,7 @@
         , sent_(std::move(sent))
     {}
 
-    void onHead(int status, const std::string & /*contentType*/) override { status_ = status; }
+    void onHead(HttpHead head) override { status_ = head.status; }
     void onPiece(std::string_view piece) override { body_ += piece; }
     void onEnd(HttpCallEnd end) override
     {
--- a/include/seamarch/outcome.h
+++ b/include/seamarch/outcome.h
@@ -21,7 +21,6 @@
     NotFound,
     MethodNotAllowed,
     PayloadTooLarge,
-    LengthRequired,
     RateLimited,
     AccountQueueFull,
     DeadlineUnreachable,
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -162,9 +162,9 @@
         , id_(id)
     {}
 
-    void onHead(int status, const std::string &contentType) override
+    void onHead(HttpHead head) override
     {
-        service_.onUpstreamHead(id_, status, contentType);
+        service_.onUpstreamHead(id_, head.status, findHeader(head.headers, "content-type"));
     }
 
     void onPiece(std::string_view piece) override { service_.onUpstreamPiece(id_, piece); }
--- a/src/agent/orderdriver.cpp
+++ b/src/agent/orderdriver.cpp
@@ -38,7 +38,7 @@
         : driver_(driver)
     {}
 
-    void onHead(int status, const std::string & /*contentType*/) override { status_ = status; }
+    void onHead(HttpHead head) override { status_ = head.status; }
     void onPiece(std::string_view piece) override { body_ += piece; }
     void onEnd(HttpCallEnd end) override
     {
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -25,8 +25,6 @@
                 "This path does not take this method."},
     FailureText{FailureCode::PayloadTooLarge, 413, "payload_too_large",
                 "The body is larger than this entry takes; send a smaller one."},
-    FailureText{FailureCode::LengthRequired, 411, "length_required",
-                "Send the body with a Content-Length header."},
     FailureText{FailureCode::RateLimited, 429, "rate_limited",
                 "The client account is over its rate; come back after Retry-After seconds."},
     FailureText{FailureCode::AccountQueueFull, 429, "account_queue_full",
--- a/src/entry/callerfilters.cpp
+++ b/src/entry/callerfilters.cpp
@@ -392,10 +392,4 @@
     return filters;
 }
 
-std::vector<std::string> callerHeaders()
-{
-    return {"authorization",        "content-type",    "seamarch-priority",
-            "seamarch-deadline-ms", "seamarch-ticket", "idempotency-key"};
-}
-
 } // namespace seamarch
--- a/src/entry/callerfilters.h
+++ b/src/entry/callerfilters.h
@@ -69,7 +69,4 @@
 // Returns the row of filters. `directory` outlives them.
 std::vector<std::unique_ptr<RequestFilter>> makeCallerFilters(const CallerDirectory &directory);
 
-// The request headers that the filters read.
-std::vector<std::string> callerHeaders();
-
 } // namespace seamarch
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -113,7 +113,6 @@
     HttpServerOptions options;
     options.address = settings_.listen;
     options.maxBodyBytes = settings_.maxBodyBytes;
-    options.headers = callerHeaders();
     auto server = HttpServer::create(loop_, *this, std::move(options));
     if (!server) {
         return tl::unexpected(server.error());
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -152,6 +152,7 @@
             break;
         }
     }
+    stopping_ = false;
 }
 
 void EventLoop::stop()
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -61,7 +61,7 @@
     // Calls `action` on the next turn of the loop.
     void post(std::function<void()> action);
 
-    // Runs until stop() is called.
+    // Runs until stop() is called; may be called again after that.
     void run();
     void stop();
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,43 +1,85 @@
 #include "net/httpclient.h"
 
 #include <algorithm>
-#include <cstring>
+#include <charconv>
 #include <fmt/format.h>
+#include <iterator>
+#include <limits>
 #include <utility>
-#include <vector>
 
 namespace seamarch {
 namespace {
 
-constexpr const char *kProtocolName = "http-client";
-constexpr size_t kBodyChunk = 32 * 1024;
-constexpr size_t kReadBytes = 32 * 1024;
+constexpr Duration kSweep = std::chrono::milliseconds(250);
+// How long a connection counts as in use a moment ago: servers close idle ones after seconds.
+constexpr Duration kYoung = std::chrono::milliseconds(900);
+// How long a connection is kept when the peer does not say how long it keeps it.
+constexpr Duration kDefaultKeep = std::chrono::seconds(4);
+// Taken off what the peer says: its close may be on its way, and it counts in whole seconds.
+constexpr Duration kKeepMargin = std::chrono::milliseconds(700);
+// Kept connections to one address; more are closed.
+constexpr std::size_t kMaxKept = 16;
+constexpr std::size_t kMaxAnswerHead = std::size_t{64} * 1024;
+constexpr int kFirstFinalStatus = 200;
 
-HttpCallId idOf(lws *wsi)
+// Returns how long a peer that sent these headers keeps the connection.
+Duration keepTime(const HttpHeaders &headers)
 {
-    return reinterpret_cast<HttpCallId>(lws_get_opaque_user_data(wsi));
-}
-
-bool addHeader(lws *wsi, lws_token_indexes token, const std::string &value, unsigned char **cursor,
-               unsigned char *end)
-{
-    return lws_add_http_header_by_token(wsi, token,
-                                        reinterpret_cast<const unsigned char *>(value.c_str()),
-                                        static_cast<int>(value.size()), cursor, end)
-           == 0;
+    constexpr std::string_view kTimeout = "timeout=";
+    const std::string &value = findHeader(headers, "keep-alive");
+    const std::size_t at = value.find(kTimeout);
+    if (at == std::string::npos) {
+        return kDefaultKeep;
+    }
+    int seconds = 0;
+    const char *start = value.data() + at + kTimeout.size();
+    std::from_chars(start, value.data() + value.size(), seconds);
+    return std::chrono::seconds(seconds) - kKeepMargin;
 }
 
 } // namespace
 
-struct HttpClient::Call
+struct HttpClient::Connection final : public HttpSink
 {
-    HttpCallId id = 0;
+    Connection(SocketId id, SocketAddress peer)
+        : socket(id)
+        , address(std::move(peer))
+        , reader(HttpReader::Kind::Response,
+                 {kMaxAnswerHead, std::numeric_limits<std::size_t>::max()}, *this)
+    {}
+
+    void onHead(HttpHead head) override
+    {
+        status = head.status;
+        if (status < kFirstFinalStatus) {
+            return;
+        }
+        persistent = head.persistent && head.framed;
+        keepFor = keepTime(head.headers);
+        receiver->onHead(std::move(head));
+    }
+
+    void onBody(std::string_view piece) override
+    {
+        if (receiver != nullptr) {
+            receiver->onPiece(piece);
+        }
+    }
+
+    SocketId socket;
+    SocketAddress address;
+    HttpReader reader;
+    HttpCallId call = 0; // Zero: the connection is kept, and idle.
     HttpCallRequest request;
     std::unique_ptr<HttpCallReceiver> receiver;
-    lws *wsi = nullptr;
-    size_t bodySent = 0;
+    TimePoint idleSince{};
+    TimePoint connectBy{};
+    Duration keepFor{};
+    int status = 0;
     bool connected = false;
-    bool ending = false;
+    bool persistent = false;
+    bool wasKept = false;
+    bool answered = false; // Any byte of the answer has arrived.
 };
 
 HttpClient::HttpClient(EventLoop &loop)
@@ -48,205 +90,284 @@
 
 tl::expected<std::unique_ptr<HttpClient>, NetError> HttpClient::create(EventLoop &loop)
 {
-    static const lws_protocols kProtocols[] = {{kProtocolName, callback, 0, 0, 0, nullptr, 0},
-                                               {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
     std::unique_ptr<HttpClient> client(new HttpClient(loop));
-    lws_context_creation_info info{};
-    info.port = CONTEXT_PORT_NO_LISTEN;
-    info.protocols = kProtocols;
-    info.user = client.get();
-    info.vhost_name = "http-client";
-    client->host_ = lws_create_vhost(loop.context(), &info);
-    if (client->host_ == nullptr) {
-        return tl::unexpected(NetError{NetError::Kind::ContextFailed, "no HTTP client host"});
+    auto sockets = TcpSockets::create(loop);
+    if (!sockets) {
+        return tl::unexpected(sockets.error());
     }
+    client->sockets_ = std::move(*sockets);
+    HttpClient *self = client.get();
+    self->sweepTimer_ = std::make_unique<PeriodicTimer>(loop, kSweep, [self] { self->sweep(); });
     return client;
 }
 
 HttpCallId HttpClient::call(HttpCallRequest request, std::unique_ptr<HttpCallReceiver> receiver)
 {
-    auto call = std::make_unique<Call>();
     const HttpCallId id = nextCall_++;
-    call->id = id;
-    call->request = std::move(request);
-    call->receiver = std::move(receiver);
-    Call &added = *calls_.emplace(id, std::move(call)).first->second;
-    const std::string host =
-        fmt::format("{}:{}", added.request.address.host, added.request.address.port);
-    lws_client_connect_info info{};
-    info.context = loop_.context();
-    info.vhost = host_;
-    info.address = added.request.address.host.c_str();
-    info.port = added.request.address.port;
-    info.host = host.c_str();
-    info.path = added.request.path.c_str();
-    info.method = added.request.method.c_str();
-    info.local_protocol_name = kProtocolName;
-    info.opaque_user_data =
-        reinterpret_cast<void *>(id); // NOLINT(performance-no-int-to-ptr): an id, never followed
-    if (lws_client_connect_via_info(&info) == nullptr) {
-        endLater(id, HttpCallEnd::NotSent);
+    SocketId socket = takeKept(request);
+    const bool kept = socket != 0;
+    if (!kept) {
+        socket = sockets_->connect(request.address, *this);
+        connections_.emplace(socket, std::make_unique<Connection>(socket, request.address));
+        ++connectionsMade_;
+    }
+    Connection &connection = *connections_.at(socket);
+    connection.call = id;
+    connection.wasKept = kept;
+    connection.answered = false;
+    connection.connectBy = loop_.now() + request.connectTimeout;
+    connection.request = std::move(request);
+    connection.receiver = std::move(receiver);
+    connection.reader.reset();
+    calls_.emplace(id, socket);
+    if (kept) {
+        sendRequest(connection);
     }
     return id;
 }
 
-void HttpClient::cancel(HttpCallId call)
+SocketId HttpClient::takeKept(const HttpCallRequest &request)
 {
-    const auto found = calls_.find(call);
-    if (found == calls_.end()) {
-        return;
+    const auto found = kept_.find(request.address);
+    if (found == kept_.end() || request.reuse == HttpReuse::Never || found->second.empty()) {
+        return 0;
     }
-    lws *wsi = found->second->wsi;
-    calls_.erase(found);
-    if (wsi != nullptr) {
-        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    const SocketId socket = found->second.back();
+    const Connection &connection = *connections_.at(socket);
+    const Duration idle = loop_.now() - connection.idleSince;
+    const Duration limit = request.reuse == HttpReuse::Young ? std::min(kYoung, connection.keepFor)
+                                                             : connection.keepFor;
+    if (idle >= limit) {
+        return 0;
     }
+    found->second.pop_back();
+    return socket;
 }
 
-void HttpClient::pause(HttpCallId call, bool paused)
+void HttpClient::sendRequest(Connection &connection)
 {
-    const auto found = calls_.find(call);
-    if (found != calls_.end() && found->second->wsi != nullptr) {
-        lws_rx_flow_control(found->second->wsi, paused ? 0 : 1);
+    const HttpCallRequest &request = connection.request;
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.path);
+    const auto out = std::back_inserter(text);
+    if (findHeader(request.headers, "host").empty()) {
+        fmt::format_to(out, "Host: {}:{}\r\n", request.address.host, request.address.port);
+    }
+    if (!request.contentType.empty()) {
+        fmt::format_to(out, "Content-Type: {}\r\n", request.contentType);
     }
+    for (const HttpHeader &header : request.headers) {
+        fmt::format_to(out, "{}: {}\r\n", header.name, header.value);
+    }
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT"
+        || request.method == "PATCH") {
+        fmt::format_to(out, "Content-Length: {}\r\n", request.body.size());
+    }
+    if (request.reuse == HttpReuse::Never) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    text += request.body;
+    if (request.method == "HEAD") {
+        connection.reader.expectNoBody();
+    }
+    sockets_->send(connection.socket, text);
 }
 
-void HttpClient::end(HttpCallId id, HttpCallEnd how)
+void HttpClient::onConnected(SocketId socket)
 {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) {
+    const auto found = connections_.find(socket);
+    if (found != connections_.end()) {
+        found->second->connected = true;
+        sendRequest(*found->second);
+    }
+}
+
+void HttpClient::onBytes(SocketId socket, std::string_view bytes)
+{
+    const auto found = connections_.find(socket);
+    if (found == connections_.end()) {
         return;
     }
-    const std::unique_ptr<Call> call = std::move(found->second);
-    calls_.erase(found);
-    call->receiver->onEnd(how);
+    if (found->second->call == 0) {
+        drop(socket); // Bytes that answer nothing.
+        return;
+    }
+    found->second->answered = true;
+    read(socket, bytes);
 }
 
-void HttpClient::endLater(HttpCallId id, HttpCallEnd how)
+void HttpClient::read(SocketId socket, std::string_view bytes)
 {
-    // The receiver hears of a failure on the next turn, never inside call().
-    const auto found = calls_.find(id);
-    if (found == calls_.end() || found->second->ending) {
+    while (!bytes.empty()) {
+        Connection &connection = *connections_.at(socket);
+        const HttpCallId call = connection.call;
+        // The connection stays in the table while its receiver runs, unless that cancels the call.
+        bytes.remove_prefix(connection.reader.feed(bytes));
+        if (calls_.find(call) == calls_.end()) {
+            return;
+        }
+        if (connection.reader.fault()) {
+            drop(socket);
+            endCall(call, HttpCallEnd::Unreadable);
+            return;
+        }
+        if (!connection.reader.done()) {
+            return;
+        }
+        if (connection.status < kFirstFinalStatus) {
+            connection.reader.reset();
+            continue;
+        }
+        onAnswerDone(connection, !bytes.empty());
         return;
     }
-    found->second->ending = true;
-    found->second->wsi = nullptr;
-    loop_.post([this, id, how] { end(id, how); });
 }
 
-int HttpClient::appendHeaders(const Call &call, lws *wsi, void *in, size_t size)
+void HttpClient::onAnswerDone(Connection &connection, bool surplus)
 {
-    auto **cursor = static_cast<unsigned char **>(in);
-    unsigned char *end = *cursor + size;
-    if (!call.request.contentType.empty()
-        && !addHeader(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE, call.request.contentType, cursor, end)) {
-        return -1;
+    const HttpCallId call = connection.call;
+    const SocketId socket = connection.socket;
+    std::vector<SocketId> &kept = kept_[connection.address];
+    const bool keep = connection.persistent && !surplus && sockets_->queued(socket) == 0
+                      && connection.request.reuse != HttpReuse::Never && kept.size() < kMaxKept;
+    const std::unique_ptr<HttpCallReceiver> receiver = std::move(connection.receiver);
+    calls_.erase(call);
+    connection.call = 0;
+    if (keep) {
+        connection.idleSince = loop_.now();
+        kept.push_back(socket);
+    } else {
+        drop(socket);
     }
-    for (const HttpHeader &header : call.request.headers) {
-        const std::string name = header.name + ":";
-        const auto *value = reinterpret_cast<const unsigned char *>(header.value.c_str());
-        if (lws_add_http_header_by_name(wsi, reinterpret_cast<const unsigned char *>(name.c_str()),
-                                        value, static_cast<int>(header.value.size()), cursor, end)
-            != 0) {
-            return -1;
-        }
+    receiver->onEnd(HttpCallEnd::Complete);
+}
+
+void HttpClient::onEnd(SocketId socket, SocketEnd end)
+{
+    const auto found = connections_.find(socket);
+    if (found == connections_.end()) {
+        return;
     }
-    if (call.request.body.empty() && call.request.method == "GET") {
-        return 0;
+    Connection &connection = *found->second;
+    const HttpCallId call = connection.call;
+    if (call == 0) {
+        drop(socket);
+        return;
     }
-    if (!addHeader(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH, std::to_string(call.request.body.size()),
-                   cursor, end)) {
-        return -1;
+    HttpCallEnd how = HttpCallEnd::Interrupted;
+    if (end == SocketEnd::Unreachable) {
+        how = HttpCallEnd::NotSent;
+    } else if (end == SocketEnd::Finished && connection.reader.finishAtEnd()) {
+        how = HttpCallEnd::Complete;
+    } else if (connection.wasKept && !connection.answered) {
+        how = HttpCallEnd::KeptLost;
     }
-    if (!call.request.body.empty()) {
-        lws_client_http_body_pending(wsi, 1);
-        lws_callback_on_writable(wsi);
+    if (calls_.find(call) == calls_.end()) {
+        return;
     }
-    return 0;
+    const std::unique_ptr<HttpCallReceiver> receiver = std::move(connection.receiver);
+    calls_.erase(call);
+    drop(socket);
+    receiver->onEnd(how);
 }
 
-int HttpClient::sendBody(Call &call, lws *wsi)
+void HttpClient::endCall(HttpCallId id, HttpCallEnd how)
 {
-    const std::string &body = call.request.body;
-    if (call.bodySent == body.size()) {
-        return 0;
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
     }
-    const size_t size = std::min(body.size() - call.bodySent, kBodyChunk);
-    std::vector<unsigned char> buffer(LWS_PRE + size);
-    std::memcpy(buffer.data() + LWS_PRE, body.data() + call.bodySent, size);
-    call.bodySent += size;
-    const bool last = call.bodySent == body.size();
-    if (last) {
-        lws_client_http_body_pending(wsi, 0);
+    const auto connection = connections_.find(found->second);
+    calls_.erase(found);
+    if (connection == connections_.end()) {
+        return;
     }
-    const auto kind = last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP;
-    if (lws_write(wsi, buffer.data() + LWS_PRE, size, kind) < 0) {
-        return -1;
+    const std::unique_ptr<HttpCallReceiver> receiver = std::move(connection->second->receiver);
+    drop(connection->first);
+    receiver->onEnd(how);
+}
+
+// Closes a connection. One that is feeding its receiver right now is destroyed on the next turn.
+void HttpClient::drop(SocketId socket)
+{
+    const auto found = connections_.find(socket);
+    if (found == connections_.end()) {
+        return;
     }
-    if (!last) {
-        lws_callback_on_writable(wsi);
+    const auto kept = kept_.find(found->second->address);
+    if (kept != kept_.end()) {
+        std::erase(kept->second, socket);
+        if (kept->second.empty()) {
+            kept_.erase(kept);
+        }
     }
-    return 0;
+    sockets_->close(socket);
+    std::shared_ptr<Connection> last = std::move(found->second);
+    connections_.erase(found);
+    loop_.post([last] {});
 }
 
-int HttpClient::readAnswer(lws *wsi)
+void HttpClient::cancel(HttpCallId call)
 {
-    std::vector<char> buffer(LWS_PRE + kReadBytes);
-    char *start = buffer.data() + LWS_PRE;
-    int size = kReadBytes;
-    return lws_http_client_read(wsi, &start, &size) < 0 ? -1 : 0;
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return;
+    }
+    const SocketId socket = found->second;
+    calls_.erase(found);
+    drop(socket);
 }
 
-int HttpClient::dispatch(Call &call, lws *wsi, lws_callback_reasons reason, void *in, size_t size)
+void HttpClient::pause(HttpCallId call, bool paused)
 {
-    switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        call.wsi = wsi;
-        call.connected = true;
-        return appendHeaders(call, wsi, in, size);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return sendBody(call, wsi);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP: {
-        std::string type(256, '\0');
-        const int length = lws_hdr_copy(wsi, type.data(), static_cast<int>(type.size()),
-                                        WSI_TOKEN_HTTP_CONTENT_TYPE);
-        type.resize(length > 0 ? static_cast<size_t>(length) : 0);
-        call.receiver->onHead(static_cast<int>(lws_http_client_http_response(wsi)), type);
-        return 0;
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) {
+        sockets_->pause(found->second, paused);
     }
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return readAnswer(wsi);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        call.receiver->onPiece({static_cast<const char *>(in), size});
-        return 0;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        end(call.id, HttpCallEnd::Complete);
-        return -1;
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        endLater(call.id, call.connected ? HttpCallEnd::Interrupted : HttpCallEnd::NotSent);
-        return 0;
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-    case LWS_CALLBACK_WSI_DESTROY:
-        endLater(call.id, HttpCallEnd::Interrupted);
-        return 0;
-    default:
-        return 0;
+}
+
+bool HttpClient::wroteAny(HttpCallId call) const
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return false;
     }
+    const auto connection = connections_.find(found->second);
+    return connection != connections_.end()
+           && (connection->second->wasKept || sockets_->wroteAny(found->second));
 }
 
-int HttpClient::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void *in,
-                         size_t size)
+void HttpClient::forget(const SocketAddress &address)
 {
-    lws_vhost *host = wsi == nullptr ? nullptr : lws_get_vhost(wsi);
-    auto *client = host == nullptr ? nullptr : static_cast<HttpClient *>(lws_vhost_user(host));
-    if (client == nullptr) {
-        return 0;
+    const auto found = kept_.find(address);
+    if (found == kept_.end()) {
+        return;
+    }
+    const std::vector<SocketId> sockets = found->second;
+    for (const SocketId socket : sockets) {
+        drop(socket);
+    }
+}
+
+void HttpClient::sweep()
+{
+    const TimePoint now = loop_.now();
+    std::vector<SocketId> old;
+    std::vector<HttpCallId> late;
+    for (const auto &[socket, connection] : connections_) {
+        if (connection->call == 0 && now - connection->idleSince >= connection->keepFor) {
+            old.push_back(socket);
+        } else if (connection->call != 0 && !connection->connected
+                   && now >= connection->connectBy) {
+            late.push_back(connection->call);
+        }
+    }
+    for (const SocketId socket : old) {
+        drop(socket);
     }
-    const auto found = client->calls_.find(idOf(wsi));
-    if (found == client->calls_.end()) {
-        return reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP ? -1 : 0;
+    for (const HttpCallId call : late) {
+        endCall(call, HttpCallEnd::NotSent);
     }
-    return client->dispatch(*found->second, wsi, reason, in, size);
 }
 
 } // namespace seamarch
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -1,12 +1,18 @@
-// The HTTP client that agents use towards their upstream and readers towards the platform.
+// The HTTP client: calls to upstreams, to the platform and to engines.
 //
 // A call is one request with its answer, addressed by its id. Answers arrive in pieces; a piece
 // that the receiver cannot take is held back by pausing the call.
+//
+// Connections are kept after an answer when both sides agree, and used again by calls that allow
+// it. A connection is never kept when anything about its last answer was in doubt: bytes after the
+// end, an answer that came before the request was written, an end that the connection had to mark.
 #pragma once
 
 #include "net/eventloop.h"
+#include "net/httpreader.h"
 #include "net/httptypes.h"
 #include "net/neterror.h"
+#include "net/tcpsockets.h"
 
 #include <cstdint>
 #include <map>
@@ -14,27 +20,40 @@
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <unordered_map>
 #include <vector>
 
 namespace seamarch {
 
 using HttpCallId = std::uint64_t;
 
+// Which kept connections a call may use. A kept connection may be closing unseen at the other end,
+// so that it is not known whether a request on it was read.
+enum class HttpReuse {
+    Never, // A new connection, which closes after the call.
+    Young, // One that was in use a moment ago.
+    Any,   // Any that the peer has not said to be over.
+};
+
 struct HttpCallRequest
 {
     SocketAddress address;
     std::string method = "GET";
-    std::string path = "/";
-    std::string contentType;
-    std::vector<HttpHeader> headers;
-    std::string body;
+    std::string path = "/"; // The whole target, with the query.
+    std::string contentType = {};
+    HttpHeaders headers = {}; // A host header is added when there is none.
+    std::string body = {};
+    HttpReuse reuse = HttpReuse::Never;
+    Duration connectTimeout = std::chrono::seconds(5);
 };
 
 // How a call ended.
 enum class HttpCallEnd {
     Complete,    // The whole answer arrived.
     NotSent,     // The connection was never made: nothing was written.
+    KeptLost,    // A kept connection broke before any byte of the answer.
     Interrupted, // The connection broke after the request may have been written.
+    Unreadable,  // What came is no HTTP answer.
 };
 
 // Receives the answer of one call. All calls come on the loop's thread.
@@ -43,44 +62,59 @@
 public:
     virtual ~HttpCallReceiver() = default;
 
-    virtual void onHead(int status, const std::string &contentType) = 0;
+    virtual void onHead(HttpHead head) = 0;
     virtual void onPiece(std::string_view piece) = 0;
     // The last call; the receiver is released after it.
     virtual void onEnd(HttpCallEnd end) = 0;
 };
 
-// Makes calls. One per process; the loop outlives it.
-class HttpClient
+// Makes calls. The loop outlives it.
+class HttpClient final : private SocketListener
 {
 public:
     static tl::expected<std::unique_ptr<HttpClient>, NetError> create(EventLoop &loop);
-    ~HttpClient();
+    ~HttpClient() override;
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    // Starts a call. Its end is always reported, unless it is cancelled.
+    // Starts a call. Its end is always reported, never from inside this call, unless it is
+    // cancelled.
     HttpCallId call(HttpCallRequest request, std::unique_ptr<HttpCallReceiver> receiver);
-    // Breaks the call off. The receiver is released and hears no more.
+    // Breaks the call off and closes its connection. The receiver is released and hears no more.
     void cancel(HttpCallId call);
     // Stops or restarts the reading of the answer.
     void pause(HttpCallId call, bool paused);
+    // Tells whether any byte of the request was handed to the kernel.
+    bool wroteAny(HttpCallId call) const;
+    // Closes the kept connections to an address that is no longer the same peer.
+    void forget(const SocketAddress &address);
+
+    std::uint64_t connectionsMade() const { return connectionsMade_; }
 
 private:
-    struct Call;
+    struct Connection;
 
     explicit HttpClient(EventLoop &loop);
-    static int callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t size);
-    int dispatch(Call &call, lws *wsi, lws_callback_reasons reason, void *in, size_t size);
-    static int appendHeaders(const Call &call, lws *wsi, void *in, size_t size);
-    static int sendBody(Call &call, lws *wsi);
-    static int readAnswer(lws *wsi);
-    void end(HttpCallId id, HttpCallEnd how);
-    void endLater(HttpCallId id, HttpCallEnd how);
+    void onConnected(SocketId socket) override;
+    void onBytes(SocketId socket, std::string_view bytes) override;
+    void onEnd(SocketId socket, SocketEnd end) override;
+
+    SocketId takeKept(const HttpCallRequest &request);
+    void sendRequest(Connection &connection);
+    void read(SocketId socket, std::string_view bytes);
+    void onAnswerDone(Connection &connection, bool surplus);
+    void endCall(HttpCallId id, HttpCallEnd how);
+    void drop(SocketId socket);
+    void sweep();
 
     EventLoop &loop_;
-    lws_vhost *host_ = nullptr;
-    std::map<HttpCallId, std::unique_ptr<Call>> calls_;
+    std::unique_ptr<TcpSockets> sockets_;
+    std::unordered_map<SocketId, std::unique_ptr<Connection>> connections_;
+    std::unordered_map<HttpCallId, SocketId> calls_;
+    std::map<SocketAddress, std::vector<SocketId>> kept_; // The last was used last.
+    std::unique_ptr<PeriodicTimer> sweepTimer_;
     HttpCallId nextCall_ = 1;
+    std::uint64_t connectionsMade_ = 0;
 };
 
 } // namespace seamarch
--- /dev/null
+++ b/src/net/httpreader.cpp
@@ -0,0 +1,288 @@
+#include "net/httpreader.h"
+
+#include "net/httpstatus.h"
+
+#include <algorithm>
+#include <cctype>
+#include <http_parser.h>
+#include <limits>
+
+namespace seamarch {
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+bool isTokenChar(char letter)
+{
+    constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+    return std::isalnum(static_cast<unsigned char>(letter)) != 0
+           || kMarks.find(letter) != std::string_view::npos;
+}
+
+bool isFieldChar(char letter)
+{
+    constexpr unsigned char kDelete = 0x7f;
+    const auto code = static_cast<unsigned char>(letter);
+    return letter == '\t' || (code >= ' ' && code != kDelete);
+}
+
+bool isWellFormedField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    return std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), isTokenChar)
+           && std::all_of(line.begin(), line.end(), isFieldChar);
+}
+
+// Tells whether every line of a head ends in CRLF and is a field that all readers read alike.
+bool isWellFormed(std::string_view head)
+{
+    bool first = true;
+    while (head != "\r\n" && !head.empty()) {
+        const std::size_t end = head.find("\r\n");
+        if (end == std::string_view::npos) {
+            return false;
+        }
+        const std::string_view line = head.substr(0, end);
+        const bool good =
+            first ? std::all_of(line.begin(), line.end(), isFieldChar) : isWellFormedField(line);
+        if (!good) {
+            return false;
+        }
+        first = false;
+        head.remove_prefix(end + 2);
+    }
+    return true;
+}
+
+std::size_t count(const HttpHeaders &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(
+        std::count_if(headers.begin(), headers.end(),
+                      [name](const HttpHeader &header) { return sameToken(header.name, name); }));
+}
+
+} // namespace
+
+struct detail::ParserState
+{
+    http_parser parser{};
+
+    static HttpReader &of(http_parser *parser) { return *static_cast<HttpReader *>(parser->data); }
+    static const http_parser_settings &callbacks();
+    static int onUrl(http_parser *parser, const char *at, std::size_t size);
+    static int onField(http_parser *parser, const char *at, std::size_t size);
+    static int onValue(http_parser *parser, const char *at, std::size_t size);
+    static int onDone(http_parser *parser);
+};
+
+int detail::ParserState::onUrl(http_parser *parser, const char *at, std::size_t size)
+{
+    of(parser).head_.target.append(at, size);
+    return 0;
+}
+
+int detail::ParserState::onField(http_parser *parser, const char *at, std::size_t size)
+{
+    HttpReader &reader = of(parser);
+    if (reader.headDone_) {
+        return 0; // A trailer.
+    }
+    if (reader.lastWasValue_) {
+        reader.head_.headers.emplace_back();
+        reader.lastWasValue_ = false;
+    }
+    reader.head_.headers.back().name.append(at, size);
+    return 0;
+}
+
+int detail::ParserState::onValue(http_parser *parser, const char *at, std::size_t size)
+{
+    HttpReader &reader = of(parser);
+    if (!reader.headDone_) {
+        reader.lastWasValue_ = true;
+        reader.head_.headers.back().value.append(at, size);
+    }
+    return 0;
+}
+
+int detail::ParserState::onDone(http_parser *parser)
+{
+    of(parser).done_ = true;
+    http_parser_pause(parser, 1); // The next message waits until the reader is reset.
+    return 0;
+}
+
+const http_parser_settings &detail::ParserState::callbacks()
+{
+    static const http_parser_settings kCallbacks = [] {
+        // The head's own limit is checked before the parser sees it.
+        http_parser_set_max_header_size(std::numeric_limits<std::uint32_t>::max());
+        http_parser_settings settings;
+        http_parser_settings_init(&settings);
+        settings.on_url = onUrl;
+        settings.on_header_field = onField;
+        settings.on_header_value = onValue;
+        settings.on_headers_complete = [](http_parser *parser) {
+            return of(parser).onHeadersComplete();
+        };
+        settings.on_body = [](http_parser *parser, const char *at, std::size_t size) {
+            return of(parser).onBodyPiece({at, size});
+        };
+        settings.on_message_complete = onDone;
+        return settings;
+    }();
+    return kCallbacks;
+}
+
+HttpReader::HttpReader(Kind kind, const Limits &limits, HttpSink &sink)
+    : kind_(kind)
+    , limits_(limits)
+    , sink_(sink)
+    , parser_(std::make_unique<detail::ParserState>())
+{
+    reset();
+}
+
+HttpReader::~HttpReader() = default;
+
+void HttpReader::reset()
+{
+    http_parser_init(&parser_->parser, kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_->parser.data = this;
+    text_.clear();
+    head_ = {};
+    lastWasValue_ = true;
+    started_ = false;
+    headDone_ = false;
+    done_ = false;
+    noBody_ = false;
+    bodySize_ = 0;
+    fault_.reset();
+}
+
+std::size_t HttpReader::execute(std::string_view bytes)
+{
+    const std::size_t used = http_parser_execute(
+        &parser_->parser, &detail::ParserState::callbacks(), bytes.data(), bytes.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&parser_->parser);
+    if (error != HPE_OK && !(error == HPE_PAUSED && done_) && !fault_) {
+        refuse(HttpFault::Malformed);
+    }
+    return used;
+}
+
+int HttpReader::onHeadersComplete()
+{
+    constexpr int kSkipBody = 1;
+    constexpr int kFail = -1;
+    http_parser &parser = parser_->parser;
+    parser.upgrade = 0; // Other protocols are not served; the message is read as plain HTTP.
+    const bool hasLength = parser.content_length != std::numeric_limits<std::uint64_t>::max();
+    const bool chunked = (parser.flags & F_CHUNKED) != 0;
+    if (parser.http_major != 1) {
+        return kFail;
+    }
+    if (kind_ == Kind::Request) {
+        head_.method = http_method_str(static_cast<http_method>(parser.method));
+        if (count(head_.headers, "host") > 1 || parser.method == HTTP_CONNECT) {
+            return kFail;
+        }
+        if (hasLength && parser.content_length > limits_.bodyBytes) {
+            refuse(HttpFault::BodyTooLarge);
+            return kFail;
+        }
+    } else {
+        head_.status = static_cast<int>(parser.status_code);
+        head_.framed = noBody_ || hasLength || chunked || statusHasNoBody(head_.status);
+    }
+    head_.version10 = parser.http_major == 1 && parser.http_minor == 0;
+    head_.persistent = http_should_keep_alive(&parser) != 0;
+    if (hasLength) {
+        head_.contentLength = parser.content_length;
+    }
+    headDone_ = true;
+    sink_.onHead(std::move(head_));
+    return noBody_ ? kSkipBody : 0;
+}
+
+int HttpReader::onBodyPiece(std::string_view piece)
+{
+    bodySize_ += piece.size();
+    if (kind_ == Kind::Request && bodySize_ > limits_.bodyBytes) {
+        refuse(HttpFault::BodyTooLarge);
+        return -1;
+    }
+    sink_.onBody(piece);
+    return 0;
+}
+
+void HttpReader::parseHead()
+{
+    if (!isWellFormed(text_)) {
+        refuse(HttpFault::Malformed);
+        return;
+    }
+    execute(text_);
+}
+
+std::size_t HttpReader::feedHead(std::string_view bytes)
+{
+    std::size_t skipped = 0;
+    if (text_.empty()) {
+        // A server should pass over an empty line before a request (RFC 9112 section 2.2).
+        while (kind_ == Kind::Request && skipped < bytes.size()
+               && (bytes[skipped] == '\r' || bytes[skipped] == '\n')) {
+            ++skipped;
+        }
+    }
+    bytes.remove_prefix(skipped);
+    if (bytes.empty()) {
+        return skipped;
+    }
+    started_ = true;
+    const std::size_t before = text_.size();
+    const std::size_t room = limits_.headBytes + 1 > before ? limits_.headBytes + 1 - before : 0;
+    text_.append(bytes.substr(0, room));
+    const std::size_t from = before > kHeadEnd.size() ? before - kHeadEnd.size() : 0;
+    const std::size_t end = text_.find(kHeadEnd, from);
+    if (end == std::string::npos) {
+        if (text_.size() > limits_.headBytes) {
+            refuse(HttpFault::HeadTooLarge);
+        }
+        return skipped + bytes.size();
+    }
+    text_.resize(end + kHeadEnd.size());
+    const std::size_t used = text_.size() - before;
+    parseHead();
+    return skipped + used;
+}
+
+std::size_t HttpReader::feed(std::string_view bytes)
+{
+    std::size_t used = 0;
+    if (!headDone_ && !fault_) {
+        used = feedHead(bytes);
+        bytes.remove_prefix(used);
+    }
+    if (!headDone_ || done_ || fault_ || bytes.empty()) {
+        return used;
+    }
+    return used + execute(bytes);
+}
+
+bool HttpReader::finishAtEnd()
+{
+    if (done_) {
+        return true;
+    }
+    if (!headDone_ || fault_) {
+        return false;
+    }
+    execute({});
+    return done_;
+}
+
+} // namespace seamarch
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,115 +1,73 @@
 #include "net/httpserver.h"
 
-#include "seamarch/outcome.h"
+#include "net/httpstatus.h"
 
-#include <algorithm>
-#include <cstring>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
-#include <optional>
+#include <iterator>
 #include <utility>
 
 namespace seamarch {
 namespace {
 
-constexpr size_t kHeadBytes = 4096;
-constexpr size_t kPieceBytes = 32 * 1024;
-constexpr size_t kSmallBody = 16 * 1024;
+// Bytes that a caller may send ahead of its answers before its connection is no longer read.
+constexpr std::size_t kMaxAhead = 64 * 1024;
+// How often timeouts are checked; they are seconds.
+constexpr Duration kSweep = std::chrono::milliseconds(250);
+// How long a connection that is being closed is read, so that the answer is not lost to a reset.
+constexpr Duration kLinger = std::chrono::seconds(1);
 
-struct MethodUri
-{
-    lws_token_indexes token;
-    const char *name;
-};
-
-constexpr MethodUri kMethods[] = {
-    {WSI_TOKEN_GET_URI, "GET"},         {WSI_TOKEN_POST_URI, "POST"},
-    {WSI_TOKEN_PUT_URI, "PUT"},         {WSI_TOKEN_DELETE_URI, "DELETE"},
-    {WSI_TOKEN_PATCH_URI, "PATCH"},     {WSI_TOKEN_HEAD_URI, "HEAD"},
-    {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
-};
-
-std::string copyToken(lws *wsi, lws_token_indexes token)
-{
-    const int length = lws_hdr_total_length(wsi, token);
-    if (length <= 0) {
-        return {};
-    }
-    std::string text(static_cast<size_t>(length) + 1, '\0');
-    const int copied = lws_hdr_copy(wsi, text.data(), length + 1, token);
-    text.resize(copied > 0 ? static_cast<size_t>(copied) : 0);
-    return text;
-}
-
-std::string copyCustom(lws *wsi, const std::string &name)
-{
-    const std::string key = name + ":";
-    const int nameLength = static_cast<int>(key.size());
-    const int length = lws_hdr_custom_length(wsi, key.c_str(), nameLength);
-    if (length <= 0) {
-        return {};
-    }
-    std::string text(static_cast<size_t>(length) + 1, '\0');
-    lws_hdr_custom_copy(wsi, text.data(), length + 1, key.c_str(), nameLength);
-    text.resize(static_cast<size_t>(length));
-    return text;
-}
-
-// Headers that the library parses into tokens of their own; all others are custom to it.
-std::optional<lws_token_indexes> knownToken(std::string_view name)
-{
-    if (name == "authorization") {
-        return WSI_TOKEN_HTTP_AUTHORIZATION;
-    }
-    if (name == "content-type") {
-        return WSI_TOKEN_HTTP_CONTENT_TYPE;
-    }
-    if (name == "accept") {
-        return WSI_TOKEN_HTTP_ACCEPT;
-    }
-    return std::nullopt;
-}
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
 
-bool mayHaveBody(const std::string &method)
-{
-    return method == "POST" || method == "PUT" || method == "PATCH";
-}
+enum class Framing { Length, Chunked, UntilClose };
 
 } // namespace
 
-struct HttpServer::Exchange
+struct HttpServer::Connection final : public HttpSink
 {
-    ExchangeId id = 0;
-    lws *wsi = nullptr;
+    Connection(SocketId id, const HttpReader::Limits &limits, TimePoint now)
+        : socket(id)
+        , reader(HttpReader::Kind::Request, limits, *this)
+        , activeAt(now)
+    {}
+
+    void onHead(HttpHead head) override
+    {
+        const std::size_t mark = head.target.find('?');
+        request.method = std::move(head.method);
+        request.path = head.target.substr(0, mark);
+        request.query = mark == std::string::npos ? std::string() : head.target.substr(mark + 1);
+        request.target = std::move(head.target);
+        request.headers = std::move(head.headers);
+        persistent = head.persistent;
+        version10 = head.version10;
+        wantsContinue = sameToken(request.header("expect"), "100-continue");
+    }
+
+    void onBody(std::string_view piece) override { request.body.append(piece); }
+
+    SocketId socket;
+    HttpReader reader;
     HttpRequest request;
-    HttpResponseHead head;
-    std::string pending; // Bytes that wait to be sent.
-    bool whole = false;  // The length is known when the head is sent.
-    bool headReady = false;
+    std::string ahead; // Received, and not yet read.
+    ExchangeId exchange = 0;
+    TimePoint activeAt;
+    TimePoint startedAt{}; // Of the message that is being read.
+    Framing framing = Framing::Chunked;
+    std::uint64_t lengthLeft = 0;
+    bool persistent = true;
+    bool version10 = false;
+    bool wantsContinue = false;
+    bool headRequest = false;
     bool headSent = false;
-    bool finished = false;
-    bool broken = false;
-    bool delivered = false;
-    bool keepAlive = true;
-};
-
-// What the library keeps for each connection; zeroed by the library.
-struct HttpServer::Session
-{
-    ExchangeId exchange;
-    size_t discard; // Body bytes of a rejected request that may still arrive.
+    bool lingering = false; // Answered for good; what arrives is dropped.
 };
 
-const std::string &HttpRequest::header(std::string_view name) const
-{
-    static const std::string kNone;
-    const auto found = std::find_if(headers.begin(), headers.end(),
-                                    [name](const HttpHeader &entry) { return entry.name == name; });
-    return found == headers.end() ? kNone : found->value;
-}
-
-HttpServer::HttpServer(HttpHandler &handler, HttpServerOptions options)
-    : handler_(handler)
+HttpServer::HttpServer(EventLoop &loop, HttpHandler &handler, HttpServerOptions options)
+    : loop_(loop)
+    , handler_(handler)
     , options_(std::move(options))
 {}
 
@@ -118,322 +76,345 @@
 tl::expected<std::unique_ptr<HttpServer>, NetError>
 HttpServer::create(EventLoop &loop, HttpHandler &handler, HttpServerOptions options)
 {
-    static const lws_protocols kProtocols[] = {
-        {"http", callback, sizeof(Session), 0, 0, nullptr, 0},
-        {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
-    std::unique_ptr<HttpServer> server(new HttpServer(handler, std::move(options)));
-    lws_context_creation_info info{};
-    info.port = server->options_.address.port;
-    info.iface = server->options_.address.host.c_str();
-    info.protocols = kProtocols;
-    info.user = server.get();
-    info.vhost_name = "http-server";
-    info.keepalive_timeout = server->options_.idleSeconds;
-    info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
-    server->host_ = lws_create_vhost(loop.context(), &info);
-    if (server->host_ == nullptr) {
-        const SocketAddress &address = server->options_.address;
-        return tl::unexpected(
-            NetError{NetError::Kind::ListenFailed,
-                     fmt::format("cannot listen for HTTP at {}:{}", address.host, address.port)});
+    std::unique_ptr<HttpServer> server(new HttpServer(loop, handler, std::move(options)));
+    auto sockets = TcpSockets::create(loop);
+    if (!sockets) {
+        return tl::unexpected(sockets.error());
+    }
+    server->sockets_ = std::move(*sockets);
+    HttpServer *self = server.get();
+    const auto accept = [self](SocketId socket) -> SocketListener & {
+        return self->onAccepted(socket);
+    };
+    if (auto listening = self->sockets_->listen(self->options_.address, accept); !listening) {
+        return tl::unexpected(listening.error());
     }
+    self->sweepTimer_ = std::make_unique<PeriodicTimer>(loop, kSweep, [self] { self->sweep(); });
     return server;
 }
 
-HttpServer::Exchange *HttpServer::find(ExchangeId exchange)
+void HttpServer::setBounds(const HttpServerOptions &bounds)
 {
-    const auto found = exchanges_.find(exchange);
-    return found == exchanges_.end() ? nullptr : found->second.get();
+    const SocketAddress address = options_.address;
+    options_ = bounds;
+    options_.address = address;
 }
 
-void HttpServer::respond(ExchangeId exchange, HttpResponseHead head, std::string body)
+SocketListener &HttpServer::onAccepted(SocketId socket)
 {
-    Exchange *found = find(exchange);
-    if (found == nullptr || found->headReady) {
-        return;
-    }
-    found->head = std::move(head);
-    found->pending = std::move(body);
-    found->whole = true;
-    found->headReady = true;
-    found->finished = true;
-    lws_callback_on_writable(found->wsi);
+    const HttpReader::Limits limits{options_.maxHeaderBytes, options_.maxBodyBytes};
+    connections_.emplace(socket, std::make_unique<Connection>(socket, limits, loop_.now()));
+    return *this;
 }
 
-void HttpServer::begin(ExchangeId exchange, HttpResponseHead head)
+HttpServer::Connection *HttpServer::find(SocketId socket)
 {
-    Exchange *found = find(exchange);
-    if (found == nullptr || found->headReady) {
-        return;
-    }
-    found->head = std::move(head);
-    found->headReady = true;
-    lws_callback_on_writable(found->wsi);
+    const auto found = connections_.find(socket);
+    return found == connections_.end() ? nullptr : found->second.get();
 }
 
-void HttpServer::write(ExchangeId exchange, std::string_view piece)
+HttpServer::Connection *HttpServer::connectionOf(ExchangeId exchange)
 {
-    Exchange *found = find(exchange);
-    if (found == nullptr || piece.empty()) {
-        return;
-    }
-    found->pending += fmt::format("{:x}\r\n", piece.size());
-    found->pending += piece;
-    found->pending += "\r\n";
-    lws_callback_on_writable(found->wsi);
+    const auto found = exchanges_.find(exchange);
+    return found == exchanges_.end() ? nullptr : find(found->second);
 }
 
-void HttpServer::finish(ExchangeId exchange)
+void HttpServer::onBytes(SocketId socket, std::string_view bytes)
 {
-    Exchange *found = find(exchange);
-    if (found == nullptr || found->finished) {
+    Connection *connection = find(socket);
+    if (connection == nullptr || connection->lingering) {
         return;
     }
-    found->pending += "0\r\n\r\n";
-    found->finished = true;
-    lws_callback_on_writable(found->wsi);
+    connection->activeAt = loop_.now();
+    connection->ahead.append(bytes);
+    if (connection->exchange != 0) {
+        if (connection->ahead.size() > kMaxAhead) {
+            sockets_->pause(socket, true);
+        }
+        return;
+    }
+    read(socket);
 }
 
-void HttpServer::abort(ExchangeId exchange)
+// Reads one request from what has arrived and delivers it.
+void HttpServer::read(SocketId socket)
 {
-    Exchange *found = find(exchange);
-    if (found == nullptr) {
+    Connection *connection = find(socket);
+    if (connection == nullptr || connection->ahead.empty()) {
+        return;
+    }
+    HttpReader &reader = connection->reader;
+    if (!reader.started()) {
+        connection->startedAt = loop_.now();
+    }
+    const std::size_t used = reader.feed(connection->ahead);
+    connection->ahead.erase(0, used);
+    if (reader.fault()) {
+        reject(*connection, *reader.fault());
         return;
     }
-    found->broken = true;
-    lws_callback_on_writable(found->wsi);
+    if (reader.headDone() && connection->wantsContinue && !reader.done()) {
+        connection->wantsContinue = false;
+        sockets_->send(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (reader.done()) {
+        deliver(*connection);
+    }
 }
 
-std::size_t HttpServer::buffered(ExchangeId exchange) const
+void HttpServer::deliver(Connection &connection)
 {
-    const auto found = exchanges_.find(exchange);
-    return found == exchanges_.end() ? 0 : found->second->pending.size();
+    connection.exchange = nextExchange_++;
+    connection.headSent = false;
+    connection.headRequest = connection.request.method == "HEAD";
+    exchanges_.emplace(connection.exchange, connection.socket);
+    HttpRequest request = std::move(connection.request);
+    connection.request = {};
+    handler_.onRequest(connection.exchange, std::move(request));
 }
 
-void HttpServer::readHeaders(lws *wsi, HttpRequest &request) const
+void HttpServer::reject(Connection &connection, HttpFault fault)
 {
-    for (const std::string &name : options_.headers) {
-        const auto token = knownToken(name);
-        std::string value = token ? copyToken(wsi, *token) : copyCustom(wsi, name);
-        if (!value.empty()) {
-            request.headers.push_back({name, std::move(value)});
-        }
+    switch (fault) {
+    case HttpFault::Malformed:
+        rejectWith(connection, kBadRequest, "bad_request");
+        return;
+    case HttpFault::HeadTooLarge:
+        rejectWith(connection, kHeadTooLarge, "head_too_large");
+        return;
+    case HttpFault::BodyTooLarge:
+        rejectWith(connection, kPayloadTooLarge, "payload_too_large");
+        return;
     }
 }
 
-int HttpServer::reject(lws *wsi, Session &session, int status, std::string_view code)
+void HttpServer::rejectWith(Connection &connection, int status, std::string_view code)
 {
-    auto exchange = std::make_unique<Exchange>();
-    exchange->id = nextExchange_++;
-    exchange->wsi = wsi;
-    exchange->keepAlive = false;
-    exchange->delivered = false;
-    session.exchange = exchange->id;
-    const ExchangeId id = exchange->id;
-    exchanges_.emplace(id, std::move(exchange));
+    connection.exchange = nextExchange_++;
+    connection.persistent = false;
+    exchanges_.emplace(connection.exchange, connection.socket);
     HttpResponseHead head;
     head.status = status;
-    head.headers.push_back({"seamarch-outcome", "not-run"});
-    const nlohmann::json body = {
-        {"error", {{"code", code}, {"message", "The request was refused before it was read."}}}};
-    respond(id, std::move(head), body.dump());
-    return 0;
+    head.headers.push_back({"Seamarch-Outcome", "not-run"});
+    respond(
+        connection.exchange, head,
+        fmt::format(R"({{"error":{{"code":"{}","message":"The request was refused before it was )"
+                    R"(read whole. Correct it before trying again."}}}})",
+                    code));
 }
 
-int HttpServer::onHttp(lws *wsi, Session &session)
+void HttpServer::sendHead(Connection &connection, const HttpResponseHead &head,
+                          std::string_view body, bool whole)
 {
-    HttpRequest request;
-    for (const MethodUri &method : kMethods) {
-        std::string target = copyToken(wsi, method.token);
-        if (!target.empty()) {
-            request.method = method.name;
-            request.path = std::move(target);
-            break;
-        }
-    }
-    request.query = copyToken(wsi, WSI_TOKEN_HTTP_URI_ARGS);
-    if (request.method.empty()) {
-        return reject(wsi, session, httpStatus(FailureCode::MethodNotAllowed),
-                      toString(FailureCode::MethodNotAllowed));
-    }
-    const std::string length = copyToken(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    const bool chunked = lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
-    if (chunked || (length.empty() && mayHaveBody(request.method))) {
-        return reject(wsi, session, httpStatus(FailureCode::LengthRequired),
-                      toString(FailureCode::LengthRequired));
-    }
-    const unsigned long long expected = length.empty() ? 0 : strtoull(length.c_str(), nullptr, 10);
-    if (expected > options_.maxBodyBytes) {
-        return reject(wsi, session, httpStatus(FailureCode::PayloadTooLarge),
-                      toString(FailureCode::PayloadTooLarge));
-    }
-    readHeaders(wsi, request);
-    auto exchange = std::make_unique<Exchange>();
-    exchange->id = nextExchange_++;
-    exchange->wsi = wsi;
-    exchange->request = std::move(request);
-    exchange->request.body.reserve(static_cast<size_t>(expected));
-    session.exchange = exchange->id;
-    Exchange &added = *exchanges_.emplace(exchange->id, std::move(exchange)).first->second;
-    if (expected == 0) {
-        lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-        deliver(added);
-    }
-    return 0;
+    if (closing_) {
+        connection.persistent = false;
+    }
+    const bool bodiless = statusHasNoBody(head.status);
+    connection.headSent = true;
+    connection.framing = whole || head.contentLength ? Framing::Length : Framing::Chunked;
+    if (connection.framing == Framing::Chunked && connection.version10) {
+        connection.framing = Framing::UntilClose;
+        connection.persistent = false;
+    }
+    connection.lengthLeft = whole ? body.size() : head.contentLength.value_or(0);
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status, reasonPhrase(head.status));
+    const auto out = std::back_inserter(text);
+    if (!head.contentType.empty()) {
+        fmt::format_to(out, "Content-Type: {}\r\n", head.contentType);
+    }
+    for (const HttpHeader &header : head.headers) {
+        fmt::format_to(out, "{}: {}\r\n", header.name, header.value);
+    }
+    if (!bodiless && connection.framing == Framing::Length) {
+        fmt::format_to(out, "Content-Length: {}\r\n", connection.lengthLeft);
+    } else if (!bodiless && connection.framing == Framing::Chunked) {
+        text += "Transfer-Encoding: chunked\r\n";
+    }
+    if (!connection.persistent) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    if (bodiless || connection.headRequest) {
+        connection.framing = Framing::Length;
+        connection.lengthLeft = 0;
+    } else if (whole) {
+        text += body;
+        connection.lengthLeft = 0;
+    }
+    sockets_->send(connection.socket, text);
 }
 
-void HttpServer::deliver(Exchange &exchange)
+void HttpServer::respond(ExchangeId exchange, const HttpResponseHead &head, std::string_view body)
 {
-    if (exchange.delivered || exchange.headReady) {
+    Connection *connection = connectionOf(exchange);
+    if (connection == nullptr || connection->headSent) {
         return;
     }
-    exchange.delivered = true;
-    handler_.onRequest(exchange.id, std::move(exchange.request));
+    sendHead(*connection, head, body, true);
+    endExchange(*connection);
 }
 
-int HttpServer::onBody(Session &session, const char *data, size_t size)
+void HttpServer::begin(ExchangeId exchange, const HttpResponseHead &head)
 {
-    Exchange *exchange = find(session.exchange);
-    if (exchange == nullptr || exchange->headReady) {
-        return 0;
-    }
-    if (exchange->request.body.size() + size > options_.maxBodyBytes) {
-        return -1;
+    Connection *connection = connectionOf(exchange);
+    if (connection == nullptr || connection->headSent) {
+        return;
     }
-    exchange->request.body.append(data, size);
-    return 0;
+    sendHead(*connection, head, {}, false);
 }
 
-int HttpServer::onBodyComplete(Session &session)
+void HttpServer::write(ExchangeId exchange, std::string_view piece)
 {
-    Exchange *exchange = find(session.exchange);
-    if (exchange != nullptr) {
-        deliver(*exchange);
+    Connection *connection = connectionOf(exchange);
+    if (connection == nullptr || !connection->headSent || piece.empty()) {
+        return;
+    }
+    connection->activeAt = loop_.now();
+    switch (connection->framing) {
+    case Framing::Length:
+        piece = piece.substr(0, connection->lengthLeft);
+        connection->lengthLeft -= piece.size();
+        sockets_->send(connection->socket, piece);
+        return;
+    case Framing::Chunked:
+        sockets_->send(connection->socket, fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
+        return;
+    case Framing::UntilClose:
+        sockets_->send(connection->socket, piece);
+        return;
     }
-    return 0;
 }
 
-int HttpServer::sendHead(lws *wsi, Exchange &exchange)
+void HttpServer::finish(ExchangeId exchange)
 {
-    std::vector<unsigned char> buffer(LWS_PRE + kHeadBytes + kSmallBody);
-    unsigned char *start = buffer.data() + LWS_PRE;
-    unsigned char *cursor = start;
-    unsigned char *end = start + kHeadBytes;
-    const auto status = static_cast<unsigned int>(exchange.head.status);
-    int failed = lws_add_http_header_status(wsi, status, &cursor, end);
-    const auto add = [&](const std::string &name, const std::string &value) {
-        const std::string key = name + ":";
-        failed |=
-            lws_add_http_header_by_name(wsi, reinterpret_cast<const unsigned char *>(key.c_str()),
-                                        reinterpret_cast<const unsigned char *>(value.c_str()),
-                                        static_cast<int>(value.size()), &cursor, end);
-    };
-    add("content-type", exchange.head.contentType);
-    if (exchange.whole) {
-        add("content-length", std::to_string(exchange.pending.size()));
-    } else {
-        add("transfer-encoding", "chunked");
-    }
-    if (!exchange.keepAlive || closing_) {
-        exchange.keepAlive = false;
-        add("connection", "close");
-    }
-    for (const HttpHeader &header : exchange.head.headers) {
-        add(header.name, header.value);
-    }
-    failed |= lws_finalize_http_header(wsi, &cursor, end);
-    if (failed != 0) {
-        return -1;
-    }
-    // A small body goes out with the head, so that a short answer costs one system call.
-    const size_t small = std::min(exchange.pending.size(), kSmallBody);
-    std::memcpy(cursor, exchange.pending.data(), small);
-    exchange.pending.erase(0, small);
-    exchange.headSent = true;
-    const size_t size = static_cast<size_t>(cursor - start) + small;
-    return lws_write(wsi, start, size, LWS_WRITE_HTTP_HEADERS) < 0 ? -1 : 0;
+    Connection *connection = connectionOf(exchange);
+    if (connection == nullptr || !connection->headSent) {
+        return;
+    }
+    if (connection->framing == Framing::Length && connection->lengthLeft > 0) {
+        abort(exchange);
+        return;
+    }
+    if (connection->framing == Framing::Chunked) {
+        sockets_->send(connection->socket, "0\r\n\r\n");
+    }
+    endExchange(*connection);
 }
 
-int HttpServer::sendPiece(lws *wsi, Exchange &exchange)
+// The answer is whole: the connection goes on with the next request or closes.
+void HttpServer::endExchange(Connection &connection)
 {
-    const size_t size = std::min(exchange.pending.size(), kPieceBytes);
-    std::vector<unsigned char> buffer(LWS_PRE + size);
-    std::memcpy(buffer.data() + LWS_PRE, exchange.pending.data(), size);
-    exchange.pending.erase(0, size);
-    return lws_write(wsi, buffer.data() + LWS_PRE, size, LWS_WRITE_HTTP) < 0 ? -1 : 0;
+    exchanges_.erase(connection.exchange);
+    connection.exchange = 0;
+    connection.activeAt = loop_.now();
+    if (!connection.persistent) {
+        connection.lingering = true;
+        connection.ahead.clear();
+        sockets_->finishWriting(connection.socket);
+        return;
+    }
+    connection.reader.reset();
+    if (!connection.ahead.empty()) {
+        const SocketId socket = connection.socket;
+        sockets_->pause(socket, false);
+        loop_.post([this, socket] {
+            Connection *next = find(socket);
+            if (next != nullptr && next->exchange == 0 && !next->lingering) {
+                read(socket);
+            }
+        });
+    }
 }
 
-int HttpServer::onWriteable(lws *wsi, Session &session)
+void HttpServer::abort(ExchangeId exchange)
 {
-    Exchange *exchange = find(session.exchange);
-    if (exchange == nullptr) {
-        return 0;
-    }
-    if (exchange->broken) {
-        return -1;
-    }
-    if (!exchange->headReady) {
-        return 0;
+    Connection *connection = connectionOf(exchange);
+    if (connection == nullptr) {
+        return;
     }
-    const int result = !exchange->headSent ? sendHead(wsi, *exchange) : sendPiece(wsi, *exchange);
-    if (result != 0) {
-        return -1;
+    const bool endShows = connection->headSent && connection->framing != Framing::UntilClose;
+    const SocketId socket = connection->socket;
+    exchanges_.erase(exchange);
+    connection->exchange = 0;
+    if (endShows) {
+        // What was written still goes out; the missing end shows that the answer is not whole.
+        connection->lingering = true;
+        connection->activeAt = loop_.now();
+        sockets_->finishWriting(socket);
+        return;
     }
-    if (!exchange->pending.empty()) {
-        lws_callback_on_writable(wsi);
-        return 0;
+    connections_.erase(socket);
+    sockets_->reset(socket);
+}
+
+std::size_t HttpServer::buffered(ExchangeId exchange) const
+{
+    const auto found = exchanges_.find(exchange);
+    return found == exchanges_.end() ? 0 : sockets_->queued(found->second);
+}
+
+void HttpServer::onWritten(SocketId socket)
+{
+    Connection *connection = find(socket);
+    if (connection != nullptr && connection->exchange != 0 && connection->headSent) {
+        handler_.onDrained(connection->exchange);
     }
-    if (!exchange->finished) {
-        handler_.onDrained(exchange->id);
-        return 0;
+}
+
+void HttpServer::onEnd(SocketId socket, SocketEnd /*end*/)
+{
+    const auto found = connections_.find(socket);
+    if (found == connections_.end()) {
+        return;
     }
-    const bool keepAlive = exchange->keepAlive;
-    exchanges_.erase(exchange->id);
-    session.exchange = 0;
-    if (!keepAlive) {
-        return -1;
+    const ExchangeId exchange = found->second->exchange;
+    connections_.erase(found);
+    if (exchange != 0) {
+        exchanges_.erase(exchange);
+        handler_.onCallerGone(exchange);
     }
-    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
 }
 
-void HttpServer::onClosed(Session &session)
+void HttpServer::closeIdle()
 {
-    const auto found = exchanges_.find(session.exchange);
-    if (found == exchanges_.end()) {
-        return;
+    closing_ = true;
+    std::vector<SocketId> idle;
+    for (const auto &[socket, connection] : connections_) {
+        if (connection->exchange == 0 && !connection->lingering && !connection->reader.started()) {
+            idle.push_back(socket);
+        }
     }
-    const bool delivered = found->second->delivered;
-    const ExchangeId id = found->first;
-    exchanges_.erase(found);
-    session.exchange = 0;
-    if (delivered) {
-        handler_.onCallerGone(id);
+    for (const SocketId socket : idle) {
+        connections_.erase(socket);
+        sockets_->close(socket);
     }
 }
 
-int HttpServer::callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t size)
+void HttpServer::sweep()
 {
-    lws_vhost *host = wsi == nullptr ? nullptr : lws_get_vhost(wsi);
-    auto *server = host == nullptr ? nullptr : static_cast<HttpServer *>(lws_vhost_user(host));
-    auto *session = static_cast<Session *>(user);
-    if (server == nullptr || session == nullptr) {
-        return 0;
-    }
-    switch (reason) {
-    case LWS_CALLBACK_HTTP:
-        return server->onHttp(wsi, *session);
-    case LWS_CALLBACK_HTTP_BODY:
-        return server->onBody(*session, static_cast<const char *>(in), size);
-    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-        return server->onBodyComplete(*session);
-    case LWS_CALLBACK_HTTP_WRITEABLE:
-        return server->onWriteable(wsi, *session);
-    case LWS_CALLBACK_CLOSED_HTTP:
-    case LWS_CALLBACK_WSI_DESTROY:
-        server->onClosed(*session);
-        return 0;
-    default:
-        return 0;
+    const TimePoint now = loop_.now();
+    std::vector<SocketId> over;
+    std::vector<SocketId> late;
+    for (const auto &[socket, connection] : connections_) {
+        if (connection->exchange != 0) {
+            continue;
+        }
+        const Duration idle = now - connection->activeAt;
+        const bool reading = connection->reader.started() && !connection->lingering;
+        const bool headLate = reading && !connection->reader.headDone()
+                              && now - connection->startedAt > options_.headerTimeout;
+        if (headLate || (reading && idle > options_.idleTimeout)) {
+            late.push_back(socket);
+        } else if (idle > (connection->lingering ? kLinger : options_.idleTimeout)) {
+            over.push_back(socket);
+        }
+    }
+    for (const SocketId socket : late) {
+        rejectWith(*connections_.at(socket), kRequestTimeout, "request_timeout");
+    }
+    for (const SocketId socket : over) {
+        connections_.erase(socket);
+        sockets_->close(socket);
     }
 }
 
--- /dev/null
+++ b/src/net/httptypes.cpp
@@ -0,0 +1,81 @@
+#include "net/httptypes.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace seamarch {
+namespace {
+
+// RFC 9110 section 7.6.1, and the headers that frame a body, which each hop writes anew.
+constexpr std::array<std::string_view, 10> kSingleHop = {"connection",
+                                                         "keep-alive",
+                                                         "proxy-connection",
+                                                         "proxy-authenticate",
+                                                         "proxy-authorization",
+                                                         "te",
+                                                         "trailer",
+                                                         "transfer-encoding",
+                                                         "upgrade",
+                                                         "content-length"};
+
+std::string_view trim(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+} // namespace
+
+bool sameToken(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size()
+           && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
+                  return std::tolower(static_cast<unsigned char>(a))
+                         == std::tolower(static_cast<unsigned char>(b));
+              });
+}
+
+const std::string &findHeader(const HttpHeaders &headers, std::string_view name)
+{
+    static const std::string kNone;
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const HttpHeader &each) {
+        return sameToken(each.name, name);
+    });
+    return found == headers.end() ? kNone : found->value;
+}
+
+bool listHolds(std::string_view list, std::string_view token)
+{
+    while (!list.empty()) {
+        const std::size_t comma = list.find(',');
+        if (sameToken(trim(list.substr(0, comma)), token)) {
+            return true;
+        }
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return false;
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders kept;
+    kept.reserve(headers.size());
+    const std::string &named = findHeader(headers, "connection");
+    for (const HttpHeader &header : headers) {
+        const bool singleHop =
+            std::any_of(kSingleHop.begin(), kSingleHop.end(),
+                        [&header](std::string_view name) { return sameToken(name, header.name); });
+        if (!singleHop && !listHolds(named, header.name)) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/net/tcpsockets.cpp
@@ -0,0 +1,473 @@
+#include "net/tcpsockets.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+constexpr const char *kProtocolName = "tcp";
+constexpr std::size_t kReadBytes = 64 * 1024;
+// Connections that wait to be accepted; a full queue makes callers wait for seconds.
+constexpr int kBacklog = 1024;
+// How long bytes written to an upstream may stay unacknowledged, in milliseconds: a machine without
+// power says nothing, and the kernel's own limit is many minutes. Callers are exempt, because the
+// limit also ends connections whose peer lives and only does not read.
+constexpr unsigned int kUserTimeoutMillis = 3000;
+// Keep-alive probes find callers that are gone: after 5 s of silence, three probes 2 s apart.
+constexpr int kProbeIdleSeconds = 5;
+constexpr int kProbeGapSeconds = 2;
+constexpr int kProbes = 3;
+
+SocketId idOf(lws *wsi)
+{
+    return reinterpret_cast<SocketId>(lws_get_opaque_user_data(wsi));
+}
+
+void *opaque(SocketId id)
+{
+    return reinterpret_cast<void *>(id); // NOLINT(performance-no-int-to-ptr): an id, never followed
+}
+
+bool toSockaddr(const SocketAddress &address, sockaddr_in &out)
+{
+    constexpr int kMaxPort = 65535;
+    out = {};
+    out.sin_family = AF_INET;
+    if (address.port <= 0 || address.port > kMaxPort) {
+        return false;
+    }
+    out.sin_port = htons(static_cast<std::uint16_t>(address.port));
+    return inet_pton(AF_INET, address.host.c_str(), &out.sin_addr) == 1;
+}
+
+void setOption(int descriptor, int level, int option, int value)
+{
+    setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+void setCommonOptions(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeGapSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+void setOutgoingOptions(int descriptor)
+{
+    const unsigned int timeout = kUserTimeoutMillis;
+    setCommonOptions(descriptor);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+NetError listenError(const SocketAddress &address)
+{
+    return {NetError::Kind::ListenFailed, fmt::format("cannot listen at {}:{}: {}", address.host,
+                                                      address.port, std::strerror(errno))};
+}
+
+} // namespace
+
+tl::expected<std::unique_ptr<TcpSockets>, NetError> TcpSockets::create(EventLoop &loop)
+{
+    static const lws_protocols kProtocols[] = {{kProtocolName, callback, 0, 0, 0, nullptr, 0},
+                                               {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
+    std::unique_ptr<TcpSockets> sockets(new TcpSockets(loop));
+    sockets->buffer_.resize(kReadBytes);
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = kProtocols;
+    info.user = sockets.get();
+    info.vhost_name = "tcp";
+    sockets->host_ = lws_create_vhost(loop.context(), &info);
+    if (sockets->host_ == nullptr) {
+        return tl::unexpected(NetError{NetError::Kind::ContextFailed, "no host for TCP sockets"});
+    }
+    return sockets;
+}
+
+TcpSockets::~TcpSockets() = default;
+
+lws *TcpSockets::adopt(int descriptor, SocketId id)
+{
+    lws_sock_file_fd_type file{};
+    file.filefd = descriptor;
+    lws *wsi =
+        lws_adopt_descriptor_vhost(host_, LWS_ADOPT_RAW_FILE_DESC, file, kProtocolName, nullptr);
+    if (wsi != nullptr) {
+        lws_set_opaque_user_data(wsi, opaque(id));
+    }
+    return wsi;
+}
+
+tl::expected<void, NetError> TcpSockets::listen(const SocketAddress &address, AcceptHandler handler)
+{
+    sockaddr_in target{};
+    if (!toSockaddr(address, target)) {
+        errno = EINVAL;
+        return tl::unexpected(listenError(address));
+    }
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    if (descriptor >= 0) {
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    }
+    if (descriptor < 0
+        || bind(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0
+        || ::listen(descriptor, kBacklog) != 0) {
+        const NetError error = listenError(address);
+        if (descriptor >= 0) {
+            ::close(descriptor);
+        }
+        return tl::unexpected(error);
+    }
+    const SocketId id = nextId_++;
+    listening_.emplace(id, std::pair{descriptor, std::move(handler)});
+    if (adopt(descriptor, id) == nullptr) {
+        listening_.erase(id);
+        return tl::unexpected(listenError(address));
+    }
+    return {};
+}
+
+void TcpSockets::acceptAll(int listening, const AcceptHandler &handler)
+{
+    for (;;) {
+        const int descriptor = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            return;
+        }
+        setCommonOptions(descriptor);
+        const SocketId id = nextId_++;
+        auto entry = std::make_unique<Entry>();
+        entry->descriptor = descriptor;
+        Entry &added = *entries_.emplace(id, std::move(entry)).first->second;
+        added.wsi = adopt(descriptor, id);
+        if (added.wsi == nullptr) {
+            entries_.erase(id);
+            continue;
+        }
+        added.listener = &handler(id);
+    }
+}
+
+SocketId TcpSockets::connect(const SocketAddress &address, SocketListener &listener)
+{
+    const SocketId id = nextId_++;
+    auto entry = std::make_unique<Entry>();
+    entry->listener = &listener;
+    entry->connecting = true;
+    Entry &added = *entries_.emplace(id, std::move(entry)).first->second;
+    sockaddr_in target{};
+    const int descriptor = toSockaddr(address, target)
+                               ? socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
+                               : -1;
+    if (descriptor < 0) {
+        loop_.post([this, id] { end(id, SocketEnd::Unreachable); });
+        return id;
+    }
+    setOutgoingOptions(descriptor);
+    const int result =
+        ::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+    if (result != 0 && errno != EINPROGRESS) {
+        ::close(descriptor);
+        loop_.post([this, id] { end(id, SocketEnd::Unreachable); });
+        return id;
+    }
+    added.descriptor = descriptor;
+    added.wsi = adopt(descriptor, id);
+    if (added.wsi == nullptr) {
+        loop_.post([this, id] { end(id, SocketEnd::Unreachable); });
+        return id;
+    }
+    lws_callback_on_writable(added.wsi);
+    return id;
+}
+
+TcpSockets::Entry *TcpSockets::find(SocketId socket)
+{
+    const auto found = entries_.find(socket);
+    return found == entries_.end() ? nullptr : found->second.get();
+}
+
+void TcpSockets::send(SocketId socket, std::string_view bytes)
+{
+    Entry *entry = find(socket);
+    if (entry == nullptr) {
+        return;
+    }
+    const bool idle = entry->queue.empty() && !entry->connecting;
+    entry->queue.append(bytes);
+    if (idle) {
+        flush(socket, *entry);
+    }
+}
+
+void TcpSockets::flush(SocketId id, Entry &entry)
+{
+    std::size_t sent = 0;
+    while (sent < entry.queue.size()) {
+        const ssize_t size = ::send(entry.descriptor, entry.queue.data() + sent,
+                                    entry.queue.size() - sent, MSG_NOSIGNAL);
+        if (size > 0) {
+            sent += static_cast<std::size_t>(size);
+            entry.wroteAny = true;
+            continue;
+        }
+        if (errno == EINTR) {
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK) {
+            entry.queue.clear();
+            checkLater(id);
+            return;
+        }
+        break;
+    }
+    entry.queue.erase(0, sent);
+    if (!entry.queue.empty()) {
+        waitWriteable(id);
+    } else if (entry.finishing) {
+        ::shutdown(entry.descriptor, SHUT_WR);
+    }
+}
+
+void TcpSockets::finishWriting(SocketId socket)
+{
+    Entry *entry = find(socket);
+    if (entry == nullptr || entry->finishing) {
+        return;
+    }
+    entry->finishing = true;
+    if (entry->queue.empty() && !entry->connecting) {
+        ::shutdown(entry->descriptor, SHUT_WR);
+    }
+}
+
+void TcpSockets::checkLater(SocketId id)
+{
+    // What the peer sent before it broke the connection may still be read; the end follows it.
+    Entry *entry = find(id);
+    if (entry == nullptr || entry->checking) {
+        return;
+    }
+    entry->checking = true;
+    loop_.post([this, id] {
+        onReadable(id);
+        end(id, SocketEnd::Reset);
+    });
+}
+
+void TcpSockets::waitWriteable(SocketId id)
+{
+    // The library clears its interest after the callback in which this may be called, so the
+    // interest is renewed on the next turn.
+    loop_.post([this, id] {
+        Entry *entry = find(id);
+        if (entry != nullptr && entry->wsi != nullptr) {
+            lws_callback_on_writable(entry->wsi);
+        }
+    });
+}
+
+std::size_t TcpSockets::queued(SocketId socket) const
+{
+    const auto found = entries_.find(socket);
+    return found == entries_.end() ? 0 : found->second->queue.size();
+}
+
+bool TcpSockets::wroteAny(SocketId socket) const
+{
+    const auto found = entries_.find(socket);
+    return found != entries_.end() && found->second->wroteAny;
+}
+
+void TcpSockets::pause(SocketId socket, bool paused)
+{
+    Entry *entry = find(socket);
+    if (entry != nullptr && entry->wsi != nullptr) {
+        lws_rx_flow_control(entry->wsi, paused ? 0 : 1);
+    }
+}
+
+void TcpSockets::release(SocketId id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    lws *wsi = found->second->wsi;
+    entries_.erase(found);
+    if (wsi != nullptr) {
+        // The library closes the descriptor.
+        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
+void TcpSockets::close(SocketId socket)
+{
+    const Entry *entry = find(socket);
+    if (entry == nullptr) {
+        return;
+    }
+    if (entry->descriptor >= 0) {
+        ::shutdown(entry->descriptor, SHUT_RDWR);
+    }
+    release(socket);
+}
+
+void TcpSockets::reset(SocketId socket)
+{
+    const Entry *entry = find(socket);
+    if (entry == nullptr) {
+        return;
+    }
+    const linger immediately{1, 0};
+    if (entry->descriptor >= 0) {
+        setsockopt(entry->descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+    }
+    release(socket);
+}
+
+void TcpSockets::end(SocketId id, SocketEnd how)
+{
+    Entry *entry = find(id);
+    if (entry == nullptr) {
+        return;
+    }
+    SocketListener *listener = entry->listener;
+    const SocketEnd seen = entry->connecting ? SocketEnd::Unreachable : how;
+    release(id);
+    if (listener != nullptr) {
+        listener->onEnd(id, seen);
+    }
+}
+
+int TcpSockets::onReadable(SocketId id)
+{
+    for (;;) {
+        Entry *entry = find(id);
+        if (entry == nullptr || entry->descriptor < 0) {
+            return entry == nullptr ? -1 : 0;
+        }
+        if (entry->connecting && !finishConnect(id, *entry)) {
+            return find(id) == nullptr ? -1 : 0;
+        }
+        entry = find(id);
+        if (entry == nullptr) {
+            return -1;
+        }
+        const ssize_t size = ::recv(entry->descriptor, buffer_.data(), buffer_.size(), 0);
+        if (size > 0) {
+            entry->listener->onBytes(id, {buffer_.data(), static_cast<std::size_t>(size)});
+            if (static_cast<std::size_t>(size) < buffer_.size()) {
+                return find(id) == nullptr ? -1 : 0;
+            }
+            continue;
+        }
+        if (size == 0) {
+            end(id, SocketEnd::Finished);
+            return -1;
+        }
+        if (errno == EINTR) {
+            continue;
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK) {
+            return 0;
+        }
+        end(id, SocketEnd::Reset);
+        return -1;
+    }
+}
+
+bool TcpSockets::finishConnect(SocketId id, Entry &entry)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(entry.descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    sockaddr_in peer{};
+    socklen_t peerSize = sizeof(peer);
+    if (error == 0
+        && getpeername(entry.descriptor, reinterpret_cast<sockaddr *>(&peer), &peerSize) != 0) {
+        return false; // Not connected yet.
+    }
+    if (error != 0) {
+        end(id, SocketEnd::Unreachable);
+        return false;
+    }
+    entry.connecting = false;
+    entry.listener->onConnected(id);
+    Entry *still = find(id);
+    if (still != nullptr && !still->queue.empty()) {
+        flush(id, *still);
+    }
+    return true;
+}
+
+int TcpSockets::onWriteable(SocketId id)
+{
+    Entry *entry = find(id);
+    if (entry == nullptr) {
+        return -1;
+    }
+    if (entry->connecting) {
+        if (!finishConnect(id, *entry)) {
+            if (find(id) == nullptr) {
+                return -1;
+            }
+            waitWriteable(id);
+        }
+        return 0;
+    }
+    flush(id, *entry);
+    entry = find(id);
+    if (entry != nullptr && entry->queue.empty()) {
+        entry->listener->onWritten(id);
+    }
+    return 0;
+}
+
+int TcpSockets::callback(lws *wsi, lws_callback_reasons reason, void * /*user*/, void * /*in*/,
+                         size_t /*size*/)
+{
+    lws_vhost *host = wsi == nullptr ? nullptr : lws_get_vhost(wsi);
+    auto *sockets = host == nullptr ? nullptr : static_cast<TcpSockets *>(lws_vhost_user(host));
+    if (sockets == nullptr) {
+        return 0;
+    }
+    const SocketId id = idOf(wsi);
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE: {
+        const auto listening = sockets->listening_.find(id);
+        if (listening != sockets->listening_.end()) {
+            sockets->acceptAll(listening->second.first, listening->second.second);
+            return 0;
+        }
+        return sockets->onReadable(id);
+    }
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+        return sockets->onWriteable(id);
+    case LWS_CALLBACK_RAW_CLOSE_FILE: {
+        Entry *entry = sockets->find(id);
+        if (entry != nullptr) {
+            entry->wsi = nullptr;
+            entry->descriptor = -1;
+            sockets->end(id, SocketEnd::Reset);
+        }
+        return 0;
+    }
+    default:
+        return 0;
+    }
+}
+
+} // namespace seamarch
--- a/src/platform/watcher.cpp
+++ b/src/platform/watcher.cpp
@@ -24,7 +24,7 @@
         : watch_(watch)
     {}
 
-    void onHead(int status, const std::string & /*contentType*/) override { status_ = status; }
+    void onHead(HttpHead head) override { status_ = head.status; }
 
     void onPiece(std::string_view piece) override
     {
--- a/src/tool/fetch.cpp
+++ b/src/tool/fetch.cpp
@@ -27,10 +27,7 @@
         , answer_(answer)
     {}
 
-    void onHead(int status, const std::string & /*contentType*/) override
-    {
-        answer_.status = status;
-    }
+    void onHead(HttpHead head) override { answer_.status = head.status; }
     void onPiece(std::string_view piece) override { answer_.body += piece; }
     void onEnd(HttpCallEnd end) override
     {
--- /dev/null
+++ b/test/net/httpreader_test.cpp
@@ -0,0 +1,155 @@
+#include "net/httpreader.h"
+
+#include <CppUTest/TestHarness.h>
+#include <string>
+
+using namespace seamarch;
+
+namespace {
+
+struct Message final : public HttpSink
+{
+    void onHead(HttpHead read) override { head = std::move(read); }
+    void onBody(std::string_view piece) override { body.append(piece); }
+
+    HttpHead head;
+    std::string body;
+};
+
+constexpr HttpReader::Limits kLimits{256, 64};
+
+// Feeds `text` byte by byte, so that every split of a message is met.
+void feedSlowly(HttpReader &reader, std::string_view text)
+{
+    for (const char &letter : text) {
+        reader.feed({&letter, 1});
+    }
+}
+
+HttpFault faultOf(std::string_view text)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Request, kLimits, message);
+    reader.feed(text);
+    CHECK_TEXT(reader.fault().has_value(), "expected a refusal, found none; the reader is too lax");
+    return reader.fault().value_or(HttpFault::Malformed);
+}
+
+} // namespace
+
+TEST_GROUP(HttpReaderTest){};
+
+TEST(HttpReaderTest, ReadsARequestThatArrivesByteByByte)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Request, kLimits, message);
+    feedSlowly(reader, "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK_TRUE(reader.done());
+    STRCMP_EQUAL("POST", message.head.method.c_str());
+    STRCMP_EQUAL("/a/b?c=d", message.head.target.c_str());
+    STRCMP_EQUAL("abc", message.body.c_str());
+    CHECK_TRUE(message.head.persistent);
+}
+
+TEST(HttpReaderTest, ReadsChunksAndDropsTheTrailer)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Request, kLimits, message);
+    feedSlowly(reader, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "2;note=1\r\nab\r\n1\r\nc\r\n0\r\nHost: evil\r\n\r\n");
+    CHECK_TRUE(reader.done());
+    STRCMP_EQUAL("abc", message.body.c_str());
+    STRCMP_EQUAL("x", findHeader(message.head.headers, "host").c_str());
+}
+
+TEST(HttpReaderTest, LeavesTheNextMessageUnread)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Request, kLimits, message);
+    const std::string first = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\na";
+    LONGS_EQUAL(first.size(), reader.feed(first + "GET / HTTP/1.1\r\n"));
+    CHECK_TRUE(reader.done());
+}
+
+TEST(HttpReaderTest, RefusesWhatReadersUnderstandInDifferentWays)
+{
+    const char *const kMessages[] = {
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +1\r\n\r\na",
+        "GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\nA: b\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nA: b\rc\r\n\r\n",
+        "GET /\r\n\r\n",
+        "\x16\x03\x01 hello\r\n\r\n",
+    };
+    for (const char *const text : kMessages) {
+        CHECK_TEXT(faultOf(text) == HttpFault::Malformed, text);
+    }
+}
+
+TEST(HttpReaderTest, RefusesABadChunkSize)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Request, kLimits, message);
+    reader.feed("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    reader.feed("0x1\r\na\r\n0\r\n\r\n");
+    CHECK_TRUE(reader.fault().has_value());
+}
+
+TEST(HttpReaderTest, BoundsHeadsAndBodies)
+{
+    CHECK_TRUE(faultOf("GET / HTTP/1.1\r\nA: " + std::string(300, 'a')) == HttpFault::HeadTooLarge);
+    CHECK_TRUE(faultOf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 65\r\n\r\n")
+               == HttpFault::BodyTooLarge);
+    CHECK_TRUE(faultOf("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n"
+                       + std::string(65, 'a'))
+               == HttpFault::BodyTooLarge);
+}
+
+TEST(HttpReaderTest, TakesAnAnswerThatEndsWithItsConnection)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Response, kLimits, message);
+    reader.feed("HTTP/1.1 200 OK\r\nA: b\r\n\r\nsome text");
+    CHECK_FALSE(message.head.framed);
+    CHECK_FALSE(reader.done());
+    CHECK_TRUE(reader.finishAtEnd());
+    STRCMP_EQUAL("some text", message.body.c_str());
+}
+
+TEST(HttpReaderTest, NeverTakesAShortAnswerForWhole)
+{
+    for (const char *const text :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "HTTP/1.1 200 OK\r\nContent-Le",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"}) {
+        Message message;
+        HttpReader reader(HttpReader::Kind::Response, kLimits, message);
+        reader.feed(text);
+        CHECK_FALSE_TEXT(reader.finishAtEnd(), text);
+    }
+}
+
+TEST(HttpReaderTest, KnowsThatAnAnswerToHeadHasNoBody)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Response, kLimits, message);
+    reader.expectNoBody();
+    reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    CHECK_TRUE(reader.done());
+}
+
+TEST(HttpReaderTest, KeepsBackWhatSpeaksOfOneConnection)
+{
+    const HttpHeaders headers = {
+        {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"},
+        {"Keep-Alive", "timeout=5"},    {"Host", "x"},  {"Transfer-Encoding", "chunked"}};
+    const HttpHeaders kept = endToEndHeaders(headers);
+    LONGS_EQUAL(2, kept.size());
+    STRCMP_EQUAL("X-End", kept[0].name.c_str());
+    STRCMP_EQUAL("Host", kept[1].name.c_str());
+}
--- /dev/null
+++ b/test/net/httpstack_test.cpp
@@ -0,0 +1,287 @@
+// The HTTP server and client against each other and against raw sockets, on loopback.
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(10);
+
+int freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+// Answers each request with its body; a path chooses what else happens.
+class Echo final : public HttpHandler
+{
+public:
+    void onRequest(ExchangeId exchange, HttpRequest request) override
+    {
+        ++requests;
+        last = std::move(request);
+        lastExchange = exchange;
+        HttpResponseHead head;
+        if (last.path == "/hold") {
+            return;
+        }
+        if (last.path == "/pieces") {
+            server->begin(exchange, head);
+            server->write(exchange, "one ");
+            server->write(exchange, "two");
+            server->finish(exchange);
+            return;
+        }
+        if (last.path == "/broken") {
+            server->begin(exchange, head);
+            server->write(exchange, "half");
+            server->abort(exchange);
+            return;
+        }
+        if (last.path == "/short") {
+            head.contentLength = 10;
+            server->begin(exchange, head);
+            server->write(exchange, "half");
+            server->finish(exchange);
+            return;
+        }
+        server->respond(exchange, head, last.body);
+    }
+    void onCallerGone(ExchangeId /*exchange*/) override { ++gone; }
+    void onDrained(ExchangeId /*exchange*/) override {}
+
+    HttpServer *server = nullptr;
+    HttpRequest last;
+    ExchangeId lastExchange = 0;
+    int requests = 0;
+    int gone = 0;
+};
+
+struct Result
+{
+    int status = 0;
+    std::string body;
+    std::optional<HttpCallEnd> end;
+};
+
+class Receiver final : public HttpCallReceiver
+{
+public:
+    Receiver(EventLoop &loop, Result &result)
+        : loop_(loop)
+        , result_(result)
+    {}
+    void onHead(HttpHead head) override { result_.status = head.status; }
+    void onPiece(std::string_view piece) override { result_.body += piece; }
+    void onEnd(HttpCallEnd end) override
+    {
+        result_.end = end;
+        loop_.stop();
+    }
+
+private:
+    EventLoop &loop_;
+    Result &result_;
+};
+
+} // namespace
+
+TEST_GROUP(HttpStackTest)
+{
+    std::unique_ptr<EventLoop> loop;
+    Echo echo;
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<HttpClient> client;
+    SocketAddress address;
+
+    void setup() override
+    {
+        loop = std::move(*EventLoop::create());
+        address = {"127.0.0.1", freePort()};
+        HttpServerOptions options;
+        options.address = address;
+        options.maxBodyBytes = 1000;
+        server = std::move(*HttpServer::create(*loop, echo, options));
+        echo.server = server.get();
+        client = std::move(*HttpClient::create(*loop));
+    }
+
+    void teardown() override
+    {
+        loop->shutDown();
+        client.reset();
+        server.reset();
+        loop.reset();
+    }
+
+    // Runs the loop until `done` holds or the patience ends.
+    void runUntil(const std::function<bool()> &done)
+    {
+        const TimePoint end = loop->now() + kPatience;
+        while (!done() && loop->now() < end) {
+            loop->schedule(std::chrono::milliseconds(5), [this] { loop->stop(); });
+            loop->run();
+        }
+        CHECK_TEXT(done(), "waited 10 s in vain; a message was lost");
+    }
+
+    Result call(HttpCallRequest request)
+    {
+        Result result;
+        request.address = address;
+        client->call(std::move(request), std::make_unique<Receiver>(*loop, result));
+        runUntil([&result] { return result.end.has_value(); });
+        return result;
+    }
+
+    // Sends `text` on a connection of its own and returns all that comes until the end.
+    std::string exchange(const std::string &text)
+    {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in target{};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(static_cast<std::uint16_t>(address.port));
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        connect(descriptor, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+        LONGS_EQUAL(text.size(), send(descriptor, text.data(), text.size(), MSG_NOSIGNAL));
+        std::string answer;
+        bool over = false;
+        runUntil([&] {
+            char buffer[4096];
+            const ssize_t size = recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
+            if (size > 0) {
+                answer.append(buffer, static_cast<std::size_t>(size));
+            }
+            over = over || size == 0;
+            return over;
+        });
+        close(descriptor);
+        return answer;
+    }
+};
+
+TEST(HttpStackTest, CarriesARequestAndItsAnswer)
+{
+    HttpCallRequest request;
+    request.method = "POST";
+    request.path = "/echo?x=1";
+    request.headers = {{"X-Any-Name", "value"}};
+    request.body = "hello";
+    const Result result = call(request);
+    CHECK_TRUE(result.end == HttpCallEnd::Complete);
+    LONGS_EQUAL(200, result.status);
+    STRCMP_EQUAL("hello", result.body.c_str());
+    STRCMP_EQUAL("x=1", echo.last.query.c_str());
+    STRCMP_EQUAL("value", echo.last.header("x-any-name").c_str());
+}
+
+TEST(HttpStackTest, JoinsPieces)
+{
+    HttpCallRequest request;
+    request.path = "/pieces";
+    STRCMP_EQUAL("one two", call(request).body.c_str());
+}
+
+TEST(HttpStackTest, UsesAConnectionAgain)
+{
+    HttpCallRequest request;
+    request.reuse = HttpReuse::Any;
+    call(request);
+    call(request);
+    LONGS_EQUAL(1, client->connectionsMade());
+    request.reuse = HttpReuse::Never;
+    call(request);
+    LONGS_EQUAL(2, client->connectionsMade());
+}
+
+TEST(HttpStackTest, BrokenAnswersAreNeverWhole)
+{
+    for (const char *const path : {"/broken", "/short"}) {
+        HttpCallRequest request;
+        request.path = path;
+        const Result result = call(request);
+        CHECK_TEXT(result.end == HttpCallEnd::Interrupted, path);
+        STRCMP_EQUAL("half", result.body.c_str());
+    }
+}
+
+TEST(HttpStackTest, ReportsAnUnreachablePeerAsNotSent)
+{
+    HttpCallRequest request;
+    Result result;
+    request.address = {"127.0.0.1", freePort()};
+    client->call(request, std::make_unique<Receiver>(*loop, result));
+    runUntil([&result] { return result.end.has_value(); });
+    CHECK_TRUE(result.end == HttpCallEnd::NotSent);
+}
+
+TEST(HttpStackTest, CancelClosesTheConnection)
+{
+    HttpCallRequest request;
+    Result result;
+    request.address = address;
+    request.path = "/hold";
+    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, result));
+    runUntil([this] { return echo.requests == 1; });
+    client->cancel(id);
+    runUntil([this] { return echo.gone == 1; });
+    CHECK_FALSE(result.end.has_value());
+}
+
+TEST(HttpStackTest, LostKeptConnectionIsToldApart)
+{
+    HttpCallRequest request;
+    request.reuse = HttpReuse::Any;
+    call(request);
+    request.path = "/hold";
+    Result result;
+    request.address = address;
+    client->call(request, std::make_unique<Receiver>(*loop, result));
+    runUntil([this] { return echo.requests == 2; });
+    server->abort(echo.lastExchange);
+    runUntil([&result] { return result.end.has_value(); });
+    CHECK_TRUE(result.end == HttpCallEnd::KeptLost);
+}
+
+TEST(HttpStackTest, AnswersPipelinedRequestsInOrder)
+{
+    const std::string answer = exchange("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1"
+                                        "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                                        "Connection: close\r\n\r\n2");
+    LONGS_EQUAL(2, echo.requests);
+    CHECK_TRUE(answer.find("\r\n\r\n1HTTP/1.1 200") != std::string::npos);
+    STRCMP_EQUAL("2", answer.substr(answer.size() - 1).c_str());
+}
+
+TEST(HttpStackTest, RefusesWithoutDeliveringAndCloses)
+{
+    STRNCMP_EQUAL("HTTP/1.1 400", exchange("GET / HTTP/1.1\r\nHost : x\r\n\r\n").c_str(), 12);
+    STRNCMP_EQUAL("HTTP/1.1 413",
+                  exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n").c_str(),
+                  12);
+    STRNCMP_EQUAL("HTTP/1.1 431",
+                  exchange("GET / HTTP/1.1\r\nA: " + std::string(20000, 'a')).c_str(), 12);
+    LONGS_EQUAL(0, echo.requests);
+}
+
+TEST(HttpStackTest, AnnouncesTheCloseBeforeItCloses)
+{
+    server->announceClose();
+    const std::string answer = exchange("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
+}
