--- a/include/seamarch/outcome.h
+++ b/include/seamarch/outcome.h
@@ -28,11 +28,13 @@
     UpstreamLeaving,
     UpstreamUnreachable,
     UpstreamFailed,
+    UpstreamTimedOut,
     TicketSpent,
     KeyHomeUnsure,
     KeySeenBefore,
     EntryStopping,
     EntryNotReady,
+    KnowledgeStale,
     Cancelled,
 };
 
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -332,7 +332,7 @@
     metrics_.observe(Stage::QueueWait, job.account, "all", loop_.now() - job.arrivedAt);
     job.httpCall =
         client_->call(std::move(job.call), std::make_unique<UpstreamReceiver>(*this, action.id));
-    job.call = {};
+    job.call = HttpCallRequest();
 }
 
 void AgentService::carryOut(const AbortUpstream &action)
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -14,8 +14,8 @@
 #include "net/rpcpeer.h"
 #include "observe/metrics.h"
 #include "observe/operatorserver.h"
-#include "platform/knowledge.h"
-#include "platform/peernetwork.h"
+#include "knowledge/knowledge.h"
+#include "knowledge/peernetwork.h"
 #include "wire/seamarch.capnp.h"
 
 #include <kj/async.h>
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,52 +2,154 @@
 
 #include <array>
 #include <chrono>
-#include <cstdio>
+#include <cstdlib>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <iterator>
+#include <poll.h>
+#include <string>
+#include <unistd.h>
 
 namespace seamarch {
 namespace {
 
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info", "warning", "error"};
+// What waits for a reader that lags; lines beyond it are dropped and counted.
+constexpr std::size_t kMaxQueuedBytes = std::size_t{256} * 1024;
+// Lines written in a second. Beyond it lines below a warning are dropped and counted, so that a
+// flood of successes leaves room for failures.
+constexpr std::uint64_t kMaxLinesPerSecond = 2000;
+// A pipe that polls as writable takes this much without blocking (POSIX PIPE_BUF).
+constexpr std::size_t kWriteBytes = 4096;
+// From here on lines are written at once; fewer wait for more, to save system calls.
+constexpr std::size_t kBatchBytes = 4096;
 
-LogLevel lowestLevel = LogLevel::Info;
-nlohmann::json contextFields = nlohmann::json::object();
+// The sink of a process. Single-threaded like everything else.
+struct Sink
+{
+    LogLevel lowest = LogLevel::Info;
+    std::string context; // The fields that every line carries, without braces.
+    std::string queue;
+    std::int64_t second = 0;
+    std::uint64_t linesThisSecond = 0;
+    std::uint64_t dropped = 0;
+};
+
+Sink &sink()
+{
+    static Sink instance;
+    return instance;
+}
+
+std::int64_t nowMillis()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::string dumped(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// Returns an object's fields without its braces, with a comma before them.
+std::string innerFields(const nlohmann::json &fields)
+{
+    if (!fields.is_object() || fields.empty()) {
+        return {};
+    }
+    std::string text = dumped(fields);
+    text.front() = ',';
+    text.pop_back();
+    return text;
+}
+
+void appendLine(LogLevel level, std::string_view event, const nlohmann::json &fields,
+                std::int64_t millis)
+{
+    constexpr std::int64_t kMillis = 1000;
+    const std::time_t seconds = millis / kMillis;
+    fmt::format_to(std::back_inserter(sink().queue),
+                   R"({{"time":"{:%Y-%m-%dT%H:%M:%S}.{:03}Z","level":"{}","event":"{}"{}{}}})"
+                   "\n",
+                   fmt::gmtime(seconds), millis % kMillis,
+                   kLevelNames.at(static_cast<std::size_t>(level)), event, sink().context,
+                   innerFields(fields));
+}
+
+// Counts a line against the limits of this second. Returns whether it may be written.
+bool admitLine(LogLevel level, std::int64_t millis)
+{
+    constexpr std::int64_t kMillis = 1000;
+    Sink &state = sink();
+    if (state.second != millis / kMillis) {
+        state.second = millis / kMillis;
+        state.linesThisSecond = 0;
+    }
+    const bool crowded = state.linesThisSecond >= kMaxLinesPerSecond && level < LogLevel::Warning;
+    if (crowded || state.queue.size() >= kMaxQueuedBytes) {
+        ++state.dropped;
+        return false;
+    }
+    ++state.linesThisSecond;
+    return true;
+}
 
-std::string timestamp()
+void tellDropped(std::int64_t millis)
 {
-    const auto now = std::chrono::system_clock::now();
-    const auto millis =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) % 1000;
-    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
-                       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis.count());
+    Sink &state = sink();
+    if (state.dropped == 0 || state.queue.size() >= kMaxQueuedBytes / 2) {
+        return;
+    }
+    const std::uint64_t count = std::exchange(state.dropped, 0);
+    appendLine(LogLevel::Warning, "log.dropped", {{"lines", count}}, millis);
 }
 
 } // namespace
 
 void setLogLevel(LogLevel level)
 {
-    lowestLevel = level;
+    sink().lowest = level;
 }
 
 void setLogContext(const nlohmann::json &fields)
 {
-    contextFields = fields;
+    sink().context = innerFields(fields);
 }
 
 void logLine(LogLevel level, std::string_view event, const nlohmann::json &fields)
 {
-    if (level < lowestLevel) {
+    if (level < sink().lowest) {
         return;
     }
-    nlohmann::json line = contextFields;
-    line["time"] = timestamp();
-    line["level"] = kLevelNames.at(static_cast<std::size_t>(level));
-    line["event"] = event;
-    if (fields.is_object()) {
-        line.update(fields);
+    const std::int64_t millis = nowMillis();
+    if (!admitLine(level, millis)) {
+        return;
+    }
+    tellDropped(millis);
+    appendLine(level, event, fields, millis);
+    if (sink().queue.size() >= kBatchBytes) {
+        flushLog();
+    }
+}
+
+void flushLog()
+{
+    std::string &queue = sink().queue;
+    std::size_t written = 0;
+    while (written < queue.size()) {
+        pollfd target{STDOUT_FILENO, POLLOUT, 0};
+        if (poll(&target, 1, 0) != 1 || (target.revents & POLLOUT) == 0) {
+            break;
+        }
+        const std::size_t size = std::min(kWriteBytes, queue.size() - written);
+        const ssize_t taken = ::write(STDOUT_FILENO, queue.data() + written, size);
+        if (taken <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(taken);
     }
-    fmt::print(stderr, "{}\n", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    queue.erase(0, written);
 }
 
 bool parseLogLevel(std::string_view word, LogLevel &level)
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -40,6 +40,9 @@
                 "The upstream could not be reached or was lost; see Seamarch-Outcome."},
     FailureText{FailureCode::UpstreamFailed, 502, "upstream_failed",
                 "The upstream broke off its answer; it may have run."},
+    FailureText{FailureCode::UpstreamTimedOut, 504, "upstream_timed_out",
+                "The time for the request is over and the upstream has not answered; it may have "
+                "run."},
     FailureText{FailureCode::TicketSpent, 409, "ticket_spent",
                 "The ticket was used before or its agent is gone."},
     FailureText{FailureCode::KeyHomeUnsure, 503, "key_home_unsure",
@@ -51,6 +54,9 @@
                 "This entry is stopping; send the request again."},
     FailureText{FailureCode::EntryNotReady, 503, "entry_not_ready",
                 "This entry has no configuration yet; come back after Retry-After seconds."},
+    FailureText{FailureCode::KnowledgeStale, 503, "knowledge_stale",
+                "This entry has not heard from the platform for too long to judge the key or the "
+                "path; come back after Retry-After seconds."},
     FailureText{FailureCode::Cancelled, 499, "cancelled", "The caller cancelled the request."},
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -19,6 +19,16 @@
     return value;
 }
 
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view kBlanks = " \t\r";
+    const std::size_t first = text.find_first_not_of(kBlanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
 } // namespace
 
 std::optional<HostPort> parseHostPort(std::string_view text)
@@ -40,6 +50,32 @@
     return HostPort{std::move(host), static_cast<int>(*port)};
 }
 
+SettingsMap parseSettingsFile(std::string_view text, std::vector<SettingFault> &faults)
+{
+    SettingsMap settings;
+    std::size_t number = 0;
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n');
+        const std::string_view line = trim(text.substr(0, end));
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+        ++number;
+        if (line.empty() || line.front() == '#') {
+            continue;
+        }
+        const std::size_t equals = line.find('=');
+        if (equals == std::string_view::npos || equals == 0) {
+            faults.push_back({fmt::format("settings-file line {}", number),
+                              fmt::format("expected NAME = VALUE, found '{}'", line)});
+            continue;
+        }
+        const std::string_view value = trim(line.substr(equals + 1));
+        if (!value.empty()) {
+            settings[std::string(trim(line.substr(0, equals)))] = std::string(value);
+        }
+    }
+    return settings;
+}
+
 std::string SettingsReader::environmentName(std::string_view name)
 {
     std::string variable = "SEAMARCH_";
@@ -55,10 +91,14 @@
         return flag;
     }
     const char *value = std::getenv(environmentName(name).c_str());
-    if (value == nullptr) {
+    if (value != nullptr) {
+        return std::string(value);
+    }
+    const auto found = file_.find(std::string(name));
+    if (found == file_.end()) {
         return std::nullopt;
     }
-    return std::string(value);
+    return found->second;
 }
 
 void SettingsReader::fault(std::string_view name, std::string message)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -1,4 +1,8 @@
-// Settings of a process: flags first, then `SEAMARCH_*` environment variables, then defaults.
+// Settings of a process: flags first, then `SEAMARCH_*` environment variables, then the settings
+// file, then defaults.
+//
+// The file has one setting a line, `name = value` with the names of the flags; `#` begins a comment
+// line.
 //
 // Each setting is read by name, checked, and remembered for `--check-settings`. All faults are
 // collected, so that an operator corrects them in one round. Values of settings are never secrets.
@@ -33,16 +37,25 @@
 // Reads `IP:PORT`; returns nothing for anything else, host names included.
 std::optional<HostPort> parseHostPort(std::string_view text);
 
+// Settings by name, as a settings file holds them.
+using SettingsMap = std::map<std::string, std::string>;
+
+// Reads the text of a settings file. Lines that are no setting are reported as faults.
+SettingsMap parseSettingsFile(std::string_view text, std::vector<SettingFault> &faults);
+
 class SettingsReader
 {
 public:
     // Looks up a flag by its name without dashes.
     using FlagLookup = std::function<std::optional<std::string>(std::string_view)>;
 
-    explicit SettingsReader(FlagLookup flags)
+    explicit SettingsReader(FlagLookup flags, SettingsMap file = {})
         : flags_(std::move(flags))
+        , file_(std::move(file))
     {}
 
+    // Tells whether a setting has a value anywhere.
+    bool given(std::string_view name) const { return lookUp(name).has_value(); }
     std::string text(std::string_view name, std::optional<std::string> fallback = {});
     HostPort address(std::string_view name, std::optional<std::string> fallback = {});
     std::uint64_t integer(std::string_view name, std::uint64_t low, std::uint64_t high,
@@ -63,6 +76,7 @@
     void fault(std::string_view name, std::string message);
 
     FlagLookup flags_;
+    SettingsMap file_;
     std::vector<SettingFault> faults_;
     std::map<std::string, std::string> values_;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,13 +3,17 @@
 #include "base/log.h"
 #include "base/settings.h"
 #include "daemon/options.h"
+#include "callerheaders.h"
 #include "entry/entryservice.h"
+#include "gateway/gatewayservice.h"
 #include "net/eventloop.h"
+#include "storeitems.h"
 
 #include <csignal>
 #include <cstdio>
 #include <fmt/format.h>
 #include <functional>
+#include <memory>
 
 namespace seamarch {
 namespace {
@@ -43,29 +47,40 @@
     return kExitSettings;
 }
 
-// Runs a service until it has stopped.
-template <typename Service, typename Settings>
-int serve(const Settings &settings)
+// Runs a service until it has stopped. `create` makes it on the loop that it is given.
+template <typename Create>
+int serve(Create create)
 {
     auto loop = EventLoop::create();
     if (!loop) {
         logLine(LogLevel::Error, "start.failed", {{"message", loop.error().message}});
         return kExitStart;
     }
-    auto service = Service::create(**loop, settings);
+    auto service = create(**loop);
     if (!service) {
         logLine(LogLevel::Error, "start.failed", {{"message", service.error().message}});
         return kExitStart;
     }
     installSignals(**loop);
     (*loop)->onInterrupt([&service] { (*service)->stop(); });
-    logLine(LogLevel::Info, "started");
+    logLine(LogLevel::Info, "process.started", {{"version", SEAMARCH_VERSION}});
     (*loop)->run();
     signalledLoop = nullptr;
     (*loop)->shutDown();
+    logLine(LogLevel::Info, "process.ended");
+    flushLog();
     return kExitOk;
 }
 
+int serveGateway(const GatewaySettings &settings)
+{
+    const platform::CallerHeaders protocol;
+    const platform::StoreItemsReader store(settings.store);
+    return serve([&](EventLoop &loop) {
+        return GatewayService::create(loop, settings, protocol, store);
+    });
+}
+
 int run(const DaemonOptions &options)
 {
     if (!options.faults.empty()) {
@@ -80,10 +95,15 @@
     }
     if (options.entry) {
         setLogContext({{"role", "entry"}, {"instance", options.entry->instance.value()}});
-        return serve<EntryService>(*options.entry);
+        return serve(
+            [&options](EventLoop &loop) { return EntryService::create(loop, *options.entry); });
+    }
+    if (options.gateway) {
+        setLogContext({{"role", "gateway"}, {"instance", options.gateway->instance.value()}});
+        return serveGateway(*options.gateway);
     }
     setLogContext({{"role", "agent"}, {"instance", options.agent->instance.value()}});
-    return serve<AgentService>(*options.agent);
+    return serve([&options](EventLoop &loop) { return AgentService::create(loop, *options.agent); });
 }
 
 } // namespace
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -1,7 +1,10 @@
 #include "daemon/options.h"
 
+#include <cstdlib>
 #include <docopt/docopt.h>
 #include <fmt/format.h>
+#include <fstream>
+#include <sstream>
 
 namespace seamarch {
 namespace {
@@ -11,13 +14,17 @@
 Usage:
   seamarchd entry [options]
   seamarchd agent [options]
+  seamarchd gateway [options]
   seamarchd (-h | --help)
   seamarchd --version
 
 Each option can also be given as an environment variable: --stop-delay-ms is
-SEAMARCH_STOP_DELAY_MS. A flag goes before the environment. Addresses are IP:PORT.
+SEAMARCH_STOP_DELAY_MS. A flag goes before the environment, and that before the settings
+file. Addresses are IP:PORT.
 
 Common options:
+  --config FILE              Settings file with one NAME = VALUE a line, without dashes.
+                             Read again on SIGHUP and when it changes.
   --instance NAME            Name of this instance, as the platform lists it.
   --hall NAME                Data hall of this instance.
   --listen ADDRESS           Where callers connect; for an agent: where entries connect.
@@ -36,6 +43,15 @@
   --heartbeat-ms N           Pause between heartbeats (default 500).
   --stop-delay-ms N          How long a planned stop goes on taking requests (default 2000).
 
+Gateway options (a gateway sends requests straight to the upstreams of the platform's store):
+  --platform ADDRESS         The platform's store.
+  --metrics-listen ADDRESS   Where /metrics is served besides (default: nowhere).
+  --key-freshness-ms N       A key is good under a confirmation this young (default 4700).
+  --deny-freshness-ms N      401 and 404 are given under a confirmation this young (default
+                             1900).
+  --stop-delay-ms N          How long a planned stop goes on taking requests (default 3200).
+  --stop-deadline-ms N       When a planned stop gives up waiting (default 7500).
+
 Agent options:
   --upstream ADDRESS         The upstream that this agent stands before.
   --slots N                  Requests run at once until the configuration says (default 8).
@@ -70,6 +86,25 @@
     return settings;
 }
 
+GatewaySettings readGateway(SettingsReader &reader)
+{
+    GatewaySettings settings;
+    settings.instance = InstanceId(reader.text("instance"));
+    settings.hall = HallId(reader.text("hall"));
+    settings.listen = toAddress(reader.address("listen"));
+    settings.operatorListen = toAddress(reader.address("operator-listen"));
+    settings.store = toAddress(reader.address("platform"));
+    if (reader.given("metrics-listen")) {
+        settings.metricsListen = toAddress(reader.address("metrics-listen"));
+    }
+    settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
+    settings.keyFreshness = reader.milliseconds("key-freshness-ms", 1, kMaxMillis, 4700);
+    settings.denyFreshness = reader.milliseconds("deny-freshness-ms", 1, kMaxMillis, 1900);
+    settings.stopDelay = reader.milliseconds("stop-delay-ms", 0, kMaxMillis, 3200);
+    settings.stopDeadline = reader.milliseconds("stop-deadline-ms", 1, kMaxMillis, 7500);
+    return settings;
+}
+
 AgentSettings readAgent(SettingsReader &reader)
 {
     constexpr std::uint64_t kMaxSlots = 100'000;
@@ -86,27 +121,50 @@
     return settings;
 }
 
+SettingsMap readSettingsFile(const std::string &path, std::vector<SettingFault> &faults)
+{
+    if (path.empty()) {
+        return {};
+    }
+    std::ifstream file(path);
+    if (!file) {
+        faults.push_back({"config", fmt::format("cannot read the settings file '{}'", path)});
+        return {};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettingsFile(text.str(), faults);
+}
+
 } // namespace
 
 DaemonOptions readDaemonOptions(const std::vector<std::string> &arguments)
 {
     const auto parsed = docopt::docopt(kUsage, arguments, true, "seamarchd " SEAMARCH_VERSION);
-    SettingsReader reader([&parsed](std::string_view name) -> std::optional<std::string> {
+    const auto flag = [&parsed](std::string_view name) -> std::optional<std::string> {
         const auto found = parsed.find("--" + std::string(name));
         if (found == parsed.end() || !found->second.isString()) {
             return std::nullopt;
         }
         return found->second.asString();
-    });
+    };
     DaemonOptions options;
+    const char *fromEnvironment = std::getenv("SEAMARCH_CONFIG");
+    options.settingsFile =
+        flag("config").value_or(fromEnvironment == nullptr ? "" : fromEnvironment);
+    std::vector<SettingFault> fileFaults;
+    SettingsReader reader(flag, readSettingsFile(options.settingsFile, fileFaults));
     options.checkOnly = parsed.at("--check-settings").asBool();
     if (parsed.at("entry").asBool()) {
         options.entry = readEntry(reader);
+    } else if (parsed.at("gateway").asBool()) {
+        options.gateway = readGateway(reader);
     } else {
         options.agent = readAgent(reader);
     }
     const std::string level = reader.text("log-level", "info");
     options.faults = reader.faults();
+    options.faults.insert(options.faults.end(), fileFaults.begin(), fileFaults.end());
     if (!parseLogLevel(level, options.logLevel)) {
         options.faults.push_back(
             {"log-level",
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -1,10 +1,11 @@
-// Reads the daemon's command line and environment.
+// Reads the daemon's command line, environment and settings file.
 #pragma once
 
 #include "agent/agentservice.h"
 #include "base/log.h"
 #include "base/settings.h"
 #include "entry/entryservice.h"
+#include "gateway/gatewayservice.h"
 
 #include <map>
 #include <optional>
@@ -13,12 +14,13 @@
 
 namespace seamarch {
 
-// What the daemon was told to do. Exactly one of `entry` and `agent` is set unless there are
-// faults.
+// What the daemon was told to do. Exactly one of the three roles is set unless there are faults.
 struct DaemonOptions
 {
     std::optional<EntrySettings> entry;
     std::optional<AgentSettings> agent;
+    std::optional<GatewaySettings> gateway;
+    std::string settingsFile; // Empty: none.
     LogLevel logLevel = LogLevel::Info;
     bool checkOnly = false;
     std::vector<SettingFault> faults;
--- /dev/null
+++ b/src/decision/gateway/eventstream.cpp
@@ -0,0 +1,65 @@
+#include "decision/gateway/eventstream.h"
+
+namespace seamarch {
+namespace {
+
+// Returns the size of the first whole event of `text` with its empty line; zero when there is none.
+std::size_t firstEventSize(std::string_view text)
+{
+    std::size_t at = 0;
+    for (;;) {
+        const std::size_t end = text.find('\n', at);
+        if (end == std::string_view::npos) {
+            return 0;
+        }
+        const std::string_view line = text.substr(at, end - at);
+        at = end + 1;
+        if (line.empty() || line == "\r") {
+            return at;
+        }
+    }
+}
+
+} // namespace
+
+std::string EventStream::feed(std::string_view bytes)
+{
+    partial_.append(bytes);
+    std::size_t done = 0;
+    const std::string_view text(partial_);
+    for (;;) {
+        const std::size_t size = firstEventSize(text.substr(done));
+        if (size == 0) {
+            break;
+        }
+        takeEvent(text.substr(done, size));
+        done += size;
+    }
+    std::string whole = partial_.substr(0, done);
+    partial_.erase(0, done);
+    return whole;
+}
+
+void EventStream::takeEvent(std::string_view event)
+{
+    constexpr std::string_view kId = "id:";
+    ++events_;
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(kId)) {
+            continue;
+        }
+        line.remove_prefix(kId.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        lastId_ = std::string(line);
+    }
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -0,0 +1,302 @@
+#include "decision/gateway/gatewaycore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// A request is given up a little before its time is over, so that its answer still arrives.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
+
+bool saysNotRun(AnswerKind kind)
+{
+    return kind == AnswerKind::Full || kind == AnswerKind::WrongInstance
+           || kind == AnswerKind::Refused;
+}
+
+} // namespace
+
+GatewayCore::GatewayCore(const Settings &settings)
+    : settings_(settings)
+    , random_(settings.seed)
+    , outliers_(settings.outliers)
+{}
+
+GatewayCore::Request *GatewayCore::find(RequestNumber number)
+{
+    const auto found = requests_.find(number);
+    return found == requests_.end() ? nullptr : &found->second;
+}
+
+bool GatewayCore::mayRepeat(const Request &request) const
+{
+    const RouteRule &route = *request.request.route;
+    return route.repeatable || (route.streamed && route.resumable);
+}
+
+RequestNumber GatewayCore::begin(GatewayRequest request, TimePoint now, GatewayActions &actions)
+{
+    const RequestNumber number = nextNumber_++;
+    Request &added = requests_[number];
+    const RouteRule &route = *request.route;
+    const Duration longest =
+        route.timeout > Duration{} ? std::min(route.timeout, request.deadline) : request.deadline;
+    added.request = std::move(request);
+    added.service = chooseService(route);
+    added.giveUpAt = now + longest - kAnswerMargin;
+    budgets_.try_emplace(added.service, settings_.retryBudget).first->second.onSuccess();
+    if (!startAttempt(number, added, now, actions)) {
+        giveUp(number, FailureCode::NoUpstream, actions);
+    }
+    return number;
+}
+
+TargetName GatewayCore::chooseService(const RouteRule &route)
+{
+    std::uint64_t total = 0;
+    for (const RouteTarget &target : route.targets) {
+        total += target.weight;
+    }
+    if (total == 0) {
+        return route.targets.empty() ? TargetName() : route.targets.front().service;
+    }
+    std::uint64_t drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random_);
+    for (const RouteTarget &target : route.targets) {
+        if (drawn < target.weight) {
+            return target.service;
+        }
+        drawn -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+double GatewayCore::score(const UpstreamRecord &record)
+{
+    const double penalty = record.hall == settings_.hall ? 0.0 : settings_.otherHallPenalty;
+    const double tieBreak = std::uniform_real_distribution<double>(0.0, 0.5)(random_);
+    return states_[record.id].inFlight + penalty + tieBreak;
+}
+
+// Returns the best upstream that has not been tried. Upstreams that failed are passed over while
+// others are left; upstreams without room are passed over always, because asking them again at once
+// only adds to their load.
+std::optional<InstanceId> GatewayCore::choose(const Request &request, TimePoint now)
+{
+    std::vector<const UpstreamRecord *> candidates = upstreams_.candidates(request.service);
+    std::erase_if(candidates, [&](const UpstreamRecord *record) {
+        return request.tried.contains(record->id) || states_[record->id].fullUntil > now;
+    });
+    std::vector<InstanceId> ids;
+    for (const UpstreamRecord *record : candidates) {
+        ids.push_back(record->id);
+    }
+    const std::vector<InstanceId> trusted = outliers_.remaining(ids, now);
+    const auto isDoubtful = [&](const UpstreamRecord *record) {
+        return states_[record->id].avoidUntil > now
+               || std::find(trusted.begin(), trusted.end(), record->id) == trusted.end();
+    };
+    std::optional<InstanceId> best;
+    double bestScore = 0.0;
+    bool bestDoubtful = true;
+    for (const UpstreamRecord *record : candidates) {
+        const bool doubtful = isDoubtful(record);
+        const double value = score(*record);
+        if (!best || (bestDoubtful && !doubtful)
+            || (bestDoubtful == doubtful && value < bestScore)) {
+            best = record->id;
+            bestScore = value;
+            bestDoubtful = doubtful;
+        }
+    }
+    return best;
+}
+
+bool GatewayCore::startAttempt(RequestNumber number, Request &request, TimePoint now,
+                               GatewayActions &actions)
+{
+    const auto chosen = choose(request, now);
+    if (!chosen || now >= request.giveUpAt) {
+        return false;
+    }
+    request.upstream = *chosen;
+    request.tried.insert(*chosen);
+    request.answering = false;
+    ++request.attempts;
+    ++states_[*chosen].inFlight;
+    actions.push_back(StartAttempt{number, request.attempts + request.unsent,
+                                   *upstreams_.find(*chosen), request.giveUpAt - now,
+                                   mayRepeat(request)});
+    return true;
+}
+
+void GatewayCore::leaveUpstream(Request &request)
+{
+    const auto found = states_.find(request.upstream);
+    if (found != states_.end() && found->second.inFlight > 0) {
+        --found->second.inFlight;
+    }
+    request.upstream = InstanceId();
+    request.answering = false;
+}
+
+void GatewayCore::noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now)
+{
+    UpstreamState &state = states_[upstream];
+    if (kind == AnswerKind::Full) {
+        state.fullUntil = now + settings_.fullPause;
+    } else if (kind == AnswerKind::WrongInstance) {
+        state.avoidUntil = now + settings_.wrongInstancePause;
+    }
+}
+
+bool GatewayCore::onHead(RequestNumber number, AnswerKind kind, TimePoint now,
+                         GatewayActions &actions)
+{
+    Request *request = find(number);
+    if (request == nullptr || request->upstream == InstanceId()) {
+        return false;
+    }
+    const InstanceId upstream = request->upstream;
+    if (kind == AnswerKind::Success) {
+        outliers_.onSuccess(upstream);
+        request->answering = true;
+        request->headSent = true;
+        return true;
+    }
+    if (kind == AnswerKind::Failure || kind == AnswerKind::Invalid) {
+        outliers_.onFailure(upstream, now);
+        request->mayHaveRun = true;
+        // The last word of an upstream goes to the caller when nothing better can be had.
+        if (kind == AnswerKind::Failure && !request->headSent
+            && !(mayRepeat(*request) && request->attempts < request->request.route->maxAttempts)) {
+            request->answering = true;
+            request->headSent = true;
+            return true;
+        }
+    }
+    noteRefusal(upstream, kind, now);
+    actions.push_back(CancelAttempt{number});
+    leaveUpstream(*request);
+    if (saysNotRun(kind) || mayRepeat(*request)) {
+        retryOrGiveUp(number, saysNotRun(kind) ? FailureCode::NoUpstream
+                                               : FailureCode::UpstreamFailed,
+                      now, actions);
+    } else {
+        giveUp(number, FailureCode::UpstreamFailed, actions);
+    }
+    return false;
+}
+
+void GatewayCore::onEnd(RequestNumber number, AttemptEnd end, TimePoint now,
+                        GatewayActions &actions)
+{
+    Request *request = find(number);
+    if (request == nullptr || request->upstream == InstanceId()) {
+        return;
+    }
+    const InstanceId upstream = request->upstream;
+    const bool answering = request->answering;
+    leaveUpstream(*request);
+    if (end == AttemptEnd::Complete && answering) {
+        requests_.erase(number);
+        return;
+    }
+    if (end == AttemptEnd::NotSent) {
+        states_[upstream].avoidUntil = now + settings_.unreachablePause;
+        --request->attempts;
+        ++request->unsent;
+        if (request->unsent <= settings_.maxUnsent) {
+            if (!startAttempt(number, *request, now, actions)) {
+                giveUp(number, FailureCode::NoUpstream, actions);
+            }
+            return;
+        }
+        giveUp(number, FailureCode::NoUpstream, actions);
+        return;
+    }
+    outliers_.onFailure(upstream, now);
+    request->mayHaveRun = true;
+    const bool mayResume = !request->headSent || request->request.route->resumable;
+    if (mayRepeat(*request) && mayResume) {
+        retryOrGiveUp(number, FailureCode::UpstreamUnreachable, now, actions);
+    } else {
+        giveUp(number, FailureCode::UpstreamUnreachable, actions);
+    }
+}
+
+void GatewayCore::retryOrGiveUp(RequestNumber number, FailureCode failure, TimePoint now,
+                                GatewayActions &actions)
+{
+    Request &request = requests_.at(number);
+    const bool allowed = request.attempts < request.request.route->maxAttempts;
+    if (allowed && budgets_.at(request.service).take()
+        && startAttempt(number, request, now, actions)) {
+        ++secondAttempts_;
+        return;
+    }
+    giveUp(number, failure, actions);
+}
+
+void GatewayCore::giveUp(RequestNumber number, FailureCode failure, GatewayActions &actions)
+{
+    const auto found = requests_.find(number);
+    if (found == requests_.end()) {
+        return;
+    }
+    Request &request = found->second;
+    if (request.upstream != InstanceId()) {
+        actions.push_back(CancelAttempt{number});
+        leaveUpstream(request);
+    }
+    if (request.headSent) {
+        actions.push_back(BreakAnswer{number, failure});
+    } else if (request.mayHaveRun) {
+        const FailureCode said =
+            failure == FailureCode::NoUpstream ? FailureCode::UpstreamFailed : failure;
+        actions.push_back(RejectRequest{number, said, Outcome::Unknown, {}});
+    } else {
+        actions.push_back(RejectRequest{number, FailureCode::NoUpstream, Outcome::NotRun,
+                                        settings_.retryAfter});
+    }
+    requests_.erase(found);
+}
+
+void GatewayCore::onCallerGone(RequestNumber number, GatewayActions &actions)
+{
+    Request *request = find(number);
+    if (request == nullptr) {
+        return;
+    }
+    if (request->upstream != InstanceId()) {
+        actions.push_back(CancelAttempt{number});
+        leaveUpstream(*request);
+    }
+    requests_.erase(number);
+}
+
+void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
+{
+    upstreams_.expire(now);
+    std::vector<RequestNumber> late;
+    for (const auto &[number, request] : requests_) {
+        if (now >= request.giveUpAt) {
+            late.push_back(number);
+        }
+    }
+    std::sort(late.begin(), late.end());
+    for (const RequestNumber number : late) {
+        Request &request = requests_.at(number);
+        // The attempt under way was written, as far as is known.
+        request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
+        giveUp(number, FailureCode::UpstreamTimedOut, actions);
+    }
+}
+
+std::uint32_t GatewayCore::inFlightAt(const InstanceId &upstream) const
+{
+    const auto found = states_.find(upstream);
+    return found == states_.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/gatewaycore.h
@@ -0,0 +1,195 @@
+// The decisions of a gateway on the requests of its callers: which upstream gets a request, whether
+// it may be sent again, when it is given up, and what the caller may conclude.
+//
+// A gateway sends requests straight to upstreams. What may be said of a request follows from what
+// was written and what the upstream stated:
+//   - nothing was written, or the upstream states that it did not run: it has not run;
+//   - anything else: it may have run. Only a repeatable request is then sent again, and a failure
+//     never says 'not run'.
+// A stream that breaks off after its head has gone to the caller is taken up at another upstream
+// after the last whole event, where its route allows that.
+//
+// The class is a pure state machine: events and the time come in, actions go out, and the shell
+// around it (src/gateway) carries them out. Single-threaded.
+#pragma once
+
+#include "decision/gateway/routetable.h"
+#include "decision/gateway/upstreamtable.h"
+#include "decision/retry/outlierdetector.h"
+#include "decision/retry/retrybudget.h"
+#include "seamarch/ids.h"
+#include "seamarch/outcome.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace seamarch {
+
+// Names one request within one life of a gateway.
+using RequestNumber = std::uint64_t;
+
+// A request as a caller made it, with the route and the account that were found for it.
+struct GatewayRequest
+{
+    std::shared_ptr<const RouteTable> table; // Keeps `route` alive.
+    const RouteRule *route = nullptr;
+    AccountId account;
+    std::uint8_t priority = 5; // 0 is the most urgent.
+    Duration deadline{};       // How long the caller waits.
+};
+
+// What the head of an upstream's answer says.
+enum class AnswerKind {
+    Success,       // The request ran and succeeded.
+    Failure,       // It ran, or may have, and failed.
+    Full,          // It did not run: the upstream had no room.
+    WrongInstance, // It did not run: another instance has the address.
+    Refused,       // It did not run, for another reason.
+    Invalid,       // The answer belongs to another request or lacks its proof.
+};
+
+// How an attempt's connection ended.
+enum class AttemptEnd {
+    Complete, // The whole answer is here.
+    NotSent,  // Nothing was written.
+    Lost,     // It broke, and the request may have run.
+};
+
+// Send the request to an upstream.
+struct StartAttempt
+{
+    RequestNumber request = 0;
+    std::uint32_t attempt = 0; // From 1.
+    UpstreamRecord upstream;
+    Duration timeLeft{};
+    bool mayUseOldConnection = false; // A kept connection that may be closing unseen will do.
+};
+
+// Close the connection of the attempt that is under way.
+struct CancelAttempt
+{
+    RequestNumber request = 0;
+};
+
+// Tell the caller that the request failed. The request is over.
+struct RejectRequest
+{
+    RequestNumber request = 0;
+    FailureCode failure = FailureCode::NoUpstream;
+    Outcome outcome = Outcome::NotRun;
+    Duration retryAfter{}; // Zero: nothing is known of when to come back.
+};
+
+// Break off an answer whose head has gone to the caller. The request is over.
+struct BreakAnswer
+{
+    RequestNumber request = 0;
+    FailureCode failure = FailureCode::UpstreamFailed;
+};
+
+using GatewayAction = std::variant<StartAttempt, CancelAttempt, RejectRequest, BreakAnswer>;
+using GatewayActions = std::vector<GatewayAction>;
+
+class GatewayCore
+{
+public:
+    struct Settings
+    {
+        HallId hall;
+        std::uint64_t seed = 0;
+        // What an upstream in another hall is charged, in requests in flight: bytes between halls
+        // are dear, and the way there can be cut.
+        double otherHallPenalty = 2.0;
+        // How long an upstream that refused for want of room is passed over.
+        Duration fullPause = std::chrono::milliseconds(150);
+        // How long an upstream that could not be connected to is passed over.
+        Duration unreachablePause = std::chrono::seconds(1);
+        // How long an address that another instance holds is passed over: a list that is out of
+        // date is corrected within that time.
+        Duration wrongInstancePause = std::chrono::seconds(5);
+        // When a refused caller may come back.
+        Duration retryAfter = std::chrono::milliseconds(250);
+        // Attempts that could not even connect do not count as attempts; this bounds them.
+        std::uint32_t maxUnsent = 3;
+        // Permits for second attempts. The budget that all gateways share allows 0.2 a request; a
+        // gateway spends less than that of its own traffic, so that their sum stays below.
+        RetryBudget::Settings retryBudget{0.15, 5.0, 2.0};
+        OutlierDetector::Settings outliers;
+    };
+
+    explicit GatewayCore(const Settings &settings);
+
+    UpstreamTable &upstreams() { return upstreams_; }
+    const UpstreamTable &upstreams() const { return upstreams_; }
+
+    // Admits a request and sends it, or rejects it.
+    RequestNumber begin(GatewayRequest request, TimePoint now, GatewayActions &actions);
+    // The head of an answer is here. Returns true when it is to go to the caller, or, for a stream
+    // that is being taken up, when its events are to follow those that went before.
+    bool onHead(RequestNumber request, AnswerKind kind, TimePoint now, GatewayActions &actions);
+    void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
+    // The caller has left. The request is over.
+    void onCallerGone(RequestNumber request, GatewayActions &actions);
+    // Time has passed: gives up requests whose time is over.
+    void onTick(TimePoint now, GatewayActions &actions);
+
+    std::size_t inFlight() const { return requests_.size(); }
+    std::uint64_t secondAttempts() const { return secondAttempts_; }
+    // Returns this gateway's requests in flight at an upstream.
+    std::uint32_t inFlightAt(const InstanceId &upstream) const;
+
+private:
+    struct Request
+    {
+        GatewayRequest request;
+        TargetName service;
+        TimePoint giveUpAt{};
+        InstanceId upstream; // Of the attempt under way; empty: none.
+        std::set<InstanceId> tried;
+        std::uint32_t attempts = 0; // That reached an upstream, as far as is known.
+        std::uint32_t unsent = 0;
+        bool mayHaveRun = false;
+        bool headSent = false;
+        bool answering = false; // The attempt under way has sent its head.
+    };
+
+    struct UpstreamState
+    {
+        std::uint32_t inFlight = 0;
+        TimePoint avoidUntil{};
+        TimePoint fullUntil{};
+    };
+
+    bool mayRepeat(const Request &request) const;
+    std::optional<InstanceId> choose(const Request &request, TimePoint now);
+    double score(const UpstreamRecord &record);
+    TargetName chooseService(const RouteRule &route);
+    bool startAttempt(RequestNumber number, Request &request, TimePoint now,
+                      GatewayActions &actions);
+    void retryOrGiveUp(RequestNumber number, FailureCode failure, TimePoint now,
+                       GatewayActions &actions);
+    void giveUp(RequestNumber number, FailureCode failure, GatewayActions &actions);
+    void leaveUpstream(Request &request);
+    void noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
+    Request *find(RequestNumber number);
+
+    Settings settings_;
+    std::mt19937_64 random_;
+    UpstreamTable upstreams_;
+    OutlierDetector outliers_;
+    std::unordered_map<InstanceId, UpstreamState> states_;
+    std::unordered_map<TargetName, RetryBudget> budgets_;
+    std::unordered_map<RequestNumber, Request> requests_;
+    RequestNumber nextNumber_ = 1;
+    std::uint64_t secondAttempts_ = 0;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/routetable.h
@@ -0,0 +1,106 @@
+// Which upstreams a gateway's requests may go to: routes, client accounts and services, as the
+// operators publish them in one versioned document.
+//
+// A RoutingDocument is plain data, valid by construction of its reader. A RouteTable indexes one
+// document and answers three questions: which route a request takes, whose key it carries, and what
+// is known of a service. Pure; a table never changes.
+#pragma once
+
+#include "seamarch/ids.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace seamarch {
+
+// One of the services that share a route's requests.
+struct RouteTarget
+{
+    TargetName service;
+    std::uint32_t weight = 1;
+};
+
+// How requests under one host and path prefix are served.
+struct RouteRule
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix; // Begins and ends with a slash.
+    std::vector<RouteTarget> targets;
+    bool repeatable = false; // A request may run more than once.
+    bool streamed = false;   // Answers are streams of events.
+    bool resumable = false;  // A broken stream may be taken up at another upstream.
+    bool openToAll = false;  // No key is asked for.
+    Duration timeout{};      // The longest that a request is held.
+    Duration latencyGoal{};  // Until the answer, or the first event.
+    Duration pauseGoal{};    // Between two events; zero where nothing is said.
+    std::uint8_t priority = 5; // 0 is the most urgent, 9 the least.
+    std::uint32_t maxAttempts = 1;
+};
+
+// A client account and its keys.
+struct AccountRule
+{
+    AccountId id;
+    std::vector<std::string> keys;
+    std::optional<std::uint8_t> priority; // Goes before the route's.
+};
+
+// What is known of a service.
+struct ServiceRule
+{
+    TargetName name;
+    std::uint32_t maxConnections = 0; // To one upstream, from all gateways; zero: not bounded.
+    bool runsEngines = false;         // Its upstreams are model engines.
+};
+
+// Bounds on what callers send and how long they take.
+struct CallerBounds
+{
+    std::size_t headerBytes = std::size_t{16} * 1024;
+    std::size_t bodyBytes = std::size_t{8} * 1024 * 1024;
+    Duration headerTimeout = std::chrono::seconds(10);
+    Duration idleTimeout = std::chrono::seconds(60);
+};
+
+struct RoutingDocument
+{
+    ConfigVersion version;
+    std::vector<RouteRule> routes;
+    std::vector<AccountRule> accounts;
+    std::vector<ServiceRule> services;
+    CallerBounds bounds;
+};
+
+class RouteTable
+{
+public:
+    explicit RouteTable(RoutingDocument document);
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
+
+    ConfigVersion version() const { return document_.version; }
+    const CallerBounds &bounds() const { return document_.bounds; }
+    // Tells whether keys are asked for at all.
+    bool hasAccounts() const { return !document_.accounts.empty(); }
+
+    // Returns the route with the longest prefix of `path` for `host`; nothing when there is none.
+    const RouteRule *match(std::string_view host, std::string_view path) const;
+    // Returns the account that holds `key`; nothing when none does.
+    const AccountRule *accountOf(const std::string &key) const;
+    const ServiceRule *service(const TargetName &name) const;
+
+private:
+    RoutingDocument document_;
+    std::unordered_map<std::string, std::vector<std::size_t>> byHost_; // Longest prefix first.
+    std::unordered_map<std::string, std::size_t> byKey_;
+    std::unordered_map<TargetName, std::size_t> byService_;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/upstreamtable.cpp
@@ -0,0 +1,96 @@
+#include "decision/gateway/upstreamtable.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace seamarch {
+
+void UpstreamTable::put(const UpstreamRecord &record)
+{
+    entries_[record.id] = {record, std::nullopt};
+}
+
+void UpstreamTable::remove(const InstanceId &id, TimePoint now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    const bool outage = lastOutage_ && now - *lastOutage_ < settings_.outageMemory;
+    if (!outage || found->second.record.leaving) {
+        entries_.erase(found);
+        return;
+    }
+    if (!found->second.lapsedAt) {
+        found->second.lapsedAt = now;
+    }
+}
+
+void UpstreamTable::replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now)
+{
+    std::unordered_set<InstanceId> listed;
+    for (const UpstreamRecord &record : records) {
+        listed.insert(record.id);
+        put(record);
+    }
+    std::vector<InstanceId> missing;
+    for (const auto &[id, entry] : entries_) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const InstanceId &id : missing) {
+        remove(id, now);
+    }
+}
+
+std::vector<InstanceId> UpstreamTable::expire(TimePoint now)
+{
+    std::vector<InstanceId> over;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.lapsedAt && now - *entry.lapsedAt >= settings_.lapseGrace) {
+            over.push_back(id);
+        }
+    }
+    for (const InstanceId &id : over) {
+        entries_.erase(id);
+    }
+    return over;
+}
+
+const UpstreamRecord *UpstreamTable::find(const InstanceId &id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second.record;
+}
+
+bool UpstreamTable::mayReceive(const InstanceId &id) const
+{
+    const UpstreamRecord *record = find(id);
+    return record != nullptr && !record->leaving;
+}
+
+std::vector<const UpstreamRecord *> UpstreamTable::candidates(const TargetName &service) const
+{
+    std::vector<const UpstreamRecord *> found = all();
+    std::erase_if(found, [&service](const UpstreamRecord *record) {
+        return record->leaving || record->service != service;
+    });
+    return found;
+}
+
+std::vector<const UpstreamRecord *> UpstreamTable::all() const
+{
+    std::vector<const UpstreamRecord *> records;
+    records.reserve(entries_.size());
+    for (const auto &[id, entry] : entries_) {
+        records.push_back(&entry.record);
+    }
+    std::sort(records.begin(), records.end(),
+              [](const UpstreamRecord *left, const UpstreamRecord *right) {
+                  return left->id < right->id;
+              });
+    return records;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/upstreamtable.h
@@ -0,0 +1,82 @@
+// The upstreams that a gateway may send requests to, as the platform's store lists them.
+//
+// An upstream that is leaving, or that the store no longer lists, gets nothing new. One exception:
+// while the store is away, the records of living upstreams may lapse. A record that vanishes around
+// an outage is therefore kept in use for a short time, in which a living upstream lists itself
+// again; after that it is gone.
+//
+// Pure and single-threaded.
+#pragma once
+
+#include "seamarch/ids.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace seamarch {
+
+// One upstream. Every start of it is a new instance with a new id.
+struct UpstreamRecord
+{
+    InstanceId id;
+    TargetName service;
+    std::string host; // An IP number.
+    int port = 0;
+    HallId hall;
+    std::uint32_t slots = 1; // Requests that it runs at once.
+    bool leaving = false;
+};
+
+class UpstreamTable
+{
+public:
+    struct Settings
+    {
+        // How long a record that vanished around an outage of the store stays in use: living
+        // upstreams are listed again about two seconds after the store is back, and one that has
+        // really left must get nothing after two seconds either.
+        Duration lapseGrace = std::chrono::milliseconds(1500);
+        // How long after an outage a vanished record counts as lapsed.
+        Duration outageMemory = std::chrono::seconds(3);
+    };
+
+    UpstreamTable() = default;
+    explicit UpstreamTable(const Settings &settings)
+        : settings_(settings)
+    {}
+
+    // Takes one record, new or changed.
+    void put(const UpstreamRecord &record);
+    // The store no longer lists `id`.
+    void remove(const InstanceId &id, TimePoint now);
+    // Takes the whole list: what is not in it has vanished.
+    void replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now);
+    // A call to the store has failed.
+    void onOutage(TimePoint now) { lastOutage_ = now; }
+    // Drops lapsed records whose time is over. Returns those dropped.
+    std::vector<InstanceId> expire(TimePoint now);
+
+    const UpstreamRecord *find(const InstanceId &id) const;
+    // Tells whether `id` may get new requests.
+    bool mayReceive(const InstanceId &id) const;
+    // Returns the upstreams of `service` that may get new requests, in the order of their ids.
+    std::vector<const UpstreamRecord *> candidates(const TargetName &service) const;
+    std::vector<const UpstreamRecord *> all() const;
+
+private:
+    struct Entry
+    {
+        UpstreamRecord record;
+        std::optional<TimePoint> lapsedAt;
+    };
+
+    Settings settings_;
+    std::unordered_map<InstanceId, Entry> entries_;
+    std::optional<TimePoint> lastOutage_;
+};
+
+} // namespace seamarch
--- a/src/entry/entryservice.h
+++ b/src/entry/entryservice.h
@@ -12,9 +12,9 @@
 #include "net/httpserver.h"
 #include "observe/metrics.h"
 #include "observe/operatorserver.h"
-#include "platform/knowledge.h"
-#include "platform/peernetwork.h"
-#include "platform/watcher.h"
+#include "knowledge/knowledge.h"
+#include "knowledge/peernetwork.h"
+#include "knowledge/watcher.h"
 
 #include <kj/async.h>
 #include <map>
--- /dev/null
+++ b/src/gateway/gatewayservice.cpp
@@ -0,0 +1,696 @@
+#include "gateway/gatewayservice.h"
+
+#include "base/digest.h"
+#include "base/log.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+using nlohmann::json;
+
+// How often requests are checked for the end of their time.
+constexpr Duration kTick = std::chrono::milliseconds(25);
+// What a caller waits when it does not say how long, and its route does not either.
+constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+// Answers up to this size are read whole before their head goes out, so that one that breaks off
+// is never half delivered; longer ones would hold too much memory.
+constexpr std::size_t kMaxWholeBytes = std::size_t{1024} * 1024;
+// How long a connection to an upstream may take to be made.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// When a caller may come back to a gateway that does not know enough.
+constexpr Duration kNotReadyPause = std::chrono::milliseconds(500);
+
+Duration millisSince(TimePoint from, TimePoint now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - from);
+}
+
+std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+GatewayCore::Settings coreSettings(const GatewaySettings &settings)
+{
+    GatewayCore::Settings core;
+    core.hall = settings.hall;
+    core.seed = randomIdentity();
+    return core;
+}
+
+std::string_view wordFor(HttpCallEnd end)
+{
+    switch (end) {
+    case HttpCallEnd::Complete:
+        return "complete";
+    case HttpCallEnd::NotSent:
+        return "not sent";
+    case HttpCallEnd::KeptLost:
+        return "kept connection lost";
+    case HttpCallEnd::Interrupted:
+        return "interrupted";
+    case HttpCallEnd::Unreadable:
+        return "unreadable";
+    }
+    return "unknown";
+}
+
+std::string_view wordFor(AnswerKind kind)
+{
+    switch (kind) {
+    case AnswerKind::Success:
+        return "success";
+    case AnswerKind::Failure:
+        return "failure";
+    case AnswerKind::Full:
+        return "full";
+    case AnswerKind::WrongInstance:
+        return "wrong instance";
+    case AnswerKind::Refused:
+        return "refused";
+    case AnswerKind::Invalid:
+        return "invalid";
+    }
+    return "unknown";
+}
+
+bool isEventStream(const HttpHead &head)
+{
+    return findHeader(head.headers, "content-type").starts_with("text/event-stream");
+}
+
+HttpResponseHead toResponse(const HttpHead &head)
+{
+    HttpResponseHead response;
+    response.status = head.status;
+    response.contentType.clear();
+    response.headers = endToEndHeaders(head.headers);
+    return response;
+}
+
+} // namespace
+
+// Hands an upstream's answer to the service under the request's number and attempt.
+class GatewayService::Receiver final : public HttpCallReceiver
+{
+public:
+    Receiver(GatewayService &service, RequestNumber number, std::uint32_t attempt)
+        : service_(service)
+        , number_(number)
+        , attempt_(attempt)
+    {}
+
+    void onHead(HttpHead head) override
+    {
+        service_.onAnswerHead(number_, attempt_, std::move(head));
+    }
+    void onPiece(std::string_view piece) override
+    {
+        service_.onAnswerPiece(number_, attempt_, piece);
+    }
+    void onEnd(HttpCallEnd end) override { service_.onAnswerEnd(number_, attempt_, end); }
+
+private:
+    GatewayService &service_;
+    RequestNumber number_;
+    std::uint32_t attempt_;
+};
+
+GatewayService::GatewayService(EventLoop &loop, const GatewaySettings &settings,
+                               const CallerProtocol &protocol, const MetadataStore &store)
+    : loop_(loop)
+    , settings_(settings)
+    , protocol_(protocol)
+    , store_(store)
+    , metrics_(settings.maxAccountSeries)
+    , core_(coreSettings(settings))
+{}
+
+GatewayService::~GatewayService() = default;
+
+tl::expected<std::unique_ptr<GatewayService>, NetError>
+GatewayService::create(EventLoop &loop, const GatewaySettings &settings,
+                       const CallerProtocol &protocol, const MetadataStore &store)
+{
+    std::unique_ptr<GatewayService> service(new GatewayService(loop, settings, protocol, store));
+    if (auto opened = service->open(); !opened) {
+        return tl::unexpected(opened.error());
+    }
+    return service;
+}
+
+tl::expected<void, NetError> GatewayService::open()
+{
+    auto client = HttpClient::create(loop_);
+    if (!client) {
+        return tl::unexpected(client.error());
+    }
+    client_ = std::move(*client);
+    HttpServerOptions options;
+    options.address = settings_.listen;
+    auto server = HttpServer::create(loop_, *this, options);
+    if (!server) {
+        return tl::unexpected(server.error());
+    }
+    server_ = std::move(*server);
+    auto operators = OperatorServer::create(loop_, settings_.operatorListen, *this, metrics_);
+    if (!operators) {
+        return tl::unexpected(operators.error());
+    }
+    operators_ = std::move(*operators);
+    if (settings_.metricsListen) {
+        auto metrics = OperatorServer::create(loop_, *settings_.metricsListen, *this, metrics_);
+        if (!metrics) {
+            return tl::unexpected(metrics.error());
+        }
+        metricsServer_ = std::move(*metrics);
+    }
+    StoreWatcher::Settings watch;
+    watch.seed = randomIdentity();
+    StoreListener &listener = *this;
+    watcher_ = std::make_unique<StoreWatcher>(loop_, *client_, store_, listener, watch);
+    watcher_->start();
+    tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
+    return {};
+}
+
+void GatewayService::confirm(TimePoint askedAt)
+{
+    confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
+    if (!storeReachable_) {
+        storeReachable_ = true;
+        logLine(LogLevel::Info, "store.reached", {{"revision", watcher_->revision()}});
+    }
+}
+
+Duration GatewayService::knowledgeAge() const
+{
+    return confirmedAt_ ? loop_.now() - *confirmedAt_ : Duration::max();
+}
+
+void GatewayService::onStoreListed(const StoreItems &items, TimePoint askedAt)
+{
+    std::vector<UpstreamRecord> records;
+    for (const StoreItem &item : items.items) {
+        if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
+            records.push_back(*record);
+        } else {
+            takeItem(item);
+        }
+    }
+    core_.upstreams().replaceAll(records, loop_.now());
+    logLine(LogLevel::Info, "store.listed",
+            {{"revision", items.revision}, {"upstreams", records.size()}});
+    for (const std::string &fault : items.faults) {
+        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
+    }
+    confirm(askedAt);
+}
+
+void GatewayService::onStoreChanged(const StoreItems &items, TimePoint askedAt)
+{
+    for (const StoreItem &item : items.items) {
+        takeItem(item);
+    }
+    for (const std::string &fault : items.faults) {
+        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
+    }
+    confirm(askedAt);
+}
+
+void GatewayService::takeItem(const StoreItem &item)
+{
+    if (const auto *document = std::get_if<RoutingDocument>(&item)) {
+        takeRouting(*document);
+    } else if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
+        core_.upstreams().put(*record);
+        logLine(LogLevel::Info, "upstream.listed",
+                {{"upstream", record->id.value()},
+                 {"service", record->service.value()},
+                 {"leaving", record->leaving}});
+    } else if (const auto *gone = std::get_if<UpstreamGone>(&item)) {
+        core_.upstreams().remove(gone->id, loop_.now());
+        logLine(LogLevel::Info, "upstream.gone", {{"upstream", gone->id.value()}});
+    }
+}
+
+void GatewayService::takeRouting(const RoutingDocument &document)
+{
+    const ConfigVersion held = table_ ? table_->version() : ConfigVersion();
+    if (document.version <= held) {
+        return;
+    }
+    table_ = std::make_shared<const RouteTable>(document);
+    HttpServerOptions bounds;
+    bounds.maxHeaderBytes = table_->bounds().headerBytes;
+    bounds.maxBodyBytes = table_->bounds().bodyBytes;
+    bounds.headerTimeout = table_->bounds().headerTimeout;
+    bounds.idleTimeout = table_->bounds().idleTimeout;
+    server_->setBounds(bounds);
+    logLine(LogLevel::Info, "config.applied",
+            {{"version", document.version.value()},
+             {"before", held.value()},
+             {"routes", document.routes.size()},
+             {"accounts", document.accounts.size()}});
+}
+
+void GatewayService::onStoreFailed(std::string_view cause)
+{
+    core_.upstreams().onOutage(loop_.now());
+    metrics_.count("seamarch_store_failures_total", cause);
+    if (storeReachable_) {
+        storeReachable_ = false;
+        logLine(LogLevel::Warning, "store.lost",
+                {{"cause", cause}, {"knowledgeAgeMs", toMillis(knowledgeAge())}});
+    }
+}
+
+tl::expected<GatewayRequest, FailureCode> GatewayService::admit(const HttpRequest &request,
+                                                                const CallerFacts &facts) const
+{
+    if (!table_) {
+        return tl::unexpected(FailureCode::EntryNotReady);
+    }
+    const Duration age = knowledgeAge();
+    const bool mayDeny = age <= settings_.denyFreshness;
+    GatewayRequest admitted;
+    admitted.table = table_;
+    admitted.route = table_->match(facts.host, request.path);
+    if (admitted.route == nullptr) {
+        return tl::unexpected(mayDeny ? FailureCode::NotFound : FailureCode::KnowledgeStale);
+    }
+    admitted.priority = admitted.route->priority;
+    const Duration longest = admitted.route->timeout > Duration{} ? admitted.route->timeout
+                                                                  : kDefaultDeadline;
+    admitted.deadline = facts.deadline.value_or(longest);
+    if (admitted.route->openToAll || !table_->hasAccounts()) {
+        return admitted;
+    }
+    const AccountRule *account = table_->accountOf(facts.key);
+    if (account == nullptr) {
+        return tl::unexpected(mayDeny ? FailureCode::Unauthorized : FailureCode::KnowledgeStale);
+    }
+    if (age > settings_.keyFreshness) {
+        return tl::unexpected(FailureCode::KnowledgeStale);
+    }
+    admitted.account = account->id;
+    admitted.priority = account->priority.value_or(admitted.priority);
+    return admitted;
+}
+
+void GatewayService::onRequest(ExchangeId exchange, HttpRequest request)
+{
+    CallerFacts facts = protocol_.readRequest(request);
+    auto admitted = admit(request, facts);
+    if (!admitted) {
+        const FailureCode code = admitted.error();
+        const bool temporary =
+            code == FailureCode::EntryNotReady || code == FailureCode::KnowledgeStale;
+        refuse(exchange, facts, code, Outcome::NotRun, temporary ? kNotReadyPause : Duration{});
+        return;
+    }
+    Flight flight;
+    flight.exchange = exchange;
+    flight.request = std::move(request);
+    flight.facts = std::move(facts);
+    flight.admitted = *admitted;
+    flight.startedAt = loop_.now();
+    GatewayActions actions;
+    const RequestNumber number = core_.begin(std::move(*admitted), flight.startedAt, actions);
+    byExchange_[exchange] = number;
+    flights_.emplace(number, std::move(flight));
+    metrics_.count("seamarch_requests_total", "received");
+    carryOut(actions);
+}
+
+void GatewayService::refuse(ExchangeId exchange, const CallerFacts &facts, FailureCode code,
+                            Outcome outcome, Duration retryAfter)
+{
+    HttpResponseHead head;
+    head.status = httpStatus(code);
+    head.headers = protocol_.refusalHeaders(facts.requestId, outcome, retryAfter);
+    const json body = {{"error",
+                        {{"code", toString(code)},
+                         {"message", advice(code)},
+                         {"outcome", toString(outcome)}}}};
+    metrics_.count("seamarch_failures_total", toString(code));
+    logLine(LogLevel::Info, "request.refused",
+            {{"id", facts.requestId},
+             {"code", toString(code)},
+             {"outcome", toString(outcome)},
+             {"configVersion", table_ ? table_->version().value() : 0},
+             {"knowledgeAgeMs", confirmedAt_ ? toMillis(knowledgeAge()) : -1}});
+    server_->respond(exchange, head, body.dump());
+}
+
+void GatewayService::onCallerGone(ExchangeId exchange)
+{
+    const auto found = byExchange_.find(exchange);
+    if (found == byExchange_.end()) {
+        return;
+    }
+    const RequestNumber number = found->second;
+    GatewayActions actions;
+    core_.onCallerGone(number, actions);
+    carryOut(actions);
+    endFlight(number, "caller gone");
+}
+
+void GatewayService::onDrained(ExchangeId exchange)
+{
+    const auto found = byExchange_.find(exchange);
+    if (found != byExchange_.end()) {
+        const auto flight = flights_.find(found->second);
+        if (flight != flights_.end()) {
+            client_->pause(flight->second.call, false);
+        }
+    }
+}
+
+GatewayService::Flight *GatewayService::find(RequestNumber number, std::uint32_t attempt)
+{
+    const auto found = flights_.find(number);
+    if (found == flights_.end() || found->second.attempt != attempt || found->second.call == 0) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+void GatewayService::carryOut(const GatewayActions &actions)
+{
+    for (const GatewayAction &action : actions) {
+        std::visit([this](const auto &each) { carryOut(each); }, action);
+    }
+}
+
+void GatewayService::carryOut(const StartAttempt &action)
+{
+    const auto found = flights_.find(action.request);
+    if (found == flights_.end()) {
+        return;
+    }
+    Flight &flight = found->second;
+    AttemptFacts facts;
+    facts.instance = action.upstream.id;
+    facts.account = flight.admitted.account;
+    facts.priority = flight.admitted.priority;
+    facts.timeLeft = action.timeLeft;
+    facts.resumeAfter =
+        flight.events.lastId().empty() ? flight.facts.resumeAfter : flight.events.lastId();
+    HttpCallRequest call;
+    call.address = {action.upstream.host, action.upstream.port};
+    call.method = flight.request.method;
+    call.path = flight.request.target;
+    call.headers = protocol_.upstreamHeaders(flight.request, facts);
+    call.body = flight.request.body;
+    call.reuse = action.mayUseOldConnection ? HttpReuse::Any : HttpReuse::Young;
+    call.connectTimeout = kConnectTimeout;
+    flight.attempt = action.attempt;
+    flight.upstream = action.upstream.id;
+    flight.body.clear();
+    flight.streams = false;
+    flight.resuming = flight.headSent;
+    logLine(LogLevel::Info, "attempt.started",
+            {{"id", flight.facts.requestId},
+             {"attempt", action.attempt},
+             {"upstream", action.upstream.id.value()},
+             {"hall", action.upstream.hall.value()},
+             {"inFlightThere", core_.inFlightAt(action.upstream.id)},
+             {"timeLeftMs", toMillis(action.timeLeft)},
+             {"configVersion", flight.admitted.table->version().value()},
+             {"knowledgeAgeMs", toMillis(knowledgeAge())}});
+    flight.call = client_->call(
+        std::move(call), std::make_unique<Receiver>(*this, action.request, action.attempt));
+}
+
+void GatewayService::carryOut(const CancelAttempt &action)
+{
+    const auto found = flights_.find(action.request);
+    if (found != flights_.end() && found->second.call != 0) {
+        client_->cancel(std::exchange(found->second.call, 0));
+    }
+}
+
+void GatewayService::carryOut(const RejectRequest &action)
+{
+    const auto found = flights_.find(action.request);
+    if (found == flights_.end()) {
+        return;
+    }
+    refuse(found->second.exchange, found->second.facts, action.failure, action.outcome,
+           action.retryAfter);
+    endFlight(action.request, toString(action.failure));
+}
+
+void GatewayService::carryOut(const BreakAnswer &action)
+{
+    const auto found = flights_.find(action.request);
+    if (found == flights_.end()) {
+        return;
+    }
+    metrics_.count("seamarch_broken_answers_total", toString(action.failure));
+    server_->abort(found->second.exchange);
+    endFlight(action.request, "broken off");
+}
+
+void GatewayService::endFlight(RequestNumber number, std::string_view result)
+{
+    const auto found = flights_.find(number);
+    if (found == flights_.end()) {
+        return;
+    }
+    const Flight &flight = found->second;
+    const TimePoint now = loop_.now();
+    metrics_.count("seamarch_requests_total", result);
+    metrics_.observe(Stage::Total, flight.admitted.account, flight.admitted.route->name,
+                     now - flight.startedAt);
+    logLine(LogLevel::Info, "request.ended",
+            {{"id", flight.facts.requestId},
+             {"result", result},
+             {"route", flight.admitted.route->name},
+             {"account", flight.admitted.account.value()},
+             {"upstream", flight.upstream.value()},
+             {"attempts", flight.attempt},
+             {"events", flight.events.events()},
+             {"ms", toMillis(now - flight.startedAt)}});
+    byExchange_.erase(flight.exchange);
+    flights_.erase(found);
+}
+
+void GatewayService::onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head)
+{
+    Flight *flight = find(number, attempt);
+    if (flight == nullptr) {
+        return;
+    }
+    const AnswerKind kind = protocol_.judge(head, flight->facts.requestId);
+    flight->head = std::move(head);
+    const bool events = kind == AnswerKind::Success && flight->admitted.route->streamed
+                        && isEventStream(flight->head);
+    if (flight->resuming && kind == AnswerKind::Success && !events) {
+        GatewayActions actions;
+        core_.onHead(number, AnswerKind::Invalid, loop_.now(), actions);
+        carryOut(actions);
+        return;
+    }
+    if (events) {
+        startStream(number, *flight);
+        return;
+    }
+    if (kind == AnswerKind::Success || kind == AnswerKind::Failure) {
+        return; // Decided once the body is whole.
+    }
+    logLine(LogLevel::Info, "attempt.refused",
+            {{"id", flight->facts.requestId},
+             {"attempt", attempt},
+             {"upstream", flight->upstream.value()},
+             {"status", flight->head.status},
+             {"kind", wordFor(kind)},
+             {"ms", toMillis(millisSince(flight->startedAt, loop_.now()))}});
+    GatewayActions actions;
+    core_.onHead(number, kind, loop_.now(), actions);
+    carryOut(actions);
+}
+
+void GatewayService::startStream(RequestNumber number, Flight &flight)
+{
+    GatewayActions actions;
+    if (!core_.onHead(number, AnswerKind::Success, loop_.now(), actions)) {
+        carryOut(actions);
+        return;
+    }
+    flight.streams = true;
+    if (!flight.headSent) {
+        flight.headSent = true;
+        server_->begin(flight.exchange, toResponse(flight.head));
+    }
+}
+
+void GatewayService::onAnswerPiece(RequestNumber number, std::uint32_t attempt,
+                                   std::string_view piece)
+{
+    constexpr std::size_t kBufferedHighWater = std::size_t{256} * 1024;
+    Flight *flight = find(number, attempt);
+    if (flight == nullptr) {
+        return;
+    }
+    if (flight->streams) {
+        relayEvents(number, *flight, piece);
+        if (server_->buffered(flight->exchange) > kBufferedHighWater) {
+            client_->pause(flight->call, true);
+        }
+        return;
+    }
+    flight->body.append(piece);
+    if (flight->body.size() > kMaxWholeBytes) {
+        GatewayActions actions;
+        core_.onHead(number, AnswerKind::Invalid, loop_.now(), actions);
+        carryOut(actions);
+    }
+}
+
+void GatewayService::relayEvents(RequestNumber /*number*/, Flight &flight, std::string_view piece)
+{
+    const std::string whole = flight.events.feed(piece);
+    if (whole.empty()) {
+        return;
+    }
+    const TimePoint now = loop_.now();
+    const bool first = flight.lastEventAt == TimePoint{};
+    metrics_.observe(first ? Stage::FirstToken : Stage::BetweenTokens, flight.admitted.account,
+                     flight.admitted.route->name,
+                     now - (first ? flight.startedAt : flight.lastEventAt));
+    flight.lastEventAt = now;
+    server_->write(flight.exchange, whole);
+}
+
+void GatewayService::onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end)
+{
+    Flight *flight = find(number, attempt);
+    if (flight == nullptr) {
+        return;
+    }
+    flight->call = 0;
+    if (end == HttpCallEnd::Complete && !(flight->streams && flight->events.hasPartial())) {
+        finishWhole(number, *flight);
+        return;
+    }
+    logLine(LogLevel::Info, "attempt.lost",
+            {{"id", flight->facts.requestId},
+             {"attempt", attempt},
+             {"upstream", flight->upstream.value()},
+             {"end", wordFor(end)},
+             {"headSent", flight->headSent},
+             {"events", flight->events.events()},
+             {"ms", toMillis(millisSince(flight->startedAt, loop_.now()))}});
+    flight->events.dropPartial();
+    GatewayActions actions;
+    core_.onEnd(number, end == HttpCallEnd::NotSent ? AttemptEnd::NotSent : AttemptEnd::Lost,
+                loop_.now(), actions);
+    carryOut(actions);
+}
+
+void GatewayService::finishWhole(RequestNumber number, Flight &flight)
+{
+    GatewayActions actions;
+    if (flight.streams) {
+        core_.onEnd(number, AttemptEnd::Complete, loop_.now(), actions);
+        carryOut(actions);
+        server_->finish(flight.exchange);
+        endFlight(number, "served");
+        return;
+    }
+    const AnswerKind kind = protocol_.judge(flight.head, flight.facts.requestId);
+    if (!core_.onHead(number, kind, loop_.now(), actions)) {
+        logLine(LogLevel::Info, "attempt.failed",
+                {{"id", flight.facts.requestId},
+                 {"attempt", flight.attempt},
+                 {"upstream", flight.upstream.value()},
+                 {"status", flight.head.status}});
+        carryOut(actions);
+        return;
+    }
+    core_.onEnd(number, AttemptEnd::Complete, loop_.now(), actions);
+    carryOut(actions);
+    server_->respond(flight.exchange, toResponse(flight.head), flight.body);
+    endFlight(number, kind == AnswerKind::Success ? "served" : "upstream failure");
+}
+
+void GatewayService::tick()
+{
+    GatewayActions actions;
+    core_.onTick(loop_.now(), actions);
+    carryOut(actions);
+    if (stopping_) {
+        stopIfDrained();
+    }
+}
+
+bool GatewayService::ready(std::string &reason) const
+{
+    if (stopping_) {
+        reason = "stopping";
+        return false;
+    }
+    if (!table_) {
+        reason = "no configuration";
+        return false;
+    }
+    if (knowledgeAge() > settings_.keyFreshness) {
+        reason = "the store has not confirmed the configuration for too long";
+        return false;
+    }
+    return true;
+}
+
+json GatewayService::status() const
+{
+    std::string reason;
+    const bool isReady = ready(reason);
+    return {{"role", "gateway"},
+            {"instance", settings_.instance.value()},
+            {"hall", settings_.hall.value()},
+            {"ready", isReady},
+            {"reason", reason},
+            {"configVersion", table_ ? table_->version().value() : 0},
+            {"knowledgeAgeMs", confirmedAt_ ? toMillis(knowledgeAge()) : -1},
+            {"storeReachable", storeReachable_},
+            {"storeCalls", watcher_->calls()},
+            {"inFlight", flights_.size()},
+            {"secondAttempts", core_.secondAttempts()},
+            {"connectionsMade", client_->connectionsMade()},
+            {"upstreams", core_.upstreams().all().size()}};
+}
+
+void GatewayService::stop()
+{
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    stopStartedAt_ = loop_.now();
+    server_->announceClose();
+    logLine(LogLevel::Info, "gateway.stopping", {{"inFlight", flights_.size()}});
+}
+
+void GatewayService::stopIfDrained()
+{
+    const Duration since = loop_.now() - stopStartedAt_;
+    // The balancer lags behind the readiness, so new requests are served for a while.
+    if (since < settings_.stopDelay) {
+        return;
+    }
+    server_->closeIdle();
+    const bool drained = flights_.empty() && server_->open() == 0;
+    if (!drained && since < settings_.stopDeadline) {
+        return;
+    }
+    logLine(LogLevel::Info, "gateway.stopped", {{"cutOff", flights_.size()}});
+    loop_.stop();
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/gatewayservice.h
@@ -0,0 +1,150 @@
+// A gateway: takes callers' requests and sends them straight to upstreams, as the platform's store
+// lists them.
+//
+// The service is the shell around GatewayCore. It owns the callers' exchanges, the calls to
+// upstreams and the watch on the store, and decides nothing about requests itself, except whether
+// what it knows is fresh enough to judge a key or a path.
+#pragma once
+
+#include "decision/gateway/eventstream.h"
+#include "decision/gateway/gatewaycore.h"
+#include "gateway/callerprotocol.h"
+#include "gateway/metadatastore.h"
+#include "gateway/storewatcher.h"
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "observe/metrics.h"
+#include "observe/operatorserver.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <unordered_map>
+
+namespace seamarch {
+
+struct GatewaySettings
+{
+    InstanceId instance;
+    HallId hall;
+    SocketAddress listen;         // For callers.
+    SocketAddress operatorListen; // For the platform's balancer and operators.
+    std::optional<SocketAddress> metricsListen;
+    SocketAddress store;
+    std::size_t maxAccountSeries = 300;
+    // A key is good only under a confirmation from the store that is younger than this.
+    Duration keyFreshness = std::chrono::milliseconds(4700);
+    // A path or key is said to be unknown only under a confirmation younger than this.
+    Duration denyFreshness = std::chrono::milliseconds(1900);
+    // How long a planned stop goes on taking requests: the balancer asks every second and takes an
+    // instance out after two misses.
+    Duration stopDelay = std::chrono::milliseconds(3200);
+    Duration stopDeadline = std::chrono::milliseconds(7500);
+};
+
+class GatewayService final : private HttpHandler, private StoreListener, private StatusSource
+{
+public:
+    // Opens all addresses. Fails when one of them cannot be opened. The protocol and the store's
+    // reader outlive the service.
+    static tl::expected<std::unique_ptr<GatewayService>, NetError>
+    create(EventLoop &loop, const GatewaySettings &settings, const CallerProtocol &protocol,
+           const MetadataStore &store);
+    ~GatewayService() override;
+    GatewayService(const GatewayService &) = delete;
+    GatewayService &operator=(const GatewayService &) = delete;
+
+    // Starts a planned stop: readiness goes down, requests go on, and the loop stops when the last
+    // answer is out or at the deadline.
+    void stop();
+
+private:
+    class Receiver;
+
+    // A caller's request on its way.
+    struct Flight
+    {
+        ExchangeId exchange = 0;
+        HttpRequest request;
+        CallerFacts facts;
+        GatewayRequest admitted;
+        HttpCallId call = 0;
+        std::uint32_t attempt = 0; // Of the call under way.
+        InstanceId upstream;
+        HttpHead head;
+        std::string body;     // Of an answer that goes out whole.
+        bool streams = false; // The answer under way is a stream of events.
+        bool headSent = false;
+        bool resuming = false; // Events follow those of an earlier attempt.
+        EventStream events;
+        TimePoint startedAt{};
+        TimePoint lastEventAt{};
+    };
+
+    GatewayService(EventLoop &loop, const GatewaySettings &settings, const CallerProtocol &protocol,
+                   const MetadataStore &store);
+    tl::expected<void, NetError> open();
+
+    void onRequest(ExchangeId exchange, HttpRequest request) override;
+    void onCallerGone(ExchangeId exchange) override;
+    void onDrained(ExchangeId exchange) override;
+
+    void onStoreListed(const StoreItems &items, TimePoint askedAt) override;
+    void onStoreChanged(const StoreItems &items, TimePoint askedAt) override;
+    void onStoreFailed(std::string_view cause) override;
+
+    bool ready(std::string &reason) const override;
+    nlohmann::json status() const override;
+
+    void takeItem(const StoreItem &item);
+    void takeRouting(const RoutingDocument &document);
+    void confirm(TimePoint askedAt);
+    Duration knowledgeAge() const;
+
+    // Finds the route and the account, or says why the request is refused.
+    tl::expected<GatewayRequest, FailureCode> admit(const HttpRequest &request,
+                                                    const CallerFacts &facts) const;
+    void refuse(ExchangeId exchange, const CallerFacts &facts, FailureCode code, Outcome outcome,
+                Duration retryAfter);
+
+    void carryOut(const GatewayActions &actions);
+    void carryOut(const StartAttempt &action);
+    void carryOut(const CancelAttempt &action);
+    void carryOut(const RejectRequest &action);
+    void carryOut(const BreakAnswer &action);
+
+    void onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head);
+    void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
+    void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
+    void startStream(RequestNumber number, Flight &flight);
+    void finishWhole(RequestNumber number, Flight &flight);
+    void relayEvents(RequestNumber number, Flight &flight, std::string_view piece);
+    void endFlight(RequestNumber number, std::string_view result);
+    Flight *find(RequestNumber number, std::uint32_t attempt);
+    void tick();
+    void stopIfDrained();
+
+    EventLoop &loop_;
+    GatewaySettings settings_;
+    const CallerProtocol &protocol_;
+    const MetadataStore &store_;
+    Metrics metrics_;
+    GatewayCore core_;
+    std::shared_ptr<const RouteTable> table_;
+    std::optional<TimePoint> confirmedAt_;
+    std::unique_ptr<HttpClient> client_;
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<OperatorServer> operators_;
+    std::unique_ptr<OperatorServer> metricsServer_;
+    std::unique_ptr<StoreWatcher> watcher_;
+    std::unordered_map<RequestNumber, Flight> flights_;
+    std::unordered_map<ExchangeId, RequestNumber> byExchange_;
+    std::unique_ptr<PeriodicTimer> tickTimer_;
+    bool storeReachable_ = false;
+    bool stopping_ = false;
+    TimePoint stopStartedAt_{};
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/metadatastore.h
@@ -0,0 +1,60 @@
+// What a gateway must know of the platform's store: its calls and what their answers mean.
+//
+// An implementation of this interface writes calls and reads answers. It decides nothing and keeps
+// no state; StoreWatcher makes the calls.
+#pragma once
+
+#include "decision/gateway/routetable.h"
+#include "decision/gateway/upstreamtable.h"
+#include "net/httpclient.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace seamarch {
+
+// An upstream that the store no longer lists.
+struct UpstreamGone
+{
+    InstanceId id;
+};
+
+// One item of the store, or its removal. Items of no interest are left out.
+using StoreItem = std::variant<RoutingDocument, UpstreamRecord, UpstreamGone>;
+
+// What a listing or a watch brought. Revisions count all changes of the store.
+struct StoreItems
+{
+    std::uint64_t revision = 0;
+    std::vector<StoreItem> items;
+    std::string nextPage; // Where the next page starts; empty: this was the last.
+    std::vector<std::string> faults; // Items that could not be read, for the log.
+};
+
+enum class StoreFault {
+    HistoryGone, // The changes since the revision asked for are forgotten: list anew.
+    Unavailable, // The store did nothing; ask again later.
+    Unreadable,  // The answer makes no sense.
+};
+
+class MetadataStore
+{
+public:
+    virtual ~MetadataStore() = default;
+
+    // Lists all items, or those from a page on.
+    virtual HttpCallRequest listCall(const std::string &page) const = 0;
+    // Waits for changes after `revision`.
+    virtual HttpCallRequest watchCall(std::uint64_t revision, Duration longest) const = 0;
+    virtual tl::expected<StoreItems, StoreFault> readList(int status,
+                                                          std::string_view body) const = 0;
+    virtual tl::expected<StoreItems, StoreFault> readWatch(int status,
+                                                           std::string_view body) const = 0;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/storewatcher.h
@@ -0,0 +1,92 @@
+// Follows the platform's store: lists its items once, then waits for changes.
+//
+// A watch that hears nothing proves nothing, so each wait is short; its answer, also an empty one,
+// confirms that what is held was true when the call was made. A call that is not answered in time
+// is given up with its connection, and the next one follows after a pause that doubles, with
+// jitter, so that a store that comes back is not met by all gateways together.
+#pragma once
+
+#include "gateway/metadatastore.h"
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace seamarch {
+
+// Hears what the store says. Outlives the watcher.
+class StoreListener
+{
+public:
+    virtual ~StoreListener() = default;
+
+    // All items of the store, as of a call that was made at `askedAt`.
+    virtual void onStoreListed(const StoreItems &items, TimePoint askedAt) = 0;
+    // Changes; none, when the store only confirmed that there are none.
+    virtual void onStoreChanged(const StoreItems &items, TimePoint askedAt) = 0;
+    // A call has failed.
+    virtual void onStoreFailed(std::string_view cause) = 0;
+};
+
+class StoreWatcher
+{
+public:
+    struct Settings
+    {
+        // How long a watch waits. Shorter waits confirm sooner and cost more calls: keys must be
+        // refused five seconds after they were revoked, and every call has a price.
+        Duration wait = std::chrono::milliseconds(1000);
+        // What an answer may take beyond the wait; a slow store takes some 300 ms.
+        Duration patience = std::chrono::milliseconds(900);
+        Duration firstPause = std::chrono::milliseconds(100);
+        Duration longestPause = std::chrono::milliseconds(800);
+        std::uint64_t seed = 0;
+    };
+
+    StoreWatcher(EventLoop &loop, HttpClient &client, const MetadataStore &store,
+                 StoreListener &listener, const Settings &settings);
+    ~StoreWatcher();
+    StoreWatcher(const StoreWatcher &) = delete;
+    StoreWatcher &operator=(const StoreWatcher &) = delete;
+
+    void start() { list({}); }
+    bool reachable() const { return reachable_; }
+    std::uint64_t calls() const { return calls_; }
+    std::uint64_t revision() const { return revision_; }
+
+private:
+    class Receiver;
+    enum class Step { List, Watch };
+
+    void list(const std::string &page);
+    void watch();
+    void makeCall(HttpCallRequest request, Duration longest);
+    void onAnswer(int status, const std::string &body);
+    void onListed(StoreItems items);
+    void onChanged(const StoreItems &items);
+    void onFault(StoreFault fault);
+    void onFailure(std::string_view cause);
+    void endCall();
+
+    EventLoop &loop_;
+    HttpClient &client_;
+    const MetadataStore &store_;
+    StoreListener &listener_;
+    Settings settings_;
+    std::mt19937_64 random_;
+    Step step_ = Step::List;
+    StoreItems listed_; // Of the pages so far.
+    TimePoint askedAt_{};
+    TimePoint listStartedAt_{};
+    HttpCallId call_ = 0;
+    TimerId timer_ = 0;
+    std::uint64_t revision_ = 0;
+    std::uint64_t calls_ = 0;
+    int failures_ = 0;
+    bool reachable_ = false;
+};
+
+} // namespace seamarch
--- a/src/platform/knowledge.cpp
+++ b/src/knowledge/knowledge.cpp
@@ -1,4 +1,4 @@
-#include "platform/knowledge.h"
+#include "knowledge/knowledge.h"
 
 #include "base/log.h"
 
--- a/src/platform/peernetwork.cpp
+++ b/src/knowledge/peernetwork.cpp
@@ -1,4 +1,4 @@
-#include "platform/peernetwork.h"
+#include "knowledge/peernetwork.h"
 
 #include "base/log.h"
 #include "net/wireconvert.h"
--- a/src/platform/peernetwork.h
+++ b/src/knowledge/peernetwork.h
@@ -12,7 +12,7 @@
 #include "net/eventloop.h"
 #include "net/rawtransport.h"
 #include "net/rpclink.h"
-#include "platform/knowledge.h"
+#include "knowledge/knowledge.h"
 #include "wire/seamarch.capnp.h"
 
 #include <kj/async.h>
--- a/src/platform/watcher.cpp
+++ b/src/knowledge/watcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/watcher.h"
+#include "knowledge/watcher.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/platform/watcher.h
+++ b/src/knowledge/watcher.h
@@ -7,7 +7,7 @@
 
 #include "net/eventloop.h"
 #include "net/httpclient.h"
-#include "platform/knowledge.h"
+#include "knowledge/knowledge.h"
 
 #include <cstdint>
 #include <random>
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -11,6 +11,8 @@
 
 constexpr int kMaxHttpHeaderBytes = 16 * 1024;
 constexpr int kNetworkTimeoutSeconds = 20;
+// How long log lines wait for more, so that many go out with one system call.
+constexpr Duration kFlushGap = std::chrono::milliseconds(50);
 
 void writeLibraryLog(int level, const char *line)
 {
@@ -143,7 +145,12 @@
 {
     constexpr int kPollOnly = -1;
     constexpr int kWait = 0;
+    TimePoint flushedAt = now();
     while (!stopping_) {
+        if (now() - flushedAt >= kFlushGap) {
+            flushLog();
+            flushedAt = now();
+        }
         kjLoop_.run();
         runPosted();
         handleInterrupt();
@@ -153,6 +160,7 @@
         }
     }
     stopping_ = false;
+    flushLog();
 }
 
 void EventLoop::stop()
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -68,7 +68,7 @@
 
 struct detail::ParserState
 {
-    http_parser parser{};
+    http_parser state{};
 
     static HttpReader &of(http_parser *parser) { return *static_cast<HttpReader *>(parser->data); }
     static const http_parser_settings &callbacks();
@@ -150,8 +150,8 @@
 
 void HttpReader::reset()
 {
-    http_parser_init(&parser_->parser, kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
-    parser_->parser.data = this;
+    http_parser_init(&parser_->state, kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_->state.data = this;
     text_.clear();
     head_ = {};
     lastWasValue_ = true;
@@ -166,8 +166,8 @@
 std::size_t HttpReader::execute(std::string_view bytes)
 {
     const std::size_t used = http_parser_execute(
-        &parser_->parser, &detail::ParserState::callbacks(), bytes.data(), bytes.size());
-    const http_errno error = HTTP_PARSER_ERRNO(&parser_->parser);
+        &parser_->state, &detail::ParserState::callbacks(), bytes.data(), bytes.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&parser_->state);
     if (error != HPE_OK && !(error == HPE_PAUSED && done_) && !fault_) {
         refuse(HttpFault::Malformed);
     }
@@ -178,7 +178,7 @@
 {
     constexpr int kSkipBody = 1;
     constexpr int kFail = -1;
-    http_parser &parser = parser_->parser;
+    http_parser &parser = parser_->state;
     parser.upgrade = 0; // Other protocols are not served; the message is read as plain HTTP.
     const bool hasLength = parser.content_length != std::numeric_limits<std::uint64_t>::max();
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
