Expert agents: one map in each pass, by hold, arm and go under fences

Change: GroupDecider (pure), ExpertPlanner and EvenPlacement (pure), ExpertAgent with Cap'n Proto RPC between the agents of a group, platform/enginecalls.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,6 +4,7 @@
 #include "base/settings.h"
 #include "daemon/options.h"
 #include "callerheaders.h"
+#include "enginecalls.h"
 #include "entry/entryservice.h"
 #include "gateway/gatewayservice.h"
 #include "net/eventloop.h"
@@ -81,6 +82,15 @@
     });
 }
 
+int serveExpertAgent(const ExpertAgentSettings &settings)
+{
+    const platform::EngineHttp engines;
+    const platform::StoreItemsReader store(settings.store);
+    return serve([&](EventLoop &loop) {
+        return ExpertAgent::create(loop, settings, store, engines);
+    });
+}
+
 int run(const DaemonOptions &options)
 {
     if (!options.faults.empty()) {
@@ -102,6 +112,11 @@
         setLogContext({{"role", "gateway"}, {"instance", options.gateway->instance.value()}});
         return serveGateway(*options.gateway);
     }
+    if (options.expertAgent) {
+        setLogContext(
+            {{"role", "expertagent"}, {"instance", options.expertAgent->instance.value()}});
+        return serveExpertAgent(*options.expertAgent);
+    }
     setLogContext({{"role", "agent"}, {"instance", options.agent->instance.value()}});
     return serve([&options](EventLoop &loop) { return AgentService::create(loop, *options.agent); });
 }
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -15,6 +15,7 @@
   seamarchd entry [options]
   seamarchd agent [options]
   seamarchd gateway [options]
+  seamarchd expertagent [options]
   seamarchd (-h | --help)
   seamarchd --version
 
@@ -52,6 +53,12 @@
   --stop-delay-ms N          How long a planned stop goes on taking requests (default 3200).
   --stop-deadline-ms N       When a planned stop gives up waiting (default 7500).
 
+Expert agent options (it stands beside one rank of a group and looks after its expert map):
+  --service NAME             The service whose replicas form the group.
+  --upstream ADDRESS         The rank beside this agent.
+  --platform ADDRESS         The platform's store.
+  --metrics-listen ADDRESS   Where /metrics and /status are served (default: nowhere).
+
 Agent options:
   --upstream ADDRESS         The upstream that this agent stands before.
   --slots N                  Requests run at once until the configuration says (default 8).
@@ -105,6 +112,21 @@
     return settings;
 }
 
+ExpertAgentSettings readExpertAgent(SettingsReader &reader)
+{
+    ExpertAgentSettings settings;
+    settings.instance = InstanceId(reader.text("instance"));
+    settings.hall = HallId(reader.text("hall"));
+    settings.service = TargetName(reader.text("service"));
+    settings.listen = toAddress(reader.address("listen"));
+    settings.engine = toAddress(reader.address("upstream"));
+    settings.store = toAddress(reader.address("platform"));
+    if (reader.given("metrics-listen")) {
+        settings.metricsListen = toAddress(reader.address("metrics-listen"));
+    }
+    return settings;
+}
+
 AgentSettings readAgent(SettingsReader &reader)
 {
     constexpr std::uint64_t kMaxSlots = 100'000;
@@ -159,6 +181,8 @@
         options.entry = readEntry(reader);
     } else if (parsed.at("gateway").asBool()) {
         options.gateway = readGateway(reader);
+    } else if (parsed.at("expertagent").asBool()) {
+        options.expertAgent = readExpertAgent(reader);
     } else {
         options.agent = readAgent(reader);
     }
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/settings.h"
 #include "entry/entryservice.h"
+#include "experts/expertagent.h"
 #include "gateway/gatewayservice.h"
 
 #include <map>
@@ -14,12 +15,13 @@
 
 namespace seamarch {
 
-// What the daemon was told to do. Exactly one of the three roles is set unless there are faults.
+// What the daemon was told to do. Exactly one of the four roles is set unless there are faults.
 struct DaemonOptions
 {
     std::optional<EntrySettings> entry;
     std::optional<AgentSettings> agent;
     std::optional<GatewaySettings> gateway;
+    std::optional<ExpertAgentSettings> expertAgent;
     std::string settingsFile; // Empty: none.
     LogLevel logLevel = LogLevel::Info;
     bool checkOnly = false;
--- /dev/null
+++ b/src/decision/expertmap/evenplacement.h
@@ -0,0 +1,40 @@
+// Places the experts of one set of layers on the ranks of a group whose engines share an expert's
+// tokens evenly among the ranks that hold it.
+//
+// A pass of the group lasts as long as its most loaded rank, so the placement lowers the largest
+// load. It starts from the placement in use and makes single changes, the best first: a replica
+// more of an expert of the most loaded rank, in a free place or instead of an expert that others
+// hold too, or an exchange of two experts. How many experts may be new to a rank is bounded,
+// because each is copied while the group works on.
+//
+// Pure functions; deterministic. (`balancer.h` is for engines that take a split of each expert's
+// tokens with the map; these engines take none.)
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace seamarch {
+
+// The experts of each rank, in rising order.
+using RankExperts = std::vector<std::vector<std::uint16_t>>;
+
+struct PlacementBounds
+{
+    std::uint32_t places = 0;      // Experts that a rank holds at most.
+    std::uint32_t newExperts = 0;  // Of those, how many may be new to it.
+    std::uint32_t maxChanges = 64; // Bounds the time that the search takes.
+};
+
+// Returns the load of each rank, in parts of all tokens. `shares` holds each expert's part.
+std::vector<double> rankLoads(const RankExperts &placement, std::span<const double> shares);
+
+// Returns the largest load over the mean; 1 is even.
+double placementSkew(const RankExperts &placement, std::span<const double> shares);
+
+// Returns an improved placement; never one with a larger skew.
+RankExperts improvePlacement(const RankExperts &current, std::span<const double> shares,
+                             const PlacementBounds &bounds);
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -0,0 +1,97 @@
+#include "decision/expertmap/expertplanner.h"
+
+#include <cmath>
+#include <numeric>
+
+namespace seamarch {
+
+void ExpertPlanner::setRule(const ExpertRule &rule)
+{
+    const std::size_t size = std::size_t{rule.sets} * rule.experts;
+    if (recent_.size() != size) {
+        recent_.assign(size, 0.0);
+        total_ = 0.0;
+        last_.clear();
+    }
+    rule_ = rule;
+}
+
+void ExpertPlanner::reset()
+{
+    last_.clear();
+    plannedAt_.reset();
+}
+
+void ExpertPlanner::decay(TimePoint now)
+{
+    const double halfLives = toSeconds(now - decayedAt_) / toSeconds(settings_.halfLife);
+    const double factor = std::exp2(-std::max(0.0, halfLives));
+    for (double &count : recent_) {
+        count *= factor;
+    }
+    total_ *= factor;
+    decayedAt_ = now;
+}
+
+void ExpertPlanner::onCounts(std::uint32_t rank, std::span<const std::uint64_t> counts,
+                             TimePoint now)
+{
+    if (counts.size() != recent_.size() || recent_.empty()) {
+        return;
+    }
+    std::vector<std::uint64_t> &last = last_[rank];
+    if (last.size() == counts.size()) {
+        decay(now);
+        for (std::size_t index = 0; index < counts.size(); ++index) {
+            // A rank that has started anew counts from zero; its first counts are left out.
+            const std::uint64_t more =
+                counts[index] >= last[index] ? counts[index] - last[index] : 0;
+            recent_[index] += static_cast<double>(more);
+            total_ += static_cast<double>(more);
+        }
+    }
+    last.assign(counts.begin(), counts.end());
+}
+
+std::vector<double> ExpertPlanner::shares(std::uint32_t set) const
+{
+    const auto begin = recent_.begin() + static_cast<std::ptrdiff_t>(set) * rule_.experts;
+    std::vector<double> shares(begin, begin + rule_.experts);
+    const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+    const double floor = sum / rule_.experts * 1e-3; // Every expert is chosen now and then.
+    for (double &share : shares) {
+        share = (share + floor) / std::max(1.0, sum + floor * rule_.experts);
+    }
+    return shares;
+}
+
+double ExpertPlanner::skew(const ExpertMap &map) const
+{
+    double sum = 0.0;
+    for (std::uint32_t set = 0; set < map.size() && set < rule_.sets; ++set) {
+        sum += placementSkew(map[set], shares(set));
+    }
+    return map.empty() ? 1.0 : sum / static_cast<double>(map.size());
+}
+
+std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
+{
+    if (total_ < settings_.leastCounts || current.size() != rule_.sets
+        || (plannedAt_ && now - *plannedAt_ < settings_.pause)) {
+        return std::nullopt;
+    }
+    plannedAt_ = now;
+    const PlacementBounds bounds{rule_.places, rule_.newExperts, 64};
+    ExpertMap planned;
+    for (std::uint32_t set = 0; set < rule_.sets; ++set) {
+        planned.push_back(improvePlacement(current[set], shares(set), bounds));
+    }
+    const double before = skew(current);
+    expectedSkew_ = skew(planned);
+    if (before - expectedSkew_ < settings_.leastGain * before) {
+        return std::nullopt;
+    }
+    return planned;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/expertmap/expertplanner.h
@@ -0,0 +1,72 @@
+// Decides when a group's expert map is worth changing, and to what.
+//
+// It keeps how popular each expert was of late, from the counts that the ranks report, and compares
+// the map in use with the best that one change can reach. A change costs a second or two of slower
+// passes, so it must win a good part of the passes' time; popularity shifts within seconds, so the
+// memory of counts is short.
+//
+// Pure and single-threaded.
+#pragma once
+
+#include "decision/expertmap/evenplacement.h"
+#include "decision/expertmap/groupdecider.h"
+#include "decision/gateway/routetable.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace seamarch {
+
+class ExpertPlanner
+{
+public:
+    struct Settings
+    {
+        // Counts lose half their weight in this time. Shifts of demand come every few seconds.
+        Duration halfLife = std::chrono::milliseconds(1500);
+        // The least pause between two proposals; copying alone takes more than a second.
+        Duration pause = std::chrono::milliseconds(1000);
+        // The least part by which the sum of the sets' largest loads must fall. Passes are slower
+        // by 15 in 100 while experts are copied.
+        double leastGain = 0.05;
+        // Choices of experts below which the counts are mostly noise.
+        double leastCounts = 20'000.0;
+    };
+
+    ExpertPlanner() = default;
+    explicit ExpertPlanner(const Settings &settings)
+        : settings_(settings)
+    {}
+
+    void setRule(const ExpertRule &rule);
+    // Takes a rank's counts since its start, set by set.
+    void onCounts(std::uint32_t rank, std::span<const std::uint64_t> counts, TimePoint now);
+    // Forgets the counts that ranks had, because their group has formed anew.
+    void reset();
+
+    // Returns a better map than `current`, if there is one worth the change.
+    std::optional<ExpertMap> plan(const ExpertMap &current, TimePoint now);
+    // Returns the mean over the sets of the largest load over the mean load.
+    double skew(const ExpertMap &map) const;
+    // Returns the skew that the last plan expects.
+    double expectedSkew() const { return expectedSkew_; }
+
+private:
+    std::vector<double> shares(std::uint32_t set) const;
+    void decay(TimePoint now);
+
+    Settings settings_;
+    ExpertRule rule_;
+    std::map<std::uint32_t, std::vector<std::uint64_t>> last_; // By rank.
+    std::vector<double> recent_;
+    double total_ = 0.0;
+    TimePoint decayedAt_{};
+    std::optional<TimePoint> plannedAt_;
+    double expectedSkew_ = 1.0;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -0,0 +1,396 @@
+#include "decision/expertmap/groupdecider.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// Fences of different ranks never meet: the lowest digits name the rank that decides.
+constexpr std::uint64_t kFenceStride = 1024;
+// Versions are drawn with a gap of up to this, so that two deciders never mean different maps by
+// one version.
+constexpr std::uint64_t kVersionGap = 1U << 20U;
+
+} // namespace
+
+GroupDecider::GroupDecider(const Settings &settings)
+    : settings_(settings)
+    , random_(settings.seed)
+{}
+
+void GroupDecider::enter(Phase phase, TimePoint now)
+{
+    phase_ = phase;
+    phaseSince_ = now;
+    for (auto &[rank, state] : ranks_) {
+        state.confirmed = false;
+        state.sentAt = {};
+        state.answeredAt = {};
+    }
+}
+
+void GroupDecider::raiseFence()
+{
+    std::uint64_t highest = fence_;
+    for (const auto &[rank, state] : ranks_) {
+        highest = std::max(highest, state.report.fence);
+    }
+    // Growing by a part overtakes in a few tries a fence that nobody here remembers.
+    const std::uint64_t raised = highest + highest / 4;
+    fence_ = (raised / kFenceStride + 1) * kFenceStride + settings_.ownRank;
+}
+
+std::uint64_t GroupDecider::highestStep() const
+{
+    std::uint64_t highest = 0;
+    for (const auto &[rank, state] : ranks_) {
+        highest = std::max(highest, state.report.step);
+    }
+    return highest;
+}
+
+bool GroupDecider::whole(TimePoint now) const
+{
+    if (size_ == 0 || ranks_.size() != size_) {
+        return false;
+    }
+    return std::all_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
+        const Rank &rank = entry.second;
+        return rank.known && rank.report.epoch == epoch_ && rank.report.open
+               && now - rank.askedAt <= settings_.reportLife;
+    });
+}
+
+std::optional<std::uint64_t> GroupDecider::mapInUse(TimePoint now) const
+{
+    if (!whole(now)) {
+        return std::nullopt;
+    }
+    const std::uint64_t map = ranks_.begin()->second.report.map;
+    for (const auto &[rank, state] : ranks_) {
+        if (state.report.map != map) {
+            return std::nullopt;
+        }
+    }
+    return map;
+}
+
+void GroupDecider::forgetEpoch(std::uint64_t epoch, TimePoint now)
+{
+    epoch_ = epoch;
+    ranks_.clear();
+    version_ = 0;
+    step_ = 0;
+    committed_ = false;
+    clearing_ = false;
+    foreignSince_.reset();
+    enter(Phase::Idle, now);
+}
+
+void GroupDecider::onReport(const RankReport &report, TimePoint askedAt, TimePoint now)
+{
+    if (report.epoch < epoch_) {
+        return;
+    }
+    if (report.epoch > epoch_) {
+        forgetEpoch(report.epoch, now);
+    }
+    size_ = report.ranks;
+    Rank &rank = ranks_[report.rank];
+    if (rank.known && askedAt < rank.askedAt) {
+        return;
+    }
+    rank.known = true;
+    rank.askedAt = askedAt;
+    rank.report = report;
+    if (phase_ == Phase::Preparing) {
+        rank.confirmed = report.prepared == version_;
+    } else if (phase_ == Phase::Clearing && askedAt > rank.answeredAt && report.armed != 0) {
+        rank.confirmed = false; // Another map is armed than the one that was disarmed.
+    }
+    advance(now);
+}
+
+bool GroupDecider::allConfirmed() const
+{
+    return std::all_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
+        const Rank &rank = entry.second;
+        const bool seen = phase_ != Phase::Clearing
+                          || (rank.askedAt > rank.answeredAt && rank.report.armed == 0);
+        return rank.confirmed && seen;
+    });
+}
+
+MapOrder GroupDecider::orderFor(MapOrderKind kind) const
+{
+    MapOrder order;
+    order.kind = kind;
+    order.version = version_;
+    order.step = step_;
+    order.epoch = epoch_;
+    order.fence = fence_;
+    if (kind == MapOrderKind::Prepare) {
+        order.experts = experts_;
+    }
+    return order;
+}
+
+bool GroupDecider::due(const Rank &rank, TimePoint now) const
+{
+    return rank.sentAt == TimePoint{} || now - rank.sentAt >= settings_.resend;
+}
+
+void GroupDecider::sendUnconfirmed(MapOrderKind kind, TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        const bool copying = kind == MapOrderKind::Prepare && rank.answeredAt != TimePoint{};
+        if (!rank.confirmed && !copying && due(rank, now)) {
+            rank.sentAt = now;
+            orders.push_back({number, orderFor(kind)});
+        }
+    }
+}
+
+void GroupDecider::sendOwn(MapOrderKind kind, TimePoint now, MapOrders &orders)
+{
+    Rank &own = ranks_[settings_.ownRank];
+    if (due(own, now)) {
+        own.sentAt = now;
+        orders.push_back({settings_.ownRank, orderFor(kind)});
+    }
+}
+
+void GroupDecider::sendDisarms(TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        if (rank.confirmed || !due(rank, now)) {
+            continue;
+        }
+        rank.sentAt = now;
+        MapOrder order = orderFor(MapOrderKind::Disarm);
+        if (rank.report.armed != 0) {
+            order.version = rank.report.armed;
+        }
+        orders.push_back({number, order});
+    }
+}
+
+// Releases the own hold, and after a clearing those of other deciders as well.
+void GroupDecider::sendReleases(TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        const bool own = number == settings_.ownRank;
+        const bool holds = rank.report.held.has_value();
+        if (rank.confirmed || !due(rank, now) || !(own || (clearing_ && holds))) {
+            continue;
+        }
+        rank.sentAt = now;
+        MapOrder order = orderFor(MapOrderKind::Go);
+        if (!own) {
+            order.step = *rank.report.held;
+        }
+        orders.push_back({number, order});
+    }
+}
+
+std::optional<std::uint64_t> GroupDecider::propose(ExpertMap experts, TimePoint now,
+                                                   MapOrders &orders)
+{
+    if (phase_ != Phase::Idle || !mapInUse(now) || foreignSince_) {
+        return std::nullopt;
+    }
+    std::uint64_t highest = version_;
+    for (const auto &[number, rank] : ranks_) {
+        highest = std::max({highest, rank.report.map, rank.report.prepared, rank.report.armed});
+    }
+    std::minstd_rand engine(static_cast<std::uint32_t>(++random_ * kFenceStride + highest));
+    version_ = highest + 1 + engine() % kVersionGap;
+    experts_ = std::move(experts);
+    committed_ = false;
+    clearing_ = false;
+    raiseFence();
+    enter(Phase::Preparing, now);
+    sendUnconfirmed(MapOrderKind::Prepare, now, orders);
+    return version_;
+}
+
+void GroupDecider::resign()
+{
+    phase_ = Phase::Idle;
+    foreignSince_.reset();
+}
+
+// A hold is placed at a step that has not begun. To clear, it is the very next one, because the
+// step of the arms that are to be cleared is not known.
+void GroupDecider::chooseStep()
+{
+    const Rank &own = ranks_[settings_.ownRank];
+    const std::uint64_t highest = highestStep();
+    if (own.report.held && *own.report.held > highest) {
+        step_ = *own.report.held;
+        return;
+    }
+    step_ = highest + (clearing_ ? 1 : settings_.stepMargin);
+}
+
+// Places the hold anew, also where the own rank should hold already: another decider with a higher
+// fence may have released that hold, and may be changing the map now.
+void GroupDecider::beginClearing(TimePoint now)
+{
+    clearing_ = true;
+    committed_ = false;
+    raiseFence();
+    chooseStep();
+    enter(Phase::Holding, now);
+}
+
+bool GroupDecider::isForeign(const RankReport &report) const
+{
+    const bool ownArm = committed_ && report.armed == version_;
+    return (report.armed != 0 && !ownArm) || report.held.has_value();
+}
+
+void GroupDecider::watchForeign(TimePoint now)
+{
+    const bool foreign = std::any_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
+        return isForeign(entry.second.report);
+    });
+    if (!foreign) {
+        foreignSince_.reset();
+        return;
+    }
+    foreignSince_ = foreignSince_.value_or(now);
+    if (now - *foreignSince_ >= settings_.foreignPatience && whole(now)) {
+        foreignSince_.reset();
+        beginClearing(now);
+    }
+}
+
+void GroupDecider::onHoldAnswer(MapOrderAnswer answer, TimePoint now)
+{
+    switch (answer) {
+    case MapOrderAnswer::Done:
+        enter(clearing_ ? Phase::Clearing : Phase::Arming, now);
+        return;
+    case MapOrderAnswer::Refused:
+        ranks_[settings_.ownRank].sentAt = {};
+        chooseStep(); // The step has begun meanwhile.
+        return;
+    case MapOrderAnswer::Fenced:
+        raiseFence();
+        ranks_[settings_.ownRank].sentAt = {};
+        return;
+    case MapOrderAnswer::Lost:
+        return;
+    }
+}
+
+void GroupDecider::onArmAnswer(Rank &rank, MapOrderAnswer answer, TimePoint now)
+{
+    if (answer == MapOrderAnswer::Done) {
+        rank.confirmed = true;
+    } else if (answer != MapOrderAnswer::Lost) {
+        beginClearing(now);
+    }
+}
+
+void GroupDecider::onAnswer(std::uint32_t number, const MapOrder &order, MapOrderAnswer answer,
+                            TimePoint now)
+{
+    const auto found = ranks_.find(number);
+    if (found == ranks_.end() || order.epoch != epoch_ || order.fence != fence_) {
+        return;
+    }
+    Rank &rank = found->second;
+    const MapOrderKind kind = order.kind;
+    if (phase_ == Phase::Preparing && kind == MapOrderKind::Prepare) {
+        if (answer == MapOrderAnswer::Fenced) {
+            raiseFence();
+            enter(Phase::Idle, now);
+        } else if (answer != MapOrderAnswer::Lost) {
+            rank.answeredAt = now; // Whether it is copied, its report tells.
+        }
+    } else if (phase_ == Phase::Holding && kind == MapOrderKind::Hold && order.step == step_) {
+        onHoldAnswer(answer, now);
+    } else if (phase_ == Phase::Arming && kind == MapOrderKind::Arm) {
+        onArmAnswer(rank, answer, now);
+    } else if (phase_ == Phase::Clearing && kind == MapOrderKind::Disarm) {
+        if (answer == MapOrderAnswer::Fenced) {
+            beginClearing(now);
+        } else if (answer == MapOrderAnswer::Done) {
+            rank.confirmed = true;
+            rank.answeredAt = now;
+        }
+    } else if (phase_ == Phase::Releasing && kind == MapOrderKind::Go) {
+        if (answer == MapOrderAnswer::Fenced) {
+            enter(Phase::Idle, now); // Another decider is at it, and releases what it holds.
+        } else if (answer != MapOrderAnswer::Lost) {
+            rank.confirmed = true;
+        }
+    }
+    advance(now);
+}
+
+// Takes the step that the confirmations allow.
+void GroupDecider::advance(TimePoint now)
+{
+    if (ranks_.size() != size_ || size_ == 0) {
+        return;
+    }
+    if (phase_ == Phase::Preparing && allConfirmed() && whole(now)) {
+        chooseStep();
+        enter(Phase::Holding, now);
+    } else if (phase_ == Phase::Arming && allConfirmed()) {
+        committed_ = true;
+        enter(Phase::Releasing, now);
+    } else if (phase_ == Phase::Clearing && allConfirmed()) {
+        ++cleared_;
+        enter(Phase::Releasing, now);
+    } else if (phase_ == Phase::Releasing) {
+        const bool released = std::all_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
+            const bool asked = entry.first == settings_.ownRank
+                               || (clearing_ && entry.second.report.held.has_value());
+            return !asked || entry.second.confirmed;
+        });
+        if (released) {
+            changes_ += committed_ ? 1 : 0;
+            enter(Phase::Idle, now);
+        }
+    }
+}
+
+void GroupDecider::onTick(TimePoint now, MapOrders &orders)
+{
+    if (phase_ == Phase::Preparing && now - phaseSince_ > settings_.prepareLimit) {
+        enter(Phase::Idle, now); // Nothing is armed; what was copied does no harm.
+    } else if (phase_ == Phase::Arming && now - phaseSince_ > settings_.armLimit) {
+        beginClearing(now);
+    } else if (phase_ == Phase::Holding && !clearing_
+               && now - phaseSince_ > settings_.armLimit) {
+        beginClearing(now); // Whether the rank holds the step is not known.
+    }
+    switch (phase_) {
+    case Phase::Idle:
+        watchForeign(now);
+        return;
+    case Phase::Preparing:
+        sendUnconfirmed(MapOrderKind::Prepare, now, orders);
+        return;
+    case Phase::Holding:
+        sendOwn(MapOrderKind::Hold, now, orders);
+        return;
+    case Phase::Arming:
+        sendUnconfirmed(MapOrderKind::Arm, now, orders);
+        return;
+    case Phase::Clearing:
+        sendDisarms(now, orders);
+        return;
+    case Phase::Releasing:
+        sendReleases(now, orders);
+        return;
+    }
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/expertmap/groupdecider.h
@@ -0,0 +1,175 @@
+// Changes the expert map of a group of ranks whose engines take orders, so that no pass is ever made
+// with two maps.
+//
+// The engines compare nothing: a rank takes an armed map when its step begins, whatever the others
+// do. What keeps them together is the *hold*: a rank that holds a step keeps the whole group from
+// beginning it until it is told to go on. A change goes
+//   1. prepare: every rank copies the new map's experts;
+//   2. hold: the decider's own rank holds a step S that has not begun;
+//   3. arm: every rank is told to take the map at S;
+//   4. go: once every rank has confirmed its arm, the hold is released.
+// If any arm stays unconfirmed, the change is cleared instead: under the hold, every rank confirms a
+// disarm that carries a higher fence, and only then the hold is released. A rank that has seen the
+// higher fence refuses older orders, also those that are carried out seconds late.
+//
+// Any agent of the group may take itself for the decider, because two are harmless: each arms and
+// disarms only under a hold of its own, and no order is assumed to have been carried out. A decider
+// that finds arms or holds that are not its own clears them in the same way. The group's forming
+// anew (a new epoch) voids everything, which every order names.
+//
+// The class is a pure state machine: reports, answers and the time come in, orders go out.
+// Single-threaded.
+#pragma once
+
+#include "decision/expertmap/evenplacement.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace seamarch {
+
+// The experts of a map, by set of layers.
+using ExpertMap = std::vector<RankExperts>;
+
+// What a rank reports of itself.
+struct RankReport
+{
+    std::uint32_t rank = 0;
+    std::uint32_t ranks = 0;
+    std::uint64_t epoch = 0;
+    bool open = false;
+    std::uint64_t step = 0;     // The last pass that began.
+    std::uint64_t map = 0;      // Version in use; zero is the first map of an epoch.
+    std::uint64_t prepared = 0; // Zero: none.
+    std::uint64_t armed = 0;    // Version that is to be taken at a step to come; zero: none.
+    std::optional<std::uint64_t> held; // The step that it holds.
+    std::uint64_t fence = 0;    // The highest fence that is known to have been used there.
+};
+
+enum class MapOrderKind : std::uint16_t { Prepare, Arm, Disarm, Hold, Go };
+
+struct MapOrder
+{
+    MapOrderKind kind = MapOrderKind::Prepare;
+    std::uint64_t version = 0;
+    std::uint64_t step = 0;
+    std::uint64_t epoch = 0;
+    std::uint64_t fence = 0;
+    ExpertMap experts; // Of a prepare.
+};
+
+// What became of an order.
+enum class MapOrderAnswer {
+    Done,    // Begun, or it held already.
+    Refused, // It does not fit the rank's state.
+    Fenced,  // Another decider has used a higher fence.
+    Lost,    // No answer: it may have been carried out, or may be later.
+};
+
+// Hand an order to a rank.
+struct SendMapOrder
+{
+    std::uint32_t rank = 0;
+    MapOrder order;
+};
+
+using MapOrders = std::vector<SendMapOrder>;
+
+class GroupDecider
+{
+public:
+    struct Settings
+    {
+        std::uint32_t ownRank = 0;
+        std::uint64_t seed = 0;
+        // Passes between the hold and now: arms and their answers take some tens of milliseconds,
+        // a pass takes 60 to 140; a margin that is too short stops the group for a moment.
+        std::uint64_t stepMargin = 4;
+        // An order that was not answered is sent again after this.
+        Duration resend = std::chrono::milliseconds(250);
+        // Copying takes a second or two; a rank that has not copied by then holds the change up.
+        Duration prepareLimit = std::chrono::seconds(8);
+        // A change whose arms are not all confirmed by then is cleared, because the group waits.
+        Duration armLimit = std::chrono::milliseconds(1500);
+        // A report counts as current for this long.
+        Duration reportLife = std::chrono::milliseconds(700);
+        // Arms and holds that nobody resolves are cleared after this; their decider may be at it.
+        Duration foreignPatience = std::chrono::milliseconds(1200);
+    };
+
+    enum class Phase { Idle, Preparing, Holding, Arming, Clearing, Releasing };
+
+    explicit GroupDecider(const Settings &settings);
+
+    void onReport(const RankReport &report, TimePoint askedAt, TimePoint now);
+    void onAnswer(std::uint32_t rank, const MapOrder &order, MapOrderAnswer answer, TimePoint now);
+    void onTick(TimePoint now, MapOrders &orders);
+
+    // Starts a change to `experts`. Returns the new map's version, or nothing while the group is not
+    // whole or a change is under way.
+    std::optional<std::uint64_t> propose(ExpertMap experts, TimePoint now, MapOrders &orders);
+
+    // This agent no longer decides. What is under way stays as it is; whoever decides clears it.
+    void resign();
+
+    Phase phase() const { return phase_; }
+    // Tells whether every rank has reported lately, in one epoch, and the group is open.
+    bool whole(TimePoint now) const;
+    // Returns the version in use at every rank; nothing while they differ or are not known.
+    std::optional<std::uint64_t> mapInUse(TimePoint now) const;
+    std::uint64_t epoch() const { return epoch_; }
+    std::uint64_t changes() const { return changes_; }
+    std::uint64_t cleared() const { return cleared_; }
+
+private:
+    struct Rank
+    {
+        RankReport report;
+        TimePoint askedAt{};
+        bool known = false;
+        bool confirmed = false; // It has carried out the phase's order.
+        TimePoint sentAt{};     // Of the phase's order; zero: not sent yet.
+        TimePoint answeredAt{};
+    };
+
+    void enter(Phase phase, TimePoint now);
+    void raiseFence();
+    std::uint64_t highestStep() const;
+    bool allConfirmed() const;
+    bool due(const Rank &rank, TimePoint now) const;
+    MapOrder orderFor(MapOrderKind kind) const;
+    void sendUnconfirmed(MapOrderKind kind, TimePoint now, MapOrders &orders);
+    void sendOwn(MapOrderKind kind, TimePoint now, MapOrders &orders);
+    void sendDisarms(TimePoint now, MapOrders &orders);
+    void sendReleases(TimePoint now, MapOrders &orders);
+    void watchForeign(TimePoint now);
+    bool isForeign(const RankReport &report) const;
+    void beginClearing(TimePoint now);
+    void chooseStep();
+    void onHoldAnswer(MapOrderAnswer answer, TimePoint now);
+    void onArmAnswer(Rank &rank, MapOrderAnswer answer, TimePoint now);
+    void advance(TimePoint now);
+    void forgetEpoch(std::uint64_t epoch, TimePoint now);
+
+    Settings settings_;
+    std::uint64_t random_;
+    std::map<std::uint32_t, Rank> ranks_;
+    std::uint32_t size_ = 0;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t fence_ = 0;
+    Phase phase_ = Phase::Idle;
+    TimePoint phaseSince_{};
+    bool clearing_ = false;     // The hold serves to clear, and not to change.
+    std::uint64_t version_ = 0; // Of the change under way, or of the last one.
+    std::uint64_t step_ = 0;    // That the own rank holds.
+    bool committed_ = false;    // Every rank has armed `version_`.
+    ExpertMap experts_;
+    std::optional<TimePoint> foreignSince_;
+    std::uint64_t changes_ = 0;
+    std::uint64_t cleared_ = 0;
+};
+
+} // namespace seamarch
--- a/src/decision/gateway/routetable.h
+++ b/src/decision/gateway/routetable.h
@@ -52,12 +52,22 @@
     std::optional<std::uint8_t> priority; // Goes before the route's.
 };
 
+// How the experts of a service's model are spread over the ranks of its groups.
+struct ExpertRule
+{
+    std::uint32_t sets = 0;       // Of layers that share one placement.
+    std::uint32_t experts = 0;    // In each set.
+    std::uint32_t places = 0;     // Experts of a set that a rank holds at most.
+    std::uint32_t newExperts = 0; // Of those, how many may be new to it in one change.
+};
+
 // What is known of a service.
 struct ServiceRule
 {
     TargetName name;
     std::uint32_t maxConnections = 0; // To one upstream, from all gateways; zero: not bounded.
     bool runsEngines = false;         // Its upstreams are model engines.
+    std::optional<ExpertRule> experts;
 };
 
 // Bounds on what callers send and how long they take.
--- /dev/null
+++ b/src/experts/rankclient.cpp
@@ -0,0 +1,90 @@
+#include "experts/rankclient.h"
+
+#include "base/log.h"
+#include "net/httpfetch.h"
+
+#include <memory>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// An engine answers such calls at once; one that does not is dead, cut off or losing answers.
+constexpr Duration kPatience = std::chrono::milliseconds(300);
+constexpr int kOk = 200;
+
+} // namespace
+
+// One question on its way through up to three calls.
+struct RankClient::Asking
+{
+    SocketAddress engine;
+    RankQuestion question;
+    RankFacts facts;
+    std::function<void(std::optional<RankFacts>)> done;
+};
+
+void RankClient::ask(const SocketAddress &engine, RankQuestion question,
+                     std::function<void(std::optional<RankFacts>)> done)
+{
+    auto asking = std::make_shared<Asking>(Asking{engine, question, {}, std::move(done)});
+    fetchText(loop_, client_, calls_.reportCall(engine), kPatience,
+              [this, asking](const HttpText &text) {
+                  if (!text.complete || text.status != kOk) {
+                      asking->done(std::nullopt);
+                      return;
+                  }
+                  auto report = calls_.readReport(text.body);
+                  if (!report) {
+                      logLine(LogLevel::Debug, "rank.report_unreadable",
+                              {{"fault", report.error()}});
+                      asking->done(std::nullopt);
+                      return;
+                  }
+                  asking->facts.report = *report;
+                  askCounts(asking);
+              });
+}
+
+void RankClient::askCounts(const std::shared_ptr<Asking> &asking)
+{
+    if (!asking->question.counts) {
+        askExperts(asking);
+        return;
+    }
+    fetchText(loop_, client_, calls_.countsCall(asking->engine), kPatience,
+              [this, asking](const HttpText &text) {
+                  auto counts = calls_.readCounts(text.body);
+                  if (text.complete && text.status == kOk && counts) {
+                      asking->facts.counts = std::move(*counts);
+                  }
+                  askExperts(asking);
+              });
+}
+
+void RankClient::askExperts(const std::shared_ptr<Asking> &asking)
+{
+    if (!asking->question.experts) {
+        asking->done(std::move(asking->facts));
+        return;
+    }
+    fetchText(loop_, client_, calls_.expertsCall(asking->engine), kPatience,
+              [this, asking](const HttpText &text) {
+                  auto experts = calls_.readExperts(text.body);
+                  if (text.complete && text.status == kOk && experts) {
+                      asking->facts.experts = std::move(*experts);
+                  }
+                  asking->done(std::move(asking->facts));
+              });
+}
+
+void RankClient::order(const SocketAddress &engine, const MapOrder &order,
+                       std::function<void(MapOrderAnswer)> done)
+{
+    fetchText(loop_, client_, calls_.orderCall(engine, order), kPatience,
+              [this, done = std::move(done)](const HttpText &text) {
+                  done(text.complete ? calls_.readOrderAnswer(text.status) : MapOrderAnswer::Lost);
+              });
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/experts/rankclient.h
@@ -0,0 +1,55 @@
+// Asks one engine for what its agent and its group's decider need, and hands it orders.
+#pragma once
+
+#include "experts/enginecalls.h"
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+
+#include <functional>
+#include <optional>
+
+namespace seamarch {
+
+// What an engine was asked for.
+struct RankQuestion
+{
+    bool counts = false;
+    bool experts = false;
+};
+
+// What it answered.
+struct RankFacts
+{
+    RankReport report;
+    std::vector<std::uint64_t> counts; // Empty: not asked for, or not answered.
+    std::optional<ExpertsOfRank> experts;
+};
+
+class RankClient
+{
+public:
+    // The loop, the client and the calls outlive the object.
+    RankClient(EventLoop &loop, HttpClient &client, const EngineCalls &calls)
+        : loop_(loop)
+        , client_(client)
+        , calls_(calls)
+    {}
+
+    // Hands over the facts, or nothing when the engine did not answer in time.
+    void ask(const SocketAddress &engine, RankQuestion question,
+             std::function<void(std::optional<RankFacts>)> done);
+    void order(const SocketAddress &engine, const MapOrder &order,
+               std::function<void(MapOrderAnswer)> done);
+
+private:
+    struct Asking;
+
+    void askCounts(const std::shared_ptr<Asking> &asking);
+    void askExperts(const std::shared_ptr<Asking> &asking);
+
+    EventLoop &loop_;
+    HttpClient &client_;
+    const EngineCalls &calls_;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/net/httpfetch.cpp
@@ -0,0 +1,68 @@
+#include "net/httpfetch.h"
+
+#include <memory>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+constexpr std::size_t kMaxBytes = std::size_t{16} * 1024 * 1024;
+
+// Collects one answer. Its timer ends with it, however the call ends.
+class TextReceiver final : public HttpCallReceiver
+{
+public:
+    TextReceiver(EventLoop &loop, std::function<void(HttpText)> done)
+        : loop_(loop)
+        , done_(std::move(done))
+    {}
+    ~TextReceiver() override { loop_.cancel(timer_); }
+    TextReceiver(const TextReceiver &) = delete;
+    TextReceiver &operator=(const TextReceiver &) = delete;
+
+    // Breaks the call off after `patience`.
+    void limit(HttpClient &client, HttpCallId call, Duration patience)
+    {
+        timer_ = loop_.schedule(patience, [&client, call, done = done_] {
+            client.cancel(call); // Releases this receiver.
+            done(HttpText());
+        });
+    }
+
+    void onHead(HttpHead head) override { text_.status = head.status; }
+    void onPiece(std::string_view piece) override
+    {
+        tooLong_ = tooLong_ || text_.body.size() + piece.size() > kMaxBytes;
+        if (!tooLong_) {
+            text_.body.append(piece);
+        }
+    }
+    void onEnd(HttpCallEnd end) override
+    {
+        text_.complete = end == HttpCallEnd::Complete && !tooLong_;
+        const auto done = std::move(done_);
+        done(std::move(text_));
+    }
+
+private:
+    EventLoop &loop_;
+    std::function<void(HttpText)> done_;
+    HttpText text_;
+    TimerId timer_ = 0;
+    bool tooLong_ = false;
+};
+
+} // namespace
+
+HttpCallId fetchText(EventLoop &loop, HttpClient &client, HttpCallRequest request,
+                     Duration patience, std::function<void(HttpText)> done)
+{
+    request.connectTimeout = patience;
+    auto receiver = std::make_unique<TextReceiver>(loop, std::move(done));
+    TextReceiver &added = *receiver;
+    const HttpCallId call = client.call(std::move(request), std::move(receiver));
+    added.limit(client, call, patience);
+    return call;
+}
+
+} // namespace seamarch
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -116,3 +116,38 @@
   turn @6 (instance :Text, incarnation :UInt64, number :UInt64) -> (given :Bool);
   releaseTurn @7 (instance :Text, incarnation :UInt64, number :UInt64) -> ();
 }
+
+# What the agent beside one rank of a group of engines tells of it.
+struct RankState {
+  known @0 :Bool;            # The rank has answered its agent; else nothing below is meant.
+  rank @1 :UInt32;
+  ranks @2 :UInt32;          # Of the group.
+  epoch @3 :UInt64;          # Rises each time that the group forms.
+  open @4 :Bool;             # The group takes requests.
+  step @5 :UInt64;           # The last pass that began.
+  map @6 :UInt64;            # Version of the expert map in use.
+  prepared @7 :UInt64;       # Version whose experts are copied; zero: none.
+  armed @8 :Bool;            # A map is to be taken at a step to come.
+  held @9 :Bool;             # The group waits before `heldStep`.
+  heldStep @10 :UInt64;
+  fence @11 :UInt64;         # The highest fence that the agent has handed to the rank.
+  counts @12 :List(UInt64);  # Set by set, how often each expert was chosen; when asked for.
+  experts @13 :List(List(UInt16));  # By set, those of this rank in `expertsMap`; when asked for.
+  expertsMap @14 :UInt64;
+}
+
+struct RankOrder {
+  kind @0 :UInt16;           # A MapOrderKind.
+  version @1 :UInt64;
+  step @2 :UInt64;
+  epoch @3 :UInt64;
+  fence @4 :UInt64;
+  experts @5 :List(List(List(UInt16)));  # By set and rank.
+}
+
+# Served by the agent beside a rank, for the agents beside the other ranks of its group.
+interface RankAgent {
+  state @0 (counts :Bool, experts :Bool) -> (state :RankState);
+  # Hands an order to the rank and returns the status of its answer, zero when there was none.
+  order @1 (order :RankOrder) -> (status :UInt16);
+}
