Expert planner: two memories of counts; only gains of 12 in 100 change the map

Cause: with one memory of 1.5 s the plan fitted the noise of a moment, and half of the changes won a few parts in 100 while they kept the next shift waiting (5.1 s apart on average, 1.1 s each). Change: a long memory that is dropped for a short one when the two lie further apart than 0.25.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -8,9 +8,9 @@
 void ExpertPlanner::setRule(const ExpertRule &rule)
 {
     const std::size_t size = std::size_t{rule.sets} * rule.experts;
-    if (recent_.size() != size) {
-        recent_.assign(size, 0.0);
-        total_ = 0.0;
+    if (long_.size() != size) {
+        long_.assign(size, 0.0);
+        short_.assign(size, 0.0);
         last_.clear();
     }
     rule_ = rule;
@@ -24,19 +24,20 @@
 
 void ExpertPlanner::decay(TimePoint now)
 {
-    const double halfLives = toSeconds(now - decayedAt_) / toSeconds(settings_.halfLife);
-    const double factor = std::exp2(-std::max(0.0, halfLives));
-    for (double &count : recent_) {
-        count *= factor;
+    const double seconds = std::max(0.0, toSeconds(now - decayedAt_));
+    const double longFactor = std::exp2(-seconds / toSeconds(settings_.longHalfLife));
+    const double shortFactor = std::exp2(-seconds / toSeconds(settings_.shortHalfLife));
+    for (std::size_t index = 0; index < long_.size(); ++index) {
+        long_[index] *= longFactor;
+        short_[index] *= shortFactor;
     }
-    total_ *= factor;
     decayedAt_ = now;
 }
 
 void ExpertPlanner::onCounts(std::uint32_t rank, std::span<const std::uint64_t> counts,
                              TimePoint now)
 {
-    if (counts.size() != recent_.size() || recent_.empty()) {
+    if (counts.size() != long_.size() || long_.empty()) {
         return;
     }
     std::vector<std::uint64_t> &last = last_[rank];
@@ -46,16 +47,30 @@
             // A rank that has started anew counts from zero; its first counts are left out.
             const std::uint64_t more =
                 counts[index] >= last[index] ? counts[index] - last[index] : 0;
-            recent_[index] += static_cast<double>(more);
-            total_ += static_cast<double>(more);
+            long_[index] += static_cast<double>(more);
+            short_[index] += static_cast<double>(more);
         }
     }
     last.assign(counts.begin(), counts.end());
 }
 
+double ExpertPlanner::distance() const
+{
+    const double longTotal = std::accumulate(long_.begin(), long_.end(), 0.0);
+    const double shortTotal = std::accumulate(short_.begin(), short_.end(), 0.0);
+    if (longTotal < settings_.leastCounts || shortTotal < settings_.leastCounts) {
+        return 0.0;
+    }
+    double differing = 0.0;
+    for (std::size_t index = 0; index < long_.size(); ++index) {
+        differing += std::abs(long_[index] / longTotal - short_[index] / shortTotal);
+    }
+    return differing / 2.0;
+}
+
 std::vector<double> ExpertPlanner::shares(std::uint32_t set) const
 {
-    const auto begin = recent_.begin() + static_cast<std::ptrdiff_t>(set) * rule_.experts;
+    const auto begin = long_.begin() + static_cast<std::ptrdiff_t>(set) * rule_.experts;
     std::vector<double> shares(begin, begin + rule_.experts);
     const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
     const double floor = sum / rule_.experts * 1e-3; // Every expert is chosen now and then.
@@ -76,7 +91,12 @@
 
 std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
 {
-    if (total_ < settings_.leastCounts || current.size() != rule_.sets
+    if (distance() > settings_.shiftDistance) {
+        long_ = short_;
+        ++shifts_;
+    }
+    const double total = std::accumulate(long_.begin(), long_.end(), 0.0);
+    if (total < settings_.leastCounts || current.size() != rule_.sets
         || (plannedAt_ && now - *plannedAt_ < settings_.pause)) {
         return std::nullopt;
     }
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -2,8 +2,12 @@
 //
 // It keeps how popular each expert was of late, from the counts that the ranks report, and compares
 // the map in use with the best that one change can reach. A change costs a second or two of slower
-// passes, so it must win a good part of the passes' time; popularity shifts within seconds, so the
-// memory of counts is short.
+// passes and the copies have a price, so it must win a good part of the passes' time.
+//
+// Which experts are chosen follows what requests are about. Within one mix of subjects the counts
+// of a moment are noisy, and a long memory serves best; when the mix shifts, the old counts only
+// mislead. Two memories are kept, a short and a long one, and the long one is dropped for the short
+// when the two lie further apart than noise takes them.
 //
 // Pure and single-threaded.
 #pragma once
@@ -26,13 +30,17 @@
 public:
     struct Settings
     {
-        // Counts lose half their weight in this time. Shifts of demand come every few seconds.
-        Duration halfLife = std::chrono::milliseconds(1500);
-        // The least pause between two proposals; copying alone takes more than a second.
-        Duration pause = std::chrono::milliseconds(1000);
+        // Counts lose half their weight in this time, in the long memory and in the short one.
+        Duration longHalfLife = std::chrono::milliseconds(4000);
+        Duration shortHalfLife = std::chrono::milliseconds(300);
+        // The distance of the two memories, in parts of all choices that differ, from which on
+        // demand has shifted.
+        double shiftDistance = 0.25;
+        // The least pause between two proposals; copying alone takes about a second.
+        Duration pause = std::chrono::milliseconds(400);
         // The least part by which the sum of the sets' largest loads must fall. Passes are slower
         // by 15 in 100 while experts are copied.
-        double leastGain = 0.05;
+        double leastGain = 0.12;
         // Choices of experts below which the counts are mostly noise.
         double leastCounts = 20'000.0;
     };
@@ -54,6 +62,9 @@
     double skew(const ExpertMap &map) const;
     // Returns the skew that the last plan expects.
     double expectedSkew() const { return expectedSkew_; }
+    // Returns the part of all choices by which the short memory differs from the long one.
+    double distance() const;
+    std::uint64_t shifts() const { return shifts_; }
 
 private:
     std::vector<double> shares(std::uint32_t set) const;
@@ -62,11 +73,12 @@
     Settings settings_;
     ExpertRule rule_;
     std::map<std::uint32_t, std::vector<std::uint64_t>> last_; // By rank.
-    std::vector<double> recent_;
-    double total_ = 0.0;
+    std::vector<double> long_;  // Counts by set and expert, with the weight of their age.
+    std::vector<double> short_;
     TimePoint decayedAt_{};
     std::optional<TimePoint> plannedAt_;
     double expectedSkew_ = 1.0;
+    std::uint64_t shifts_ = 0;
 };
 
 } // namespace seamarch
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -195,10 +195,22 @@
     }
 }
 
+bool GroupDecider::settled(TimePoint now) const
+{
+    if (phase_ != Phase::Idle || !mapInUse(now) || foreignSince_) {
+        return false;
+    }
+    return std::all_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
+        const Rank &rank = entry.second;
+        // A rank that has still to take the last map refuses to prepare the next.
+        return rank.askedAt > releasedAt_ && rank.report.armed == 0;
+    });
+}
+
 std::optional<std::uint64_t> GroupDecider::propose(ExpertMap experts, TimePoint now,
                                                    MapOrders &orders)
 {
-    if (phase_ != Phase::Idle || !mapInUse(now) || foreignSince_) {
+    if (!settled(now)) {
         return std::nullopt;
     }
     std::uint64_t highest = version_;
@@ -306,11 +318,11 @@
     Rank &rank = found->second;
     const MapOrderKind kind = order.kind;
     if (phase_ == Phase::Preparing && kind == MapOrderKind::Prepare) {
-        if (answer == MapOrderAnswer::Fenced) {
-            raiseFence();
-            enter(Phase::Idle, now);
-        } else if (answer != MapOrderAnswer::Lost) {
+        if (answer == MapOrderAnswer::Done) {
             rank.answeredAt = now; // Whether it is copied, its report tells.
+        } else if (answer != MapOrderAnswer::Lost) {
+            raiseFence();
+            enter(Phase::Idle, now); // Nothing is armed; a new proposal takes a higher version.
         }
     } else if (phase_ == Phase::Holding && kind == MapOrderKind::Hold && order.step == step_) {
         onHoldAnswer(answer, now);
@@ -356,6 +368,7 @@
         });
         if (released) {
             changes_ += committed_ ? 1 : 0;
+            releasedAt_ = now;
             enter(Phase::Idle, now);
         }
     }
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -108,8 +108,9 @@
     void onAnswer(std::uint32_t rank, const MapOrder &order, MapOrderAnswer answer, TimePoint now);
     void onTick(TimePoint now, MapOrders &orders);
 
-    // Starts a change to `experts`. Returns the new map's version, or nothing while the group is not
-    // whole or a change is under way.
+    // Tells whether a change may start: the group is whole, and the last change has come into use.
+    bool settled(TimePoint now) const;
+    // Starts a change to `experts`. Returns the new map's version, or nothing while not settled.
     std::optional<std::uint64_t> propose(ExpertMap experts, TimePoint now, MapOrders &orders);
 
     // This agent no longer decides. What is under way stays as it is; whoever decides clears it.
@@ -162,6 +163,7 @@
     std::uint64_t fence_ = 0;
     Phase phase_ = Phase::Idle;
     TimePoint phaseSince_{};
+    TimePoint releasedAt_{}; // When the last change or clearing ended.
     bool clearing_ = false;     // The hold serves to clear, and not to change.
     std::uint64_t version_ = 0; // Of the change under way, or of the last one.
     std::uint64_t step_ = 0;    // That the own rank holds.
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -489,9 +489,11 @@
 void ExpertAgent::proposeChange(MapOrders &orders)
 {
     const auto current = currentMap();
-    if (!rule_ || !current) {
+    if (!rule_ || !current || !decider_->settled(loop_.now())) {
         return;
     }
+    logLine(LogLevel::Debug, "map.weighed",
+            {{"distance", planner_.distance()}, {"skew", planner_.skew(*current)}});
     auto planned = planner_.plan(*current, loop_.now());
     if (!planned) {
         return;
@@ -503,7 +505,8 @@
                 {{"version", *version},
                  {"epoch", epoch_},
                  {"skew", before},
-                 {"expectedSkew", planner_.expectedSkew()}});
+                 {"expectedSkew", planner_.expectedSkew()},
+                 {"shifts", planner_.shifts()}});
     }
 }
 
