Expert planner: placements that are good enough, and shifts seen from 0.15 on

In a steady mix the two memories lie within 0.12 of each other, a shift takes them to 0.3 within half a second. Change: the search for a set's placement stops at 1.08; shiftDistance 0.15.

--- a/src/decision/expertmap/evenplacement.cpp
+++ b/src/decision/expertmap/evenplacement.cpp
@@ -54,6 +54,9 @@
     RankExperts run()
     {
         for (std::uint32_t count = 0; count < bounds_.maxChanges; ++count) {
+            if (skew() <= bounds_.goodEnough) {
+                break;
+            }
             const auto change = best();
             if (!change) {
                 break;
@@ -70,7 +73,14 @@
                != placement[rank].end();
     }
 
-    // Returns how many experts more would be new to `rank` when it gets `expert`.
+    double skew() const
+    {
+        const double sum = std::accumulate(loads_.begin(), loads_.end(), 0.0);
+        return *std::max_element(loads_.begin(), loads_.end()) * static_cast<double>(loads_.size())
+               / sum;
+    }
+
+    // Tells whether `rank` may get `expert` within the bound on new experts.
     bool mayGet(std::size_t rank, std::uint16_t expert) const
     {
         return holds(original_, rank, expert) || newOn_[rank] < bounds_.newExperts;
--- a/src/decision/expertmap/evenplacement.h
+++ b/src/decision/expertmap/evenplacement.h
@@ -25,6 +25,9 @@
     std::uint32_t places = 0;      // Experts that a rank holds at most.
     std::uint32_t newExperts = 0;  // Of those, how many may be new to it.
     std::uint32_t maxChanges = 64; // Bounds the time that the search takes.
+    // The search stops at this skew: every copy has a price and takes time, and the counts of a
+    // moment are no better than this.
+    double goodEnough = 1.0;
 };
 
 // Returns the load of each rank, in parts of all tokens. `shares` holds each expert's part.
--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -101,7 +101,8 @@
         return std::nullopt;
     }
     plannedAt_ = now;
-    const PlacementBounds bounds{rule_.places, rule_.newExperts, 64};
+    const PlacementBounds bounds{rule_.places, rule_.newExperts, settings_.maxChanges,
+                                 settings_.goodEnough};
     ExpertMap planned;
     for (std::uint32_t set = 0; set < rule_.sets; ++set) {
         planned.push_back(improvePlacement(current[set], shares(set), bounds));
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -35,12 +35,15 @@
         Duration shortHalfLife = std::chrono::milliseconds(300);
         // The distance of the two memories, in parts of all choices that differ, from which on
         // demand has shifted.
-        double shiftDistance = 0.25;
+        double shiftDistance = 0.15;
         // The least pause between two proposals; copying alone takes about a second.
         Duration pause = std::chrono::milliseconds(400);
         // The least part by which the sum of the sets' largest loads must fall. Passes are slower
         // by 15 in 100 while experts are copied.
         double leastGain = 0.12;
+        // A set's placement is not improved beyond this skew.
+        double goodEnough = 1.08;
+        std::uint32_t maxChanges = 64;
         // Choices of experts below which the counts are mostly noise.
         double leastCounts = 20'000.0;
     };
