Gateway: streams in flight bounded by the pauses that each gateway sees

Cause: passes are common to all streams of a group; when demand shifts, arrivals pile up as running streams, every pass grows past the 120 ms that a pause may last, and all streams are late. Change: StreamLimiter (AIMD on the pauses between events against the route's goal), a queue by priority and arrival, at most 1.5 s.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -46,12 +46,77 @@
     added.service = chooseService(route);
     added.giveUpAt = now + longest - kAnswerMargin;
     budgets_.try_emplace(added.service, settings_.retryBudget).first->second.onSuccess();
+    added.arrivedAt = now;
+    ServiceState &service = serviceOf(added);
+    if (route.streamed && !service.limiter.admits(service.streams)) {
+        added.waits = true;
+        service.waiting.emplace(std::pair{added.request.priority, number}, number);
+        return number;
+    }
+    service.streams += route.streamed ? 1 : 0;
     if (!startAttempt(number, added, now, actions)) {
         giveUp(number, FailureCode::NoUpstream, actions);
     }
     return number;
 }
 
+GatewayCore::ServiceState &GatewayCore::serviceOf(const Request &request)
+{
+    return services_.try_emplace(request.service, ServiceState{StreamLimiter(settings_.streams), 0, {}})
+        .first->second;
+}
+
+// Starts waiting requests while the bound admits them.
+void GatewayCore::admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions)
+{
+    while (!service.waiting.empty() && service.limiter.admits(service.streams)) {
+        const RequestNumber number = service.waiting.begin()->second;
+        service.waiting.erase(service.waiting.begin());
+        Request &request = requests_.at(number);
+        request.waits = false;
+        ++service.streams;
+        if (!startAttempt(number, request, now, actions)) {
+            giveUp(number, FailureCode::NoUpstream, actions);
+        }
+    }
+}
+
+void GatewayCore::endRequest(RequestNumber number)
+{
+    const auto found = requests_.find(number);
+    if (found == requests_.end()) {
+        return;
+    }
+    const Request &request = found->second;
+    ServiceState &service = serviceOf(request);
+    if (request.waits) {
+        service.waiting.erase({request.request.priority, number});
+    } else if (request.request.route->streamed && service.streams > 0) {
+        --service.streams;
+    }
+    requests_.erase(found);
+}
+
+void GatewayCore::onPause(RequestNumber number, Duration pause)
+{
+    const Request *request = find(number);
+    if (request != nullptr) {
+        serviceOf(*request).limiter.onPause(pause, request->request.route->pauseGoal);
+    }
+}
+
+std::size_t GatewayCore::waiting(const TargetName &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.waiting.size();
+}
+
+double GatewayCore::streamLimit(const TargetName &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? settings_.streams.initial : found->second.limiter.limit();
+}
+
 TargetName GatewayCore::chooseService(const RouteRule &route)
 {
     std::uint64_t total = 0;
@@ -199,7 +264,7 @@
     const bool answering = request->answering;
     leaveUpstream(*request);
     if (end == AttemptEnd::Complete && answering) {
-        requests_.erase(number);
+        endRequest(number);
         return;
     }
     if (end == AttemptEnd::NotSent) {
@@ -259,7 +324,7 @@
         actions.push_back(RejectRequest{number, FailureCode::NoUpstream, Outcome::NotRun,
                                         settings_.retryAfter});
     }
-    requests_.erase(found);
+    endRequest(number);
 }
 
 void GatewayCore::onCallerGone(RequestNumber number, GatewayActions &actions)
@@ -272,7 +337,7 @@
         actions.push_back(CancelAttempt{number});
         leaveUpstream(*request);
     }
-    requests_.erase(number);
+    endRequest(number);
 }
 
 void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
@@ -280,7 +345,8 @@
     upstreams_.expire(now);
     std::vector<RequestNumber> late;
     for (const auto &[number, request] : requests_) {
-        if (now >= request.giveUpAt) {
+        const bool waitedLong = request.waits && now - request.arrivedAt >= settings_.longestWait;
+        if (now >= request.giveUpAt || waitedLong) {
             late.push_back(number);
         }
     }
@@ -291,6 +357,10 @@
         request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
         giveUp(number, FailureCode::UpstreamTimedOut, actions);
     }
+    for (auto &[name, service] : services_) {
+        service.limiter.onTick(service.streams, !service.waiting.empty(), now);
+        admitWaiting(service, now, actions);
+    }
 }
 
 std::uint32_t GatewayCore::inFlightAt(const InstanceId &upstream) const
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "decision/gateway/routetable.h"
+#include "decision/gateway/streamlimiter.h"
 #include "decision/gateway/upstreamtable.h"
 #include "decision/retry/outlierdetector.h"
 #include "decision/retry/retrybudget.h"
@@ -22,6 +23,7 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -123,6 +125,10 @@
         // gateway spends less than that of its own traffic, so that their sum stays below.
         RetryBudget::Settings retryBudget{0.15, 5.0, 2.0};
         OutlierDetector::Settings outliers;
+        StreamLimiter::Settings streams;
+        // How long a request waits at most for the bound on streams. Callers leave a stream that
+        // says nothing after two seconds.
+        Duration longestWait = std::chrono::milliseconds(1500);
     };
 
     explicit GatewayCore(const Settings &settings);
@@ -130,18 +136,22 @@
     UpstreamTable &upstreams() { return upstreams_; }
     const UpstreamTable &upstreams() const { return upstreams_; }
 
-    // Admits a request and sends it, or rejects it.
+    // Admits a request and sends it, has it wait, or rejects it.
     RequestNumber begin(GatewayRequest request, TimePoint now, GatewayActions &actions);
     // The head of an answer is here. Returns true when it is to go to the caller, or, for a stream
     // that is being taken up, when its events are to follow those that went before.
     bool onHead(RequestNumber request, AnswerKind kind, TimePoint now, GatewayActions &actions);
     void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
+    // An event of the request's stream came `pause` after the one before it.
+    void onPause(RequestNumber request, Duration pause);
     // The caller has left. The request is over.
     void onCallerGone(RequestNumber request, GatewayActions &actions);
     // Time has passed: gives up requests whose time is over.
     void onTick(TimePoint now, GatewayActions &actions);
 
     std::size_t inFlight() const { return requests_.size(); }
+    std::size_t waiting(const TargetName &service) const;
+    double streamLimit(const TargetName &service) const;
     std::uint64_t secondAttempts() const { return secondAttempts_; }
     // Returns this gateway's requests in flight at an upstream.
     std::uint32_t inFlightAt(const InstanceId &upstream) const;
@@ -152,6 +162,8 @@
         GatewayRequest request;
         TargetName service;
         TimePoint giveUpAt{};
+        TimePoint arrivedAt{};
+        bool waits = false; // For the bound on streams; nothing was sent yet.
         InstanceId upstream; // Of the attempt under way; empty: none.
         std::set<InstanceId> tried;
         std::uint32_t attempts = 0; // That reached an upstream, as far as is known.
@@ -161,6 +173,15 @@
         bool answering = false; // The attempt under way has sent its head.
     };
 
+    // The streams in flight at one service, and those that wait.
+    struct ServiceState
+    {
+        StreamLimiter limiter;
+        std::uint32_t streams = 0;
+        // By priority and arrival: the most urgent and oldest first.
+        std::map<std::pair<std::uint8_t, RequestNumber>, RequestNumber> waiting;
+    };
+
     struct UpstreamState
     {
         std::uint32_t inFlight = 0;
@@ -178,6 +199,9 @@
                        GatewayActions &actions);
     void giveUp(RequestNumber number, FailureCode failure, GatewayActions &actions);
     void leaveUpstream(Request &request);
+    ServiceState &serviceOf(const Request &request);
+    void endRequest(RequestNumber number);
+    void admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions);
     void noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
     Request *find(RequestNumber number);
 
@@ -187,6 +211,7 @@
     OutlierDetector outliers_;
     std::unordered_map<InstanceId, UpstreamState> states_;
     std::unordered_map<TargetName, RetryBudget> budgets_;
+    std::unordered_map<TargetName, ServiceState> services_;
     std::unordered_map<RequestNumber, Request> requests_;
     RequestNumber nextNumber_ = 1;
     std::uint64_t secondAttempts_ = 0;
--- /dev/null
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -0,0 +1,32 @@
+#include "decision/gateway/streamlimiter.h"
+
+#include <algorithm>
+
+namespace seamarch {
+
+void StreamLimiter::onPause(Duration pause, Duration goal)
+{
+    if (goal <= Duration{}) {
+        return;
+    }
+    heard_ = true;
+    longest_ = std::max(longest_, toSeconds(pause) / toSeconds(goal));
+}
+
+void StreamLimiter::onTick(std::uint32_t inFlight, bool waiting, TimePoint now)
+{
+    if (now - adaptedAt_ < settings_.period) {
+        return;
+    }
+    adaptedAt_ = now;
+    if (heard_ && longest_ > settings_.tooLong) {
+        const double held = std::min(limit_, static_cast<double>(inFlight));
+        limit_ = std::max(settings_.least, held * settings_.decrease);
+    } else if (waiting && (!heard_ || longest_ < settings_.comfortable)) {
+        limit_ = std::min(settings_.most, limit_ + settings_.increase);
+    }
+    heard_ = false;
+    longest_ = 0.0;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/streamlimiter.h
@@ -0,0 +1,57 @@
+// Bounds how many streams a gateway has in flight at one service, so that the pauses between their
+// events stay within the routes' goal.
+//
+// Engines make one pass for all their streams together: the more run, the longer every pause of
+// every stream. The gateways of a site cannot see each other's streams, but all see the same pauses.
+// Each lowers its bound by a part when pauses come near the goal and raises it step by step while
+// they are short and requests wait; so they share the engines without a word between them.
+//
+// Pure and single-threaded; one object for each service.
+#pragma once
+
+#include "seamarch/units.h"
+
+#include <cstdint>
+
+namespace seamarch {
+
+class StreamLimiter
+{
+public:
+    struct Settings
+    {
+        double initial = 12.0; // Streams. A twelfth of a site's slots, and it adapts within a second.
+        double least = 3.0;    // Below it a gateway would learn nothing of the pauses.
+        double most = 200.0;
+        // Parts of the goal: above the first the bound falls, below the second it may rise.
+        double tooLong = 0.85;
+        double comfortable = 0.65;
+        double decrease = 0.85;
+        double increase = 1.0;
+        // How often the bound changes: some passes long, so that a change shows before the next.
+        Duration period = std::chrono::milliseconds(200);
+    };
+
+    StreamLimiter() = default;
+    explicit StreamLimiter(const Settings &settings)
+        : settings_(settings)
+        , limit_(settings.initial)
+    {}
+
+    // An event came `pause` after the one before it on the same stream; `goal` is its route's.
+    void onPause(Duration pause, Duration goal);
+    // Adapts the bound. `waiting` tells whether requests wait for it.
+    void onTick(std::uint32_t inFlight, bool waiting, TimePoint now);
+
+    bool admits(std::uint32_t inFlight) const { return inFlight + 1.0 <= limit_ + 0.5; }
+    double limit() const { return limit_; }
+
+private:
+    Settings settings_;
+    double limit_ = Settings().initial;
+    double longest_ = 0.0; // Of the period's pauses, in parts of the goal.
+    bool heard_ = false;
+    TimePoint adaptedAt_{};
+};
+
+} // namespace seamarch
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -553,7 +553,7 @@
     }
 }
 
-void GatewayService::relayEvents(RequestNumber /*number*/, Flight &flight, std::string_view piece)
+void GatewayService::relayEvents(RequestNumber number, Flight &flight, std::string_view piece)
 {
     const std::string whole = flight.events.feed(piece);
     if (whole.empty()) {
@@ -564,6 +564,9 @@
     metrics_.observe(first ? Stage::FirstToken : Stage::BetweenTokens, flight.admitted.account,
                      flight.admitted.route->name,
                      now - (first ? flight.startedAt : flight.lastEventAt));
+    if (!first) {
+        core_.onPause(number, now - flight.lastEventAt);
+    }
     flight.lastEventAt = now;
     server_->write(flight.exchange, whole);
 }
