--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -358,7 +358,7 @@
         giveUp(number, FailureCode::UpstreamTimedOut, actions);
     }
     for (auto &[name, service] : services_) {
-        service.limiter.onTick(service.streams, !service.waiting.empty(), now);
+        service.limiter.onTick(service.streams, service.waiting.size(), now);
         admitWaiting(service, now, actions);
     }
 }
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -13,7 +13,7 @@
     longest_ = std::max(longest_, toSeconds(pause) / toSeconds(goal));
 }
 
-void StreamLimiter::onTick(std::uint32_t inFlight, bool waiting, TimePoint now)
+void StreamLimiter::onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now)
 {
     if (now - adaptedAt_ < settings_.period) {
         return;
@@ -22,8 +22,10 @@
     if (heard_ && longest_ > settings_.tooLong) {
         const double held = std::min(limit_, static_cast<double>(inFlight));
         limit_ = std::max(settings_.least, held * settings_.decrease);
-    } else if (waiting && (!heard_ || longest_ < settings_.comfortable)) {
-        limit_ = std::min(settings_.most, limit_ + settings_.increase);
+    } else if (waiting > 0 && (!heard_ || longest_ < settings_.comfortable)) {
+        const double more =
+            settings_.increase + settings_.increasePerWaiting * static_cast<double>(waiting);
+        limit_ = std::min(settings_.most, limit_ + more);
     }
     heard_ = false;
     longest_ = 0.0;
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -24,10 +24,12 @@
         double least = 3.0;    // Below it a gateway would learn nothing of the pauses.
         double most = 200.0;
         // Parts of the goal: above the first the bound falls, below the second it may rise.
-        double tooLong = 0.85;
-        double comfortable = 0.65;
-        double decrease = 0.85;
+        double tooLong = 0.92;
+        double comfortable = 0.75;
+        double decrease = 0.88;
         double increase = 1.0;
+        // Added to the increase for each request that waits, so that gateways share by demand.
+        double increasePerWaiting = 0.3;
         // How often the bound changes: some passes long, so that a change shows before the next.
         Duration period = std::chrono::milliseconds(200);
     };
@@ -40,8 +42,8 @@
 
     // An event came `pause` after the one before it on the same stream; `goal` is its route's.
     void onPause(Duration pause, Duration goal);
-    // Adapts the bound. `waiting` tells whether requests wait for it.
-    void onTick(std::uint32_t inFlight, bool waiting, TimePoint now);
+    // Adapts the bound. `waiting` is the number of requests that wait for it.
+    void onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now);
 
     bool admits(std::uint32_t inFlight) const { return inFlight + 1.0 <= limit_ + 0.5; }
     double limit() const { return limit_; }
