--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -25,6 +25,8 @@
 {
     std::string name;
     std::string message;
+
+    friend bool operator==(const SettingFault &, const SettingFault &) = default;
 };
 
 // An IP number and a port as text, for example `127.0.0.1:8080`.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,6 +11,7 @@
 #include "storeitems.h"
 
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
 #include <fmt/format.h>
 #include <functional>
@@ -23,10 +24,24 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitStart = 3;
 
+// How often the settings file is looked at: it may change without a signal.
+constexpr Duration kSettingsGap = std::chrono::seconds(1);
+
 EventLoop *signalledLoop = nullptr;
+volatile std::sig_atomic_t stopAsked = 0;
+volatile std::sig_atomic_t reloadAsked = 0;
 
 void onStopSignal(int /*signal*/)
 {
+    stopAsked = 1;
+    if (signalledLoop != nullptr) {
+        signalledLoop->interrupt();
+    }
+}
+
+void onReloadSignal(int /*signal*/)
+{
+    reloadAsked = 1;
     if (signalledLoop != nullptr) {
         signalledLoop->interrupt();
     }
@@ -37,6 +52,7 @@
     signalledLoop = &loop;
     std::signal(SIGTERM, onStopSignal);
     std::signal(SIGINT, onStopSignal);
+    std::signal(SIGHUP, onReloadSignal);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -48,9 +64,53 @@
     return kExitSettings;
 }
 
-// Runs a service until it has stopped. `create` makes it on the loop that it is given.
-template <typename Create>
-int serve(Create create)
+// Reads the settings anew when it is told to or when their file has changed, and hands them to
+// `apply`. Settings with a fault change nothing.
+class SettingsReload
+{
+public:
+    using Apply = std::function<void(const DaemonOptions &)>;
+
+    SettingsReload(EventLoop &loop, const DaemonOptions &options, Apply apply)
+        : arguments_(options.arguments)
+        , values_(options.values)
+        , apply_(std::move(apply))
+        , timer_(loop, kSettingsGap, [this] { read(false); })
+    {}
+
+    void read(bool asked)
+    {
+        const DaemonOptions fresh = readDaemonOptions(arguments_);
+        const bool news = fresh.faults.empty() ? fresh.values != values_ : fresh.faults != faults_;
+        if (!asked && !news) {
+            return;
+        }
+        faults_ = fresh.faults;
+        if (!fresh.faults.empty()) {
+            const SettingFault &fault = fresh.faults.front();
+            logLine(LogLevel::Warning, "settings.rejected",
+                    {{"name", fault.name}, {"fault", fault.message}});
+            return;
+        }
+        logLine(LogLevel::Info, "settings.reloaded",
+                {{"asked", asked}, {"changed", fresh.values != values_}});
+        values_ = fresh.values;
+        setLogLevel(fresh.logLevel);
+        apply_(fresh);
+    }
+
+private:
+    std::vector<std::string> arguments_;
+    std::map<std::string, std::string> values_;
+    std::vector<SettingFault> faults_;
+    Apply apply_;
+    PeriodicTimer timer_;
+};
+
+// Runs a service until it has stopped. `create` makes it on the loop that it is given; `apply` hands
+// it settings that were read anew.
+template <typename Create, typename ApplySettings>
+int serve(const DaemonOptions &options, Create create, ApplySettings apply)
 {
     auto loop = EventLoop::create();
     if (!loop) {
@@ -63,7 +123,17 @@
         return kExitStart;
     }
     installSignals(**loop);
-    (*loop)->onInterrupt([&service] { (*service)->stop(); });
+    SettingsReload reload(**loop, options,
+                          [&](const DaemonOptions &fresh) { apply(**service, fresh); });
+    (*loop)->onInterrupt([&] {
+        if (stopAsked != 0) {
+            (*service)->stop();
+        }
+        if (reloadAsked != 0) {
+            reloadAsked = 0;
+            reload.read(true);
+        }
+    });
     logLine(LogLevel::Info, "process.started", {{"version", SEAMARCH_VERSION}});
     (*loop)->run();
     signalledLoop = nullptr;
@@ -73,22 +143,31 @@
     return kExitOk;
 }
 
-int serveGateway(const GatewaySettings &settings)
+// The roles whose settings cannot change while they run.
+constexpr auto kNothingToApply = [](auto & /*service*/, const DaemonOptions & /*fresh*/) {};
+
+int serveGateway(const DaemonOptions &options)
 {
+    const GatewaySettings &settings = *options.gateway;
     const platform::CallerHeaders protocol;
     const platform::StoreItemsReader store(settings.store);
-    return serve([&](EventLoop &loop) {
-        return GatewayService::create(loop, settings, protocol, store);
-    });
+    return serve(
+        options,
+        [&](EventLoop &loop) { return GatewayService::create(loop, settings, protocol, store); },
+        [](GatewayService &service, const DaemonOptions &fresh) {
+            service.applySettings(*fresh.gateway);
+        });
 }
 
-int serveExpertAgent(const ExpertAgentSettings &settings)
+int serveExpertAgent(const DaemonOptions &options)
 {
+    const ExpertAgentSettings &settings = *options.expertAgent;
     const platform::EngineHttp engines;
     const platform::StoreItemsReader store(settings.store);
-    return serve([&](EventLoop &loop) {
-        return ExpertAgent::create(loop, settings, store, engines);
-    });
+    return serve(
+        options,
+        [&](EventLoop &loop) { return ExpertAgent::create(loop, settings, store, engines); },
+        kNothingToApply);
 }
 
 int run(const DaemonOptions &options)
@@ -106,19 +185,24 @@
     if (options.entry) {
         setLogContext({{"role", "entry"}, {"instance", options.entry->instance.value()}});
         return serve(
-            [&options](EventLoop &loop) { return EntryService::create(loop, *options.entry); });
+            options,
+            [&options](EventLoop &loop) { return EntryService::create(loop, *options.entry); },
+            kNothingToApply);
     }
     if (options.gateway) {
         setLogContext({{"role", "gateway"}, {"instance", options.gateway->instance.value()}});
-        return serveGateway(*options.gateway);
+        return serveGateway(options);
     }
     if (options.expertAgent) {
         setLogContext(
             {{"role", "expertagent"}, {"instance", options.expertAgent->instance.value()}});
-        return serveExpertAgent(*options.expertAgent);
+        return serveExpertAgent(options);
     }
     setLogContext({{"role", "agent"}, {"instance", options.agent->instance.value()}});
-    return serve([&options](EventLoop &loop) { return AgentService::create(loop, *options.agent); });
+    return serve(
+        options,
+        [&options](EventLoop &loop) { return AgentService::create(loop, *options.agent); },
+        kNothingToApply);
 }
 
 } // namespace
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -171,6 +171,7 @@
         return found->second.asString();
     };
     DaemonOptions options;
+    options.arguments = arguments;
     const char *fromEnvironment = std::getenv("SEAMARCH_CONFIG");
     options.settingsFile =
         flag("config").value_or(fromEnvironment == nullptr ? "" : fromEnvironment);
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -23,6 +23,7 @@
     std::optional<GatewaySettings> gateway;
     std::optional<ExpertAgentSettings> expertAgent;
     std::string settingsFile; // Empty: none.
+    std::vector<std::string> arguments; // As given, to read them again.
     LogLevel logLevel = LogLevel::Info;
     bool checkOnly = false;
     std::vector<SettingFault> faults;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -669,6 +669,24 @@
             {"upstreams", core_.upstreams().all().size()}};
 }
 
+void GatewayService::applySettings(const GatewaySettings &settings)
+{
+    const bool fixedChanged = settings.instance != settings_.instance
+                              || settings.hall != settings_.hall
+                              || settings.listen != settings_.listen
+                              || settings.operatorListen != settings_.operatorListen
+                              || settings.metricsListen != settings_.metricsListen
+                              || settings.store != settings_.store;
+    if (fixedChanged) {
+        logLine(LogLevel::Warning, "settings.need_restart",
+                {{"message", "names and addresses change at the next start"}});
+    }
+    settings_.keyFreshness = settings.keyFreshness;
+    settings_.denyFreshness = settings.denyFreshness;
+    settings_.stopDelay = settings.stopDelay;
+    settings_.stopDeadline = settings.stopDeadline;
+}
+
 void GatewayService::stop()
 {
     if (stopping_) {
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -56,6 +56,10 @@
     GatewayService(const GatewayService &) = delete;
     GatewayService &operator=(const GatewayService &) = delete;
 
+    // Takes settings that were read anew. Addresses, the instance and the hall stay as they are
+    // until the process starts anew; a change of those is logged.
+    void applySettings(const GatewaySettings &settings);
+
     // Starts a planned stop: readiness goes down, requests go on, and the loop stops when the last
     // answer is out or at the deadline.
     void stop();
