Agents tell each other which version is armed

A slow rank had made the arm outlast the patience with arms of others, which the missing version made its own arm look like. Change: the version goes over the wire. Ruled out: orders carried out late (the stall began 4.4 s before the first).

--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -127,7 +127,7 @@
   step @5 :UInt64;           # The last pass that began.
   map @6 :UInt64;            # Version of the expert map in use.
   prepared @7 :UInt64;       # Version whose experts are copied; zero: none.
-  armed @8 :Bool;            # A map is to be taken at a step to come.
+  armed @8 :UInt64;          # Version that is to be taken at a step to come; zero: none.
   held @9 :Bool;             # The group waits before `heldStep`.
   heldStep @10 :UInt64;
   fence @11 :UInt64;         # The highest fence that the agent has handed to the rank.
