Expert maps: urgent changes copy little; no storm of holds on a broken group

Change: above a skew of 1.5 each rank copies one expert a set; the hold is two passes ahead; a refused hold waits 50 ms; a broken group ends what is under way.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -1,5 +1,6 @@
 #include "decision/expertmap/expertplanner.h"
 
+#include <algorithm>
 #include <cmath>
 #include <numeric>
 
@@ -101,13 +102,16 @@
         return std::nullopt;
     }
     plannedAt_ = now;
-    const PlacementBounds bounds{rule_.places, rule_.newExperts, settings_.maxChanges,
+    const double before = skew(current);
+    const std::uint32_t newExperts = before > settings_.urgentSkew
+                                         ? std::min(rule_.newExperts, settings_.urgentNewExperts)
+                                         : rule_.newExperts;
+    const PlacementBounds bounds{rule_.places, newExperts, settings_.maxChanges,
                                  settings_.goodEnough};
     ExpertMap planned;
     for (std::uint32_t set = 0; set < rule_.sets; ++set) {
         planned.push_back(improvePlacement(current[set], shares(set), bounds));
     }
-    const double before = skew(current);
     expectedSkew_ = skew(planned);
     if (before - expectedSkew_ < settings_.leastGain * before) {
         return std::nullopt;
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -44,6 +44,10 @@
         // A set's placement is not improved beyond this skew.
         double goodEnough = 1.08;
         std::uint32_t maxChanges = 64;
+        // Above this skew a change is made quickly rather than well: each rank copies few experts,
+        // and the next change does the rest.
+        double urgentSkew = 1.5;
+        std::uint32_t urgentNewExperts = 1;
         // Choices of experts below which the counts are mostly noise.
         double leastCounts = 20'000.0;
     };
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -27,6 +27,7 @@
     for (auto &[rank, state] : ranks_) {
         state.confirmed = false;
         state.sentAt = {};
+        state.resendAfter = settings_.resend;
         state.answeredAt = {};
     }
 }
@@ -102,6 +103,9 @@
     if (rank.known && askedAt < rank.askedAt) {
         return;
     }
+    if (!rank.known) {
+        rank.resendAfter = settings_.resend;
+    }
     rank.known = true;
     rank.askedAt = askedAt;
     rank.report = report;
@@ -139,7 +143,7 @@
 
 bool GroupDecider::due(const Rank &rank, TimePoint now) const
 {
-    return rank.sentAt == TimePoint{} || now - rank.sentAt >= settings_.resend;
+    return rank.sentAt == TimePoint{} || now - rank.sentAt >= rank.resendAfter;
 }
 
 void GroupDecider::sendUnconfirmed(MapOrderKind kind, TimePoint now, MapOrders &orders)
@@ -287,12 +291,16 @@
         enter(clearing_ ? Phase::Clearing : Phase::Arming, now);
         return;
     case MapOrderAnswer::Refused:
-        ranks_[settings_.ownRank].sentAt = {};
-        chooseStep(); // The step has begun meanwhile.
+        ranks_[settings_.ownRank].resendAfter = settings_.holdAgain;
+        // The step has begun meanwhile, and the reports may be as old as that.
+        step_ = std::max(step_, highestStep()) + settings_.stepMargin;
+        if (ranks_[settings_.ownRank].report.held) {
+            chooseStep();
+        }
         return;
     case MapOrderAnswer::Fenced:
         raiseFence();
-        ranks_[settings_.ownRank].sentAt = {};
+        ranks_[settings_.ownRank].resendAfter = settings_.holdAgain;
         return;
     case MapOrderAnswer::Lost:
         return;
@@ -374,8 +382,21 @@
     }
 }
 
+// Tells whether the group has broken: it forms anew in another epoch, in which nothing of this one
+// counts.
+bool GroupDecider::broken(TimePoint now) const
+{
+    return std::any_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
+        const Rank &rank = entry.second;
+        return rank.known && !rank.report.open && now - rank.askedAt <= settings_.reportLife;
+    });
+}
+
 void GroupDecider::onTick(TimePoint now, MapOrders &orders)
 {
+    if (phase_ != Phase::Idle && broken(now)) {
+        enter(Phase::Idle, now);
+    }
     if (phase_ == Phase::Preparing && now - phaseSince_ > settings_.prepareLimit) {
         enter(Phase::Idle, now); // Nothing is armed; what was copied does no harm.
     } else if (phase_ == Phase::Arming && now - phaseSince_ > settings_.armLimit) {
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -85,11 +85,14 @@
     {
         std::uint32_t ownRank = 0;
         std::uint64_t seed = 0;
-        // Passes between the hold and now: arms and their answers take some tens of milliseconds,
-        // a pass takes 60 to 140; a margin that is too short stops the group for a moment.
-        std::uint64_t stepMargin = 4;
+        // Passes between the last that is known to have begun and the hold. Arms and their answers
+        // take some ten milliseconds, a pass takes 40 or more; a margin that is too short stops the
+        // group for a moment, a long one keeps it on the old map.
+        std::uint64_t stepMargin = 2;
         // An order that was not answered is sent again after this.
         Duration resend = std::chrono::milliseconds(250);
+        // A hold whose step had begun already is placed anew after this.
+        Duration holdAgain = std::chrono::milliseconds(50);
         // Copying takes a second or two; a rank that has not copied by then holds the change up.
         Duration prepareLimit = std::chrono::seconds(8);
         // A change whose arms are not all confirmed by then is cleared, because the group waits.
@@ -133,6 +136,7 @@
         bool known = false;
         bool confirmed = false; // It has carried out the phase's order.
         TimePoint sentAt{};     // Of the phase's order; zero: not sent yet.
+        Duration resendAfter{}; // From then on.
         TimePoint answeredAt{};
     };
 
@@ -140,6 +144,7 @@
     void raiseFence();
     std::uint64_t highestStep() const;
     bool allConfirmed() const;
+    bool broken(TimePoint now) const;
     bool due(const Rank &rank, TimePoint now) const;
     MapOrder orderFor(MapOrderKind kind) const;
     void sendUnconfirmed(MapOrderKind kind, TimePoint now, MapOrders &orders);
