--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -305,6 +305,11 @@
 void GatewayService::onRequest(ExchangeId exchange, HttpRequest request)
 {
     CallerFacts facts = protocol_.readRequest(request);
+    if (stopping_ && loop_.now() - stopStartedAt_ >= settings_.stopDelay) {
+        // By now the balancer knows; what still comes would not be finished in time.
+        refuse(exchange, facts, FailureCode::EntryStopping, Outcome::NotRun, kNotReadyPause);
+        return;
+    }
     auto admitted = admit(request, facts);
     if (!admitted) {
         const FailureCode code = admitted.error();
