Streams that would wait over 0.9 s are refused at once

Change: the expected wait, by the streams started in the last second, decides at arrival; the caller is told to come back when that wait is over.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -1,6 +1,7 @@
 #include "decision/gateway/gatewaycore.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace seamarch {
@@ -50,10 +51,19 @@
     ServiceState &service = serviceOf(added);
     if (route.streamed && !service.limiter.admits(service.streams)) {
         added.waits = true;
+        const Duration wait = expectedWait(service, added.request.priority, now);
+        if (wait > settings_.longestExpectedWait) {
+            added.comeBack = std::clamp(wait, settings_.shortestReturn, settings_.longestReturn);
+            giveUp(number, FailureCode::NoUpstream, actions);
+            return number;
+        }
         service.waiting.emplace(std::pair{added.request.priority, number}, number);
         return number;
     }
-    service.streams += route.streamed ? 1 : 0;
+    if (route.streamed) {
+        ++service.streams;
+        service.started.push_back(now);
+    }
     if (!startAttempt(number, added, now, actions)) {
         giveUp(number, FailureCode::NoUpstream, actions);
     }
@@ -63,10 +73,24 @@
 GatewayCore::ServiceState &GatewayCore::serviceOf(const Request &request)
 {
     return services_
-        .try_emplace(request.service, ServiceState{StreamLimiter(settings_.streams), 0, {}})
+        .try_emplace(request.service, ServiceState{StreamLimiter(settings_.streams), 0, {}, {}})
         .first->second;
 }
 
+// Returns how long a request of `priority` would wait at the pace of the last second.
+Duration GatewayCore::expectedWait(ServiceState &service, std::uint8_t priority, TimePoint now)
+{
+    constexpr Duration kWindow = std::chrono::seconds(1);
+    while (!service.started.empty() && now - service.started.front() > kWindow) {
+        service.started.pop_front();
+    }
+    const auto behind =
+        service.waiting.lower_bound({static_cast<std::uint8_t>(priority + 1), RequestNumber{0}});
+    const auto ahead = std::distance(service.waiting.begin(), behind);
+    const auto pace = static_cast<Duration::rep>(std::max<std::size_t>(1, service.started.size()));
+    return kWindow * (ahead + 1) / pace;
+}
+
 // Starts waiting requests while the bound admits them.
 void GatewayCore::admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
@@ -76,6 +100,7 @@
         Request &request = requests_.at(number);
         request.waits = false;
         ++service.streams;
+        service.started.push_back(now);
         if (!startAttempt(number, request, now, actions)) {
             giveUp(number, FailureCode::NoUpstream, actions);
         }
@@ -322,8 +347,10 @@
             failure == FailureCode::NoUpstream ? FailureCode::UpstreamFailed : failure;
         actions.push_back(RejectRequest{number, said, Outcome::Unknown, {}});
     } else {
+        const Duration comeBack =
+            request.comeBack > Duration{} ? request.comeBack : settings_.retryAfter;
         actions.push_back(
-            RejectRequest{number, FailureCode::NoUpstream, Outcome::NotRun, settings_.retryAfter});
+            RejectRequest{number, FailureCode::NoUpstream, Outcome::NotRun, comeBack});
     }
     endRequest(number);
 }
@@ -354,6 +381,9 @@
     std::sort(late.begin(), late.end());
     for (const RequestNumber number : late) {
         Request &request = requests_.at(number);
+        if (request.waits) {
+            request.comeBack = settings_.shortestReturn;
+        }
         // The attempt under way was written, as far as is known.
         request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
         giveUp(number, FailureCode::UpstreamTimedOut, actions);
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -23,6 +23,7 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -128,7 +129,13 @@
         StreamLimiter::Settings streams;
         // How long a request waits at most for the bound on streams. Callers leave a stream that
         // says nothing after two seconds.
-        Duration longestWait = std::chrono::milliseconds(1500);
+        Duration longestWait = std::chrono::milliseconds(1700);
+        // A request that would wait longer than this, by the pace of late, is refused at once: a
+        // caller that comes back when the queue is shorter is served better than one that waits.
+        Duration longestExpectedWait = std::chrono::milliseconds(900);
+        // Bounds on when a caller that was refused for the queue is told to come back.
+        Duration shortestReturn = std::chrono::milliseconds(400);
+        Duration longestReturn = std::chrono::milliseconds(2500);
     };
 
     explicit GatewayCore(const Settings &settings);
@@ -163,6 +170,7 @@
         TargetName service;
         TimePoint giveUpAt{};
         TimePoint arrivedAt{};
+        Duration comeBack{}; // When a refused caller may come back; zero: the usual pause.
         bool waits = false;  // For the bound on streams; nothing was sent yet.
         InstanceId upstream; // Of the attempt under way; empty: none.
         std::set<InstanceId> tried;
@@ -178,6 +186,7 @@
     {
         StreamLimiter limiter;
         std::uint32_t streams = 0;
+        std::deque<TimePoint> started; // Of the streams of the last second.
         // By priority and arrival: the most urgent and oldest first.
         std::map<std::pair<std::uint8_t, RequestNumber>, RequestNumber> waiting;
     };
@@ -201,6 +210,7 @@
     void leaveUpstream(Request &request);
     ServiceState &serviceOf(const Request &request);
     void endRequest(RequestNumber number);
+    Duration expectedWait(ServiceState &service, std::uint8_t priority, TimePoint now);
     void admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions);
     void noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
     Request *find(RequestNumber number);
