--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -69,30 +69,46 @@
     return differing / 2.0;
 }
 
-std::vector<double> ExpertPlanner::shares(std::uint32_t set) const
+std::vector<double> ExpertPlanner::sharesOf(const std::vector<double> &memory, std::uint32_t set,
+                                            std::uint32_t experts)
 {
-    const auto begin = long_.begin() + static_cast<std::ptrdiff_t>(set) * rule_.experts;
-    std::vector<double> shares(begin, begin + rule_.experts);
+    const auto begin = memory.begin() + static_cast<std::ptrdiff_t>(set) * experts;
+    std::vector<double> shares(begin, begin + experts);
     const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
-    const double floor = sum / rule_.experts * 1e-3; // Every expert is chosen now and then.
+    const double floor = sum / experts * 1e-3; // Every expert is chosen now and then.
     for (double &share : shares) {
-        share = (share + floor) / std::max(1.0, sum + floor * rule_.experts);
+        share = (share + floor) / std::max(1.0, sum + floor * experts);
     }
     return shares;
 }
 
-double ExpertPlanner::skew(const ExpertMap &map) const
+double ExpertPlanner::skewBy(const std::vector<double> &memory, const ExpertMap &map) const
 {
     double sum = 0.0;
     for (std::uint32_t set = 0; set < map.size() && set < rule_.sets; ++set) {
-        sum += placementSkew(map[set], shares(set));
+        sum += placementSkew(map[set], sharesOf(memory, set, rule_.experts));
     }
     return map.empty() ? 1.0 : sum / static_cast<double>(map.size());
 }
 
-std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
+double ExpertPlanner::skew(const ExpertMap &map) const
+{
+    return skewBy(long_, map);
+}
+
+bool ExpertPlanner::shifted(const ExpertMap &current) const
 {
     if (distance() > settings_.shiftDistance) {
+        return true;
+    }
+    const double shortTotal = std::accumulate(short_.begin(), short_.end(), 0.0);
+    return shortTotal >= settings_.leastCounts
+           && skewBy(short_, current) > skewBy(long_, current) + settings_.shiftSkew;
+}
+
+std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
+{
+    if (current.size() == rule_.sets && shifted(current)) {
         long_ = short_;
         ++shifts_;
     }
@@ -110,7 +126,8 @@
                                  settings_.goodEnough};
     ExpertMap planned;
     for (std::uint32_t set = 0; set < rule_.sets; ++set) {
-        planned.push_back(improvePlacement(current[set], shares(set), bounds));
+        planned.push_back(
+            improvePlacement(current[set], sharesOf(long_, set, rule_.experts), bounds));
     }
     expectedSkew_ = skew(planned);
     if (before - expectedSkew_ < settings_.leastGain * before) {
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -36,6 +36,8 @@
         // The distance of the two memories, in parts of all choices that differ, from which on
         // demand has shifted.
         double shiftDistance = 0.15;
+        // The same, in skew: a shift to a few hot experts moves few choices and loads one rank.
+        double shiftSkew = 0.4;
         // The least pause between two proposals; copying alone takes about a second.
         Duration pause = std::chrono::milliseconds(200);
         // The least part by which the sum of the sets' largest loads must fall. Passes are slower
@@ -74,7 +76,10 @@
     std::uint64_t shifts() const { return shifts_; }
 
 private:
-    std::vector<double> shares(std::uint32_t set) const;
+    static std::vector<double> sharesOf(const std::vector<double> &memory, std::uint32_t set,
+                                        std::uint32_t experts);
+    double skewBy(const std::vector<double> &memory, const ExpertMap &map) const;
+    bool shifted(const ExpertMap &current) const;
     void decay(TimePoint now);
 
     Settings settings_;
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -168,7 +168,8 @@
         if (rank.report.armed != 0) {
             order.version = rank.report.armed;
         } else if (order.version == rank.report.map) {
-            ++order.version; // The map in use cannot be disarmed; the order carries the fence alone.
+            ++order
+                  .version; // The map in use cannot be disarmed; the order carries the fence alone.
         }
         orders.push_back({number, order});
     }
@@ -239,8 +240,8 @@
     step_ = highestStep() + (clearing_ ? 1 : settings_.stepMargin);
 }
 
-// A rank holds one step. Where the own rank holds another one, as an earlier decider left it, a rank
-// that holds nothing takes its place.
+// A rank holds one step. Where the own rank holds another one, as an earlier decider left it, a
+// rank that holds nothing takes its place.
 void GroupDecider::chooseHolder()
 {
     const auto mayHold = [this](const Rank &rank) {
@@ -388,8 +389,8 @@
         enter(Phase::Releasing, now);
     } else if (phase_ == Phase::Releasing) {
         const bool released = std::all_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
-            const bool asked = entry.first == holder_
-                               || (clearing_ && entry.second.report.held.has_value());
+            const bool asked =
+                entry.first == holder_ || (clearing_ && entry.second.report.held.has_value());
             return !asked || entry.second.confirmed;
         });
         if (released) {
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -5,7 +5,8 @@
 // do. What keeps them together is the *hold*: a rank that holds a step keeps the whole group from
 // beginning it until it is told to go on. A change goes
 //   1. prepare: every rank copies the new map's experts;
-//   2. hold: the decider's own rank, or another when that holds already, holds a step S that has not
+//   2. hold: the decider's own rank, or another when that holds already, holds a step S that has
+//   not
 //      begun;
 //   3. arm: every rank is told to take the map at S;
 //   4. go: once every rank has confirmed its arm, the hold is released.
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -61,7 +61,8 @@
         now_ = end;
     }
 
-    // Ends the faults. The agent of rank 1 sees that of rank 0 from now on, and leaves it to decide.
+    // Ends the faults. The agent of rank 1 sees that of rank 0 from now on, and leaves it to
+    // decide.
     void calm()
     {
         faults_ = false;
