--- a/scripts/localsite.py
+++ b/scripts/localsite.py
@@ -9,6 +9,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import time
 import urllib.error
@@ -16,11 +17,21 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BIN = os.environ.get("SEAMARCH_BIN", os.path.join(ROOT, "build", "bin"))
-_ports = itertools.count(int(os.environ.get("SEAMARCH_TEST_PORT", "21000")))
+# Runs side by side begin at different ports, below those that the kernel hands out itself; a port
+# that is taken all the same is passed over.
+_ports = itertools.count(int(os.environ.get("SEAMARCH_TEST_PORT", 10000 + os.getpid() * 97 % 20000)))
 
 
 def free_address():
-    return f"127.0.0.1:{next(_ports)}"
+    for port in _ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
+    raise RuntimeError("no free port")
 
 
 def call(address, path, body=None, headers=None, timeout=10, method=None):
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -203,6 +203,13 @@
     return best;
 }
 
+// Tells whether a request whose attempt has failed can be sent to another upstream.
+bool GatewayCore::mayTryAgain(const Request &request, TimePoint now)
+{
+    return mayRepeat(request) && request.attempts < request.request.route->maxAttempts
+           && budgets_.at(request.service).available() && choose(request, now).has_value();
+}
+
 bool GatewayCore::startAttempt(RequestNumber number, Request &request, TimePoint now,
                                GatewayActions &actions)
 {
@@ -259,8 +266,7 @@
         outliers_.onFailure(upstream, now);
         request->mayHaveRun = true;
         // The last word of an upstream goes to the caller when nothing better can be had.
-        if (kind == AnswerKind::Failure && !request->headSent
-            && !(mayRepeat(*request) && request->attempts < request->request.route->maxAttempts)) {
+        if (kind == AnswerKind::Failure && !request->headSent && !mayTryAgain(*request, now)) {
             request->answering = true;
             request->headSent = true;
             return true;
@@ -371,6 +377,10 @@
 void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
 {
     upstreams_.expire(now);
+    std::erase_if(states_, [now](const auto &entry) {
+        const UpstreamState &state = entry.second;
+        return state.inFlight == 0 && state.avoidUntil <= now && state.fullUntil <= now;
+    });
     std::vector<RequestNumber> late;
     for (const auto &[number, request] : requests_) {
         const bool waitedLong = request.waits && now - request.arrivedAt >= settings_.longestWait;
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -199,6 +199,7 @@
     };
 
     bool mayRepeat(const Request &request) const;
+    bool mayTryAgain(const Request &request, TimePoint now);
     std::optional<InstanceId> choose(const Request &request, TimePoint now);
     double score(const UpstreamRecord &record);
     TargetName chooseService(const RouteRule &route);
--- a/src/decision/retry/retrybudget.h
+++ b/src/decision/retry/retrybudget.h
@@ -24,6 +24,7 @@
     {}
 
     void onSuccess();
+    bool available() const { return permits_ >= 1.0; }
     // Takes a permit. Returns false when none is left.
     bool take();
 
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -383,7 +383,7 @@
     if (retryAfter > Duration{}) {
         head.headers.push_back({"retry-after", retryAfterSeconds(retryAfter)});
     }
-    server_->respond(exchange, std::move(head), errorBody(code, outcome, detail).dump());
+    server_->respond(exchange, head, errorBody(code, outcome, detail).dump());
 }
 
 void EntryService::breakOffStream(const Flight &flight, FailureCode code, Outcome outcome)
@@ -547,10 +547,10 @@
         onPieceTimes(flight);
     }
     if (part.getHasHead() && part.getEnd()) {
-        server_->respond(flight.exchange, std::move(head), std::string(body));
+        server_->respond(flight.exchange, head, std::string(body));
     } else {
         if (part.getHasHead()) {
-            server_->begin(flight.exchange, std::move(head));
+            server_->begin(flight.exchange, head);
             flight.headSent = true;
         }
         server_->write(flight.exchange, body);
--- a/src/observe/operatorserver.cpp
+++ b/src/observe/operatorserver.cpp
@@ -43,7 +43,7 @@
         head.status = kNotFound;
         body = "expected /healthz, /readyz, /metrics or /status\n";
     }
-    server_->respond(exchange, std::move(head), std::move(body));
+    server_->respond(exchange, head, body);
 }
 
 void OperatorServer::onCallerGone(ExchangeId /*exchange*/) {}
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -91,7 +91,7 @@
         if (stream.streamed) {
             HttpResponseHead head;
             head.contentType = "text/event-stream";
-            server().begin(exchange, std::move(head));
+            server().begin(exchange, head);
         }
         streams_.emplace(exchange, std::move(stream));
         next(exchange);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -35,7 +35,7 @@
 {
     HttpResponseHead head;
     head.status = status;
-    server_->respond(exchange, std::move(head), body.dump());
+    server_->respond(exchange, head, body.dump());
 }
 
 } // namespace seamarch::standin
@@ -45,7 +45,7 @@
 constexpr const char *kUsage = R"(seamarch-standin - stand-ins for tests and the demo
 
 Usage:
-  seamarch-standin (platform | engine | service) --listen=ADDRESS
+  seamarch-standin (platform | engine | service | store | replica) --listen=ADDRESS
 )";
 
 } // namespace
@@ -66,6 +66,10 @@
         standIn = standin::makePlatform(**loop);
     } else if (arguments.at("engine").asBool()) {
         standIn = standin::makeEngine(**loop);
+    } else if (arguments.at("store").asBool()) {
+        standIn = standin::makeStore(**loop);
+    } else if (arguments.at("replica").asBool()) {
+        standIn = standin::makeReplica(**loop);
     } else {
         standIn = standin::makeService(**loop);
     }
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -62,7 +62,7 @@
             if (waiting_.erase(exchange) != 0) {
                 HttpResponseHead head;
                 head.status = 304;
-                server().respond(exchange, std::move(head), {});
+                server().respond(exchange, head, {});
             }
         });
     }
--- /dev/null
+++ b/standins/replica.cpp
@@ -0,0 +1,136 @@
+#include "names.h"
+#include "standin.h"
+
+#include <fmt/format.h>
+#include <set>
+#include <vector>
+
+namespace seamarch::standin {
+namespace {
+
+using nlohmann::json;
+namespace names = seamarch::platform;
+
+// An upstream of the platform: answers with its proof, and streams events under /stream. Control:
+// {"id": ID}, {"delayMs": N}, {"full": true} refuses, {"fail": true} answers 500,
+// {"dropAnswers": true} runs and breaks the connection, {"breakAfter": N} breaks a stream inside
+// event N + 1, {"foreignId": true} answers with another request's id, {"list": true}.
+class Replica final : public StandIn
+{
+public:
+    using StandIn::StandIn;
+
+private:
+    static constexpr int kEvents = 10;
+
+    void serve(ExchangeId exchange, const HttpRequest &request) override
+    {
+        const std::string requestId = request.header(names::kRequestId);
+        HttpResponseHead head;
+        head.headers.push_back({std::string(names::kRequestId), requestId});
+        if (request.header(names::kExpectedInstance) != id_) {
+            head.status = 421;
+            server().respond(exchange, head, "{}");
+            return;
+        }
+        if (full_) {
+            head.status = 503;
+            head.headers.push_back({std::string(names::kNotRun), "1"});
+            server().respond(exchange, head, "{}");
+            return;
+        }
+        runs_.push_back({{"id", requestId},
+                         {"account", request.header(names::kAccount)},
+                         {"key", request.header(names::kKey)},
+                         {"body", request.body},
+                         {"resumeAfter", request.header(names::kResumeAfter)}});
+        head.headers.push_back({std::string(names::kProof), "proof-of-" + id_});
+        if (foreignId_) {
+            head.headers.front().value = "another";
+        }
+        head.status = fail_ ? 500 : 200;
+        const bool streams = request.path.find("/stream") != std::string::npos;
+        const int first = request.header(names::kResumeAfter).empty()
+                              ? 1
+                              : std::stoi(request.header(names::kResumeAfter)) + 1;
+        open_.insert(exchange);
+        loop().schedule(
+            std::chrono::milliseconds(delayMs_),
+            [this, exchange, head, streams, first] { answer(exchange, head, streams, first); });
+    }
+
+    void answer(ExchangeId exchange, HttpResponseHead head, bool streams, int first)
+    {
+        if (dropAnswers_) {
+            server().abort(exchange);
+            return;
+        }
+        if (!streams) {
+            open_.erase(exchange);
+            server().respond(exchange, head, R"({"served":true})");
+            return;
+        }
+        head.contentType = "text/event-stream";
+        server().begin(exchange, head);
+        event(exchange, first);
+    }
+
+    void event(ExchangeId exchange, int number)
+    {
+        if (!open_.contains(exchange)) {
+            return;
+        }
+        if (breakAfter_ > 0 && number > breakAfter_) {
+            server().write(exchange, fmt::format("id: {}\ndata: to", number));
+            server().abort(exchange);
+            return;
+        }
+        server().write(exchange, fmt::format("id: {0}\ndata: token {0}\n\n", number));
+        if (number == kEvents) {
+            open_.erase(exchange);
+            server().finish(exchange);
+            return;
+        }
+        loop().schedule(std::chrono::milliseconds(std::max(1, delayMs_)),
+                        [this, exchange, number] { event(exchange, number + 1); });
+    }
+
+    void onCallerGone(ExchangeId exchange) override
+    {
+        if (open_.erase(exchange) > 0) {
+            ++left_;
+        }
+    }
+
+    json control(const json &change) override
+    {
+        id_ = change.value("id", id_);
+        delayMs_ = change.value("delayMs", delayMs_);
+        full_ = change.value("full", full_);
+        fail_ = change.value("fail", fail_);
+        dropAnswers_ = change.value("dropAnswers", dropAnswers_);
+        breakAfter_ = change.value("breakAfter", breakAfter_);
+        foreignId_ = change.value("foreignId", foreignId_);
+        return {{"runs", runs_}, {"left", left_}, {"open", open_.size()}};
+    }
+
+    std::string id_;
+    std::vector<json> runs_;
+    std::set<ExchangeId> open_;
+    int delayMs_ = 1;
+    int breakAfter_ = 0;
+    int left_ = 0;
+    bool full_ = false;
+    bool fail_ = false;
+    bool dropAnswers_ = false;
+    bool foreignId_ = false;
+};
+
+} // namespace
+
+std::unique_ptr<StandIn> makeReplica(EventLoop &loop)
+{
+    return std::make_unique<Replica>(loop);
+}
+
+} // namespace seamarch::standin
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -1,6 +1,7 @@
 // Small stand-ins for what the system meets outside: the platform's service, a model engine and a
-// plain service. Each speaks the published protocol over HTTP and can be told, at `/control`, to
-// misbehave. They serve tests and the demo only.
+// plain service, and the store and upstreams of the users' platform. Each speaks the published
+// protocol over HTTP and can be told, at `/control`, to misbehave. They serve tests and the demo
+// only.
 #pragma once
 
 #include "net/eventloop.h"
@@ -43,5 +44,7 @@
 std::unique_ptr<StandIn> makePlatform(EventLoop &loop);
 std::unique_ptr<StandIn> makeEngine(EventLoop &loop);
 std::unique_ptr<StandIn> makeService(EventLoop &loop);
+std::unique_ptr<StandIn> makeStore(EventLoop &loop);
+std::unique_ptr<StandIn> makeReplica(EventLoop &loop);
 
 } // namespace seamarch::standin
--- /dev/null
+++ b/standins/store.cpp
@@ -0,0 +1,167 @@
+#include "names.h"
+#include "standin.h"
+
+#include <charconv>
+#include <map>
+#include <openssl/evp.h>
+
+namespace seamarch::standin {
+namespace {
+
+using nlohmann::json;
+namespace names = seamarch::platform;
+
+std::string parameter(const std::string &query, const std::string &name)
+{
+    const std::size_t at = ("&" + query).find("&" + name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::string rest = query.substr(at + name.size() + 1);
+    return rest.substr(0, rest.find('&'));
+}
+
+std::uint64_t numberOf(const std::string &text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string encodeBase64(const std::string &text)
+{
+    constexpr std::size_t kBytes = 3;
+    constexpr std::size_t kGroup = 4;
+    std::string encoded((text.size() + kBytes - 1) / kBytes * kGroup + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(encoded.data()),
+                                     reinterpret_cast<const unsigned char *>(text.data()),
+                                     static_cast<int>(text.size()));
+    encoded.resize(static_cast<std::size_t>(size));
+    return encoded;
+}
+
+// The platform's store of items with waiting watches. Control: {"put": {KEY: VALUE}},
+// {"remove": [KEY]}, {"busy": true} refuses, {"silent": true} says nothing, {"forget": true} drops
+// the history.
+class Store final : public StandIn
+{
+public:
+    using StandIn::StandIn;
+
+private:
+    struct Watch
+    {
+        std::uint64_t after = 0;
+    };
+
+    void serve(ExchangeId exchange, const HttpRequest &request) override
+    {
+        ++calls_;
+        if (silent_) {
+            return;
+        }
+        if (busy_) {
+            respondJson(exchange, 503, {{"error", "busy"}});
+        } else if (request.path == names::kListPath) {
+            respondJson(exchange, 200, list());
+        } else if (request.path == names::kWatchPath) {
+            watch(exchange, request.query);
+        } else {
+            respondJson(exchange, 404, {{"error", "no such call"}});
+        }
+    }
+
+    json list() const
+    {
+        json items = json::array();
+        for (const auto &[key, item] : items_) {
+            if (!item.contains("removed")) {
+                items.push_back(item);
+            }
+        }
+        return {{"items", items}, {"more-pages", false}, {"current-rev", revision_}};
+    }
+
+    json changesAfter(std::uint64_t revision) const
+    {
+        json events = json::array();
+        for (const auto &[key, item] : items_) {
+            if (item.at("revision").get<std::uint64_t>() > revision) {
+                events.push_back(item);
+            }
+        }
+        return {{"events", events}, {"current-rev", revision_}};
+    }
+
+    void watch(ExchangeId exchange, const std::string &query)
+    {
+        const std::uint64_t after = numberOf(parameter(query, "since-rev"));
+        if (after < forgottenUpTo_) {
+            respondJson(exchange, 410, {{"error", "history gone"}});
+            return;
+        }
+        if (after < revision_) {
+            respondJson(exchange, 200, changesAfter(after));
+            return;
+        }
+        waiting_[exchange] = {after};
+        const std::uint64_t wait = numberOf(parameter(query, "wait-ms"));
+        loop().schedule(std::chrono::milliseconds(wait),
+                        [this, exchange] { answerWaiting(exchange); });
+    }
+
+    void answerWaiting(ExchangeId exchange)
+    {
+        const auto found = waiting_.find(exchange);
+        if (found == waiting_.end()) {
+            return;
+        }
+        const std::uint64_t after = found->second.after;
+        waiting_.erase(found);
+        if (!silent_) {
+            respondJson(exchange, 200, changesAfter(after));
+        }
+    }
+
+    void onCallerGone(ExchangeId exchange) override { waiting_.erase(exchange); }
+
+    json control(const json &change) override
+    {
+        const json puts = change.value("put", json::object());
+        for (const auto &[key, value] : puts.items()) {
+            items_[key] = {{"key-file", key},
+                           {"value", encodeBase64(value.dump())},
+                           {"revision", ++revision_}};
+        }
+        for (const json &key : change.value("remove", json::array())) {
+            const std::string name = key.get<std::string>();
+            items_[name] = {{"key-file", name}, {"revision", ++revision_}, {"removed", true}};
+        }
+        busy_ = change.value("busy", busy_);
+        silent_ = change.value("silent", silent_);
+        if (change.value("forget", false)) {
+            forgottenUpTo_ = ++revision_;
+        }
+        while (!waiting_.empty() && (change.contains("put") || change.contains("remove"))) {
+            answerWaiting(waiting_.begin()->first);
+        }
+        return {{"calls", calls_}, {"revision", revision_}};
+    }
+
+    std::map<std::string, json> items_;
+    std::map<ExchangeId, Watch> waiting_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t forgottenUpTo_ = 0;
+    std::uint64_t calls_ = 0;
+    bool busy_ = false;
+    bool silent_ = false;
+};
+
+} // namespace
+
+std::unique_ptr<StandIn> makeStore(EventLoop &loop)
+{
+    return std::make_unique<Store>(loop);
+}
+
+} // namespace seamarch::standin
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -181,6 +181,16 @@
     CHECK_TRUE(core->onHead(number, AnswerKind::Failure, at(20), actions));
 }
 
+TEST(GatewayCoreTest, FailureGoesToTheCallerWhenTheBudgetIsSpent)
+{
+    settings.retryBudget = {0.0, 0.0, 0.0};
+    core = std::make_unique<GatewayCore>(settings);
+    core->upstreams().put(upstream("one"));
+    core->upstreams().put(upstream("two"));
+    const RequestNumber number = begin(Kind::Repeatable);
+    CHECK_TRUE(core->onHead(number, AnswerKind::Failure, at(10), actions));
+}
+
 TEST(GatewayCoreTest, GivesUpBeforeTheRoutesTimeIsOver)
 {
     begin(Kind::AtMostOnce);
