--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -73,7 +73,7 @@
 GatewayCore::ServiceState &GatewayCore::serviceOf(const Request &request)
 {
     return services_
-        .try_emplace(request.service, ServiceState{StreamLimiter(settings_.streams), 0, {}, {}})
+        .try_emplace(request.service, ServiceState{StreamLimiter(settings_.streams), 0, {}, {}, {}})
         .first->second;
 }
 
@@ -248,6 +248,20 @@
     }
 }
 
+// Learns from an answer whether the whole service refuses, as a group does that stands still.
+void GatewayCore::noteAnswer(Request &request, AnswerKind kind, TimePoint now)
+{
+    ServiceState &service = serviceOf(request);
+    if (kind != AnswerKind::Full) {
+        service.refusingSince.reset();
+        return;
+    }
+    service.refusingSince = service.refusingSince.value_or(now);
+    if (now - *service.refusingSince >= settings_.outagePatience) {
+        request.comeBack = settings_.longestReturn;
+    }
+}
+
 bool GatewayCore::onHead(RequestNumber number, AnswerKind kind, TimePoint now,
                          GatewayActions &actions)
 {
@@ -256,6 +270,7 @@
         return false;
     }
     const InstanceId upstream = request->upstream;
+    noteAnswer(*request, kind, now);
     if (kind == AnswerKind::Success) {
         outliers_.onSuccess(upstream);
         request->answering = true;
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -120,6 +120,9 @@
         Duration wrongInstancePause = std::chrono::seconds(5);
         // When a refused caller may come back.
         Duration retryAfter = std::chrono::milliseconds(250);
+        // A service whose upstreams have refused everything for this long is out: callers are told
+        // to come back as late as they may be.
+        Duration outagePatience = std::chrono::milliseconds(300);
         // Attempts that could not even connect do not count as attempts; this bounds them.
         std::uint32_t maxUnsent = 3;
         // Permits for second attempts. The budget that all gateways share allows 0.2 a request; a
@@ -186,7 +189,8 @@
     {
         StreamLimiter limiter;
         std::uint32_t streams = 0;
-        std::deque<TimePoint> started; // Of the streams of the last second.
+        std::deque<TimePoint> started;          // Of the streams of the last second.
+        std::optional<TimePoint> refusingSince; // No upstream has answered otherwise since.
         // By priority and arrival: the most urgent and oldest first.
         std::map<std::pair<std::uint8_t, RequestNumber>, RequestNumber> waiting;
     };
@@ -211,6 +215,7 @@
     void leaveUpstream(Request &request);
     ServiceState &serviceOf(const Request &request);
     void endRequest(RequestNumber number);
+    void noteAnswer(Request &request, AnswerKind kind, TimePoint now);
     Duration expectedWait(ServiceState &service, std::uint8_t priority, TimePoint now);
     void admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions);
     void noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -125,6 +125,30 @@
     CHECK_TRUE(rejected().retryAfter > Duration{});
 }
 
+TEST(GatewayCoreTest, CallersOfAServiceThatIsOutComeBackLate)
+{
+    for (const int now : {0, 400}) {
+        actions.clear();
+        const RequestNumber number = begin(Kind::AtMostOnce, now);
+        core->onHead(number, AnswerKind::Full, at(now), actions);
+        core->onHead(number, AnswerKind::Full, at(now), actions);
+        CHECK_TRUE(rejected().retryAfter
+                   == (now == 0 ? settings.retryAfter : settings.longestReturn));
+    }
+}
+
+TEST(GatewayCoreTest, OneAnswerEndsTheOutage)
+{
+    RequestNumber number = begin(Kind::AtMostOnce);
+    core->onHead(number, AnswerKind::Full, at(0), actions);
+    core->onHead(number, AnswerKind::Success, at(300), actions);
+    number = begin(Kind::AtMostOnce, 600);
+    core->onHead(number, AnswerKind::Full, at(600), actions);
+    actions.clear();
+    core->onHead(number, AnswerKind::Full, at(600), actions);
+    CHECK_TRUE(rejected().retryAfter == settings.retryAfter);
+}
+
 TEST(GatewayCoreTest, OneLostAttemptForbidsNotRunForEver)
 {
     const RequestNumber number = begin(Kind::Repeatable);
