--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -26,10 +26,7 @@
 void ExpertPlanner::decay(TimePoint now)
 {
     const double seconds = std::max(0.0, toSeconds(now - decayedAt_));
-    const double grown = toSeconds(now - shiftedAt_) * settings_.growth;
-    const double longHalfLife = std::clamp(grown, toSeconds(settings_.shortHalfLife),
-                                           toSeconds(settings_.longHalfLife));
-    const double longFactor = std::exp2(-seconds / longHalfLife);
+    const double longFactor = std::exp2(-seconds / toSeconds(settings_.longHalfLife));
     const double shortFactor = std::exp2(-seconds / toSeconds(settings_.shortHalfLife));
     for (std::size_t index = 0; index < long_.size(); ++index) {
         long_[index] *= longFactor;
@@ -113,7 +110,6 @@
 {
     if (current.size() == rule_.sets && shifted(current)) {
         long_ = short_;
-        shiftedAt_ = now;
         ++shifts_;
     }
     const double total = std::accumulate(long_.begin(), long_.end(), 0.0);
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -33,9 +33,6 @@
         // Counts lose half their weight in this time, in the long memory and in the short one.
         Duration longHalfLife = std::chrono::milliseconds(4000);
         Duration shortHalfLife = std::chrono::milliseconds(300);
-        // After a shift the long memory grows from the short one's half-life by this part of the time
-        // that has passed: the mix goes on changing while streams of the old one end.
-        double growth = 0.4;
         // The distance of the two memories, in parts of all choices that differ, from which on
         // demand has shifted.
         double shiftDistance = 0.15;
@@ -91,7 +88,6 @@
     std::vector<double> long_; // Counts by set and expert, with the weight of their age.
     std::vector<double> short_;
     TimePoint decayedAt_{};
-    TimePoint shiftedAt_{}; // When demand last shifted.
     std::optional<TimePoint> plannedAt_;
     double expectedSkew_ = 1.0;
     std::uint64_t shifts_ = 0;
