--- /dev/null
+++ b/src/gateway/gatewayknowledge.cpp
@@ -0,0 +1,151 @@
+#include "gateway/gatewayknowledge.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// What a caller waits when it does not say how long, and its route does not either.
+constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+
+std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+GatewayKnowledge::GatewayKnowledge(EventLoop &loop, UpstreamTable &upstreams, Metrics &metrics,
+                                   const FreshnessBounds &freshness,
+                                   std::function<void(const CallerBounds &)> boundsChanged)
+    : loop_(loop)
+    , upstreams_(upstreams)
+    , metrics_(metrics)
+    , freshness_(freshness)
+    , boundsChanged_(std::move(boundsChanged))
+{}
+
+void GatewayKnowledge::confirm(TimePoint askedAt, std::uint64_t revision)
+{
+    confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
+    if (!storeReachable_) {
+        storeReachable_ = true;
+        logLine(LogLevel::Info, "store.reached", {{"revision", revision}});
+    }
+}
+
+Duration GatewayKnowledge::age() const
+{
+    return confirmedAt_ ? loop_.now() - *confirmedAt_ : Duration::max();
+}
+
+void GatewayKnowledge::onStoreListed(const StoreItems &items, TimePoint askedAt)
+{
+    std::vector<UpstreamRecord> records;
+    for (const StoreItem &item : items.items) {
+        if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
+            records.push_back(*record);
+        } else {
+            takeItem(item);
+        }
+    }
+    upstreams_.replaceAll(records, loop_.now());
+    logLine(LogLevel::Info, "store.listed",
+            {{"revision", items.revision}, {"upstreams", records.size()}});
+    for (const std::string &fault : items.faults) {
+        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
+    }
+    confirm(askedAt, items.revision);
+}
+
+void GatewayKnowledge::onStoreChanged(const StoreItems &items, TimePoint askedAt)
+{
+    for (const StoreItem &item : items.items) {
+        takeItem(item);
+    }
+    for (const std::string &fault : items.faults) {
+        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
+    }
+    confirm(askedAt, items.revision);
+}
+
+void GatewayKnowledge::takeItem(const StoreItem &item)
+{
+    if (const auto *document = std::get_if<RoutingDocument>(&item)) {
+        takeRouting(*document);
+    } else if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
+        upstreams_.put(*record);
+        logLine(LogLevel::Info, "upstream.listed",
+                {{"upstream", record->id.value()},
+                 {"service", record->service.value()},
+                 {"leaving", record->leaving}});
+    } else if (const auto *gone = std::get_if<UpstreamGone>(&item)) {
+        upstreams_.remove(gone->id, loop_.now());
+        logLine(LogLevel::Info, "upstream.gone", {{"upstream", gone->id.value()}});
+    }
+}
+
+void GatewayKnowledge::takeRouting(const RoutingDocument &document)
+{
+    const ConfigVersion held = table_ ? table_->version() : ConfigVersion();
+    if (document.version <= held) {
+        return;
+    }
+    table_ = std::make_shared<const RouteTable>(document);
+    boundsChanged_(table_->bounds());
+    logLine(LogLevel::Info, "config.applied",
+            {{"version", document.version.value()},
+             {"before", held.value()},
+             {"routes", document.routes.size()},
+             {"accounts", document.accounts.size()}});
+}
+
+void GatewayKnowledge::onStoreFailed(std::string_view cause)
+{
+    upstreams_.onOutage(loop_.now());
+    metrics_.count("seamarch_store_failures_total", cause);
+    if (storeReachable_) {
+        storeReachable_ = false;
+        logLine(LogLevel::Warning, "store.lost",
+                {{"cause", cause}, {"knowledgeAgeMs", toMillis(age())}});
+    }
+}
+
+tl::expected<GatewayRequest, FailureCode> GatewayKnowledge::admit(const HttpRequest &request,
+                                                                  const CallerFacts &facts) const
+{
+    if (!table_) {
+        return tl::unexpected(FailureCode::EntryNotReady);
+    }
+    const Duration known = age();
+    const bool mayDeny = known <= freshness_.deny;
+    GatewayRequest admitted;
+    admitted.table = table_;
+    admitted.route = table_->match(facts.host, request.path);
+    if (admitted.route == nullptr) {
+        return tl::unexpected(mayDeny ? FailureCode::NotFound : FailureCode::KnowledgeStale);
+    }
+    admitted.priority = admitted.route->priority;
+    const Duration longest =
+        admitted.route->timeout > Duration{} ? admitted.route->timeout : kDefaultDeadline;
+    admitted.deadline = facts.deadline.value_or(longest);
+    if (admitted.route->openToAll || !table_->hasAccounts()) {
+        return admitted;
+    }
+    const AccountRule *account = table_->accountOf(facts.key);
+    if (account == nullptr) {
+        return tl::unexpected(mayDeny ? FailureCode::Unauthorized : FailureCode::KnowledgeStale);
+    }
+    if (known > freshness_.keys) {
+        return tl::unexpected(FailureCode::KnowledgeStale);
+    }
+    admitted.account = account->id;
+    admitted.priority = account->priority.value_or(admitted.priority);
+    return admitted;
+}
+
+} // namespace seamarch
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -14,8 +14,6 @@
 
 // How often requests are checked for the end of their time.
 constexpr Duration kTick = std::chrono::milliseconds(25);
-// What a caller waits when it does not say how long, and its route does not either.
-constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
 // Answers up to this size are read whole before their head goes out, so that one that breaks off
 // is never half delivered; longer ones would hold too much memory.
 constexpr std::size_t kMaxWholeBytes = std::size_t{1024} * 1024;
@@ -128,6 +126,8 @@
     , store_(store)
     , metrics_(settings.maxAccountSeries)
     , core_(coreSettings(settings))
+    , knowledge_(loop, core_.upstreams(), metrics_, {settings.keyFreshness, settings.denyFreshness},
+                 [this](const CallerBounds &bounds) { applyBounds(bounds); })
 {}
 
 GatewayService::~GatewayService() = default;
@@ -171,135 +171,20 @@
     }
     StoreWatcher::Settings watch;
     watch.seed = randomIdentity();
-    StoreListener &listener = *this;
-    watcher_ = std::make_unique<StoreWatcher>(loop_, *client_, store_, listener, watch);
+    watcher_ = std::make_unique<StoreWatcher>(loop_, *client_, store_, knowledge_, watch);
     watcher_->start();
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     return {};
 }
 
-void GatewayService::confirm(TimePoint askedAt)
+void GatewayService::applyBounds(const CallerBounds &bounds)
 {
-    confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
-    if (!storeReachable_) {
-        storeReachable_ = true;
-        logLine(LogLevel::Info, "store.reached", {{"revision", watcher_->revision()}});
-    }
-}
-
-Duration GatewayService::knowledgeAge() const
-{
-    return confirmedAt_ ? loop_.now() - *confirmedAt_ : Duration::max();
-}
-
-void GatewayService::onStoreListed(const StoreItems &items, TimePoint askedAt)
-{
-    std::vector<UpstreamRecord> records;
-    for (const StoreItem &item : items.items) {
-        if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
-            records.push_back(*record);
-        } else {
-            takeItem(item);
-        }
-    }
-    core_.upstreams().replaceAll(records, loop_.now());
-    logLine(LogLevel::Info, "store.listed",
-            {{"revision", items.revision}, {"upstreams", records.size()}});
-    for (const std::string &fault : items.faults) {
-        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
-    }
-    confirm(askedAt);
-}
-
-void GatewayService::onStoreChanged(const StoreItems &items, TimePoint askedAt)
-{
-    for (const StoreItem &item : items.items) {
-        takeItem(item);
-    }
-    for (const std::string &fault : items.faults) {
-        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
-    }
-    confirm(askedAt);
-}
-
-void GatewayService::takeItem(const StoreItem &item)
-{
-    if (const auto *document = std::get_if<RoutingDocument>(&item)) {
-        takeRouting(*document);
-    } else if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
-        core_.upstreams().put(*record);
-        logLine(LogLevel::Info, "upstream.listed",
-                {{"upstream", record->id.value()},
-                 {"service", record->service.value()},
-                 {"leaving", record->leaving}});
-    } else if (const auto *gone = std::get_if<UpstreamGone>(&item)) {
-        core_.upstreams().remove(gone->id, loop_.now());
-        logLine(LogLevel::Info, "upstream.gone", {{"upstream", gone->id.value()}});
-    }
-}
-
-void GatewayService::takeRouting(const RoutingDocument &document)
-{
-    const ConfigVersion held = table_ ? table_->version() : ConfigVersion();
-    if (document.version <= held) {
-        return;
-    }
-    table_ = std::make_shared<const RouteTable>(document);
-    HttpServerOptions bounds;
-    bounds.maxHeaderBytes = table_->bounds().headerBytes;
-    bounds.maxBodyBytes = table_->bounds().bodyBytes;
-    bounds.headerTimeout = table_->bounds().headerTimeout;
-    bounds.idleTimeout = table_->bounds().idleTimeout;
-    server_->setBounds(bounds);
-    logLine(LogLevel::Info, "config.applied",
-            {{"version", document.version.value()},
-             {"before", held.value()},
-             {"routes", document.routes.size()},
-             {"accounts", document.accounts.size()}});
-}
-
-void GatewayService::onStoreFailed(std::string_view cause)
-{
-    core_.upstreams().onOutage(loop_.now());
-    metrics_.count("seamarch_store_failures_total", cause);
-    if (storeReachable_) {
-        storeReachable_ = false;
-        logLine(LogLevel::Warning, "store.lost",
-                {{"cause", cause}, {"knowledgeAgeMs", toMillis(knowledgeAge())}});
-    }
-}
-
-tl::expected<GatewayRequest, FailureCode> GatewayService::admit(const HttpRequest &request,
-                                                                const CallerFacts &facts) const
-{
-    if (!table_) {
-        return tl::unexpected(FailureCode::EntryNotReady);
-    }
-    const Duration age = knowledgeAge();
-    const bool mayDeny = age <= settings_.denyFreshness;
-    GatewayRequest admitted;
-    admitted.table = table_;
-    admitted.route = table_->match(facts.host, request.path);
-    if (admitted.route == nullptr) {
-        return tl::unexpected(mayDeny ? FailureCode::NotFound : FailureCode::KnowledgeStale);
-    }
-    admitted.priority = admitted.route->priority;
-    const Duration longest =
-        admitted.route->timeout > Duration{} ? admitted.route->timeout : kDefaultDeadline;
-    admitted.deadline = facts.deadline.value_or(longest);
-    if (admitted.route->openToAll || !table_->hasAccounts()) {
-        return admitted;
-    }
-    const AccountRule *account = table_->accountOf(facts.key);
-    if (account == nullptr) {
-        return tl::unexpected(mayDeny ? FailureCode::Unauthorized : FailureCode::KnowledgeStale);
-    }
-    if (age > settings_.keyFreshness) {
-        return tl::unexpected(FailureCode::KnowledgeStale);
-    }
-    admitted.account = account->id;
-    admitted.priority = account->priority.value_or(admitted.priority);
-    return admitted;
+    HttpServerOptions options;
+    options.maxHeaderBytes = bounds.headerBytes;
+    options.maxBodyBytes = bounds.bodyBytes;
+    options.headerTimeout = bounds.headerTimeout;
+    options.idleTimeout = bounds.idleTimeout;
+    server_->setBounds(options);
 }
 
 void GatewayService::onRequest(ExchangeId exchange, HttpRequest request)
@@ -310,7 +195,7 @@
         refuse(exchange, facts, FailureCode::EntryStopping, Outcome::NotRun, kNotReadyPause);
         return;
     }
-    auto admitted = admit(request, facts);
+    auto admitted = knowledge_.admit(request, facts);
     if (!admitted) {
         const FailureCode code = admitted.error();
         const bool temporary =
@@ -346,8 +231,8 @@
             {{"id", facts.requestId},
              {"code", toString(code)},
              {"outcome", toString(outcome)},
-             {"configVersion", table_ ? table_->version().value() : 0},
-             {"knowledgeAgeMs", confirmedAt_ ? toMillis(knowledgeAge()) : -1}});
+             {"configVersion", knowledge_.version().value()},
+             {"knowledgeAgeMs", knowledge_.confirmed() ? toMillis(knowledge_.age()) : -1}});
     server_->respond(exchange, head, body.dump());
 }
 
@@ -426,7 +311,7 @@
              {"inFlightThere", core_.inFlightAt(action.upstream.id)},
              {"timeLeftMs", toMillis(action.timeLeft)},
              {"configVersion", flight.admitted.table->version().value()},
-             {"knowledgeAgeMs", toMillis(knowledgeAge())}});
+             {"knowledgeAgeMs", toMillis(knowledge_.age())}});
     flight.call = client_->call(std::move(call),
                                 std::make_unique<Receiver>(*this, action.request, action.attempt));
 }
@@ -643,11 +528,11 @@
         reason = "stopping";
         return false;
     }
-    if (!table_) {
+    if (!knowledge_.hasConfiguration()) {
         reason = "no configuration";
         return false;
     }
-    if (knowledgeAge() > settings_.keyFreshness) {
+    if (!knowledge_.fresh()) {
         reason = "the store has not confirmed the configuration for too long";
         return false;
     }
@@ -663,9 +548,9 @@
             {"hall", settings_.hall.value()},
             {"ready", isReady},
             {"reason", reason},
-            {"configVersion", table_ ? table_->version().value() : 0},
-            {"knowledgeAgeMs", confirmedAt_ ? toMillis(knowledgeAge()) : -1},
-            {"storeReachable", storeReachable_},
+            {"configVersion", knowledge_.version().value()},
+            {"knowledgeAgeMs", knowledge_.confirmed() ? toMillis(knowledge_.age()) : -1},
+            {"storeReachable", knowledge_.storeReachable()},
             {"storeCalls", watcher_->calls()},
             {"inFlight", flights_.size()},
             {"secondAttempts", core_.secondAttempts()},
@@ -684,8 +569,7 @@
         logLine(LogLevel::Warning, "settings.need_restart",
                 {{"message", "names and addresses change at the next start"}});
     }
-    settings_.keyFreshness = settings.keyFreshness;
-    settings_.denyFreshness = settings.denyFreshness;
+    knowledge_.setFreshness({settings.keyFreshness, settings.denyFreshness});
     settings_.stopDelay = settings.stopDelay;
     settings_.stopDeadline = settings.stopDeadline;
 }
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -2,13 +2,14 @@
 // lists them.
 //
 // The service is the shell around GatewayCore. It owns the callers' exchanges, the calls to
-// upstreams and the watch on the store, and decides nothing about requests itself, except whether
-// what it knows is fresh enough to judge a key or a path.
+// upstreams and the watch on the store, and decides nothing about requests itself: GatewayKnowledge
+// says whether a request is admitted, GatewayCore what becomes of it.
 #pragma once
 
 #include "decision/gateway/eventstream.h"
 #include "decision/gateway/gatewaycore.h"
 #include "gateway/callerprotocol.h"
+#include "gateway/gatewayknowledge.h"
 #include "gateway/metadatastore.h"
 #include "gateway/storewatcher.h"
 #include "net/eventloop.h"
@@ -44,7 +45,7 @@
     Duration stopDeadline = std::chrono::milliseconds(7500);
 };
 
-class GatewayService final : private HttpHandler, private StoreListener, private StatusSource
+class GatewayService final : private HttpHandler, private StatusSource
 {
 public:
     // Opens all addresses. Fails when one of them cannot be opened. The protocol and the store's
@@ -95,21 +96,10 @@
     void onCallerGone(ExchangeId exchange) override;
     void onDrained(ExchangeId exchange) override;
 
-    void onStoreListed(const StoreItems &items, TimePoint askedAt) override;
-    void onStoreChanged(const StoreItems &items, TimePoint askedAt) override;
-    void onStoreFailed(std::string_view cause) override;
-
     bool ready(std::string &reason) const override;
     nlohmann::json status() const override;
 
-    void takeItem(const StoreItem &item);
-    void takeRouting(const RoutingDocument &document);
-    void confirm(TimePoint askedAt);
-    Duration knowledgeAge() const;
-
-    // Finds the route and the account, or says why the request is refused.
-    tl::expected<GatewayRequest, FailureCode> admit(const HttpRequest &request,
-                                                    const CallerFacts &facts) const;
+    void applyBounds(const CallerBounds &bounds);
     void refuse(ExchangeId exchange, const CallerFacts &facts, FailureCode code, Outcome outcome,
                 Duration retryAfter);
 
@@ -136,8 +126,7 @@
     const MetadataStore &store_;
     Metrics metrics_;
     GatewayCore core_;
-    std::shared_ptr<const RouteTable> table_;
-    std::optional<TimePoint> confirmedAt_;
+    GatewayKnowledge knowledge_;
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<OperatorServer> operators_;
@@ -146,7 +135,6 @@
     std::unordered_map<RequestNumber, Flight> flights_;
     std::unordered_map<ExchangeId, RequestNumber> byExchange_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
-    bool storeReachable_ = false;
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
 };
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -1,50 +1,12 @@
 #include "gateway/storewatcher.h"
 
+#include "net/httpfetch.h"
+
 #include <algorithm>
 #include <iterator>
-#include <memory>
 #include <utility>
 
 namespace seamarch {
-namespace {
-
-// The largest answer that is read; the store's own limit is about one megabyte a page.
-constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
-
-} // namespace
-
-class StoreWatcher::Receiver final : public HttpCallReceiver
-{
-public:
-    explicit Receiver(StoreWatcher &watcher)
-        : watcher_(watcher)
-    {}
-
-    void onHead(HttpHead head) override { status_ = head.status; }
-    void onPiece(std::string_view piece) override
-    {
-        tooLarge_ = tooLarge_ || body_.size() + piece.size() > kMaxAnswerBytes;
-        if (!tooLarge_) {
-            body_.append(piece);
-        }
-    }
-    void onEnd(HttpCallEnd end) override
-    {
-        watcher_.call_ = 0;
-        watcher_.endCall();
-        if (end == HttpCallEnd::Complete && !tooLarge_) {
-            watcher_.onAnswer(status_, body_);
-        } else {
-            watcher_.onFailure(end == HttpCallEnd::NotSent ? "unreachable" : "connection lost");
-        }
-    }
-
-private:
-    StoreWatcher &watcher_;
-    int status_ = 0;
-    std::string body_;
-    bool tooLarge_ = false;
-};
 
 StoreWatcher::StoreWatcher(EventLoop &loop, HttpClient &client, const MetadataStore &store,
                            StoreListener &listener, const Settings &settings)
@@ -64,9 +26,7 @@
 void StoreWatcher::endCall()
 {
     loop_.cancel(timer_);
-    if (call_ != 0) {
-        client_.cancel(std::exchange(call_, 0));
-    }
+    client_.cancel(call_);
 }
 
 void StoreWatcher::makeCall(HttpCallRequest request, Duration longest)
@@ -74,10 +34,12 @@
     ++calls_;
     askedAt_ = loop_.now();
     request.connectTimeout = settings_.patience;
-    call_ = client_.call(std::move(request), std::make_unique<Receiver>(*this));
-    timer_ = loop_.schedule(longest, [this] {
-        endCall();
-        onFailure("no answer in time");
+    call_ = fetchText(loop_, client_, std::move(request), longest, [this](const HttpText &text) {
+        if (text.complete) {
+            onAnswer(text.status, text.body);
+        } else {
+            onFailure("no whole answer in time");
+        }
     });
 }
 
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -58,7 +58,6 @@
     std::uint64_t revision() const { return revision_; }
 
 private:
-    class Receiver;
     enum class Step { List, Watch };
 
     void list(const std::string &page);
--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -1,5 +1,6 @@
 #include "net/httpfetch.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -57,7 +58,7 @@
 HttpCallId fetchText(EventLoop &loop, HttpClient &client, HttpCallRequest request,
                      Duration patience, std::function<void(HttpText)> done)
 {
-    request.connectTimeout = patience;
+    request.connectTimeout = std::min(request.connectTimeout, patience);
     auto receiver = std::make_unique<TextReceiver>(loop, std::move(done));
     TextReceiver &added = *receiver;
     const HttpCallId call = client.call(std::move(request), std::move(receiver));
