An unreadable configuration confirms nothing; fences that no two deciders share

Cause: (1) a routing document that could not be read was logged and left out, and the same answer confirmed what was held: a key that it took away would have stayed good. (2) Fences grew by a quarter with every change and would have overflowed after some two hundred; (3) their low digits were the rank's number, which a restarted agent shares with its predecessor, and one whose rank changes with another agent. Change: (1) nothing is confirmed until the next readable document; tests first failed with the revoked key served. (2) Only a fence that was overtaken grows by a part. (3) Each decider draws its digits, and a changed rank takes a new decider.

--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -1,14 +1,14 @@
 #include "decision/expertmap/groupdecider.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace seamarch {
 namespace {
 
-// Fences of different ranks never meet: the lowest digits name the rank that decides.
-constexpr std::uint64_t kFenceStride = 1024;
+// Each decider draws the low digits of its fences, so that two never use the same fence, nor one
+// its predecessor's at the same rank.
+constexpr std::uint64_t kFenceStride = 1U << 20U;
 // Versions are drawn with a gap of up to this, so that two deciders never mean different maps by
 // one version.
 constexpr std::uint64_t kVersionGap = 1U << 20U;
@@ -18,6 +18,7 @@
 GroupDecider::GroupDecider(const Settings &settings)
     : settings_(settings)
     , random_(settings.seed)
+    , fenceMark_(random_() % kFenceStride)
 {}
 
 void GroupDecider::enter(Phase phase, TimePoint now)
@@ -32,15 +33,16 @@
     }
 }
 
-void GroupDecider::raiseFence()
+// Takes a fence above all that are known. One that another decider has overtaken grows by a part as
+// well, because how far it lies behind is not known.
+void GroupDecider::raiseFence(bool overtaken)
 {
     std::uint64_t highest = fence_;
     for (const auto &[rank, state] : ranks_) {
         highest = std::max(highest, state.report.fence);
     }
-    // Growing by a part overtakes in a few tries a fence that nobody here remembers.
-    const std::uint64_t raised = highest + highest / 4;
-    fence_ = (raised / kFenceStride + 1) * kFenceStride + settings_.ownRank;
+    highest += overtaken ? highest / 4 : 0;
+    fence_ = (highest / kFenceStride + 1) * kFenceStride + fenceMark_;
 }
 
 std::uint64_t GroupDecider::highestStep() const
@@ -168,8 +170,8 @@
         if (rank.report.armed != 0) {
             order.version = rank.report.armed;
         } else if (order.version == rank.report.map) {
-            ++order
-                  .version; // The map in use cannot be disarmed; the order carries the fence alone.
+            // The map in use cannot be disarmed; the order carries the fence alone.
+            ++order.version;
         }
         orders.push_back({number, order});
     }
@@ -215,8 +217,7 @@
     for (const auto &[number, rank] : ranks_) {
         highest = std::max({highest, rank.report.map, rank.report.prepared, rank.report.armed});
     }
-    std::minstd_rand engine(static_cast<std::uint32_t>(++random_ * kFenceStride + highest));
-    version_ = highest + 1 + engine() % kVersionGap;
+    version_ = highest + 1 + random_() % kVersionGap;
     experts_ = std::move(experts);
     committed_ = false;
     clearing_ = false;
@@ -312,11 +313,13 @@
         return;
     case MapOrderAnswer::Refused:
         ranks_[holder_].resendAfter = settings_.holdAgain;
-        // The step has begun meanwhile, and the reports may be as old as that.
-        step_ = std::max(step_, highestStep()) + settings_.stepMargin;
+        if (!clearing_) {
+            // The step has begun meanwhile, and the reports may be as old as that.
+            step_ = std::max(step_, highestStep()) + settings_.stepMargin;
+        }
         return;
     case MapOrderAnswer::Fenced:
-        raiseFence();
+        raiseFence(true);
         ranks_[holder_].resendAfter = settings_.holdAgain;
         return;
     case MapOrderAnswer::Lost:
@@ -329,6 +332,7 @@
     if (answer == MapOrderAnswer::Done) {
         rank.confirmed = true;
     } else if (answer != MapOrderAnswer::Lost) {
+        raiseFence(answer == MapOrderAnswer::Fenced);
         beginClearing(now);
     }
 }
@@ -346,7 +350,7 @@
         if (answer == MapOrderAnswer::Done) {
             rank.answeredAt = now; // Whether it is copied, its report tells.
         } else if (answer != MapOrderAnswer::Lost) {
-            raiseFence();
+            raiseFence(answer == MapOrderAnswer::Fenced);
             enter(Phase::Idle, now); // Nothing is armed; a new proposal takes a higher version.
         }
     } else if (phase_ == Phase::Holding && kind == MapOrderKind::Hold && number == holder_
@@ -356,6 +360,7 @@
         onArmAnswer(rank, answer, now);
     } else if (phase_ == Phase::Clearing && kind == MapOrderKind::Disarm) {
         if (answer == MapOrderAnswer::Fenced) {
+            raiseFence(true);
             beginClearing(now);
         } else if (answer == MapOrderAnswer::Done) {
             rank.confirmed = true;
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -5,9 +5,7 @@
 // do. What keeps them together is the *hold*: a rank that holds a step keeps the whole group from
 // beginning it until it is told to go on. A change goes
 //   1. prepare: every rank copies the new map's experts;
-//   2. hold: the decider's own rank, or another when that holds already, holds a step S that has
-//   not
-//      begun;
+//   2. hold: one rank, the decider's own if it can, holds a step S that has not begun;
 //   3. arm: every rank is told to take the map at S;
 //   4. go: once every rank has confirmed its arm, the hold is released.
 // If any arm stays unconfirmed, the change is cleared instead: under the hold, every rank confirms
@@ -29,6 +27,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace seamarch {
@@ -143,7 +142,7 @@
     };
 
     void enter(Phase phase, TimePoint now);
-    void raiseFence();
+    void raiseFence(bool overtaken = false);
     std::uint64_t highestStep() const;
     bool allConfirmed() const;
     bool broken(TimePoint now) const;
@@ -164,7 +163,8 @@
     void forgetEpoch(std::uint64_t epoch, TimePoint now);
 
     Settings settings_;
-    std::uint64_t random_;
+    std::mt19937_64 random_;
+    std::uint64_t fenceMark_ = 0; // The low digits of this decider's fences.
     std::map<std::uint32_t, Rank> ranks_;
     std::uint32_t size_ = 0;
     std::uint64_t epoch_ = 0;
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -337,6 +337,11 @@
                     if (!facts) {
                         return;
                     }
+                    if (deciding_ && ownRank_ != facts->report.rank) {
+                        // The group has formed with other places: a new decider goes on.
+                        decider_->resign();
+                        deciding_ = false;
+                    }
                     ownRank_ = facts->report.rank;
                     facts->report.fence = ownFence_;
                     onFacts(*facts, now);
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -29,8 +29,13 @@
     , boundsChanged_(std::move(boundsChanged))
 {}
 
+// A document that could not be read may have taken a key away: until the next one, what is held is
+// not confirmed by anything.
 void GatewayKnowledge::confirm(TimePoint askedAt, std::uint64_t revision)
 {
+    if (routingUnreadable_) {
+        return;
+    }
     confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
     if (!storeReachable_) {
         storeReachable_ = true;
@@ -56,6 +61,7 @@
     upstreams_.replaceAll(records, loop_.now());
     logLine(LogLevel::Info, "store.listed",
             {{"revision", items.revision}, {"upstreams", records.size()}});
+    routingUnreadable_ = routingUnreadable_ || items.routingUnreadable;
     for (const std::string &fault : items.faults) {
         logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
     }
@@ -67,6 +73,7 @@
     for (const StoreItem &item : items.items) {
         takeItem(item);
     }
+    routingUnreadable_ = routingUnreadable_ || items.routingUnreadable;
     for (const std::string &fault : items.faults) {
         logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
     }
@@ -96,6 +103,7 @@
         return;
     }
     table_ = std::make_shared<const RouteTable>(document);
+    routingUnreadable_ = false;
     boundsChanged_(table_->bounds());
     logLine(LogLevel::Info, "config.applied",
             {{"version", document.version.value()},
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -73,6 +73,7 @@
     std::shared_ptr<const RouteTable> table_;
     std::optional<TimePoint> confirmedAt_;
     bool storeReachable_ = false;
+    bool routingUnreadable_ = false; // The store holds a newer document that makes no sense.
 };
 
 } // namespace seamarch
--- a/src/gateway/metadatastore.h
+++ b/src/gateway/metadatastore.h
@@ -34,6 +34,7 @@
     std::vector<StoreItem> items;
     std::string nextPage;            // Where the next page starts; empty: this was the last.
     std::vector<std::string> faults; // Items that could not be read, for the log.
+    bool routingUnreadable = false;  // One of them is the routing document.
 };
 
 enum class StoreFault {
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -82,6 +82,7 @@
     listed_.revision = listed_.revision == 0 ? items.revision : listed_.revision;
     std::move(items.items.begin(), items.items.end(), std::back_inserter(listed_.items));
     std::move(items.faults.begin(), items.faults.end(), std::back_inserter(listed_.faults));
+    listed_.routingUnreadable = listed_.routingUnreadable || items.routingUnreadable;
     if (!items.nextPage.empty()) {
         list(items.nextPage);
         return;
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -155,6 +155,14 @@
     LONGS_EQUAL(1, items->faults.size());
 }
 
+TEST(StoreItemsTest, SaysWhenTheRoutingDocumentCannotBeRead)
+{
+    const auto items = store.readWatch(
+        200,
+        R"({"events":[{"key-file":"op/config","value":"e30=","revision":4}],"current-rev":4})");
+    CHECK_TRUE(items->routingUnreadable);
+}
+
 TEST(StoreItemsTest, TellsFaultsOfTheStoreApart)
 {
     CHECK_TRUE(store.readWatch(410, "").error() == StoreFault::HistoryGone);
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -209,6 +209,13 @@
             site.control(site.store, {"silent": False})
             site.wait_until("served again", lambda: site.ask("/letters/1")[0] == 200)
 
+    def test_unreadable_configuration_confirms_nothing(self):
+        with GatewaySite() as site:
+            site.control(site.store, {"put": {"op/config": {"version": "two"}}})
+            site.wait_until("keys are refused", lambda: site.ask("/letters/1")[0] == 503)
+            site.publish(3)
+            site.wait_until("served again", lambda: site.ask("/letters/1")[0] == 200)
+
     def test_forgotten_history_is_listed_anew(self):
         with GatewaySite() as site:
             site.control(site.store, {"forget": True, "put": {"op/config": routing(2)}})
