Expert agents: only the decider asks; counts in a byte an expert; packed maps

Change: agents hear the decider by its questions and ask nothing; a rank takes over after silence, in turn. Counts are told since a named moment in one byte an expert (ChoiceLedger), maps in about a byte an expert. Only the decider reads the store. RankPeers is split from ExpertAgent. The planner takes choices since the last report; its test of a rank that starts anew is the ledger's now. Ruled out: the store, the engines' copies (14 ms an expert).

--- a/include/seamarch/units.h
+++ b/include/seamarch/units.h
@@ -31,6 +31,12 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+// Returns `duration` in whole milliseconds, rounded toward zero.
+inline std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Returns the duration of `seconds` seconds, rounded toward zero to a microsecond.
 inline Duration fromSeconds(double seconds)
 {
--- /dev/null
+++ b/src/decision/expertmap/choicecounts.cpp
@@ -0,0 +1,87 @@
+#include "decision/expertmap/choicecounts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+constexpr double kMostParts = std::numeric_limits<std::uint8_t>::max();
+
+// Returns what was chosen from `earlier` to `later`; nothing when the engine has started anew.
+std::vector<std::uint64_t> difference(const std::vector<std::uint64_t> &earlier,
+                                      const std::vector<std::uint64_t> &later)
+{
+    if (earlier.size() != later.size()) {
+        return {};
+    }
+    std::vector<std::uint64_t> chosen(later.size());
+    for (std::size_t index = 0; index < later.size(); ++index) {
+        if (later[index] < earlier[index]) {
+            return {};
+        }
+        chosen[index] = later[index] - earlier[index];
+    }
+    return chosen;
+}
+
+void pack(const std::vector<std::uint64_t> &chosen, ChoiceCounts &counts)
+{
+    counts.parts.reserve(chosen.size());
+    for (std::size_t begin = 0; begin < chosen.size(); begin += ChoiceCounts::kBlock) {
+        const std::size_t end = std::min(begin + ChoiceCounts::kBlock, chosen.size());
+        std::uint64_t most = 1;
+        for (std::size_t index = begin; index < end; ++index) {
+            most = std::max(most, chosen[index]);
+        }
+        const double unit = std::max(1.0, static_cast<double>(most) / kMostParts);
+        counts.units.push_back(static_cast<float>(unit));
+        for (std::size_t index = begin; index < end; ++index) {
+            const double parts = std::round(static_cast<double>(chosen[index]) / unit);
+            counts.parts.push_back(static_cast<std::uint8_t>(std::min(parts, kMostParts)));
+        }
+    }
+}
+
+} // namespace
+
+std::vector<double> choicesOf(const ChoiceCounts &counts)
+{
+    const std::size_t blocks =
+        (counts.parts.size() + ChoiceCounts::kBlock - 1) / ChoiceCounts::kBlock;
+    if (counts.since == 0 || counts.units.size() != blocks) {
+        return {};
+    }
+    std::vector<double> choices;
+    choices.reserve(counts.parts.size());
+    for (std::size_t index = 0; index < counts.parts.size(); ++index) {
+        choices.push_back(counts.parts[index]
+                          * static_cast<double>(counts.units[index / ChoiceCounts::kBlock]));
+    }
+    return choices;
+}
+
+ChoiceCounts ChoiceLedger::note(std::vector<std::uint64_t> counts, std::uint64_t since)
+{
+    ChoiceCounts noted;
+    noted.mark = nextMark_++;
+    const auto found = std::find_if(moments_.begin(), moments_.end(), [since](const Moment &moment) {
+        return moment.mark == since;
+    });
+    if (since != 0 && found != moments_.end()) {
+        const std::vector<std::uint64_t> chosen = difference(found->counts, counts);
+        if (!chosen.empty()) {
+            noted.since = since;
+            pack(chosen, noted);
+        }
+    }
+    moments_.push_back({noted.mark, std::move(counts)});
+    if (moments_.size() > kKept) {
+        moments_.pop_front();
+    }
+    return noted;
+}
+
+} // namespace seamarch
--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -12,17 +12,10 @@
     if (long_.size() != size) {
         long_.assign(size, 0.0);
         short_.assign(size, 0.0);
-        last_.clear();
     }
     rule_ = rule;
 }
 
-void ExpertPlanner::reset()
-{
-    last_.clear();
-    plannedAt_.reset();
-}
-
 void ExpertPlanner::decay(TimePoint now)
 {
     const double seconds = std::max(0.0, toSeconds(now - decayedAt_));
@@ -35,24 +28,16 @@
     decayedAt_ = now;
 }
 
-void ExpertPlanner::onCounts(std::uint32_t rank, std::span<const std::uint64_t> counts,
-                             TimePoint now)
+void ExpertPlanner::onChoices(std::span<const double> choices, TimePoint now)
 {
-    if (counts.size() != long_.size() || long_.empty()) {
+    if (choices.size() != long_.size() || long_.empty()) {
         return;
     }
-    std::vector<std::uint64_t> &last = last_[rank];
-    if (last.size() == counts.size()) {
-        decay(now);
-        for (std::size_t index = 0; index < counts.size(); ++index) {
-            // A rank that has started anew counts from zero; its first counts are left out.
-            const std::uint64_t more =
-                counts[index] >= last[index] ? counts[index] - last[index] : 0;
-            long_[index] += static_cast<double>(more);
-            short_[index] += static_cast<double>(more);
-        }
+    decay(now);
+    for (std::size_t index = 0; index < choices.size(); ++index) {
+        long_[index] += choices[index];
+        short_[index] += choices[index];
     }
-    last.assign(counts.begin(), counts.end());
 }
 
 double ExpertPlanner::distance() const
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -18,7 +18,6 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <span>
 #include <vector>
@@ -60,10 +59,10 @@
     {}
 
     void setRule(const ExpertRule &rule);
-    // Takes a rank's counts since its start, set by set.
-    void onCounts(std::uint32_t rank, std::span<const std::uint64_t> counts, TimePoint now);
-    // Forgets the counts that ranks had, because their group has formed anew.
-    void reset();
+    // Takes how often each expert was chosen at a rank since that rank's last report, set by set.
+    void onChoices(std::span<const double> choices, TimePoint now);
+    // Allows a proposal at once, because another agent may have changed the map meanwhile.
+    void reset() { plannedAt_.reset(); }
 
     // Returns a better map than `current`, if there is one worth the change.
     std::optional<ExpertMap> plan(const ExpertMap &current, TimePoint now);
@@ -84,7 +83,6 @@
 
     Settings settings_;
     ExpertRule rule_;
-    std::map<std::uint32_t, std::vector<std::uint64_t>> last_; // By rank.
     std::vector<double> long_; // Counts by set and expert, with the weight of their age.
     std::vector<double> short_;
     TimePoint decayedAt_{};
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -120,6 +120,7 @@
     // This agent no longer decides. What is under way stays as it is; whoever decides clears it.
     void resign();
 
+    std::uint32_t ownRank() const { return settings_.ownRank; }
     Phase phase() const { return phase_; }
     // Tells whether every rank has reported lately, in one epoch, and the group is open.
     bool whole(TimePoint now) const;
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -16,18 +16,22 @@
 using nlohmann::json;
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
-// How often the decider asks all ranks. Orders follow at the next tick.
+// How often the decider asks all ranks. Orders follow at the next tick. A report takes some 300
+// bytes, and 2 ms a rank keep a large group's reports within a fifth of a link of 8 Mbit/s.
 constexpr Duration kAskGap = std::chrono::milliseconds(100);
-// How often it asks for counts as well, which are longer.
+constexpr Duration kAskGapPerRank = std::chrono::milliseconds(2);
+// How often it asks for counts as well, which are longer: some 2 KB for 2,000 experts.
 constexpr Duration kCountsGap = std::chrono::milliseconds(200);
-// How often an agent that does not decide asks whether the decider lives.
-constexpr Duration kWatchGap = std::chrono::milliseconds(400);
-// An agent that has not answered for this long is taken for dead or cut off.
-constexpr Duration kAgentLife = std::chrono::milliseconds(1000);
+constexpr Duration kCountsGapPerRank = std::chrono::milliseconds(6);
+// How often an agent that does not decide asks its own engine for its rank.
+constexpr Duration kOwnGap = std::chrono::milliseconds(400);
+// A decider that has not asked for this long is taken for dead or cut off. It asks ten times in it.
+constexpr Duration kDeciderLife = std::chrono::milliseconds(1000);
+// Each rank waits this much longer than the one before it, so that one takes the role and is heard
+// before the next would take it: a question and a tick later.
+constexpr Duration kTurnPerRank = std::chrono::milliseconds(60);
 // How long a new agent listens before it may decide.
 constexpr Duration kStartDelay = std::chrono::milliseconds(1500);
-// How long an agent waits for another one's answer.
-constexpr Duration kPeerPatience = std::chrono::milliseconds(600);
 // A store's watch waits this long here: only the list of engines is wanted, and calls have a price.
 constexpr Duration kWatchWait = std::chrono::seconds(10);
 
@@ -84,17 +88,6 @@
 
 } // namespace
 
-// Hears of calls to other agents that failed in a way that nobody handled.
-class ExpertAgent::CallErrors final : public kj::TaskSet::ErrorHandler
-{
-public:
-    void taskFailed(kj::Exception &&exception) override
-    {
-        logLine(LogLevel::Warning, "peer.call_failed",
-                {{"message", exception.getDescription().cStr()}});
-    }
-};
-
 // The serving end for the agents of the other ranks.
 class ExpertAgent::Server final : public wire::RankAgent::Server
 {
@@ -109,16 +102,15 @@
         auto fulfiller =
             std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(waiting.fulfiller));
         const auto params = context.getParams();
-        const RankQuestion question{params.getCounts(), params.getExperts()};
-        ExpertAgent &agent = agent_;
-        agent_.ranks_->ask(agent_.settings_.engine, question,
-                           [&agent, context, fulfiller](std::optional<RankFacts> facts) mutable {
-                               if (facts) {
-                                   facts->report.fence = agent.ownFence_;
-                                   writeFacts(*facts, context.getResults().initState());
-                               }
-                               (*fulfiller)->fulfill();
-                           });
+        agent_.onAsked(params.getAskerRank());
+        const RankQuestion question{params.getCounts(), params.getExperts(),
+                                    params.getCountsSince()};
+        agent_.answer(question, [context, fulfiller](std::optional<RankFacts> facts) mutable {
+            if (facts) {
+                writeFacts(*facts, context.getResults().initState());
+            }
+            (*fulfiller)->fulfill();
+        });
         return kj::mv(waiting.promise);
     }
 
@@ -127,8 +119,13 @@
         auto waiting = kj::newPromiseAndFulfiller<void>();
         auto fulfiller =
             std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(waiting.fulfiller));
-        const MapOrder order = readOrder(context.getParams().getOrder());
-        agent_.handToOwn(order, [context, fulfiller](MapOrderAnswer answer) mutable {
+        const auto order = readOrder(context.getParams().getOrder());
+        if (!order) {
+            logLine(LogLevel::Warning, "order.unreadable", {});
+            context.getResults().setStatus(static_cast<std::uint16_t>(MapOrderAnswer::Refused));
+            return kj::READY_NOW;
+        }
+        agent_.handToOwn(*order, [context, fulfiller](MapOrderAnswer answer) mutable {
             context.getResults().setStatus(static_cast<std::uint16_t>(answer));
             (*fulfiller)->fulfill();
         });
@@ -146,9 +143,8 @@
     , store_(store)
     , engineCalls_(engineCalls)
     , metrics_(0)
+    , ledger_(randomIdentity())
     , startedAt_(loop.now())
-    , callErrors_(std::make_unique<CallErrors>())
-    , tasks_(*callErrors_)
 {}
 
 ExpertAgent::~ExpertAgent() noexcept = default;
@@ -193,12 +189,6 @@
         metricsServer_ = std::move(*server);
     }
     ranks_ = std::make_unique<RankClient>(loop_, *client_, engineCalls_);
-    StoreWatcher::Settings watch;
-    watch.wait = kWatchWait;
-    watch.seed = randomIdentity();
-    StoreListener &listener = *this;
-    watcher_ = std::make_unique<StoreWatcher>(loop_, *client_, store_, listener, watch);
-    watcher_->start();
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     return {};
 }
@@ -258,205 +248,194 @@
             listed.emplace(record->id, engine);
         }
     }
-    std::erase_if(peers_, [&listed](const auto &entry) { return !listed.contains(entry.first); });
-    for (const auto &[id, engine] : listed) {
-        Peer &peer = peers_[id];
-        if (peer.link == nullptr) {
-            peer.engine = engine;
-            peer.link = std::make_unique<RpcLink>(
-                loop_, *transport_, SocketAddress{engine.host, settings_.listen.port});
-        }
-    }
+    peers_->setListed(listed);
 }
 
-bool ExpertAgent::agentAnswers(const Peer &peer) const
+void ExpertAgent::tick()
 {
-    return peer.answeredAt != TimePoint{} && loop_.now() - peer.answeredAt < kAgentLife;
+    updateRole();
+    if (!deciding()) {
+        if (loop_.now() - ownAskedAt_ >= kOwnGap) {
+            askOwn({});
+        }
+        return;
+    }
+    if (!upstreams_.expire(loop_.now()).empty()) {
+        updatePeers();
+    }
+    current_ = mapInUse();
+    askGroup();
+    runDecider();
 }
 
-const InstanceId *ExpertAgent::peerOfRank(std::uint32_t rank) const
+void ExpertAgent::onAsked(std::uint32_t askerRank)
 {
-    for (const auto &[id, peer] : peers_) {
-        if (peer.rank == rank) {
-            return &id;
-        }
+    if (ownRank_ && askerRank < *ownRank_) {
+        lower_ = LowerDecider{askerRank, loop_.now()};
     }
-    return nullptr;
 }
 
-void ExpertAgent::tick()
+bool ExpertAgent::shouldDecide() const
 {
-    upstreams_.expire(loop_.now());
-    updateRole();
-    askOwn();
-    askPeers();
-    if (deciding_) {
-        runDecider();
+    const TimePoint now = loop_.now();
+    if (!ownRank_ || now - startedAt_ < kStartDelay) {
+        return false;
+    }
+    const bool lowerLives =
+        lower_ && lower_->rank < *ownRank_ && now - lower_->askedAt < kDeciderLife;
+    if (deciding() || lowerLives) {
+        return !lowerLives;
     }
+    const TimePoint from = std::max(startedAt_ + kStartDelay,
+                                    lower_ ? lower_->askedAt + kDeciderLife : TimePoint{});
+    return now - from >= kTurnPerRank * *ownRank_;
 }
 
 void ExpertAgent::updateRole()
 {
-    const bool lower = std::any_of(peers_.begin(), peers_.end(), [this](const auto &entry) {
-        return entry.second.rank && ownRank_ && *entry.second.rank < *ownRank_
-               && agentAnswers(entry.second);
-    });
-    const bool decides = ownRank_ && !lower && loop_.now() - startedAt_ > kStartDelay;
-    if (decides == deciding_) {
+    if (deciding() && decider_->ownRank() != *ownRank_) {
+        leaveRole(); // The group has formed with other places.
+    }
+    const bool decides = shouldDecide();
+    if (decides == deciding()) {
         return;
     }
-    deciding_ = decides;
     logLine(LogLevel::Info, decides ? "decider.taken" : "decider.left",
-            {{"rank", ownRank_.value_or(0)}, {"epoch", epoch_}});
-    if (!decides) {
-        decider_->resign();
-        return;
+            {{"rank", ownRank_.value_or(0)},
+             {"epoch", epoch_},
+             {"lowerRank", lower_ ? json(lower_->rank) : json()},
+             {"lowerAskedMsAgo", lower_ ? json(toMillis(loop_.now() - lower_->askedAt)) : json()}});
+    if (decides) {
+        takeRole();
+    } else {
+        leaveRole();
     }
+}
+
+void ExpertAgent::takeRole()
+{
     GroupDecider::Settings settings;
     settings.ownRank = *ownRank_;
     settings.seed = randomIdentity();
     decider_ = std::make_unique<GroupDecider>(settings);
+    RankPeersListener &listener = *this;
+    peers_ = std::make_unique<RankPeers>(loop_, *transport_, *ranks_, settings_.listen.port,
+                                         listener);
+    notedPhase_ = GroupDecider::Phase::Idle;
     notedChanges_ = 0;
     notedCleared_ = 0;
     planner_.reset();
+    StoreWatcher::Settings watch;
+    watch.wait = kWatchWait;
+    watch.seed = randomIdentity();
+    StoreListener &storeListener = *this;
+    watcher_ = std::make_unique<StoreWatcher>(loop_, *client_, store_, storeListener, watch);
+    watcher_->start();
 }
 
-void ExpertAgent::askOwn()
+// What is under way stays as it is; the agent that decides now clears it.
+void ExpertAgent::leaveRole()
 {
-    const TimePoint now = loop_.now();
-    const Duration gap = deciding_ ? kAskGap : kWatchGap;
-    if (askingOwn_ || (ownAskedAt_ != TimePoint{} && now - ownAskedAt_ < gap)) {
-        return;
-    }
-    askingOwn_ = true;
-    ownAskedAt_ = now;
-    const bool experts = deciding_ && !currentMap();
-    ranks_->ask(settings_.engine, {deciding_, experts},
-                [this, now](std::optional<RankFacts> facts) {
-                    askingOwn_ = false;
-                    if (!facts) {
+    watcher_.reset();
+    peers_.reset();
+    decider_.reset();
+    experts_.clear();
+    current_.reset();
+}
+
+// Answers for the own rank.
+void ExpertAgent::answer(RankQuestion question, std::function<void(std::optional<RankFacts>)> done)
+{
+    ranks_->ask(settings_.engine, question,
+                [this, question, done = std::move(done)](std::optional<EngineFacts> engine) {
+                    if (!engine) {
+                        done(std::nullopt);
                         return;
                     }
-                    if (deciding_ && ownRank_ != facts->report.rank) {
-                        // The group has formed with other places: a new decider goes on.
-                        decider_->resign();
-                        deciding_ = false;
+                    ownRank_ = engine->report.rank;
+                    noteFormed(engine->report);
+                    RankFacts facts{engine->report, std::nullopt, std::move(engine->experts)};
+                    facts.report.fence = ownFence_;
+                    if (!engine->counts.empty()) {
+                        facts.choices =
+                            ledger_.note(std::move(engine->counts), question.countsSince);
                     }
-                    ownRank_ = facts->report.rank;
-                    facts->report.fence = ownFence_;
-                    onFacts(*facts, now);
+                    done(std::move(facts));
                 });
 }
 
-void ExpertAgent::askPeers()
+void ExpertAgent::askOwn(RankQuestion question)
 {
-    const TimePoint now = loop_.now();
-    const bool counts = now - countsAskedAt_ >= kCountsGap;
-    const bool experts = deciding_ && !currentMap();
-    if (deciding_ && counts) {
-        countsAskedAt_ = now;
+    if (askingOwn_) {
+        return;
     }
-    for (auto &[id, peer] : peers_) {
-        const bool unknown = !peer.rank;
-        const bool lower = peer.rank && ownRank_ && *peer.rank < *ownRank_;
-        const Duration gap = deciding_ ? kAskGap : kWatchGap;
-        if (peer.asking || now - peer.askedAt < gap || !(deciding_ || unknown || lower)) {
-            continue;
+    askingOwn_ = true;
+    const TimePoint now = loop_.now();
+    ownAskedAt_ = now;
+    question.countsSince = ownCountsMark_;
+    answer(question, [this, now](std::optional<RankFacts> facts) {
+        askingOwn_ = false;
+        if (!facts) {
+            return;
         }
-        peer.askedAt = now;
-        askAgent(id, {deciding_ && counts, experts});
-        if (deciding_ && !agentAnswers(peer)) {
-            askEngine(id, {false, experts});
+        if (facts->choices) {
+            ownCountsMark_ = facts->choices->mark;
         }
-    }
+        onPeerFacts(*facts, now);
+    });
 }
 
-void ExpertAgent::askAgent(const InstanceId &id, RankQuestion question)
+// A gap between questions to all ranks: the larger the group, the longer, because its answers share
+// the link of one agent.
+Duration ExpertAgent::gapFor(Duration least, Duration perRank) const
 {
-    Peer &peer = peers_.at(id);
-    peer.asking = true;
-    const TimePoint askedAt = loop_.now();
-    auto request = peer.link->capability().castAs<wire::RankAgent>().stateRequest();
-    request.setCounts(question.counts);
-    request.setExperts(question.experts);
-    const auto over = std::make_shared<bool>(false);
-    const auto finish = [this, id, over] {
-        const auto found = peers_.find(id);
-        if (!std::exchange(*over, true) && found != peers_.end()) {
-            found->second.asking = false;
-        }
-    };
-    loop_.schedule(kPeerPatience, finish);
-    tasks_.add(request.send().then(
-        [this, id, askedAt, finish](capnp::Response<wire::RankAgent::StateResults> answer) {
-            finish();
-            onAgentAnswer(id, askedAt, answer.getState());
-        },
-        [finish](kj::Exception && /*gone*/) { finish(); }));
+    return std::max(least, perRank * static_cast<Duration::rep>(peers_->size()));
 }
 
-void ExpertAgent::onAgentAnswer(const InstanceId &id, TimePoint askedAt,
-                                wire::RankState::Reader state)
+void ExpertAgent::askGroup()
 {
-    const auto found = peers_.find(id);
-    if (found == peers_.end() || !state.getKnown()) {
-        return;
+    const TimePoint now = loop_.now();
+    const Duration gap = gapFor(kAskGap, kAskGapPerRank);
+    const bool counts = now - countsAskedAt_ >= gapFor(kCountsGap, kCountsGapPerRank);
+    if (counts) {
+        countsAskedAt_ = now;
     }
-    found->second.answeredAt = loop_.now();
-    found->second.rank = state.getRank();
-    onFacts(readFacts(state), askedAt);
+    const RankQuestion question{counts, !current_, 0};
+    if (counts || now - ownAskedAt_ >= gap) {
+        askOwn(question);
+    }
+    peers_->ask(question, counts ? Duration{} : gap, *ownRank_);
 }
 
-// Asks the engine of a rank whose agent does not answer. Its report lags, which only delays.
-void ExpertAgent::askEngine(const InstanceId &id, RankQuestion question)
+void ExpertAgent::noteFormed(const RankReport &report)
 {
-    Peer &peer = peers_.at(id);
-    if (peer.askingEngine) {
+    if (report.epoch <= epoch_) {
         return;
     }
-    peer.askingEngine = true;
-    // What the engine tells to others may be this old already.
-    constexpr Duration kReportLag = std::chrono::milliseconds(300);
-    const TimePoint askedAt = loop_.now() - kReportLag;
-    ranks_->ask(peer.engine, question, [this, id, askedAt](std::optional<RankFacts> facts) {
-        const auto found = peers_.find(id);
-        if (found == peers_.end()) {
-            return;
-        }
-        found->second.askingEngine = false;
-        if (facts) {
-            found->second.rank = facts->report.rank;
-            onFacts(*facts, askedAt);
-        }
-    });
+    logLine(LogLevel::Info, "group.formed",
+            {{"epoch", report.epoch}, {"before", epoch_}, {"ranks", report.ranks}});
+    epoch_ = report.epoch;
+    experts_.clear();
 }
 
-void ExpertAgent::onFacts(const RankFacts &facts, TimePoint askedAt)
+void ExpertAgent::onPeerFacts(const RankFacts &facts, TimePoint askedAt)
 {
-    const RankReport &report = facts.report;
-    if (report.epoch > epoch_) {
-        logLine(LogLevel::Info, "group.formed",
-                {{"epoch", report.epoch}, {"before", epoch_}, {"ranks", report.ranks}});
-        epoch_ = report.epoch;
-        experts_.clear();
+    if (!deciding()) {
+        return;
     }
+    const RankReport &report = facts.report;
+    noteFormed(report);
     if (facts.experts && report.epoch == epoch_) {
         experts_[report.rank] = *facts.experts;
     }
-    if (!deciding_) {
-        return;
-    }
-    if (!facts.counts.empty()) {
-        planner_.onCounts(report.rank, facts.counts, loop_.now());
+    if (facts.choices) {
+        planner_.onChoices(choicesOf(*facts.choices), loop_.now());
     }
     decider_->onReport(report, askedAt, loop_.now());
 }
 
-std::optional<ExpertMap> ExpertAgent::currentMap() const
+std::optional<ExpertMap> ExpertAgent::mapInUse() const
 {
-    if (!decider_) {
-        return std::nullopt;
-    }
     const auto version = decider_->mapInUse(loop_.now());
     if (!version) {
         return std::nullopt;
@@ -472,7 +451,7 @@
             std::sort(map[set].back().begin(), map[set].back().end());
         }
     }
-    if (map.empty() || map.front().size() != peers_.size() + 1) {
+    if (map.empty() || map.front().size() != peers_->size() + 1) {
         return std::nullopt;
     }
     return map;
@@ -493,17 +472,16 @@
 
 void ExpertAgent::proposeChange(MapOrders &orders)
 {
-    const auto current = currentMap();
-    if (!rule_ || !current || !decider_->settled(loop_.now())) {
+    if (!rule_ || !current_ || !decider_->settled(loop_.now())) {
         return;
     }
     logLine(LogLevel::Debug, "map.weighed",
-            {{"distance", planner_.distance()}, {"skew", planner_.skew(*current)}});
-    auto planned = planner_.plan(*current, loop_.now());
+            {{"distance", planner_.distance()}, {"skew", planner_.skew(*current_)}});
+    auto planned = planner_.plan(*current_, loop_.now());
     if (!planned) {
         return;
     }
-    const double before = planner_.skew(*current);
+    const double before = planner_.skew(*current_);
     const auto version = decider_->propose(std::move(*planned), loop_.now(), orders);
     if (version) {
         logLine(LogLevel::Info, "map.proposed",
@@ -536,36 +514,13 @@
 
 void ExpertAgent::send(const SendMapOrder &action)
 {
-    const auto answered = [this, action](MapOrderAnswer answer) {
-        onOrderAnswer(action.rank, action.order, answer);
-    };
-    if (ownRank_ == action.rank) {
-        handToOwn(action.order, answered);
+    if (ownRank_ != action.rank) {
+        peers_->send(action);
         return;
     }
-    const InstanceId *id = peerOfRank(action.rank);
-    if (id == nullptr) {
-        return; // It is sent again; by then the rank may be known.
-    }
-    if (agentAnswers(peers_.at(*id))) {
-        sendThroughAgent(*id, action);
-    } else {
-        ranks_->order(peers_.at(*id).engine, action.order, answered);
-    }
-}
-
-void ExpertAgent::sendThroughAgent(const InstanceId &id, const SendMapOrder &action)
-{
-    auto request = peers_.at(id).link->capability().castAs<wire::RankAgent>().orderRequest();
-    writeOrder(action.order, request.initOrder());
-    tasks_.add(request.send().then(
-        [this, action](capnp::Response<wire::RankAgent::OrderResults> answer) {
-            onOrderAnswer(action.rank, action.order,
-                          static_cast<MapOrderAnswer>(answer.getStatus()));
-        },
-        [this, action](kj::Exception && /*gone*/) {
-            onOrderAnswer(action.rank, action.order, MapOrderAnswer::Lost);
-        }));
+    handToOwn(action.order, [this, action](MapOrderAnswer answer) {
+        onPeerOrderAnswer(action.rank, action.order, answer);
+    });
 }
 
 void ExpertAgent::handToOwn(const MapOrder &order, std::function<void(MapOrderAnswer)> done)
@@ -580,7 +535,8 @@
     ranks_->order(settings_.engine, order, std::move(done));
 }
 
-void ExpertAgent::onOrderAnswer(std::uint32_t rank, const MapOrder &order, MapOrderAnswer answer)
+void ExpertAgent::onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
+                                    MapOrderAnswer answer)
 {
     if (answer != MapOrderAnswer::Done) {
         logLine(LogLevel::Info, "order.not_done",
@@ -590,7 +546,7 @@
                  {"version", order.version},
                  {"step", order.step}});
     }
-    if (deciding_) {
+    if (deciding()) {
         decider_->onAnswer(rank, order, answer, loop_.now());
         runDecider();
     }
@@ -607,15 +563,15 @@
             {"instance", settings_.instance.value()},
             {"rank", ownRank_ ? json(*ownRank_) : json()},
             {"epoch", epoch_},
-            {"decides", deciding_},
-            {"peers", peers_.size()},
+            {"decides", deciding()},
+            {"peers", peers_ ? peers_->size() : 0},
             {"changes", notedChanges_},
             {"cleared", notedCleared_}};
 }
 
 void ExpertAgent::stop()
 {
-    logLine(LogLevel::Info, "agent.stopping", {{"decides", deciding_}});
+    logLine(LogLevel::Info, "agent.stopping", {{"decides", deciding()}});
     loop_.schedule(settings_.stopDelay, [this] { loop_.stop(); });
 }
 
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -2,25 +2,27 @@
 // tells the other agents of the group what its rank reports, and, when it is the one that decides,
 // keeps the group's map fit for what is asked of it.
 //
-// The agent of the lowest rank that answers decides. Two that both think so are harmless: see
-// GroupDecider. Requests never pass through an agent; one that is dead or cut off costs nothing but
-// map changes.
+// The agent that decides asks all others several times a second, and names its rank. An agent that
+// has not been asked by one of a lower rank for a while takes the role; those of higher ranks wait
+// longer, so that one comes first. Only the agent that decides speaks to the store or to other
+// ranks, so the traffic grows with the ranks and not with their square. Two that both decide are
+// harmless: see GroupDecider. Requests never pass through an agent; one that is dead or cut off
+// costs nothing but map changes.
 #pragma once
 
 #include "decision/expertmap/expertplanner.h"
 #include "decision/expertmap/groupdecider.h"
 #include "decision/gateway/upstreamtable.h"
 #include "experts/rankclient.h"
+#include "experts/rankpeers.h"
 #include "gateway/storewatcher.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
 #include "net/rawtransport.h"
-#include "net/rpclink.h"
+#include "net/rpcpeer.h"
 #include "observe/metrics.h"
 #include "observe/operatorserver.h"
-#include "wire/seamarch.capnp.h"
 
-#include <kj/async.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,7 +42,7 @@
     Duration stopDelay = std::chrono::milliseconds(100);
 };
 
-class ExpertAgent final : private StoreListener, private StatusSource
+class ExpertAgent final : private StoreListener, private StatusSource, private RankPeersListener
 {
 public:
     static tl::expected<std::unique_ptr<ExpertAgent>, NetError>
@@ -55,18 +57,12 @@
 
 private:
     class Server;
-    class CallErrors;
 
-    // The agent beside another rank, and its engine.
-    struct Peer
+    // The agent of a lower rank that asked last.
+    struct LowerDecider
     {
-        SocketAddress engine;
-        std::unique_ptr<RpcLink> link;
-        std::optional<std::uint32_t> rank;
-        TimePoint answeredAt{}; // By the agent.
+        std::uint32_t rank = 0;
         TimePoint askedAt{};
-        bool asking = false;
-        bool askingEngine = false;
     };
 
     ExpertAgent(EventLoop &loop, const ExpertAgentSettings &settings, const MetadataStore &store,
@@ -83,22 +79,25 @@
     void updatePeers();
     void tick();
     void updateRole();
-    void askOwn();
-    void askPeers();
-    void askAgent(const InstanceId &id, RankQuestion question);
-    void askEngine(const InstanceId &id, RankQuestion question);
-    void onFacts(const RankFacts &facts, TimePoint askedAt);
-    void onAgentAnswer(const InstanceId &id, TimePoint askedAt, wire::RankState::Reader state);
+    bool deciding() const { return decider_ != nullptr; }
+    bool shouldDecide() const;
+    void takeRole();
+    void leaveRole();
+    void onAsked(std::uint32_t askerRank);
+    void answer(RankQuestion question, std::function<void(std::optional<RankFacts>)> done);
+    void askOwn(RankQuestion question);
+    void askGroup();
+    Duration gapFor(Duration least, Duration perRank) const;
+    void onPeerFacts(const RankFacts &facts, TimePoint askedAt) override;
+    void onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
+                           MapOrderAnswer answer) override;
+    void noteFormed(const RankReport &report);
     void runDecider();
     void proposeChange(MapOrders &orders);
     void send(const SendMapOrder &action);
-    void sendThroughAgent(const InstanceId &id, const SendMapOrder &action);
     void handToOwn(const MapOrder &order, std::function<void(MapOrderAnswer)> done);
-    void onOrderAnswer(std::uint32_t rank, const MapOrder &order, MapOrderAnswer answer);
-    std::optional<ExpertMap> currentMap() const;
+    std::optional<ExpertMap> mapInUse() const;
     void notePhase();
-    const InstanceId *peerOfRank(std::uint32_t rank) const;
-    bool agentAnswers(const Peer &peer) const;
 
     EventLoop &loop_;
     ExpertAgentSettings settings_;
@@ -109,29 +108,31 @@
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<RawTransport> transport_;
     std::unique_ptr<OperatorServer> metricsServer_;
-    std::unique_ptr<StoreWatcher> watcher_;
     std::unique_ptr<RankClient> ranks_;
+    ChoiceLedger ledger_;
     std::map<std::uint64_t, std::unique_ptr<RpcPeer>> incoming_;
-    std::map<InstanceId, Peer> peers_;
     std::optional<std::uint32_t> ownRank_;
-    std::uint64_t ownFence_ = 0; // The highest that was handed to the own rank.
+    std::optional<LowerDecider> lower_;
+    std::uint64_t ownFence_ = 0;      // The highest that was handed to the own rank.
+    std::uint64_t ownCountsMark_ = 0; // Of the own rank's last counts.
+    std::uint64_t epoch_ = 0;
+    TimePoint startedAt_{};
+    TimePoint ownAskedAt_{};
+    bool askingOwn_ = false;
+    std::uint64_t nextIncoming_ = 1;
+    // What the agent that decides has; the others have none of it.
+    std::unique_ptr<StoreWatcher> watcher_;
+    std::unique_ptr<RankPeers> peers_;
     std::unique_ptr<GroupDecider> decider_;
     ExpertPlanner planner_;
     std::optional<ExpertRule> rule_;
     std::map<std::uint32_t, ExpertsOfRank> experts_; // By rank.
-    std::uint64_t epoch_ = 0;
+    std::optional<ExpertMap> current_;               // The map in use, once it is known whole.
     GroupDecider::Phase notedPhase_ = GroupDecider::Phase::Idle;
     std::uint64_t notedChanges_ = 0;
     std::uint64_t notedCleared_ = 0;
-    TimePoint startedAt_{};
-    TimePoint ownAskedAt_{};
     TimePoint countsAskedAt_{};
-    bool askingOwn_ = false;
-    bool deciding_ = false;
-    std::uint64_t nextIncoming_ = 1;
     std::unique_ptr<PeriodicTimer> tickTimer_;
-    std::unique_ptr<CallErrors> callErrors_;
-    kj::TaskSet tasks_;
 };
 
 } // namespace seamarch
--- a/src/experts/rankclient.cpp
+++ b/src/experts/rankclient.cpp
@@ -20,12 +20,12 @@
 {
     SocketAddress engine;
     RankQuestion question;
-    RankFacts facts;
-    std::function<void(std::optional<RankFacts>)> done;
+    EngineFacts facts;
+    std::function<void(std::optional<EngineFacts>)> done;
 };
 
 void RankClient::ask(const SocketAddress &engine, RankQuestion question,
-                     std::function<void(std::optional<RankFacts>)> done)
+                     std::function<void(std::optional<EngineFacts>)> done)
 {
     auto asking = std::make_shared<Asking>(Asking{engine, question, {}, std::move(done)});
     fetchText(
--- a/src/experts/rankclient.h
+++ b/src/experts/rankclient.h
@@ -10,18 +10,19 @@
 
 namespace seamarch {
 
-// What an engine was asked for.
+// What an engine, or the agent beside it, is asked for beside its report.
 struct RankQuestion
 {
     bool counts = false;
     bool experts = false;
+    std::uint64_t countsSince = 0; // Agents count from the moment that this mark names.
 };
 
 // What it answered.
-struct RankFacts
+struct EngineFacts
 {
     RankReport report;
-    std::vector<std::uint64_t> counts; // Empty: not asked for, or not answered.
+    std::vector<std::uint64_t> counts; // Since its start. Empty: not asked for, or not answered.
     std::optional<ExpertsOfRank> experts;
 };
 
@@ -37,7 +38,7 @@
 
     // Hands over the facts, or nothing when the engine did not answer in time.
     void ask(const SocketAddress &engine, RankQuestion question,
-             std::function<void(std::optional<RankFacts>)> done);
+             std::function<void(std::optional<EngineFacts>)> done);
     void order(const SocketAddress &engine, const MapOrder &order,
                std::function<void(MapOrderAnswer)> done);
 
--- a/src/experts/rankwire.cpp
+++ b/src/experts/rankwire.cpp
@@ -1,10 +1,16 @@
 #include "experts/rankwire.h"
 
+#include <limits>
+#include <utility>
+
 namespace seamarch {
 namespace {
 
 using NumberList = capnp::List<std::uint16_t>;
 
+// More sets, ranks or experts of a rank than any group has: a longer number is no number of ours.
+constexpr std::uint32_t kMostOfAKind = 65'535;
+
 void writeNumbers(const std::vector<std::uint16_t> &numbers, NumberList::Builder list)
 {
     for (std::uint32_t index = 0; index < numbers.size(); ++index) {
@@ -27,8 +33,136 @@
     return static_cast<std::uint32_t>(container.size());
 }
 
+void writeChoices(const ChoiceCounts &counts, wire::ChoiceCounts::Builder to)
+{
+    to.setMark(counts.mark);
+    to.setSince(counts.since);
+    auto units = to.initUnits(sizeOf(counts.units));
+    for (std::uint32_t index = 0; index < units.size(); ++index) {
+        units.set(index, counts.units[index]);
+    }
+    to.setParts(kj::arrayPtr(counts.parts.data(), counts.parts.size()));
+}
+
+ChoiceCounts readChoices(wire::ChoiceCounts::Reader from)
+{
+    ChoiceCounts counts;
+    counts.mark = from.getMark();
+    counts.since = from.getSince();
+    for (const float unit : from.getUnits()) {
+        counts.units.push_back(unit);
+    }
+    const auto parts = from.getParts();
+    counts.parts.assign(parts.begin(), parts.end());
+    return counts;
+}
+
+void writeNumber(std::uint32_t number, std::vector<std::uint8_t> &bytes)
+{
+    constexpr std::uint32_t kMore = 0x80;
+    constexpr int kBits = 7;
+    while (number >= kMore) {
+        bytes.push_back(static_cast<std::uint8_t>(number | kMore));
+        number >>= kBits;
+    }
+    bytes.push_back(static_cast<std::uint8_t>(number));
+}
+
+// Reads numbers from the front of some bytes.
+class NumberReader
+{
+public:
+    explicit NumberReader(std::span<const std::uint8_t> bytes)
+        : bytes_(bytes)
+    {}
+
+    std::optional<std::uint32_t> next()
+    {
+        constexpr std::uint32_t kMore = 0x80;
+        constexpr std::uint32_t kBits = 7;
+        std::uint32_t number = 0;
+        for (std::uint32_t shift = 0; !bytes_.empty() && number <= kMostOfAKind; shift += kBits) {
+            const std::uint32_t byte = bytes_.front();
+            bytes_ = bytes_.subspan(1);
+            number |= (byte & (kMore - 1)) << shift;
+            if (byte < kMore) {
+                return number <= kMostOfAKind ? std::optional(number) : std::nullopt;
+            }
+        }
+        return std::nullopt;
+    }
+
+    bool atEnd() const { return bytes_.empty(); }
+
+private:
+    std::span<const std::uint8_t> bytes_;
+};
+
+std::optional<std::vector<std::uint16_t>> unpackRank(NumberReader &reader)
+{
+    const auto count = reader.next();
+    if (!count) {
+        return std::nullopt;
+    }
+    std::vector<std::uint16_t> experts;
+    std::uint32_t expert = 0;
+    for (std::uint32_t index = 0; index < *count; ++index) {
+        const auto gap = reader.next();
+        if (!gap || expert + *gap > kMostOfAKind) {
+            return std::nullopt;
+        }
+        expert += *gap;
+        experts.push_back(static_cast<std::uint16_t>(expert));
+    }
+    return experts;
+}
+
 } // namespace
 
+std::vector<std::uint8_t> packExperts(const ExpertMap &map)
+{
+    std::vector<std::uint8_t> bytes;
+    writeNumber(sizeOf(map), bytes);
+    for (const RankExperts &ranks : map) {
+        writeNumber(sizeOf(ranks), bytes);
+        for (const std::vector<std::uint16_t> &experts : ranks) {
+            writeNumber(sizeOf(experts), bytes);
+            std::uint32_t last = 0;
+            for (const std::uint16_t expert : experts) {
+                writeNumber(expert - last, bytes);
+                last = expert;
+            }
+        }
+    }
+    return bytes;
+}
+
+std::optional<ExpertMap> unpackExperts(std::span<const std::uint8_t> bytes)
+{
+    NumberReader reader(bytes);
+    const auto sets = reader.next();
+    if (!sets) {
+        return std::nullopt;
+    }
+    ExpertMap map;
+    for (std::uint32_t set = 0; set < *sets; ++set) {
+        const auto ranks = reader.next();
+        if (!ranks) {
+            return std::nullopt;
+        }
+        RankExperts placement;
+        for (std::uint32_t rank = 0; rank < *ranks; ++rank) {
+            auto experts = unpackRank(reader);
+            if (!experts) {
+                return std::nullopt;
+            }
+            placement.push_back(std::move(*experts));
+        }
+        map.push_back(std::move(placement));
+    }
+    return reader.atEnd() ? std::optional(std::move(map)) : std::nullopt;
+}
+
 void writeFacts(const RankFacts &facts, wire::RankState::Builder state)
 {
     const RankReport &report = facts.report;
@@ -44,9 +178,8 @@
     state.setHeld(report.held.has_value());
     state.setHeldStep(report.held.value_or(0));
     state.setFence(report.fence);
-    auto counts = state.initCounts(sizeOf(facts.counts));
-    for (std::uint32_t index = 0; index < facts.counts.size(); ++index) {
-        counts.set(index, facts.counts[index]);
+    if (facts.choices) {
+        writeChoices(*facts.choices, state.initChoices());
     }
     if (facts.experts) {
         state.setExpertsMap(facts.experts->map);
@@ -74,10 +207,8 @@
         report.held = state.getHeldStep();
     }
     report.fence = state.getFence();
-    const auto counts = state.getCounts();
-    facts.counts.reserve(counts.size());
-    for (const std::uint64_t count : counts) {
-        facts.counts.push_back(count);
+    if (state.hasChoices()) {
+        facts.choices = readChoices(state.getChoices());
     }
     if (state.hasExperts() && state.getExperts().size() > 0) {
         ExpertsOfRank experts;
@@ -97,17 +228,13 @@
     to.setStep(order.step);
     to.setEpoch(order.epoch);
     to.setFence(order.fence);
-    auto sets = to.initExperts(sizeOf(order.experts));
-    for (std::uint32_t set = 0; set < sets.size(); ++set) {
-        auto ranks = sets.init(set, sizeOf(order.experts[set]));
-        for (std::uint32_t rank = 0; rank < ranks.size(); ++rank) {
-            const auto &experts = order.experts[set][rank];
-            writeNumbers(experts, ranks.init(rank, sizeOf(experts)));
-        }
+    if (!order.experts.empty()) {
+        const std::vector<std::uint8_t> bytes = packExperts(order.experts);
+        to.setExperts(kj::arrayPtr(bytes.data(), bytes.size()));
     }
 }
 
-MapOrder readOrder(wire::RankOrder::Reader from)
+std::optional<MapOrder> readOrder(wire::RankOrder::Reader from)
 {
     MapOrder order;
     order.kind = static_cast<MapOrderKind>(from.getKind());
@@ -115,12 +242,13 @@
     order.step = from.getStep();
     order.epoch = from.getEpoch();
     order.fence = from.getFence();
-    for (const auto &set : from.getExperts()) {
-        RankExperts ranks;
-        for (const auto &rank : set) {
-            ranks.push_back(readNumbers(rank));
+    if (from.hasExperts()) {
+        const auto bytes = from.getExperts();
+        auto experts = unpackExperts({bytes.begin(), bytes.size()});
+        if (!experts) {
+            return std::nullopt;
         }
-        order.experts.push_back(std::move(ranks));
+        order.experts = std::move(*experts);
     }
     return order;
 }
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -12,11 +12,6 @@
 // What a caller waits when it does not say how long, and its route does not either.
 constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
 
-std::int64_t toMillis(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 GatewayKnowledge::GatewayKnowledge(EventLoop &loop, UpstreamTable &upstreams, Metrics &metrics,
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -22,16 +22,6 @@
 // When a caller may come back to a gateway that does not know enough.
 constexpr Duration kNotReadyPause = std::chrono::milliseconds(500);
 
-Duration millisSince(TimePoint from, TimePoint now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - from);
-}
-
-std::int64_t toMillis(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 GatewayCore::Settings coreSettings(const GatewaySettings &settings)
 {
     GatewayCore::Settings core;
@@ -399,7 +389,7 @@
              {"upstream", flight->upstream.value()},
              {"status", flight->head.status},
              {"kind", wordFor(kind)},
-             {"ms", toMillis(millisSince(flight->startedAt, loop_.now()))}});
+             {"ms", toMillis(loop_.now() - flight->startedAt)}});
     GatewayActions actions;
     core_.onHead(number, kind, loop_.now(), actions);
     carryOut(actions);
@@ -478,7 +468,7 @@
              {"end", wordFor(end)},
              {"headSent", flight->headSent},
              {"events", flight->events.events()},
-             {"ms", toMillis(millisSince(flight->startedAt, loop_.now()))}});
+             {"ms", toMillis(loop_.now() - flight->startedAt)}});
     flight->events.dropPartial();
     GatewayActions actions;
     core_.onEnd(number, end == HttpCallEnd::NotSent ? AttemptEnd::NotSent : AttemptEnd::Lost,
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -117,6 +117,15 @@
   releaseTurn @7 (instance :Text, incarnation :UInt64, number :UInt64) -> ();
 }
 
+# How often each expert of a rank was chosen between two moments, in a byte an expert: a group's
+# counts must fit the narrow links of its agents.
+struct ChoiceCounts {
+  mark @0 :UInt64;           # Names the later moment; a question that carries it goes on from there.
+  since @1 :UInt64;          # Names the earlier moment; zero: there is none, and nothing is counted.
+  units @2 :List(Float32);   # By block of experts: the choices that one part stands for.
+  parts @3 :Data;            # Set by set, one byte an expert.
+}
+
 # What the agent beside one rank of a group of engines tells of it.
 struct RankState {
   known @0 :Bool;            # The rank has answered its agent; else nothing below is meant.
@@ -131,7 +140,7 @@
   held @9 :Bool;             # The group waits before `heldStep`.
   heldStep @10 :UInt64;
   fence @11 :UInt64;         # The highest fence that the agent has handed to the rank.
-  counts @12 :List(UInt64);  # Set by set, how often each expert was chosen; when asked for.
+  choices @12 :ChoiceCounts; # When asked for.
   experts @13 :List(List(UInt16));  # By set, those of this rank in `expertsMap`; when asked for.
   expertsMap @14 :UInt64;
 }
@@ -142,12 +151,15 @@
   step @2 :UInt64;
   epoch @3 :UInt64;
   fence @4 :UInt64;
-  experts @5 :List(List(List(UInt16)));  # By set and rank.
+  experts @5 :Data;          # Of a prepare, by set and rank; see packExperts in src/experts.
 }
 
 # Served by the agent beside a rank, for the agents beside the other ranks of its group.
 interface RankAgent {
-  state @0 (counts :Bool, experts :Bool) -> (state :RankState);
+  # Only the agent that decides on the group's map asks. `askerRank` tells the other agents that it
+  # lives. With `counts`, the answer counts from the moment that `countsSince` names.
+  state @0 (counts :Bool, experts :Bool, countsSince :UInt64, askerRank :UInt32)
+      -> (state :RankState);
   # Hands an order to the rank and returns the status of its answer, zero when there was none.
   order @1 (order :RankOrder) -> (status :UInt16);
 }
--- /dev/null
+++ b/test/decision/expertmap/choicecounts_test.cpp
@@ -0,0 +1,81 @@
+#include "decision/expertmap/choicecounts.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr std::uint64_t kFirstMark = 700;
+
+std::vector<std::uint64_t> counted(std::size_t experts, std::uint64_t each)
+{
+    return std::vector<std::uint64_t>(experts, each);
+}
+
+} // namespace
+
+TEST_GROUP(ChoiceLedgerTest)
+{
+    ChoiceLedger ledger{kFirstMark};
+};
+
+TEST(ChoiceLedgerTest, TellsWhatWasChosenSinceTheMomentThatIsNamed)
+{
+    const auto first = ledger.note({10, 20, 30}, 0);
+    ledger.note({11, 20, 30}, first.mark);
+    const auto third = ledger.note({15, 20, 37}, first.mark);
+    LONGS_EQUAL(first.mark, third.since);
+    CHECK_TRUE(choicesOf(third) == (std::vector<double>{5, 0, 7}));
+}
+
+TEST(ChoiceLedgerTest, TellsNothingToAnAskerThatNamesNoMoment)
+{
+    const auto first = ledger.note({10, 20, 30}, 0);
+    LONGS_EQUAL(0, first.since);
+    CHECK_TRUE(choicesOf(first).empty());
+}
+
+TEST(ChoiceLedgerTest, TellsNothingSinceAMomentOfAnotherLife)
+{
+    ledger.note({10, 20, 30}, 0);
+    LONGS_EQUAL(0, ledger.note({11, 21, 31}, kFirstMark - 1).since);
+}
+
+TEST(ChoiceLedgerTest, EngineThatStartedAnewIsNoLoad)
+{
+    const auto first = ledger.note({10, 20, 30}, 0);
+    const auto second = ledger.note({0, 1, 0}, first.mark);
+    CHECK_TRUE(choicesOf(second).empty());
+    const auto third = ledger.note({0, 4, 0}, second.mark);
+    CHECK_TRUE(choicesOf(third) == (std::vector<double>{0, 3, 0}));
+}
+
+TEST(ChoiceLedgerTest, KeepsEachExpertWithinOnePartIn500OfItsBlocksMost)
+{
+    constexpr std::size_t kExperts = 2016;
+    const auto first = ledger.note(counted(kExperts, 0), 0);
+    std::vector<std::uint64_t> later;
+    for (std::size_t expert = 0; expert < kExperts; ++expert) {
+        later.push_back(expert * expert % 9973);
+    }
+    const std::vector<double> choices = choicesOf(ledger.note(later, first.mark));
+    LONGS_EQUAL(kExperts, choices.size());
+    for (std::size_t expert = 0; expert < kExperts; ++expert) {
+        DOUBLES_EQUAL(static_cast<double>(later[expert]), choices[expert], 9973.0 / 500.0);
+    }
+}
+
+TEST(ChoiceLedgerTest, FitsTwoThousandExpertsInLessThanThreeKilobytes)
+{
+    constexpr std::size_t kExperts = 2016;
+    const auto first = ledger.note(counted(kExperts, 0), 0);
+    const auto second = ledger.note(counted(kExperts, 5000), first.mark);
+    CHECK_TRUE(second.parts.size() + second.units.size() * sizeof(float) < 3000);
+}
+
+TEST(ChoiceLedgerTest, CountsThatDoNotFitTogetherAreLeftOut)
+{
+    ChoiceCounts torn{2, 1, {}, {1, 2, 3}};
+    CHECK_TRUE(choicesOf(torn).empty());
+}
