Expert placement: a change is weighed by the ranks it touches; obstacles to a change are logged

Seen as 0.5 to 0.9 s between the counts that show a shift and the orders. What keeps a change from starting is an event of its own (map.obstacle). Ranks above the first wait half a second more for the role, because connecting to all ranks takes about that long at the start. Left: 0.4 s after each change until the experts of all ranks are told; a shift is seen after 0.7 to 1.5 s.

--- a/src/decision/expertmap/choicecounts.h
+++ b/src/decision/expertmap/choicecounts.h
@@ -1,4 +1,5 @@
-// How often a rank's experts were chosen between two moments, small enough for the link of an agent.
+// How often a rank's experts were chosen between two moments, small enough for the link of an
+// agent.
 //
 // An engine counts since its start, in as many digits as it takes. A decider asks all ranks of its
 // group several times a second, and at a few dozen ranks with thousands of experts the whole counts
--- a/src/decision/expertmap/evenplacement.cpp
+++ b/src/decision/expertmap/evenplacement.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <optional>
+#include <utility>
 
 namespace seamarch {
 namespace {
@@ -32,6 +33,66 @@
     std::optional<std::size_t> from;
 };
 
+// The loads of the ranks, with what a change would make of them. A change touches the few ranks
+// that hold its experts, so that weighing one costs no more than those.
+class LoadTrial
+{
+public:
+    explicit LoadTrial(std::vector<double> loads)
+        : loads_(std::move(loads))
+        , deltas_(loads_.size(), 0.0)
+    {
+        powers_.reserve(loads_.size());
+        for (const double load : loads_) {
+            powers_.push_back(power(load));
+            objective_ += powers_.back();
+        }
+    }
+
+    const std::vector<double> &loads() const { return loads_; }
+    double objective() const { return objective_; }
+
+    void add(std::size_t rank, double load)
+    {
+        if (deltas_[rank] == 0.0) {
+            touched_.push_back(rank);
+        }
+        deltas_[rank] += load;
+    }
+
+    // Returns by how much the objective would rise, and forgets what was added.
+    double riseAndClear()
+    {
+        double rise = 0.0;
+        for (const std::size_t rank : touched_) {
+            rise += power(loads_[rank] + deltas_[rank]) - powers_[rank];
+            deltas_[rank] = 0.0;
+        }
+        touched_.clear();
+        return rise;
+    }
+
+    // Makes what was added the loads.
+    void take()
+    {
+        for (const std::size_t rank : touched_) {
+            loads_[rank] += deltas_[rank];
+            objective_ -= powers_[rank];
+            powers_[rank] = power(loads_[rank]);
+            objective_ += powers_[rank];
+            deltas_[rank] = 0.0;
+        }
+        touched_.clear();
+    }
+
+private:
+    std::vector<double> loads_;
+    std::vector<double> powers_; // Of the loads.
+    double objective_ = 0.0;     // Their sum.
+    std::vector<double> deltas_; // Of the change on trial.
+    std::vector<std::size_t> touched_;
+};
+
 class Search
 {
 public:
@@ -41,13 +102,13 @@
         , placement_(current)
         , shares_(shares)
         , bounds_(bounds)
-        , loads_(rankLoads(current, shares))
-        , holders_(shares.size(), 0)
+        , trial_(rankLoads(current, shares))
+        , holders_(shares.size())
         , newOn_(current.size(), 0)
     {
-        for (const auto &experts : placement_) {
-            for (const std::uint16_t expert : experts) {
-                ++holders_[expert];
+        for (std::size_t rank = 0; rank < placement_.size(); ++rank) {
+            for (const std::uint16_t expert : placement_[rank]) {
+                holders_[expert].push_back(rank);
             }
         }
     }
@@ -68,7 +129,7 @@
     }
 
 private:
-    bool holds(const RankExperts &placement, std::size_t rank, std::uint16_t expert) const
+    static bool holds(const RankExperts &placement, std::size_t rank, std::uint16_t expert)
     {
         return std::find(placement[rank].begin(), placement[rank].end(), expert)
                != placement[rank].end();
@@ -76,75 +137,69 @@
 
     double skew() const
     {
-        const double sum = std::accumulate(loads_.begin(), loads_.end(), 0.0);
-        return *std::max_element(loads_.begin(), loads_.end()) * static_cast<double>(loads_.size())
+        const std::vector<double> &loads = trial_.loads();
+        const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
+        return *std::max_element(loads.begin(), loads.end()) * static_cast<double>(loads.size())
                / sum;
     }
 
     // Tells whether `rank` may get `expert` within the bound on new experts.
     bool mayGet(std::size_t rank, std::uint16_t expert) const
     {
-        return holds(original_, rank, expert) || newOn_[rank] < bounds_.newExperts;
+        return newOn_[rank] < bounds_.newExperts || holds(original_, rank, expert);
     }
 
-    double objective(const std::vector<double> &loads) const
+    // Puts a replica of `expert` more on `to` on trial.
+    void tryReplica(std::uint16_t expert, std::size_t to)
     {
-        return std::accumulate(loads.begin(), loads.end(), 0.0,
-                               [](double sum, double load) { return sum + power(load); });
-    }
-
-    // Adds the effect of giving `expert` one holder more, on `to`, to `loads`.
-    void addReplica(std::vector<double> &loads, std::uint16_t expert, std::size_t to) const
-    {
-        const double before = shares_[expert] / holders_[expert];
-        const double after = shares_[expert] / (holders_[expert] + 1);
-        for (std::size_t rank = 0; rank < placement_.size(); ++rank) {
-            if (holds(placement_, rank, expert)) {
-                loads[rank] += after - before;
-            }
+        const auto count = static_cast<double>(holders_[expert].size());
+        const double before = shares_[expert] / count;
+        const double after = shares_[expert] / (count + 1.0);
+        for (const std::size_t rank : holders_[expert]) {
+            trial_.add(rank, after - before);
         }
-        loads[to] += after;
+        trial_.add(to, after);
     }
 
-    void dropReplica(std::vector<double> &loads, std::uint16_t expert, std::size_t from) const
+    void tryDrop(std::uint16_t expert, std::size_t from)
     {
-        const double before = shares_[expert] / holders_[expert];
-        const double after = shares_[expert] / (holders_[expert] - 1);
-        for (std::size_t rank = 0; rank < placement_.size(); ++rank) {
-            if (rank != from && holds(placement_, rank, expert)) {
-                loads[rank] += after - before;
-            }
+        const auto count = static_cast<double>(holders_[expert].size());
+        const double before = shares_[expert] / count;
+        const double after = shares_[expert] / (count - 1.0);
+        for (const std::size_t rank : holders_[expert]) {
+            trial_.add(rank, rank == from ? -before : after - before);
         }
-        loads[from] -= before;
     }
 
-    std::vector<double> loadsAfter(const Change &change) const
+    void tryChange(const Change &change)
     {
-        std::vector<double> loads = loads_;
         if (change.from) {
-            const double moved = shares_[change.expert] / holders_[change.expert];
-            const double back = shares_[*change.dropped] / holders_[*change.dropped];
-            loads[*change.from] += back - moved;
-            loads[change.to] += moved - back;
-            return loads;
+            const double moved =
+                shares_[change.expert] / static_cast<double>(holders_[change.expert].size());
+            const double back =
+                shares_[*change.dropped] / static_cast<double>(holders_[*change.dropped].size());
+            trial_.add(*change.from, back - moved);
+            trial_.add(change.to, moved - back);
+            return;
         }
-        addReplica(loads, change.expert, change.to);
+        tryReplica(change.expert, change.to);
         if (change.dropped) {
-            dropReplica(loads, *change.dropped, change.to);
+            tryDrop(*change.dropped, change.to);
         }
-        return loads;
     }
 
-    std::optional<Change> best() const
+    std::optional<Change> best()
     {
-        const auto most = static_cast<std::size_t>(std::max_element(loads_.begin(), loads_.end())
-                                                   - loads_.begin());
+        const std::vector<double> &loads = trial_.loads();
+        const auto most =
+            static_cast<std::size_t>(std::max_element(loads.begin(), loads.end()) - loads.begin());
         std::optional<Change> found;
-        double least = objective(loads_) * (1.0 - kLeastGain);
+        double least = -trial_.objective() * kLeastGain;
         const auto consider = [&](const Change &change) {
-            const double value = objective(loadsAfter(change));
-            if (value < least) {
-                least = value;
+            tryChange(change);
+            const double rise = trial_.riseAndClear();
+            if (rise < least) {
+                least = rise;
                 found = change;
             }
         };
@@ -159,14 +214,13 @@
     }
 
     template <typename Consider>
-    void considerPlacing(std::uint16_t expert, std::size_t from, std::size_t to,
-                         Consider consider) const
+    void considerPlacing(std::uint16_t expert, std::size_t from, std::size_t to, Consider consider)
     {
         if (placement_[to].size() < bounds_.places) {
             consider(Change{expert, to, std::nullopt, std::nullopt});
         }
         for (const std::uint16_t other : placement_[to]) {
-            if (holders_[other] > 1) {
+            if (holders_[other].size() > 1) {
                 consider(Change{expert, to, other, std::nullopt});
             }
             if (!holds(placement_, from, other) && mayGet(from, other)) {
@@ -179,7 +233,7 @@
     {
         auto &experts = placement_[rank];
         experts.insert(std::lower_bound(experts.begin(), experts.end(), expert), expert);
-        ++holders_[expert];
+        holders_[expert].push_back(rank);
         if (!holds(original_, rank, expert)) {
             ++newOn_[rank];
         }
@@ -188,7 +242,7 @@
     void erase(std::size_t rank, std::uint16_t expert)
     {
         std::erase(placement_[rank], expert);
-        --holders_[expert];
+        std::erase(holders_[expert], rank);
         if (!holds(original_, rank, expert)) {
             --newOn_[rank];
         }
@@ -196,7 +250,8 @@
 
     void apply(const Change &change)
     {
-        loads_ = loadsAfter(change);
+        tryChange(change);
+        trial_.take();
         if (change.dropped) {
             erase(change.to, *change.dropped);
         }
@@ -211,8 +266,8 @@
     RankExperts placement_;
     std::span<const double> shares_;
     PlacementBounds bounds_;
-    std::vector<double> loads_;
-    std::vector<std::uint32_t> holders_;
+    LoadTrial trial_;
+    std::vector<std::vector<std::size_t>> holders_; // The ranks that hold each expert.
     std::vector<std::uint32_t> newOn_;
 };
 
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -195,16 +195,31 @@
     }
 }
 
-bool GroupDecider::settled(TimePoint now) const
+GroupDecider::Obstacle GroupDecider::obstacle(TimePoint now) const
 {
-    if (phase_ != Phase::Idle || !mapInUse(now) || foreignSince_) {
-        return false;
+    if (phase_ != Phase::Idle) {
+        return Obstacle::ChangeUnderWay;
     }
-    return std::all_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
-        const Rank &rank = entry.second;
-        // A rank that has still to take the last map refuses to prepare the next.
-        return rank.askedAt > releasedAt_ && rank.report.armed == 0;
+    if (size_ == 0 || ranks_.size() != size_) {
+        return Obstacle::RanksUnknown;
+    }
+    if (broken(now)) {
+        return Obstacle::GroupBroken;
+    }
+    if (!whole(now)) {
+        return Obstacle::ReportsOld;
+    }
+    if (!mapInUse(now)) {
+        return Obstacle::MapsDiffer;
+    }
+    if (foreignSince_) {
+        return Obstacle::Foreign;
+    }
+    // A rank that has still to take the last map refuses to prepare the next.
+    const bool armLeft = std::any_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
+        return entry.second.askedAt <= releasedAt_ || entry.second.report.armed != 0;
     });
+    return armLeft ? Obstacle::ArmLeft : Obstacle::None;
 }
 
 std::optional<std::uint64_t> GroupDecider::propose(ExpertMap experts, TimePoint now,
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -104,6 +104,18 @@
         Duration foreignPatience = std::chrono::milliseconds(1200);
     };
 
+    // What keeps a change from starting.
+    enum class Obstacle {
+        None,
+        ChangeUnderWay,
+        RanksUnknown, // Not every rank has reported in this epoch.
+        GroupBroken,  // A rank reports that the group takes no requests.
+        ReportsOld,   // A rank has not reported for the life of a report.
+        MapsDiffer,   // Ranks report different maps: a change is coming into use.
+        ArmLeft,      // A rank has not yet taken the last map.
+        Foreign,      // Another decider has armed a map or holds a step.
+    };
+
     enum class Phase { Idle, Preparing, Holding, Arming, Clearing, Releasing };
 
     explicit GroupDecider(const Settings &settings);
@@ -113,7 +125,9 @@
     void onTick(TimePoint now, MapOrders &orders);
 
     // Tells whether a change may start: the group is whole, and the last change has come into use.
-    bool settled(TimePoint now) const;
+    bool settled(TimePoint now) const { return obstacle(now) == Obstacle::None; }
+    // Tells what keeps a change from starting.
+    Obstacle obstacle(TimePoint now) const;
     // Starts a change to `experts`. Returns the new map's version, or nothing while not settled.
     std::optional<std::uint64_t> propose(ExpertMap experts, TimePoint now, MapOrders &orders);
 
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -29,7 +29,9 @@
 constexpr Duration kDeciderLife = std::chrono::milliseconds(1000);
 // Each rank waits this much longer than the one before it, so that one takes the role and is heard
 // before the next would take it: a question and a tick later.
-constexpr Duration kTurnPerRank = std::chrono::milliseconds(60);
+constexpr Duration kTurnPerRank = std::chrono::milliseconds(100);
+// What every rank but the first waits besides: connections to all ranks take some time to make.
+constexpr Duration kTurnOfOthers = std::chrono::milliseconds(500);
 // How long a new agent listens before it may decide.
 constexpr Duration kStartDelay = std::chrono::milliseconds(1500);
 // A store's watch waits this long here: only the list of engines is wanted, and calls have a price.
@@ -54,6 +56,29 @@
     return "unknown";
 }
 
+std::string_view wordFor(GroupDecider::Obstacle obstacle)
+{
+    switch (obstacle) {
+    case GroupDecider::Obstacle::None:
+        return "none";
+    case GroupDecider::Obstacle::ChangeUnderWay:
+        return "change under way";
+    case GroupDecider::Obstacle::RanksUnknown:
+        return "ranks unknown";
+    case GroupDecider::Obstacle::GroupBroken:
+        return "group broken";
+    case GroupDecider::Obstacle::ReportsOld:
+        return "reports old";
+    case GroupDecider::Obstacle::MapsDiffer:
+        return "maps differ";
+    case GroupDecider::Obstacle::ArmLeft:
+        return "arm left";
+    case GroupDecider::Obstacle::Foreign:
+        return "foreign arm or hold";
+    }
+    return "unknown";
+}
+
 std::string_view wordFor(MapOrderKind kind)
 {
     switch (kind) {
@@ -286,9 +311,10 @@
     if (deciding() || lowerLives) {
         return !lowerLives;
     }
-    const TimePoint from = std::max(startedAt_ + kStartDelay,
-                                    lower_ ? lower_->askedAt + kDeciderLife : TimePoint{});
-    return now - from >= kTurnPerRank * *ownRank_;
+    const TimePoint from =
+        std::max(startedAt_ + kStartDelay, lower_ ? lower_->askedAt + kDeciderLife : TimePoint{});
+    const Duration turn = *ownRank_ == 0 ? Duration{} : kTurnOfOthers + kTurnPerRank * *ownRank_;
+    return now - from >= turn;
 }
 
 void ExpertAgent::updateRole()
@@ -319,8 +345,8 @@
     settings.seed = randomIdentity();
     decider_ = std::make_unique<GroupDecider>(settings);
     RankPeersListener &listener = *this;
-    peers_ = std::make_unique<RankPeers>(loop_, *transport_, *ranks_, settings_.listen.port,
-                                         listener);
+    peers_ =
+        std::make_unique<RankPeers>(loop_, *transport_, *ranks_, settings_.listen.port, listener);
     notedPhase_ = GroupDecider::Phase::Idle;
     notedChanges_ = 0;
     notedCleared_ = 0;
@@ -472,9 +498,16 @@
 
 void ExpertAgent::proposeChange(MapOrders &orders)
 {
-    if (!rule_ || !current_ || !decider_->settled(loop_.now())) {
+    const GroupDecider::Obstacle obstacle = decider_->obstacle(loop_.now());
+    if (obstacle != GroupDecider::Obstacle::None) {
+        noteObstacle(wordFor(obstacle));
+        return;
+    }
+    if (!rule_ || !current_) {
+        noteObstacle(rule_ ? "experts of a rank unknown" : "no configuration");
         return;
     }
+    noteObstacle("none");
     logLine(LogLevel::Debug, "map.weighed",
             {{"distance", planner_.distance()}, {"skew", planner_.skew(*current_)}});
     auto planned = planner_.plan(*current_, loop_.now());
@@ -493,6 +526,15 @@
     }
 }
 
+void ExpertAgent::noteObstacle(std::string_view obstacle)
+{
+    if (obstacle != notedObstacle_) {
+        logLine(LogLevel::Info, "map.obstacle",
+                {{"obstacle", obstacle}, {"before", notedObstacle_}, {"epoch", epoch_}});
+        notedObstacle_ = obstacle;
+    }
+}
+
 void ExpertAgent::notePhase()
 {
     const GroupDecider::Phase phase = decider_->phase();
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <tl/expected.hpp>
 
 namespace seamarch {
@@ -98,6 +99,7 @@
     void handToOwn(const MapOrder &order, std::function<void(MapOrderAnswer)> done);
     std::optional<ExpertMap> mapInUse() const;
     void notePhase();
+    void noteObstacle(std::string_view obstacle);
 
     EventLoop &loop_;
     ExpertAgentSettings settings_;
@@ -129,6 +131,7 @@
     std::map<std::uint32_t, ExpertsOfRank> experts_; // By rank.
     std::optional<ExpertMap> current_;               // The map in use, once it is known whole.
     GroupDecider::Phase notedPhase_ = GroupDecider::Phase::Idle;
+    std::string_view notedObstacle_;
     std::uint64_t notedChanges_ = 0;
     std::uint64_t notedCleared_ = 0;
     TimePoint countsAskedAt_{};
--- a/src/experts/rankpeers.h
+++ b/src/experts/rankpeers.h
@@ -1,6 +1,6 @@
 // The agents beside the other ranks of a group, as the agent that decides sees them: it asks them
-// what their ranks report and hands them orders. Where an agent does not answer, its engine is asked
-// and ordered directly, which has a price and lags, but keeps the group's map changeable.
+// what their ranks report and hands them orders. Where an agent does not answer, its engine is
+// asked and ordered directly, which has a price and lags, but keeps the group's map changeable.
 //
 // Only the agent that decides has peers; the others hear its questions, and ask nothing.
 //
@@ -30,8 +30,7 @@
     // A rank's facts, as of `askedAt` or later.
     virtual void onPeerFacts(const RankFacts &facts, TimePoint askedAt) = 0;
     virtual void onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
-                                   MapOrderAnswer answer)
-        = 0;
+                                   MapOrderAnswer answer) = 0;
 };
 
 class RankPeers
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -93,6 +93,27 @@
     CHECK_TRUE(improvePlacement(dealt(), even, {8, 3, 64, 1.0}) == dealt());
 }
 
+TEST(EvenPlacementTest, EvensALargeGroupWithinFewChanges)
+{
+    constexpr std::uint16_t kManyRanks = 63;
+    constexpr std::uint16_t kManyExperts = 252;
+    std::vector<double> shares(kManyExperts);
+    for (std::size_t expert = 0; expert < shares.size(); ++expert) {
+        shares[expert] = 1.0 / std::pow(static_cast<double>(expert * 101 % 252 + 1), 0.66);
+    }
+    const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+    for (double &share : shares) {
+        share /= sum;
+    }
+    RankExperts placement(kManyRanks);
+    for (std::uint16_t expert = 0; expert < kManyExperts; ++expert) {
+        placement[expert % kManyRanks].push_back(expert);
+    }
+    const RankExperts even = improvePlacement(placement, shares, {5, 2, 128, 1.08});
+    CHECK_TRUE(placementSkew(placement, shares) > 2.0);
+    CHECK_TRUE(placementSkew(even, shares) < 1.12);
+}
+
 TEST(EvenPlacementTest, SharesAnExpertEvenlyAmongItsRanks)
 {
     const std::vector<double> shares = {0.6, 0.4};
