--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -124,9 +124,24 @@
 HostPort SettingsReader::address(std::string_view name, std::optional<std::string> fallback)
 {
     const std::string value = text(name, std::move(fallback));
-    if (value.empty()) {
-        return {};
+    return value.empty() ? HostPort() : readAddress(name, value);
+}
+
+std::vector<HostPort> SettingsReader::addresses(std::string_view name)
+{
+    const std::string value = text(name);
+    std::vector<HostPort> addresses;
+    std::string_view rest = value;
+    while (!rest.empty()) {
+        const std::size_t comma = rest.find(',');
+        addresses.push_back(readAddress(name, trim(rest.substr(0, comma))));
+        rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
     }
+    return addresses;
+}
+
+HostPort SettingsReader::readAddress(std::string_view name, std::string_view value)
+{
     auto parsed = parseHostPort(value);
     if (!parsed) {
         fault(name, fmt::format("expected IP:PORT, found '{}'; host names are not taken", value));
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -60,6 +60,8 @@
     bool given(std::string_view name) const { return lookUp(name).has_value(); }
     std::string text(std::string_view name, std::optional<std::string> fallback = {});
     HostPort address(std::string_view name, std::optional<std::string> fallback = {});
+    // Reads addresses that commas part.
+    std::vector<HostPort> addresses(std::string_view name);
     std::uint64_t integer(std::string_view name, std::uint64_t low, std::uint64_t high,
                           std::uint64_t fallback);
     // Reads a number of milliseconds.
@@ -76,6 +78,7 @@
 private:
     std::optional<std::string> lookUp(std::string_view name) const;
     void fault(std::string_view name, std::string message);
+    HostPort readAddress(std::string_view name, std::string_view value);
 
     FlagLookup flags_;
     SettingsMap file_;
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -9,6 +9,8 @@
 namespace seamarch {
 namespace {
 
+// docopt reads only sections whose heading ends in "options:", and takes an option that stands
+// twice for one that cannot be told from itself.
 constexpr const char *kUsage = R"(seamarchd - load balancer for expert-parallel model groups
 
 Usage:
@@ -19,6 +21,9 @@
   seamarchd (-h | --help)
   seamarchd --version
 
+A gateway sends requests straight to the upstreams of the platform's store. An expertagent
+stands beside one rank of a group of engines and looks after its expert map.
+
 Each option can also be given as an environment variable: --stop-delay-ms is
 SEAMARCH_STOP_DELAY_MS. A flag goes before the environment, and that before the settings
 file. Addresses are IP:PORT.
@@ -28,39 +33,42 @@
                              Read again on SIGHUP and when it changes.
   --instance NAME            Name of this instance, as the platform lists it.
   --hall NAME                Data hall of this instance.
-  --listen ADDRESS           Where callers connect; for an agent: where entries connect.
+  --listen ADDRESS           Where callers connect; for an agent: where entries connect; for
+                             an expert agent: where other expert agents connect.
   --operator-listen ADDRESS  Where /healthz, /readyz, /metrics and /status are served.
+  --metrics-listen ADDRESS   Gateway, expert agent: where /metrics and /status are served
+                             besides (default: nowhere).
+  --peer-listen ADDRESS      Entry: where other entries connect. Gateway: where other
+                             gateways connect (default: none do, and it asks the store
+                             itself).
+  --platform ADDRESS         Entry: the platform's service. Gateway, expert agent: the
+                             platform's store.
+  --upstream ADDRESS         Agent: the upstream that it stands before. Expert agent: the
+                             rank beside it.
   --lease-ms N               How long a heartbeat's answer is good for (default 5000 for
                              an entry, 3000 for an agent).
-  --stop-deadline-ms N       When a planned stop gives up waiting (default 120000).
+  --stop-delay-ms N          How long a planned stop goes on taking requests (default 2000
+                             for an entry, 3200 for a gateway).
+  --stop-deadline-ms N       When a planned stop gives up waiting (default 120000; 7500 for
+                             a gateway).
   --max-account-series N     Client accounts with metrics of their own (default 300).
   --log-level LEVEL          debug, info, warning or error (default info).
   --check-settings           Check the settings, print those in force, and exit.
 
 Entry options:
-  --peer-listen ADDRESS      Where other entries connect; the platform lists this one.
-  --platform ADDRESS         The platform's service.
   --max-body-bytes N         Largest request body (default 8388608).
   --heartbeat-ms N           Pause between heartbeats (default 500).
-  --stop-delay-ms N          How long a planned stop goes on taking requests (default 2000).
 
-Gateway options (a gateway sends requests straight to the upstreams of the platform's store):
-  --platform ADDRESS         The platform's store.
-  --metrics-listen ADDRESS   Where /metrics is served besides (default: nowhere).
+Gateway options:
+  --seeds LIST               Where some of the other gateways listen, parted by commas.
   --key-freshness-ms N       A key is good under a confirmation this young (default 4700).
   --deny-freshness-ms N      401 and 404 are given under a confirmation this young (default
                              1900).
-  --stop-delay-ms N          How long a planned stop goes on taking requests (default 3200).
-  --stop-deadline-ms N       When a planned stop gives up waiting (default 7500).
 
-Expert agent options (it stands beside one rank of a group and looks after its expert map):
+Expert agent options:
   --service NAME             The service whose replicas form the group.
-  --upstream ADDRESS         The rank beside this agent.
-  --platform ADDRESS         The platform's store.
-  --metrics-listen ADDRESS   Where /metrics and /status are served (default: nowhere).
 
 Agent options:
-  --upstream ADDRESS         The upstream that this agent stands before.
   --slots N                  Requests run at once until the configuration says (default 8).
 
 Other options:
@@ -104,6 +112,14 @@
     if (reader.given("metrics-listen")) {
         settings.metricsListen = toAddress(reader.address("metrics-listen"));
     }
+    if (reader.given("peer-listen")) {
+        settings.peerListen = toAddress(reader.address("peer-listen"));
+    }
+    if (reader.given("seeds")) {
+        for (const HostPort &seed : reader.addresses("seeds")) {
+            settings.seeds.push_back(toAddress(seed));
+        }
+    }
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
     settings.keyFreshness = reader.milliseconds("key-freshness-ms", 1, kMaxMillis, 4700);
     settings.denyFreshness = reader.milliseconds("deny-freshness-ms", 1, kMaxMillis, 1900);
--- a/src/decision/gateway/routetable.h
+++ b/src/decision/gateway/routetable.h
@@ -86,6 +86,7 @@
     std::vector<AccountRule> accounts;
     std::vector<ServiceRule> services;
     CallerBounds bounds;
+    std::string source; // The text that it was read from: what gateways hand on to each other.
 };
 
 class RouteTable
@@ -96,6 +97,7 @@
     RouteTable &operator=(const RouteTable &) = delete;
 
     ConfigVersion version() const { return document_.version; }
+    const std::string &source() const { return document_.source; }
     const CallerBounds &bounds() const { return document_.bounds; }
     // Tells whether keys are asked for at all.
     bool hasAccounts() const { return !document_.accounts.empty(); }
--- a/src/decision/gateway/upstreamtable.cpp
+++ b/src/decision/gateway/upstreamtable.cpp
@@ -7,7 +7,9 @@
 
 void UpstreamTable::put(const UpstreamRecord &record)
 {
-    entries_[record.id] = {record, std::nullopt};
+    Entry &entry = entries_[record.id];
+    changes_ += entry.record == record ? 0 : 1;
+    entry = {record, std::nullopt};
 }
 
 void UpstreamTable::remove(const InstanceId &id, TimePoint now)
@@ -19,6 +21,7 @@
     const bool outage = lastOutage_ && now - *lastOutage_ < settings_.outageMemory;
     if (!outage || found->second.record.leaving) {
         entries_.erase(found);
+        ++changes_;
         return;
     }
     if (!found->second.lapsedAt) {
@@ -44,6 +47,15 @@
     }
 }
 
+void UpstreamTable::mirror(const std::vector<UpstreamRecord> &records)
+{
+    entries_.clear();
+    for (const UpstreamRecord &record : records) {
+        entries_[record.id] = {record, std::nullopt};
+    }
+    ++changes_;
+}
+
 std::vector<InstanceId> UpstreamTable::expire(TimePoint now)
 {
     std::vector<InstanceId> over;
@@ -54,6 +66,7 @@
     }
     for (const InstanceId &id : over) {
         entries_.erase(id);
+        ++changes_;
     }
     return over;
 }
--- a/src/decision/gateway/upstreamtable.h
+++ b/src/decision/gateway/upstreamtable.h
@@ -29,6 +29,8 @@
     HallId hall;
     std::uint32_t slots = 1; // Requests that it runs at once.
     bool leaving = false;
+
+    bool operator==(const UpstreamRecord &) const = default;
 };
 
 class UpstreamTable
@@ -55,6 +57,8 @@
     void remove(const InstanceId &id, TimePoint now);
     // Takes the whole list: what is not in it has vanished.
     void replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now);
+    // Takes the list of another gateway, which has kept lapsed records in use already.
+    void mirror(const std::vector<UpstreamRecord> &records);
     // A call to the store has failed.
     void onOutage(TimePoint now) { lastOutage_ = now; }
     // Drops lapsed records whose time is over. Returns those dropped.
@@ -66,6 +70,8 @@
     // Returns the upstreams of `service` that may get new requests, in the order of their ids.
     std::vector<const UpstreamRecord *> candidates(const TargetName &service) const;
     std::vector<const UpstreamRecord *> all() const;
+    // Returns a number that rises with every change of what `all` returns.
+    std::uint64_t changes() const { return changes_; }
 
 private:
     struct Entry
@@ -77,6 +83,7 @@
     Settings settings_;
     std::unordered_map<InstanceId, Entry> entries_;
     std::optional<TimePoint> lastOutage_;
+    std::uint64_t changes_ = 0;
 };
 
 } // namespace seamarch
--- /dev/null
+++ b/src/decision/membership/gatewaydirectory.h
@@ -0,0 +1,98 @@
+// The gateways of a site, as one of them knows them, and which of them asks the platform's store.
+//
+// Every call to the store has a price, and a change of the store wakes every call that waits there.
+// So one gateway of each hall follows the store, and the others of the hall follow that one: within
+// a hall, bytes cost nothing. The gateways of a hall stand in an order that all compute alike, a
+// hash of their ids; the first that answers is the one to follow. Two gateways with different views
+// may both follow the store, which only costs calls.
+//
+// A gateway that was not heard of for a while, by any of those it hears from, is forgotten.
+//
+// Pure and single-threaded.
+#pragma once
+
+#include "seamarch/ids.h"
+#include "seamarch/units.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace seamarch {
+
+struct GatewayRecord
+{
+    InstanceId id;
+    HallId hall;
+    std::string host; // An IP number.
+    int port = 0;     // Where it listens for other gateways.
+
+    bool operator==(const GatewayRecord &) const = default;
+};
+
+class GatewayDirectory
+{
+public:
+    struct Settings
+    {
+        // How long a gateway that did not answer is passed over.
+        Duration avoidance = std::chrono::seconds(2);
+        // How long a gateway is known after it was last heard of: it asks several times a second.
+        Duration life = std::chrono::seconds(10);
+    };
+
+    // A gateway and when it was last heard of, by anyone.
+    struct Known
+    {
+        GatewayRecord record;
+        TimePoint heardAt{};
+    };
+
+    GatewayDirectory(GatewayRecord self, const Settings &settings)
+        : self_(std::move(self))
+        , settings_(settings)
+    {}
+
+    const GatewayRecord &self() const { return self_; }
+
+    // Hears of a gateway, as of `heardAt`.
+    void hear(const GatewayRecord &record, TimePoint heardAt);
+    // The gateway has answered, or has failed to.
+    void onAnswered(const InstanceId &id, TimePoint now);
+    void onFailed(const InstanceId &id, TimePoint now);
+    // Forgets those that were not heard of for too long.
+    void expire(TimePoint now);
+
+    // Returns the gateway of the own hall that follows the store: the first in the hall's order
+    // that is not passed over. That may be this one.
+    InstanceId follower(TimePoint now) const;
+    // Returns another gateway than this one and `besides`, a different one with each call, those
+    // that are passed over last.
+    std::optional<InstanceId> another(const InstanceId &besides, TimePoint now);
+    // The same, of another hall.
+    std::optional<InstanceId> farOne(TimePoint now);
+
+    const GatewayRecord *find(const InstanceId &id) const;
+    // Returns all but this one, in the order of their ids.
+    std::vector<Known> known() const;
+    std::size_t size() const { return members_.size() + 1; }
+
+private:
+    struct Member
+    {
+        GatewayRecord record;
+        TimePoint heardAt{};
+        TimePoint avoidUntil{};
+    };
+
+    template <typename Fits>
+    std::optional<InstanceId> nextThat(Fits fits, TimePoint now);
+
+    GatewayRecord self_;
+    Settings settings_;
+    std::map<InstanceId, Member> members_; // Without this one.
+    InstanceId lastTurn_;                  // That `another` and `farOne` returned last.
+};
+
+} // namespace seamarch
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewayknowledge.h"
 
+#include "base/digest.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -22,20 +23,63 @@
     , metrics_(metrics)
     , freshness_(freshness)
     , boundsChanged_(std::move(boundsChanged))
+    , markBase_(randomIdentity())
 {}
 
 // A document that could not be read may have taken a key away: until the next one, what is held is
 // not confirmed by anything.
 void GatewayKnowledge::confirm(TimePoint askedAt, std::uint64_t revision)
 {
-    if (routingUnreadable_) {
-        return;
+    revision_ = std::max(revision_, revision);
+    noteReachable();
+    if (!routingUnreadable_) {
+        confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
     }
-    confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
+}
+
+void GatewayKnowledge::noteReachable()
+{
     if (!storeReachable_) {
         storeReachable_ = true;
-        logLine(LogLevel::Info, "store.reached", {{"revision", revision}});
+        logLine(LogLevel::Info, "store.reached", {{"revision", revision_}});
+    }
+}
+
+bool GatewayKnowledge::adopt(const SharedKnowledge &shared, TimePoint confirmedAt)
+{
+    const bool news =
+        shared.revision >= revision_ && (!confirmedAt_ || confirmedAt > *confirmedAt_);
+    const bool whole = (shared.document || shared.version <= version())
+                       && (shared.upstreams || shared.upstreamsMark == adoptedMark());
+    if (!news || !whole) {
+        return false;
     }
+    if (shared.document) {
+        takeRouting(*shared.document);
+    }
+    if (shared.upstreams) {
+        upstreams_.mirror(*shared.upstreams);
+        adoptedMark_ = shared.upstreamsMark;
+        changesAtAdoption_ = upstreams_.changes();
+        logLine(LogLevel::Info, "upstreams.adopted",
+                {{"revision", shared.revision},
+                 {"upstreams", shared.upstreams->size()},
+                 {"confirmedMsAgo", toMillis(loop_.now() - confirmedAt)}});
+    }
+    revision_ = shared.revision;
+    confirmedAt_ = confirmedAt;
+    return true;
+}
+
+std::uint64_t GatewayKnowledge::adoptedMark() const
+{
+    return upstreams_.changes() == changesAtAdoption_ ? adoptedMark_ : 0;
+}
+
+const std::string &GatewayKnowledge::documentText() const
+{
+    static const std::string kNone;
+    return table_ ? table_->source() : kNone;
 }
 
 Duration GatewayKnowledge::age() const
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -2,7 +2,9 @@
 // a request's key and path.
 //
 // Knowledge is as old as the call that last confirmed it, measured on the own steady clock from
-// when the call was made. Within the life of a process a configuration never goes back.
+// when the call was made. It comes from the store, or from another gateway that has asked the store
+// more recently: then its age travels with it. Within the life of a process a configuration never
+// goes back.
 //
 // Single-threaded. The loop, the table of upstreams and the metrics outlive the object.
 #pragma once
@@ -20,7 +22,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace seamarch {
 
@@ -31,6 +35,16 @@
     Duration deny{}; // For a key or a path to be said to be unknown.
 };
 
+// What one gateway tells another of the store.
+struct SharedKnowledge
+{
+    std::uint64_t revision = 0; // Of the store.
+    ConfigVersion version;
+    std::optional<RoutingDocument> document;              // When the asker's version is lower.
+    std::uint64_t upstreamsMark = 0;                      // Names the state of the teller's list.
+    std::optional<std::vector<UpstreamRecord>> upstreams; // When the asker names another state.
+};
+
 class GatewayKnowledge final : public StoreListener
 {
 public:
@@ -45,6 +59,18 @@
     void onStoreChanged(const StoreItems &items, TimePoint askedAt) override;
     void onStoreFailed(std::string_view cause) override;
 
+    // Takes what another gateway knows, which the store confirmed at `confirmedAt`. Returns false,
+    // and takes nothing, when that is no news or leaves out what is not known here.
+    bool adopt(const SharedKnowledge &shared, TimePoint confirmedAt);
+    // Returns the mark of the list that was adopted last and holds still; zero: none.
+    std::uint64_t adoptedMark() const;
+    // Returns the mark of the own list.
+    std::uint64_t upstreamsMark() const { return markBase_ + upstreams_.changes(); }
+    std::uint64_t revision() const { return revision_; }
+    // Returns the document in force as the store holds it; empty while there is none.
+    const std::string &documentText() const;
+    const UpstreamTable &upstreams() const { return upstreams_; }
+
     // Finds the route and the account of a request, or says why it is refused.
     tl::expected<GatewayRequest, FailureCode> admit(const HttpRequest &request,
                                                     const CallerFacts &facts) const;
@@ -64,6 +90,7 @@
     void takeItem(const StoreItem &item);
     void takeRouting(const RoutingDocument &document);
     void confirm(TimePoint askedAt, std::uint64_t revision);
+    void noteReachable();
 
     EventLoop &loop_;
     UpstreamTable &upstreams_;
@@ -72,6 +99,10 @@
     std::function<void(const CallerBounds &)> boundsChanged_;
     std::shared_ptr<const RouteTable> table_;
     std::optional<TimePoint> confirmedAt_;
+    std::uint64_t revision_ = 0; // Of the store, that the list of upstreams stands at.
+    std::uint64_t markBase_ = 0; // Drawn at random: marks of two lives never meet.
+    std::uint64_t adoptedMark_ = 0;
+    std::uint64_t changesAtAdoption_ = 0; // Of the list of upstreams.
     bool storeReachable_ = false;
     bool routingUnreadable_ = false; // The store holds a newer document that makes no sense.
 };
--- /dev/null
+++ b/src/gateway/gatewaypeers.cpp
@@ -0,0 +1,285 @@
+#include "gateway/gatewaypeers.h"
+
+#include "base/log.h"
+#include "gateway/gatewaywire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// The longest that an asker may have its question wait.
+constexpr Duration kLongestWait = std::chrono::seconds(1);
+// How long an answer may take beyond its wait: some round trips between halls.
+constexpr Duration kPatience = std::chrono::milliseconds(350);
+// A gateway that failed, or whose news was not taken, is not asked again for this long.
+constexpr Duration kPause = std::chrono::milliseconds(150);
+// How often one gateway is asked for those it knows; longer on a large site, whose list is long.
+constexpr Duration kGatewaysGap = std::chrono::seconds(2);
+constexpr Duration kGatewaysGapPerGateway = std::chrono::milliseconds(50);
+// A connection that was not used for this long is closed.
+constexpr Duration kLinkLife = std::chrono::seconds(15);
+
+std::pair<std::string, int> keyOf(const SocketAddress &address)
+{
+    return {address.host, address.port};
+}
+
+} // namespace
+
+// The serving end for the other gateways.
+class GatewayPeers::Server final : public wire::GatewayPeer::Server
+{
+public:
+    explicit Server(GatewayPeers &peers)
+        : peers_(peers)
+    {}
+
+    kj::Promise<void> exchange(ExchangeContext context) override
+    {
+        const auto params = context.getParams();
+        const TimePoint askedAt = peers_.loop_.now();
+        peers_.directory_.hear(readGateway(params.getSelf()), askedAt);
+        const ConfigVersion version(params.getConfigVersion());
+        const std::uint64_t mark = params.getUpstreamsMark();
+        const bool gateways = params.getWantsGateways();
+        const Duration wait = std::min(Duration(params.getWaitMicros()), kLongestWait);
+        auto answer = [this, context, version, mark, gateways, askedAt]() mutable {
+            peers_.writeNews(context.getResults().initNews(), version, mark,
+                             peers_.loop_.now() - askedAt, gateways);
+        };
+        if (wait <= Duration{} || peers_.hasNewsFor(version, mark)) {
+            answer();
+            return kj::READY_NOW;
+        }
+        return peers_.waiting_.wait(wait).then(kj::mv(answer));
+    }
+
+private:
+    GatewayPeers &peers_;
+};
+
+GatewayPeers::GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
+                           GatewayDirectory &directory, Heard heard)
+    : loop_(loop)
+    , knowledge_(knowledge)
+    , store_(store)
+    , directory_(directory)
+    , heard_(std::move(heard))
+    , waiting_(loop)
+    , tasks_(*this)
+{}
+
+GatewayPeers::~GatewayPeers()
+{
+    *alive_ = false;
+}
+
+tl::expected<std::unique_ptr<GatewayPeers>, NetError>
+GatewayPeers::create(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
+                     GatewayDirectory &directory, Heard heard)
+{
+    std::unique_ptr<GatewayPeers> peers(
+        new GatewayPeers(loop, knowledge, store, directory, std::move(heard)));
+    if (auto opened = peers->open(); !opened) {
+        return tl::unexpected(opened.error());
+    }
+    return peers;
+}
+
+tl::expected<void, NetError> GatewayPeers::open()
+{
+    auto transport = RawTransport::create(loop_);
+    if (!transport) {
+        return tl::unexpected(transport.error());
+    }
+    transport_ = std::move(*transport);
+    const SocketAddress address{directory_.self().host, directory_.self().port};
+    return transport_->listen(address, [this](kj::Own<RawStream> stream) {
+        const std::uint64_t id = nextIncoming_++;
+        auto peer = RpcPeer::server(kj::mv(stream), kj::heap<Server>(*this));
+        peer->onClosed([this, id] { loop_.post([this, id] { incoming_.erase(id); }); });
+        incoming_.emplace(id, std::move(peer));
+    });
+}
+
+void GatewayPeers::taskFailed(kj::Exception &&exception)
+{
+    logLine(LogLevel::Warning, "gateway.call_failed",
+            {{"message", exception.getDescription().cStr()}});
+}
+
+GatewayPeers::Link &GatewayPeers::linkTo(const SocketAddress &address)
+{
+    Link &link = links_[keyOf(address)];
+    if (link.rpc == nullptr) {
+        link.rpc = std::make_unique<RpcLink>(loop_, *transport_, address);
+    }
+    link.usedAt = loop_.now();
+    return link;
+}
+
+void GatewayPeers::ask(const SocketAddress &address, Duration longest)
+{
+    const TimePoint now = loop_.now();
+    Link &link = linkTo(address);
+    if (link.asking || now < link.notBefore) {
+        return;
+    }
+    const Duration gatewaysGap =
+        std::max(kGatewaysGap, kGatewaysGapPerGateway * static_cast<int>(directory_.size()));
+    const bool gateways =
+        link.gatewaysAskedAt == TimePoint{} || now - link.gatewaysAskedAt >= gatewaysGap;
+    if (gateways) {
+        link.gatewaysAskedAt = now;
+    }
+    link.asking = true;
+    auto request = link.rpc->capability().castAs<wire::GatewayPeer>().exchangeRequest();
+    writeGateway(directory_.self(), Duration{}, request.initSelf());
+    request.setConfigVersion(knowledge_.version().value());
+    request.setUpstreamsMark(knowledge_.adoptedMark());
+    request.setWantsGateways(gateways);
+    request.setWaitMicros(longest.count());
+    // Whichever comes first, the answer or the end of patience, ends the question.
+    const auto over = std::make_shared<bool>(false);
+    loop_.schedule(longest + kPatience, [this, address, over, alive = alive_] {
+        if (*alive && !std::exchange(*over, true)) {
+            onFailed(address);
+        }
+    });
+    tasks_.add(request.send().then(
+        [this, address, now, over](capnp::Response<wire::GatewayPeer::ExchangeResults> &&answer) {
+            if (!std::exchange(*over, true)) {
+                onNews(address, now, answer.getNews());
+            }
+        },
+        [this, address, over](kj::Exception && /*gone*/) {
+            if (!std::exchange(*over, true)) {
+                onFailed(address);
+            }
+        }));
+}
+
+void GatewayPeers::onFailed(const SocketAddress &address)
+{
+    Link &link = linkTo(address);
+    link.asking = false;
+    link.notBefore = loop_.now() + kPause;
+    if (link.id != InstanceId()) {
+        directory_.onFailed(link.id, loop_.now());
+        logLine(LogLevel::Info, "gateway.unanswered", {{"gateway", link.id.value()}});
+    }
+}
+
+void GatewayPeers::onNews(const SocketAddress &address, TimePoint askedAt,
+                          wire::GatewayNews::Reader news)
+{
+    const TimePoint now = loop_.now();
+    Link &link = linkTo(address);
+    link.asking = false;
+    if (news.getGateways().size() > 0) {
+        link.id = readGateway(news.getGateways()[0]).id;
+        takeGateways(news, now);
+    }
+    directory_.onAnswered(link.id, now);
+    if (!news.getKnown()) {
+        unknownAt_ = now;
+    }
+    if (!news.getKnown() || !takeNews(askedAt, news)) {
+        link.notBefore = now + kPause;
+    }
+}
+
+void GatewayPeers::takeGateways(wire::GatewayNews::Reader news, TimePoint now)
+{
+    for (const auto &gateway : news.getGateways()) {
+        directory_.hear(readGateway(gateway), now - Duration(gateway.getHeardMicrosAgo()));
+    }
+}
+
+bool GatewayPeers::takeNews(TimePoint askedAt, wire::GatewayNews::Reader news)
+{
+    SharedKnowledge shared;
+    shared.revision = news.getRevision();
+    shared.version = ConfigVersion(news.getConfigVersion());
+    shared.upstreamsMark = news.getUpstreamsMark();
+    if (news.hasConfig() && shared.version > knowledge_.version()) {
+        const auto bytes = news.getConfig();
+        const auto text = inflated(bytes.begin(), bytes.size(), news.getConfigBytes());
+        auto document =
+            text ? store_.readDocument(*text) : tl::unexpected(std::string("it does not inflate"));
+        if (!document) {
+            logLine(LogLevel::Warning, "gateway.news_unreadable", {{"fault", document.error()}});
+            return false;
+        }
+        shared.document = std::move(*document);
+    }
+    if (news.hasUpstreams()) {
+        shared.upstreams.emplace();
+        for (const auto &upstream : news.getUpstreams()) {
+            shared.upstreams->push_back(readUpstream(upstream));
+        }
+    }
+    const Duration held(news.getHeldMicros());
+    const Duration age(news.getAgeMicros());
+    return heard_(shared, askedAt + held - age);
+}
+
+bool GatewayPeers::hasNewsFor(ConfigVersion version, std::uint64_t mark) const
+{
+    return knowledge_.version() > version || knowledge_.upstreamsMark() != mark;
+}
+
+void GatewayPeers::writeNews(wire::GatewayNews::Builder news, ConfigVersion version,
+                             std::uint64_t mark, Duration held, bool gateways)
+{
+    if (gateways) {
+        const TimePoint now = loop_.now();
+        const auto known = directory_.known();
+        auto list = news.initGateways(static_cast<std::uint32_t>(known.size() + 1));
+        writeGateway(directory_.self(), Duration{}, list[0]);
+        for (std::uint32_t index = 0; index < known.size(); ++index) {
+            writeGateway(known[index].record, now - known[index].heardAt, list[index + 1]);
+        }
+    }
+    if (!knowledge_.hasConfiguration() || !knowledge_.confirmed()) {
+        return;
+    }
+    news.setKnown(true);
+    news.setHeldMicros(held.count());
+    news.setAgeMicros(knowledge_.age().count());
+    news.setRevision(knowledge_.revision());
+    news.setConfigVersion(knowledge_.version().value());
+    if (knowledge_.version() > version) {
+        if (packedVersion_ != knowledge_.version()) {
+            packedVersion_ = knowledge_.version();
+            packed_ = deflated(knowledge_.documentText());
+        }
+        news.setConfig(kj::arrayPtr(packed_.data(), packed_.size()));
+        news.setConfigBytes(static_cast<std::uint32_t>(knowledge_.documentText().size()));
+    }
+    news.setUpstreamsMark(knowledge_.upstreamsMark());
+    if (knowledge_.upstreamsMark() != mark) {
+        const auto records = knowledge_.upstreams().all();
+        auto list = news.initUpstreams(static_cast<std::uint32_t>(records.size()));
+        for (std::uint32_t index = 0; index < records.size(); ++index) {
+            writeUpstream(*records[index], list[index]);
+        }
+    }
+}
+
+void GatewayPeers::tick()
+{
+    const TimePoint now = loop_.now();
+    if (knowledge_.upstreamsMark() != toldMark_ || knowledge_.version() != toldVersion_) {
+        toldMark_ = knowledge_.upstreamsMark();
+        toldVersion_ = knowledge_.version();
+        waiting_.wakeAll();
+    }
+    std::erase_if(links_, [now](const auto &entry) {
+        return !entry.second.asking && now - entry.second.usedAt > kLinkLife;
+    });
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/gatewaypeers.h
@@ -0,0 +1,99 @@
+// The other gateways of the site: asks them what they know of the platform's store, and tells them
+// what this one knows.
+//
+// A question waits at the other end until that knows more than the asker, so news passes on within
+// a connection's delay. An answer says how long ago the store confirmed what it tells; measured on
+// the asker's clock from when it asked, that is never too young.
+//
+// Whom to ask is decided elsewhere: see KnowledgeSources. Single-threaded; what the constructor is
+// given outlives the object.
+#pragma once
+
+#include "decision/membership/gatewaydirectory.h"
+#include "gateway/gatewayknowledge.h"
+#include "gateway/metadatastore.h"
+#include "net/eventloop.h"
+#include "net/rawtransport.h"
+#include "net/rpclink.h"
+#include "net/rpcpeer.h"
+#include "net/wakelist.h"
+#include "wire/seamarch.capnp.h"
+
+#include <functional>
+#include <kj/async.h>
+#include <map>
+#include <memory>
+#include <tl/expected.hpp>
+
+namespace seamarch {
+
+class GatewayPeers final : private kj::TaskSet::ErrorHandler
+{
+public:
+    // Another gateway's knowledge, which the store confirmed at the time. Returns whether it was
+    // taken; one that was not is not asked again for a moment.
+    using Heard = std::function<bool(const SharedKnowledge &, TimePoint confirmedAt)>;
+
+    // Listens at the address of the directory's own record.
+    static tl::expected<std::unique_ptr<GatewayPeers>, NetError>
+    create(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
+           GatewayDirectory &directory, Heard heard);
+    ~GatewayPeers();
+    GatewayPeers(const GatewayPeers &) = delete;
+    GatewayPeers &operator=(const GatewayPeers &) = delete;
+
+    // Asks a gateway, unless a question to it is under way; the answer may wait for `longest`.
+    void ask(const SocketAddress &address, Duration longest);
+    // Wakes the questions that wait here, if there is news for them. Call it often.
+    void tick();
+    // Returns when another gateway last answered that it has no configuration; the distant past
+    // when none did.
+    TimePoint unknownAt() const { return unknownAt_; }
+
+private:
+    class Server;
+
+    struct Link
+    {
+        std::unique_ptr<RpcLink> rpc;
+        InstanceId id; // Empty until it has answered.
+        bool asking = false;
+        TimePoint notBefore{};
+        TimePoint gatewaysAskedAt{};
+        TimePoint usedAt{};
+    };
+
+    GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
+                 GatewayDirectory &directory, Heard heard);
+    tl::expected<void, NetError> open();
+
+    Link &linkTo(const SocketAddress &address);
+    void onNews(const SocketAddress &address, TimePoint askedAt, wire::GatewayNews::Reader news);
+    void onFailed(const SocketAddress &address);
+    bool takeNews(TimePoint askedAt, wire::GatewayNews::Reader news);
+    void takeGateways(wire::GatewayNews::Reader news, TimePoint now);
+    bool hasNewsFor(ConfigVersion version, std::uint64_t mark) const;
+    void writeNews(wire::GatewayNews::Builder news, ConfigVersion version, std::uint64_t mark,
+                   Duration held, bool gateways);
+    void taskFailed(kj::Exception &&exception) override;
+
+    EventLoop &loop_;
+    GatewayKnowledge &knowledge_;
+    const MetadataStore &store_;
+    GatewayDirectory &directory_;
+    Heard heard_;
+    std::unique_ptr<RawTransport> transport_;
+    WakeList waiting_;
+    std::map<std::uint64_t, std::unique_ptr<RpcPeer>> incoming_;
+    std::uint64_t nextIncoming_ = 1;
+    std::map<std::pair<std::string, int>, Link> links_; // By address.
+    std::vector<std::uint8_t> packed_;                  // The document of `packedVersion_`.
+    ConfigVersion packedVersion_;
+    std::uint64_t toldMark_ = 0; // The state at the last tick.
+    ConfigVersion toldVersion_;
+    TimePoint unknownAt_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    kj::TaskSet tasks_;
+};
+
+} // namespace seamarch
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -159,10 +159,14 @@
         }
         metricsServer_ = std::move(*metrics);
     }
-    StoreWatcher::Settings watch;
-    watch.seed = randomIdentity();
-    watcher_ = std::make_unique<StoreWatcher>(loop_, *client_, store_, knowledge_, watch);
-    watcher_->start();
+    auto sources = KnowledgeSources::create(
+        loop_, *client_, store_, knowledge_,
+        {settings_.instance, settings_.hall, settings_.peerListen, settings_.seeds});
+    if (!sources) {
+        return tl::unexpected(sources.error());
+    }
+    sources_ = std::move(*sources);
+    sources_->tick();
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     return {};
 }
@@ -507,6 +511,7 @@
     GatewayActions actions;
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
+    sources_->tick();
     if (stopping_) {
         stopIfDrained();
     }
@@ -541,7 +546,9 @@
             {"configVersion", knowledge_.version().value()},
             {"knowledgeAgeMs", knowledge_.confirmed() ? toMillis(knowledge_.age()) : -1},
             {"storeReachable", knowledge_.storeReachable()},
-            {"storeCalls", watcher_->calls()},
+            {"storeCalls", sources_->storeCalls()},
+            {"followsStore", sources_->followsStore()},
+            {"gateways", sources_->gateways()},
             {"inFlight", flights_.size()},
             {"secondAttempts", core_.secondAttempts()},
             {"connectionsMade", client_->connectionsMade()},
@@ -554,7 +561,8 @@
         settings.instance != settings_.instance || settings.hall != settings_.hall
         || settings.listen != settings_.listen
         || settings.operatorListen != settings_.operatorListen
-        || settings.metricsListen != settings_.metricsListen || settings.store != settings_.store;
+        || settings.metricsListen != settings_.metricsListen || settings.store != settings_.store
+        || settings.peerListen != settings_.peerListen;
     if (fixedChanged) {
         logLine(LogLevel::Warning, "settings.need_restart",
                 {{"message", "names and addresses change at the next start"}});
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -10,8 +10,8 @@
 #include "decision/gateway/gatewaycore.h"
 #include "gateway/callerprotocol.h"
 #include "gateway/gatewayknowledge.h"
+#include "gateway/knowledgesources.h"
 #include "gateway/metadatastore.h"
-#include "gateway/storewatcher.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
@@ -34,6 +34,8 @@
     SocketAddress operatorListen; // For the platform's balancer and operators.
     std::optional<SocketAddress> metricsListen;
     SocketAddress store;
+    std::optional<SocketAddress> peerListen; // For other gateways; nothing: each asks the store.
+    std::vector<SocketAddress> seeds;        // Some of the other gateways.
     std::size_t maxAccountSeries = 300;
     // A key is good only under a confirmation from the store that is younger than this.
     Duration keyFreshness = std::chrono::milliseconds(4700);
@@ -131,7 +133,7 @@
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<OperatorServer> operators_;
     std::unique_ptr<OperatorServer> metricsServer_;
-    std::unique_ptr<StoreWatcher> watcher_;
+    std::unique_ptr<KnowledgeSources> sources_;
     std::unordered_map<RequestNumber, Flight> flights_;
     std::unordered_map<ExchangeId, RequestNumber> byExchange_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
--- /dev/null
+++ b/src/gateway/gatewaywire.cpp
@@ -0,0 +1,77 @@
+#include "gateway/gatewaywire.h"
+
+#include <zlib.h>
+
+namespace seamarch {
+namespace {
+
+// Larger than any configuration that the store takes.
+constexpr std::size_t kMostTextBytes = std::size_t{64} * 1024 * 1024;
+
+} // namespace
+
+void writeGateway(const GatewayRecord &record, Duration heardAgo, wire::GatewayRecord::Builder to)
+{
+    to.setId(record.id.value());
+    to.setHall(record.hall.value());
+    to.setHost(record.host);
+    to.setPort(static_cast<std::uint16_t>(record.port));
+    to.setHeardMicrosAgo(heardAgo.count());
+}
+
+GatewayRecord readGateway(wire::GatewayRecord::Reader from)
+{
+    return {InstanceId(from.getId().cStr()), HallId(from.getHall().cStr()), from.getHost().cStr(),
+            from.getPort()};
+}
+
+void writeUpstream(const UpstreamRecord &record, wire::ListedUpstream::Builder to)
+{
+    to.setId(record.id.value());
+    to.setService(record.service.value());
+    to.setHost(record.host);
+    to.setPort(static_cast<std::uint16_t>(record.port));
+    to.setHall(record.hall.value());
+    to.setSlots(record.slots);
+    to.setLeaving(record.leaving);
+}
+
+UpstreamRecord readUpstream(wire::ListedUpstream::Reader from)
+{
+    UpstreamRecord record;
+    record.id = InstanceId(from.getId().cStr());
+    record.service = TargetName(from.getService().cStr());
+    record.host = from.getHost().cStr();
+    record.port = from.getPort();
+    record.hall = HallId(from.getHall().cStr());
+    record.slots = from.getSlots();
+    record.leaving = from.getLeaving();
+    return record;
+}
+
+std::vector<std::uint8_t> deflated(std::string_view text)
+{
+    uLongf size = compressBound(text.size());
+    std::vector<std::uint8_t> bytes(size);
+    // With room for the bound, only a lack of memory could make it fail.
+    const int result = compress2(bytes.data(), &size, reinterpret_cast<const Bytef *>(text.data()),
+                                 text.size(), Z_BEST_SPEED);
+    bytes.resize(result == Z_OK ? size : 0);
+    return bytes;
+}
+
+std::optional<std::string> inflated(const std::uint8_t *bytes, std::size_t count, std::size_t size)
+{
+    if (size > kMostTextBytes) {
+        return std::nullopt;
+    }
+    std::string text(size, '\0');
+    uLongf length = size;
+    const int result = uncompress(reinterpret_cast<Bytef *>(text.data()), &length, bytes, count);
+    if (result != Z_OK || length != size) {
+        return std::nullopt;
+    }
+    return text;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/gatewaywire.h
@@ -0,0 +1,28 @@
+// Converts what gateways tell each other from and to its form on the wire.
+#pragma once
+
+#include "decision/membership/gatewaydirectory.h"
+#include "gateway/gatewayknowledge.h"
+#include "wire/seamarch.capnp.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace seamarch {
+
+void writeGateway(const GatewayRecord &record, Duration heardAgo, wire::GatewayRecord::Builder to);
+GatewayRecord readGateway(wire::GatewayRecord::Reader from);
+
+void writeUpstream(const UpstreamRecord &record, wire::ListedUpstream::Builder to);
+UpstreamRecord readUpstream(wire::ListedUpstream::Reader from);
+
+// A configuration of many routes is a large text that repeats itself, and goes to every gateway of
+// a hall over the link of one.
+std::vector<std::uint8_t> deflated(std::string_view text);
+// Returns nothing when `bytes` are no deflated text of `size` bytes.
+std::optional<std::string> inflated(const std::uint8_t *bytes, std::size_t count, std::size_t size);
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/knowledgesources.cpp
@@ -0,0 +1,202 @@
+#include "gateway/knowledgesources.h"
+
+#include "base/digest.h"
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// How long a question to the gateway that is followed waits for news. Knowledge is at most this
+// much older here than there.
+constexpr Duration kFollowWait = std::chrono::milliseconds(400);
+// A watch on the store waits this long: its gateway's knowledge is half a second to one second old.
+constexpr Duration kWatchWait = std::chrono::milliseconds(500);
+// Knowledge that others follow is at most 1.4 s old while all is well; older, it is sought
+// elsewhere.
+constexpr Duration kOld = std::chrono::milliseconds(1600);
+// The gateway that follows the store takes another's word when its own is this old.
+constexpr Duration kOwnOld = std::chrono::milliseconds(1200);
+// An own watch that was begun because knowledge was old goes on for this long.
+constexpr Duration kOwnWatch = std::chrono::seconds(3);
+// After another gateway has shown that it knows more, the store is asked again from then on.
+constexpr Duration kStorePause = std::chrono::seconds(1);
+// A new gateway asks the others for this long before it asks the store; longer while they answer
+// that they have no configuration either, as when a site starts.
+constexpr Duration kHearFirst = std::chrono::milliseconds(700);
+constexpr Duration kHearFirstAtMost = std::chrono::seconds(5);
+// How often the gateway that follows the store asks one of another hall and any one; that keeps the
+// lists of gateways together, so that two that follow the store in one hall find each other.
+constexpr Duration kListsGap = std::chrono::seconds(2);
+// How often any gateway is asked while knowledge is old.
+constexpr Duration kAnyGap = std::chrono::milliseconds(150);
+constexpr Duration kSeedsGap = std::chrono::milliseconds(300);
+
+GatewayRecord recordOf(const KnowledgeSources::Settings &settings)
+{
+    const SocketAddress address = settings.peerListen.value_or(SocketAddress{});
+    return {settings.instance, settings.hall, address.host, address.port};
+}
+
+} // namespace
+
+KnowledgeSources::KnowledgeSources(EventLoop &loop, HttpClient &client, const MetadataStore &store,
+                                   GatewayKnowledge &knowledge, const Settings &settings)
+    : loop_(loop)
+    , client_(client)
+    , store_(store)
+    , knowledge_(knowledge)
+    , settings_(settings)
+    , directory_(recordOf(settings), GatewayDirectory::Settings())
+    , startedAt_(loop.now())
+{}
+
+tl::expected<std::unique_ptr<KnowledgeSources>, NetError>
+KnowledgeSources::create(EventLoop &loop, HttpClient &client, const MetadataStore &store,
+                         GatewayKnowledge &knowledge, const Settings &settings)
+{
+    std::unique_ptr<KnowledgeSources> sources(
+        new KnowledgeSources(loop, client, store, knowledge, settings));
+    if (auto opened = sources->open(); !opened) {
+        return tl::unexpected(opened.error());
+    }
+    return sources;
+}
+
+tl::expected<void, NetError> KnowledgeSources::open()
+{
+    if (!settings_.peerListen) {
+        return {};
+    }
+    auto peers = GatewayPeers::create(loop_, knowledge_, store_, directory_,
+                                      [this](const SharedKnowledge &shared, TimePoint confirmedAt) {
+                                          return takeShared(shared, confirmedAt);
+                                      });
+    if (!peers) {
+        return tl::unexpected(peers.error());
+    }
+    peers_ = std::move(*peers);
+    return {};
+}
+
+std::uint64_t KnowledgeSources::storeCalls() const
+{
+    return earlierCalls_ + (watcher_ ? watcher_->calls() : 0);
+}
+
+// Takes another gateway's knowledge while the own is not fresh from the store. A watch that is
+// under way would go on from an older list; it is begun anew later, if it is still wanted.
+bool KnowledgeSources::takeShared(const SharedKnowledge &shared, TimePoint confirmedAt)
+{
+    if (watcher_ != nullptr && knowledge_.confirmed() && knowledge_.age() < kOwnOld) {
+        return false;
+    }
+    if (!knowledge_.adopt(shared, confirmedAt)) {
+        return false;
+    }
+    if (watcher_ != nullptr) {
+        followStore(false, "another gateway knows more");
+        storeNotBefore_ = loop_.now() + kStorePause;
+        storeUntil_ = {};
+    }
+    return true;
+}
+
+// Tells whether this gateway is new and may yet hear the configuration from others.
+bool KnowledgeSources::hearsFirst(TimePoint now) const
+{
+    const bool ownSeed =
+        std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.peerListen)
+        != settings_.seeds.end();
+    if (peers_ == nullptr || settings_.seeds.empty() || ownSeed || knowledge_.hasConfiguration()) {
+        return false;
+    }
+    const bool othersWait = now - peers_->unknownAt() < kHearFirst;
+    return now - startedAt_ < (othersWait ? kHearFirstAtMost : kHearFirst);
+}
+
+void KnowledgeSources::tick()
+{
+    const TimePoint now = loop_.now();
+    if (peers_ == nullptr) {
+        followStore(true, "there are no other gateways");
+        return;
+    }
+    directory_.expire(now);
+    const InstanceId followed = directory_.follower(now);
+    const bool own = followed == settings_.instance;
+    const bool old = !knowledge_.confirmed() || knowledge_.age() > kOld;
+    if (old && !hearsFirst(now)) {
+        storeUntil_ = now + kOwnWatch;
+    }
+    if (hearsFirst(now) || now < storeNotBefore_) {
+        followStore(false, "hears other gateways first");
+    } else if (own) {
+        followStore(true, "first of its hall");
+    } else if (now < storeUntil_) {
+        followStore(true, "knowledge is old");
+    } else {
+        followStore(false, "another gateway of the hall follows it");
+    }
+    askPeers(followed, now);
+    peers_->tick();
+}
+
+void KnowledgeSources::askPeers(const InstanceId &followed, TimePoint now)
+{
+    const bool own = followed == settings_.instance;
+    const bool old = !knowledge_.confirmed() || knowledge_.age() > kOwnOld;
+    if (!own) {
+        askGateway(followed, kFollowWait);
+    } else if (now - listsAskedAt_ >= kListsGap) {
+        listsAskedAt_ = now;
+        askGateway(directory_.farOne(now), Duration{});
+        askGateway(directory_.another(settings_.instance, now), Duration{});
+    }
+    if (old && now - anyAskedAt_ >= kAnyGap) {
+        anyAskedAt_ = now;
+        askGateway(directory_.another(followed, now), Duration{});
+    }
+    // Seeds are asked while nobody else is known, and by all that have heard of few.
+    if (directory_.size() <= settings_.seeds.size() && now - seedsAskedAt_ >= kSeedsGap) {
+        seedsAskedAt_ = now;
+        for (const SocketAddress &seed : settings_.seeds) {
+            if (settings_.peerListen != seed) {
+                peers_->ask(seed, Duration{});
+            }
+        }
+    }
+}
+
+void KnowledgeSources::askGateway(const std::optional<InstanceId> &id, Duration longest)
+{
+    const GatewayRecord *record = id ? directory_.find(*id) : nullptr;
+    if (record != nullptr) {
+        peers_->ask({record->host, record->port}, longest);
+    }
+}
+
+void KnowledgeSources::followStore(bool wanted, std::string_view reason)
+{
+    if (wanted == followsStore()) {
+        return;
+    }
+    logLine(LogLevel::Info, wanted ? "store.followed" : "store.left",
+            {{"reason", reason},
+             {"gateways", directory_.size()},
+             {"knowledgeAgeMs", knowledge_.confirmed() ? toMillis(knowledge_.age()) : -1}});
+    if (!wanted) {
+        earlierCalls_ += watcher_->calls();
+        watcher_.reset();
+        return;
+    }
+    StoreWatcher::Settings watch;
+    watch.wait = peers_ == nullptr ? watch.wait : kWatchWait;
+    watch.seed = randomIdentity();
+    watcher_ = std::make_unique<StoreWatcher>(loop_, client_, store_, knowledge_, watch);
+    watcher_->start();
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/knowledgesources.h
@@ -0,0 +1,76 @@
+// Where a gateway's knowledge comes from: the platform's store, or another gateway.
+//
+// One gateway of each hall follows the store; see GatewayDirectory. The others of its hall follow
+// it. A gateway whose knowledge grows old all the same, because the one it follows is dead, cut off
+// or turned away by the store, asks the store itself and the other gateways in turn, and takes what
+// was confirmed last. A new gateway hears the others before it asks the store.
+//
+// Single-threaded; what the constructor is given outlives the object.
+#pragma once
+
+#include "decision/membership/gatewaydirectory.h"
+#include "gateway/gatewayknowledge.h"
+#include "gateway/gatewaypeers.h"
+#include "gateway/metadatastore.h"
+#include "gateway/storewatcher.h"
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+
+#include <memory>
+#include <optional>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace seamarch {
+
+class KnowledgeSources
+{
+public:
+    struct Settings
+    {
+        InstanceId instance;
+        HallId hall;
+        std::optional<SocketAddress> peerListen; // For other gateways; nothing: there are none.
+        std::vector<SocketAddress> seeds;        // Of some gateways, maybe gone by now.
+    };
+
+    static tl::expected<std::unique_ptr<KnowledgeSources>, NetError>
+    create(EventLoop &loop, HttpClient &client, const MetadataStore &store,
+           GatewayKnowledge &knowledge, const Settings &settings);
+
+    // Asks those whose turn it is. Call it often.
+    void tick();
+
+    std::uint64_t storeCalls() const;
+    bool followsStore() const { return watcher_ != nullptr; }
+    std::size_t gateways() const { return directory_.size(); }
+
+private:
+    KnowledgeSources(EventLoop &loop, HttpClient &client, const MetadataStore &store,
+                     GatewayKnowledge &knowledge, const Settings &settings);
+    tl::expected<void, NetError> open();
+
+    bool takeShared(const SharedKnowledge &shared, TimePoint confirmedAt);
+    bool hearsFirst(TimePoint now) const;
+    void askPeers(const InstanceId &followed, TimePoint now);
+    void askGateway(const std::optional<InstanceId> &id, Duration longest);
+    void followStore(bool wanted, std::string_view reason);
+
+    EventLoop &loop_;
+    HttpClient &client_;
+    const MetadataStore &store_;
+    GatewayKnowledge &knowledge_;
+    Settings settings_;
+    GatewayDirectory directory_;
+    std::unique_ptr<GatewayPeers> peers_;
+    std::unique_ptr<StoreWatcher> watcher_;
+    std::uint64_t earlierCalls_ = 0; // Of watchers that are gone.
+    TimePoint startedAt_{};
+    TimePoint storeUntil_{};     // An own watch on the store goes on until then.
+    TimePoint storeNotBefore_{}; // Another gateway knows more; the store is asked again from then.
+    TimePoint listsAskedAt_{};
+    TimePoint anyAskedAt_{};
+    TimePoint seedsAskedAt_{};
+};
+
+} // namespace seamarch
--- a/src/gateway/metadatastore.h
+++ b/src/gateway/metadatastore.h
@@ -56,6 +56,9 @@
                                                           std::string_view body) const = 0;
     virtual tl::expected<StoreItems, StoreFault> readWatch(int status,
                                                            std::string_view body) const = 0;
+    // Reads a routing document as the store holds it; fails with what is wrong with it.
+    virtual tl::expected<RoutingDocument, std::string>
+    readDocument(std::string_view text) const = 0;
 };
 
 } // namespace seamarch
--- a/src/knowledge/peernetwork.cpp
+++ b/src/knowledge/peernetwork.cpp
@@ -24,39 +24,6 @@
 
 } // namespace
 
-kj::Promise<void> ChangeSignal::wait(Duration longest)
-{
-    const std::uint64_t id = next_++;
-    auto paf = kj::newPromiseAndFulfiller<void>();
-    waiting_.emplace(id, kj::mv(paf.fulfiller));
-    loop_.schedule(longest, [this, id] {
-        const auto found = waiting_.find(id);
-        if (found != waiting_.end()) {
-            found->second->fulfill();
-            waiting_.erase(found);
-        }
-    });
-    return kj::mv(paf.promise);
-}
-
-void ChangeSignal::onConfig(const ConfigDocument & /*document*/)
-{
-    wakeAll();
-}
-
-void ChangeSignal::onInstances(const InstanceList & /*list*/)
-{
-    wakeAll();
-}
-
-void ChangeSignal::wakeAll()
-{
-    for (auto &[id, fulfiller] : waiting_) {
-        fulfiller->fulfill();
-    }
-    waiting_.clear();
-}
-
 kj::Promise<void> PeerServer::exchange(ExchangeContext context)
 {
     const KnownVersions peer = readVersions(context.getParams().getStatus());
--- a/src/knowledge/peernetwork.h
+++ b/src/knowledge/peernetwork.h
@@ -13,6 +13,7 @@
 #include "net/eventloop.h"
 #include "net/rawtransport.h"
 #include "net/rpclink.h"
+#include "net/wakelist.h"
 #include "wire/seamarch.capnp.h"
 
 #include <kj/async.h>
@@ -30,21 +31,17 @@
 {
 public:
     explicit ChangeSignal(EventLoop &loop)
-        : loop_(loop)
+        : waiting_(loop)
     {}
 
     // Resolves at the next change, or after `longest`.
-    kj::Promise<void> wait(Duration longest);
+    kj::Promise<void> wait(Duration longest) { return waiting_.wait(longest); }
 
-    void onConfig(const ConfigDocument &document) override;
-    void onInstances(const InstanceList &list) override;
+    void onConfig(const ConfigDocument & /*document*/) override { waiting_.wakeAll(); }
+    void onInstances(const InstanceList & /*list*/) override { waiting_.wakeAll(); }
 
 private:
-    void wakeAll();
-
-    EventLoop &loop_;
-    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<void>>> waiting_;
-    std::uint64_t next_ = 1;
+    WakeList waiting_;
 };
 
 // The answering side of the exchange between processes.
--- /dev/null
+++ b/src/net/wakelist.cpp
@@ -0,0 +1,28 @@
+#include "net/wakelist.h"
+
+namespace seamarch {
+
+kj::Promise<void> WakeList::wait(Duration longest)
+{
+    const std::uint64_t id = next_++;
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    waiting_.emplace(id, kj::mv(paf.fulfiller));
+    loop_.schedule(longest, [this, id] {
+        const auto found = waiting_.find(id);
+        if (found != waiting_.end()) {
+            found->second->fulfill();
+            waiting_.erase(found);
+        }
+    });
+    return kj::mv(paf.promise);
+}
+
+void WakeList::wakeAll()
+{
+    for (auto &[id, fulfiller] : waiting_) {
+        fulfiller->fulfill();
+    }
+    waiting_.clear();
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/net/wakelist.h
@@ -0,0 +1,33 @@
+// Calls of other processes that wait for a change here.
+#pragma once
+
+#include "net/eventloop.h"
+
+#include <cstdint>
+#include <kj/async.h>
+#include <map>
+
+namespace seamarch {
+
+// One for each matter that calls wait for; it outlives the serving ends. Single-threaded.
+class WakeList
+{
+public:
+    explicit WakeList(EventLoop &loop)
+        : loop_(loop)
+    {}
+    WakeList(const WakeList &) = delete;
+    WakeList &operator=(const WakeList &) = delete;
+
+    // Resolves at the next change, or after `longest`.
+    kj::Promise<void> wait(Duration longest);
+    // Something has changed.
+    void wakeAll();
+
+private:
+    EventLoop &loop_;
+    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<void>>> waiting_;
+    std::uint64_t next_ = 1;
+};
+
+} // namespace seamarch
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -163,3 +163,43 @@
   # Hands an order to the rank and returns the status of its answer, zero when there was none.
   order @1 (order :RankOrder) -> (status :UInt16);
 }
+
+# A gateway, as others know it.
+struct GatewayRecord {
+  id @0 :Text;
+  hall @1 :Text;
+  host @2 :Text;             # An IP number; where it listens for the others.
+  port @3 :UInt16;
+  heardMicrosAgo @4 :Int64;  # How long ago it was last heard of.
+}
+
+struct ListedUpstream {
+  id @0 :Text;
+  service @1 :Text;
+  host @2 :Text;
+  port @3 :UInt16;
+  hall @4 :Text;
+  slots @5 :UInt32;
+  leaving @6 :Bool;
+}
+
+# What a gateway knows of the platform's store, for one that does not ask the store itself.
+struct GatewayNews {
+  known @0 :Bool;            # It has a configuration; else only `gateways` is meant.
+  heldMicros @1 :Int64;      # How long the question waited for this answer.
+  ageMicros @2 :Int64;       # How long ago, at the answer, the store confirmed all of it.
+  revision @3 :UInt64;       # Of the store.
+  configVersion @4 :UInt64;
+  config @5 :Data;           # Deflated; when the asker's version is lower.
+  configBytes @6 :UInt32;    # Before it was deflated.
+  upstreamsMark @7 :UInt64;  # Names the state of the list of upstreams.
+  upstreams @8 :List(ListedUpstream);  # The whole list, when the asker names another state.
+  gateways @9 :List(GatewayRecord);    # When asked for; the first is the one that answers.
+}
+
+# Served by each gateway for the others.
+interface GatewayPeer {
+  # Answers at once when it knows more than the asker says it does, else after `waitMicros`.
+  exchange @0 (self :GatewayRecord, configVersion :UInt64, upstreamsMark :UInt64,
+               wantsGateways :Bool, waitMicros :Int64) -> (news :GatewayNews);
+}
--- /dev/null
+++ b/test/decision/membership/gatewaydirectory_test.cpp
@@ -0,0 +1,123 @@
+#include "decision/membership/gatewaydirectory.h"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+GatewayRecord gateway(const std::string &id, const std::string &hall)
+{
+    return {InstanceId(id), HallId(hall), "10.0.0.1", 7000};
+}
+
+// Returns a directory of `self` that has heard of all of `others` at the start.
+GatewayDirectory directoryOf(const GatewayRecord &self, const std::vector<GatewayRecord> &others)
+{
+    GatewayDirectory directory(self, {});
+    for (const GatewayRecord &other : others) {
+        directory.hear(other, at(1));
+    }
+    return directory;
+}
+
+const std::vector<GatewayRecord> kSite = {gateway("a-1", "a"), gateway("a-2", "a"),
+                                          gateway("a-3", "a"), gateway("b-1", "b"),
+                                          gateway("b-2", "b")};
+
+} // namespace
+
+TEST_GROUP(GatewayDirectoryTest){};
+
+TEST(GatewayDirectoryTest, AllGatewaysOfAHallFollowTheSameOne)
+{
+    std::set<InstanceId> followed;
+    for (const GatewayRecord &self : kSite) {
+        if (self.hall == HallId("a")) {
+            followed.insert(directoryOf(self, kSite).follower(at(2)));
+        }
+    }
+    LONGS_EQUAL(1, followed.size());
+    CHECK_TRUE(followed.begin()->value().starts_with("a-"));
+}
+
+TEST(GatewayDirectoryTest, FollowsTheStoreItselfWhenAlone)
+{
+    GatewayDirectory directory(gateway("a-1", "a"), {});
+    CHECK_TRUE(directory.follower(at(0)) == InstanceId("a-1"));
+    CHECK_FALSE(directory.another(InstanceId(), at(0)).has_value());
+}
+
+TEST(GatewayDirectoryTest, PassesOverOneThatFailsUntilItMayBeBack)
+{
+    GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    const InstanceId first = directory.follower(at(2));
+    GatewayDirectory other = directoryOf(kSite[first == kSite[0].id ? 1 : 0], kSite);
+    other.onFailed(first, at(2));
+    CHECK_FALSE(other.follower(at(3)) == first);
+    CHECK_TRUE(other.follower(at(2002)) == first);
+}
+
+TEST(GatewayDirectoryTest, OneThatAnswersAgainIsFollowedAgain)
+{
+    GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    const InstanceId first = directory.follower(at(2));
+    GatewayDirectory other = directoryOf(kSite[first == kSite[0].id ? 1 : 0], kSite);
+    other.onFailed(first, at(2));
+    other.onAnswered(first, at(10));
+    CHECK_TRUE(other.follower(at(11)) == first);
+}
+
+TEST(GatewayDirectoryTest, ForgetsThoseThatNobodyHears)
+{
+    GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    directory.hear(kSite[1], at(9000));
+    directory.expire(at(11'000));
+    LONGS_EQUAL(2, directory.size());
+    CHECK_TRUE(directory.find(kSite[1].id) != nullptr);
+    CHECK_TRUE(directory.find(kSite[2].id) == nullptr);
+}
+
+TEST(GatewayDirectoryTest, TakesTheLatestThatWasHeardOfOne)
+{
+    GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    GatewayRecord moved = kSite[1];
+    moved.port = 7001;
+    directory.hear(moved, at(5));
+    directory.hear(kSite[1], at(4));
+    LONGS_EQUAL(7001, directory.find(moved.id)->port);
+}
+
+TEST(GatewayDirectoryTest, AsksTheOthersInTurn)
+{
+    GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    std::set<InstanceId> asked;
+    for (std::size_t turn = 0; turn < kSite.size() - 1; ++turn) {
+        asked.insert(*directory.another(InstanceId(), at(2)));
+    }
+    LONGS_EQUAL(kSite.size() - 1, asked.size());
+}
+
+TEST(GatewayDirectoryTest, AsksOneThatFailedOnlyWhenNoOtherIsLeft)
+{
+    GatewayDirectory directory = directoryOf(kSite[0], {kSite[1], kSite[2]});
+    directory.onFailed(kSite[1].id, at(2));
+    CHECK_TRUE(*directory.another(InstanceId(), at(3)) == kSite[2].id);
+    CHECK_TRUE(*directory.another(InstanceId(), at(3)) == kSite[2].id);
+    CHECK_TRUE(*directory.another(kSite[2].id, at(3)) == kSite[1].id);
+}
+
+TEST(GatewayDirectoryTest, AFarOneStandsInAnotherHall)
+{
+    GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    for (int turn = 0; turn < 4; ++turn) {
+        CHECK_TRUE(directory.find(*directory.farOne(at(2)))->hall == HallId("b"));
+    }
+}
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -34,7 +34,8 @@
 class GatewaySite:
     """A store, upstreams and one gateway on loopback."""
 
-    def __init__(self, upstreams=2):
+    def __init__(self, upstreams=2, **more):
+        """`more` holds settings of the gateway, by name."""
         self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
         self.processes = []
         self.store = free_address()
@@ -53,6 +54,7 @@
         self.settings.write("instance = gateway-1\nhall = north\nlog-level = info\n"
                             f"listen = {self.entry}\noperator-listen = {self.operators}\n"
                             f"platform = {self.store}\nstop-delay-ms = 400\n")
+        self.settings.write("".join(f"{name} = {value}\n" for name, value in more.items()))
         self.settings.flush()
         self.gateway = self.start("seamarchd", "gateway", "--config", self.settings.name)
         self.wait_until("the gateway is ready",
--- /dev/null
+++ b/test/process/options_test.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Every option that the daemon's help lists is one that the daemon takes, in every role.
+set -euo pipefail
+daemon=$1
+options=$("$daemon" --help | grep -oE '^  --[a-z-]+ [A-Z]+' | tr -s ' ' | cut -d' ' -f2)
+[ "$(wc -w <<<"$options")" -ge 15 ] || { echo "expected 15 options or more in --help, found: $options"; exit 1; }
+for role in entry agent gateway expertagent; do
+    for option in $options; do
+        got=$("$daemon" "$role" "$option" 5 --check-settings 2>&1 || true)
+        case "$got" in
+            *"not a unique prefix"* | *"Unexpected argument"*)
+                echo "expected $role to take $option as --help says, found: ${got%%$'\n'*}"
+                exit 1 ;;
+        esac
+    done
+done
