Expert maps: holds lie as far ahead as orders take; memory and limits follow the group's size

The log shows why: a hold lay two passes ahead (some 90 ms) while 63 arms and their answers take 100 to 200 ms, so the whole group stood still at each change, and every stream that runs then is late. Besides, the long memory (4 s) was longer than demand stays (3.6 s) although a large group's counts are calm within 0.3 s, and each change waited 0.2 to 0.5 s to be told the experts that the decider itself had ordered. Change: the decider measures how long a pass takes and places the hold 120 ms + 3 ms a rank ahead; the long memory is shorter on larger groups; the limit for a shift follows how far the memories lie apart while demand is calm (0.04 to 0.15); a change must win 0.12 of a pass and more than its copies cost (times from the configuration); the ordered map is known without asking.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -19,7 +19,7 @@
 void ExpertPlanner::decay(TimePoint now)
 {
     const double seconds = std::max(0.0, toSeconds(now - decayedAt_));
-    const double longFactor = std::exp2(-seconds / toSeconds(settings_.longHalfLife));
+    const double longFactor = std::exp2(-seconds / toSeconds(longHalfLife()));
     const double shortFactor = std::exp2(-seconds / toSeconds(settings_.shortHalfLife));
     for (std::size_t index = 0; index < long_.size(); ++index) {
         long_[index] *= longFactor;
@@ -28,6 +28,15 @@
     decayedAt_ = now;
 }
 
+Duration ExpertPlanner::longHalfLife() const
+{
+    if (ranks_ <= settings_.halfLifeRanks) {
+        return settings_.longHalfLife;
+    }
+    return std::max(settings_.leastLongHalfLife,
+                    settings_.longHalfLife * settings_.halfLifeRanks / ranks_);
+}
+
 void ExpertPlanner::onChoices(std::span<const double> choices, TimePoint now)
 {
     if (choices.size() != long_.size() || long_.empty()) {
@@ -83,7 +92,9 @@
 
 bool ExpertPlanner::shifted(const ExpertMap &current) const
 {
-    if (distance() > settings_.shiftDistance) {
+    const double limit = std::clamp(calmDistance_ * settings_.shiftOverCalm,
+                                    settings_.leastShiftDistance, settings_.mostShiftDistance);
+    if (distance() > limit) {
         return true;
     }
     const double shortTotal = std::accumulate(short_.begin(), short_.end(), 0.0);
@@ -91,22 +102,60 @@
            && skewBy(short_, current) > skewBy(long_, current) + settings_.shiftSkew;
 }
 
-std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
+// Drops the long memory when demand has shifted; else learns how far the memories lie apart while
+// it has not.
+void ExpertPlanner::noteShift(const ExpertMap &current, TimePoint now)
 {
-    if (current.size() == rule_.sets && shifted(current)) {
+    constexpr double kCalmWeight = 0.05; // Of one look among some twenty a second.
+    if (shifted(current)) {
         long_ = short_;
+        shiftedAt_ = now;
         ++shifts_;
+    } else if (!shiftedAt_ || now - *shiftedAt_ > settings_.calmAfter) {
+        calmDistance_ += kCalmWeight * (distance() - calmDistance_);
     }
+}
+
+// Returns how many experts of a set may be new to a rank in a change that starts from `skew`.
+std::uint32_t ExpertPlanner::newExpertsAt(double skew) const
+{
+    if (skew <= settings_.urgentSkew || rule_.copyTime <= Duration{}) {
+        return rule_.newExperts;
+    }
+    const auto quick = settings_.urgentCopying / (rule_.copyTime * std::max(1U, rule_.sets));
+    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(quick), 1,
+                                     std::max(1U, rule_.newExperts));
+}
+
+bool ExpertPlanner::worthIt(double before, double after, std::uint32_t newExperts) const
+{
+    const auto passTime = [this](double skew) {
+        return 1.0 - rule_.expertPart + rule_.expertPart * skew;
+    };
+    const double gain = 1.0 - passTime(after) / passTime(before);
+    const double copying = toSeconds(rule_.copyTime) * rule_.sets * newExperts;
+    const double cost = settings_.copySlowdown * copying + toSeconds(settings_.standstill);
+    return gain > settings_.leastGain
+           && gain * toSeconds(settings_.horizon) > settings_.margin * cost;
+}
+
+std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
+{
+    if (current.size() != rule_.sets || current.empty()) {
+        return std::nullopt;
+    }
+    ranks_ = static_cast<std::uint32_t>(current.front().size());
+    noteShift(current, now);
     const double total = std::accumulate(long_.begin(), long_.end(), 0.0);
-    if (total < settings_.leastCounts || current.size() != rule_.sets
-        || (plannedAt_ && now - *plannedAt_ < settings_.pause)) {
+    if (total < settings_.leastCounts || (plannedAt_ && now - *plannedAt_ < settings_.pause)) {
         return std::nullopt;
     }
     plannedAt_ = now;
     const double before = skew(current);
-    const std::uint32_t newExperts = before > settings_.urgentSkew
-                                         ? std::min(rule_.newExperts, settings_.urgentNewExperts)
-                                         : rule_.newExperts;
+    const std::uint32_t newExperts = newExpertsAt(before);
+    if (!worthIt(before, 1.0, newExperts)) {
+        return std::nullopt; // Not even an even load would be worth it: the search is spared.
+    }
     const PlacementBounds bounds{rule_.places, newExperts, settings_.maxChanges,
                                  settings_.goodEnough};
     ExpertMap planned;
@@ -115,7 +164,7 @@
             improvePlacement(current[set], sharesOf(long_, set, rule_.experts), bounds));
     }
     expectedSkew_ = skew(planned);
-    if (before - expectedSkew_ < settings_.leastGain * before) {
+    if (!worthIt(before, expectedSkew_, newExperts)) {
         return std::nullopt;
     }
     return planned;
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -1,8 +1,8 @@
 // Decides when a group's expert map is worth changing, and to what.
 //
 // It keeps how popular each expert was of late, from the counts that the ranks report, and compares
-// the map in use with the best that one change can reach. A change costs a second or two of slower
-// passes and the copies have a price, so it must win a good part of the passes' time.
+// the map in use with the best that one change can reach. Passes are slower while ranks copy
+// experts, so a change must win more than that within the time that a map is likely to stay fit.
 //
 // Which experts are chosen follows what requests are about. Within one mix of subjects the counts
 // of a moment are noisy, and a long memory serves best; when the mix shifts, the old counts only
@@ -29,26 +29,43 @@
 public:
     struct Settings
     {
-        // Counts lose half their weight in this time, in the long memory and in the short one.
+        // Counts lose half their weight in this time, in the long memory and in the short one. The
+        // long one is that of a group of `halfLifeRanks`; a larger group's counts are less noisy,
+        // and its memory is shorter by as much, down to the least.
         Duration longHalfLife = std::chrono::milliseconds(4000);
+        std::uint32_t halfLifeRanks = 12;
+        Duration leastLongHalfLife = std::chrono::milliseconds(1000);
         Duration shortHalfLife = std::chrono::milliseconds(300);
         // The distance of the two memories, in parts of all choices that differ, from which on
-        // demand has shifted.
-        double shiftDistance = 0.15;
+        // demand has shifted: this many times what it is while demand is calm, within bounds. Calm
+        // groups of 63 ranks were seen at 0.01 to 0.02, of 12 ranks at 0.04 to 0.06.
+        double shiftOverCalm = 3.0;
+        double leastShiftDistance = 0.04;
+        double mostShiftDistance = 0.15;
         // The same, in skew: a shift to a few hot experts moves few choices and loads one rank.
         double shiftSkew = 0.4;
-        // The least pause between two proposals; copying alone takes about a second.
+        // After a shift the memories differ for a while; what is calm is learned again from then.
+        Duration calmAfter = std::chrono::milliseconds(1500);
+        // The least pause between two proposals.
         Duration pause = std::chrono::milliseconds(200);
-        // The least part by which the sum of the sets' largest loads must fall. Passes are slower
-        // by 15 in 100 while experts are copied.
-        double leastGain = 0.18;
+        // How long a map is likely to stay fit: demand was seen to shift every three to four
+        // seconds.
+        Duration horizon = std::chrono::milliseconds(2000);
+        // What a change must win over its cost: the gain is an estimate.
+        double margin = 1.5;
+        // The least part of a pass that it must win: while it is under way, a new shift waits.
+        double leastGain = 0.12;
+        // Passes take this part longer while experts are copied (the engine's own figure), and the
+        // group stands still for about this long while a change comes into use.
+        double copySlowdown = 0.15;
+        Duration standstill = std::chrono::milliseconds(50);
         // A set's placement is not improved beyond this skew.
         double goodEnough = 1.08;
-        std::uint32_t maxChanges = 64;
-        // Above this skew a change is made quickly rather than well: each rank copies few experts,
-        // and the next change does the rest.
+        std::uint32_t maxChanges = 96;
+        // Above this skew a change is made quickly rather than well: ranks copy no longer than
+        // this, if they copy one expert at least, and the next change does the rest.
         double urgentSkew = 1.5;
-        std::uint32_t urgentNewExperts = 1;
+        Duration urgentCopying = std::chrono::milliseconds(450);
         // Choices of experts below which the counts are mostly noise.
         double leastCounts = 20'000.0;
     };
@@ -80,6 +97,10 @@
     double skewBy(const std::vector<double> &memory, const ExpertMap &map) const;
     bool shifted(const ExpertMap &current) const;
     void decay(TimePoint now);
+    Duration longHalfLife() const;
+    void noteShift(const ExpertMap &current, TimePoint now);
+    std::uint32_t newExpertsAt(double skew) const;
+    bool worthIt(double before, double after, std::uint32_t newExperts) const;
 
     Settings settings_;
     ExpertRule rule_;
@@ -87,6 +108,9 @@
     std::vector<double> short_;
     TimePoint decayedAt_{};
     std::optional<TimePoint> plannedAt_;
+    std::uint32_t ranks_ = 0; // Of the last map that was planned for.
+    double calmDistance_ = 0.05;
+    std::optional<TimePoint> shiftedAt_;
     double expectedSkew_ = 1.0;
     std::uint64_t shifts_ = 0;
 };
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -89,6 +89,8 @@
     committed_ = false;
     clearing_ = false;
     foreignSince_.reset();
+    measuredAt_ = {};
+    passTime_ = {};
     enter(Phase::Idle, now);
 }
 
@@ -111,6 +113,7 @@
     rank.known = true;
     rank.askedAt = askedAt;
     rank.report = report;
+    measurePasses(askedAt);
     if (phase_ == Phase::Preparing) {
         rank.confirmed = report.prepared == version_;
     } else if (phase_ == Phase::Clearing && askedAt > rank.answeredAt && report.armed != 0) {
@@ -253,7 +256,37 @@
 // a hold of the step after the highest that was reported has not begun it, so nothing lies between.
 void GroupDecider::chooseStep()
 {
-    step_ = highestStep() + (clearing_ ? 1 : settings_.stepMargin);
+    step_ = highestStep() + (clearing_ ? 1 : margin());
+}
+
+// Measures how long a pass takes, from the highest step of the reports.
+void GroupDecider::measurePasses(TimePoint askedAt)
+{
+    const std::uint64_t step = highestStep();
+    if (measuredAt_ == TimePoint{} || step < measuredStep_) {
+        measuredStep_ = step;
+        measuredAt_ = askedAt;
+        return;
+    }
+    if (askedAt - measuredAt_ < settings_.passWindow) {
+        return;
+    }
+    if (step > measuredStep_) {
+        passTime_ = (askedAt - measuredAt_) / static_cast<Duration::rep>(step - measuredStep_);
+    }
+    measuredStep_ = step;
+    measuredAt_ = askedAt;
+}
+
+// Returns how many passes ahead a hold is placed.
+std::uint64_t GroupDecider::margin() const
+{
+    if (passTime_ <= Duration{}) {
+        return settings_.stepMargin;
+    }
+    const Duration lead = settings_.lead + settings_.leadPerRank * static_cast<int>(size_);
+    const auto passes = static_cast<std::uint64_t>(lead / passTime_ + 1);
+    return std::max(settings_.stepMargin, passes);
 }
 
 // A rank holds one step. Where the own rank holds another one, as an earlier decider left it, a
@@ -330,7 +363,7 @@
         ranks_[holder_].resendAfter = settings_.holdAgain;
         if (!clearing_) {
             // The step has begun meanwhile, and the reports may be as old as that.
-            step_ = std::max(step_, highestStep()) + settings_.stepMargin;
+            step_ = std::max(step_, highestStep()) + margin();
         }
         return;
     case MapOrderAnswer::Fenced:
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -86,10 +86,15 @@
     {
         std::uint32_t ownRank = 0;
         std::uint64_t seed = 0;
-        // Passes between the last that is known to have begun and the hold. Arms and their answers
-        // take some ten milliseconds, a pass takes 40 or more; a margin that is too short stops the
-        // group for a moment, a long one keeps it on the old map.
+        // Passes at least between the last that is known to have begun and the hold, and as many
+        // more as begin within the lead. The hold, the arms and their answers take some ten
+        // milliseconds and more on a large group; a lead that is too short stops the group, which
+        // every stream feels, a long one only keeps it on the old map.
         std::uint64_t stepMargin = 2;
+        Duration lead = std::chrono::milliseconds(120);
+        Duration leadPerRank = std::chrono::milliseconds(3);
+        // The time of a pass is measured over this long.
+        Duration passWindow = std::chrono::milliseconds(400);
         // An order that was not answered is sent again after this.
         Duration resend = std::chrono::milliseconds(250);
         // A hold whose step had begun already is placed anew after this.
@@ -170,6 +175,8 @@
     void watchForeign(TimePoint now);
     bool isForeign(const RankReport &report) const;
     void beginClearing(TimePoint now);
+    void measurePasses(TimePoint askedAt);
+    std::uint64_t margin() const;
     void chooseStep();
     void chooseHolder();
     void onHoldAnswer(MapOrderAnswer answer, TimePoint now);
@@ -193,6 +200,9 @@
     std::uint32_t holder_ = 0;  // The rank that holds it.
     bool committed_ = false;    // Every rank has armed `version_`.
     ExpertMap experts_;
+    std::uint64_t measuredStep_ = 0; // Where the measurement of the passes' time began.
+    TimePoint measuredAt_{};
+    Duration passTime_{}; // Zero: not measured yet.
     std::optional<TimePoint> foreignSince_;
     std::uint64_t changes_ = 0;
     std::uint64_t cleared_ = 0;
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kAskGapPerRank = std::chrono::milliseconds(2);
 // How often it asks for counts as well, which are longer: some 2 KB for 2,000 experts.
 constexpr Duration kCountsGap = std::chrono::milliseconds(200);
-constexpr Duration kCountsGapPerRank = std::chrono::milliseconds(6);
+constexpr Duration kCountsGapPerRank = std::chrono::milliseconds(4);
 // How often an agent that does not decide asks its own engine for its rank.
 constexpr Duration kOwnGap = std::chrono::milliseconds(400);
 // A decider that has not asked for this long is taken for dead or cut off. It asks ten times in it.
@@ -367,6 +367,7 @@
     decider_.reset();
     experts_.clear();
     current_.reset();
+    proposedVersion_ = 0;
 }
 
 // Answers for the own rank.
@@ -442,6 +443,7 @@
             {{"epoch", report.epoch}, {"before", epoch_}, {"ranks", report.ranks}});
     epoch_ = report.epoch;
     experts_.clear();
+    proposedVersion_ = 0;
 }
 
 void ExpertAgent::onPeerFacts(const RankFacts &facts, TimePoint askedAt)
@@ -466,6 +468,9 @@
     if (!version) {
         return std::nullopt;
     }
+    if (proposedVersion_ != 0 && *version == proposedVersion_) {
+        return proposed_; // No need to ask for what was ordered here.
+    }
     ExpertMap map;
     for (const auto &[rank, experts] : experts_) {
         if (experts.map != *version || rank != (map.empty() ? 0 : map.front().size())) {
@@ -515,7 +520,9 @@
         return;
     }
     const double before = planner_.skew(*current_);
-    const auto version = decider_->propose(std::move(*planned), loop_.now(), orders);
+    proposed_ = std::move(*planned);
+    const auto version = decider_->propose(proposed_, loop_.now(), orders);
+    proposedVersion_ = version.value_or(0);
     if (version) {
         logLine(LogLevel::Info, "map.proposed",
                 {{"version", *version},
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -169,3 +169,47 @@
     planner.onChoices(std::vector<double>(kExperts + 1, 1e6), at(2000));
     DOUBLES_EQUAL(before, planner.skew({dealt()}), 1e-6);
 }
+
+TEST(ExpertPlannerTest, SeesASmallShiftWhereCountsAreCalm)
+{
+    std::vector<double> shares = skewedShares(1);
+    feed(planner, shares, 0, 8000);
+    for (int time = 8000; time < 10'000; time += 50) {
+        planner.plan({dealt()}, at(time));
+    }
+    // Eight choices in a hundred move from the most liked expert to another one.
+    const auto most = std::max_element(shares.begin(), shares.end());
+    *most -= 0.08;
+    shares[most == shares.begin() ? 1 : 0] += 0.08;
+    feed(planner, shares, 10'000, 10'800);
+    planner.plan({dealt()}, at(10'800));
+    LONGS_EQUAL(1, planner.shifts());
+}
+
+TEST(ExpertPlannerTest, PlansNothingThatCopyingWouldEatUp)
+{
+    ExpertRule rule{1, kExperts, 8, 3, std::chrono::seconds(20), 0.85};
+    planner.setRule(rule);
+    feed(planner, skewedShares(1), 0, 2000);
+    CHECK_FALSE(planner.plan({dealt()}, at(2000)).has_value());
+    rule.copyTime = std::chrono::milliseconds(100);
+    planner.setRule(rule);
+    CHECK_TRUE(planner.plan({dealt()}, at(3000)).has_value());
+}
+
+TEST(ExpertPlannerTest, UrgentChangeCopiesFewExpertsWhereCopyingTakesLong)
+{
+    planner.setRule({1, kExperts, 8, 3, std::chrono::milliseconds(400), 0.85});
+    feed(planner, skewedShares(1), 0, 2000);
+    const auto planned = planner.plan({dealt()}, at(2000));
+    CHECK_TRUE(planned.has_value());
+    for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+        const std::vector<std::uint16_t> before = dealt()[rank];
+        const auto &after = (*planned)[0][rank];
+        const auto added =
+            std::count_if(after.begin(), after.end(), [&before](std::uint16_t expert) {
+                return std::find(before.begin(), before.end(), expert) == before.end();
+            });
+        CHECK_TRUE(added <= 1);
+    }
+}
