A fault soak: real gateways on loopback, faults from outside, promises checked by what is seen

soak/ runs the store's and upstreams' stand-ins, gateways as processes, and a loopback proxy on each link to the store and to an upstream (delay, reset, silence, one way). Faults come in series and overlap; signals stop, pause, kill and start again; configurations, revoked keys and upstreams that leave go on meanwhile. Callers keep their connections until they break. Checked: at most once, not run means not run, own answer with its proof, streams without a gap, revoked keys dead after 5 s, leaving upstreams spared after 2 s, versions never back within a life, a planned stop cuts nothing off, no process ends by itself, all ready again within 12 s.

--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,122 @@
+"""A loopback proxy that brings about what a bad network does to connections.
+
+One proxy stands before one listener. Its mode holds for all its connections, also those that are
+open: `pass`, `delay`, `silent` (accepts and says nothing), `one_way` (bytes toward the listener go
+on, answers are held), and `reset` (resets what is open and what comes). Bytes that are held go on
+when the mode changes back. `plant` holds a fault for testing the checks: `twice` sends each request
+again on a connection of its own, `skip` takes one event out of every stream.
+"""
+
+import asyncio
+import re
+import socket
+import struct
+import threading
+
+_EVENT = re.compile(rb"id: 5\ndata: token 5\n\n")
+
+
+class ProxyLoop:
+    """The thread that serves all proxies of a run."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+
+    def run(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    def end(self):
+        self.run(self._cancel_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+
+    @staticmethod
+    async def _cancel_all():
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+
+class Proxy:
+    def __init__(self, loop, address, target, plant=""):
+        self.loop, self.address, self.target, self.plant = loop, address, target, plant
+        self.mode, self.writers = "pass", set()
+        host, port = address.split(":")
+        self.server = loop.run(self._start(host, int(port)))
+
+    async def _start(self, host, port):
+        return await asyncio.start_server(self._serve, host, port)
+
+    def set(self, mode):
+        self.loop.run(self._set(mode))
+
+    async def _set(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self.writers):
+                self._reset(writer)
+
+    @staticmethod
+    def _reset(writer):
+        raw = writer.get_extra_info("socket")
+        try:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            pass  # It is closed already, so there is nothing to reset.
+        writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        if self.mode == "reset":
+            self._reset(writer)
+            return
+        host, port = self.target.split(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            self._reset(writer)
+            return
+        self.writers |= {writer, far_writer}
+        try:
+            await asyncio.gather(self._pump(reader, far_writer, True),
+                                 self._pump(far_reader, writer, False))
+        finally:
+            self.writers -= {writer, far_writer}
+
+    def _held(self, onward):
+        return self.mode == "silent" or (self.mode == "one_way" and not onward)
+
+    async def _pump(self, reader, writer, onward):
+        try:
+            while True:
+                piece = await reader.read(65536)
+                while self._held(onward):
+                    await asyncio.sleep(0.02)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                if not piece:
+                    break
+                if self.plant == "twice" and onward:
+                    asyncio.ensure_future(self._again(piece))
+                if self.plant == "skip" and not onward:
+                    piece = self._without_event(piece)
+                writer.write(piece)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            self._reset(writer)
+        finally:
+            writer.close()
+
+    async def _again(self, piece):
+        host, port = self.target.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(piece)
+        await asyncio.sleep(0.5)
+        writer.close()
+
+    @staticmethod
+    def _without_event(piece):
+        # The chunk keeps its length: the event's text becomes a comment of the same size.
+        return _EVENT.sub(lambda found: b":" * (len(found.group()) - 2) + b"\n\n", piece)
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,465 @@
+#!/usr/bin/env python3
+"""A randomized soak: real gateways on loopback while faults strike from outside.
+
+Callers use kept connections until they break, send letters that may run once, questions that may be
+repeated, and streams. Faults come in series and overlap: links to the store and to upstreams are
+delayed, reset, silenced or cut one way; upstreams fail, refuse, lose answers and break streams;
+gateways are stopped, paused, killed and started again; configurations follow each other, keys are
+revoked, upstreams leave. The checks judge by what callers and upstreams saw. The same seed draws the
+same faults; what runs between them is up to the machine. The system keeps no storage and decides
+nothing by the time of day, so neither is tampered with.
+
+    soak/soak.py --seed 7 --seconds 20       one run
+    soak/soak.py --seeds 100-149             a series
+    soak/soak.py --regression                the seeds that ever failed (soak/seeds.txt)
+    soak/soak.py --planted                   each planted fault must be caught
+
+It ends only the processes that it started.
+"""
+
+import argparse
+import http.client
+import itertools
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "scripts")]
+from localsite import BIN, Process, call, free_address  # noqa: E402
+from proxy import Proxy, ProxyLoop  # noqa: E402
+
+NOT_RUN = {408, 421, 429, 503}  # Statuses that promise that the request never runs.
+REVOKED_AFTER = 5.0             # Seconds after which a revoked key is dead everywhere.
+LEFT_AFTER = 2.0                # Seconds after which an upstream that leaves gets nothing new.
+STREAM = [f"id: {n}\ndata: token {n}" for n in range(1, 11)]
+LINK_MODES = ("delay", "reset", "silent", "one_way")
+UPSTREAM_TROUBLES = ({"fail": True}, {"full": True}, {"dropAnswers": True}, {"foreignId": True},
+                     {"breakAfter": 4}, {"delayMs": 300})
+HEALTHY = {"fail": False, "full": False, "dropAnswers": False, "foreignId": False,
+           "breakAfter": 0, "delayMs": 5, "lies": False}
+
+
+class Site:
+    """The store, upstreams and gateways of a run, with a proxy on each link that can fail."""
+
+    def __init__(self, args, log):
+        self.log, self.processes, self.loop = log, [], ProxyLoop()
+        self.version, self.keys = 0, ["key-0"]
+        self.store = free_address()
+        self.start("seamarch-standin", "store", "--listen", self.store)
+        self.upstreams, self.links = {}, {}
+        for number in range(args.upstreams):
+            name, address = f"i-{number}", free_address()
+            self.start("seamarch-standin", "replica", "--listen", address)
+            self.upstreams[name] = address
+            self.links[name] = Proxy(self.loop, free_address(), address, args.plant)
+            self.control(address, {"id": name, **HEALTHY, "lies": args.plant == "lies"})
+        self.publish()
+        for name in self.upstreams:
+            self.list_upstream(name)
+        peers = {f"g-{number}": free_address() for number in range(args.gateways)}
+        seeds = ",".join(list(peers.values())[:2])
+        self.gateways = {}
+        for name, peer in peers.items():
+            self.links[name] = Proxy(self.loop, free_address(), self.store)
+            self.gateways[name] = Gateway(self, name, peer, seeds, self.links[name].address)
+        for gateway in self.gateways.values():
+            gateway.start()
+
+    def start(self, program, *arguments):
+        process = Process([os.path.join(BIN, program), *arguments], self.log)
+        self.processes.append(process)
+        return process
+
+    def control(self, address, change):
+        for _ in range(200):
+            status, _, text = call(address, "/control", json.dumps(change), timeout=5)
+            if status == 200:
+                return json.loads(text)
+            time.sleep(0.05)
+        raise RuntimeError(f"{address} takes no control")
+
+    def publish(self):
+        self.version += 1
+        routes = [{"name": name, "hostname": "site.example", "path-prefix": f"/{name}/",
+                   "type": kind, "service": "portal", "timeout-ms": 4000, "max-attempts": 2,
+                   "stream-resume": True}
+                  for name, kind in (("letters", "unsafe"), ("status", "safe"),
+                                     ("stream", "streaming"))]
+        document = {"version": self.version, "routes": routes,
+                    "tenants": [{"name": "bids", "api-keys": list(self.keys)}],
+                    "services": [{"name": "portal", "max-connections": 200}]}
+        self.control(self.store, {"put": {"op/config": document}})
+
+    def list_upstream(self, name, phase="ready"):
+        entry = {"service": "portal", "address": self.links[name].address, "zone": "north",
+                 "capacity": 6, "phase": phase}
+        self.control(self.store, {"put": {f"servers/{name}": entry}})
+
+    def runs(self, name):
+        return self.control(self.upstreams[name], {})["runs"]
+
+    def end(self):
+        for process in self.processes:
+            process.end()
+        self.loop.end()
+
+
+class Gateway:
+    def __init__(self, site, name, peer, seeds, store):
+        self.site, self.name = site, name
+        self.entry, self.operators = free_address(), free_address()
+        hall = "north" if int(name[2:]) % 2 == 0 else "south"
+        self.arguments = ["gateway", "--instance", name, "--hall", hall, "--listen", self.entry,
+                          "--operator-listen", self.operators, "--platform", store,
+                          "--peer-listen", peer, "--seeds", seeds, "--stop-delay-ms", "600",
+                          "--stop-deadline-ms", "5000", "--log-level", "info"]
+        self.process, self.life, self.stopping = None, 0, False
+
+    def start(self):
+        self.process = self.site.start("seamarchd", *self.arguments)
+        self.life, self.stopping = self.life + 1, False
+
+    def status(self):
+        code, _, text = call(self.operators, "/status", timeout=1)
+        return json.loads(text) if code == 200 else None
+
+
+class Request:
+    def __init__(self, number, kind, key, gateway):
+        self.id, self.kind, self.key = f"q-{number}", kind, key
+        self.gateway, self.life = gateway.name, gateway.life
+        self.sent_at = time.monotonic()
+        self.result, self.text, self.headers = None, "", {}
+        self.ended_at, self.kept, self.leaves = None, False, False
+
+
+class Caller(threading.Thread):
+    """Sends requests one after the other, on a kept connection while it lasts."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak, self.random = soak, random.Random(f"{soak.args.seed}/{number}")
+
+    def run(self):
+        while not self.soak.over:
+            gateway = self.random.choice(list(self.soak.site.gateways.values()))
+            connection = http.client.HTTPConnection(*gateway.entry.split(":"), timeout=6)
+            for turn in range(self.random.randint(1, 12)):
+                if self.soak.over or not self.ask(connection, gateway, turn > 0):
+                    break
+                time.sleep(self.random.uniform(0, 0.05))
+            connection.close()
+            time.sleep(0.01)
+
+    def ask(self, connection, gateway, kept):
+        kind = self.random.choice(("letters", "letters", "status", "stream"))
+        request = self.soak.new_request(kind, gateway, self.random)
+        request.kept = kept
+        request.leaves = self.random.random() < 0.03
+        headers = {"Host": "site.example", "Seamarch-Request-Id": request.id,
+                   "Seamarch-Deadline-Ms": "4000", "Authorization": f"Token {request.key}"}
+        goes_on = False
+        try:
+            connection.request("POST", f"/{kind}/1", "body", headers)
+            if request.leaves:
+                request.result = "left"
+                return False
+            answer = connection.getresponse()
+            request.headers = dict(answer.getheaders())
+            request.text = answer.read().decode()
+            request.result = answer.status
+            goes_on = not answer.will_close
+        except http.client.IncompleteRead as error:
+            request.result, request.text = "cut", error.partial.decode(errors="replace")
+        except (OSError, http.client.HTTPException) as error:
+            request.result = f"broken: {type(error).__name__}"
+        finally:
+            request.ended_at = time.monotonic()
+        return goes_on
+
+
+class Soak:
+    def __init__(self, args, log):
+        self.args, self.random = args, random.Random(args.seed)
+        self.site = Site(args, log)
+        self.over, self.faults, self.lock = False, 0, threading.Lock()
+        self.requests, self.numbers = [], itertools.count(1)
+        self.revoked = {}  # Key to the time after which it must be dead.
+        self.failures, self.versions = [], {}
+        self.planned = []  # The lives of gateways that a planned stop alone has ended.
+        self.busy = {}  # What a fault holds, by name.
+
+    def new_request(self, kind, gateway, drawn):
+        with self.lock:
+            old = [key for key in self.revoked if drawn.random() < 0.3]
+            key = drawn.choice(old) if old and drawn.random() < 0.1 else self.site.keys[-1]
+            request = Request(next(self.numbers), kind, key, gateway)
+            self.requests.append(request)
+            return request
+
+    def fail(self, what):
+        self.failures.append(what)
+
+    # Faults. Each holds one thing for a while; series of them overlap.
+
+    def fault_link(self, name):
+        mode = self.random.choice(LINK_MODES)
+        self.site.links[name].set(mode)
+        return lambda: self.site.links[name].set("pass")
+
+    def fault_upstream(self, name):
+        address = self.site.upstreams[name]
+        self.site.control(address, self.random.choice(UPSTREAM_TROUBLES))
+        return lambda: self.site.control(address, HEALTHY)
+
+    def fault_pause(self, name):
+        gateway = self.site.gateways[name]
+        gateway.process.send(signal.SIGSTOP)
+        return lambda: gateway.process.send(signal.SIGCONT)
+
+    def fault_kill(self, name):
+        gateway = self.site.gateways[name]
+        gateway.process.send(signal.SIGKILL)
+        gateway.process.wait(5)
+        return gateway.start
+
+    def fault_stop(self, name):
+        gateway = self.site.gateways[name]
+        gateway.stopping = True
+        gateway.process.send(signal.SIGTERM)
+
+        def again():
+            if gateway.process.wait(8) != 0:
+                self.fail(f"{name} did not end with 0 within 8 s of SIGTERM")
+                gateway.process.end()
+            gateway.start()
+        return again
+
+    def fault_store(self, _):
+        trouble = self.random.choice(("silent", "busy"))
+        self.site.control(self.site.store, {trouble: True})
+        return lambda: self.site.control(self.site.store, {trouble: False})
+
+    def draw_fault(self):
+        gateways, upstreams = list(self.site.gateways), list(self.site.upstreams)
+        kinds = [(self.fault_link, gateways + upstreams), (self.fault_upstream, upstreams),
+                 (self.fault_pause, gateways), (self.fault_kill, gateways),
+                 (self.fault_stop, gateways), (self.fault_store, ["store"])]
+        fault, things = self.random.choice(kinds)
+        name = self.random.choice(things)
+        length = self.random.uniform(0.3, 4.0)
+        if name in self.busy or len(self.busy) >= self.args.overlap:
+            return
+        self.faults += 1
+        self.busy[name] = (time.monotonic() + length, fault(name))
+
+    def lift(self, everything=False):
+        for name, (until, undo) in list(self.busy.items()):
+            if everything or time.monotonic() >= until:
+                undo()
+                del self.busy[name]
+
+    def change(self):
+        """The operator's turn: configurations in series, now and then a key less."""
+        with self.lock:
+            if self.random.random() < 0.3:
+                self.site.keys.append(f"key-{self.site.version}")
+                gone = self.site.keys.pop(0)
+            else:
+                gone = None
+            self.site.publish()
+            if gone is not None:
+                self.revoked[gone] = time.monotonic() + REVOKED_AFTER
+
+    def leave(self):
+        """One upstream leaves while nothing else goes wrong, and gets nothing new."""
+        self.lift(everything=True)
+        self.wait_ready()
+        name = self.random.choice(list(self.site.upstreams))
+        self.site.list_upstream(name, "draining")
+        time.sleep(LEFT_AFTER)
+        before = {run["id"] for run in self.site.runs(name)}
+        started = time.monotonic()
+        time.sleep(0.7)
+        late = [run["id"] for run in self.site.runs(name) if run["id"] not in before]
+        sent = {request.id: request.sent_at for request in list(self.requests)}
+        for number in late:
+            if sent.get(number, 0) > started:
+                self.fail(f"{number} reached {name} over {LEFT_AFTER} s after it was leaving")
+        self.site.list_upstream(name)
+
+    def stop_calmly(self):
+        """A planned stop while nothing else goes wrong cuts off nothing that was passed on."""
+        self.lift(everything=True)
+        self.wait_ready()
+        gateway = self.random.choice(list(self.site.gateways.values()))
+        time.sleep(1.0)  # What faults had begun is over.
+        self.planned.append((gateway.name, gateway.life, time.monotonic()))
+        self.fault_stop(gateway.name)()
+
+    def watch_gateways(self):
+        """Versions never go back within a life; no process ends by itself."""
+        for gateway in self.site.gateways.values():
+            if gateway.name in self.busy:
+                continue
+            if gateway.process.popen.poll() is not None:
+                self.fail(f"{gateway.name} ended by itself: {gateway.process.popen.returncode}")
+                gateway.start()
+                continue
+            life, status = gateway.life, gateway.status()
+            if status is None or life != gateway.life:
+                continue
+            held = self.versions.get((gateway.name, life), 0)
+            if status["configVersion"] < held:
+                self.fail(f"{gateway.name} went back from version {held}")
+            self.versions[gateway.name, life] = max(held, status["configVersion"])
+
+    def wait_ready(self, seconds=12):
+        end = time.monotonic() + seconds
+        for gateway in self.site.gateways.values():
+            while call(gateway.operators, "/readyz", timeout=1)[0] != 200:
+                if time.monotonic() > end:
+                    self.fail(f"{gateway.name} is not ready {seconds} s after all faults ended")
+                    return
+                time.sleep(0.05)
+
+    def run(self):
+        self.wait_ready()
+        callers = [Caller(self, number) for number in range(self.args.callers)]
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + self.args.seconds
+        leave_at = time.monotonic() + self.args.seconds / 2
+        while time.monotonic() < end:
+            self.draw_fault()
+            self.lift()
+            if self.random.random() < 0.08:
+                self.change()
+            self.watch_gateways()
+            if time.monotonic() > leave_at:
+                leave_at = end
+                self.leave()
+                self.stop_calmly()
+            time.sleep(self.random.uniform(0.05, 0.25))
+        self.lift(everything=True)
+        self.wait_ready()
+        self.over = True
+        for caller in callers:
+            caller.join(10)
+        time.sleep(0.5)  # A request that ran late would still be seen.
+        self.check()
+
+    # Checks of what callers and upstreams saw.
+
+    def check(self):
+        runs = {}
+        for name in self.site.upstreams:
+            for run in self.site.runs(name):
+                runs.setdefault(run["id"], []).append(run)
+        known = {request.id: request for request in self.requests}
+        for number in runs:
+            if number not in known:
+                self.fail(f"an upstream ran {number}, which nobody sent")
+        for request in self.requests:
+            self.check_request(request, runs.get(request.id, []))
+        served = sum(request.result == 200 for request in self.requests)
+        if served < len(self.requests) / 10:
+            self.fail(f"only {served} of {len(self.requests)} requests were served")
+        self.served = served
+
+    def check_request(self, request, runs):
+        about = f"{request.id} ({request.kind} at {request.gateway}, {request.result})"
+        if request.kind == "letters" and len(runs) > 1:
+            self.fail(f"{about} ran {len(runs)} times")
+        if request.kind == "letters" and request.result in NOT_RUN and runs:
+            self.fail(f"{about} ran, and its caller was told that it had not")
+        dead_at = self.revoked.get(request.key)
+        if dead_at is not None and request.sent_at > dead_at and runs:
+            self.fail(f"{about} ran under a key that was revoked {REVOKED_AFTER} s before")
+        if any(run["key"] or run["account"] != "bids" for run in runs):
+            self.fail(f"{about} ran under another account's name, or its key went on")
+        lost = str(request.result).startswith(("broken", "cut")) and not request.leaves
+        if lost and runs and self.in_calm_stop(request):
+            self.fail(f"{about} was passed on, and a planned stop cut it off")
+        if request.result == 200:
+            self.check_success(request, about)
+        elif request.result == "cut" and request.kind == "stream":
+            events = request.text.split("\n\n")[:-1]
+            if events != STREAM[:len(events)]:
+                self.fail(f"{about} has a gap before it was cut: {request.text!r}")
+
+    def in_calm_stop(self, request):
+        return any((request.gateway, request.life) == (name, life) and request.sent_at > at
+                   for name, life, at in self.planned)
+
+    def check_success(self, request, about):
+        if not request.headers.get("Seamarch-Replica-Signature", "").startswith("proof-of-"):
+            self.fail(f"{about} lacks the upstream's proof")
+        if request.headers.get("Seamarch-Request-Id") != request.id:
+            self.fail(f"{about} has the answer to {request.headers.get('Seamarch-Request-Id')}")
+        if request.kind == "stream" and request.text.split("\n\n")[:-1] != STREAM:
+            self.fail(f"{about} is no whole stream: {request.text!r}")
+
+
+def run_seed(args, seed, seconds=None, plant=""):
+    args = argparse.Namespace(**{**vars(args), "seed": seed, "plant": plant,
+                                 "seconds": seconds or args.seconds})
+    with tempfile.NamedTemporaryFile("w+", suffix=f".soak-{seed}.log", delete=False) as log:
+        soak = Soak(args, log)
+        try:
+            soak.run()
+        finally:
+            soak.site.end()
+    kept = bool(soak.failures) and not plant
+    if not kept:
+        os.unlink(log.name)
+    print(f"seed {seed}{' planted ' + plant if plant else ''}: {len(soak.requests)} requests, "
+          f"{soak.served} served, {soak.faults} faults, {len(soak.failures)} promises broken"
+          + (f"; log in {log.name}" if kept else ""), flush=True)
+    for failure in soak.failures[:10 if not plant else 1]:
+        print(f"    {failure}", flush=True)
+    return len(soak.failures)
+
+
+def regression_seeds():
+    with open(os.path.join(HERE, "seeds.txt"), encoding="utf-8") as file:
+        return [int(line.split()[0]) for line in file if line.strip() and line[0] != "#"]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", help="FIRST-LAST")
+    parser.add_argument("--regression", action="store_true")
+    parser.add_argument("--planted", action="store_true")
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--upstreams", type=int, default=5)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--overlap", type=int, default=5, help="faults at one time")
+    args = parser.parse_args()
+    if args.planted:
+        missed = [plant for plant in ("lies", "twice", "skip")
+                  if run_seed(args, 1, 8, plant) == 0]
+        print(f"planted faults missed: {', '.join(missed) or 'none'}")
+        sys.exit(1 if missed else 0)
+    seeds = regression_seeds() if args.regression else []
+    if args.seeds:
+        first, last = args.seeds.split("-")
+        seeds += range(int(first), int(last) + 1)
+    if args.seed is not None or not seeds:
+        seeds.append(args.seed if args.seed is not None else int(time.time()))
+    broken = [seed for seed in seeds if run_seed(args, seed) > 0]
+    print(f"{len(seeds)} seeds, {len(broken)} with a promise broken {broken or ''}")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -48,6 +48,12 @@
         if (foreignId_) {
             head.headers.front().value = "another";
         }
+        if (lies_ && runs_.size() % 3 == 0) {
+            head.status = 503;
+            head.headers.push_back({std::string(names::kNotRun), "1"});
+            server().respond(exchange, head, "{}");
+            return;
+        }
         head.status = fail_ ? 500 : 200;
         const bool streams = request.path.find("/stream") != std::string::npos;
         const int first = request.header(names::kResumeAfter).empty()
@@ -111,6 +117,7 @@
         dropAnswers_ = change.value("dropAnswers", dropAnswers_);
         breakAfter_ = change.value("breakAfter", breakAfter_);
         foreignId_ = change.value("foreignId", foreignId_);
+        lies_ = change.value("lies", lies_);
         return {{"runs", runs_}, {"left", left_}, {"open", open_.size()}};
     }
 
@@ -124,6 +131,7 @@
     bool fail_ = false;
     bool dropAnswers_ = false;
     bool foreignId_ = false;
+    bool lies_ = false;
 };
 
 } // namespace
