Expert maps: slow ranks get less; holds lie further ahead while orders go unanswered

Change: ranks report their pace, loads are weighed by it, and a replica may be taken away without another in its place. An unanswered arm is sent again after 100 ms, and a change of which any order went unanswered is held 450 ms further ahead.

--- a/src/decision/expertmap/evenplacement.cpp
+++ b/src/decision/expertmap/evenplacement.cpp
@@ -24,22 +24,30 @@
 }
 
 // One change: `expert` is placed on `to`. With `dropped`, it takes that expert's place; with
-// `from`, it leaves that rank, which gets the dropped one instead.
+// `from`, it leaves that rank, which gets the dropped one instead. A change that `leaves` only
+// takes the expert away from `to`.
 struct Change
 {
     std::uint16_t expert = 0;
     std::size_t to = 0;
     std::optional<std::uint16_t> dropped;
     std::optional<std::size_t> from;
+    bool leaves = false;
 };
 
+double paceOf(RankPaces paces, std::size_t rank)
+{
+    return rank < paces.size() ? paces[rank] : 1.0;
+}
+
 // The loads of the ranks, with what a change would make of them. A change touches the few ranks
 // that hold its experts, so that weighing one costs no more than those.
 class LoadTrial
 {
 public:
-    explicit LoadTrial(std::vector<double> loads)
+    LoadTrial(std::vector<double> loads, RankPaces paces)
         : loads_(std::move(loads))
+        , paces_(paces)
         , deltas_(loads_.size(), 0.0)
     {
         powers_.reserve(loads_.size());
@@ -57,7 +65,7 @@
         if (deltas_[rank] == 0.0) {
             touched_.push_back(rank);
         }
-        deltas_[rank] += load;
+        deltas_[rank] += load * paceOf(paces_, rank);
     }
 
     // Returns by how much the objective would rise, and forgets what was added.
@@ -87,6 +95,7 @@
 
 private:
     std::vector<double> loads_;
+    RankPaces paces_;
     std::vector<double> powers_; // Of the loads.
     double objective_ = 0.0;     // Their sum.
     std::vector<double> deltas_; // Of the change on trial.
@@ -97,12 +106,13 @@
 {
 public:
     Search(const RankExperts &current, std::span<const double> shares,
-           const PlacementBounds &bounds)
+           const PlacementBounds &bounds, RankPaces paces)
         : original_(current)
         , placement_(current)
         , shares_(shares)
         , bounds_(bounds)
-        , trial_(rankLoads(current, shares))
+        , total_(std::accumulate(shares.begin(), shares.end(), 0.0))
+        , trial_(rankLoads(current, shares, paces), paces)
         , holders_(shares.size())
         , newOn_(current.size(), 0)
     {
@@ -138,9 +148,8 @@
     double skew() const
     {
         const std::vector<double> &loads = trial_.loads();
-        const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
         return *std::max_element(loads.begin(), loads.end()) * static_cast<double>(loads.size())
-               / sum;
+               / total_;
     }
 
     // Tells whether `rank` may get `expert` within the bound on new experts.
@@ -173,6 +182,10 @@
 
     void tryChange(const Change &change)
     {
+        if (change.leaves) {
+            tryDrop(change.expert, change.to);
+            return;
+        }
         if (change.from) {
             const double moved =
                 shares_[change.expert] / static_cast<double>(holders_[change.expert].size());
@@ -204,6 +217,9 @@
             }
         };
         for (const std::uint16_t expert : placement_[most]) {
+            if (holders_[expert].size() > 1) {
+                consider(Change{expert, most, std::nullopt, std::nullopt, true});
+            }
             for (std::size_t to = 0; to < placement_.size(); ++to) {
                 if (to != most && !holds(placement_, to, expert) && mayGet(to, expert)) {
                     considerPlacing(expert, most, to, consider);
@@ -217,14 +233,14 @@
     void considerPlacing(std::uint16_t expert, std::size_t from, std::size_t to, Consider consider)
     {
         if (placement_[to].size() < bounds_.places) {
-            consider(Change{expert, to, std::nullopt, std::nullopt});
+            consider(Change{expert, to, std::nullopt, std::nullopt, false});
         }
         for (const std::uint16_t other : placement_[to]) {
             if (holders_[other].size() > 1) {
-                consider(Change{expert, to, other, std::nullopt});
+                consider(Change{expert, to, other, std::nullopt, false});
             }
             if (!holds(placement_, from, other) && mayGet(from, other)) {
-                consider(Change{expert, to, other, from});
+                consider(Change{expert, to, other, from, false});
             }
         }
     }
@@ -252,6 +268,10 @@
     {
         tryChange(change);
         trial_.take();
+        if (change.leaves) {
+            erase(change.to, change.expert);
+            return;
+        }
         if (change.dropped) {
             erase(change.to, *change.dropped);
         }
@@ -266,6 +286,7 @@
     RankExperts placement_;
     std::span<const double> shares_;
     PlacementBounds bounds_;
+    double total_; // Of the shares.
     LoadTrial trial_;
     std::vector<std::vector<std::size_t>> holders_; // The ranks that hold each expert.
     std::vector<std::uint32_t> newOn_;
@@ -273,7 +294,8 @@
 
 } // namespace
 
-std::vector<double> rankLoads(const RankExperts &placement, std::span<const double> shares)
+std::vector<double> rankLoads(const RankExperts &placement, std::span<const double> shares,
+                              RankPaces paces)
 {
     std::vector<std::uint32_t> holders(shares.size(), 0);
     for (const auto &experts : placement) {
@@ -284,16 +306,16 @@
     std::vector<double> loads(placement.size(), 0.0);
     for (std::size_t rank = 0; rank < placement.size(); ++rank) {
         for (const std::uint16_t expert : placement[rank]) {
-            loads[rank] += shares[expert] / holders[expert];
+            loads[rank] += shares[expert] / holders[expert] * paceOf(paces, rank);
         }
     }
     return loads;
 }
 
-double placementSkew(const RankExperts &placement, std::span<const double> shares)
+double placementSkew(const RankExperts &placement, std::span<const double> shares, RankPaces paces)
 {
-    const std::vector<double> loads = rankLoads(placement, shares);
-    const double sum = std::accumulate(loads.begin(), loads.end(), 0.0);
+    const std::vector<double> loads = rankLoads(placement, shares, paces);
+    const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
     if (loads.empty() || sum <= 0.0) {
         return 1.0;
     }
@@ -302,10 +324,11 @@
 }
 
 RankExperts improvePlacement(const RankExperts &current, std::span<const double> shares,
-                             const PlacementBounds &bounds)
+                             const PlacementBounds &bounds, RankPaces paces)
 {
-    RankExperts improved = Search(current, shares, bounds).run();
-    return placementSkew(improved, shares) < placementSkew(current, shares) ? improved : current;
+    RankExperts improved = Search(current, shares, bounds, paces).run();
+    return placementSkew(improved, shares, paces) < placementSkew(current, shares, paces) ? improved
+                                                                                          : current;
 }
 
 } // namespace seamarch
--- a/src/decision/expertmap/evenplacement.h
+++ b/src/decision/expertmap/evenplacement.h
@@ -2,10 +2,11 @@
 // tokens evenly among the ranks that hold it.
 //
 // A pass of the group lasts as long as its most loaded rank, so the placement lowers the largest
-// load. It starts from the placement in use and makes single changes, the best first: a replica
-// more of an expert of the most loaded rank, in a free place or instead of an expert that others
-// hold too, or an exchange of two experts. How many experts may be new to a rank is bounded,
-// because each is copied while the group works on.
+// load; a slow rank's load weighs more by its pace. The search starts from the placement in use and
+// makes single changes, the best first: a replica more of an expert of the most loaded rank, in a
+// free place or instead of an expert that others hold too, an exchange of two experts, or one
+// replica less. How many experts may be new to a rank is bounded, because each is copied while the
+// group works on.
 //
 // Pure functions; deterministic. (`balancer.h` is for engines that take a split of each expert's
 // tokens with the map; these engines take none.)
@@ -30,14 +31,21 @@
     double goodEnough = 1.0;
 };
 
-// Returns the load of each rank, in parts of all tokens. `shares` holds each expert's part.
-std::vector<double> rankLoads(const RankExperts &placement, std::span<const double> shares);
+// How many times as long as a sound rank each rank takes for the same load. A rank without an entry
+// is sound.
+using RankPaces = std::span<const double>;
 
-// Returns the largest load over the mean; 1 is even.
-double placementSkew(const RankExperts &placement, std::span<const double> shares);
+// Returns the load of each rank, in parts of all tokens times its pace. `shares` holds each
+// expert's part.
+std::vector<double> rankLoads(const RankExperts &placement, std::span<const double> shares,
+                              RankPaces paces = {});
+
+// Returns the largest load over the mean that sound ranks would have; 1 is even.
+double placementSkew(const RankExperts &placement, std::span<const double> shares,
+                     RankPaces paces = {});
 
 // Returns an improved placement; never one with a larger skew.
 RankExperts improvePlacement(const RankExperts &current, std::span<const double> shares,
-                             const PlacementBounds &bounds);
+                             const PlacementBounds &bounds, RankPaces paces = {});
 
 } // namespace seamarch
--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -80,7 +80,7 @@
 {
     double sum = 0.0;
     for (std::uint32_t set = 0; set < map.size() && set < rule_.sets; ++set) {
-        sum += placementSkew(map[set], sharesOf(memory, set, rule_.experts));
+        sum += placementSkew(map[set], sharesOf(memory, set, rule_.experts), paces_);
     }
     return map.empty() ? 1.0 : sum / static_cast<double>(map.size());
 }
@@ -161,7 +161,7 @@
     ExpertMap planned;
     for (std::uint32_t set = 0; set < rule_.sets; ++set) {
         planned.push_back(
-            improvePlacement(current[set], sharesOf(long_, set, rule_.experts), bounds));
+            improvePlacement(current[set], sharesOf(long_, set, rule_.experts), bounds, paces_));
     }
     expectedSkew_ = skew(planned);
     if (!worthIt(before, expectedSkew_, newExperts)) {
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace seamarch {
@@ -78,6 +79,8 @@
     void setRule(const ExpertRule &rule);
     // Takes how often each expert was chosen at a rank since that rank's last report, set by set.
     void onChoices(std::span<const double> choices, TimePoint now);
+    // Takes how many times as long as a sound rank each rank takes, by rank.
+    void setPaces(std::vector<double> paces) { paces_ = std::move(paces); }
     // Allows a proposal at once, because another agent may have changed the map meanwhile.
     void reset() { plannedAt_.reset(); }
 
@@ -108,6 +111,7 @@
     std::vector<double> short_;
     TimePoint decayedAt_{};
     std::optional<TimePoint> plannedAt_;
+    std::vector<double> paces_;
     std::uint32_t ranks_ = 0; // Of the last map that was planned for.
     double calmDistance_ = 0.05;
     std::optional<TimePoint> shiftedAt_;
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -28,7 +28,7 @@
     for (auto &[rank, state] : ranks_) {
         state.confirmed = false;
         state.sentAt = {};
-        state.resendAfter = settings_.resend;
+        state.resendAfter = phase == Phase::Arming ? settings_.resendArm : settings_.resend;
         state.answeredAt = {};
     }
 }
@@ -45,6 +45,16 @@
     fence_ = (highest / kFenceStride + 1) * kFenceStride + fenceMark_;
 }
 
+std::vector<double> GroupDecider::paces() const
+{
+    std::vector<double> paces;
+    for (const auto &[number, rank] : ranks_) {
+        paces.resize(std::max<std::size_t>(paces.size(), number + 1), 1.0);
+        paces[number] = rank.report.pace;
+    }
+    return paces;
+}
+
 std::uint64_t GroupDecider::highestStep() const
 {
     std::uint64_t highest = 0;
@@ -156,6 +166,7 @@
     for (auto &[number, rank] : ranks_) {
         const bool copying = kind == MapOrderKind::Prepare && rank.answeredAt != TimePoint{};
         if (!rank.confirmed && !copying && due(rank, now)) {
+            unanswered_ += rank.sentAt == TimePoint{} ? 0 : 1;
             rank.sentAt = now;
             orders.push_back({number, orderFor(kind)});
         }
@@ -239,6 +250,7 @@
     experts_ = std::move(experts);
     committed_ = false;
     clearing_ = false;
+    unanswered_ = 0;
     raiseFence();
     enter(Phase::Preparing, now);
     sendUnconfirmed(MapOrderKind::Prepare, now, orders);
@@ -284,7 +296,8 @@
     if (passTime_ <= Duration{}) {
         return settings_.stepMargin;
     }
-    const Duration lead = settings_.lead + settings_.leadPerRank * static_cast<int>(size_);
+    const Duration lead = settings_.lead + settings_.leadPerRank * static_cast<int>(size_)
+                          + (unanswered_ > 0 ? settings_.leadWhenLossy : Duration{});
     const auto passes = static_cast<std::uint64_t>(lead / passTime_ + 1);
     return std::max(settings_.stepMargin, passes);
 }
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -48,6 +48,7 @@
     std::uint64_t armed = 0;           // Version that is to be taken at a step to come; zero: none.
     std::optional<std::uint64_t> held; // The step that it holds.
     std::uint64_t fence = 0;           // The highest fence that is known to have been used there.
+    double pace = 1.0;                 // Over 1: it takes so many times as long for its work.
 };
 
 enum class MapOrderKind : std::uint16_t { Prepare, Arm, Disarm, Hold, Go };
@@ -93,6 +94,10 @@
         std::uint64_t stepMargin = 2;
         Duration lead = std::chrono::milliseconds(120);
         Duration leadPerRank = std::chrono::milliseconds(3);
+        // Added when orders of the change were not answered: arms then take some rounds as well.
+        Duration leadWhenLossy = std::chrono::milliseconds(450);
+        // An arm that was not answered is sent again after this: the group may be waiting for it.
+        Duration resendArm = std::chrono::milliseconds(100);
         // The time of a pass is measured over this long.
         Duration passWindow = std::chrono::milliseconds(400);
         // An order that was not answered is sent again after this.
@@ -139,6 +144,8 @@
     // This agent no longer decides. What is under way stays as it is; whoever decides clears it.
     void resign();
 
+    // Returns what the ranks report of their pace, by rank.
+    std::vector<double> paces() const;
     std::uint32_t ownRank() const { return settings_.ownRank; }
     Phase phase() const { return phase_; }
     // Tells whether every rank has reported lately, in one epoch, and the group is open.
@@ -200,6 +207,7 @@
     std::uint32_t holder_ = 0;  // The rank that holds it.
     bool committed_ = false;    // Every rank has armed `version_`.
     ExpertMap experts_;
+    std::uint64_t unanswered_ = 0;   // Orders of the change under way that were sent again.
     std::uint64_t measuredStep_ = 0; // Where the measurement of the passes' time began.
     TimePoint measuredAt_{};
     Duration passTime_{}; // Zero: not measured yet.
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -513,6 +513,7 @@
         return;
     }
     noteObstacle("none");
+    planner_.setPaces(decider_->paces());
     logLine(LogLevel::Debug, "map.weighed",
             {{"distance", planner_.distance()}, {"skew", planner_.skew(*current_)}});
     auto planned = planner_.plan(*current_, loop_.now());
--- a/src/experts/rankwire.cpp
+++ b/src/experts/rankwire.cpp
@@ -178,6 +178,7 @@
     state.setHeld(report.held.has_value());
     state.setHeldStep(report.held.value_or(0));
     state.setFence(report.fence);
+    state.setPace(static_cast<float>(report.pace));
     if (facts.choices) {
         writeChoices(*facts.choices, state.initChoices());
     }
@@ -207,6 +208,7 @@
         report.held = state.getHeldStep();
     }
     report.fence = state.getFence();
+    report.pace = state.getPace();
     if (state.hasChoices()) {
         facts.choices = readChoices(state.getChoices());
     }
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -143,6 +143,7 @@
   choices @12 :ChoiceCounts; # When asked for.
   experts @13 :List(List(UInt16));  # By set, those of this rank in `expertsMap`; when asked for.
   expertsMap @14 :UInt64;
+  pace @15 :Float32 = 1.0;   # Over 1: the rank takes so many times as long for its work.
 }
 
 struct RankOrder {
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -114,6 +114,24 @@
     CHECK_TRUE(placementSkew(even, shares) < 1.12);
 }
 
+TEST(EvenPlacementTest, SparesASlowRank)
+{
+    const std::vector<double> shares = skewedShares(3);
+    std::vector<double> paces(kRanks, 1.0);
+    paces[4] = 4.0;
+    RankExperts placement = dealt();
+    for (int change = 0; change < 3; ++change) {
+        placement = improvePlacement(placement, shares, {8, 3, 64, 1.08}, paces);
+    }
+    CHECK_TRUE(placementSkew(placement, shares, paces) < 1.4);
+    CHECK_TRUE(rankLoads(placement, shares)[4] < 0.4 / kRanks);
+    std::set<std::uint16_t> placed;
+    for (const auto &experts : placement) {
+        placed.insert(experts.begin(), experts.end());
+    }
+    LONGS_EQUAL(kExperts, placed.size());
+}
+
 TEST(EvenPlacementTest, SharesAnExpertEvenlyAmongItsRanks)
 {
     const std::vector<double> shares = {0.6, 0.4};
--- a/test/experts/rankwire_test.cpp
+++ b/test/experts/rankwire_test.cpp
@@ -11,7 +11,7 @@
 TEST(RankWireTest, FactsCrossTheWireUnchanged)
 {
     RankFacts facts;
-    facts.report = {3, 12, 2, true, 77, 5, 9, 9, 80, 4096};
+    facts.report = {3, 12, 2, true, 77, 5, 9, 9, 80, 4096, 2.5};
     facts.choices = ChoiceCounts{8, 7, {1.5F}, {1, 2, 255}};
     facts.experts = ExpertsOfRank{5, {{0, 12}, {1}}};
     capnp::MallocMessageBuilder message;
@@ -28,6 +28,7 @@
     LONGS_EQUAL(9, read.report.armed);
     LONGS_EQUAL(80, *read.report.held);
     LONGS_EQUAL(4096, read.report.fence);
+    DOUBLES_EQUAL(2.5, read.report.pace, 1e-6);
     LONGS_EQUAL(8, read.choices->mark);
     LONGS_EQUAL(7, read.choices->since);
     CHECK_TRUE(read.choices->units == facts.choices->units);
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -187,12 +187,13 @@
 {
     const auto report = engines.readReport(
         R"({"group":{"name":"g","epoch":2,"rank":3,"phase":"open"},"size":12,"step":28,"map":0,)"
-        R"("prepared":703022,"armed":{"version":703022,"step":30},"held":30})");
+        R"("prepared":703022,"armed":{"version":703022,"step":30},"held":30,"pace":4.2})");
     CHECK_TRUE(report.has_value());
     LONGS_EQUAL(3, report->rank);
     LONGS_EQUAL(703022, report->armed);
     LONGS_EQUAL(30, *report->held);
     CHECK_TRUE(report->open);
+    DOUBLES_EQUAL(4.2, report->pace, 1e-9);
 }
 
 TEST(EngineHttpTest, EngineWithoutAGroupIsNoRank)
