--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <utility>
 
 namespace seamarch {
 
@@ -79,11 +78,11 @@
 
 double ExpertPlanner::skewBy(const std::vector<double> &memory, const ExpertMap &map) const
 {
-    std::vector<std::vector<double>> shares;
-    for (std::uint32_t set = 0; set < rule_.sets; ++set) {
-        shares.push_back(sharesOf(memory, set, rule_.experts));
+    double sum = 0.0;
+    for (std::uint32_t set = 0; set < map.size() && set < rule_.sets; ++set) {
+        sum += placementSkew(map[set], sharesOf(memory, set, rule_.experts), paces_);
     }
-    return skewOf(map, shares);
+    return map.empty() ? 1.0 : sum / static_cast<double>(map.size());
 }
 
 double ExpertPlanner::skew(const ExpertMap &map) const
@@ -109,7 +108,7 @@
 {
     constexpr double kCalmWeight = 0.05; // Of one look among some twenty a second.
     if (shifted(current)) {
-        beforeShift_ = std::exchange(long_, short_);
+        long_ = short_;
         shiftedAt_ = now;
         ++shifts_;
     } else if (!shiftedAt_ || now - *shiftedAt_ > settings_.calmAfter) {
@@ -117,39 +116,6 @@
     }
 }
 
-// Returns the shares by set that the next map is for.
-std::vector<std::vector<double>> ExpertPlanner::expectedShares(TimePoint now) const
-{
-    constexpr double kLeastPart = 0.2; // Of what was counted; the reach may not deny an expert.
-    const bool mixing =
-        shiftedAt_ && now - *shiftedAt_ < settings_.mixing && beforeShift_.size() == long_.size();
-    std::vector<std::vector<double>> shares;
-    for (std::uint32_t set = 0; set < rule_.sets; ++set) {
-        shares.push_back(sharesOf(long_, set, rule_.experts));
-        if (!mixing) {
-            continue;
-        }
-        const std::vector<double> before = sharesOf(beforeShift_, set, rule_.experts);
-        for (std::size_t expert = 0; expert < before.size(); ++expert) {
-            double &share = shares.back()[expert];
-            const double reached =
-                before[expert] + settings_.mixingReach * (share - before[expert]);
-            share = std::max(reached, kLeastPart * share);
-        }
-    }
-    return shares;
-}
-
-double ExpertPlanner::skewOf(const ExpertMap &map,
-                             const std::vector<std::vector<double>> &shares) const
-{
-    double sum = 0.0;
-    for (std::size_t set = 0; set < map.size() && set < shares.size(); ++set) {
-        sum += placementSkew(map[set], shares[set], paces_);
-    }
-    return map.empty() ? 1.0 : sum / static_cast<double>(map.size());
-}
-
 // Returns how many experts of a set may be new to a rank in a change that starts from `skew`.
 std::uint32_t ExpertPlanner::newExpertsAt(double skew) const
 {
@@ -185,8 +151,7 @@
         return std::nullopt;
     }
     plannedAt_ = now;
-    const std::vector<std::vector<double>> shares = expectedShares(now);
-    const double before = skewOf(current, shares);
+    const double before = skew(current);
     const std::uint32_t newExperts = newExpertsAt(before);
     if (!worthIt(before, 1.0, newExperts)) {
         return std::nullopt; // Not even an even load would be worth it: the search is spared.
@@ -195,9 +160,10 @@
                                  settings_.goodEnough};
     ExpertMap planned;
     for (std::uint32_t set = 0; set < rule_.sets; ++set) {
-        planned.push_back(improvePlacement(current[set], shares[set], bounds, paces_));
+        planned.push_back(
+            improvePlacement(current[set], sharesOf(long_, set, rule_.experts), bounds, paces_));
     }
-    expectedSkew_ = skewOf(planned, shares);
+    expectedSkew_ = skew(planned);
     if (!worthIt(before, expectedSkew_, newExperts)) {
         return std::nullopt;
     }
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -47,11 +47,6 @@
         double shiftSkew = 0.4;
         // After a shift the memories differ for a while; what is calm is learned again from then.
         Duration calmAfter = std::chrono::milliseconds(1500);
-        // Requests that run when demand shifts go on choosing as before for a second or two, so the
-        // counts after a shift are a mixture. For this long after it was seen, a map is planned for
-        // what the counts move toward: this many times as far from the old mix as they are.
-        Duration mixing = std::chrono::milliseconds(600);
-        double mixingReach = 1.7;
         // The least pause between two proposals.
         Duration pause = std::chrono::milliseconds(200);
         // How long a map is likely to stay fit: demand was seen to shift every three to four
@@ -107,8 +102,6 @@
     void decay(TimePoint now);
     Duration longHalfLife() const;
     void noteShift(const ExpertMap &current, TimePoint now);
-    std::vector<std::vector<double>> expectedShares(TimePoint now) const;
-    double skewOf(const ExpertMap &map, const std::vector<std::vector<double>> &shares) const;
     std::uint32_t newExpertsAt(double skew) const;
     bool worthIt(double before, double after, std::uint32_t newExperts) const;
 
@@ -122,7 +115,6 @@
     std::uint32_t ranks_ = 0; // Of the last map that was planned for.
     double calmDistance_ = 0.05;
     std::optional<TimePoint> shiftedAt_;
-    std::vector<double> beforeShift_; // The long memory at the last shift.
     double expectedSkew_ = 1.0;
     std::uint64_t shifts_ = 0;
 };
