--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -153,8 +153,8 @@
     plannedAt_ = now;
     const double before = skew(current);
     const std::uint32_t newExperts = newExpertsAt(before);
-    if (!worthIt(before, 1.0, newExperts)) {
-        return std::nullopt; // Not even an even load would be worth it: the search is spared.
+    if (!worthIt(before, settings_.goodEnough, newExperts)) {
+        return std::nullopt; // Not even the best that the search goes for: it is spared.
     }
     const PlacementBounds bounds{rule_.places, newExperts, settings_.maxChanges,
                                  settings_.goodEnough};
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -247,7 +247,7 @@
         highest = std::max({highest, rank.report.map, rank.report.prepared, rank.report.armed});
     }
     version_ = highest + 1 + random_() % kVersionGap;
-    experts_ = std::move(experts);
+    experts_ = std::make_shared<const ExpertMap>(std::move(experts));
     committed_ = false;
     clearing_ = false;
     unanswered_ = 0;
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -26,6 +26,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <vector>
@@ -60,7 +61,7 @@
     std::uint64_t step = 0;
     std::uint64_t epoch = 0;
     std::uint64_t fence = 0;
-    ExpertMap experts; // Of a prepare.
+    std::shared_ptr<const ExpertMap> experts; // Of a prepare; the same for all ranks.
 };
 
 // What became of an order.
@@ -206,7 +207,7 @@
     std::uint64_t step_ = 0;    // That is held.
     std::uint32_t holder_ = 0;  // The rank that holds it.
     bool committed_ = false;    // Every rank has armed `version_`.
-    ExpertMap experts_;
+    std::shared_ptr<const ExpertMap> experts_;
     std::uint64_t unanswered_ = 0;   // Orders of the change under way that were sent again.
     std::uint64_t measuredStep_ = 0; // Where the measurement of the passes' time began.
     TimePoint measuredAt_{};
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -37,6 +37,9 @@
 // A store's watch waits this long here: only the list of engines is wanted, and calls have a price.
 constexpr Duration kWatchWait = std::chrono::seconds(10);
 
+// How a log says that a change may start.
+constexpr std::string_view kNoObstacle = "none";
+
 std::string_view wordFor(GroupDecider::Phase phase)
 {
     switch (phase) {
@@ -60,7 +63,7 @@
 {
     switch (obstacle) {
     case GroupDecider::Obstacle::None:
-        return "none";
+        return kNoObstacle;
     case GroupDecider::Obstacle::ChangeUnderWay:
         return "change under way";
     case GroupDecider::Obstacle::RanksUnknown:
@@ -428,10 +431,14 @@
         countsAskedAt_ = now;
     }
     const RankQuestion question{counts, !current_, 0};
-    if (counts || now - ownAskedAt_ >= gap) {
+    // Between changes the reports that come with the counts will do.
+    const bool calm = notedObstacle_ == kNoObstacle;
+    if (counts || (!calm && now - ownAskedAt_ >= gap)) {
         askOwn(question);
     }
-    peers_->ask(question, counts ? Duration{} : gap, *ownRank_);
+    if (counts || !calm) {
+        peers_->ask(question, counts ? Duration{} : gap, *ownRank_);
+    }
 }
 
 void ExpertAgent::noteFormed(const RankReport &report)
@@ -495,6 +502,9 @@
     if (decider_->phase() == GroupDecider::Phase::Idle) {
         proposeChange(orders);
     }
+    if (decider_->phase() != GroupDecider::Phase::Idle) {
+        noteObstacle(wordFor(GroupDecider::Obstacle::ChangeUnderWay));
+    }
     notePhase();
     for (const SendMapOrder &order : orders) {
         send(order);
@@ -512,7 +522,7 @@
         noteObstacle(rule_ ? "experts of a rank unknown" : "no configuration");
         return;
     }
-    noteObstacle("none");
+    noteObstacle(kNoObstacle);
     planner_.setPaces(decider_->paces());
     logLine(LogLevel::Debug, "map.weighed",
             {{"distance", planner_.distance()}, {"skew", planner_.skew(*current_)}});
--- a/src/experts/rankwire.cpp
+++ b/src/experts/rankwire.cpp
@@ -230,8 +230,8 @@
     to.setStep(order.step);
     to.setEpoch(order.epoch);
     to.setFence(order.fence);
-    if (!order.experts.empty()) {
-        const std::vector<std::uint8_t> bytes = packExperts(order.experts);
+    if (order.experts != nullptr) {
+        const std::vector<std::uint8_t> bytes = packExperts(*order.experts);
         to.setExperts(kj::arrayPtr(bytes.data(), bytes.size()));
     }
 }
@@ -250,7 +250,7 @@
         if (!experts) {
             return std::nullopt;
         }
-        order.experts = std::move(*experts);
+        order.experts = std::make_shared<const ExpertMap>(std::move(*experts));
     }
     return order;
 }
--- a/test/experts/rankwire_test.cpp
+++ b/test/experts/rankwire_test.cpp
@@ -39,7 +39,9 @@
 
 TEST(RankWireTest, OrdersCrossTheWireUnchanged)
 {
-    const MapOrder order{MapOrderKind::Prepare, 9, 80, 2, 4096, {{{0, 1}, {2}}, {{3}, {4, 5}}}};
+    const ExpertMap map = {{{0, 1}, {2}}, {{3}, {4, 5}}};
+    const MapOrder order{
+        MapOrderKind::Prepare, 9, 80, 2, 4096, std::make_shared<const ExpertMap>(map)};
     capnp::MallocMessageBuilder message;
     auto to = message.initRoot<wire::RankOrder>();
     writeOrder(order, to);
@@ -49,7 +51,7 @@
     LONGS_EQUAL(80, read.step);
     LONGS_EQUAL(2, read.epoch);
     LONGS_EQUAL(4096, read.fence);
-    CHECK_TRUE(read.experts == order.experts);
+    CHECK_TRUE(*read.experts == *order.experts);
 }
 
 TEST(RankWireTest, OrderWithoutExpertsCrossesTheWire)
@@ -60,7 +62,7 @@
     writeOrder(order, to);
     const auto read = readOrder(to.asReader());
     CHECK_TRUE(read.has_value());
-    CHECK_TRUE(read->experts.empty());
+    CHECK_TRUE(read->experts == nullptr);
 }
 
 TEST(RankWireTest, PacksTheMapOfALargeGroupIntoFewBytes)
