--- a/test/decision/gateway/upstreamtable_test.cpp
+++ b/test/decision/gateway/upstreamtable_test.cpp
@@ -80,3 +80,23 @@
     CHECK_FALSE(table.mayReceive(InstanceId("one")));
     CHECK_TRUE(table.mayReceive(InstanceId("two")));
 }
+
+TEST(UpstreamTableTest, MirrorsAnotherListWithoutAGraceOfItsOwn)
+{
+    table.put(record("one"));
+    table.onOutage(at(1000));
+    const std::uint64_t before = table.changes();
+    table.mirror({});
+    CHECK_FALSE(table.mayReceive(InstanceId("one")));
+    CHECK_TRUE(table.changes() > before);
+}
+
+TEST(UpstreamTableTest, SameRecordAgainIsNoChange)
+{
+    table.put(record("one"));
+    const std::uint64_t before = table.changes();
+    table.put(record("one"));
+    LONGS_EQUAL(before, table.changes());
+    table.put(record("one", true));
+    CHECK_TRUE(table.changes() > before);
+}
--- /dev/null
+++ b/test/gateway/gatewayknowledge_test.cpp
@@ -0,0 +1,107 @@
+#include "gateway/gatewayknowledge.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+UpstreamRecord upstream(const std::string &id, bool leaving = false)
+{
+    UpstreamRecord record;
+    record.id = InstanceId(id);
+    record.service = TargetName("portal");
+    record.leaving = leaving;
+    return record;
+}
+
+RoutingDocument document(std::uint64_t version)
+{
+    RoutingDocument made;
+    made.version = ConfigVersion(version);
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(GatewayKnowledgeTest)
+{
+    std::unique_ptr<EventLoop> loop = std::move(*EventLoop::create());
+    UpstreamTable upstreams;
+    Metrics metrics{0};
+    GatewayKnowledge knowledge{*loop, upstreams, metrics,
+                               {std::chrono::milliseconds(4700), std::chrono::milliseconds(1900)},
+                               [](const CallerBounds &) {}};
+
+    // What another gateway tells of version 3 with one upstream, at revision 10.
+    SharedKnowledge shared() const
+    {
+        return {10, ConfigVersion(3), document(3), 77, std::vector{upstream("i-1")}};
+    }
+};
+
+TEST(GatewayKnowledgeTest, TakesWhatAnotherGatewayKnows)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now()));
+    LONGS_EQUAL(3, knowledge.version().value());
+    LONGS_EQUAL(77, knowledge.adoptedMark());
+    CHECK_TRUE(upstreams.mayReceive(InstanceId("i-1")));
+    CHECK_TRUE(knowledge.fresh());
+}
+
+TEST(GatewayKnowledgeTest, KnowledgeIsAsOldAsItsConfirmation)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(5)));
+    CHECK_FALSE(knowledge.fresh());
+}
+
+TEST(GatewayKnowledgeTest, TakesNothingThatWasConfirmedEarlier)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now()));
+    CHECK_FALSE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
+}
+
+TEST(GatewayKnowledgeTest, TakesNothingOfAnEarlierRevision)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
+    SharedKnowledge earlier = shared();
+    earlier.revision = 9;
+    CHECK_FALSE(knowledge.adopt(earlier, loop->now()));
+}
+
+TEST(GatewayKnowledgeTest, VersionNeverGoesBack)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
+    SharedKnowledge later = shared();
+    later.revision = 11;
+    later.version = ConfigVersion(2);
+    later.document = document(2);
+    CHECK_TRUE(knowledge.adopt(later, loop->now()));
+    LONGS_EQUAL(3, knowledge.version().value());
+}
+
+TEST(GatewayKnowledgeTest, ListThatIsLeftOutHoldsOnlyUnderItsMark)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(2)));
+    SharedKnowledge same{11, ConfigVersion(3), std::nullopt, 77, std::nullopt};
+    CHECK_TRUE(knowledge.adopt(same, loop->now() - std::chrono::seconds(1)));
+    same.upstreamsMark = 78;
+    CHECK_FALSE(knowledge.adopt(same, loop->now()));
+}
+
+TEST(GatewayKnowledgeTest, OwnChangeOfTheListEndsItsMark)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
+    StoreItems items;
+    items.revision = 11;
+    items.items.emplace_back(upstream("i-1", true));
+    knowledge.onStoreChanged(items, loop->now());
+    LONGS_EQUAL(0, knowledge.adoptedMark());
+}
+
+TEST(GatewayKnowledgeTest, NewVersionWithoutItsDocumentIsNotTaken)
+{
+    const SharedKnowledge bare{10, ConfigVersion(3), std::nullopt, 77, std::vector{upstream("i-1")}};
+    CHECK_FALSE(knowledge.adopt(bare, loop->now()));
+    CHECK_FALSE(knowledge.hasConfiguration());
+}
--- /dev/null
+++ b/test/gateway/gatewaywire_test.cpp
@@ -0,0 +1,54 @@
+#include "gateway/gatewaywire.h"
+
+#include <capnp/message.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+TEST_GROUP(GatewayWireTest){};
+
+TEST(GatewayWireTest, GatewaysCrossTheWireUnchanged)
+{
+    const GatewayRecord record{InstanceId("gateway-1"), HallId("north"), "10.0.0.7", 7001};
+    capnp::MallocMessageBuilder message;
+    auto to = message.initRoot<wire::GatewayRecord>();
+    writeGateway(record, std::chrono::milliseconds(40), to);
+    CHECK_TRUE(readGateway(to.asReader()) == record);
+    LONGS_EQUAL(40'000, to.asReader().getHeardMicrosAgo());
+}
+
+TEST(GatewayWireTest, UpstreamsCrossTheWireUnchanged)
+{
+    const UpstreamRecord record{InstanceId("i-1"), TargetName("portal"), "10.0.0.9", 8001,
+                                HallId("south"),   6,                    true};
+    capnp::MallocMessageBuilder message;
+    auto to = message.initRoot<wire::ListedUpstream>();
+    writeUpstream(record, to);
+    CHECK_TRUE(readUpstream(to.asReader()) == record);
+}
+
+TEST(GatewayWireTest, DocumentsInflateToWhatTheyWere)
+{
+    std::string text;
+    for (int route = 0; route < 2000; ++route) {
+        text += R"({"name":"route-)" + std::to_string(route) + R"(","type":"streaming"},)";
+    }
+    const auto bytes = deflated(text);
+    CHECK_TRUE(bytes.size() < text.size() / 5);
+    STRCMP_EQUAL(text.c_str(), inflated(bytes.data(), bytes.size(), text.size())->c_str());
+}
+
+TEST(GatewayWireTest, TornDocumentIsRefused)
+{
+    const auto bytes = deflated("a document of some length, a document of some length");
+    CHECK_FALSE(inflated(bytes.data(), bytes.size() / 2, 52).has_value());
+    CHECK_FALSE(inflated(bytes.data(), bytes.size(), 51).has_value());
+    CHECK_FALSE(inflated(bytes.data(), bytes.size(), 53).has_value());
+}
+
+TEST(GatewayWireTest, DocumentThatClaimsToBeHugeIsRefused)
+{
+    const auto bytes = deflated("short");
+    CHECK_FALSE(inflated(bytes.data(), bytes.size(), std::size_t{1} << 40U).has_value());
+}
