A loop that shuts down takes no timers; a stopping gateway ends its watch on the store first

Change: EventLoop::schedule returns zero once the loop shuts down; timers are released outside of the map that they may change; KnowledgeSources::stop ends the watch. Test: EventLoopTest, which ended with a segmentation fault on the code before. The stand-ins' control call stands once, in scripts/localsite.py.

--- a/scripts/localsite.py
+++ b/scripts/localsite.py
@@ -50,6 +50,16 @@
         return 0, {}, str(error)
 
 
+def control(address, change):
+    """Changes a stand-in's behaviour and returns what it reports."""
+    for _ in range(200):
+        status, _, text = call(address, "/control", json.dumps(change))
+        if status == 200:
+            return json.loads(text)
+        time.sleep(0.05)
+    raise RuntimeError(f"{address} takes no control")
+
+
 def key_of(account):
     return f"key-of-{account}"
 
@@ -168,12 +178,7 @@
         self.control(self.platform, {"config": self.config})
 
     def control(self, address, change):
-        for _ in range(100):
-            status, _, text = call(address, "/control", json.dumps(change))
-            if status == 200:
-                return json.loads(text)
-            time.sleep(0.05)
-        raise RuntimeError(f"{address} takes no control")
+        return control(address, change)
 
     def status(self, name):
         status, _, text = call(self.operators[name], "/status", timeout=2)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -82,6 +82,8 @@
         try:
             await asyncio.gather(self._pump(reader, far_writer, True),
                                  self._pump(far_reader, writer, False))
+        except asyncio.CancelledError:
+            pass  # The run is over.
         finally:
             self.writers -= {writer, far_writer}
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -31,7 +31,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "scripts")]
-from localsite import BIN, Process, call, free_address  # noqa: E402
+from localsite import BIN, Process, call, control, free_address  # noqa: E402
 from proxy import Proxy, ProxyLoop  # noqa: E402
 
 NOT_RUN = {408, 421, 429, 503}  # Statuses that promise that the request never runs.
@@ -59,7 +59,7 @@
             self.start("seamarch-standin", "replica", "--listen", address)
             self.upstreams[name] = address
             self.links[name] = Proxy(self.loop, free_address(), address, args.plant)
-            self.control(address, {"id": name, **HEALTHY, "lies": args.plant == "lies"})
+            control(address, {"id": name, **HEALTHY, "lies": args.plant == "lies"})
         self.publish()
         for name in self.upstreams:
             self.list_upstream(name)
@@ -77,14 +77,6 @@
         self.processes.append(process)
         return process
 
-    def control(self, address, change):
-        for _ in range(200):
-            status, _, text = call(address, "/control", json.dumps(change), timeout=5)
-            if status == 200:
-                return json.loads(text)
-            time.sleep(0.05)
-        raise RuntimeError(f"{address} takes no control")
-
     def publish(self):
         self.version += 1
         routes = [{"name": name, "hostname": "site.example", "path-prefix": f"/{name}/",
@@ -95,15 +87,15 @@
         document = {"version": self.version, "routes": routes,
                     "tenants": [{"name": "bids", "api-keys": list(self.keys)}],
                     "services": [{"name": "portal", "max-connections": 200}]}
-        self.control(self.store, {"put": {"op/config": document}})
+        control(self.store, {"put": {"op/config": document}})
 
     def list_upstream(self, name, phase="ready"):
         entry = {"service": "portal", "address": self.links[name].address, "zone": "north",
                  "capacity": 6, "phase": phase}
-        self.control(self.store, {"put": {f"servers/{name}": entry}})
+        control(self.store, {"put": {f"servers/{name}": entry}})
 
     def runs(self, name):
-        return self.control(self.upstreams[name], {})["runs"]
+        return control(self.upstreams[name], {})["runs"]
 
     def end(self):
         for process in self.processes:
@@ -216,8 +208,8 @@
 
     def fault_upstream(self, name):
         address = self.site.upstreams[name]
-        self.site.control(address, self.random.choice(UPSTREAM_TROUBLES))
-        return lambda: self.site.control(address, HEALTHY)
+        control(address, self.random.choice(UPSTREAM_TROUBLES))
+        return lambda: control(address, HEALTHY)
 
     def fault_pause(self, name):
         gateway = self.site.gateways[name]
@@ -244,8 +236,8 @@
 
     def fault_store(self, _):
         trouble = self.random.choice(("silent", "busy"))
-        self.site.control(self.site.store, {trouble: True})
-        return lambda: self.site.control(self.site.store, {trouble: False})
+        control(self.site.store, {trouble: True})
+        return lambda: control(self.site.store, {trouble: False})
 
     def draw_fault(self):
         gateways, upstreams = list(self.site.gateways), list(self.site.upstreams)
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -596,6 +596,7 @@
         return;
     }
     logLine(LogLevel::Info, "gateway.stopped", {{"cutOff", flights_.size()}});
+    sources_->stop();
     loop_.stop();
 }
 
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -117,8 +117,17 @@
     return now - startedAt_ < (othersWait ? kHearFirstAtMost : kHearFirst);
 }
 
+void KnowledgeSources::stop()
+{
+    stopped_ = true;
+    followStore(false, "the gateway stops");
+}
+
 void KnowledgeSources::tick()
 {
+    if (stopped_) {
+        return;
+    }
     const TimePoint now = loop_.now();
     if (peers_ == nullptr) {
         followStore(true, "there are no other gateways");
--- a/src/gateway/knowledgesources.h
+++ b/src/gateway/knowledgesources.h
@@ -41,6 +41,9 @@
     // Asks those whose turn it is. Call it often.
     void tick();
 
+    // The gateway stops: asks nobody any more.
+    void stop();
+
     std::uint64_t storeCalls() const;
     bool followsStore() const { return watcher_ != nullptr; }
     std::size_t gateways() const { return directory_.size(); }
@@ -65,6 +68,7 @@
     std::unique_ptr<GatewayPeers> peers_;
     std::unique_ptr<StoreWatcher> watcher_;
     std::uint64_t earlierCalls_ = 0; // Of watchers that are gone.
+    bool stopped_ = false;
     TimePoint startedAt_{};
     TimePoint storeUntil_{};     // An own watch on the store goes on until then.
     TimePoint storeNotBefore_{}; // Another gateway knows more; the store is asked again from then.
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -62,10 +62,12 @@
     if (context_ == nullptr) {
         return;
     }
-    for (auto &[id, timer] : timers_) {
+    closed_ = true;
+    // What the timers hold may cancel others when it is released.
+    const auto timers = std::exchange(timers_, {});
+    for (const auto &[id, timer] : timers) {
         lws_sul_cancel(&timer->entry);
     }
-    timers_.clear();
     lws_context *context = context_;
     lws_context_destroy(context);
     context_ = nullptr;
@@ -97,6 +99,9 @@
 
 TimerId EventLoop::schedule(Duration delay, std::function<void()> action)
 {
+    if (closed_) {
+        return 0; // Closing connections tell their users, who may try again; the context is gone.
+    }
     auto timer = std::make_unique<Timer>();
     timer->loop = this;
     timer->id = nextTimer_++;
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -54,7 +54,8 @@
     // Returns monotonic time.
     TimePoint now() const;
 
-    // Calls `action` once after `delay`. The timer can be cancelled until it has fired.
+    // Calls `action` once after `delay`. The timer can be cancelled until it has fired. A loop that
+    // is shutting down takes no timers, and returns zero.
     TimerId schedule(Duration delay, std::function<void()> action);
     void cancel(TimerId timer);
 
@@ -91,6 +92,7 @@
     std::vector<std::function<void()>> posted_;
     std::function<void()> interruptHandler_;
     bool stopping_ = false;
+    bool closed_ = false; // It has shut down, or is about to.
     volatile std::sig_atomic_t interrupted_ = 0;
 };
 
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -286,3 +286,14 @@
     const std::string answer = exchange("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
 }
+
+TEST_GROUP(EventLoopTest){};
+
+TEST(EventLoopTest, LoopThatHasShutDownTakesNoTimers)
+{
+    auto loop = std::move(*EventLoop::create());
+    loop->shutDown();
+    const TimerId timer = loop->schedule(std::chrono::milliseconds(1), [] {});
+    LONGS_EQUAL(0, timer);
+    loop->cancel(timer);
+}
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -15,7 +15,7 @@
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "scripts"))
-from localsite import BIN, Process, call, free_address  # noqa: E402
+from localsite import BIN, Process, call, control, free_address  # noqa: E402
 
 _numbers = itertools.count(1)
 KEY = "key-of-bids"
@@ -45,7 +45,7 @@
             name, address = f"i-{number + 1}", free_address()
             self.upstreams[name] = address
             self.start("seamarch-standin", "replica", "--listen", address)
-            self.control(address, {"id": name})
+            control(address, {"id": name})
         self.publish(1)
         for name in self.upstreams:
             self.list_upstream(name)
@@ -72,21 +72,13 @@
         self.processes.append(process)
         return process
 
-    def control(self, address, change):
-        for _ in range(200):
-            status, _, text = call(address, "/control", json.dumps(change))
-            if status == 200:
-                return json.loads(text)
-            time.sleep(0.05)
-        raise RuntimeError(f"{address} takes no control")
-
     def publish(self, version, keys=(KEY,)):
-        self.control(self.store, {"put": {"op/config": routing(version, keys)}})
+        control(self.store, {"put": {"op/config": routing(version, keys)}})
 
     def list_upstream(self, name, phase="ready"):
         entry = {"service": "portal", "address": self.upstreams[name], "zone": "north",
                  "capacity": 6, "phase": phase}
-        self.control(self.store, {"put": {f"servers/{name}": entry}})
+        control(self.store, {"put": {f"servers/{name}": entry}})
 
     def status(self):
         return json.loads(call(self.operators, "/status")[2])
@@ -107,11 +99,11 @@
 
     def runs(self):
         return [run for address in self.upstreams.values()
-                for run in self.control(address, {})["runs"]]
+                for run in control(address, {})["runs"]]
 
     def set_all(self, **change):
         for address in self.upstreams.values():
-            self.control(address, change)
+            control(address, change)
 
     def events(self):
         self.log.flush()
@@ -159,9 +151,9 @@
 
     def test_failed_safe_request_is_served_by_another(self):
         with GatewaySite() as site:
-            site.control(site.upstreams["i-1"], {"fail": True})
+            control(site.upstreams["i-1"], {"fail": True})
             site.wait_until("the failing one was asked", lambda: self.served_then(
-                site, lambda: site.control(site.upstreams["i-1"], {})["runs"]))
+                site, lambda: control(site.upstreams["i-1"], {})["runs"]))
 
     def served_then(self, site, seen):
         self.assertEqual(site.ask("/status/1")[0], 200)
@@ -169,8 +161,8 @@
 
     def test_broken_stream_goes_on_elsewhere_without_a_gap(self):
         with GatewaySite() as site:
-            site.control(site.upstreams["i-1"], {"breakAfter": 4})
-            site.control(site.upstreams["i-2"], {"breakAfter": 0})
+            control(site.upstreams["i-1"], {"breakAfter": 4})
+            control(site.upstreams["i-2"], {"breakAfter": 0})
             whole = "".join(f"id: {n}\ndata: token {n}\n\n" for n in range(1, 11))
 
             def taken_up():
@@ -184,7 +176,7 @@
             site.wait_until("the change is known", lambda: "upstream.listed" in site.events())
             for _ in range(10):
                 self.assertEqual(site.ask("/letters/1")[0], 200)
-            self.assertEqual(site.control(site.upstreams["i-1"], {})["runs"], [])
+            self.assertEqual(control(site.upstreams["i-1"], {})["runs"], [])
 
     def test_revoked_key_is_dead_and_a_new_one_lives(self):
         with GatewaySite() as site:
@@ -198,29 +190,29 @@
             site.publish(5, ("new",))
             site.wait_until("version 5", lambda: site.status()["configVersion"] == 5)
             site.publish(3)
-            site.control(site.store, {"forget": True})
+            control(site.store, {"forget": True})
             time.sleep(1.5)
             self.assertEqual(site.status()["configVersion"], 5)
 
     def test_keys_are_not_judged_on_old_knowledge(self):
         with GatewaySite() as site:
-            site.control(site.store, {"silent": True})
+            control(site.store, {"silent": True})
             site.wait_until("keys are refused", lambda: site.ask("/letters/1")[0] == 503)
             self.assertEqual(site.ask("/letters/1", key="wrong")[0], 503)
             self.assertEqual(call(site.operators, "/readyz")[0], 503)
-            site.control(site.store, {"silent": False})
+            control(site.store, {"silent": False})
             site.wait_until("served again", lambda: site.ask("/letters/1")[0] == 200)
 
     def test_unreadable_configuration_confirms_nothing(self):
         with GatewaySite() as site:
-            site.control(site.store, {"put": {"op/config": {"version": "two"}}})
+            control(site.store, {"put": {"op/config": {"version": "two"}}})
             site.wait_until("keys are refused", lambda: site.ask("/letters/1")[0] == 503)
             site.publish(3)
             site.wait_until("served again", lambda: site.ask("/letters/1")[0] == 200)
 
     def test_forgotten_history_is_listed_anew(self):
         with GatewaySite() as site:
-            site.control(site.store, {"forget": True, "put": {"op/config": routing(2)}})
+            control(site.store, {"forget": True, "put": {"op/config": routing(2)}})
             site.wait_until("version 2", lambda: site.status()["configVersion"] == 2)
 
     def test_caller_that_leaves_closes_the_upstreams_connection(self):
@@ -228,7 +220,7 @@
             site.set_all(delayMs=3000)
             self.assertEqual(site.ask("/letters/1", timeout=0.5)[0], 0)
             site.wait_until("the upstream saw it",
-                            lambda: site.control(site.upstreams["i-1"], {})["left"] == 1)
+                            lambda: control(site.upstreams["i-1"], {})["left"] == 1)
 
     def test_planned_stop_cuts_nothing_off(self):
         with GatewaySite() as site:
@@ -257,9 +249,9 @@
 
     def test_new_store_connection_replaces_one_that_says_nothing(self):
         with GatewaySite() as site:
-            site.control(site.store, {"silent": True})
+            control(site.store, {"silent": True})
             site.wait_until("lost", lambda: "store.lost" in site.events())
-            site.control(site.store, {"silent": False, "put": {"op/config": routing(9)}})
+            control(site.store, {"silent": False, "put": {"op/config": routing(9)}})
             site.wait_until("version 9", lambda: site.status()["configVersion"] == 9)
 
 
--- a/test/process/gatewaysharing_test.py
+++ b/test/process/gatewaysharing_test.py
@@ -13,7 +13,7 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from gateway_test import KEY, GatewaySite  # noqa: E402
-from localsite import call, free_address  # noqa: E402
+from localsite import call, control, free_address  # noqa: E402
 
 _numbers = itertools.count(1)
 
@@ -77,7 +77,7 @@
         self.site.wait_until("the leaving upstream gets nothing", spared)
 
     def runs_at(self, name):
-        return len(self.site.control(self.site.upstreams[name], {})["runs"])
+        return len(control(self.site.upstreams[name], {})["runs"])
 
     def test_one_gateway_of_a_hall_follows_the_store(self):
         others = [self.other(f"gateway-{number}") for number in (2, 3, 4)]
@@ -118,7 +118,7 @@
 
     def test_keys_are_not_judged_when_nobody_hears_the_store(self):
         cut_off = self.other("gateway-2", store=free_address())
-        self.site.control(self.site.store, {"silent": True})
+        control(self.site.store, {"silent": True})
         self.site.wait_until("keys are refused", lambda: cut_off.ask() == 503)
         self.site.wait_until("it is not ready", lambda: not cut_off.ready())
 
