Runs side by side hold their ports

Cause: five soaks of 51, three at a time, broke promises: processes that could not open their ports, and letters that ran twice. Their logs show requests of another run: ranges of ports meet, and the port of a gateway that was killed is free until it is started again. Change: a run holds each port as a datagram port until it ends; request ids carry the seed; a soak that is told to stop ends what it started.

--- a/scripts/localsite.py
+++ b/scripts/localsite.py
@@ -17,19 +17,27 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BIN = os.environ.get("SEAMARCH_BIN", os.path.join(ROOT, "build", "bin"))
-# Runs side by side begin at different ports, below those that the kernel hands out itself; a port
-# that is taken all the same is passed over.
+# Runs side by side begin at different ports, below those that the kernel hands out itself. Their
+# ranges may meet all the same, so each run holds its ports as datagram ports until it ends: a port is
+# not another run's while its process is being started again.
 _ports = itertools.count(int(os.environ.get("SEAMARCH_TEST_PORT", 10000 + os.getpid() * 97 % 20000)))
 
 
+_held = []
+
+
 def free_address():
     for port in _ports:
+        hold = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
+                hold.bind(("127.0.0.1", port))
                 probe.bind(("127.0.0.1", port))
             except OSError:
+                hold.close()
                 continue
+        _held.append(hold)
         return f"127.0.0.1:{port}"
     raise RuntimeError("no free port")
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -125,7 +125,7 @@
 
 class Request:
     def __init__(self, number, kind, key, gateway):
-        self.id, self.kind, self.key = f"q-{number}", kind, key
+        self.id, self.kind, self.key = number, kind, key
         self.gateway, self.life = gateway.name, gateway.life
         self.sent_at = time.monotonic()
         self.result, self.text, self.headers = None, "", {}
@@ -192,7 +192,8 @@
         with self.lock:
             old = [key for key in self.revoked if drawn.random() < 0.3]
             key = drawn.choice(old) if old and drawn.random() < 0.1 else self.site.keys[-1]
-            request = Request(next(self.numbers), kind, key, gateway)
+            number = f"q-{self.args.seed}-{next(self.numbers)}"
+            request = Request(number, kind, key, gateway)
             self.requests.append(request)
             return request
 
@@ -426,6 +427,8 @@
 
 
 def main():
+    # Told to stop, a run still ends what it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
     parser.add_argument("--seed", type=int)
     parser.add_argument("--seeds", help="FIRST-LAST")
