Expert agents: the groups of a service are kept apart

Cause: a service may run several groups, and reports name theirs, but nothing read the name. It was a danger to the rule on maps as well.

Change: the group travels with each report, question and order. A decider passes over reports of other groups; a roster (pure) says which engine is which rank of the own group, asks those of other groups seldom, and lets a successor take the rank of an engine that is still listed. An agent hears only deciders of its own group, refuses orders for another, and forgets what it knew when its rank comes back in another group.

Ruled out: counts too large for the link (the changes came).

--- a/include/seamarch/ids.h
+++ b/include/seamarch/ids.h
@@ -50,6 +50,9 @@
 using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
 // The version of an instance list.
 using ListVersion = StrongId<struct ListVersionTag, std::uint64_t>;
+// A group of engines that make their passes together, as its engines name it. A service may have
+// several; an engine that starts anew may come back in another one.
+using GroupId = StrongId<struct GroupTag, std::string>;
 // The epoch of an expert map of one group.
 using MapEpoch = StrongId<struct MapEpochTag, std::uint64_t>;
 // The position of a rank in its group.
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -106,7 +106,7 @@
 
 void GroupDecider::onReport(const RankReport &report, TimePoint askedAt, TimePoint now)
 {
-    if (report.epoch < epoch_) {
+    if (report.group != settings_.group || report.epoch < epoch_) {
         return;
     }
     if (report.epoch > epoch_) {
@@ -150,6 +150,7 @@
     order.step = step_;
     order.epoch = epoch_;
     order.fence = fence_;
+    order.group = settings_.group;
     if (kind == MapOrderKind::Prepare) {
         order.experts = experts_;
     }
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -22,6 +22,7 @@
 #pragma once
 
 #include "decision/expertmap/evenplacement.h"
+#include "seamarch/ids.h"
 #include "seamarch/units.h"
 
 #include <cstdint>
@@ -50,6 +51,8 @@
     std::optional<std::uint64_t> held; // The step that it holds.
     std::uint64_t fence = 0;           // The highest fence that is known to have been used there.
     double pace = 1.0;                 // Over 1: it takes so many times as long for its work.
+    // Ranks, epochs, steps and versions of two groups have nothing to do with each other.
+    GroupId group;
 };
 
 enum class MapOrderKind : std::uint16_t { Prepare, Arm, Disarm, Hold, Go };
@@ -62,6 +65,7 @@
     std::uint64_t epoch = 0;
     std::uint64_t fence = 0;
     std::shared_ptr<const ExpertMap> experts; // Of a prepare; the same for all ranks.
+    GroupId group;                            // An engine of another group must not take it.
 };
 
 // What became of an order.
@@ -86,6 +90,7 @@
 public:
     struct Settings
     {
+        GroupId group; // Reports of other groups are passed over.
         std::uint32_t ownRank = 0;
         std::uint64_t seed = 0;
         // Passes at least between the last that is known to have begun and the hold, and as many
@@ -148,6 +153,9 @@
     // Returns what the ranks report of their pace, by rank.
     std::vector<double> paces() const;
     std::uint32_t ownRank() const { return settings_.ownRank; }
+    const GroupId &group() const { return settings_.group; }
+    // Returns how many ranks the group has; zero while no report came.
+    std::uint32_t size() const { return size_; }
     Phase phase() const { return phase_; }
     // Tells whether every rank has reported lately, in one epoch, and the group is open.
     bool whole(TimePoint now) const;
--- /dev/null
+++ b/src/decision/expertmap/grouproster.cpp
@@ -0,0 +1,53 @@
+#include "decision/expertmap/grouproster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+
+void GroupRoster::setListed(const std::vector<InstanceId> &engines)
+{
+    std::map<InstanceId, std::optional<Place>> places;
+    for (const InstanceId &engine : engines) {
+        const auto known = places_.find(engine);
+        places.emplace(engine, known == places_.end() ? std::nullopt : known->second);
+    }
+    places_ = std::move(places);
+}
+
+void GroupRoster::note(const InstanceId &engine, const GroupId &group, std::uint32_t rank)
+{
+    const auto found = places_.find(engine);
+    if (found == places_.end()) {
+        return;
+    }
+    const Place place{group, rank};
+    // A rank that was replaced stays listed for a while beside its successor.
+    for (auto &[other, said] : places_) {
+        if (other != engine && said == place) {
+            said.reset();
+        }
+    }
+    found->second = place;
+}
+
+bool GroupRoster::isForeign(const InstanceId &engine) const
+{
+    const auto found = places_.find(engine);
+    return found != places_.end() && found->second && found->second->group != group_;
+}
+
+Duration GroupRoster::gapFor(const InstanceId &engine, Duration ownGap) const
+{
+    return isForeign(engine) ? std::max(ownGap, settings_.otherGroupGap) : ownGap;
+}
+
+std::optional<InstanceId> GroupRoster::engineOf(std::uint32_t rank) const
+{
+    const Place place{group_, rank};
+    const auto found = std::find_if(places_.begin(), places_.end(),
+                                    [&](const auto &entry) { return entry.second == place; });
+    return found == places_.end() ? std::nullopt : std::optional(found->first);
+}
+
+} // namespace seamarch
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -130,9 +130,11 @@
         auto fulfiller =
             std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(waiting.fulfiller));
         const auto params = context.getParams();
-        agent_.onAsked(params.getAskerRank());
-        const RankQuestion question{params.getCounts(), params.getExperts(),
-                                    params.getCountsSince()};
+        const GroupId askerGroup(params.getAskerGroup().cStr());
+        agent_.onAsked(askerGroup, params.getAskerRank());
+        const bool ownGroup = askerGroup == agent_.ownGroup_;
+        const RankQuestion question{ownGroup && params.getCounts(),
+                                    ownGroup && params.getExperts(), params.getCountsSince()};
         agent_.answer(question, [context, fulfiller](std::optional<RankFacts> facts) mutable {
             if (facts) {
                 writeFacts(*facts, context.getResults().initState());
@@ -296,9 +298,9 @@
     runDecider();
 }
 
-void ExpertAgent::onAsked(std::uint32_t askerRank)
+void ExpertAgent::onAsked(const GroupId &askerGroup, std::uint32_t askerRank)
 {
-    if (ownRank_ && askerRank < *ownRank_) {
+    if (ownRank_ && askerGroup == ownGroup_ && askerRank < *ownRank_) {
         lower_ = LowerDecider{askerRank, loop_.now()};
     }
 }
@@ -322,15 +324,16 @@
 
 void ExpertAgent::updateRole()
 {
-    if (deciding() && decider_->ownRank() != *ownRank_) {
-        leaveRole(); // The group has formed with other places.
+    if (deciding() && (decider_->ownRank() != *ownRank_ || decider_->group() != ownGroup_)) {
+        leaveRole(); // The group has formed with other places, or the rank is in another group.
     }
     const bool decides = shouldDecide();
     if (decides == deciding()) {
         return;
     }
     logLine(LogLevel::Info, decides ? "decider.taken" : "decider.left",
-            {{"rank", ownRank_.value_or(0)},
+            {{"group", ownGroup_.value()},
+             {"rank", ownRank_.value_or(0)},
              {"epoch", epoch_},
              {"lowerRank", lower_ ? json(lower_->rank) : json()},
              {"lowerAskedMsAgo", lower_ ? json(toMillis(loop_.now() - lower_->askedAt)) : json()}});
@@ -344,12 +347,13 @@
 void ExpertAgent::takeRole()
 {
     GroupDecider::Settings settings;
+    settings.group = ownGroup_;
     settings.ownRank = *ownRank_;
     settings.seed = randomIdentity();
     decider_ = std::make_unique<GroupDecider>(settings);
     RankPeersListener &listener = *this;
-    peers_ =
-        std::make_unique<RankPeers>(loop_, *transport_, *ranks_, settings_.listen.port, listener);
+    peers_ = std::make_unique<RankPeers>(loop_, *transport_, *ranks_, settings_.listen.port,
+                                         ownGroup_, listener);
     notedPhase_ = GroupDecider::Phase::Idle;
     notedChanges_ = 0;
     notedCleared_ = 0;
@@ -382,7 +386,7 @@
                         done(std::nullopt);
                         return;
                     }
-                    ownRank_ = engine->report.rank;
+                    noteOwnPlace(engine->report);
                     noteFormed(engine->report);
                     RankFacts facts{engine->report, std::nullopt, std::move(engine->experts)};
                     facts.report.fence = ownFence_;
@@ -419,7 +423,7 @@
 // the link of one agent.
 Duration ExpertAgent::gapFor(Duration least, Duration perRank) const
 {
-    return std::max(least, perRank * static_cast<Duration::rep>(peers_->size()));
+    return std::max(least, perRank * static_cast<Duration::rep>(decider_->size()));
 }
 
 void ExpertAgent::askGroup()
@@ -441,13 +445,37 @@
     }
 }
 
+// Takes the group and rank that the own engine names. In another group, what was known of the one
+// before means nothing, its epochs included.
+void ExpertAgent::noteOwnPlace(const RankReport &report)
+{
+    ownRank_ = report.rank;
+    if (report.group == ownGroup_) {
+        return;
+    }
+    logLine(LogLevel::Info, "group.entered",
+            {{"group", report.group.value()},
+             {"before", ownGroup_.value()},
+             {"rank", report.rank},
+             {"ranks", report.ranks}});
+    ownGroup_ = report.group;
+    lower_.reset();
+    epoch_ = 0;
+    ownFence_ = 0;
+    experts_.clear();
+    proposedVersion_ = 0;
+}
+
 void ExpertAgent::noteFormed(const RankReport &report)
 {
     if (report.epoch <= epoch_) {
         return;
     }
     logLine(LogLevel::Info, "group.formed",
-            {{"epoch", report.epoch}, {"before", epoch_}, {"ranks", report.ranks}});
+            {{"group", report.group.value()},
+             {"epoch", report.epoch},
+             {"before", epoch_},
+             {"ranks", report.ranks}});
     epoch_ = report.epoch;
     experts_.clear();
     proposedVersion_ = 0;
@@ -455,10 +483,10 @@
 
 void ExpertAgent::onPeerFacts(const RankFacts &facts, TimePoint askedAt)
 {
-    if (!deciding()) {
+    const RankReport &report = facts.report;
+    if (!deciding() || report.group != decider_->group()) {
         return;
     }
-    const RankReport &report = facts.report;
     noteFormed(report);
     if (facts.experts && report.epoch == epoch_) {
         experts_[report.rank] = *facts.experts;
@@ -489,7 +517,7 @@
             std::sort(map[set].back().begin(), map[set].back().end());
         }
     }
-    if (map.empty() || map.front().size() != peers_->size() + 1) {
+    if (map.empty() || map.front().size() != decider_->size()) {
         return std::nullopt;
     }
     return map;
@@ -585,6 +613,15 @@
 
 void ExpertAgent::handToOwn(const MapOrder &order, std::function<void(MapOrderAnswer)> done)
 {
+    if (order.group != ownGroup_) {
+        logLine(LogLevel::Warning, "order.of_other_group",
+                {{"kind", wordFor(order.kind)},
+                 {"group", order.group.value()},
+                 {"ownGroup", ownGroup_.value()}});
+        // Before the own engine has named its group, nothing is known of what the order fits.
+        done(ownGroup_ == GroupId() ? MapOrderAnswer::Lost : MapOrderAnswer::Refused);
+        return;
+    }
     ownFence_ = std::max(ownFence_, order.fence);
     logLine(LogLevel::Info, "order.handed",
             {{"kind", wordFor(order.kind)},
@@ -621,10 +658,11 @@
 {
     return {{"role", "expertagent"},
             {"instance", settings_.instance.value()},
+            {"group", ownGroup_.value()},
             {"rank", ownRank_ ? json(*ownRank_) : json()},
             {"epoch", epoch_},
             {"decides", deciding()},
-            {"peers", peers_ ? peers_->size() : 0},
+            {"ranks", decider_ ? decider_->size() : 0},
             {"changes", notedChanges_},
             {"cleared", notedCleared_}};
 }
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -1,6 +1,7 @@
 // The agent beside one rank of a group of engines: it hands orders about expert maps to its rank,
 // tells the other agents of the group what its rank reports, and, when it is the one that decides,
-// keeps the group's map fit for what is asked of it.
+// keeps the group's map fit for what is asked of it. A service may have several groups; each has
+// its own decider, and nothing of one group counts in another.
 //
 // The agent that decides asks all others several times a second, and names its rank. An agent that
 // has not been asked by one of a lower rank for a while takes the role; those of higher ranks wait
@@ -84,7 +85,7 @@
     bool shouldDecide() const;
     void takeRole();
     void leaveRole();
-    void onAsked(std::uint32_t askerRank);
+    void onAsked(const GroupId &askerGroup, std::uint32_t askerRank);
     void answer(RankQuestion question, std::function<void(std::optional<RankFacts>)> done);
     void askOwn(RankQuestion question);
     void askGroup();
@@ -92,6 +93,7 @@
     void onPeerFacts(const RankFacts &facts, TimePoint askedAt) override;
     void onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
                            MapOrderAnswer answer) override;
+    void noteOwnPlace(const RankReport &report);
     void noteFormed(const RankReport &report);
     void runDecider();
     void proposeChange(MapOrders &orders);
@@ -113,6 +115,7 @@
     std::unique_ptr<RankClient> ranks_;
     ChoiceLedger ledger_;
     std::map<std::uint64_t, std::unique_ptr<RpcPeer>> incoming_;
+    GroupId ownGroup_; // Empty until the own engine has answered.
     std::optional<std::uint32_t> ownRank_;
     std::optional<LowerDecider> lower_;
     std::uint64_t ownFence_ = 0;      // The highest that was handed to the own rank.
--- a/src/experts/rankpeers.cpp
+++ b/src/experts/rankpeers.cpp
@@ -28,12 +28,14 @@
 };
 
 RankPeers::RankPeers(EventLoop &loop, RawTransport &transport, RankClient &ranks, int agentPort,
-                     RankPeersListener &listener)
+                     GroupId group, RankPeersListener &listener)
     : loop_(loop)
     , transport_(transport)
     , ranks_(ranks)
     , agentPort_(agentPort)
     , listener_(listener)
+    , group_(std::move(group))
+    , roster_(group_)
     , callErrors_(std::make_unique<CallErrors>())
     , tasks_(*callErrors_)
 {}
@@ -46,7 +48,9 @@
 void RankPeers::setListed(const std::map<InstanceId, SocketAddress> &engines)
 {
     std::erase_if(peers_, [&engines](const auto &entry) { return !engines.contains(entry.first); });
+    std::vector<InstanceId> listed;
     for (const auto &[id, engine] : engines) {
+        listed.push_back(id);
         Peer &peer = peers_[id];
         if (peer.link == nullptr) {
             peer.engine = engine;
@@ -55,6 +59,7 @@
                                                   SocketAddress{engine.host, agentPort_});
         }
     }
+    roster_.setListed(listed);
 }
 
 bool RankPeers::agentAnswers(const Peer &peer) const
@@ -64,24 +69,21 @@
 
 RankPeers::Peer *RankPeers::peerOfRank(std::uint32_t rank)
 {
-    for (auto &[id, peer] : peers_) {
-        if (peer.rank == rank) {
-            return &peer;
-        }
-    }
-    return nullptr;
+    const auto id = roster_.engineOf(rank);
+    const auto found = id ? peers_.find(*id) : peers_.end();
+    return found == peers_.end() ? nullptr : &found->second;
 }
 
 void RankPeers::ask(RankQuestion question, Duration gap, std::uint32_t ownRank)
 {
     const TimePoint now = loop_.now();
     for (auto &[id, peer] : peers_) {
-        if (peer.asking || now - peer.askedAt < gap) {
+        if (peer.asking || now - peer.askedAt < roster_.gapFor(id, gap)) {
             continue;
         }
         peer.askedAt = now;
         askAgent(id, question, ownRank);
-        if (!agentAnswers(peer)) {
+        if (!agentAnswers(peer) && !roster_.isForeign(id)) {
             askEngine(id, {false, question.experts, 0});
         }
     }
@@ -97,6 +99,7 @@
     request.setCountsSince(peer.countsMark);
     request.setExperts(question.experts);
     request.setAskerRank(ownRank);
+    request.setAskerGroup(group_.value());
     const auto over = std::make_shared<bool>(false);
     const auto finish = [this, id, over, alive = alive_] {
         if (!*alive || std::exchange(*over, true)) {
@@ -125,12 +128,20 @@
     }
     Peer &peer = found->second;
     peer.answeredAt = loop_.now();
-    peer.rank = state.getRank();
     const RankFacts facts = readFacts(state);
     if (facts.choices) {
         peer.countsMark = facts.choices->mark;
     }
-    listener_.onPeerFacts(facts, askedAt);
+    takeFacts(id, facts, askedAt);
+}
+
+// Notes where the engine belongs, and passes on what concerns the own group.
+void RankPeers::takeFacts(const InstanceId &id, const RankFacts &facts, TimePoint askedAt)
+{
+    roster_.note(id, facts.report.group, facts.report.rank);
+    if (!roster_.isForeign(id)) {
+        listener_.onPeerFacts(facts, askedAt);
+    }
 }
 
 // Asks the engine of a rank whose agent does not answer. Its report lags, which only delays.
@@ -152,9 +163,7 @@
         }
         found->second.askingEngine = false;
         if (facts) {
-            found->second.rank = facts->report.rank;
-            listener_.onPeerFacts({facts->report, std::nullopt, std::move(facts->experts)},
-                                  askedAt);
+            takeFacts(id, {facts->report, std::nullopt, std::move(facts->experts)}, askedAt);
         }
     };
     ranks_.ask(peer.engine, question, answered);
--- a/src/experts/rankpeers.h
+++ b/src/experts/rankpeers.h
@@ -1,5 +1,7 @@
 // The agents beside the other ranks of a group, as the agent that decides sees them: it asks them
-// what their ranks report and hands them orders. Where an agent does not answer, its engine is
+// what their ranks report and hands them orders. All engines of the service are peers, because only
+// they know which group they are in; those of other groups are asked seldom and get no orders.
+// Where an agent does not answer, its engine is
 // asked and ordered directly, which has a price and lags, but keeps the group's map changeable.
 //
 // Only the agent that decides has peers; the others hear its questions, and ask nothing.
@@ -7,6 +9,7 @@
 // Single-threaded. What the constructor is given outlives the object.
 #pragma once
 
+#include "decision/expertmap/grouproster.h"
 #include "experts/rankclient.h"
 #include "experts/rankwire.h"
 #include "net/eventloop.h"
@@ -27,7 +30,7 @@
 public:
     virtual ~RankPeersListener() = default;
 
-    // A rank's facts, as of `askedAt` or later.
+    // The facts of a rank of the own group, as of `askedAt` or later.
     virtual void onPeerFacts(const RankFacts &facts, TimePoint askedAt) = 0;
     virtual void onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
                                    MapOrderAnswer answer) = 0;
@@ -36,17 +39,15 @@
 class RankPeers
 {
 public:
-    // Agents listen at `agentPort`, each at the address of its engine.
+    // Agents listen at `agentPort`, each at the address of its engine. `group` is the own group.
     RankPeers(EventLoop &loop, RawTransport &transport, RankClient &ranks, int agentPort,
-              RankPeersListener &listener);
+              GroupId group, RankPeersListener &listener);
     ~RankPeers();
     RankPeers(const RankPeers &) = delete;
     RankPeers &operator=(const RankPeers &) = delete;
 
-    // Takes the engines of the group but the own one.
+    // Takes the engines of the service but the own one.
     void setListed(const std::map<InstanceId, SocketAddress> &engines);
-    std::size_t size() const { return peers_.size(); }
-
     // Asks every peer whose last question is at least `gap` ago and answered, or given up.
     // `ownRank` tells them who decides.
     void ask(RankQuestion question, Duration gap, std::uint32_t ownRank);
@@ -61,7 +62,6 @@
     {
         SocketAddress engine;
         std::unique_ptr<RpcLink> link;
-        std::optional<std::uint32_t> rank;
         std::uint64_t countsMark = 0; // Of the last counts; zero: none.
         TimePoint answeredAt{};       // By the agent; when it was listed, before its first answer.
         TimePoint askedAt{};
@@ -73,6 +73,7 @@
     void askEngine(const InstanceId &id, RankQuestion question);
     void onAgentAnswer(const InstanceId &id, TimePoint askedAt, wire::RankState::Reader state);
     void sendThroughAgent(Peer &peer, const SendMapOrder &action);
+    void takeFacts(const InstanceId &id, const RankFacts &facts, TimePoint askedAt);
     Peer *peerOfRank(std::uint32_t rank);
     bool agentAnswers(const Peer &peer) const;
 
@@ -81,6 +82,8 @@
     RankClient &ranks_;
     int agentPort_;
     RankPeersListener &listener_;
+    GroupId group_;
+    GroupRoster roster_;
     std::map<InstanceId, Peer> peers_;
     // Timers and answers of engines ask whether the peers still exist.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/experts/rankwire.cpp
+++ b/src/experts/rankwire.cpp
@@ -179,6 +179,7 @@
     state.setHeldStep(report.held.value_or(0));
     state.setFence(report.fence);
     state.setPace(static_cast<float>(report.pace));
+    state.setGroup(report.group.value());
     if (facts.choices) {
         writeChoices(*facts.choices, state.initChoices());
     }
@@ -209,6 +210,7 @@
     }
     report.fence = state.getFence();
     report.pace = state.getPace();
+    report.group = GroupId(state.getGroup().cStr());
     if (state.hasChoices()) {
         facts.choices = readChoices(state.getChoices());
     }
@@ -230,6 +232,7 @@
     to.setStep(order.step);
     to.setEpoch(order.epoch);
     to.setFence(order.fence);
+    to.setGroup(order.group.value());
     if (order.experts != nullptr) {
         const std::vector<std::uint8_t> bytes = packExperts(*order.experts);
         to.setExperts(kj::arrayPtr(bytes.data(), bytes.size()));
@@ -244,6 +247,7 @@
     order.step = from.getStep();
     order.epoch = from.getEpoch();
     order.fence = from.getFence();
+    order.group = GroupId(from.getGroup().cStr());
     if (from.hasExperts()) {
         const auto bytes = from.getExperts();
         auto experts = unpackExperts({bytes.begin(), bytes.size()});
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -144,6 +144,7 @@
   experts @13 :List(List(UInt16));  # By set, those of this rank in `expertsMap`; when asked for.
   expertsMap @14 :UInt64;
   pace @15 :Float32 = 1.0;   # Over 1: the rank takes so many times as long for its work.
+  group @16 :Text;           # The group that the rank is in now.
 }
 
 struct RankOrder {
@@ -153,13 +154,15 @@
   epoch @3 :UInt64;
   fence @4 :UInt64;
   experts @5 :Data;          # Of a prepare, by set and rank; see packExperts in src/experts.
+  group @6 :Text;            # For a rank of this group only.
 }
 
 # Served by the agent beside a rank, for the agents beside the other ranks of its group.
 interface RankAgent {
-  # Only the agent that decides on the group's map asks. `askerRank` tells the other agents that it
-  # lives. With `counts`, the answer counts from the moment that `countsSince` names.
-  state @0 (counts :Bool, experts :Bool, countsSince :UInt64, askerRank :UInt32)
+  # Only the agent that decides on a group's map asks. `askerRank` and `askerGroup` tell the other
+  # agents of its group that it lives. With `counts`, the answer counts from the moment that
+  # `countsSince` names. To an asker of another group the answer names only the group and the rank.
+  state @0 (counts :Bool, experts :Bool, countsSince :UInt64, askerRank :UInt32, askerGroup :Text)
       -> (state :RankState);
   # Hands an order to the rank and returns the status of its answer, zero when there was none.
   order @1 (order :RankOrder) -> (status :UInt16);
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -348,3 +348,42 @@
     CHECK_TRUE(violations(Planted::LostArmsCountAsDone, kSeeds) > 0);
     CHECK_TRUE(violations(Planted::HoldsAreIgnored, kSeeds) > 0);
 }
+
+// A service with groups of unlike sizes lists all of their engines together.
+TEST(GroupDeciderTest, ReportsOfAnotherGroupCountForNothing)
+{
+    constexpr std::uint32_t kOwnRanks = 2;
+    constexpr std::uint32_t kOtherRanks = 3;
+    const TimePoint now{std::chrono::seconds(10)};
+    GroupDecider::Settings settings;
+    settings.group = GroupId("north");
+    GroupDecider decider(settings);
+    RankReport report;
+    report.open = true;
+    report.step = 7;
+    for (report.rank = 0; report.rank < kOtherRanks; ++report.rank) {
+        report.group = GroupId("south");
+        report.ranks = kOtherRanks;
+        report.epoch = 9;
+        report.map = 5;
+        decider.onReport(report, now, now);
+        CHECK_FALSE_TEXT(decider.whole(now), "three ranks of the other group make no own group");
+    }
+    for (report.rank = 0; report.rank < kOwnRanks; ++report.rank) {
+        report.group = GroupId("north");
+        report.ranks = kOwnRanks;
+        report.epoch = 1;
+        report.map = 4;
+        decider.onReport(report, now, now);
+    }
+    LONGS_EQUAL(1, decider.epoch());
+    LONGS_EQUAL(kOwnRanks, decider.size());
+    CHECK_TRUE(decider.mapInUse(now) == 4U);
+    MapOrders orders;
+    CHECK_TRUE(decider.propose(ExpertMap(1, RankExperts(kOwnRanks, {0})), now, orders).has_value());
+    decider.onTick(now, orders);
+    LONGS_EQUAL(kOwnRanks, orders.size());
+    for (const SendMapOrder &order : orders) {
+        STRCMP_EQUAL("north", order.order.group.value().c_str());
+    }
+}
--- a/test/experts/rankwire_test.cpp
+++ b/test/experts/rankwire_test.cpp
@@ -11,7 +11,7 @@
 TEST(RankWireTest, FactsCrossTheWireUnchanged)
 {
     RankFacts facts;
-    facts.report = {3, 12, 2, true, 77, 5, 9, 9, 80, 4096, 2.5};
+    facts.report = {3, 12, 2, true, 77, 5, 9, 9, 80, 4096, 2.5, GroupId("north")};
     facts.choices = ChoiceCounts{8, 7, {1.5F}, {1, 2, 255}};
     facts.experts = ExpertsOfRank{5, {{0, 12}, {1}}};
     capnp::MallocMessageBuilder message;
@@ -29,6 +29,7 @@
     LONGS_EQUAL(80, *read.report.held);
     LONGS_EQUAL(4096, read.report.fence);
     DOUBLES_EQUAL(2.5, read.report.pace, 1e-6);
+    STRCMP_EQUAL("north", read.report.group.value().c_str());
     LONGS_EQUAL(8, read.choices->mark);
     LONGS_EQUAL(7, read.choices->since);
     CHECK_TRUE(read.choices->units == facts.choices->units);
@@ -41,7 +42,8 @@
 {
     const ExpertMap map = {{{0, 1}, {2}}, {{3}, {4, 5}}};
     const MapOrder order{
-        MapOrderKind::Prepare, 9, 80, 2, 4096, std::make_shared<const ExpertMap>(map)};
+        MapOrderKind::Prepare, 9, 80, 2, 4096, std::make_shared<const ExpertMap>(map),
+        GroupId("north")};
     capnp::MallocMessageBuilder message;
     auto to = message.initRoot<wire::RankOrder>();
     writeOrder(order, to);
@@ -52,11 +54,12 @@
     LONGS_EQUAL(2, read.epoch);
     LONGS_EQUAL(4096, read.fence);
     CHECK_TRUE(*read.experts == *order.experts);
+    STRCMP_EQUAL("north", read.group.value().c_str());
 }
 
 TEST(RankWireTest, OrderWithoutExpertsCrossesTheWire)
 {
-    const MapOrder order{MapOrderKind::Hold, 9, 80, 2, 4096, {}};
+    const MapOrder order{MapOrderKind::Hold, 9, 80, 2, 4096, {}, {}};
     capnp::MallocMessageBuilder message;
     auto to = message.initRoot<wire::RankOrder>();
     writeOrder(order, to);
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -190,6 +190,7 @@
         R"("prepared":703022,"armed":{"version":703022,"step":30},"held":30,"pace":4.2})");
     CHECK_TRUE(report.has_value());
     LONGS_EQUAL(3, report->rank);
+    STRCMP_EQUAL("g", report->group.value().c_str());
     LONGS_EQUAL(703022, report->armed);
     LONGS_EQUAL(30, *report->held);
     CHECK_TRUE(report->open);
@@ -212,7 +213,7 @@
 
 TEST(EngineHttpTest, OrdersNameTheirEpochAndFence)
 {
-    const MapOrder order{MapOrderKind::Arm, 9, 80, 2, 4096, {}};
+    const MapOrder order{MapOrderKind::Arm, 9, 80, 2, 4096, {}, {}};
     const HttpCallRequest call = engines.orderCall({"127.0.0.1", 1}, order);
     STRCMP_EQUAL(R"({"epoch":2,"fencing-token":4096,"op":"arm","step":80,"version":9})",
                  call.body.c_str());
