Expert planner: rounds of counts, few copies first, a mixture's life as observed

"Shifts" were counted at nearly every proposal.

Hypothesis: a shift is seen in the first round of counts that differs from what is remembered; a map is planned from clean rounds only; the sets of a group share what a rank can copy, and the change that wins most for its time goes first. The life of a mixture is learned from the gaps between shifts (it was a constant), and a change that demand has left behind while it is still being copied is replaced. Counts are asked for every 100 ms where they are few.

Tests: shared copies, blends, learned life, plans left behind; those of shifts feed rounds now and ask the same of them.

--- a/src/decision/expertmap/evenplacement.cpp
+++ b/src/decision/expertmap/evenplacement.cpp
@@ -155,7 +155,10 @@
     // Tells whether `rank` may get `expert` within the bound on new experts.
     bool mayGet(std::size_t rank, std::uint16_t expert) const
     {
-        return newOn_[rank] < bounds_.newExperts || holds(original_, rank, expert);
+        const std::uint32_t bound =
+            bounds_.newByRank.empty() ? bounds_.newExperts : bounds_.newByRank[rank];
+        return (newOn_[rank] < bound && allNew_ < bounds_.mostNew)
+               || holds(original_, rank, expert);
     }
 
     // Puts a replica of `expert` more on `to` on trial.
@@ -252,6 +255,7 @@
         holders_[expert].push_back(rank);
         if (!holds(original_, rank, expert)) {
             ++newOn_[rank];
+            ++allNew_;
         }
     }
 
@@ -261,6 +265,7 @@
         std::erase(holders_[expert], rank);
         if (!holds(original_, rank, expert)) {
             --newOn_[rank];
+            --allNew_;
         }
     }
 
@@ -290,6 +295,7 @@
     LoadTrial trial_;
     std::vector<std::vector<std::size_t>> holders_; // The ranks that hold each expert.
     std::vector<std::uint32_t> newOn_;
+    std::uint32_t allNew_ = 0;
 };
 
 } // namespace
--- a/src/decision/expertmap/evenplacement.h
+++ b/src/decision/expertmap/evenplacement.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <vector>
 
@@ -29,6 +30,11 @@
     // The search stops at this skew: every copy has a price and takes time, and the counts of a
     // moment are no better than this.
     double goodEnough = 1.0;
+    // Where given, how many experts may still be new to each rank, in place of `newExperts`: the
+    // sets of a group share what a rank can copy in a given time.
+    std::span<const std::uint32_t> newByRank{};
+    // How many experts may be new in all, counted by rank.
+    std::uint32_t mostNew = std::numeric_limits<std::uint32_t>::max();
 };
 
 // How many times as long as a sound rank each rank takes for the same load. A rank without an entry
--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -5,68 +5,55 @@
 #include <numeric>
 
 namespace seamarch {
+namespace {
 
-void ExpertPlanner::setRule(const ExpertRule &rule)
+double sumOf(const std::vector<double> &counts)
 {
-    const std::size_t size = std::size_t{rule.sets} * rule.experts;
-    if (long_.size() != size) {
-        long_.assign(size, 0.0);
-        short_.assign(size, 0.0);
-    }
-    rule_ = rule;
+    return std::accumulate(counts.begin(), counts.end(), 0.0);
 }
 
-void ExpertPlanner::decay(TimePoint now)
-{
-    const double seconds = std::max(0.0, toSeconds(now - decayedAt_));
-    const double longFactor = std::exp2(-seconds / toSeconds(longHalfLife()));
-    const double shortFactor = std::exp2(-seconds / toSeconds(settings_.shortHalfLife));
-    for (std::size_t index = 0; index < long_.size(); ++index) {
-        long_[index] *= longFactor;
-        short_[index] *= shortFactor;
-    }
-    decayedAt_ = now;
-}
+} // namespace
 
-Duration ExpertPlanner::longHalfLife() const
+void ExpertPlanner::setRule(const ExpertRule &rule)
 {
-    if (ranks_ <= settings_.halfLifeRanks) {
-        return settings_.longHalfLife;
+    const std::size_t size = std::size_t{rule.sets} * rule.experts;
+    if (memory_.size() != size) {
+        memory_.assign(size, 0.0);
+        round_.assign(size, 0.0);
+        roundSince_.reset();
     }
-    return std::max(settings_.leastLongHalfLife,
-                    settings_.longHalfLife * settings_.halfLifeRanks / ranks_);
+    rule_ = rule;
 }
 
 void ExpertPlanner::onChoices(std::span<const double> choices, TimePoint now)
 {
-    if (choices.size() != long_.size() || long_.empty()) {
+    if (choices.size() != round_.size() || round_.empty()) {
         return;
     }
-    decay(now);
     for (std::size_t index = 0; index < choices.size(); ++index) {
-        long_[index] += choices[index];
-        short_[index] += choices[index];
+        round_[index] += choices[index];
     }
+    roundSince_ = roundSince_.value_or(now);
 }
 
-double ExpertPlanner::distance() const
+double ExpertPlanner::distanceOf(const std::vector<double> &round) const
 {
-    const double longTotal = std::accumulate(long_.begin(), long_.end(), 0.0);
-    const double shortTotal = std::accumulate(short_.begin(), short_.end(), 0.0);
-    if (longTotal < settings_.leastCounts || shortTotal < settings_.leastCounts) {
+    const double roundTotal = sumOf(round);
+    const double memoryTotal = sumOf(memory_);
+    if (roundTotal <= 0.0 || memoryTotal <= 0.0) {
         return 0.0;
     }
     double differing = 0.0;
-    for (std::size_t index = 0; index < long_.size(); ++index) {
-        differing += std::abs(long_[index] / longTotal - short_[index] / shortTotal);
+    for (std::size_t index = 0; index < round.size(); ++index) {
+        differing += std::abs(round[index] / roundTotal - memory_[index] / memoryTotal);
     }
     return differing / 2.0;
 }
 
-std::vector<double> ExpertPlanner::sharesOf(const std::vector<double> &memory, std::uint32_t set,
+std::vector<double> ExpertPlanner::sharesOf(const std::vector<double> &counts, std::uint32_t set,
                                             std::uint32_t experts)
 {
-    const auto begin = memory.begin() + static_cast<std::ptrdiff_t>(set) * experts;
+    const auto begin = counts.begin() + static_cast<std::ptrdiff_t>(set) * experts;
     std::vector<double> shares(begin, begin + experts);
     const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
     const double floor = sum / experts * 1e-3; // Every expert is chosen now and then.
@@ -76,98 +63,197 @@
     return shares;
 }
 
-double ExpertPlanner::skewBy(const std::vector<double> &memory, const ExpertMap &map) const
+double ExpertPlanner::skewBy(const std::vector<double> &counts, const ExpertMap &map) const
 {
     double sum = 0.0;
     for (std::uint32_t set = 0; set < map.size() && set < rule_.sets; ++set) {
-        sum += placementSkew(map[set], sharesOf(memory, set, rule_.experts), paces_);
+        sum += placementSkew(map[set], sharesOf(counts, set, rule_.experts), paces_);
     }
     return map.empty() ? 1.0 : sum / static_cast<double>(map.size());
 }
 
 double ExpertPlanner::skew(const ExpertMap &map) const
 {
-    return skewBy(long_, map);
+    return skewBy(memory_, map);
 }
 
-bool ExpertPlanner::shifted(const ExpertMap &current) const
+bool ExpertPlanner::shifted(const std::optional<ExpertMap> &current) const
 {
+    if (sumOf(memory_) <= 0.0) {
+        return false;
+    }
     const double limit = std::clamp(calmDistance_ * settings_.shiftOverCalm,
                                     settings_.leastShiftDistance, settings_.mostShiftDistance);
-    if (distance() > limit) {
-        return true;
+    return distance_ > limit
+           || (current && skewBy(round_, *current) > skew(*current) + settings_.shiftSkew);
+}
+
+void ExpertPlanner::noteShift(TimePoint now)
+{
+    std::fill(memory_.begin(), memory_.end(), 0.0);
+    ++shifts_;
+    shiftedSincePlan_ = true;
+    // Of one shift the ranks may tell in two rounds.
+    const bool sameShift = shiftedAt_ && now - *shiftedAt_ < settings_.leastLife;
+    if (shiftedAt_ && !sameShift) {
+        gaps_.push_back(now - *shiftedAt_);
+        if (gaps_.size() > settings_.gapsKept) {
+            gaps_.pop_front();
+        }
+    }
+    if (!sameShift) {
+        shiftedAt_ = now;
+    }
+}
+
+void ExpertPlanner::remember(TimePoint now)
+{
+    const double seconds = std::max(0.0, toSeconds(now - rememberedAt_));
+    const double factor = std::exp2(-seconds / toSeconds(settings_.halfLife));
+    for (std::size_t index = 0; index < memory_.size(); ++index) {
+        memory_[index] = memory_[index] * factor + round_[index];
     }
-    const double shortTotal = std::accumulate(short_.begin(), short_.end(), 0.0);
-    return shortTotal >= settings_.leastCounts
-           && skewBy(short_, current) > skewBy(long_, current) + settings_.shiftSkew;
+    rememberedAt_ = now;
 }
 
-// Drops the long memory when demand has shifted; else learns how far the memories lie apart while
-// it has not.
-void ExpertPlanner::noteShift(const ExpertMap &current, TimePoint now)
+void ExpertPlanner::look(const std::optional<ExpertMap> &current, TimePoint now)
 {
-    constexpr double kCalmWeight = 0.05; // Of one look among some twenty a second.
+    constexpr double kCalmWeight = 0.05; // Of one round among some five a second.
+    const bool complete = roundSince_ && now - *roundSince_ >= settings_.roundSpan;
+    if (!complete || sumOf(round_) < settings_.leastCounts) {
+        return;
+    }
+    distance_ = distanceOf(round_);
     if (shifted(current)) {
-        long_ = short_;
-        shiftedAt_ = now;
-        ++shifts_;
-    } else if (!shiftedAt_ || now - *shiftedAt_ > settings_.calmAfter) {
-        calmDistance_ += kCalmWeight * (distance() - calmDistance_);
+        noteShift(now); // The round is a blend of two mixtures, and is dropped too.
+    } else {
+        calmDistance_ += kCalmWeight * (distance_ - calmDistance_);
+        remember(now);
+        weighed_ = false;
     }
+    std::fill(round_.begin(), round_.end(), 0.0);
+    roundSince_.reset();
 }
 
-// Returns how many experts of a set may be new to a rank in a change that starts from `skew`.
-std::uint32_t ExpertPlanner::newExpertsAt(double skew) const
+// The mean of what was left of the remembered gaps at the present mixture's age; a mixture that has
+// outlived them all may last as long as any did.
+Duration ExpertPlanner::expectedLife(TimePoint now) const
 {
-    if (skew <= settings_.urgentSkew || rule_.copyTime <= Duration{}) {
-        return rule_.newExperts;
+    if (gaps_.empty()) {
+        return settings_.firstGap;
     }
-    const auto quick = settings_.urgentCopying / (rule_.copyTime * std::max(1U, rule_.sets));
-    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(quick), 1,
-                                     std::max(1U, rule_.newExperts));
+    const Duration age = now - *shiftedAt_;
+    Duration left{};
+    Duration whole{};
+    std::int64_t longer = 0;
+    for (const Duration gap : gaps_) {
+        whole += gap;
+        if (gap > age) {
+            left += gap - age;
+            ++longer;
+        }
+    }
+    const Duration mean =
+        longer > 0 ? left / longer : whole / static_cast<std::int64_t>(gaps_.size());
+    return std::max(settings_.leastLife, mean);
 }
 
-bool ExpertPlanner::worthIt(double before, double after, std::uint32_t newExperts) const
+// Returns how long a pass takes, in parts of one whose experts are loaded evenly.
+double ExpertPlanner::passTime(double skew) const
 {
-    const auto passTime = [this](double skew) {
-        return 1.0 - rule_.expertPart + rule_.expertPart * skew;
-    };
-    const double gain = 1.0 - passTime(after) / passTime(before);
-    const double copying = toSeconds(rule_.copyTime) * rule_.sets * newExperts;
-    const double cost = settings_.copySlowdown * copying + toSeconds(settings_.standstill);
-    return gain > settings_.leastGain
-           && gain * toSeconds(settings_.horizon) > settings_.margin * cost;
+    return 1.0 - rule_.expertPart + rule_.expertPart * skew;
 }
 
-std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
+// Returns the best map that `copies` new experts a rank reach. The sets share the copies: the least
+// even one comes first, and what it leaves goes to the next.
+ExpertPlanner::Candidate ExpertPlanner::candidate(const ExpertMap &current,
+                                                  std::uint32_t copies) const
 {
-    if (current.size() != rule_.sets || current.empty()) {
-        return std::nullopt;
+    std::vector<std::vector<double>> shares;
+    std::vector<std::pair<double, std::uint32_t>> order;
+    for (std::uint32_t set = 0; set < rule_.sets; ++set) {
+        shares.push_back(sharesOf(memory_, set, rule_.experts));
+        order.emplace_back(-placementSkew(current[set], shares[set], paces_), set);
     }
-    ranks_ = static_cast<std::uint32_t>(current.front().size());
-    noteShift(current, now);
-    const double total = std::accumulate(long_.begin(), long_.end(), 0.0);
-    if (total < settings_.leastCounts || (plannedAt_ && now - *plannedAt_ < settings_.pause)) {
+    std::sort(order.begin(), order.end());
+    const std::size_t ranks = current.front().size();
+    std::vector<std::uint32_t> left(ranks, copies);
+    auto all = static_cast<std::uint32_t>(ranks * copies);
+    Candidate result{current, 1.0, {}};
+    std::uint32_t setsLeft = rule_.sets;
+    for (const auto &[negativeSkew, set] : order) {
+        std::vector<std::uint32_t> allowed = left;
+        for (std::uint32_t &allowance : allowed) {
+            allowance = std::min(allowance, rule_.newExperts);
+        }
+        PlacementBounds bounds{rule_.places, rule_.newExperts, settings_.maxChanges,
+                               settings_.goodEnough, allowed,
+                               (all + setsLeft - 1) / setsLeft};
+        result.map[set] = improvePlacement(current[set], shares[set], bounds, paces_);
+        for (std::size_t rank = 0; rank < ranks; ++rank) {
+            const auto &before = current[set][rank];
+            const auto isNew = [&before](std::uint16_t expert) {
+                return !std::binary_search(before.begin(), before.end(), expert);
+            };
+            const auto &after = result.map[set][rank];
+            const auto added =
+                static_cast<std::uint32_t>(std::count_if(after.begin(), after.end(), isNew));
+            left[rank] -= std::min(left[rank], added);
+            all -= std::min(all, added);
+        }
+        --setsLeft;
+    }
+    result.skew = skew(result.map);
+    result.copying = rule_.copyTime * (copies - *std::min_element(left.begin(), left.end()));
+    return result;
+}
+
+// Returns the seconds of passes that a change wins, over what it costs; zero or less when it is not
+// worth it.
+double ExpertPlanner::worthOf(const Candidate &candidate, double before, Duration life) const
+{
+    const double gain = 1.0 - passTime(candidate.skew) / passTime(before);
+    const double used = toSeconds(life - candidate.copying - settings_.takeUp);
+    const double cost =
+        settings_.copySlowdown * toSeconds(candidate.copying) + toSeconds(settings_.standstill);
+    return gain > settings_.leastGain ? gain * used - settings_.margin * cost : 0.0;
+}
+
+std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
+{
+    if (current.size() != rule_.sets || current.empty() || weighed_
+        || sumOf(memory_) < settings_.leastCounts) {
         return std::nullopt;
     }
-    plannedAt_ = now;
+    weighed_ = true;
     const double before = skew(current);
-    const std::uint32_t newExperts = newExpertsAt(before);
-    if (!worthIt(before, settings_.goodEnough, newExperts)) {
+    if (1.0 - passTime(settings_.goodEnough) / passTime(before) <= settings_.leastGain) {
         return std::nullopt; // Not even the best that the search goes for: it is spared.
     }
-    const PlacementBounds bounds{rule_.places, newExperts, settings_.maxChanges,
-                                 settings_.goodEnough};
-    ExpertMap planned;
-    for (std::uint32_t set = 0; set < rule_.sets; ++set) {
-        planned.push_back(
-            improvePlacement(current[set], sharesOf(long_, set, rule_.experts), bounds, paces_));
+    const Duration life = expectedLife(now);
+    std::optional<Candidate> best;
+    double bestRate = 0.0;
+    for (std::uint32_t copies = 1; copies <= rule_.newExperts * rule_.sets; copies *= 2) {
+        const Candidate tried = candidate(current, copies);
+        const double worth = worthOf(tried, before, life);
+        // What is in use soon goes first: the change that wins most for the time that it takes.
+        const double gain = 1.0 - passTime(tried.skew) / passTime(before);
+        const double rate = gain / toSeconds(tried.copying + settings_.takeUp);
+        if (worth > 0.0 && rate > bestRate) {
+            bestRate = rate;
+            best = tried;
+        }
+        if (tried.copying > life) {
+            break;
+        }
     }
-    expectedSkew_ = skew(planned);
-    if (!worthIt(before, expectedSkew_, newExperts)) {
+    if (!best) {
         return std::nullopt;
     }
-    return planned;
+    expectedSkew_ = best->skew;
+    expectedCopying_ = best->copying;
+    shiftedSincePlan_ = false;
+    return std::move(best->map);
 }
 
 } // namespace seamarch
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -1,13 +1,16 @@
 // Decides when a group's expert map is worth changing, and to what.
 //
 // It keeps how popular each expert was of late, from the counts that the ranks report, and compares
-// the map in use with the best that one change can reach. Passes are slower while ranks copy
-// experts, so a change must win more than that within the time that a map is likely to stay fit.
+// the map in use with those that one change can reach. Copying makes passes slower and takes time
+// in which demand may shift again, so a change is weighed by what it wins over the time that the
+// mixture of requests is still likely to last, and a small change that is in use soon goes before a
+// better one that takes long: the next change does the rest.
 //
-// Which experts are chosen follows what requests are about. Within one mix of subjects the counts
-// of a moment are noisy, and a long memory serves best; when the mix shifts, the old counts only
-// mislead. Two memories are kept, a short and a long one, and the long one is dropped for the short
-// when the two lie further apart than noise takes them.
+// Counts come in rounds, one for each time that the ranks were asked. A round that differs from
+// what is remembered by more than rounds of a calm time do, or under which the map in use is much
+// less even, shows that demand has shifted: what was remembered is dropped at once, because a map
+// for a blend of the old and the new mixture fits neither. The gaps between shifts are remembered
+// too; they say how long a mixture lasts.
 //
 // Pure and single-threaded.
 #pragma once
@@ -18,6 +21,7 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <utility>
@@ -30,28 +34,24 @@
 public:
     struct Settings
     {
-        // Counts lose half their weight in this time, in the long memory and in the short one. The
-        // long one is that of a group of `halfLifeRanks`; a larger group's counts are less noisy,
-        // and its memory is shorter by as much, down to the least.
-        Duration longHalfLife = std::chrono::milliseconds(4000);
-        std::uint32_t halfLifeRanks = 12;
-        Duration leastLongHalfLife = std::chrono::milliseconds(1000);
-        Duration shortHalfLife = std::chrono::milliseconds(300);
-        // The distance of the two memories, in parts of all choices that differ, from which on
-        // demand has shifted: this many times what it is while demand is calm, within bounds. Calm
-        // groups of 63 ranks were seen at 0.01 to 0.02, of 12 ranks at 0.04 to 0.06.
-        double shiftOverCalm = 3.0;
+        // Counts lose half their weight in this time while demand is calm.
+        Duration halfLife = std::chrono::milliseconds(4000);
+        // The ranks' answers to one question come within this time.
+        Duration roundSpan = std::chrono::milliseconds(40);
+        // The distance of a round from what is remembered, in parts of all choices that differ,
+        // from which on demand has shifted: this many times what it is while demand is calm, within
+        // bounds.
+        double shiftOverCalm = 2.0;
         double leastShiftDistance = 0.04;
-        double mostShiftDistance = 0.15;
+        double mostShiftDistance = 0.3;
         // The same, in skew: a shift to a few hot experts moves few choices and loads one rank.
-        double shiftSkew = 0.4;
-        // After a shift the memories differ for a while; what is calm is learned again from then.
-        Duration calmAfter = std::chrono::milliseconds(1500);
-        // The least pause between two proposals.
-        Duration pause = std::chrono::milliseconds(200);
-        // How long a map is likely to stay fit: demand was seen to shift every three to four
-        // seconds.
-        Duration horizon = std::chrono::milliseconds(2000);
+        double shiftSkew = 0.5;
+        // How long a mixture is taken to last before any shift was seen, and how many gaps between
+        // shifts are remembered.
+        Duration firstGap = std::chrono::seconds(10);
+        std::size_t gapsKept = 16;
+        // The least time that a mixture is taken to last still.
+        Duration leastLife = std::chrono::milliseconds(500);
         // What a change must win over its cost: the gain is an estimate.
         double margin = 1.5;
         // The least part of a pass that it must win: while it is under way, a new shift waits.
@@ -60,13 +60,11 @@
         // group stands still for about this long while a change comes into use.
         double copySlowdown = 0.15;
         Duration standstill = std::chrono::milliseconds(50);
+        // From the last copy until a change is in use: reports, a hold some passes ahead, arms.
+        Duration takeUp = std::chrono::milliseconds(250);
         // A set's placement is not improved beyond this skew.
         double goodEnough = 1.08;
         std::uint32_t maxChanges = 96;
-        // Above this skew a change is made quickly rather than well: ranks copy no longer than
-        // this, if they copy one expert at least, and the next change does the rest.
-        double urgentSkew = 1.5;
-        Duration urgentCopying = std::chrono::milliseconds(450);
         // Choices of experts below which the counts are mostly noise.
         double leastCounts = 20'000.0;
     };
@@ -81,41 +79,59 @@
     void onChoices(std::span<const double> choices, TimePoint now);
     // Takes how many times as long as a sound rank each rank takes, by rank.
     void setPaces(std::vector<double> paces) { paces_ = std::move(paces); }
-    // Allows a proposal at once, because another agent may have changed the map meanwhile.
-    void reset() { plannedAt_.reset(); }
 
+    // Ends the round that is complete, if there is one, and learns from it. Called at each tick,
+    // also while a change is under way. `current` is the map in use, where it is known.
+    void look(const std::optional<ExpertMap> &current, TimePoint now);
     // Returns a better map than `current`, if there is one worth the change.
     std::optional<ExpertMap> plan(const ExpertMap &current, TimePoint now);
+    // Tells whether demand has shifted since the last plan was returned.
+    bool outdated() const { return shiftedSincePlan_; }
     // Returns the mean over the sets of the largest load over the mean load.
     double skew(const ExpertMap &map) const;
-    // Returns the skew that the last plan expects.
+    // Returns the skew that the last plan expects, and how long its copying takes.
     double expectedSkew() const { return expectedSkew_; }
-    // Returns the part of all choices by which the short memory differs from the long one.
-    double distance() const;
+    Duration expectedCopying() const { return expectedCopying_; }
+    // Returns how long the mixture of requests is likely to last still.
+    Duration expectedLife(TimePoint now) const;
+    // Returns the part of all choices by which the last round differed from what was remembered.
+    double distance() const { return distance_; }
     std::uint64_t shifts() const { return shifts_; }
 
 private:
-    static std::vector<double> sharesOf(const std::vector<double> &memory, std::uint32_t set,
+    struct Candidate
+    {
+        ExpertMap map;
+        double skew = 1.0;
+        Duration copying{};
+    };
+
+    static std::vector<double> sharesOf(const std::vector<double> &counts, std::uint32_t set,
                                         std::uint32_t experts);
-    double skewBy(const std::vector<double> &memory, const ExpertMap &map) const;
-    bool shifted(const ExpertMap &current) const;
-    void decay(TimePoint now);
-    Duration longHalfLife() const;
-    void noteShift(const ExpertMap &current, TimePoint now);
-    std::uint32_t newExpertsAt(double skew) const;
-    bool worthIt(double before, double after, std::uint32_t newExperts) const;
+    double skewBy(const std::vector<double> &counts, const ExpertMap &map) const;
+    double distanceOf(const std::vector<double> &round) const;
+    bool shifted(const std::optional<ExpertMap> &current) const;
+    void noteShift(TimePoint now);
+    void remember(TimePoint now);
+    double passTime(double skew) const;
+    Candidate candidate(const ExpertMap &current, std::uint32_t copies) const;
+    double worthOf(const Candidate &candidate, double before, Duration life) const;
 
     Settings settings_;
     ExpertRule rule_;
-    std::vector<double> long_; // Counts by set and expert, with the weight of their age.
-    std::vector<double> short_;
-    TimePoint decayedAt_{};
-    std::optional<TimePoint> plannedAt_;
+    std::vector<double> memory_; // Counts by set and expert, with the weight of their age.
+    std::vector<double> round_;  // Of the round that is coming in.
+    std::optional<TimePoint> roundSince_;
+    TimePoint rememberedAt_{};
     std::vector<double> paces_;
-    std::uint32_t ranks_ = 0; // Of the last map that was planned for.
-    double calmDistance_ = 0.05;
+    double distance_ = 0.0;
+    double calmDistance_ = 0.1;
     std::optional<TimePoint> shiftedAt_;
+    std::deque<Duration> gaps_; // Between shifts.
+    bool weighed_ = false;      // The round last remembered has been planned for.
+    bool shiftedSincePlan_ = false;
     double expectedSkew_ = 1.0;
+    Duration expectedCopying_{};
     std::uint64_t shifts_ = 0;
 };
 
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -478,6 +478,15 @@
     });
 }
 
+bool GroupDecider::abandon(TimePoint now)
+{
+    if (phase_ != Phase::Preparing) {
+        return false;
+    }
+    enter(Phase::Idle, now);
+    return true;
+}
+
 void GroupDecider::onTick(TimePoint now, MapOrders &orders)
 {
     if (phase_ != Phase::Idle && broken(now)) {
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -147,6 +147,10 @@
     // Starts a change to `experts`. Returns the new map's version, or nothing while not settled.
     std::optional<std::uint64_t> propose(ExpertMap experts, TimePoint now, MapOrders &orders);
 
+    // Gives up a change whose experts are still being copied: nothing is armed, and what was copied
+    // does no harm. Returns false when there is none.
+    bool abandon(TimePoint now);
+
     // This agent no longer decides. What is under way stays as it is; whoever decides clears it.
     void resign();
 
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -20,9 +20,13 @@
 // bytes, and 2 ms a rank keep a large group's reports within a fifth of a link of 8 Mbit/s.
 constexpr Duration kAskGap = std::chrono::milliseconds(100);
 constexpr Duration kAskGapPerRank = std::chrono::milliseconds(2);
-// How often it asks for counts as well, which are longer: some 2 KB for 2,000 experts.
-constexpr Duration kCountsGap = std::chrono::milliseconds(200);
-constexpr Duration kCountsGapPerRank = std::chrono::milliseconds(4);
+// How often it asks for counts as well: about once in a pass, because demand may shift with any of
+// them. They take a byte an expert, and at a large group this many bytes a second of a link of
+// 8 Mbit/s, which orders share; but they come no more seldom than the last two say.
+constexpr Duration kCountsGap = std::chrono::milliseconds(100);
+constexpr std::uint64_t kCountsBytesPerSecond = 180'000;
+constexpr Duration kLongestCountsGap = std::chrono::milliseconds(200);
+constexpr Duration kLongestCountsGapPerRank = std::chrono::milliseconds(4);
 // How often an agent that does not decide asks its own engine for its rank.
 constexpr Duration kOwnGap = std::chrono::milliseconds(400);
 // A decider that has not asked for this long is taken for dead or cut off. It asks ten times in it.
@@ -294,6 +298,7 @@
         updatePeers();
     }
     current_ = mapInUse();
+    planner_.look(current_, loop_.now());
     askGroup();
     runDecider();
 }
@@ -357,7 +362,6 @@
     notedPhase_ = GroupDecider::Phase::Idle;
     notedChanges_ = 0;
     notedCleared_ = 0;
-    planner_.reset();
     StoreWatcher::Settings watch;
     watch.wait = kWatchWait;
     watch.seed = randomIdentity();
@@ -373,6 +377,7 @@
     peers_.reset();
     decider_.reset();
     experts_.clear();
+    known_.reset();
     current_.reset();
     proposedVersion_ = 0;
 }
@@ -426,11 +431,23 @@
     return std::max(least, perRank * static_cast<Duration::rep>(decider_->size()));
 }
 
+Duration ExpertAgent::countsGap() const
+{
+    if (!rule_) {
+        return kLongestCountsGap;
+    }
+    const std::uint64_t bytes = std::uint64_t{decider_->size()} * rule_->sets * rule_->experts;
+    const Duration fitting =
+        std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) * bytes
+        / kCountsBytesPerSecond;
+    return std::clamp(fitting, kCountsGap, gapFor(kLongestCountsGap, kLongestCountsGapPerRank));
+}
+
 void ExpertAgent::askGroup()
 {
     const TimePoint now = loop_.now();
     const Duration gap = gapFor(kAskGap, kAskGapPerRank);
-    const bool counts = now - countsAskedAt_ >= gapFor(kCountsGap, kCountsGapPerRank);
+    const bool counts = now - countsAskedAt_ >= countsGap();
     if (counts) {
         countsAskedAt_ = now;
     }
@@ -463,6 +480,7 @@
     epoch_ = 0;
     ownFence_ = 0;
     experts_.clear();
+    known_.reset();
     proposedVersion_ = 0;
 }
 
@@ -478,6 +496,7 @@
              {"ranks", report.ranks}});
     epoch_ = report.epoch;
     experts_.clear();
+    known_.reset();
     proposedVersion_ = 0;
 }
 
@@ -497,18 +516,30 @@
     decider_->onReport(report, askedAt, loop_.now());
 }
 
-std::optional<ExpertMap> ExpertAgent::mapInUse() const
+// Returns the map in use. No rank need be asked for one that was ordered here or is known already.
+std::optional<ExpertMap> ExpertAgent::mapInUse()
 {
     const auto version = decider_->mapInUse(loop_.now());
     if (!version) {
         return std::nullopt;
     }
     if (proposedVersion_ != 0 && *version == proposedVersion_) {
-        return proposed_; // No need to ask for what was ordered here.
+        known_ = KnownMap{*version, proposed_};
+    } else if (!known_ || known_->version != *version) {
+        known_.reset();
+        if (auto told = mapFromRanks(*version)) {
+            known_ = KnownMap{*version, std::move(*told)};
+        }
     }
+    return known_ ? std::optional(known_->map) : std::nullopt;
+}
+
+// Puts together what all ranks have told of the map `version`.
+std::optional<ExpertMap> ExpertAgent::mapFromRanks(std::uint64_t version) const
+{
     ExpertMap map;
     for (const auto &[rank, experts] : experts_) {
-        if (experts.map != *version || rank != (map.empty() ? 0 : map.front().size())) {
+        if (experts.map != version || rank != (map.empty() ? 0 : map.front().size())) {
             return std::nullopt;
         }
         map.resize(experts.bySet.size());
@@ -527,7 +558,11 @@
 {
     MapOrders orders;
     decider_->onTick(loop_.now(), orders);
-    if (decider_->phase() == GroupDecider::Phase::Idle) {
+    const bool leftBehind =
+        decider_->phase() == GroupDecider::Phase::Preparing && planner_.outdated() && current_;
+    if (leftBehind) {
+        replaceChange(orders);
+    } else if (decider_->phase() == GroupDecider::Phase::Idle) {
         proposeChange(orders);
     }
     if (decider_->phase() != GroupDecider::Phase::Idle) {
@@ -539,6 +574,19 @@
     }
 }
 
+// Demand has shifted while experts of the proposed map are still being copied. A map for what is
+// asked now takes its place, as soon as there is one worth it.
+void ExpertAgent::replaceChange(MapOrders &orders)
+{
+    planner_.setPaces(decider_->paces());
+    auto planned = planner_.plan(*current_, loop_.now());
+    if (planned && decider_->abandon(loop_.now())) {
+        logLine(LogLevel::Info, "map.abandoned", {{"version", proposedVersion_}, {"epoch", epoch_}});
+        orders.clear();
+        propose(std::move(*planned), orders);
+    }
+}
+
 void ExpertAgent::proposeChange(MapOrders &orders)
 {
     const GroupDecider::Obstacle obstacle = decider_->obstacle(loop_.now());
@@ -554,20 +602,25 @@
     planner_.setPaces(decider_->paces());
     logLine(LogLevel::Debug, "map.weighed",
             {{"distance", planner_.distance()}, {"skew", planner_.skew(*current_)}});
-    auto planned = planner_.plan(*current_, loop_.now());
-    if (!planned) {
-        return;
+    if (auto planned = planner_.plan(*current_, loop_.now())) {
+        propose(std::move(*planned), orders);
     }
-    const double before = planner_.skew(*current_);
-    proposed_ = std::move(*planned);
+}
+
+void ExpertAgent::propose(ExpertMap planned, MapOrders &orders)
+{
+    proposed_ = std::move(planned);
     const auto version = decider_->propose(proposed_, loop_.now(), orders);
     proposedVersion_ = version.value_or(0);
     if (version) {
         logLine(LogLevel::Info, "map.proposed",
                 {{"version", *version},
+                 {"group", ownGroup_.value()},
                  {"epoch", epoch_},
-                 {"skew", before},
+                 {"skew", planner_.skew(*current_)},
                  {"expectedSkew", planner_.expectedSkew()},
+                 {"expectedCopyMs", toMillis(planner_.expectedCopying())},
+                 {"expectedLifeMs", toMillis(planner_.expectedLife(loop_.now()))},
                  {"shifts", planner_.shifts()}});
     }
 }
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -67,6 +67,13 @@
         TimePoint askedAt{};
     };
 
+    // A map that was in use when it was last asked for, in this epoch.
+    struct KnownMap
+    {
+        std::uint64_t version = 0;
+        ExpertMap map;
+    };
+
     ExpertAgent(EventLoop &loop, const ExpertAgentSettings &settings, const MetadataStore &store,
                 const EngineCalls &engineCalls);
     tl::expected<void, NetError> open();
@@ -96,10 +103,14 @@
     void noteOwnPlace(const RankReport &report);
     void noteFormed(const RankReport &report);
     void runDecider();
+    void replaceChange(MapOrders &orders);
     void proposeChange(MapOrders &orders);
+    void propose(ExpertMap planned, MapOrders &orders);
     void send(const SendMapOrder &action);
     void handToOwn(const MapOrder &order, std::function<void(MapOrderAnswer)> done);
-    std::optional<ExpertMap> mapInUse() const;
+    std::optional<ExpertMap> mapInUse();
+    std::optional<ExpertMap> mapFromRanks(std::uint64_t version) const;
+    Duration countsGap() const;
     void notePhase();
     void noteObstacle(std::string_view obstacle);
 
@@ -132,6 +143,7 @@
     ExpertPlanner planner_;
     std::optional<ExpertRule> rule_;
     std::map<std::uint32_t, ExpertsOfRank> experts_; // By rank.
+    std::optional<KnownMap> known_;
     std::optional<ExpertMap> current_;               // The map in use, once it is known whole.
     ExpertMap proposed_;                             // That was last ordered here, and its version;
     std::uint64_t proposedVersion_ = 0;              // zero: none in this epoch.
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -58,9 +58,29 @@
             }
             planner.onChoices(choices, at(time));
         }
+        planner.look(std::nullopt, at(time + 50));
     }
 }
 
+// Returns the most experts that are new to one rank, over all sets.
+std::ptrdiff_t mostCopies(const ExpertMap &before, const ExpertMap &after)
+{
+    std::ptrdiff_t most = 0;
+    for (std::size_t rank = 0; rank < before.front().size(); ++rank) {
+        std::ptrdiff_t added = 0;
+        for (std::size_t set = 0; set < before.size(); ++set) {
+            const auto &held = before[set][rank];
+            added += std::count_if(after[set][rank].begin(), after[set][rank].end(),
+                                   [&held](std::uint16_t expert) {
+                                       return std::find(held.begin(), held.end(), expert)
+                                              == held.end();
+                                   });
+        }
+        most = std::max(most, added);
+    }
+    return most;
+}
+
 } // namespace
 
 TEST_GROUP(EvenPlacementTest){};
@@ -166,9 +186,11 @@
 {
     feed(planner, skewedShares(1), 0, 2000);
     auto map = *planner.plan({dealt()}, at(2000));
-    for (int time = 3000; time < 6000; time += 1000) {
-        map = planner.plan(map, at(time)).value_or(map);
+    for (int time = 2000; time < 6000; time += 1000) {
+        feed(planner, skewedShares(1), time, time + 1000);
+        map = planner.plan(map, at(time + 1000)).value_or(map);
     }
+    feed(planner, skewedShares(1), 6000, 7000);
     CHECK_FALSE(planner.plan(map, at(7000)).has_value());
 }
 
@@ -176,7 +198,6 @@
 {
     feed(planner, skewedShares(1), 0, 8000);
     feed(planner, skewedShares(2), 8000, 8800);
-    planner.plan({dealt()}, at(8800));
     LONGS_EQUAL(1, planner.shifts());
 }
 
@@ -192,15 +213,11 @@
 {
     std::vector<double> shares = skewedShares(1);
     feed(planner, shares, 0, 8000);
-    for (int time = 8000; time < 10'000; time += 50) {
-        planner.plan({dealt()}, at(time));
-    }
     // Eight choices in a hundred move from the most liked expert to another one.
     const auto most = std::max_element(shares.begin(), shares.end());
     *most -= 0.08;
     shares[most == shares.begin() ? 1 : 0] += 0.08;
-    feed(planner, shares, 10'000, 10'800);
-    planner.plan({dealt()}, at(10'800));
+    feed(planner, shares, 8000, 8800);
     LONGS_EQUAL(1, planner.shifts());
 }
 
@@ -212,6 +229,7 @@
     CHECK_FALSE(planner.plan({dealt()}, at(2000)).has_value());
     rule.copyTime = std::chrono::milliseconds(100);
     planner.setRule(rule);
+    feed(planner, skewedShares(1), 2000, 3000);
     CHECK_TRUE(planner.plan({dealt()}, at(3000)).has_value());
 }
 
@@ -221,13 +239,59 @@
     feed(planner, skewedShares(1), 0, 2000);
     const auto planned = planner.plan({dealt()}, at(2000));
     CHECK_TRUE(planned.has_value());
-    for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
-        const std::vector<std::uint16_t> before = dealt()[rank];
-        const auto &after = (*planned)[0][rank];
-        const auto added =
-            std::count_if(after.begin(), after.end(), [&before](std::uint16_t expert) {
-                return std::find(before.begin(), before.end(), expert) == before.end();
-            });
-        CHECK_TRUE(added <= 1);
+    LONGS_EQUAL(1, mostCopies({dealt()}, *planned));
+}
+
+TEST(ExpertPlannerTest, SetsShareWhatARankCanCopyInTime)
+{
+    constexpr std::uint32_t kSets = 3;
+    planner.setRule({kSets, kExperts, 8, 3, std::chrono::milliseconds(400), 0.85});
+    std::vector<double> shares;
+    for (std::uint64_t set = 0; set < kSets; ++set) {
+        const std::vector<double> ofSet = skewedShares(set + 1);
+        shares.insert(shares.end(), ofSet.begin(), ofSet.end());
+    }
+    feed(planner, shares, 0, 2000);
+    const ExpertMap current(kSets, dealt());
+    const auto planned = planner.plan(current, at(2000));
+    CHECK_TRUE(planned.has_value());
+    LONGS_EQUAL(1, mostCopies(current, *planned));
+    for (std::uint32_t set = 0; set < kSets; ++set) {
+        CHECK_TEXT((*planned)[set] != current[set], "each set gets a part of the copies");
     }
 }
+
+TEST(ExpertPlannerTest, PlansNothingForABlendOfTwoMixtures)
+{
+    feed(planner, skewedShares(1), 0, 8000);
+    std::vector<double> blend = skewedShares(1);
+    const std::vector<double> later = skewedShares(2);
+    for (std::size_t expert = 0; expert < blend.size(); ++expert) {
+        blend[expert] = (blend[expert] + later[expert]) / 2.0;
+    }
+    feed(planner, blend, 8000, 8200);
+    CHECK_FALSE(planner.plan({dealt()}, at(8200)).has_value());
+    feed(planner, later, 8200, 8400);
+    CHECK_TRUE(planner.plan({dealt()}, at(8400)).has_value());
+    LONGS_EQUAL(1, planner.shifts());
+}
+
+TEST(ExpertPlannerTest, LearnsHowLongAMixtureLasts)
+{
+    for (int shift = 0; shift < 6; ++shift) {
+        feed(planner, skewedShares(static_cast<std::uint64_t>(shift)), 3000 * shift,
+             3000 * (shift + 1));
+    }
+    const Duration life = planner.expectedLife(at(16'050)); // A second into the last mixture.
+    CHECK_TRUE(life > std::chrono::milliseconds(1500));
+    CHECK_TRUE(life < std::chrono::milliseconds(2500));
+}
+
+TEST(ExpertPlannerTest, TellsThatAPlanIsLeftBehind)
+{
+    feed(planner, skewedShares(1), 0, 2000);
+    CHECK_TRUE(planner.plan({dealt()}, at(2000)).has_value());
+    CHECK_FALSE(planner.outdated());
+    feed(planner, skewedShares(2), 2000, 2400);
+    CHECK_TRUE(planner.outdated());
+}
