--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -49,10 +49,7 @@
     budgets_.try_emplace(added.service, settings_.retryBudget).first->second.onSuccess();
     added.arrivedAt = now;
     ServiceState &service = serviceOf(added);
-    if (route.streamed) {
-        service.history.onDemand(now);
-    }
-    if (route.streamed && !admits(service)) {
+    if (route.streamed && !service.limiter.admits(service.streams)) {
         added.waits = true;
         const Duration wait = expectedWait(service, added.request.priority, now);
         if (wait > settings_.longestExpectedWait) {
@@ -75,40 +72,9 @@
 
 GatewayCore::ServiceState &GatewayCore::serviceOf(const Request &request)
 {
-    const auto found = services_.find(request.service);
-    if (found != services_.end()) {
-        return found->second;
-    }
-    ServiceState &service = services_[request.service];
-    service.limiter = StreamLimiter(settings_.streams);
-    service.history = PauseHistory(settings_.pauses);
-    return service;
-}
-
-// Tells whether one stream more may run.
-bool GatewayCore::admits(const ServiceState &service)
-{
-    const bool weighedAdmits = service.weighed == 0.0 || service.streams + 0.5 <= service.weighed;
-    return weighedAdmits && service.limiter.admits(service.streams);
-}
-
-// Learns from the pauses of the last seconds how many streams to run.
-void GatewayCore::weigh(const TargetName &name, ServiceState &service, TimePoint now)
-{
-    if (now - service.weighedAt < settings_.weighGap) {
-        return;
-    }
-    service.weighedAt = now;
-    // All upstreams pay for their steps; the gateways share the streams that pay with them.
-    const double upstreams = static_cast<double>(upstreams_.candidates(name).size());
-    service.history.setFixedCost(service.stepCostInStreams * upstreams
-                                 / static_cast<double>(gateways_));
-    const double most = service.limiter.limit();
-    const double best = service.history.best(most, now);
-    service.weighed = best < most ? best : 0.0;
-    if (service.weighed > 0.0) {
-        service.limiter.bound(service.weighed * settings_.overWeighed);
-    }
+    return services_
+        .try_emplace(request.service, ServiceState{StreamLimiter(settings_.streams), 0, {}, {}, {}})
+        .first->second;
 }
 
 // Returns how long a request of `priority` would wait at the pace of the last second.
@@ -128,7 +94,7 @@
 // Starts waiting requests while the bound admits them.
 void GatewayCore::admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
-    while (!service.waiting.empty() && admits(service)) {
+    while (!service.waiting.empty() && service.limiter.admits(service.streams)) {
         const RequestNumber number = service.waiting.begin()->second;
         service.waiting.erase(service.waiting.begin());
         Request &request = requests_.at(number);
@@ -157,20 +123,11 @@
     requests_.erase(found);
 }
 
-void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
+void GatewayCore::onPause(RequestNumber number, Duration pause)
 {
-    Request *request = find(number);
-    if (request == nullptr) {
-        return;
-    }
-    ++request->pauses;
-    const Duration goal = request->request.route->pauseGoal;
-    ServiceState &service = serviceOf(*request);
-    service.limiter.onPause(pause, goal);
-    if (goal > Duration{}) {
-        const ServiceRule *rule = request->request.table->service(request->service);
-        service.stepCostInStreams = rule == nullptr ? 0.0 : rule->stepCostInStreams;
-        service.history.onPause(toSeconds(pause) / toSeconds(goal), service.streams, goal, now);
+    const Request *request = find(number);
+    if (request != nullptr) {
+        serviceOf(*request).limiter.onPause(pause, request->request.route->pauseGoal);
     }
 }
 
@@ -180,21 +137,10 @@
     return found == services_.end() ? 0 : found->second.waiting.size();
 }
 
-std::uint32_t GatewayCore::streams(const TargetName &service) const
-{
-    const auto found = services_.find(service);
-    return found == services_.end() ? 0 : found->second.streams;
-}
-
 double GatewayCore::streamLimit(const TargetName &service) const
 {
     const auto found = services_.find(service);
-    if (found == services_.end()) {
-        return settings_.streams.initial;
-    }
-    const ServiceState &state = found->second;
-    const double limit = state.limiter.limit();
-    return state.weighed == 0.0 ? limit : std::min(limit, state.weighed);
+    return found == services_.end() ? settings_.streams.initial : found->second.limiter.limit();
 }
 
 TargetName GatewayCore::chooseService(const RouteRule &route)
@@ -365,9 +311,6 @@
     const bool answering = request->answering;
     leaveUpstream(*request);
     if (end == AttemptEnd::Complete && answering) {
-        if (request->request.route->streamed) {
-            serviceOf(*request).history.onServed(request->pauses);
-        }
         endRequest(number);
         return;
     }
@@ -472,7 +415,6 @@
     }
     for (auto &[name, service] : services_) {
         service.limiter.onTick(service.streams, service.waiting.size(), now);
-        weigh(name, service, now);
         admitWaiting(service, now, actions);
     }
 }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -13,7 +13,6 @@
 // around it (src/gateway) carries them out. Single-threaded.
 #pragma once
 
-#include "decision/gateway/pausehistory.h"
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/streamlimiter.h"
 #include "decision/gateway/upstreamtable.h"
@@ -23,7 +22,6 @@
 #include "seamarch/outcome.h"
 #include "seamarch/units.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -132,12 +130,6 @@
         RetryBudget::Settings retryBudget{0.15, 5.0, 2.0};
         OutlierDetector::Settings outliers;
         StreamLimiter::Settings streams;
-        PauseHistory::Settings pauses;
-        // How often the pauses of the last seconds are weighed anew.
-        Duration weighGap = std::chrono::milliseconds(400);
-        // The bound that follows pauses stays within this many times the one that was weighed, so
-        // that it can still fall at once when pauses grow.
-        double overWeighed = 1.3;
         // How long a request waits at most for the bound on streams. Callers leave a stream that
         // says nothing after two seconds.
         Duration longestWait = std::chrono::milliseconds(1700);
@@ -151,9 +143,6 @@
 
     explicit GatewayCore(const Settings &settings);
 
-    // Takes how many gateways share the upstreams, this one among them.
-    void setGateways(std::size_t count) { gateways_ = std::max<std::size_t>(1, count); }
-
     UpstreamTable &upstreams() { return upstreams_; }
     const UpstreamTable &upstreams() const { return upstreams_; }
 
@@ -164,7 +153,7 @@
     bool onHead(RequestNumber request, AnswerKind kind, TimePoint now, GatewayActions &actions);
     void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
     // An event of the request's stream came `pause` after the one before it.
-    void onPause(RequestNumber request, Duration pause, TimePoint now);
+    void onPause(RequestNumber request, Duration pause);
     // The caller has left. The request is over.
     void onCallerGone(RequestNumber request, GatewayActions &actions);
     // Time has passed: gives up requests whose time is over.
@@ -172,7 +161,6 @@
 
     std::size_t inFlight() const { return requests_.size(); }
     std::size_t waiting(const TargetName &service) const;
-    std::uint32_t streams(const TargetName &service) const;
     double streamLimit(const TargetName &service) const;
     std::uint64_t secondAttempts() const { return secondAttempts_; }
     // Returns this gateway's requests in flight at an upstream.
@@ -194,17 +182,12 @@
         bool mayHaveRun = false;
         bool headSent = false;
         bool answering = false; // The attempt under way has sent its head.
-        std::uint32_t pauses = 0; // Between events that have come.
     };
 
     // The streams in flight at one service, and those that wait.
     struct ServiceState
     {
         StreamLimiter limiter;
-        PauseHistory history;
-        double weighed = 0.0; // The number of streams that serves callers best; zero: not known.
-        TimePoint weighedAt{};
-        double stepCostInStreams = 0.0; // Of one upstream, as configured; zero: not known.
         std::uint32_t streams = 0;
         std::deque<TimePoint> started;          // Of the streams of the last second.
         std::optional<TimePoint> refusingSince; // No upstream has answered otherwise since.
@@ -231,8 +214,6 @@
     void giveUp(RequestNumber number, FailureCode failure, GatewayActions &actions);
     void leaveUpstream(Request &request);
     ServiceState &serviceOf(const Request &request);
-    static bool admits(const ServiceState &service);
-    void weigh(const TargetName &name, ServiceState &service, TimePoint now);
     void endRequest(RequestNumber number);
     void noteAnswer(Request &request, AnswerKind kind, TimePoint now);
     Duration expectedWait(ServiceState &service, std::uint8_t priority, TimePoint now);
@@ -248,7 +229,6 @@
     std::unordered_map<TargetName, RetryBudget> budgets_;
     std::unordered_map<TargetName, ServiceState> services_;
     std::unordered_map<RequestNumber, Request> requests_;
-    std::size_t gateways_ = 1;
     RequestNumber nextNumber_ = 1;
     std::uint64_t secondAttempts_ = 0;
 };
--- a/src/decision/gateway/routetable.h
+++ b/src/decision/gateway/routetable.h
@@ -69,8 +69,6 @@
     TargetName name;
     std::uint32_t maxConnections = 0; // To one upstream, from all gateways; zero: not bounded.
     bool runsEngines = false;         // Its upstreams are model engines.
-    // What a step of an engine costs before its first stream, in streams; zero: not known.
-    double stepCostInStreams = 0.0;
     std::optional<ExpertRule> experts;
 };
 
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -11,7 +11,6 @@
 
 #include "seamarch/units.h"
 
-#include <algorithm>
 #include <cstdint>
 
 namespace seamarch {
@@ -47,9 +46,6 @@
     // Adapts the bound. `waiting` is the number of requests that wait for it.
     void onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now);
 
-    // Lowers the bound to `most`, where it is higher.
-    void bound(double most) { limit_ = std::max(settings_.least, std::min(limit_, most)); }
-
     bool admits(std::uint32_t inFlight) const { return inFlight + 1.0 <= limit_ + 0.5; }
     double limit() const { return limit_; }
 
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -297,14 +297,9 @@
     flight.body.clear();
     flight.streams = false;
     flight.resuming = flight.headSent;
-    const TargetName &service = action.upstream.service;
     logLine(LogLevel::Info, "attempt.started",
             {{"id", flight.facts.requestId},
              {"attempt", action.attempt},
-             {"waitedMs", toMillis(loop_.now() - flight.startedAt)},
-             {"streams", core_.streams(service)},
-             {"streamLimit", core_.streamLimit(service)},
-             {"waiting", core_.waiting(service)},
              {"upstream", action.upstream.id.value()},
              {"hall", action.upstream.hall.value()},
              {"inFlightThere", core_.inFlightAt(action.upstream.id)},
@@ -453,7 +448,7 @@
                      flight.admitted.route->name,
                      now - (first ? flight.startedAt : flight.lastEventAt));
     if (!first) {
-        core_.onPause(number, now - flight.lastEventAt, now);
+        core_.onPause(number, now - flight.lastEventAt);
     }
     flight.lastEventAt = now;
     server_->write(flight.exchange, whole);
@@ -514,7 +509,6 @@
 void GatewayService::tick()
 {
     GatewayActions actions;
-    core_.setGateways(sources_->gateways());
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
     sources_->tick();
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -22,7 +22,7 @@
   "routes":[{"name":"r","hostname":"a.example","path-prefix":"/x/","type":"streaming",
     "timeout-ms":8000,"target-latency-ms":500,"priority":1,"max-attempts":2,"stream-resume":true,
     "target-gap-ms":120,"backends":[{"service":"one","weight":90},{"service":"two","weight":10}]}],
-  "services":[{"name":"one","max-connections":348,"engine":{"step_ms":4.5,"per_seq_ms":0.9,"sets":4,"experts":72,"placements":8,
+  "services":[{"name":"one","max-connections":348,"engine":{"sets":4,"experts":72,"placements":8,
     "spare":3}}],
   "limits":{"max-header-bytes":100,"idle-timeout-ms":15000},
   "tenants":[{"name":"bids","api-keys":["k"],"priority":3}]})";
@@ -120,7 +120,6 @@
     CHECK_TRUE(route.pauseGoal == Duration(std::chrono::milliseconds(120)));
     LONGS_EQUAL(3, *document->accounts.at(0).priority);
     LONGS_EQUAL(8, document->services.at(0).experts->places);
-    DOUBLES_EQUAL(5.0, document->services.at(0).stepCostInStreams, 1e-9);
     LONGS_EQUAL(100, document->bounds.headerBytes);
 }
 
