Expert agents: a decider that fell silent is followed sooner, and fences start at the time of day

The next agent took the role after 1.6 s, waited a second for the frozen agent's answer before it asked that engine itself, and 1.2 s more for the hold to be foreign long enough. Each proposal was refused by all ranks, and fences grew by a quarter a try: two seconds and more with the first map, just when all callers come back.

Change: a decider counts as silent after 0.5 s and 10 ms a rank (1 s), others follow 0.2 s later (0.5 s), a new agent listens 0.6 s (1.5 s); an agent that has never answered is passed over after 0.25 s; patience with what a predecessor left runs from when that one was last heard. Fences start at the time of day in tenths of a second, and one that is overtaken grows by twice as much each time.

Attempts are logged with their wait, the streams in flight, the bound and the queue.

--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 // Each decider draws the low digits of its fences, so that two never use the same fence, nor one
-// its predecessor's at the same rank.
-constexpr std::uint64_t kFenceStride = 1U << 20U;
+// its predecessor's at the same rank. A floor of tenths of a second since 1970 keeps a fence below
+// 2^53, which every reader of JSON takes exactly.
+constexpr std::uint64_t kFenceStride = 1U << 18U;
 // Versions are drawn with a gap of up to this, so that two deciders never mean different maps by
 // one version.
 constexpr std::uint64_t kVersionGap = 1U << 20U;
@@ -33,15 +34,18 @@
     }
 }
 
-// Takes a fence above all that are known. One that another decider has overtaken grows by a part as
-// well, because how far it lies behind is not known.
+// Takes a fence above all that are known. One that another decider has overtaken grows by twice as
+// much each time, because how far it lies behind is not known.
 void GroupDecider::raiseFence(bool overtaken)
 {
-    std::uint64_t highest = fence_;
+    std::uint64_t highest = std::max(fence_, settings_.fenceFloor * kFenceStride);
     for (const auto &[rank, state] : ranks_) {
         highest = std::max(highest, state.report.fence);
     }
-    highest += overtaken ? highest / 4 : 0;
+    if (overtaken) {
+        highest += overtakenStrides_ * kFenceStride;
+        overtakenStrides_ *= 2;
+    }
     fence_ = (highest / kFenceStride + 1) * kFenceStride + fenceMark_;
 }
 
@@ -360,7 +364,8 @@
         foreignSince_.reset();
         return;
     }
-    foreignSince_ = foreignSince_.value_or(now);
+    foreignSince_ = foreignSince_.value_or(
+        std::exchange(settings_.predecessorHeardAt, std::nullopt).value_or(now));
     if (now - *foreignSince_ >= settings_.foreignPatience && whole(now)) {
         foreignSince_.reset();
         beginClearing(now);
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -93,6 +93,12 @@
         GroupId group; // Reports of other groups are passed over.
         std::uint32_t ownRank = 0;
         std::uint64_t seed = 0;
+        // Fences start above this many strides. A clock makes a good floor: engines remember the
+        // fences of deciders that are gone, and the agents that knew them may be gone too.
+        std::uint64_t fenceFloor = 0;
+        // When the decider before this one was last heard, if it was: its patience with what that
+        // one left armed or held runs from then.
+        std::optional<TimePoint> predecessorHeardAt;
         // Passes at least between the last that is known to have begun and the hold, and as many
         // more as begin within the lead. The hold, the arms and their answers take some ten
         // milliseconds and more on a large group; a lead that is too short stops the group, which
@@ -211,6 +217,7 @@
     std::uint32_t size_ = 0;
     std::uint64_t epoch_ = 0;
     std::uint64_t fence_ = 0;
+    std::uint64_t overtakenStrides_ = 1; // Added to a fence that was overtaken; doubles each time.
     Phase phase_ = Phase::Idle;
     TimePoint phaseSince_{};
     TimePoint releasedAt_{};    // When the last change or clearing ended.
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -137,6 +137,12 @@
     return found == services_.end() ? 0 : found->second.waiting.size();
 }
 
+std::uint32_t GatewayCore::streams(const TargetName &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.streams;
+}
+
 double GatewayCore::streamLimit(const TargetName &service) const
 {
     const auto found = services_.find(service);
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -161,6 +161,7 @@
 
     std::size_t inFlight() const { return requests_.size(); }
     std::size_t waiting(const TargetName &service) const;
+    std::uint32_t streams(const TargetName &service) const;
     double streamLimit(const TargetName &service) const;
     std::uint64_t secondAttempts() const { return secondAttempts_; }
     // Returns this gateway's requests in flight at an upstream.
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "base/log.h"
+#include "base/wallclock.h"
 #include "experts/rankwire.h"
 #include "net/rpcpeer.h"
 
@@ -29,15 +30,20 @@
 constexpr Duration kLongestCountsGapPerRank = std::chrono::milliseconds(4);
 // How often an agent that does not decide asks its own engine for its rank.
 constexpr Duration kOwnGap = std::chrono::milliseconds(400);
-// A decider that has not asked for this long is taken for dead or cut off. It asks ten times in it.
-constexpr Duration kDeciderLife = std::chrono::milliseconds(1000);
+// A decider that has not asked for this long is taken for dead or cut off. It asks some five times
+// in it, less often in a large group. Two that both decide are harmless, and a group that one has
+// left held makes no pass.
+constexpr Duration kDeciderLife = std::chrono::milliseconds(500);
+constexpr Duration kDeciderLifePerRank = std::chrono::milliseconds(10);
 // Each rank waits this much longer than the one before it, so that one takes the role and is heard
 // before the next would take it: a question and a tick later.
 constexpr Duration kTurnPerRank = std::chrono::milliseconds(100);
 // What every rank but the first waits besides: connections to all ranks take some time to make.
-constexpr Duration kTurnOfOthers = std::chrono::milliseconds(500);
-// How long a new agent listens before it may decide.
-constexpr Duration kStartDelay = std::chrono::milliseconds(1500);
+constexpr Duration kTurnOfOthers = std::chrono::milliseconds(200);
+// How long a new agent listens before it may decide: a decider that lives has asked by then.
+constexpr Duration kStartDelay = std::chrono::milliseconds(600);
+// Fences start at the time of day, in units of this; a decider raises its fence less often.
+constexpr std::chrono::milliseconds kFenceUnit{100};
 // A store's watch waits this long here: only the list of engines is wanted, and calls have a price.
 constexpr Duration kWatchWait = std::chrono::seconds(10);
 
@@ -316,13 +322,13 @@
     if (!ownRank_ || now - startedAt_ < kStartDelay) {
         return false;
     }
-    const bool lowerLives =
-        lower_ && lower_->rank < *ownRank_ && now - lower_->askedAt < kDeciderLife;
+    const Duration life = kDeciderLife + kDeciderLifePerRank * static_cast<Duration::rep>(groupRanks_);
+    const bool lowerLives = lower_ && lower_->rank < *ownRank_ && now - lower_->askedAt < life;
     if (deciding() || lowerLives) {
         return !lowerLives;
     }
     const TimePoint from =
-        std::max(startedAt_ + kStartDelay, lower_ ? lower_->askedAt + kDeciderLife : TimePoint{});
+        std::max(startedAt_ + kStartDelay, lower_ ? lower_->askedAt + life : TimePoint{});
     const Duration turn = *ownRank_ == 0 ? Duration{} : kTurnOfOthers + kTurnPerRank * *ownRank_;
     return now - from >= turn;
 }
@@ -355,6 +361,10 @@
     settings.group = ownGroup_;
     settings.ownRank = *ownRank_;
     settings.seed = randomIdentity();
+    settings.fenceFloor = static_cast<std::uint64_t>(wallNow() / kFenceUnit);
+    if (lower_) {
+        settings.predecessorHeardAt = lower_->askedAt;
+    }
     decider_ = std::make_unique<GroupDecider>(settings);
     RankPeersListener &listener = *this;
     peers_ = std::make_unique<RankPeers>(loop_, *transport_, *ranks_, settings_.listen.port,
@@ -467,6 +477,7 @@
 void ExpertAgent::noteOwnPlace(const RankReport &report)
 {
     ownRank_ = report.rank;
+    groupRanks_ = report.ranks;
     if (report.group == ownGroup_) {
         return;
     }
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -128,6 +128,7 @@
     std::map<std::uint64_t, std::unique_ptr<RpcPeer>> incoming_;
     GroupId ownGroup_; // Empty until the own engine has answered.
     std::optional<std::uint32_t> ownRank_;
+    std::uint32_t groupRanks_ = 0; // As the own engine has told.
     std::optional<LowerDecider> lower_;
     std::uint64_t ownFence_ = 0;      // The highest that was handed to the own rank.
     std::uint64_t ownCountsMark_ = 0; // Of the own rank's last counts.
--- a/src/experts/rankpeers.cpp
+++ b/src/experts/rankpeers.cpp
@@ -9,6 +9,9 @@
 
 // An agent that has not answered for this long is taken for dead or cut off.
 constexpr Duration kAgentLife = std::chrono::milliseconds(1000);
+// How long one that has never answered counts as answering: a question and its answer take some
+// milliseconds, and a group that is held can't wait for an agent that is frozen.
+constexpr Duration kFirstAnswer = std::chrono::milliseconds(250);
 // How long an agent waits for another one's answer.
 constexpr Duration kPeerPatience = std::chrono::milliseconds(600);
 // What an engine tells to others than its own agent may be this old already.
@@ -54,7 +57,7 @@
         Peer &peer = peers_[id];
         if (peer.link == nullptr) {
             peer.engine = engine;
-            peer.answeredAt = loop_.now();
+            peer.answeredAt = loop_.now() - (kAgentLife - kFirstAnswer);
             peer.link = std::make_unique<RpcLink>(loop_, transport_,
                                                   SocketAddress{engine.host, agentPort_});
         }
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -297,9 +297,14 @@
     flight.body.clear();
     flight.streams = false;
     flight.resuming = flight.headSent;
+    const TargetName &service = action.upstream.service;
     logLine(LogLevel::Info, "attempt.started",
             {{"id", flight.facts.requestId},
              {"attempt", action.attempt},
+             {"waitedMs", toMillis(loop_.now() - flight.startedAt)},
+             {"streams", core_.streams(service)},
+             {"streamLimit", core_.streamLimit(service)},
+             {"waiting", core_.waiting(service)},
              {"upstream", action.upstream.id.value()},
              {"hall", action.upstream.hall.value()},
              {"inFlightThere", core_.inFlightAt(action.upstream.id)},
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -387,3 +387,81 @@
         STRCMP_EQUAL("north", order.order.group.value().c_str());
     }
 }
+
+namespace {
+
+constexpr std::uint32_t kPair = 2;
+
+// Reports both ranks of a small group, at `now`.
+void reportPair(GroupDecider &decider, TimePoint now, std::optional<std::uint64_t> heldByFirst)
+{
+    for (std::uint32_t rank = 0; rank < kPair; ++rank) {
+        RankReport report;
+        report.rank = rank;
+        report.ranks = kPair;
+        report.epoch = 1;
+        report.open = true;
+        report.step = 7;
+        report.held = rank == 0 ? heldByFirst : std::nullopt;
+        decider.onReport(report, now, now);
+    }
+}
+
+} // namespace
+
+// The engines remember the fences of a decider whose agent, and all others, have started anew.
+TEST(GroupDeciderTest, OvertakesAFenceThatNobodyRemembersWithinAFewTries)
+{
+    constexpr std::uint64_t kRemembered = 60ULL << 20U;
+    constexpr int kMostTries = 10;
+    GroupDecider decider(GroupDecider::Settings{});
+    TimePoint now{std::chrono::seconds(10)};
+    int tries = 0;
+    bool taken = false;
+    while (!taken && tries <= kMostTries) {
+        now += std::chrono::milliseconds(100);
+        reportPair(decider, now, std::nullopt);
+        MapOrders orders;
+        decider.propose(ExpertMap(1, RankExperts(kPair, {0})), now, orders);
+        ++tries;
+        for (const SendMapOrder &order : orders) {
+            taken = order.order.fence > kRemembered;
+            decider.onAnswer(order.rank, order.order,
+                             taken ? MapOrderAnswer::Done : MapOrderAnswer::Fenced, now);
+        }
+    }
+    CHECK_TEXT(taken, "the decider stays behind a fence of sixty changes");
+}
+
+TEST(GroupDeciderTest, StartsAboveItsFloor)
+{
+    GroupDecider::Settings settings;
+    settings.fenceFloor = 17'000'000'000; // Tenths of a second since 1970, in the year 2023.
+    GroupDecider decider(settings);
+    const TimePoint now{std::chrono::seconds(10)};
+    reportPair(decider, now, std::nullopt);
+    MapOrders orders;
+    decider.propose(ExpertMap(1, RankExperts(kPair, {0})), now, orders);
+    CHECK_TRUE(orders.at(0).order.fence > settings.fenceFloor);
+    CHECK_TRUE(orders.at(0).order.fence < (1ULL << 53U));
+}
+
+// The group makes no pass while a decider that has fallen silent holds a step.
+TEST(GroupDeciderTest, ClearsAtOnceWhatALongSilentPredecessorHolds)
+{
+    const TimePoint now{std::chrono::seconds(10)};
+    GroupDecider::Settings settings;
+    settings.ownRank = 1;
+    settings.predecessorHeardAt = now - settings.foreignPatience;
+    GroupDecider decider(settings);
+    reportPair(decider, now, 8);
+    MapOrders orders;
+    decider.onTick(now, orders);
+    CHECK_TRUE(decider.phase() == GroupDecider::Phase::Holding);
+
+    settings.predecessorHeardAt.reset();
+    GroupDecider patient(settings);
+    reportPair(patient, now, 8);
+    patient.onTick(now, orders);
+    CHECK_TRUE(patient.phase() == GroupDecider::Phase::Idle);
+}
