Gateway: streams that can still begin in time go before those that cannot

Cause: waiting streams went by age, so after each shift of demand a queue of half a second made the first event of every stream behind it late, though places enough came free.

Change: StreamQueue (pure) orders by urgency, then by whether a stream can still begin inside its route's goal, counted from its caller's first try (the longest time that callers of the route state, less what this one states) and with the time to a first event as seen of late. Of those that are late, callers that were refused before go first, because they don't come a third time.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -186,9 +186,9 @@
         for (std::uint32_t &allowance : allowed) {
             allowance = std::min(allowance, rule_.newExperts);
         }
-        PlacementBounds bounds{rule_.places, rule_.newExperts, settings_.maxChanges,
-                               settings_.goodEnough, allowed,
-                               (all + setsLeft - 1) / setsLeft};
+        PlacementBounds bounds{
+            rule_.places,         rule_.newExperts, settings_.maxChanges,
+            settings_.goodEnough, allowed,          (all + setsLeft - 1) / setsLeft};
         result.map[set] = improvePlacement(current[set], shares[set], bounds, paces_);
         for (std::size_t rank = 0; rank < ranks; ++rank) {
             const auto &before = current[set][rank];
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -10,6 +10,10 @@
 // A request is given up a little before its time is over, so that its answer still arrives.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
 
+// A caller that has waited for less than this is at its first try: the time that it states and the
+// longest stated on its route may differ by the time that its connection took.
+constexpr Duration kShortestComeBack = std::chrono::milliseconds(200);
+
 bool saysNotRun(AnswerKind kind)
 {
     return kind == AnswerKind::Full || kind == AnswerKind::WrongInstance
@@ -43,6 +47,7 @@
     const RouteRule &route = *request.route;
     const Duration longest =
         route.timeout > Duration{} ? std::min(route.timeout, request.deadline) : request.deadline;
+    added.firstAskedAt = now - timeSinceFirstTry(request);
     added.request = std::move(request);
     added.service = chooseService(route);
     added.giveUpAt = now + longest - kAnswerMargin;
@@ -50,14 +55,7 @@
     added.arrivedAt = now;
     ServiceState &service = serviceOf(added);
     if (route.streamed && !service.limiter.admits(service.streams)) {
-        added.waits = true;
-        const Duration wait = expectedWait(service, added.request.priority, now);
-        if (wait > settings_.longestExpectedWait) {
-            added.comeBack = std::clamp(wait, settings_.shortestReturn, settings_.longestReturn);
-            giveUp(number, FailureCode::NoUpstream, actions);
-            return number;
-        }
-        service.waiting.emplace(std::pair{added.request.priority, number}, number);
+        queueStream(number, added, now, actions);
         return number;
     }
     if (route.streamed) {
@@ -70,23 +68,63 @@
     return number;
 }
 
+// Returns how long ago the request's caller asked first: callers say how long they wait still, and
+// the longest that any caller of the route has said is that of a first try.
+Duration GatewayCore::timeSinceFirstTry(const GatewayRequest &request)
+{
+    Duration &longest = longestDeadline_[request.route->name];
+    longest = std::max(longest, request.deadline);
+    return longest - request.deadline;
+}
+
+StreamQueue::Entry GatewayCore::entryFor(RequestNumber number, const Request &request,
+                                         const ServiceState &service)
+{
+    const Duration goal = request.request.route->latencyGoal;
+    StreamQueue::Entry entry;
+    entry.number = number;
+    entry.priority = request.request.priority;
+    entry.cameBack = request.arrivedAt - request.firstAskedAt >= kShortestComeBack;
+    // Without a goal there is no moment from which on the caller would be worse off.
+    entry.startBy =
+        goal > Duration{} ? request.firstAskedAt + goal - service.firstEvent : request.giveUpAt;
+    return entry;
+}
+
+// Has a stream wait for a place, or refuses it at once where the queue is too long.
+void GatewayCore::queueStream(RequestNumber number, Request &request, TimePoint now,
+                              GatewayActions &actions)
+{
+    ServiceState &service = serviceOf(request);
+    const StreamQueue::Entry entry = entryFor(number, request, service);
+    request.waits = true;
+    const Duration wait = expectedWait(service, entry, now);
+    if (wait > settings_.longestExpectedWait) {
+        request.comeBack = std::clamp(wait, settings_.shortestReturn, settings_.longestReturn);
+        giveUp(number, FailureCode::NoUpstream, actions);
+        return;
+    }
+    service.waiting.add(entry, now);
+}
+
 GatewayCore::ServiceState &GatewayCore::serviceOf(const Request &request)
 {
-    return services_
-        .try_emplace(request.service, ServiceState{StreamLimiter(settings_.streams), 0, {}, {}, {}})
-        .first->second;
+    const auto [found, added] = services_.try_emplace(request.service);
+    if (added) {
+        found->second.limiter = StreamLimiter(settings_.streams);
+    }
+    return found->second;
 }
 
-// Returns how long a request of `priority` would wait at the pace of the last second.
-Duration GatewayCore::expectedWait(ServiceState &service, std::uint8_t priority, TimePoint now)
+// Returns how long a stream would wait at the pace of the last second.
+Duration GatewayCore::expectedWait(ServiceState &service, const StreamQueue::Entry &entry,
+                                   TimePoint now)
 {
     constexpr Duration kWindow = std::chrono::seconds(1);
     while (!service.started.empty() && now - service.started.front() > kWindow) {
         service.started.pop_front();
     }
-    const auto behind =
-        service.waiting.lower_bound({static_cast<std::uint8_t>(priority + 1), RequestNumber{0}});
-    const auto ahead = std::distance(service.waiting.begin(), behind);
+    const auto ahead = static_cast<Duration::rep>(service.waiting.ahead(entry, now));
     const auto pace = static_cast<Duration::rep>(std::max<std::size_t>(1, service.started.size()));
     return kWindow * (ahead + 1) / pace;
 }
@@ -95,8 +133,7 @@
 void GatewayCore::admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
     while (!service.waiting.empty() && service.limiter.admits(service.streams)) {
-        const RequestNumber number = service.waiting.begin()->second;
-        service.waiting.erase(service.waiting.begin());
+        const RequestNumber number = *service.waiting.takeNext(now);
         Request &request = requests_.at(number);
         request.waits = false;
         ++service.streams;
@@ -116,13 +153,25 @@
     const Request &request = found->second;
     ServiceState &service = serviceOf(request);
     if (request.waits) {
-        service.waiting.erase({request.request.priority, number});
+        service.waiting.remove(number);
     } else if (request.request.route->streamed && service.streams > 0) {
         --service.streams;
     }
     requests_.erase(found);
 }
 
+void GatewayCore::onFirstEvent(RequestNumber number, TimePoint now)
+{
+    constexpr int kWeight = 8; // Of the average so far, against one of the new time.
+    const Request *request = find(number);
+    if (request == nullptr || request->sentAt == TimePoint{}) {
+        return;
+    }
+    Duration &average = serviceOf(*request).firstEvent;
+    const Duration time = now - request->sentAt;
+    average = average == Duration{} ? time : (average * (kWeight - 1) + time) / kWeight;
+}
+
 void GatewayCore::onPause(RequestNumber number, Duration pause)
 {
     const Request *request = find(number);
@@ -224,6 +273,7 @@
         return false;
     }
     request.upstream = *chosen;
+    request.sentAt = now;
     request.tried.insert(*chosen);
     request.answering = false;
     ++request.attempts;
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -15,6 +15,7 @@
 
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/streamlimiter.h"
+#include "decision/gateway/streamqueue.h"
 #include "decision/gateway/upstreamtable.h"
 #include "decision/retry/outlierdetector.h"
 #include "decision/retry/retrybudget.h"
@@ -36,9 +37,6 @@
 
 namespace seamarch {
 
-// Names one request within one life of a gateway.
-using RequestNumber = std::uint64_t;
-
 // A request as a caller made it, with the route and the account that were found for it.
 struct GatewayRequest
 {
@@ -152,6 +150,8 @@
     // that is being taken up, when its events are to follow those that went before.
     bool onHead(RequestNumber request, AnswerKind kind, TimePoint now, GatewayActions &actions);
     void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
+    // The first event of the request's stream has come.
+    void onFirstEvent(RequestNumber request, TimePoint now);
     // An event of the request's stream came `pause` after the one before it.
     void onPause(RequestNumber request, Duration pause);
     // The caller has left. The request is over.
@@ -174,9 +174,11 @@
         TargetName service;
         TimePoint giveUpAt{};
         TimePoint arrivedAt{};
-        Duration comeBack{}; // When a refused caller may come back; zero: the usual pause.
-        bool waits = false;  // For the bound on streams; nothing was sent yet.
-        InstanceId upstream; // Of the attempt under way; empty: none.
+        TimePoint firstAskedAt{}; // When its caller first asked, as far as is known.
+        TimePoint sentAt{};       // The attempt under way.
+        Duration comeBack{};      // When a refused caller may come back; zero: the usual pause.
+        bool waits = false;       // For the bound on streams; nothing was sent yet.
+        InstanceId upstream;      // Of the attempt under way; empty: none.
         std::set<InstanceId> tried;
         std::uint32_t attempts = 0; // That reached an upstream, as far as is known.
         std::uint32_t unsent = 0;
@@ -192,8 +194,8 @@
         std::uint32_t streams = 0;
         std::deque<TimePoint> started;          // Of the streams of the last second.
         std::optional<TimePoint> refusingSince; // No upstream has answered otherwise since.
-        // By priority and arrival: the most urgent and oldest first.
-        std::map<std::pair<std::uint8_t, RequestNumber>, RequestNumber> waiting;
+        StreamQueue waiting;
+        Duration firstEvent{}; // From an attempt's start, on average of late; zero: not known.
     };
 
     struct UpstreamState
@@ -217,7 +219,12 @@
     ServiceState &serviceOf(const Request &request);
     void endRequest(RequestNumber number);
     void noteAnswer(Request &request, AnswerKind kind, TimePoint now);
-    Duration expectedWait(ServiceState &service, std::uint8_t priority, TimePoint now);
+    Duration timeSinceFirstTry(const GatewayRequest &request);
+    static StreamQueue::Entry entryFor(RequestNumber number, const Request &request,
+                                       const ServiceState &service);
+    Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
+    void queueStream(RequestNumber number, Request &request, TimePoint now,
+                     GatewayActions &actions);
     void admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions);
     void noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
     Request *find(RequestNumber number);
@@ -229,6 +236,8 @@
     std::unordered_map<InstanceId, UpstreamState> states_;
     std::unordered_map<TargetName, RetryBudget> budgets_;
     std::unordered_map<TargetName, ServiceState> services_;
+    // The longest that a caller of a route was seen to wait, by the route's name: of a first try.
+    std::unordered_map<std::string, Duration> longestDeadline_;
     std::unordered_map<RequestNumber, Request> requests_;
     RequestNumber nextNumber_ = 1;
     std::uint64_t secondAttempts_ = 0;
--- /dev/null
+++ b/src/decision/gateway/streamqueue.cpp
@@ -0,0 +1,75 @@
+#include "decision/gateway/streamqueue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace seamarch {
+
+StreamQueue::Key StreamQueue::keyOf(const Entry &entry, TimePoint now)
+{
+    if (now <= entry.startBy) {
+        return {entry.priority, Standing::InTime, entry.number};
+    }
+    const Standing late = entry.cameBack ? Standing::LateAfterReturn : Standing::Late;
+    return {entry.priority, late, entry.number};
+}
+
+// Moves the streams whose time to begin has passed behind those that can still be in time.
+void StreamQueue::demoteLate(TimePoint now)
+{
+    while (!hopeful_.empty() && hopeful_.begin()->first < now) {
+        const RequestNumber number = hopeful_.begin()->second;
+        hopeful_.erase(hopeful_.begin());
+        const Entry &entry = entries_.at(number);
+        order_.erase(keyOf(entry, entry.startBy));
+        order_.emplace(keyOf(entry, now), number);
+    }
+}
+
+void StreamQueue::add(const Entry &entry, TimePoint now)
+{
+    entries_.emplace(entry.number, entry);
+    order_.emplace(keyOf(entry, now), entry.number);
+    if (now <= entry.startBy) {
+        hopeful_.emplace(entry.startBy, entry.number);
+    }
+}
+
+void StreamQueue::remove(RequestNumber number)
+{
+    const auto found = entries_.find(number);
+    if (found == entries_.end()) {
+        return;
+    }
+    const Entry &entry = found->second;
+    const auto [begin, end] = hopeful_.equal_range(entry.startBy);
+    const auto hope = std::find_if(
+        begin, end, [number](const auto &hopeful) { return hopeful.second == number; });
+    if (hope == end) {
+        order_.erase(keyOf(entry, TimePoint::max()));
+    } else {
+        order_.erase(keyOf(entry, entry.startBy));
+        hopeful_.erase(hope);
+    }
+    entries_.erase(found);
+}
+
+std::optional<RequestNumber> StreamQueue::takeNext(TimePoint now)
+{
+    demoteLate(now);
+    if (order_.empty()) {
+        return std::nullopt;
+    }
+    const RequestNumber number = order_.begin()->second;
+    remove(number);
+    return number;
+}
+
+std::size_t StreamQueue::ahead(const Entry &entry, TimePoint now)
+{
+    demoteLate(now);
+    return static_cast<std::size_t>(
+        std::distance(order_.begin(), order_.lower_bound(keyOf(entry, now))));
+}
+
+} // namespace seamarch
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -143,8 +143,8 @@
         const GroupId askerGroup(params.getAskerGroup().cStr());
         agent_.onAsked(askerGroup, params.getAskerRank());
         const bool ownGroup = askerGroup == agent_.ownGroup_;
-        const RankQuestion question{ownGroup && params.getCounts(),
-                                    ownGroup && params.getExperts(), params.getCountsSince()};
+        const RankQuestion question{ownGroup && params.getCounts(), ownGroup && params.getExperts(),
+                                    params.getCountsSince()};
         agent_.answer(question, [context, fulfiller](std::optional<RankFacts> facts) mutable {
             if (facts) {
                 writeFacts(*facts, context.getResults().initState());
@@ -322,7 +322,8 @@
     if (!ownRank_ || now - startedAt_ < kStartDelay) {
         return false;
     }
-    const Duration life = kDeciderLife + kDeciderLifePerRank * static_cast<Duration::rep>(groupRanks_);
+    const Duration life =
+        kDeciderLife + kDeciderLifePerRank * static_cast<Duration::rep>(groupRanks_);
     const bool lowerLives = lower_ && lower_->rank < *ownRank_ && now - lower_->askedAt < life;
     if (deciding() || lowerLives) {
         return !lowerLives;
@@ -447,9 +448,8 @@
         return kLongestCountsGap;
     }
     const std::uint64_t bytes = std::uint64_t{decider_->size()} * rule_->sets * rule_->experts;
-    const Duration fitting =
-        std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) * bytes
-        / kCountsBytesPerSecond;
+    const Duration fitting = std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) * bytes
+                             / kCountsBytesPerSecond;
     return std::clamp(fitting, kCountsGap, gapFor(kLongestCountsGap, kLongestCountsGapPerRank));
 }
 
@@ -592,7 +592,8 @@
     planner_.setPaces(decider_->paces());
     auto planned = planner_.plan(*current_, loop_.now());
     if (planned && decider_->abandon(loop_.now())) {
-        logLine(LogLevel::Info, "map.abandoned", {{"version", proposedVersion_}, {"epoch", epoch_}});
+        logLine(LogLevel::Info, "map.abandoned",
+                {{"version", proposedVersion_}, {"epoch", epoch_}});
         orders.clear();
         propose(std::move(*planned), orders);
     }
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -452,7 +452,9 @@
     metrics_.observe(first ? Stage::FirstToken : Stage::BetweenTokens, flight.admitted.account,
                      flight.admitted.route->name,
                      now - (first ? flight.startedAt : flight.lastEventAt));
-    if (!first) {
+    if (first) {
+        core_.onFirstEvent(number, now);
+    } else {
         core_.onPause(number, now - flight.lastEventAt);
     }
     flight.lastEventAt = now;
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -70,11 +70,10 @@
         std::ptrdiff_t added = 0;
         for (std::size_t set = 0; set < before.size(); ++set) {
             const auto &held = before[set][rank];
-            added += std::count_if(after[set][rank].begin(), after[set][rank].end(),
-                                   [&held](std::uint16_t expert) {
-                                       return std::find(held.begin(), held.end(), expert)
-                                              == held.end();
-                                   });
+            added += std::count_if(
+                after[set][rank].begin(), after[set][rank].end(), [&held](std::uint16_t expert) {
+                    return std::find(held.begin(), held.end(), expert) == held.end();
+                });
         }
         most = std::max(most, added);
     }
--- a/test/decision/expertmap/grouproster_test.cpp
+++ b/test/decision/expertmap/grouproster_test.cpp
@@ -19,7 +19,10 @@
 {
     GroupRoster roster{kOwn};
 
-    void setup() override { roster.setListed({kFirst, kSecond}); }
+    void setup() override
+    {
+        roster.setListed({kFirst, kSecond});
+    }
 };
 
 TEST(GroupRosterTest, FindsTheRankOfItsOwnGroupOnly)
--- /dev/null
+++ b/test/decision/gateway/streamqueue_test.cpp
@@ -0,0 +1,88 @@
+#include "decision/gateway/streamqueue.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr std::uint8_t kUrgent = 1;
+constexpr std::uint8_t kUsual = 5;
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+TEST_GROUP(StreamQueueTest)
+{
+    StreamQueue queue;
+
+    void add(RequestNumber number, int startBy, std::uint8_t priority = kUsual,
+             bool cameBack = false)
+    {
+        queue.add({number, priority, cameBack, at(startBy)}, at(0));
+    }
+
+    void checkNext(RequestNumber expected, int now)
+    {
+        const auto next = queue.takeNext(at(now));
+        CHECK_TEXT(next.has_value(), "expected a stream, found an empty queue");
+        LONGS_EQUAL(expected, *next);
+    }
+};
+
+TEST(StreamQueueTest, OldestGoesFirstAmongEquals)
+{
+    add(1, 300);
+    add(2, 300);
+    checkNext(1, 10);
+    checkNext(2, 10);
+    CHECK_FALSE(queue.takeNext(at(10)).has_value());
+}
+
+TEST(StreamQueueTest, OneThatCanBeInTimeGoesBeforeOneThatCannot)
+{
+    add(1, 100);
+    add(2, 400);
+    checkNext(2, 200);
+    checkNext(1, 200);
+}
+
+TEST(StreamQueueTest, UrgentOneGoesFirstEvenWhenItIsLate)
+{
+    add(1, 400);
+    add(2, 100, kUrgent);
+    checkNext(2, 200);
+}
+
+TEST(StreamQueueTest, CallerThatCameBackGoesFirstAmongTheLate)
+{
+    add(1, 100);
+    add(2, -500, kUsual, true);
+    checkNext(2, 200);
+    checkNext(1, 200);
+}
+
+TEST(StreamQueueTest, CountsThoseThatGoBefore)
+{
+    add(1, 100);
+    add(2, 400);
+    LONGS_EQUAL(2, queue.ahead({3, kUsual, false, at(300)}, at(50)));
+    LONGS_EQUAL(1, queue.ahead({3, kUsual, false, at(300)}, at(200)));
+    LONGS_EQUAL(0, queue.ahead({3, kUrgent, false, at(300)}, at(200)));
+}
+
+TEST(StreamQueueTest, RemovedOnesLeaveNoTrace)
+{
+    add(1, 100);
+    add(2, 100);
+    queue.remove(1);
+    LONGS_EQUAL(1, queue.ahead({3, kUsual, false, at(-1)}, at(200)));
+    queue.remove(2);
+    queue.remove(2);
+    CHECK_TRUE(queue.empty());
+    CHECK_FALSE(queue.takeNext(at(200)).has_value());
+}
