Expert planner: an alarm is a shift only when the next round confirms it

Each such round was taken for a shift, the gaps between these were learned as the life of a mixture, half a second, and with that no change was ever worth its copying: the map stayed uneven.

Change: an alarm keeps what was remembered; the next round decides. The bound on skew is in parts.

Test: fails on the code before (14 shifts counted in a calm demand).

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -20,6 +20,7 @@
     if (memory_.size() != size) {
         memory_.assign(size, 0.0);
         round_.assign(size, 0.0);
+        doubted_.clear();
         roundSince_.reset();
     }
     rule_ = rule;
@@ -36,16 +37,18 @@
     roundSince_ = roundSince_.value_or(now);
 }
 
-double ExpertPlanner::distanceOf(const std::vector<double> &round) const
+// Returns the part of all choices by which two counts differ; zero when one of them is empty.
+double ExpertPlanner::distanceBetween(const std::vector<double> &counts,
+                                      const std::vector<double> &others)
 {
-    const double roundTotal = sumOf(round);
-    const double memoryTotal = sumOf(memory_);
-    if (roundTotal <= 0.0 || memoryTotal <= 0.0) {
+    const double total = sumOf(counts);
+    const double otherTotal = sumOf(others);
+    if (total <= 0.0 || otherTotal <= 0.0) {
         return 0.0;
     }
     double differing = 0.0;
-    for (std::size_t index = 0; index < round.size(); ++index) {
-        differing += std::abs(round[index] / roundTotal - memory_[index] / memoryTotal);
+    for (std::size_t index = 0; index < counts.size(); ++index) {
+        differing += std::abs(counts[index] / total - others[index] / otherTotal);
     }
     return differing / 2.0;
 }
@@ -77,33 +80,32 @@
     return skewBy(memory_, map);
 }
 
-bool ExpertPlanner::shifted(const std::optional<ExpertMap> &current) const
+// Tells whether the round differs from what was remembered by more than noise.
+bool ExpertPlanner::differs(const std::vector<double> &remembered,
+                            const std::optional<ExpertMap> &current) const
 {
-    if (sumOf(memory_) <= 0.0) {
+    if (sumOf(remembered) <= 0.0) {
         return false;
     }
     const double limit = std::clamp(calmDistance_ * settings_.shiftOverCalm,
                                     settings_.leastShiftDistance, settings_.mostShiftDistance);
-    return distance_ > limit
-           || (current && skewBy(round_, *current) > skew(*current) + settings_.shiftSkew);
+    return distanceBetween(round_, remembered) > limit
+           || (current
+               && skewBy(round_, *current)
+                      > skewBy(remembered, *current) * (1.0 + settings_.shiftSkew));
 }
 
 void ExpertPlanner::noteShift(TimePoint now)
 {
-    std::fill(memory_.begin(), memory_.end(), 0.0);
     ++shifts_;
     shiftedSincePlan_ = true;
-    // Of one shift the ranks may tell in two rounds.
-    const bool sameShift = shiftedAt_ && now - *shiftedAt_ < settings_.leastLife;
-    if (shiftedAt_ && !sameShift) {
+    if (shiftedAt_) {
         gaps_.push_back(now - *shiftedAt_);
         if (gaps_.size() > settings_.gapsKept) {
             gaps_.pop_front();
         }
     }
-    if (!sameShift) {
-        shiftedAt_ = now;
-    }
+    shiftedAt_ = now;
 }
 
 void ExpertPlanner::remember(TimePoint now)
@@ -118,21 +120,36 @@
 
 void ExpertPlanner::look(const std::optional<ExpertMap> &current, TimePoint now)
 {
-    constexpr double kCalmWeight = 0.05; // Of one round among some five a second.
     const bool complete = roundSince_ && now - *roundSince_ >= settings_.roundSpan;
     if (!complete || sumOf(round_) < settings_.leastCounts) {
         return;
     }
-    distance_ = distanceOf(round_);
-    if (shifted(current)) {
-        noteShift(now); // The round is a blend of two mixtures, and is dropped too.
+    judge(current, now);
+    std::fill(round_.begin(), round_.end(), 0.0);
+    roundSince_.reset();
+}
+
+// Learns from the complete round.
+void ExpertPlanner::judge(const std::optional<ExpertMap> &current, TimePoint now)
+{
+    constexpr double kCalmWeight = 0.05; // Of one round among some ten a second.
+    if (!doubted_.empty()) {
+        if (differs(doubted_, current)) {
+            noteShift(now);
+        } else {
+            memory_ = std::move(doubted_); // The alarm was noise.
+        }
+        doubted_.clear();
     } else {
+        distance_ = distanceBetween(round_, memory_);
+        if (differs(memory_, current)) {
+            doubted_ = std::exchange(memory_, std::vector<double>(memory_.size(), 0.0));
+            return;
+        }
         calmDistance_ += kCalmWeight * (distance_ - calmDistance_);
-        remember(now);
-        weighed_ = false;
     }
-    std::fill(round_.begin(), round_.end(), 0.0);
-    roundSince_.reset();
+    remember(now);
+    weighed_ = false;
 }
 
 // The mean of what was left of the remembered gaps at the present mixture's age; a mixture that has
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -8,9 +8,10 @@
 //
 // Counts come in rounds, one for each time that the ranks were asked. A round that differs from
 // what is remembered by more than rounds of a calm time do, or under which the map in use is much
-// less even, shows that demand has shifted: what was remembered is dropped at once, because a map
-// for a blend of the old and the new mixture fits neither. The gaps between shifts are remembered
-// too; they say how long a mixture lasts.
+// less even, may show that demand has shifted. It is a blend of two mixtures, for which no map is
+// planned, and the next round decides: if it differs as well, what was remembered is dropped; if
+// not, the alarm was noise. The gaps between shifts are remembered too; they say how long a mixture
+// lasts, and a false one would make every change look too late to pay.
 //
 // Pure and single-threaded.
 #pragma once
@@ -44,8 +45,9 @@
         double shiftOverCalm = 2.0;
         double leastShiftDistance = 0.04;
         double mostShiftDistance = 0.3;
-        // The same, in skew: a shift to a few hot experts moves few choices and loads one rank.
-        double shiftSkew = 0.5;
+        // The same, in parts of the skew: a shift to a few hot experts moves few choices and loads
+        // one rank.
+        double shiftSkew = 0.3;
         // How long a mixture is taken to last before any shift was seen, and how many gaps between
         // shifts are remembered.
         Duration firstGap = std::chrono::seconds(10);
@@ -109,8 +111,11 @@
     static std::vector<double> sharesOf(const std::vector<double> &counts, std::uint32_t set,
                                         std::uint32_t experts);
     double skewBy(const std::vector<double> &counts, const ExpertMap &map) const;
-    double distanceOf(const std::vector<double> &round) const;
-    bool shifted(const std::optional<ExpertMap> &current) const;
+    static double distanceBetween(const std::vector<double> &counts,
+                                  const std::vector<double> &others);
+    bool differs(const std::vector<double> &remembered,
+                 const std::optional<ExpertMap> &current) const;
+    void judge(const std::optional<ExpertMap> &current, TimePoint now);
     void noteShift(TimePoint now);
     void remember(TimePoint now);
     double passTime(double skew) const;
@@ -121,6 +126,8 @@
     ExpertRule rule_;
     std::vector<double> memory_; // Counts by set and expert, with the weight of their age.
     std::vector<double> round_;  // Of the round that is coming in.
+    // What was remembered when an alarm was given that the next round decides on; empty: none was.
+    std::vector<double> doubted_;
     std::optional<TimePoint> roundSince_;
     TimePoint rememberedAt_{};
     std::vector<double> paces_;
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -294,3 +294,24 @@
     feed(planner, skewedShares(2), 2000, 2400);
     CHECK_TRUE(planner.outdated());
 }
+
+// Under an uneven map single rounds differ much in skew. Taken for shifts, they would make mixtures
+// look so short-lived that no change of the map paid, and the map would stay uneven.
+TEST(ExpertPlannerTest, TakesOneOddRoundForNoise)
+{
+    planner.setRule({1, kExperts, 8, 3, std::chrono::milliseconds(400), 0.85});
+    const std::vector<double> calm = skewedShares(1);
+    std::vector<double> odd = calm;
+    const auto most = std::max_element(odd.begin(), odd.end());
+    *most *= 1.8;
+    int time = 0;
+    for (int count = 0; count < 20; ++count) {
+        feed(planner, calm, time, time + 800);
+        feed(planner, odd, time + 800, time + 1000);
+        time += 1000;
+    }
+    LONGS_EQUAL(0, planner.shifts());
+    feed(planner, calm, time, time + 200);
+    CHECK_TRUE(planner.expectedLife(at(time)) >= std::chrono::seconds(5));
+    CHECK_TRUE(planner.plan({dealt()}, at(time)).has_value());
+}
