Gateways: every bound comes from the settings; waits and returns from the protocol

Cause: both templates passed no bound on; key freshness, deny freshness, stop delay and deadline, retry budget and the grace of lapsed records were constants that fit two sites, and two windows on waiting streams (0.9 s, 1.7 s) and the time to come back in an outage (2.5 s) fit one route.

Change: GatewayBounds are read, checked and reloaded; GatewayTimes follow from them with margins that name what they are for. A gateway's part of the second attempts follows from how many gateways it knows. A stream waits until its caller would leave (the protocol's figure, from the route's goals) less a margin, and is refused at once when twice the expected wait is longer; in an outage callers are told the latest time at which they come back at all. A connection between gateways or agents that has gone silent is replaced by a new one at the next question.

Tests: other bounds than the examples' (GatewayBoundsTest), a shared bank of second attempts, the time to come back. The replacement of silent connections has no test of its own yet.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -163,6 +163,23 @@
     return *parsed;
 }
 
+double SettingsReader::number(std::string_view name, double low, double high, double fallback)
+{
+    const auto found = lookUp(name);
+    double value = fallback;
+    if (found) {
+        const auto [end, error] =
+            std::from_chars(found->data(), found->data() + found->size(), value);
+        const bool whole = error == std::errc() && end == found->data() + found->size();
+        if (!whole || !(value >= low && value <= high)) {
+            fault(name, fmt::format("expected a number from {} to {}, found '{}'", low, high, *found));
+            value = fallback;
+        }
+    }
+    values_[std::string(name)] = fmt::format("{}", value);
+    return value;
+}
+
 Duration SettingsReader::milliseconds(std::string_view name, std::uint64_t low, std::uint64_t high,
                                       std::uint64_t fallback)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -64,6 +64,8 @@
     std::vector<HostPort> addresses(std::string_view name);
     std::uint64_t integer(std::string_view name, std::uint64_t low, std::uint64_t high,
                           std::uint64_t fallback);
+    // Reads a number that may have a fraction.
+    double number(std::string_view name, double low, double high, double fallback);
     // Reads a number of milliseconds.
     Duration milliseconds(std::string_view name, std::uint64_t low, std::uint64_t high,
                           std::uint64_t fallback);
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -48,9 +48,9 @@
   --lease-ms N               How long a heartbeat's answer is good for (default 5000 for
                              an entry, 3000 for an agent).
   --stop-delay-ms N          How long a planned stop goes on taking requests (default 2000
-                             for an entry, 3200 for a gateway).
-  --stop-deadline-ms N       When a planned stop gives up waiting (default 120000; 7500 for
-                             a gateway).
+                             for an entry; for a gateway as --stop-limit-s allows).
+  --stop-deadline-ms N       When a planned stop gives up waiting (default 120000; for a
+                             gateway as --stop-limit-s allows).
   --max-account-series N     Client accounts with metrics of their own (default 300).
   --log-level LEVEL          debug, info, warning or error (default info).
   --check-settings           Check the settings, print those in force, and exit.
@@ -61,9 +61,19 @@
 
 Gateway options:
   --seeds LIST               Where some of the other gateways listen, parted by commas.
-  --key-freshness-ms N       A key is good under a confirmation this young (default 4700).
-  --deny-freshness-ms N      401 and 404 are given under a confirmation this young (default
-                             1900).
+  --key-life-ms N            A key that was taken away is not used later than this after the
+                             store took the change (default 5000).
+  --config-spread-ms N       A change of routes is in force within this (default 2000).
+  --leaving-limit-ms N       An upstream that leaves gets nothing later than this after the
+                             store knew (default 2000).
+  --stop-limit-s N           A process is killed this long after it was told to stop
+                             (default 8).
+  --retry-ratio N            Second attempts of all gateways, for each request (default 0.2).
+  --retry-slack N            Second attempts of all gateways besides (default 88).
+  --key-freshness-ms N       A key is good under a confirmation this young (default:
+                             --key-life-ms less 300).
+  --deny-freshness-ms N      401 and 404 are given under a confirmation this young (default:
+                             --config-spread-ms less 100).
 
 Expert agent options:
   --service NAME             The service whose replicas form the group.
@@ -101,6 +111,43 @@
     return settings;
 }
 
+std::uint64_t millisOf(Duration duration)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+GatewayBounds readBounds(SettingsReader &reader)
+{
+    constexpr double kMostRetries = 1e6;
+    const GatewayBounds usual;
+    const auto millis = [&reader](std::string_view name, Duration fallback) {
+        return reader.milliseconds(name, 1, kMaxMillis, millisOf(fallback));
+    };
+    GatewayBounds bounds;
+    bounds.keyLife = millis("key-life-ms", usual.keyLife);
+    bounds.configSpread = millis("config-spread-ms", usual.configSpread);
+    bounds.leavingLimit = millis("leaving-limit-ms", usual.leavingLimit);
+    bounds.stopLimit = fromSeconds(
+        reader.number("stop-limit-s", 0.1, kMaxMillis / 1e3, toSeconds(usual.stopLimit)));
+    bounds.retryRatio = reader.number("retry-ratio", 0.0, 1.0, usual.retryRatio);
+    bounds.retrySlack = reader.number("retry-slack", 0.0, kMostRetries, usual.retrySlack);
+    return bounds;
+}
+
+// A time that is given goes before the one that follows from the bounds.
+GatewayTimes readTimes(SettingsReader &reader, GatewayTimes times)
+{
+    const auto read = [&reader](std::string_view name, std::uint64_t least, Duration &time) {
+        time = reader.milliseconds(name, least, kMaxMillis, millisOf(time));
+    };
+    read("key-freshness-ms", 1, times.freshness.keys);
+    read("deny-freshness-ms", 1, times.freshness.deny);
+    read("stop-delay-ms", 0, times.stopDelay);
+    read("stop-deadline-ms", 1, times.stopDeadline);
+    return times;
+}
+
 GatewaySettings readGateway(SettingsReader &reader)
 {
     GatewaySettings settings;
@@ -121,10 +168,8 @@
         }
     }
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
-    settings.keyFreshness = reader.milliseconds("key-freshness-ms", 1, kMaxMillis, 4700);
-    settings.denyFreshness = reader.milliseconds("deny-freshness-ms", 1, kMaxMillis, 1900);
-    settings.stopDelay = reader.milliseconds("stop-delay-ms", 0, kMaxMillis, 3200);
-    settings.stopDeadline = reader.milliseconds("stop-deadline-ms", 1, kMaxMillis, 7500);
+    settings.bounds = readBounds(reader);
+    settings.times = readTimes(reader, timesWithin(settings.bounds));
     return settings;
 }
 
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -34,6 +34,37 @@
     return found == requests_.end() ? nullptr : &found->second;
 }
 
+// Returns the part of the limits that this gateway may spend. The gateways do not count together, so
+// each stays well below its part: it may know of too few others, and their traffic is unlike.
+RetryBudget::Settings GatewayCore::ownBudget() const
+{
+    constexpr double kSpentPerRequest = 0.75;
+    constexpr double kSpentOfBurst = 0.35;
+    constexpr double kFirstPermits = 2.0;
+    const double burst =
+        settings_.retries.burst * kSpentOfBurst / static_cast<double>(gateways_);
+    const bool none = settings_.retries.perRequest <= 0.0 && burst <= 0.0;
+    const double most = none ? 0.0 : std::max(1.0, burst);
+    return {settings_.retries.perRequest * kSpentPerRequest, most, std::min(most, kFirstPermits)};
+}
+
+void GatewayCore::setGateways(std::size_t count)
+{
+    const std::size_t gateways = std::max<std::size_t>(1, count);
+    if (gateways != gateways_) {
+        gateways_ = gateways;
+        setRetryLimits(settings_.retries);
+    }
+}
+
+void GatewayCore::setRetryLimits(const RetryLimits &limits)
+{
+    settings_.retries = limits;
+    for (auto &[service, budget] : budgets_) {
+        budget.change(ownBudget());
+    }
+}
+
 bool GatewayCore::mayRepeat(const Request &request) const
 {
     const RouteRule &route = *request.request.route;
@@ -51,7 +82,7 @@
     added.request = std::move(request);
     added.service = chooseService(route);
     added.giveUpAt = now + longest - kAnswerMargin;
-    budgets_.try_emplace(added.service, settings_.retryBudget).first->second.onSuccess();
+    budgets_.try_emplace(added.service, ownBudget()).first->second.onSuccess();
     added.arrivedAt = now;
     ServiceState &service = serviceOf(added);
     if (route.streamed && !service.limiter.admits(service.streams)) {
@@ -91,6 +122,19 @@
     return entry;
 }
 
+// Returns how long a stream may wait for a place; its caller leaves not long after.
+Duration GatewayCore::longestWait(const Request &request) const
+{
+    return request.request.route->silenceLimit - settings_.waitMargin;
+}
+
+// Returns the latest moment at which the caller would come back.
+Duration GatewayCore::latestReturn(const Request &request, TimePoint now) const
+{
+    const Duration left = request.arrivedAt + request.request.deadline - now;
+    return std::max(settings_.shortestReturn, left / settings_.honouredPart);
+}
+
 // Has a stream wait for a place, or refuses it at once where the queue is too long.
 void GatewayCore::queueStream(RequestNumber number, Request &request, TimePoint now,
                               GatewayActions &actions)
@@ -99,7 +143,7 @@
     const StreamQueue::Entry entry = entryFor(number, request, service);
     request.waits = true;
     const Duration wait = expectedWait(service, entry, now);
-    if (wait > settings_.longestExpectedWait) {
+    if (wait * settings_.waitDoubt > longestWait(request)) {
         request.comeBack = std::clamp(wait, settings_.shortestReturn, settings_.longestReturn);
         giveUp(number, FailureCode::NoUpstream, actions);
         return;
@@ -314,7 +358,7 @@
     }
     service.refusingSince = service.refusingSince.value_or(now);
     if (now - *service.refusingSince >= settings_.outagePatience) {
-        request.comeBack = settings_.longestReturn;
+        request.comeBack = latestReturn(request, now);
     }
 }
 
@@ -454,7 +498,7 @@
     });
     std::vector<RequestNumber> late;
     for (const auto &[number, request] : requests_) {
-        const bool waitedLong = request.waits && now - request.arrivedAt >= settings_.longestWait;
+        const bool waitedLong = request.waits && now - request.arrivedAt >= longestWait(request);
         if (now >= request.giveUpAt || waitedLong) {
             late.push_back(number);
         }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -99,6 +99,13 @@
 using GatewayAction = std::variant<StartAttempt, CancelAttempt, RejectRequest, BreakAnswer>;
 using GatewayActions = std::vector<GatewayAction>;
 
+// What all gateways together may send of second attempts to a service.
+struct RetryLimits
+{
+    double perRequest = 0.0; // That one request earns.
+    double burst = 0.0;      // Besides, within the span that the platform looks at.
+};
+
 class GatewayCore
 {
 public:
@@ -119,28 +126,32 @@
         // When a refused caller may come back.
         Duration retryAfter = std::chrono::milliseconds(250);
         // A service whose upstreams have refused everything for this long is out: callers are told
-        // to come back as late as they may be.
+        // to come back as late as they will.
         Duration outagePatience = std::chrono::milliseconds(300);
         // Attempts that could not even connect do not count as attempts; this bounds them.
         std::uint32_t maxUnsent = 3;
-        // Permits for second attempts. The budget that all gateways share allows 0.2 a request; a
-        // gateway spends less than that of its own traffic, so that their sum stays below.
-        RetryBudget::Settings retryBudget{0.15, 5.0, 2.0};
+        RetryLimits retries;
         OutlierDetector::Settings outliers;
         StreamLimiter::Settings streams;
-        // How long a request waits at most for the bound on streams. Callers leave a stream that
-        // says nothing after two seconds.
-        Duration longestWait = std::chrono::milliseconds(1700);
-        // A request that would wait longer than this, by the pace of late, is refused at once: a
-        // caller that comes back when the queue is shorter is served better than one that waits.
-        Duration longestExpectedWait = std::chrono::milliseconds(900);
+        // A stream that waits for a place is refused so long before its caller leaves: its first
+        // event would come too late.
+        Duration waitMargin = std::chrono::milliseconds(300);
+        // The wait that is expected by the pace of late is doubled before it is held against what
+        // the caller waits: the pace is that of a second, and may fall as fast.
+        int waitDoubt = 2;
         // Bounds on when a caller that was refused for the queue is told to come back.
         Duration shortestReturn = std::chrono::milliseconds(400);
         Duration longestReturn = std::chrono::milliseconds(2500);
+        // Callers come back after at most one part in so many of the time that they have left.
+        int honouredPart = 3;
     };
 
     explicit GatewayCore(const Settings &settings);
 
+    // Takes how many gateways share the upstreams, this one among them.
+    void setGateways(std::size_t count);
+    void setRetryLimits(const RetryLimits &limits);
+
     UpstreamTable &upstreams() { return upstreams_; }
     const UpstreamTable &upstreams() const { return upstreams_; }
 
@@ -205,6 +216,7 @@
         TimePoint fullUntil{};
     };
 
+    RetryBudget::Settings ownBudget() const;
     bool mayRepeat(const Request &request) const;
     bool mayTryAgain(const Request &request, TimePoint now);
     std::optional<InstanceId> choose(const Request &request, TimePoint now);
@@ -222,6 +234,8 @@
     Duration timeSinceFirstTry(const GatewayRequest &request);
     static StreamQueue::Entry entryFor(RequestNumber number, const Request &request,
                                        const ServiceState &service);
+    Duration longestWait(const Request &request) const;
+    Duration latestReturn(const Request &request, TimePoint now) const;
     Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
     void queueStream(RequestNumber number, Request &request, TimePoint now,
                      GatewayActions &actions);
@@ -239,6 +253,7 @@
     // The longest that a caller of a route was seen to wait, by the route's name: of a first try.
     std::unordered_map<std::string, Duration> longestDeadline_;
     std::unordered_map<RequestNumber, Request> requests_;
+    std::size_t gateways_ = 1;
     RequestNumber nextNumber_ = 1;
     std::uint64_t secondAttempts_ = 0;
 };
--- a/src/decision/gateway/routetable.h
+++ b/src/decision/gateway/routetable.h
@@ -40,6 +40,8 @@
     Duration timeout{};        // The longest that a request is held.
     Duration latencyGoal{};    // Until the answer, or the first event.
     Duration pauseGoal{};      // Between two events; zero where nothing is said.
+    // A caller leaves a stream that says nothing for this long.
+    Duration silenceLimit = std::chrono::seconds(2);
     std::uint8_t priority = 5; // 0 is the most urgent, 9 the least.
     std::uint32_t maxAttempts = 1;
 };
--- a/src/decision/gateway/upstreamtable.h
+++ b/src/decision/gateway/upstreamtable.h
@@ -51,6 +51,8 @@
         : settings_(settings)
     {}
 
+    // Changes how long a record that vanished around an outage stays in use.
+    void setLapseGrace(Duration grace) { settings_.lapseGrace = grace; }
     // Takes one record, new or changed.
     void put(const UpstreamRecord &record);
     // The store no longer lists `id`.
--- a/src/decision/retry/retrybudget.h
+++ b/src/decision/retry/retrybudget.h
@@ -5,6 +5,8 @@
 
 #include "seamarch/units.h"
 
+#include <algorithm>
+
 namespace seamarch {
 
 class RetryBudget
@@ -23,6 +25,12 @@
         , permits_(settings.initialPermits)
     {}
 
+    // Changes what is earned from now on; permits over the new most are lost.
+    void change(const Settings &settings)
+    {
+        settings_ = settings;
+        permits_ = std::min(permits_, settings_.maxPermits);
+    }
     void onSuccess();
     bool available() const { return permits_ >= 1.0; }
     // Takes a permit. Returns false when none is left.
--- a/src/experts/rankpeers.cpp
+++ b/src/experts/rankpeers.cpp
@@ -58,13 +58,19 @@
         if (peer.link == nullptr) {
             peer.engine = engine;
             peer.answeredAt = loop_.now() - (kAgentLife - kFirstAnswer);
-            peer.link = std::make_unique<RpcLink>(loop_, transport_,
-                                                  SocketAddress{engine.host, agentPort_});
+            connect(peer);
         }
     }
     roster_.setListed(listed);
 }
 
+void RankPeers::connect(Peer &peer)
+{
+    peer.linkedAt = loop_.now();
+    peer.link =
+        std::make_unique<RpcLink>(loop_, transport_, SocketAddress{peer.engine.host, agentPort_});
+}
+
 bool RankPeers::agentAnswers(const Peer &peer) const
 {
     return loop_.now() - peer.answeredAt < kAgentLife;
@@ -85,6 +91,10 @@
             continue;
         }
         peer.askedAt = now;
+        // A connection may have gone silent for good while a new one works.
+        if (!agentAnswers(peer) && now - peer.linkedAt >= kAgentLife) {
+            connect(peer);
+        }
         askAgent(id, question, ownRank);
         if (!agentAnswers(peer) && !roster_.isForeign(id)) {
             askEngine(id, {false, question.experts, 0});
--- a/src/experts/rankpeers.h
+++ b/src/experts/rankpeers.h
@@ -62,6 +62,7 @@
     {
         SocketAddress engine;
         std::unique_ptr<RpcLink> link;
+        TimePoint linkedAt{};
         std::uint64_t countsMark = 0; // Of the last counts; zero: none.
         TimePoint answeredAt{};       // By the agent; when it was listed, before its first answer.
         TimePoint askedAt{};
@@ -69,6 +70,7 @@
         bool askingEngine = false;
     };
 
+    void connect(Peer &peer);
     void askAgent(const InstanceId &id, RankQuestion question, std::uint32_t ownRank);
     void askEngine(const InstanceId &id, RankQuestion question);
     void onAgentAnswer(const InstanceId &id, TimePoint askedAt, wire::RankState::Reader state);
--- /dev/null
+++ b/src/gateway/gatewaybounds.cpp
@@ -0,0 +1,44 @@
+#include "gateway/gatewaybounds.h"
+
+#include <algorithm>
+
+namespace seamarch {
+namespace {
+
+// A request with a good key is on its way to an upstream for some milliseconds, and may wait for a
+// slice of the processor.
+constexpr Duration kKeyMargin = std::chrono::milliseconds(300);
+// The same, for an answer to the caller.
+constexpr Duration kDenyMargin = std::chrono::milliseconds(100);
+// What is left to send the last bytes and end the process.
+constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+// The balancer asks every second and takes an instance out after two misses.
+constexpr Duration kBalancerNotices = std::chrono::milliseconds(3200);
+// News of an upstream that is gone for good takes this long from the store through the gateways.
+constexpr Duration kNewsTravel = std::chrono::milliseconds(500);
+// Engines list themselves again about this long after the store is back: the protocol's figure,
+// counted from when a gateway first hears the store again.
+constexpr Duration kListedAgain = std::chrono::milliseconds(1500);
+constexpr Duration kLeast = std::chrono::milliseconds(1);
+
+} // namespace
+
+GatewayTimes timesWithin(const GatewayBounds &bounds)
+{
+    GatewayTimes times;
+    times.freshness.keys = std::max(kLeast, bounds.keyLife - kKeyMargin);
+    times.freshness.deny = std::max(kLeast, bounds.configSpread - kDenyMargin);
+    times.stopDeadline = std::max(kLeast, bounds.stopLimit - kStopMargin);
+    // Requests that came just before need time to end.
+    times.stopDelay = std::min(kBalancerNotices, times.stopDeadline / 2);
+    times.lapseGrace =
+        std::clamp(bounds.leavingLimit - kNewsTravel, Duration(kLeast), Duration(kListedAgain));
+    return times;
+}
+
+RetryLimits retryLimits(const GatewayBounds &bounds)
+{
+    return {bounds.retryRatio, bounds.retrySlack};
+}
+
+} // namespace seamarch
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -11,6 +11,7 @@
 
 #include "decision/gateway/gatewaycore.h"
 #include "decision/gateway/routetable.h"
+#include "gateway/gatewaybounds.h"
 #include "decision/gateway/upstreamtable.h"
 #include "gateway/callerprotocol.h"
 #include "gateway/storewatcher.h"
@@ -28,13 +29,6 @@
 
 namespace seamarch {
 
-// How young a confirmation must be.
-struct FreshnessBounds
-{
-    Duration keys{}; // For a key to be good.
-    Duration deny{}; // For a key or a path to be said to be unknown.
-};
-
 // What one gateway tells another of the store.
 struct SharedKnowledge
 {
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -145,6 +145,8 @@
     const auto over = std::make_shared<bool>(false);
     loop_.schedule(longest + kPatience, [this, address, over, alive = alive_] {
         if (*alive && !std::exchange(*over, true)) {
+            // The connection may have gone silent for good while a new one works.
+            linkTo(address).rpc.reset();
             onFailed(address);
         }
     });
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -27,6 +27,7 @@
     GatewayCore::Settings core;
     core.hall = settings.hall;
     core.seed = randomIdentity();
+    core.retries = retryLimits(settings.bounds);
     return core;
 }
 
@@ -116,9 +117,11 @@
     , store_(store)
     , metrics_(settings.maxAccountSeries)
     , core_(coreSettings(settings))
-    , knowledge_(loop, core_.upstreams(), metrics_, {settings.keyFreshness, settings.denyFreshness},
+    , knowledge_(loop, core_.upstreams(), metrics_, settings.times.freshness,
                  [this](const CallerBounds &bounds) { applyBounds(bounds); })
-{}
+{
+    core_.upstreams().setLapseGrace(settings.times.lapseGrace);
+}
 
 GatewayService::~GatewayService() = default;
 
@@ -184,7 +187,7 @@
 void GatewayService::onRequest(ExchangeId exchange, HttpRequest request)
 {
     CallerFacts facts = protocol_.readRequest(request);
-    if (stopping_ && loop_.now() - stopStartedAt_ >= settings_.stopDelay) {
+    if (stopping_ && loop_.now() - stopStartedAt_ >= settings_.times.stopDelay) {
         // By now the balancer knows; what still comes would not be finished in time.
         refuse(exchange, facts, FailureCode::EntryStopping, Outcome::NotRun, kNotReadyPause);
         return;
@@ -516,6 +519,7 @@
 void GatewayService::tick()
 {
     GatewayActions actions;
+    core_.setGateways(sources_->gateways() + 1);
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
     sources_->tick();
@@ -574,9 +578,11 @@
         logLine(LogLevel::Warning, "settings.need_restart",
                 {{"message", "names and addresses change at the next start"}});
     }
-    knowledge_.setFreshness({settings.keyFreshness, settings.denyFreshness});
-    settings_.stopDelay = settings.stopDelay;
-    settings_.stopDeadline = settings.stopDeadline;
+    knowledge_.setFreshness(settings.times.freshness);
+    settings_.times = settings.times;
+    settings_.bounds = settings.bounds;
+    core_.setRetryLimits(retryLimits(settings_.bounds));
+    core_.upstreams().setLapseGrace(settings_.times.lapseGrace);
 }
 
 void GatewayService::stop()
@@ -594,12 +600,12 @@
 {
     const Duration since = loop_.now() - stopStartedAt_;
     // The balancer lags behind the readiness, so new requests are served for a while.
-    if (since < settings_.stopDelay) {
+    if (since < settings_.times.stopDelay) {
         return;
     }
     server_->closeIdle();
     const bool drained = flights_.empty() && server_->open() == 0;
-    if (!drained && since < settings_.stopDeadline) {
+    if (!drained && since < settings_.times.stopDeadline) {
         return;
     }
     logLine(LogLevel::Info, "gateway.stopped", {{"cutOff", flights_.size()}});
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -9,6 +9,7 @@
 #include "decision/gateway/eventstream.h"
 #include "decision/gateway/gatewaycore.h"
 #include "gateway/callerprotocol.h"
+#include "gateway/gatewaybounds.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/knowledgesources.h"
 #include "gateway/metadatastore.h"
@@ -37,14 +38,9 @@
     std::optional<SocketAddress> peerListen; // For other gateways; nothing: each asks the store.
     std::vector<SocketAddress> seeds;        // Some of the other gateways.
     std::size_t maxAccountSeries = 300;
-    // A key is good only under a confirmation from the store that is younger than this.
-    Duration keyFreshness = std::chrono::milliseconds(4700);
-    // A path or key is said to be unknown only under a confirmation younger than this.
-    Duration denyFreshness = std::chrono::milliseconds(1900);
-    // How long a planned stop goes on taking requests: the balancer asks every second and takes an
-    // instance out after two misses.
-    Duration stopDelay = std::chrono::milliseconds(3200);
-    Duration stopDeadline = std::chrono::milliseconds(7500);
+    // What the platform asks of every gateway, as its settings tell.
+    GatewayBounds bounds;
+    GatewayTimes times = timesWithin(GatewayBounds());
 };
 
 class GatewayService final : private HttpHandler, private StatusSource
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -62,6 +62,7 @@
     {
         settings.hall = HallId("north");
         settings.seed = 1;
+        settings.retries = {0.2, 88.0};
         core = std::make_unique<GatewayCore>(settings);
         core->upstreams().put(upstream("one"));
         core->upstreams().put(upstream("two"));
@@ -125,15 +126,17 @@
     CHECK_TRUE(rejected().retryAfter > Duration{});
 }
 
-TEST(GatewayCoreTest, CallersOfAServiceThatIsOutComeBackLate)
+// Callers heed the time to come back up to a third of what they wait still: here of eight seconds.
+TEST(GatewayCoreTest, CallersOfAServiceThatIsOutComeBackAsLateAsTheyWill)
 {
+    const Duration latest = Duration(std::chrono::seconds(8)) / 3;
     for (const int now : {0, 400}) {
         actions.clear();
         const RequestNumber number = begin(Kind::AtMostOnce, now);
         core->onHead(number, AnswerKind::Full, at(now), actions);
         core->onHead(number, AnswerKind::Full, at(now), actions);
         CHECK_TRUE(rejected().retryAfter
-                   == (now == 0 ? settings.retryAfter : settings.longestReturn));
+                   == (now == 0 ? settings.retryAfter : latest));
     }
 }
 
@@ -207,7 +210,7 @@
 
 TEST(GatewayCoreTest, FailureGoesToTheCallerWhenTheBudgetIsSpent)
 {
-    settings.retryBudget = {0.0, 0.0, 0.0};
+    settings.retries = {0.0, 0.0};
     core = std::make_unique<GatewayCore>(settings);
     core->upstreams().put(upstream("one"));
     core->upstreams().put(upstream("two"));
@@ -307,3 +310,27 @@
     CHECK_TRUE(rejected().outcome == Outcome::NotRun);
     LONGS_EQUAL(503, httpStatus(rejected().failure));
 }
+
+// Sixty-four gateways of one service share what one alone may send.
+TEST(GatewayCoreTest, GatewaysShareTheBurstOfSecondAttempts)
+{
+    const auto secondAttempts = [this](std::size_t gateways) {
+        core = std::make_unique<GatewayCore>(settings);
+        core->upstreams().put(upstream("one"));
+        core->upstreams().put(upstream("two"));
+        core->setGateways(gateways);
+        for (int count = 0; count < 200; ++count) { // A calm time, in which permits are earned.
+            const RequestNumber number = begin(Kind::Repeatable);
+            core->onHead(number, AnswerKind::Success, at(0), actions);
+            core->onEnd(number, AttemptEnd::Complete, at(0), actions);
+        }
+        for (int count = 0; count < 60; ++count) {
+            core->onEnd(begin(Kind::Repeatable), AttemptEnd::Lost, at(0), actions);
+        }
+        return core->secondAttempts();
+    };
+    const std::uint64_t alone = secondAttempts(1);
+    const std::uint64_t one = secondAttempts(64);
+    CHECK_TEXT(one + 15 < alone, "the bank of permits must shrink with the number of gateways");
+    CHECK_TEXT(one <= 10, "expected what sixty requests earn, and one permit besides");
+}
--- /dev/null
+++ b/test/gateway/gatewaybounds_test.cpp
@@ -0,0 +1,60 @@
+#include "gateway/gatewaybounds.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+Duration millis(int count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+// Bounds unlike those of any example.
+GatewayBounds tight()
+{
+    GatewayBounds bounds;
+    bounds.keyLife = millis(2500);
+    bounds.configSpread = millis(1000);
+    bounds.leavingLimit = millis(1200);
+    bounds.stopLimit = millis(4000);
+    return bounds;
+}
+
+} // namespace
+
+TEST_GROUP(GatewayBoundsTest){};
+
+TEST(GatewayBoundsTest, KnowledgeIsYoungerThanWhatItIsBoundBy)
+{
+    const GatewayTimes times = timesWithin(tight());
+    CHECK_TRUE(times.freshness.keys < millis(2500));
+    CHECK_TRUE(times.freshness.deny < millis(1000));
+    CHECK_TRUE(times.lapseGrace < millis(1200));
+}
+
+TEST(GatewayBoundsTest, StopEndsBeforeTheProcessIsKilled)
+{
+    const GatewayTimes times = timesWithin(tight());
+    CHECK_TRUE(times.stopDeadline < millis(4000));
+    CHECK_TRUE(times.stopDelay * 2 <= times.stopDeadline);
+}
+
+TEST(GatewayBoundsTest, LongBoundsDoNotHoldAStopUp)
+{
+    GatewayBounds bounds;
+    bounds.stopLimit = std::chrono::seconds(60);
+    CHECK_TRUE(timesWithin(bounds).stopDelay < millis(4000));
+}
+
+TEST(GatewayBoundsTest, BoundsBelowTheMarginsLeaveNoNegativeTimes)
+{
+    GatewayBounds bounds;
+    bounds.keyLife = bounds.configSpread = bounds.leavingLimit = bounds.stopLimit = millis(50);
+    const GatewayTimes times = timesWithin(bounds);
+    CHECK_TRUE(times.freshness.keys > Duration{});
+    CHECK_TRUE(times.freshness.deny > Duration{});
+    CHECK_TRUE(times.lapseGrace > Duration{});
+    CHECK_TRUE(times.stopDeadline > Duration{});
+}
