--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -172,7 +172,8 @@
             std::from_chars(found->data(), found->data() + found->size(), value);
         const bool whole = error == std::errc() && end == found->data() + found->size();
         if (!whole || !(value >= low && value <= high)) {
-            fault(name, fmt::format("expected a number from {} to {}, found '{}'", low, high, *found));
+            fault(name,
+                  fmt::format("expected a number from {} to {}, found '{}'", low, high, *found));
             value = fallback;
         }
     }
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -11,9 +11,9 @@
 
 #include "decision/gateway/gatewaycore.h"
 #include "decision/gateway/routetable.h"
-#include "gateway/gatewaybounds.h"
 #include "decision/gateway/upstreamtable.h"
 #include "gateway/callerprotocol.h"
+#include "gateway/gatewaybounds.h"
 #include "gateway/storewatcher.h"
 #include "net/eventloop.h"
 #include "net/httpserver.h"
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -135,8 +135,7 @@
         const RequestNumber number = begin(Kind::AtMostOnce, now);
         core->onHead(number, AnswerKind::Full, at(now), actions);
         core->onHead(number, AnswerKind::Full, at(now), actions);
-        CHECK_TRUE(rejected().retryAfter
-                   == (now == 0 ? settings.retryAfter : latest));
+        CHECK_TRUE(rejected().retryAfter == (now == 0 ? settings.retryAfter : latest));
     }
 }
 
