Gateway: while pauses are near the goal, streams wait as long as they can still begin in time

Waiting streams had 0.3 s left to begin in time.

Change: a pause of 0.8 of the goal or more strains the service until a shorter one is heard. Meanwhile a new stream waits until the last moment at which it can begin in time; one that is late already waits as well. Below the least number of streams nothing waits.

The tests of the limiter pass the time of a pause now; what they ask is unchanged.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -10,6 +10,9 @@
 // A request is given up a little before its time is over, so that its answer still arrives.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
 
+// Waiting streams are looked at every 25 ms; one whose time to begin ends before the look after the
+// next begins now.
+constexpr Duration kStartSlack = std::chrono::milliseconds(40);
 // A caller that has waited for less than this is at its first try: the time that it states and the
 // longest stated on its route may differ by the time that its connection took.
 constexpr Duration kShortestComeBack = std::chrono::milliseconds(200);
@@ -84,7 +87,7 @@
     budgets_.try_emplace(added.service, ownBudget()).first->second.onSuccess();
     added.arrivedAt = now;
     ServiceState &service = serviceOf(added);
-    if (route.streamed && !service.limiter.admits(service.streams)) {
+    if (route.streamed && !mayStart(service, entryFor(number, added, service), now)) {
         queueStream(number, added, now, actions);
         return number;
     }
@@ -172,11 +175,30 @@
     return kWindow * (ahead + 1) / pace;
 }
 
+// Tells whether a stream may begin now. While pauses are near the goal, each prompt that the
+// engines read makes all streams late that are being written: one that can still begin in time
+// later waits for passes that are short again, and one that is late already does no harm by
+// waiting.
+bool GatewayCore::mayStart(const ServiceState &service, const StreamQueue::Entry &entry,
+                           TimePoint now) const
+{
+    if (!service.limiter.admits(service.streams)) {
+        return false;
+    }
+    const bool fewest = service.streams < settings_.streams.least;
+    if (fewest || !service.limiter.strained(now)) {
+        return true;
+    }
+    return now <= entry.startBy && now + kStartSlack >= entry.startBy;
+}
+
 // Starts waiting requests while the bound admits them.
 void GatewayCore::admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
-    while (!service.waiting.empty() && service.limiter.admits(service.streams)) {
-        const RequestNumber number = *service.waiting.takeNext(now);
+    for (auto next = service.waiting.next(now); next && mayStart(service, *next, now);
+         next = service.waiting.next(now)) {
+        const RequestNumber number = next->number;
+        service.waiting.remove(number);
         Request &request = requests_.at(number);
         request.waits = false;
         ++service.streams;
@@ -215,11 +237,11 @@
     average = average == Duration{} ? time : (average * (kWeight - 1) + time) / kWeight;
 }
 
-void GatewayCore::onPause(RequestNumber number, Duration pause)
+void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
 {
     const Request *request = find(number);
     if (request != nullptr) {
-        serviceOf(*request).limiter.onPause(pause, request->request.route->pauseGoal);
+        serviceOf(*request).limiter.onPause(pause, request->request.route->pauseGoal, now);
     }
 }
 
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -164,7 +164,7 @@
     // The first event of the request's stream has come.
     void onFirstEvent(RequestNumber request, TimePoint now);
     // An event of the request's stream came `pause` after the one before it.
-    void onPause(RequestNumber request, Duration pause);
+    void onPause(RequestNumber request, Duration pause, TimePoint now);
     // The caller has left. The request is over.
     void onCallerGone(RequestNumber request, GatewayActions &actions);
     // Time has passed: gives up requests whose time is over.
@@ -234,6 +234,8 @@
     Duration timeSinceFirstTry(const GatewayRequest &request);
     static StreamQueue::Entry entryFor(RequestNumber number, const Request &request,
                                        const ServiceState &service);
+    bool mayStart(const ServiceState &service, const StreamQueue::Entry &entry,
+                  TimePoint now) const;
     Duration longestWait(const Request &request) const;
     Duration latestReturn(const Request &request, TimePoint now) const;
     Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -4,13 +4,19 @@
 
 namespace seamarch {
 
-void StreamLimiter::onPause(Duration pause, Duration goal)
+void StreamLimiter::onPause(Duration pause, Duration goal, TimePoint now)
 {
     if (goal <= Duration{}) {
         return;
     }
     heard_ = true;
-    longest_ = std::max(longest_, toSeconds(pause) / toSeconds(goal));
+    const double part = toSeconds(pause) / toSeconds(goal);
+    longest_ = std::max(longest_, part);
+    if (part >= settings_.strain) {
+        strainedAt_ = now;
+    } else if (strainedAt_ && now > *strainedAt_) {
+        strainedAt_.reset(); // A later pass was short again.
+    }
 }
 
 void StreamLimiter::onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now)
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -12,6 +12,7 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace seamarch {
 
@@ -31,6 +32,12 @@
         double increase = 1.0;
         // Added to the increase for each request that waits, so that gateways share by demand.
         double increasePerWaiting = 0.3;
+        // From this part of the goal on a pause strains: reading a prompt takes a tenth to a fifth
+        // of a pass.
+        double strain = 0.8;
+        // Pauses are heard at the end of each pass: longer than the goal nothing need be waited
+        // for.
+        Duration strainLife = std::chrono::milliseconds(150);
         // How often the bound changes: some passes long, so that a change shows before the next.
         Duration period = std::chrono::milliseconds(200);
     };
@@ -42,10 +49,17 @@
     {}
 
     // An event came `pause` after the one before it on the same stream; `goal` is its route's.
-    void onPause(Duration pause, Duration goal);
+    void onPause(Duration pause, Duration goal, TimePoint now);
     // Adapts the bound. `waiting` is the number of requests that wait for it.
     void onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now);
 
+    // Tells whether the last pauses came so near the goal that a prompt more in the engines' next
+    // passes may take them over it.
+    bool strained(TimePoint now) const
+    {
+        return strainedAt_ && now - *strainedAt_ < settings_.strainLife;
+    }
+
     bool admits(std::uint32_t inFlight) const { return inFlight + 1.0 <= limit_ + 0.5; }
     double limit() const { return limit_; }
 
@@ -55,6 +69,7 @@
     double longest_ = 0.0; // Of the period's pauses, in parts of the goal.
     bool heard_ = false;
     TimePoint adaptedAt_{};
+    std::optional<TimePoint> strainedAt_;
 };
 
 } // namespace seamarch
--- a/src/decision/gateway/streamqueue.cpp
+++ b/src/decision/gateway/streamqueue.cpp
@@ -54,15 +54,20 @@
     entries_.erase(found);
 }
 
-std::optional<RequestNumber> StreamQueue::takeNext(TimePoint now)
+std::optional<StreamQueue::Entry> StreamQueue::next(TimePoint now)
 {
     demoteLate(now);
-    if (order_.empty()) {
+    return order_.empty() ? std::nullopt : std::optional(entries_.at(order_.begin()->second));
+}
+
+std::optional<RequestNumber> StreamQueue::takeNext(TimePoint now)
+{
+    const std::optional<Entry> entry = next(now);
+    if (!entry) {
         return std::nullopt;
     }
-    const RequestNumber number = order_.begin()->second;
-    remove(number);
-    return number;
+    remove(entry->number);
+    return entry->number;
 }
 
 std::size_t StreamQueue::ahead(const Entry &entry, TimePoint now)
--- a/src/decision/gateway/streamqueue.h
+++ b/src/decision/gateway/streamqueue.h
@@ -35,7 +35,9 @@
 
     void add(const Entry &entry, TimePoint now);
     void remove(RequestNumber number);
-    // Takes out the stream that goes next; nothing when none waits.
+    // Returns the stream that goes next; nothing when none waits.
+    std::optional<Entry> next(TimePoint now);
+    // Takes it out.
     std::optional<RequestNumber> takeNext(TimePoint now);
     // Returns how many would go before `entry`.
     std::size_t ahead(const Entry &entry, TimePoint now);
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -458,7 +458,7 @@
     if (first) {
         core_.onFirstEvent(number, now);
     } else {
-        core_.onPause(number, now - flight.lastEventAt);
+        core_.onPause(number, now - flight.lastEventAt, now);
     }
     flight.lastEventAt = now;
     server_->write(flight.exchange, whole);
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -25,6 +25,7 @@
     rule.streamed = kind == Kind::Stream;
     rule.resumable = kind == Kind::Stream;
     rule.timeout = std::chrono::seconds(2);
+    rule.latencyGoal = std::chrono::milliseconds(500);
     rule.pauseGoal = std::chrono::milliseconds(120);
     rule.maxAttempts = 2;
     return rule;
@@ -333,3 +334,37 @@
     CHECK_TEXT(one + 15 < alone, "the bank of permits must shrink with the number of gateways");
     CHECK_TEXT(one <= 10, "expected what sixty requests earn, and one permit besides");
 }
+
+TEST(GatewayCoreTest, StreamWaitsWhilePausesAreNearTheGoalAndStillBeginsInTime)
+{
+    RequestNumber running = 0;
+    for (int count = 0; count < 4; ++count) {
+        running = begin(Kind::Stream);
+    }
+    core->onPause(running, std::chrono::milliseconds(100), at(0));
+    actions.clear();
+    begin(Kind::Stream, 10);
+    POINTERS_EQUAL(nullptr, first<StartAttempt>(actions));
+    for (int now = 25; now < 450; now += 25) {
+        core->onPause(running, std::chrono::milliseconds(100), at(now));
+        core->onTick(at(now), actions);
+    }
+    POINTERS_EQUAL(nullptr, first<StartAttempt>(actions));
+    core->onPause(running, std::chrono::milliseconds(100), at(475));
+    core->onTick(at(475), actions);
+    CHECK_TEXT(first<StartAttempt>(actions) != nullptr, "it would miss its goal at 510 ms");
+}
+
+TEST(GatewayCoreTest, WaitingStreamsBeginOnceAPauseIsShortAgain)
+{
+    RequestNumber running = 0;
+    for (int count = 0; count < 4; ++count) {
+        running = begin(Kind::Stream);
+    }
+    core->onPause(running, std::chrono::milliseconds(100), at(0));
+    begin(Kind::Stream, 10);
+    actions.clear();
+    core->onPause(running, std::chrono::milliseconds(60), at(60));
+    core->onTick(at(60), actions);
+    CHECK_TRUE(first<StartAttempt>(actions) != nullptr);
+}
--- a/test/decision/gateway/streamlimiter_test.cpp
+++ b/test/decision/gateway/streamlimiter_test.cpp
@@ -22,7 +22,7 @@
 
 TEST(StreamLimiterTest, FallsBelowWhatIsInFlightWhenPausesAreLong)
 {
-    limiter.onPause(std::chrono::milliseconds(119), kGoal);
+    limiter.onPause(std::chrono::milliseconds(119), kGoal, at(900));
     limiter.onTick(8, 0, at(1000));
     CHECK_TRUE(limiter.limit() < 8.0);
     CHECK_FALSE(limiter.admits(8));
@@ -30,7 +30,7 @@
 
 TEST(StreamLimiterTest, GrowsOnlyWhileRequestsWait)
 {
-    limiter.onPause(std::chrono::milliseconds(40), kGoal);
+    limiter.onPause(std::chrono::milliseconds(40), kGoal, at(900));
     limiter.onTick(12, 0, at(1000));
     DOUBLES_EQUAL(StreamLimiter::Settings().initial, limiter.limit(), 1e-9);
     limiter.onTick(12, 1, at(2000));
@@ -48,7 +48,7 @@
 TEST(StreamLimiterTest, NeverFallsToNothing)
 {
     for (int count = 1; count < 100; ++count) {
-        limiter.onPause(std::chrono::seconds(1), kGoal);
+        limiter.onPause(std::chrono::seconds(1), kGoal, at(900));
         limiter.onTick(1, 5, at(1000 * count));
     }
     CHECK_TRUE(limiter.admits(2));
@@ -56,7 +56,21 @@
 
 TEST(StreamLimiterTest, RoutesWithoutAGoalSayNothing)
 {
-    limiter.onPause(std::chrono::seconds(9), Duration{});
+    limiter.onPause(std::chrono::seconds(9), Duration{}, at(900));
     limiter.onTick(12, 0, at(1000));
     DOUBLES_EQUAL(StreamLimiter::Settings().initial, limiter.limit(), 1e-9);
 }
+
+TEST(StreamLimiterTest, IsStrainedByAPauseNearTheGoalUntilAShortOne)
+{
+    limiter.onPause(std::chrono::milliseconds(110), kGoal, at(1000));
+    CHECK_TRUE(limiter.strained(at(1050)));
+    limiter.onPause(std::chrono::milliseconds(60), kGoal, at(1060));
+    CHECK_FALSE(limiter.strained(at(1060)));
+}
+
+TEST(StreamLimiterTest, StrainDoesNotOutlastItsPasses)
+{
+    limiter.onPause(std::chrono::milliseconds(110), kGoal, at(1000));
+    CHECK_FALSE(limiter.strained(at(1000) + StreamLimiter::Settings().strainLife));
+}
