--- /dev/null
+++ b/test/experts/rankpeers_test.cpp
@@ -0,0 +1,70 @@
+// What a decider does when the agent beside a rank goes silent. Real sockets on loopback.
+#include "enginecalls.h"
+#include "experts/rankpeers.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+int freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    LONGS_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+class NoListener final : public RankPeersListener
+{
+public:
+    void onPeerFacts(const RankFacts & /*facts*/, TimePoint /*askedAt*/) override {}
+    void onPeerOrderAnswer(std::uint32_t /*rank*/, const MapOrder & /*order*/,
+                           MapOrderAnswer /*answer*/) override
+    {}
+};
+
+} // namespace
+
+TEST_GROUP(RankPeersTest){};
+
+// An open connection may go silent for good, without a reset, while new ones work.
+TEST(RankPeersTest, ConnectsAnewToAnAgentWhoseConnectionHasGoneSilent)
+{
+    auto loop = *EventLoop::create();
+    auto transport = *RawTransport::create(*loop);
+    auto client = *HttpClient::create(*loop);
+    const platform::EngineHttp calls;
+    RankClient ranks(*loop, *client, calls);
+    NoListener listener;
+    const int agentPort = freePort();
+    // Accepts, and never says a word.
+    std::vector<kj::Own<RawStream>> accepted;
+    const auto keep = [&accepted](kj::Own<RawStream> stream) {
+        accepted.push_back(kj::mv(stream));
+    };
+    CHECK_TRUE(transport->listen({"127.0.0.1", agentPort}, keep).has_value());
+    {
+        RankPeers peers(*loop, *transport, ranks, agentPort, GroupId("north"), listener);
+        peers.setListed({{InstanceId("i-1"), SocketAddress{"127.0.0.1", freePort()}}});
+        PeriodicTimer asking(*loop, std::chrono::milliseconds(50),
+                             [&peers] { peers.ask({}, std::chrono::milliseconds(100), 0); });
+        loop->schedule(std::chrono::milliseconds(3500), [&loop] { loop->stop(); });
+        loop->run();
+    }
+    CHECK_TEXT(accepted.size() >= 2,
+               "expected a second connection within 3.5 s, found the silent one still in use");
+    accepted.clear();
+    loop->shutDown();
+}
