Gateway: the time of a first try is what callers often state, not the longest ever stated

Cause (reading the diff): the time since a caller's first try was the longest wait that any caller of the route had stated, less its own. One caller that stated a minute would have made all others look late for good, and so wait out every strain.

Change: StatedWaits (pure, bounded) takes the times that make up a twentieth of all for those of first tries. Tests: one long time, two habits, no habit, many second tries; the first fails by construction on the code before.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -13,8 +13,8 @@
 // Waiting streams are looked at every 25 ms; one whose time to begin ends before the look after the
 // next begins now.
 constexpr Duration kStartSlack = std::chrono::milliseconds(40);
-// A caller that has waited for less than this is at its first try: the time that it states and the
-// longest stated on its route may differ by the time that its connection took.
+// A caller that has waited for less than this is at its first try: what it states may be less than
+// its program's figure by the time that its connection took.
 constexpr Duration kShortestComeBack = std::chrono::milliseconds(200);
 
 bool saysNotRun(AnswerKind kind)
@@ -80,7 +80,7 @@
     const RouteRule &route = *request.route;
     const Duration longest =
         route.timeout > Duration{} ? std::min(route.timeout, request.deadline) : request.deadline;
-    added.firstAskedAt = now - timeSinceFirstTry(request);
+    added.firstAskedAt = now - statedWaits_[route.name].sinceFirstTry(request.deadline);
     added.request = std::move(request);
     added.service = chooseService(route);
     added.giveUpAt = now + longest - kAnswerMargin;
@@ -101,15 +101,6 @@
     return number;
 }
 
-// Returns how long ago the request's caller asked first: callers say how long they wait still, and
-// the longest that any caller of the route has said is that of a first try.
-Duration GatewayCore::timeSinceFirstTry(const GatewayRequest &request)
-{
-    Duration &longest = longestDeadline_[request.route->name];
-    longest = std::max(longest, request.deadline);
-    return longest - request.deadline;
-}
-
 StreamQueue::Entry GatewayCore::entryFor(RequestNumber number, const Request &request,
                                          const ServiceState &service)
 {
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "decision/gateway/routetable.h"
+#include "decision/gateway/statedwaits.h"
 #include "decision/gateway/streamlimiter.h"
 #include "decision/gateway/streamqueue.h"
 #include "decision/gateway/upstreamtable.h"
@@ -231,7 +232,6 @@
     ServiceState &serviceOf(const Request &request);
     void endRequest(RequestNumber number);
     void noteAnswer(Request &request, AnswerKind kind, TimePoint now);
-    Duration timeSinceFirstTry(const GatewayRequest &request);
     static StreamQueue::Entry entryFor(RequestNumber number, const Request &request,
                                        const ServiceState &service);
     bool mayStart(const ServiceState &service, const StreamQueue::Entry &entry,
@@ -252,8 +252,7 @@
     std::unordered_map<InstanceId, UpstreamState> states_;
     std::unordered_map<TargetName, RetryBudget> budgets_;
     std::unordered_map<TargetName, ServiceState> services_;
-    // The longest that a caller of a route was seen to wait, by the route's name: of a first try.
-    std::unordered_map<std::string, Duration> longestDeadline_;
+    std::unordered_map<std::string, StatedWaits> statedWaits_; // By the route's name.
     std::unordered_map<RequestNumber, Request> requests_;
     std::size_t gateways_ = 1;
     RequestNumber nextNumber_ = 1;
--- /dev/null
+++ b/src/decision/gateway/statedwaits.cpp
@@ -0,0 +1,46 @@
+#include "decision/gateway/statedwaits.h"
+
+#include <algorithm>
+
+namespace seamarch {
+namespace {
+
+// A time counts as that of a first try from this part of all stated ones on, and when it has come
+// several times: in a second of refusals most requests may be second tries, each with a time of its
+// own.
+constexpr std::uint32_t kLeastPart = 20;
+constexpr std::uint32_t kLeastCount = 3;
+// Bounds the memory, and lets old habits fade.
+constexpr std::size_t kMostTimes = 200;
+
+} // namespace
+
+bool StatedWaits::isFirstTry(std::uint32_t count) const
+{
+    return count >= kLeastCount && count >= all_ / kLeastPart;
+}
+
+void StatedWaits::note(Duration stated)
+{
+    ++counts_[stated];
+    ++all_;
+    if (counts_.size() <= kMostTimes) {
+        return;
+    }
+    all_ = 0;
+    for (auto &[time, count] : counts_) {
+        count /= 2;
+        all_ += count;
+    }
+    std::erase_if(counts_, [](const auto &entry) { return entry.second == 0; });
+}
+
+Duration StatedWaits::sinceFirstTry(Duration stated)
+{
+    note(stated);
+    const auto first = std::find_if(counts_.lower_bound(stated), counts_.end(),
+                                    [this](const auto &entry) { return isFirstTry(entry.second); });
+    return first == counts_.end() ? Duration{} : first->first - stated;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/test/decision/gateway/statedwaits_test.cpp
@@ -0,0 +1,75 @@
+#include "decision/gateway/statedwaits.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+Duration millis(int count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace
+
+TEST_GROUP(StatedWaitsTest)
+{
+    StatedWaits waits;
+
+    void note(int stated, int times)
+    {
+        for (int count = 0; count < times; ++count) {
+            waits.sinceFirstTry(millis(stated));
+        }
+    }
+};
+
+TEST(StatedWaitsTest, FirstTriesAreSaidToBeNew)
+{
+    note(8000, 10);
+    CHECK_TRUE(waits.sinceFirstTry(millis(8000)) == Duration{});
+}
+
+TEST(StatedWaitsTest, WhatIsMissingFromAUsualTimeHasPassed)
+{
+    note(8000, 10);
+    CHECK_TRUE(waits.sinceFirstTry(millis(5400)) == millis(2600));
+}
+
+// A single caller must not make all others look late.
+TEST(StatedWaitsTest, OneLongTimeChangesNothing)
+{
+    note(8000, 10);
+    note(60'000, 1);
+    CHECK_TRUE(waits.sinceFirstTry(millis(8000)) == Duration{});
+    CHECK_TRUE(waits.sinceFirstTry(millis(5400)) == millis(2600));
+}
+
+TEST(StatedWaitsTest, TellsCallersOfTwoHabitsApart)
+{
+    for (int count = 0; count < 10; ++count) {
+        note(8000, 1);
+        note(12'000, 1);
+    }
+    CHECK_TRUE(waits.sinceFirstTry(millis(8000)) == Duration{});
+    CHECK_TRUE(waits.sinceFirstTry(millis(11'000)) == millis(1000));
+}
+
+TEST(StatedWaitsTest, WhereNoTimeRepeatsAllAreFirstTries)
+{
+    for (int stated = 1000; stated < 9000; stated += 7) {
+        CHECK_TRUE(waits.sinceFirstTry(millis(stated)) == Duration{});
+    }
+}
+
+TEST(StatedWaitsTest, ManySecondTriesDoNotHideTheFirst)
+{
+    note(8000, 50);
+    for (int stated = 4000; stated < 6000; stated += 3) {
+        waits.sinceFirstTry(millis(stated));
+        note(8000, stated % 2);
+    }
+    CHECK_TRUE(waits.sinceFirstTry(millis(8000)) == Duration{});
+    CHECK_TRUE(waits.sinceFirstTry(millis(5001)) == millis(2999));
+}
