--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -48,9 +48,9 @@
   --lease-ms N               How long a heartbeat's answer is good for (default 5000 for
                              an entry, 3000 for an agent).
   --stop-delay-ms N          How long a planned stop goes on taking requests (default 2000
-                             for an entry; for a gateway as --stop-limit-s allows).
+                             for an entry; for a gateway as the stop's limit allows).
   --stop-deadline-ms N       When a planned stop gives up waiting (default 120000; for a
-                             gateway as --stop-limit-s allows).
+                             gateway as the stop's limit allows).
   --max-account-series N     Client accounts with metrics of their own (default 300).
   --log-level LEVEL          debug, info, warning or error (default info).
   --check-settings           Check the settings, print those in force, and exit.
@@ -71,9 +71,9 @@
   --retry-ratio N            Second attempts of all gateways, for each request (default 0.2).
   --retry-slack N            Second attempts of all gateways besides (default 88).
   --key-freshness-ms N       A key is good under a confirmation this young (default:
-                             --key-life-ms less 300).
+                             the key's life less 300).
   --deny-freshness-ms N      401 and 404 are given under a confirmation this young (default:
-                             --config-spread-ms less 100).
+                             the configuration's spread less 100).
 
 Expert agent options:
   --service NAME             The service whose replicas form the group.
