Expert planner: one shift counts once, and a first short gap does not stop all changes

Every new decider can meet this.

Change: confirmations closer than the least life of a mixture are one shift; an estimate from few gaps leans on the one that is assumed before any was seen.

Test: fails on the code before (two shifts counted).

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -97,8 +97,12 @@
 
 void ExpertPlanner::noteShift(TimePoint now)
 {
-    ++shifts_;
     shiftedSincePlan_ = true;
+    // The ranks' passes end at different moments, so two blends in a row may come of one shift.
+    if (shiftedAt_ && now - *shiftedAt_ < settings_.leastLife) {
+        return;
+    }
+    ++shifts_;
     if (shiftedAt_) {
         gaps_.push_back(now - *shiftedAt_);
         if (gaps_.size() > settings_.gapsKept) {
@@ -153,7 +157,8 @@
 }
 
 // The mean of what was left of the remembered gaps at the present mixture's age; a mixture that has
-// outlived them all may last as long as any did.
+// outlived them all may last as long as any did, or as one that is not known yet: too short an
+// estimate would make no change worth its copying.
 Duration ExpertPlanner::expectedLife(TimePoint now) const
 {
     if (gaps_.empty()) {
@@ -170,8 +175,8 @@
             ++longer;
         }
     }
-    const Duration mean =
-        longer > 0 ? left / longer : whole / static_cast<std::int64_t>(gaps_.size());
+    const auto seen = static_cast<std::int64_t>(gaps_.size());
+    const Duration mean = longer > 0 ? left / longer : (whole + settings_.firstGap) / (seen + 1);
     return std::max(settings_.leastLife, mean);
 }
 
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -315,3 +315,21 @@
     CHECK_TRUE(planner.expectedLife(at(time)) >= std::chrono::seconds(5));
     CHECK_TRUE(planner.plan({dealt()}, at(time)).has_value());
 }
+
+// The blends of one shift must not count as a mixture that lasted for a moment: with so short a
+// life expected, no change would pay, and the map would stay as uneven as the shift has left it.
+TEST(ExpertPlannerTest, ShiftThatTakesTwoRoundsCountsOnce)
+{
+    planner.setRule({1, kExperts, 8, 3, std::chrono::milliseconds(400), 0.85});
+    feed(planner, skewedShares(1), 0, 4000);
+    std::vector<double> blend = skewedShares(1);
+    const std::vector<double> later = skewedShares(2);
+    for (std::size_t expert = 0; expert < blend.size(); ++expert) {
+        blend[expert] = (blend[expert] + later[expert]) / 2.0;
+    }
+    feed(planner, blend, 4000, 4400);
+    feed(planner, later, 4400, 5400);
+    LONGS_EQUAL(1, planner.shifts());
+    CHECK_TRUE(planner.expectedLife(at(5400)) >= std::chrono::seconds(3));
+    CHECK_TRUE(planner.plan({dealt()}, at(5400)).has_value());
+}
