--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -77,6 +77,8 @@
 
 Expert agent options:
   --service NAME             The service whose replicas form the group.
+  --link-mbps N              What the machine's link carries, in Mbit/s; questions and orders
+                             to the group are fitted to it (default 20).
 
 Agent options:
   --slots N                  Requests run at once until the configuration says (default 8).
@@ -175,6 +177,8 @@
 
 ExpertAgentSettings readExpertAgent(SettingsReader &reader)
 {
+    constexpr double kBytesPerMegabit = 125'000.0;
+    constexpr double kMostMegabits = 1e6;
     ExpertAgentSettings settings;
     settings.instance = InstanceId(reader.text("instance"));
     settings.hall = HallId(reader.text("hall"));
@@ -182,6 +186,9 @@
     settings.listen = toAddress(reader.address("listen"));
     settings.engine = toAddress(reader.address("upstream"));
     settings.store = toAddress(reader.address("platform"));
+    settings.linkBytesPerSecond = kBytesPerMegabit
+                                  * reader.number("link-mbps", 0.1, kMostMegabits,
+                                                  settings.linkBytesPerSecond / kBytesPerMegabit);
     if (reader.given("metrics-listen")) {
         settings.metricsListen = toAddress(reader.address("metrics-listen"));
     }
--- /dev/null
+++ b/src/decision/expertmap/collectionplan.cpp
@@ -0,0 +1,54 @@
+#include "decision/expertmap/collectionplan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace seamarch {
+namespace {
+
+// Bytes of one report on the wire with its frame: some twenty words of a message.
+constexpr double kReportBytes = 400.0;
+// The shares of the link. Orders keep what is left, because they are urgent and come in bursts.
+constexpr double kReportShare = 0.25;
+constexpr double kCountsShare = 0.35;
+// Asking more often than about once a pass tells nothing new.
+constexpr Duration kLeastGap = std::chrono::milliseconds(100);
+// Demand may shift every few seconds: two rounds, which confirm a shift, take half a second.
+constexpr Duration kMostCountsGap = std::chrono::milliseconds(250);
+// A round of fewer ranks says too little; on a link that does not carry these, rounds come later.
+constexpr std::uint32_t kLeastCounted = 8;
+// What a question and its answer take beside the link: two processes' turns and the way.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(40);
+// A report counts for two gaps and the time in which an agent that is late may still answer.
+constexpr Duration kLateAnswer = std::chrono::milliseconds(500);
+// The answers of a round share the link with reports and orders.
+constexpr double kRoundSlack = 1.5;
+
+Duration timeFor(double bytes, double bytesPerSecond)
+{
+    return bytesPerSecond > 0.0 ? fromSeconds(bytes / bytesPerSecond) : Duration{};
+}
+
+} // namespace
+
+CollectionPlan planCollection(const CollectionInputs &inputs)
+{
+    const auto ranks = static_cast<double>(inputs.ranks);
+    const auto bytes = static_cast<double>(std::max<std::uint64_t>(1, inputs.countsBytes));
+    const double countsRate = inputs.linkBytesPerSecond * kCountsShare;
+    CollectionPlan plan;
+    plan.reportGap = std::max(
+        kLeastGap, timeFor(ranks * kReportBytes, inputs.linkBytesPerSecond * kReportShare));
+    plan.reportLife = 2 * plan.reportGap + kLateAnswer;
+    const Duration all = timeFor(ranks * bytes, countsRate);
+    const Duration fewest = timeFor(std::min(ranks, double{kLeastCounted}) * bytes, countsRate);
+    plan.countsGap = std::max(std::clamp(all, kLeastGap, kMostCountsGap), fewest);
+    const double fitting = std::floor(toSeconds(plan.countsGap) * countsRate / bytes);
+    plan.countedRanks = static_cast<std::uint32_t>(
+        std::clamp(fitting, std::min(ranks, double{kLeastCounted}), ranks));
+    plan.roundSpan = std::max(
+        kAnswerTime, timeFor(plan.countedRanks * bytes * kRoundSlack, inputs.linkBytesPerSecond));
+    return plan;
+}
+
+} // namespace seamarch
--- a/src/decision/expertmap/evenplacement.cpp
+++ b/src/decision/expertmap/evenplacement.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace seamarch {
@@ -204,9 +205,26 @@
         }
     }
 
+    // Returns the least loaded ranks, as many as are to be weighed.
+    const std::vector<std::size_t> &leastLoaded()
+    {
+        const std::vector<double> &loads = trial_.loads();
+        const std::size_t count = std::min(bounds_.targets, loads.size());
+        targets_.resize(loads.size());
+        std::iota(targets_.begin(), targets_.end(), std::size_t{0});
+        std::partial_sort(targets_.begin(), targets_.begin() + static_cast<std::ptrdiff_t>(count),
+                          targets_.end(), [&loads](std::size_t one, std::size_t other) {
+                              return std::tie(loads[one], one) < std::tie(loads[other], other);
+                          });
+        targets_.resize(count);
+        std::sort(targets_.begin(), targets_.end());
+        return targets_;
+    }
+
     std::optional<Change> best()
     {
         const std::vector<double> &loads = trial_.loads();
+        const std::vector<std::size_t> &targets = leastLoaded();
         const auto most =
             static_cast<std::size_t>(std::max_element(loads.begin(), loads.end()) - loads.begin());
         std::optional<Change> found;
@@ -223,7 +241,7 @@
             if (holders_[expert].size() > 1) {
                 consider(Change{expert, most, std::nullopt, std::nullopt, true});
             }
-            for (std::size_t to = 0; to < placement_.size(); ++to) {
+            for (const std::size_t to : targets) {
                 if (to != most && !holds(placement_, to, expert) && mayGet(to, expert)) {
                     considerPlacing(expert, most, to, consider);
                 }
@@ -296,6 +314,7 @@
     std::vector<std::vector<std::size_t>> holders_; // The ranks that hold each expert.
     std::vector<std::uint32_t> newOn_;
     std::uint32_t allNew_ = 0;
+    std::vector<std::size_t> targets_; // Of the change that is looked for.
 };
 
 } // namespace
--- a/src/decision/expertmap/evenplacement.h
+++ b/src/decision/expertmap/evenplacement.h
@@ -12,6 +12,7 @@
 // tokens with the map; these engines take none.)
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <span>
@@ -35,6 +36,9 @@
     std::span<const std::uint32_t> newByRank{};
     // How many experts may be new in all, counted by rank.
     std::uint32_t mostNew = std::numeric_limits<std::uint32_t>::max();
+    // Experts of the most loaded rank go to one of this many least loaded ranks: others are hardly
+    // ever better, and weighing all of them takes a time that grows with the square of the group.
+    std::size_t targets = 12;
 };
 
 // How many times as long as a sound rank each rank takes for the same load. A rank without an entry
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -37,7 +37,8 @@
     {
         // Counts lose half their weight in this time while demand is calm.
         Duration halfLife = std::chrono::milliseconds(4000);
-        // The ranks' answers to one question come within this time.
+        // The ranks' answers to one question come within this time, unless setRoundSpan() says
+        // otherwise.
         Duration roundSpan = std::chrono::milliseconds(40);
         // The distance of a round from what is remembered, in parts of all choices that differ,
         // from which on demand has shifted: this many times what it is while demand is calm, within
@@ -79,6 +80,8 @@
     void setRule(const ExpertRule &rule);
     // Takes how often each expert was chosen at a rank since that rank's last report, set by set.
     void onChoices(std::span<const double> choices, TimePoint now);
+    // Sets within which time the answers of one round come: it depends on the link.
+    void setRoundSpan(Duration span) { settings_.roundSpan = span; }
     // Takes how many times as long as a sound rank each rank takes, by rank.
     void setPaces(std::vector<double> paces) { paces_ = std::move(paces); }
 
@@ -89,6 +92,8 @@
     std::optional<ExpertMap> plan(const ExpertMap &current, TimePoint now);
     // Tells whether demand has shifted since the last plan was returned.
     bool outdated() const { return shiftedSincePlan_; }
+    // Tells whether the last round gave an alarm, on which the next one decides.
+    bool doubting() const { return !doubted_.empty(); }
     // Returns the mean over the sets of the largest load over the mean load.
     double skew(const ExpertMap &map) const;
     // Returns the skew that the last plan expects, and how long its copying takes.
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -22,6 +22,18 @@
     , fenceMark_(random_() % kFenceStride)
 {}
 
+Duration GroupDecider::resendIn(Phase phase) const
+{
+    switch (phase) {
+    case Phase::Preparing:
+        return settings_.resendPrepare;
+    case Phase::Arming:
+        return settings_.resendArm;
+    default:
+        return settings_.resend;
+    }
+}
+
 void GroupDecider::enter(Phase phase, TimePoint now)
 {
     phase_ = phase;
@@ -29,7 +41,7 @@
     for (auto &[rank, state] : ranks_) {
         state.confirmed = false;
         state.sentAt = {};
-        state.resendAfter = phase == Phase::Arming ? settings_.resendArm : settings_.resend;
+        state.resendAfter = resendIn(phase);
         state.answeredAt = {};
     }
 }
@@ -129,7 +141,9 @@
     rank.report = report;
     measurePasses(askedAt);
     if (phase_ == Phase::Preparing) {
-        rank.confirmed = report.prepared == version_;
+        // A report that was asked for before the rank answered may know nothing of its copies yet.
+        rank.confirmed =
+            report.prepared == version_ || (rank.confirmed && askedAt <= rank.answeredAt);
     } else if (phase_ == Phase::Clearing && askedAt > rank.answeredAt && report.armed != 0) {
         rank.confirmed = false; // Another map is armed than the one that was disarmed.
     }
@@ -295,15 +309,25 @@
     measuredAt_ = askedAt;
 }
 
+Duration GroupDecider::lead() const
+{
+    const Duration unmeasured = settings_.lead + settings_.leadPerRank * static_cast<int>(size_);
+    const Duration lossy = unanswered_ > 0 ? settings_.leadWhenLossy : Duration{};
+    if (armTimes_.empty()) {
+        return unmeasured + lossy;
+    }
+    const Duration longest = *std::max_element(armTimes_.begin(), armTimes_.end());
+    const Duration measured = fromSeconds(toSeconds(longest) * settings_.leadOverArms);
+    return std::clamp(measured, settings_.lead, unmeasured) + lossy;
+}
+
 // Returns how many passes ahead a hold is placed.
 std::uint64_t GroupDecider::margin() const
 {
     if (passTime_ <= Duration{}) {
         return settings_.stepMargin;
     }
-    const Duration lead = settings_.lead + settings_.leadPerRank * static_cast<int>(size_)
-                          + (unanswered_ > 0 ? settings_.leadWhenLossy : Duration{});
-    const auto passes = static_cast<std::uint64_t>(lead / passTime_ + 1);
+    const auto passes = static_cast<std::uint64_t>(lead() / passTime_ + 1);
     return std::max(settings_.stepMargin, passes);
 }
 
@@ -375,6 +399,7 @@
 void GroupDecider::onHoldAnswer(MapOrderAnswer answer, TimePoint now)
 {
     switch (answer) {
+    case MapOrderAnswer::Copied: // Never of a hold.
     case MapOrderAnswer::Done:
         enter(clearing_ ? Phase::Clearing : Phase::Arming, now);
         return;
@@ -414,9 +439,14 @@
     Rank &rank = found->second;
     const MapOrderKind kind = order.kind;
     if (phase_ == Phase::Preparing && kind == MapOrderKind::Prepare) {
-        if (answer == MapOrderAnswer::Done) {
+        if (answer == MapOrderAnswer::Copied) {
+            rank.answeredAt = now;
+            rank.confirmed = true;
+        } else if (answer == MapOrderAnswer::Done) {
             rank.answeredAt = now; // Whether it is copied, its report tells.
-        } else if (answer != MapOrderAnswer::Lost) {
+        } else if (answer == MapOrderAnswer::Lost) {
+            rank.resendAfter = settings_.resend;
+        } else {
             raiseFence(answer == MapOrderAnswer::Fenced);
             enter(Phase::Idle, now); // Nothing is armed; a new proposal takes a higher version.
         }
@@ -443,6 +473,14 @@
     advance(now);
 }
 
+void GroupDecider::noteArmTime(Duration time)
+{
+    armTimes_.push_back(time);
+    if (armTimes_.size() > settings_.armTimesKept) {
+        armTimes_.pop_front();
+    }
+}
+
 // Takes the step that the confirmations allow.
 void GroupDecider::advance(TimePoint now)
 {
@@ -455,6 +493,7 @@
         enter(Phase::Holding, now);
     } else if (phase_ == Phase::Arming && allConfirmed()) {
         committed_ = true;
+        noteArmTime(now - phaseSince_);
         enter(Phase::Releasing, now);
     } else if (phase_ == Phase::Clearing && allConfirmed()) {
         ++cleared_;
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -26,6 +26,7 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -74,6 +75,7 @@
     Refused, // It does not fit the rank's state.
     Fenced,  // Another decider has used a higher fence.
     Lost,    // No answer: it may have been carried out, or may be later.
+    Copied,  // Of a prepare: done, and all experts that are new to the rank are copied.
 };
 
 // Hand an order to a rank.
@@ -102,10 +104,14 @@
         // Passes at least between the last that is known to have begun and the hold, and as many
         // more as begin within the lead. The hold, the arms and their answers take some ten
         // milliseconds and more on a large group; a lead that is too short stops the group, which
-        // every stream feels, a long one only keeps it on the old map.
+        // every stream feels, a long one only keeps it on the old map. Before any arms were
+        // measured, the lead grows with the group; then it is a multiple of the longest of the last
+        // few, and no shorter than `lead`.
         std::uint64_t stepMargin = 2;
         Duration lead = std::chrono::milliseconds(120);
         Duration leadPerRank = std::chrono::milliseconds(3);
+        double leadOverArms = 2.0;
+        std::size_t armTimesKept = 4;
         // Added when orders of the change were not answered: arms then take some rounds as well.
         Duration leadWhenLossy = std::chrono::milliseconds(450);
         // An arm that was not answered is sent again after this: the group may be waiting for it.
@@ -114,13 +120,15 @@
         Duration passWindow = std::chrono::milliseconds(400);
         // An order that was not answered is sent again after this.
         Duration resend = std::chrono::milliseconds(250);
+        // A prepare is large, and is answered when its experts are copied or that takes long.
+        Duration resendPrepare = std::chrono::milliseconds(800);
         // A hold whose step had begun already is placed anew after this.
         Duration holdAgain = std::chrono::milliseconds(50);
         // Copying takes a second or two; a rank that has not copied by then holds the change up.
         Duration prepareLimit = std::chrono::seconds(8);
         // A change whose arms are not all confirmed by then is cleared, because the group waits.
         Duration armLimit = std::chrono::milliseconds(1500);
-        // A report counts as current for this long.
+        // A report counts as current for this long, unless setReportLife() says otherwise.
         Duration reportLife = std::chrono::milliseconds(700);
         // Arms and holds that nobody resolves are cleared after this; their decider may be at it.
         Duration foreignPatience = std::chrono::milliseconds(1200);
@@ -157,6 +165,9 @@
     // does no harm. Returns false when there is none.
     bool abandon(TimePoint now);
 
+    // Sets how long a report counts as current: it depends on how often ranks are asked.
+    void setReportLife(Duration life) { settings_.reportLife = life; }
+
     // This agent no longer decides. What is under way stays as it is; whoever decides clears it.
     void resign();
 
@@ -187,6 +198,7 @@
         TimePoint answeredAt{};
     };
 
+    Duration resendIn(Phase phase) const;
     void enter(Phase phase, TimePoint now);
     void raiseFence(bool overtaken = false);
     std::uint64_t highestStep() const;
@@ -202,11 +214,13 @@
     bool isForeign(const RankReport &report) const;
     void beginClearing(TimePoint now);
     void measurePasses(TimePoint askedAt);
+    Duration lead() const;
     std::uint64_t margin() const;
     void chooseStep();
     void chooseHolder();
     void onHoldAnswer(MapOrderAnswer answer, TimePoint now);
     void onArmAnswer(Rank &rank, MapOrderAnswer answer, TimePoint now);
+    void noteArmTime(Duration time);
     void advance(TimePoint now);
     void forgetEpoch(std::uint64_t epoch, TimePoint now);
 
@@ -230,7 +244,8 @@
     std::uint64_t unanswered_ = 0;   // Orders of the change under way that were sent again.
     std::uint64_t measuredStep_ = 0; // Where the measurement of the passes' time began.
     TimePoint measuredAt_{};
-    Duration passTime_{}; // Zero: not measured yet.
+    Duration passTime_{};           // Zero: not measured yet.
+    std::deque<Duration> armTimes_; // From the first arm to the last answer, of the last changes.
     std::optional<TimePoint> foreignSince_;
     std::uint64_t changes_ = 0;
     std::uint64_t cleared_ = 0;
--- a/src/decision/expertmap/grouproster.cpp
+++ b/src/decision/expertmap/grouproster.cpp
@@ -42,6 +42,17 @@
     return isForeign(engine) ? std::max(ownGap, settings_.otherGroupGap) : ownGap;
 }
 
+std::map<std::uint32_t, InstanceId> GroupRoster::engines() const
+{
+    std::map<std::uint32_t, InstanceId> engines;
+    for (const auto &[engine, place] : places_) {
+        if (place && place->group == group_) {
+            engines.emplace(place->rank, engine);
+        }
+    }
+    return engines;
+}
+
 std::optional<InstanceId> GroupRoster::engineOf(std::uint32_t rank) const
 {
     const Place place{group_, rank};
--- a/src/decision/expertmap/grouproster.h
+++ b/src/decision/expertmap/grouproster.h
@@ -46,6 +46,8 @@
     Duration gapFor(const InstanceId &engine, Duration ownGap) const;
     // Tells whether `engine` is known to be in another group.
     bool isForeign(const InstanceId &engine) const;
+    // Returns the engines of the own group, by rank.
+    std::map<std::uint32_t, InstanceId> engines() const;
     // Returns the engine at `rank` of the own group; nothing while none has said that it is.
     std::optional<InstanceId> engineOf(std::uint32_t rank) const;
 
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -3,6 +3,8 @@
 #include "base/digest.h"
 #include "base/log.h"
 #include "base/wallclock.h"
+#include "decision/expertmap/collectionplan.h"
+#include "experts/mapwords.h"
 #include "experts/rankwire.h"
 #include "net/rpcpeer.h"
 
@@ -17,21 +19,12 @@
 using nlohmann::json;
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
-// How often the decider asks all ranks. Orders follow at the next tick. A report takes some 300
-// bytes, and 2 ms a rank keep a large group's reports within a fifth of a link of 8 Mbit/s.
-constexpr Duration kAskGap = std::chrono::milliseconds(100);
-constexpr Duration kAskGapPerRank = std::chrono::milliseconds(2);
-// How often it asks for counts as well: about once in a pass, because demand may shift with any of
-// them. They take a byte an expert, and at a large group this many bytes a second of a link of
-// 8 Mbit/s, which orders share; but they come no more seldom than the last two say.
-constexpr Duration kCountsGap = std::chrono::milliseconds(100);
-constexpr std::uint64_t kCountsBytesPerSecond = 180'000;
-constexpr Duration kLongestCountsGap = std::chrono::milliseconds(200);
-constexpr Duration kLongestCountsGapPerRank = std::chrono::milliseconds(4);
+// Counts of less than about a pass tell nothing new.
+constexpr Duration kLeastCountsGap = std::chrono::milliseconds(100);
 // How often an agent that does not decide asks its own engine for its rank.
 constexpr Duration kOwnGap = std::chrono::milliseconds(400);
 // A decider that has not asked for this long is taken for dead or cut off. It asks some five times
-// in it, less often in a large group. Two that both decide are harmless, and a group that one has
+// in it, as often in a large group. Two that both decide are harmless, and a group that one has
 // left held makes no pass.
 constexpr Duration kDeciderLife = std::chrono::milliseconds(500);
 constexpr Duration kDeciderLifePerRank = std::chrono::milliseconds(10);
@@ -47,83 +40,6 @@
 // A store's watch waits this long here: only the list of engines is wanted, and calls have a price.
 constexpr Duration kWatchWait = std::chrono::seconds(10);
 
-// How a log says that a change may start.
-constexpr std::string_view kNoObstacle = "none";
-
-std::string_view wordFor(GroupDecider::Phase phase)
-{
-    switch (phase) {
-    case GroupDecider::Phase::Idle:
-        return "idle";
-    case GroupDecider::Phase::Preparing:
-        return "preparing";
-    case GroupDecider::Phase::Holding:
-        return "holding";
-    case GroupDecider::Phase::Arming:
-        return "arming";
-    case GroupDecider::Phase::Clearing:
-        return "clearing";
-    case GroupDecider::Phase::Releasing:
-        return "releasing";
-    }
-    return "unknown";
-}
-
-std::string_view wordFor(GroupDecider::Obstacle obstacle)
-{
-    switch (obstacle) {
-    case GroupDecider::Obstacle::None:
-        return kNoObstacle;
-    case GroupDecider::Obstacle::ChangeUnderWay:
-        return "change under way";
-    case GroupDecider::Obstacle::RanksUnknown:
-        return "ranks unknown";
-    case GroupDecider::Obstacle::GroupBroken:
-        return "group broken";
-    case GroupDecider::Obstacle::ReportsOld:
-        return "reports old";
-    case GroupDecider::Obstacle::MapsDiffer:
-        return "maps differ";
-    case GroupDecider::Obstacle::ArmLeft:
-        return "arm left";
-    case GroupDecider::Obstacle::Foreign:
-        return "foreign arm or hold";
-    }
-    return "unknown";
-}
-
-std::string_view wordFor(MapOrderKind kind)
-{
-    switch (kind) {
-    case MapOrderKind::Prepare:
-        return "prepare";
-    case MapOrderKind::Arm:
-        return "arm";
-    case MapOrderKind::Disarm:
-        return "disarm";
-    case MapOrderKind::Hold:
-        return "hold";
-    case MapOrderKind::Go:
-        return "go";
-    }
-    return "unknown";
-}
-
-std::string_view wordFor(MapOrderAnswer answer)
-{
-    switch (answer) {
-    case MapOrderAnswer::Done:
-        return "done";
-    case MapOrderAnswer::Refused:
-        return "refused";
-    case MapOrderAnswer::Fenced:
-        return "fenced";
-    case MapOrderAnswer::Lost:
-        return "lost";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 // The serving end for the agents of the other ranks.
@@ -172,6 +88,33 @@
         return kj::mv(waiting.promise);
     }
 
+    kj::Promise<void> relay(RelayContext context) override
+    {
+        auto waiting = kj::newPromiseAndFulfiller<void>();
+        auto fulfiller =
+            std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(waiting.fulfiller));
+        const auto order = readOrder(context.getParams().getOrder());
+        if (!order || order->kind != MapOrderKind::Prepare) {
+            logLine(LogLevel::Warning, "order.unreadable", {{"relayed", true}});
+            return kj::READY_NOW;
+        }
+        std::vector<RelayTarget> targets;
+        for (const auto target : context.getParams().getTargets()) {
+            targets.push_back({target.getRank(), target.getHost().cStr()});
+        }
+        const auto done = [context, fulfiller](const std::vector<RelayedAnswer> &answers) mutable {
+            auto list =
+                context.getResults().initAnswers(static_cast<std::uint32_t>(answers.size()));
+            for (std::uint32_t index = 0; index < list.size(); ++index) {
+                list[index].setRank(answers[index].rank);
+                list[index].setStatus(static_cast<std::uint16_t>(answers[index].answer));
+            }
+            (*fulfiller)->fulfill();
+        };
+        agent_.relay(*order, targets, done);
+        return kj::mv(waiting.promise);
+    }
+
 private:
     ExpertAgent &agent_;
 };
@@ -183,7 +126,6 @@
     , store_(store)
     , engineCalls_(engineCalls)
     , metrics_(0)
-    , ledger_(randomIdentity())
     , startedAt_(loop.now())
 {}
 
@@ -229,6 +171,8 @@
         metricsServer_ = std::move(*server);
     }
     ranks_ = std::make_unique<RankClient>(loop_, *client_, engineCalls_);
+    engine_ = std::make_unique<OwnEngine>(loop_, *ranks_, settings_.engine);
+    relay_ = std::make_unique<OrderRelay>(loop_, *transport_, settings_.listen.port);
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     return {};
 }
@@ -368,8 +312,8 @@
     }
     decider_ = std::make_unique<GroupDecider>(settings);
     RankPeersListener &listener = *this;
-    peers_ = std::make_unique<RankPeers>(loop_, *transport_, *ranks_, settings_.listen.port,
-                                         ownGroup_, listener);
+    const RankPeers::Settings peers{settings_.listen.port, ownGroup_, settings_.linkBytesPerSecond};
+    peers_ = std::make_unique<RankPeers>(loop_, *transport_, *ranks_, peers, listener);
     notedPhase_ = GroupDecider::Phase::Idle;
     notedChanges_ = 0;
     notedCleared_ = 0;
@@ -394,24 +338,15 @@
 }
 
 // Answers for the own rank.
-void ExpertAgent::answer(RankQuestion question, std::function<void(std::optional<RankFacts>)> done)
-{
-    ranks_->ask(settings_.engine, question,
-                [this, question, done = std::move(done)](std::optional<EngineFacts> engine) {
-                    if (!engine) {
-                        done(std::nullopt);
-                        return;
-                    }
-                    noteOwnPlace(engine->report);
-                    noteFormed(engine->report);
-                    RankFacts facts{engine->report, std::nullopt, std::move(engine->experts)};
-                    facts.report.fence = ownFence_;
-                    if (!engine->counts.empty()) {
-                        facts.choices =
-                            ledger_.note(std::move(engine->counts), question.countsSince);
-                    }
-                    done(std::move(facts));
-                });
+void ExpertAgent::answer(RankQuestion question, OwnEngine::FactsDone done)
+{
+    engine_->ask(question, [this, done = std::move(done)](std::optional<RankFacts> facts) {
+        if (facts) {
+            noteOwnPlace(facts->report);
+            noteFormed(facts->report);
+        }
+        done(std::move(facts));
+    });
 }
 
 void ExpertAgent::askOwn(RankQuestion question)
@@ -435,41 +370,32 @@
     });
 }
 
-// A gap between questions to all ranks: the larger the group, the longer, because its answers share
-// the link of one agent.
-Duration ExpertAgent::gapFor(Duration least, Duration perRank) const
-{
-    return std::max(least, perRank * static_cast<Duration::rep>(decider_->size()));
-}
-
-Duration ExpertAgent::countsGap() const
-{
-    if (!rule_) {
-        return kLongestCountsGap;
-    }
-    const std::uint64_t bytes = std::uint64_t{decider_->size()} * rule_->sets * rule_->experts;
-    const Duration fitting = std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) * bytes
-                             / kCountsBytesPerSecond;
-    return std::clamp(fitting, kCountsGap, gapFor(kLongestCountsGap, kLongestCountsGapPerRank));
-}
-
+// Asks the ranks whose turn it is for reports, and some of them for counts of chosen experts. The
+// own engine is asked at every tick of a change, because a hold must name a step that is near.
 void ExpertAgent::askGroup()
 {
     const TimePoint now = loop_.now();
-    const Duration gap = gapFor(kAskGap, kAskGapPerRank);
-    const bool counts = now - countsAskedAt_ >= countsGap();
+    CollectionInputs inputs;
+    inputs.ranks = decider_->size();
+    inputs.countsBytes = rule_ ? std::uint64_t{rule_->sets} * rule_->experts : 0;
+    inputs.linkBytesPerSecond = settings_.linkBytesPerSecond;
+    const CollectionPlan plan = planCollection(inputs);
+    decider_->setReportLife(plan.reportLife);
+    planner_.setRoundSpan(plan.roundSpan);
+    // An alarm is confirmed or dropped as soon as a round can be.
+    const Duration countsGap =
+        planner_.doubting() ? std::max(plan.countsGap / 2, plan.roundSpan) : plan.countsGap;
+    const bool counts = now - countsAskedAt_ >= std::max(countsGap, kLeastCountsGap);
+    const RankQuestion question{false, !known_, 0};
     if (counts) {
         countsAskedAt_ = now;
-    }
-    const RankQuestion question{counts, !current_, 0};
-    // Between changes the reports that come with the counts will do.
-    const bool calm = notedObstacle_ == kNoObstacle;
-    if (counts || (!calm && now - ownAskedAt_ >= gap)) {
+        askOwn({true, question.experts, 0});
+        peers_->askCounts(question, plan.countedRanks, decider_->size(), *ownRank_);
+    } else if (decider_->phase() != GroupDecider::Phase::Idle
+               || now - ownAskedAt_ >= plan.reportGap) {
         askOwn(question);
     }
-    if (counts || !calm) {
-        peers_->ask(question, counts ? Duration{} : gap, *ownRank_);
-    }
+    peers_->askReports(question, plan.reportGap, kTick, *ownRank_);
 }
 
 // Takes the group and rank that the own engine names. In another group, what was known of the one
@@ -489,7 +415,7 @@
     ownGroup_ = report.group;
     lower_.reset();
     epoch_ = 0;
-    ownFence_ = 0;
+    engine_->forgetFence();
     experts_.clear();
     known_.reset();
     proposedVersion_ = 0;
@@ -580,9 +506,7 @@
         noteObstacle(wordFor(GroupDecider::Obstacle::ChangeUnderWay));
     }
     notePhase();
-    for (const SendMapOrder &order : orders) {
-        send(order);
-    }
+    send(orders);
 }
 
 // Demand has shifted while experts of the proposed map are still being copied. A map for what is
@@ -665,18 +589,22 @@
     }
 }
 
-void ExpertAgent::send(const SendMapOrder &action)
+void ExpertAgent::send(const MapOrders &orders)
 {
-    if (ownRank_ != action.rank) {
-        peers_->send(action);
-        return;
+    MapOrders others;
+    for (const SendMapOrder &action : orders) {
+        if (ownRank_ != action.rank) {
+            others.push_back(action);
+            continue;
+        }
+        handToOwn(action.order, [this, action](MapOrderAnswer answer) {
+            onPeerOrderAnswer(action.rank, action.order, answer);
+        });
     }
-    handToOwn(action.order, [this, action](MapOrderAnswer answer) {
-        onPeerOrderAnswer(action.rank, action.order, answer);
-    });
+    peers_->send(others);
 }
 
-void ExpertAgent::handToOwn(const MapOrder &order, std::function<void(MapOrderAnswer)> done)
+void ExpertAgent::handToOwn(const MapOrder &order, OwnEngine::OrderDone done)
 {
     if (order.group != ownGroup_) {
         logLine(LogLevel::Warning, "order.of_other_group",
@@ -687,20 +615,35 @@
         done(ownGroup_ == GroupId() ? MapOrderAnswer::Lost : MapOrderAnswer::Refused);
         return;
     }
-    ownFence_ = std::max(ownFence_, order.fence);
-    logLine(LogLevel::Info, "order.handed",
-            {{"kind", wordFor(order.kind)},
-             {"version", order.version},
-             {"step", order.step},
-             {"epoch", order.epoch},
-             {"fence", order.fence}});
-    ranks_->order(settings_.engine, order, std::move(done));
+    engine_->order(order, std::move(done));
+}
+
+// Hands an order to the own engine and to the agents of other ranks. The answer of the own engine
+// comes with theirs, or earlier.
+void ExpertAgent::relay(const MapOrder &order, const std::vector<RelayTarget> &targets,
+                        const OrderRelay::Done &done)
+{
+    struct Waiting
+    {
+        std::vector<RelayedAnswer> answers;
+        int left = 2; // The own engine's answer, and the others'.
+    };
+    const auto waiting = std::make_shared<Waiting>();
+    const auto add = [waiting, done](const std::vector<RelayedAnswer> &answers) {
+        waiting->answers.insert(waiting->answers.end(), answers.begin(), answers.end());
+        if (--waiting->left == 0) {
+            done(waiting->answers);
+        }
+    };
+    const std::uint32_t rank = ownRank_.value_or(0);
+    handToOwn(order, [add, rank](MapOrderAnswer answer) { add({RelayedAnswer{rank, answer}}); });
+    relay_->relay(order, targets, add);
 }
 
 void ExpertAgent::onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
                                     MapOrderAnswer answer)
 {
-    if (answer != MapOrderAnswer::Done) {
+    if (answer != MapOrderAnswer::Done && answer != MapOrderAnswer::Copied) {
         logLine(LogLevel::Info, "order.not_done",
                 {{"kind", wordFor(order.kind)},
                  {"rank", rank},
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -14,6 +14,8 @@
 #include "decision/expertmap/expertplanner.h"
 #include "decision/expertmap/groupdecider.h"
 #include "decision/gateway/upstreamtable.h"
+#include "experts/orderrelay.h"
+#include "experts/ownengine.h"
 #include "experts/rankclient.h"
 #include "experts/rankpeers.h"
 #include "gateway/storewatcher.h"
@@ -41,6 +43,8 @@
     SocketAddress listen; // For the other agents; they listen at the same port.
     std::optional<SocketAddress> metricsListen;
     SocketAddress store;
+    // What the machine's link carries: questions, counts and orders are fitted to it.
+    double linkBytesPerSecond = 2'500'000.0; // 20 Mbit/s.
     Duration stopDelay = std::chrono::milliseconds(100);
 };
 
@@ -93,10 +97,9 @@
     void takeRole();
     void leaveRole();
     void onAsked(const GroupId &askerGroup, std::uint32_t askerRank);
-    void answer(RankQuestion question, std::function<void(std::optional<RankFacts>)> done);
+    void answer(RankQuestion question, OwnEngine::FactsDone done);
     void askOwn(RankQuestion question);
     void askGroup();
-    Duration gapFor(Duration least, Duration perRank) const;
     void onPeerFacts(const RankFacts &facts, TimePoint askedAt) override;
     void onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
                            MapOrderAnswer answer) override;
@@ -106,11 +109,12 @@
     void replaceChange(MapOrders &orders);
     void proposeChange(MapOrders &orders);
     void propose(ExpertMap planned, MapOrders &orders);
-    void send(const SendMapOrder &action);
-    void handToOwn(const MapOrder &order, std::function<void(MapOrderAnswer)> done);
+    void send(const MapOrders &orders);
+    void handToOwn(const MapOrder &order, OwnEngine::OrderDone done);
+    void relay(const MapOrder &order, const std::vector<RelayTarget> &targets,
+               const OrderRelay::Done &done);
     std::optional<ExpertMap> mapInUse();
     std::optional<ExpertMap> mapFromRanks(std::uint64_t version) const;
-    Duration countsGap() const;
     void notePhase();
     void noteObstacle(std::string_view obstacle);
 
@@ -124,13 +128,13 @@
     std::unique_ptr<RawTransport> transport_;
     std::unique_ptr<OperatorServer> metricsServer_;
     std::unique_ptr<RankClient> ranks_;
-    ChoiceLedger ledger_;
+    std::unique_ptr<OwnEngine> engine_;
+    std::unique_ptr<OrderRelay> relay_; // Of the orders of other agents.
     std::map<std::uint64_t, std::unique_ptr<RpcPeer>> incoming_;
     GroupId ownGroup_; // Empty until the own engine has answered.
     std::optional<std::uint32_t> ownRank_;
     std::uint32_t groupRanks_ = 0; // As the own engine has told.
     std::optional<LowerDecider> lower_;
-    std::uint64_t ownFence_ = 0;      // The highest that was handed to the own rank.
     std::uint64_t ownCountsMark_ = 0; // Of the own rank's last counts.
     std::uint64_t epoch_ = 0;
     TimePoint startedAt_{};
--- /dev/null
+++ b/src/experts/mapwords.h
@@ -0,0 +1,18 @@
+// How logs name the states, orders and answers of a change of map.
+#pragma once
+
+#include "decision/expertmap/groupdecider.h"
+
+#include <string_view>
+
+namespace seamarch {
+
+// What an obstacle is called when there is none: a change may start.
+constexpr std::string_view kNoObstacle = "none";
+
+std::string_view wordFor(GroupDecider::Phase phase);
+std::string_view wordFor(GroupDecider::Obstacle obstacle);
+std::string_view wordFor(MapOrderKind kind);
+std::string_view wordFor(MapOrderAnswer answer);
+
+} // namespace seamarch
--- /dev/null
+++ b/src/experts/orderrelay.cpp
@@ -0,0 +1,126 @@
+#include "experts/orderrelay.h"
+
+#include "base/log.h"
+#include "experts/rankwire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// How long the others may take: an agent answers within a quarter of a second also when its engine
+// is still copying, and the order crosses a link that is shared with the other ranks' orders.
+constexpr Duration kPatience = std::chrono::milliseconds(600);
+// A connection that no order has used for this long is closed.
+constexpr Duration kLinkLife = std::chrono::seconds(30);
+
+} // namespace
+
+// Hears of calls that failed in a way that nobody handled.
+class OrderRelay::CallErrors final : public kj::TaskSet::ErrorHandler
+{
+public:
+    void taskFailed(kj::Exception &&exception) override
+    {
+        logLine(LogLevel::Warning, "relay.call_failed",
+                {{"message", exception.getDescription().cStr()}});
+    }
+};
+
+// One order on its way to several agents.
+struct OrderRelay::Batch
+{
+    std::vector<RelayTarget> open; // Not answered yet.
+    std::vector<RelayedAnswer> answers;
+    Done done; // Empty once it was called.
+};
+
+OrderRelay::OrderRelay(EventLoop &loop, RawTransport &transport, int agentPort)
+    : loop_(loop)
+    , transport_(transport)
+    , agentPort_(agentPort)
+    , callErrors_(std::make_unique<CallErrors>())
+    , tasks_(*callErrors_)
+{}
+
+OrderRelay::~OrderRelay()
+{
+    *alive_ = false;
+}
+
+RpcLink &OrderRelay::linkTo(const std::string &host)
+{
+    Link &entry = links_[host];
+    if (entry.link == nullptr) {
+        entry.link = std::make_unique<RpcLink>(loop_, transport_, SocketAddress{host, agentPort_});
+    }
+    entry.usedAt = loop_.now();
+    return *entry.link;
+}
+
+void OrderRelay::dropIdle()
+{
+    std::erase_if(links_, [now = loop_.now()](const auto &entry) {
+        return now - entry.second.usedAt > kLinkLife;
+    });
+}
+
+void OrderRelay::relay(const MapOrder &order, const std::vector<RelayTarget> &targets, Done done)
+{
+    dropIdle();
+    const auto batch = std::make_shared<Batch>();
+    batch->open = targets;
+    batch->done = std::move(done);
+    for (const RelayTarget &target : targets) {
+        send(order, target, batch);
+    }
+    loop_.schedule(kPatience, [this, batch, alive = alive_] {
+        if (*alive) {
+            giveUp(*batch);
+        }
+    });
+}
+
+void OrderRelay::send(const MapOrder &order, const RelayTarget &target,
+                      const std::shared_ptr<Batch> &batch)
+{
+    auto request = linkTo(target.host).capability().castAs<wire::RankAgent>().orderRequest();
+    writeOrder(order, request.initOrder());
+    const std::uint32_t rank = target.rank;
+    tasks_.add(request.send().then(
+        [this, batch, rank](capnp::Response<wire::RankAgent::OrderResults> answer) {
+            noteAnswer(*batch, rank, static_cast<MapOrderAnswer>(answer.getStatus()));
+        },
+        [this, batch, rank](kj::Exception && /*gone*/) {
+            noteAnswer(*batch, rank, MapOrderAnswer::Lost);
+        }));
+}
+
+void OrderRelay::noteAnswer(Batch &batch, std::uint32_t rank, MapOrderAnswer answer)
+{
+    if (!batch.done) {
+        return;
+    }
+    std::erase_if(batch.open, [rank](const RelayTarget &target) { return target.rank == rank; });
+    batch.answers.push_back({rank, answer});
+    if (batch.open.empty()) {
+        std::exchange(batch.done, nullptr)(batch.answers);
+    }
+}
+
+// Takes those that have not answered for lost, and their connections for silent.
+void OrderRelay::giveUp(Batch &batch)
+{
+    if (!batch.done) {
+        return;
+    }
+    for (const RelayTarget &target : batch.open) {
+        logLine(LogLevel::Info, "relay.unanswered", {{"rank", target.rank}});
+        batch.answers.push_back({target.rank, MapOrderAnswer::Lost});
+        links_.erase(target.host);
+    }
+    std::exchange(batch.done, nullptr)(batch.answers);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/experts/ownengine.cpp
@@ -0,0 +1,101 @@
+#include "experts/ownengine.h"
+
+#include "base/digest.h"
+#include "base/log.h"
+#include "experts/mapwords.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// How often the engine is asked whether it has copied, and for how long. The decider hears of
+// longer copies by reports, and must not take a silent answer for a lost one.
+constexpr Duration kCopyLook = std::chrono::milliseconds(25);
+constexpr Duration kCopyPatience = std::chrono::milliseconds(250);
+
+} // namespace
+
+OwnEngine::OwnEngine(EventLoop &loop, RankClient &ranks, SocketAddress engine)
+    : loop_(loop)
+    , ranks_(ranks)
+    , engine_(std::move(engine))
+    , ledger_(randomIdentity())
+{}
+
+OwnEngine::~OwnEngine()
+{
+    *alive_ = false;
+}
+
+void OwnEngine::ask(RankQuestion question, FactsDone done)
+{
+    ranks_.ask(engine_, question,
+               [this, question, done = std::move(done),
+                alive = alive_](std::optional<EngineFacts> engine) {
+                   if (!*alive) {
+                       return;
+                   }
+                   if (!engine) {
+                       done(std::nullopt);
+                       return;
+                   }
+                   RankFacts facts{engine->report, std::nullopt, std::move(engine->experts)};
+                   facts.report.fence = fence_;
+                   if (!engine->counts.empty()) {
+                       facts.choices =
+                           ledger_.note(std::move(engine->counts), question.countsSince);
+                   }
+                   done(std::move(facts));
+               });
+}
+
+void OwnEngine::order(const MapOrder &order, OrderDone done)
+{
+    fence_ = std::max(fence_, order.fence);
+    logLine(LogLevel::Info, "order.handed",
+            {{"kind", wordFor(order.kind)},
+             {"version", order.version},
+             {"step", order.step},
+             {"epoch", order.epoch},
+             {"fence", order.fence}});
+    if (order.kind != MapOrderKind::Prepare) {
+        ranks_.order(engine_, order, std::move(done));
+        return;
+    }
+    const auto begun = [this, order, done = std::move(done),
+                        alive = alive_](MapOrderAnswer answer) {
+        if (*alive && answer == MapOrderAnswer::Done) {
+            awaitCopies(order, loop_.now() + kCopyPatience, done);
+        } else {
+            done(answer);
+        }
+    };
+    ranks_.order(engine_, order, begun);
+}
+
+void OwnEngine::awaitCopies(const MapOrder &order, TimePoint deadline, const OrderDone &done)
+{
+    const auto look = [this, order, deadline, done,
+                       alive = alive_](const std::optional<EngineFacts> &facts) {
+        if (!*alive) {
+            return;
+        }
+        const bool copied = facts && facts->report.epoch == order.epoch
+                            && facts->report.group == order.group
+                            && facts->report.prepared == order.version;
+        if (copied || loop_.now() >= deadline) {
+            done(copied ? MapOrderAnswer::Copied : MapOrderAnswer::Done);
+            return;
+        }
+        loop_.schedule(kCopyLook, [this, order, deadline, done, alive] {
+            if (*alive) {
+                awaitCopies(order, deadline, done);
+            }
+        });
+    };
+    ranks_.ask(engine_, {}, look);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/experts/ownengine.h
@@ -0,0 +1,50 @@
+// The engine beside an agent, as the agent sees it: it asks the engine on behalf of the agent that
+// decides, and hands it that agent's orders. Calls to it are free and its reports are fresh.
+//
+// Single-threaded. What the constructor is given outlives the object.
+#pragma once
+
+#include "decision/expertmap/choicecounts.h"
+#include "experts/rankclient.h"
+#include "experts/rankwire.h"
+#include "net/eventloop.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace seamarch {
+
+class OwnEngine
+{
+public:
+    using FactsDone = std::function<void(std::optional<RankFacts>)>;
+    using OrderDone = std::function<void(MapOrderAnswer)>;
+
+    OwnEngine(EventLoop &loop, RankClient &ranks, SocketAddress engine);
+    ~OwnEngine();
+    OwnEngine(const OwnEngine &) = delete;
+    OwnEngine &operator=(const OwnEngine &) = delete;
+
+    // Hands over the facts, or nothing when the engine did not answer in time.
+    void ask(RankQuestion question, FactsDone done);
+    // Hands an order to the engine. A prepare is answered when its experts are copied, or as begun
+    // when that takes long: the agent that decides then learns of it with the next reports.
+    void order(const MapOrder &order, OrderDone done);
+    // Forgets the fences that were used: the engine is in another group.
+    void forgetFence() { fence_ = 0; }
+
+private:
+    void awaitCopies(const MapOrder &order, TimePoint deadline, const OrderDone &done);
+
+    EventLoop &loop_;
+    RankClient &ranks_;
+    SocketAddress engine_;
+    ChoiceLedger ledger_;
+    std::uint64_t fence_ = 0; // The highest that was handed to the engine.
+    // Timers and answers ask whether the object still exists.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace seamarch
--- a/src/experts/rankpeers.cpp
+++ b/src/experts/rankpeers.cpp
@@ -1,7 +1,10 @@
 #include "experts/rankpeers.h"
 
 #include "base/log.h"
+#include "decision/expertmap/relayplan.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace seamarch {
@@ -14,6 +17,10 @@
 constexpr Duration kFirstAnswer = std::chrono::milliseconds(250);
 // How long an agent waits for another one's answer.
 constexpr Duration kPeerPatience = std::chrono::milliseconds(600);
+// A question for counts goes on from the one before when that is no older than this.
+constexpr Duration kMarkLife = std::chrono::seconds(1);
+// A few answers at a time never queue before a link: 16 reports are some 6 KB.
+constexpr std::size_t kLeastAtATime = 16;
 // What an engine tells to others than its own agent may be this old already.
 constexpr Duration kReportLag = std::chrono::milliseconds(300);
 
@@ -30,15 +37,14 @@
     }
 };
 
-RankPeers::RankPeers(EventLoop &loop, RawTransport &transport, RankClient &ranks, int agentPort,
-                     GroupId group, RankPeersListener &listener)
+RankPeers::RankPeers(EventLoop &loop, RawTransport &transport, RankClient &ranks,
+                     const Settings &settings, RankPeersListener &listener)
     : loop_(loop)
     , transport_(transport)
     , ranks_(ranks)
-    , agentPort_(agentPort)
+    , settings_(settings)
     , listener_(listener)
-    , group_(std::move(group))
-    , roster_(group_)
+    , roster_(settings.group)
     , callErrors_(std::make_unique<CallErrors>())
     , tasks_(*callErrors_)
 {}
@@ -67,8 +73,8 @@
 void RankPeers::connect(Peer &peer)
 {
     peer.linkedAt = loop_.now();
-    peer.link =
-        std::make_unique<RpcLink>(loop_, transport_, SocketAddress{peer.engine.host, agentPort_});
+    peer.link = std::make_unique<RpcLink>(loop_, transport_,
+                                          SocketAddress{peer.engine.host, settings_.agentPort});
 }
 
 bool RankPeers::agentAnswers(const Peer &peer) const
@@ -83,26 +89,75 @@
     return found == peers_.end() ? nullptr : &found->second;
 }
 
-void RankPeers::ask(RankQuestion question, Duration gap, std::uint32_t ownRank)
+void RankPeers::askReports(const RankQuestion &question, Duration gap, Duration turn,
+                           std::uint32_t ownRank)
 {
     const TimePoint now = loop_.now();
-    for (auto &[id, peer] : peers_) {
-        if (peer.asking || now - peer.askedAt < roster_.gapFor(id, gap)) {
-            continue;
+    std::vector<std::pair<TimePoint, InstanceId>> due;
+    for (const auto &[id, peer] : peers_) {
+        if (!peer.asking && now - peer.askedAt >= roster_.gapFor(id, gap)) {
+            due.emplace_back(peer.askedAt, id);
         }
-        peer.askedAt = now;
-        // A connection may have gone silent for good while a new one works.
-        if (!agentAnswers(peer) && now - peer.linkedAt >= kAgentLife) {
-            connect(peer);
+    }
+    // A tenth more than one share of a gap, because turns come a little late.
+    constexpr double kCatchUp = 1.1;
+    const double share = static_cast<double>(peers_.size()) * toSeconds(turn) / toSeconds(gap);
+    const auto most =
+        std::max(kLeastAtATime, static_cast<std::size_t>(std::ceil(share * kCatchUp)));
+    std::sort(due.begin(), due.end());
+    due.resize(std::min(due.size(), most));
+    for (const auto &[askedAt, id] : due) {
+        ask(id, question, ownRank);
+    }
+}
+
+void RankPeers::askCounts(const RankQuestion &question, std::uint32_t count, std::uint32_t ranks,
+                          std::uint32_t ownRank)
+{
+    const std::map<std::uint32_t, InstanceId> engines = roster_.engines();
+    std::uint64_t owed = 0; // In parts of `ranks`.
+    for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+        owed += count;
+        if (owed < ranks) {
+            continue;
         }
-        askAgent(id, question, ownRank);
-        if (!agentAnswers(peer) && !roster_.isForeign(id)) {
-            askEngine(id, {false, question.experts, 0});
+        const auto engine = engines.find(rank);
+        if (rank == ownRank) {
+            owed -= ranks; // The own engine is asked without the link.
+        } else if (engine != engines.end()) {
+            Peer &peer = peers_.at(engine->second);
+            if (peer.asking || !agentAnswers(peer)) {
+                continue;
+            }
+            owed -= ranks;
+            RankQuestion asked = question;
+            asked.counts = true;
+            ask(engine->second, asked, ownRank);
         }
     }
 }
 
-void RankPeers::askAgent(const InstanceId &id, RankQuestion question, std::uint32_t ownRank)
+void RankPeers::ask(const InstanceId &id, const RankQuestion &question, std::uint32_t ownRank)
+{
+    const TimePoint now = loop_.now();
+    Peer &peer = peers_.at(id);
+    peer.askedAt = now;
+    if (question.counts) {
+        // Counts over a long time would mix what was asked for then with what is now.
+        peer.countsMark = now - peer.countsAskedAt < kMarkLife ? peer.countsMark : 0;
+        peer.countsAskedAt = now;
+    }
+    // A connection may have gone silent for good while a new one works.
+    if (!agentAnswers(peer) && now - peer.linkedAt >= kAgentLife) {
+        connect(peer);
+    }
+    askAgent(id, question, ownRank);
+    if (!agentAnswers(peer) && !roster_.isForeign(id)) {
+        askEngine(id, {false, question.experts, 0});
+    }
+}
+
+void RankPeers::askAgent(const InstanceId &id, const RankQuestion &question, std::uint32_t ownRank)
 {
     Peer &peer = peers_.at(id);
     peer.asking = true;
@@ -112,7 +167,7 @@
     request.setCountsSince(peer.countsMark);
     request.setExperts(question.experts);
     request.setAskerRank(ownRank);
-    request.setAskerGroup(group_.value());
+    request.setAskerGroup(settings_.group.value());
     const auto over = std::make_shared<bool>(false);
     const auto finish = [this, id, over, alive = alive_] {
         if (!*alive || std::exchange(*over, true)) {
@@ -158,7 +213,7 @@
 }
 
 // Asks the engine of a rank whose agent does not answer. Its report lags, which only delays.
-void RankPeers::askEngine(const InstanceId &id, RankQuestion question)
+void RankPeers::askEngine(const InstanceId &id, const RankQuestion &question)
 {
     Peer &peer = peers_.at(id);
     if (peer.askingEngine) {
@@ -182,23 +237,88 @@
     ranks_.ask(peer.engine, question, answered);
 }
 
-void RankPeers::send(const SendMapOrder &action)
+void RankPeers::send(const MapOrders &orders)
 {
-    Peer *peer = peerOfRank(action.rank);
-    if (peer == nullptr) {
-        return;
+    MapOrders prepares;
+    for (const SendMapOrder &action : orders) {
+        Peer *peer = peerOfRank(action.rank);
+        if (peer == nullptr) {
+            continue;
+        }
+        if (!agentAnswers(*peer)) {
+            sendToEngine(*peer, action);
+        } else if (action.order.kind == MapOrderKind::Prepare) {
+            prepares.push_back(action);
+        } else {
+            sendThroughAgent(*peer, action);
+        }
     }
-    if (agentAnswers(*peer)) {
-        sendThroughAgent(*peer, action);
-        return;
+    if (!prepares.empty()) {
+        sendPrepares(prepares);
     }
-    ranks_.order(peer->engine, action.order, [this, action, alive = alive_](MapOrderAnswer answer) {
+}
+
+// Sends prepares of one map, which all agents take alike.
+void RankPeers::sendPrepares(const MapOrders &prepares)
+{
+    const MapOrder &order = prepares.front().order;
+    RelayInputs inputs;
+    for (const SendMapOrder &action : prepares) {
+        inputs.ranks.push_back(action.rank);
+    }
+    inputs.orderBytes = order.experts == nullptr ? 0 : packExperts(*order.experts).size();
+    inputs.linkBytesPerSecond = settings_.linkBytesPerSecond;
+    inputs.turn = relayTurn_++;
+    const std::vector<RelayBlock> blocks = planRelays(inputs);
+    logLine(LogLevel::Info, "map.prepares_sent",
+            {{"version", order.version},
+             {"ranks", inputs.ranks.size()},
+             {"blocks", blocks.size()},
+             {"bytes", inputs.orderBytes}});
+    for (const RelayBlock &block : blocks) {
+        if (block.size() == 1) {
+            sendThroughAgent(*peerOfRank(block.front()), {block.front(), order});
+        } else {
+            sendThroughRelay(block, order);
+        }
+    }
+}
+
+void RankPeers::sendToEngine(const Peer &peer, const SendMapOrder &action)
+{
+    ranks_.order(peer.engine, action.order, [this, action, alive = alive_](MapOrderAnswer answer) {
         if (*alive) {
             listener_.onPeerOrderAnswer(action.rank, action.order, answer);
         }
     });
 }
 
+// The first rank's agent hands the order to its own engine and to the agents of the others.
+void RankPeers::sendThroughRelay(const std::vector<std::uint32_t> &block, const MapOrder &order)
+{
+    Peer &relay = *peerOfRank(block.front());
+    auto request = relay.link->capability().castAs<wire::RankAgent>().relayRequest();
+    writeOrder(order, request.initOrder());
+    auto targets = request.initTargets(static_cast<std::uint32_t>(block.size() - 1));
+    for (std::uint32_t index = 0; index < targets.size(); ++index) {
+        const std::uint32_t rank = block[index + 1];
+        targets[index].setRank(rank);
+        targets[index].setHost(peerOfRank(rank)->engine.host);
+    }
+    tasks_.add(request.send().then(
+        [this, order](capnp::Response<wire::RankAgent::RelayResults> results) {
+            for (const auto answer : results.getAnswers()) {
+                listener_.onPeerOrderAnswer(answer.getRank(), order,
+                                            static_cast<MapOrderAnswer>(answer.getStatus()));
+            }
+        },
+        [this, order, block](kj::Exception && /*gone*/) {
+            for (const std::uint32_t rank : block) {
+                listener_.onPeerOrderAnswer(rank, order, MapOrderAnswer::Lost);
+            }
+        }));
+}
+
 void RankPeers::sendThroughAgent(Peer &peer, const SendMapOrder &action)
 {
     auto request = peer.link->capability().castAs<wire::RankAgent>().orderRequest();
--- a/src/experts/rankpeers.h
+++ b/src/experts/rankpeers.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace seamarch {
 
@@ -39,21 +40,33 @@
 class RankPeers
 {
 public:
-    // Agents listen at `agentPort`, each at the address of its engine. `group` is the own group.
-    RankPeers(EventLoop &loop, RawTransport &transport, RankClient &ranks, int agentPort,
-              GroupId group, RankPeersListener &listener);
+    struct Settings
+    {
+        int agentPort = 0; // Agents listen at it, each at the address of its engine.
+        GroupId group;     // The own one.
+        double linkBytesPerSecond = 0.0;
+    };
+
+    RankPeers(EventLoop &loop, RawTransport &transport, RankClient &ranks, const Settings &settings,
+              RankPeersListener &listener);
     ~RankPeers();
     RankPeers(const RankPeers &) = delete;
     RankPeers &operator=(const RankPeers &) = delete;
 
     // Takes the engines of the service but the own one.
     void setListed(const std::map<InstanceId, SocketAddress> &engines);
-    // Asks every peer whose last question is at least `gap` ago and answered, or given up.
-    // `ownRank` tells them who decides.
-    void ask(RankQuestion question, Duration gap, std::uint32_t ownRank);
-    // Hands an order to the rank. An order to a rank that is not known yet is dropped; the decider
+    // Asks peers for reports whose last question is at least `gap` ago and answered, or given up,
+    // the longest unasked first. Called every `turn`, it asks no more than it must at a time, so
+    // that answers do not queue before the link. `ownRank` tells them who decides.
+    void askReports(const RankQuestion &question, Duration gap, Duration turn,
+                    std::uint32_t ownRank);
+    // Asks about `count` of the group's `ranks` ranks, the own one included, for counts as well.
+    // They are spread evenly over the group; for one that does not answer, the next is asked.
+    void askCounts(const RankQuestion &question, std::uint32_t count, std::uint32_t ranks,
+                   std::uint32_t ownRank);
+    // Hands orders to other ranks. An order to a rank that is not known yet is dropped; the decider
     // sends it again.
-    void send(const SendMapOrder &action);
+    void send(const MapOrders &orders);
 
 private:
     class CallErrors;
@@ -64,17 +77,22 @@
         std::unique_ptr<RpcLink> link;
         TimePoint linkedAt{};
         std::uint64_t countsMark = 0; // Of the last counts; zero: none.
-        TimePoint answeredAt{};       // By the agent; when it was listed, before its first answer.
+        TimePoint countsAskedAt{};
+        TimePoint answeredAt{}; // By the agent; when it was listed, before its first answer.
         TimePoint askedAt{};
         bool asking = false;
         bool askingEngine = false;
     };
 
     void connect(Peer &peer);
-    void askAgent(const InstanceId &id, RankQuestion question, std::uint32_t ownRank);
-    void askEngine(const InstanceId &id, RankQuestion question);
+    void ask(const InstanceId &id, const RankQuestion &question, std::uint32_t ownRank);
+    void askAgent(const InstanceId &id, const RankQuestion &question, std::uint32_t ownRank);
+    void askEngine(const InstanceId &id, const RankQuestion &question);
     void onAgentAnswer(const InstanceId &id, TimePoint askedAt, wire::RankState::Reader state);
+    void sendPrepares(const MapOrders &prepares);
     void sendThroughAgent(Peer &peer, const SendMapOrder &action);
+    void sendToEngine(const Peer &peer, const SendMapOrder &action);
+    void sendThroughRelay(const std::vector<std::uint32_t> &block, const MapOrder &order);
     void takeFacts(const InstanceId &id, const RankFacts &facts, TimePoint askedAt);
     Peer *peerOfRank(std::uint32_t rank);
     bool agentAnswers(const Peer &peer) const;
@@ -82,10 +100,10 @@
     EventLoop &loop_;
     RawTransport &transport_;
     RankClient &ranks_;
-    int agentPort_;
+    Settings settings_;
     RankPeersListener &listener_;
-    GroupId group_;
     GroupRoster roster_;
+    std::uint64_t relayTurn_ = 0;
     std::map<InstanceId, Peer> peers_;
     // Timers and answers of engines ask whether the peers still exist.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -164,8 +164,21 @@
   # `countsSince` names. To an asker of another group the answer names only the group and the rank.
   state @0 (counts :Bool, experts :Bool, countsSince :UInt64, askerRank :UInt32, askerGroup :Text)
       -> (state :RankState);
-  # Hands an order to the rank and returns the status of its answer, zero when there was none.
+  # Hands an order to the rank and returns what became of it, a MapOrderAnswer.
   order @1 (order :RankOrder) -> (status :UInt16);
+  # Hands an order that copies experts to the agents of other ranks as well, because the link of
+  # the agent that decides would carry it to all of them too slowly. Answers when they have.
+  relay @2 (order :RankOrder, targets :List(RelayTarget)) -> (answers :List(RelayAnswer));
+}
+
+struct RelayTarget {
+  rank @0 :UInt32;
+  host @1 :Text;             # An IP number; agents of a group listen at one port.
+}
+
+struct RelayAnswer {
+  rank @0 :UInt32;
+  status @1 :UInt16;         # A MapOrderAnswer.
 }
 
 # A gateway, as others know it.
--- /dev/null
+++ b/test/decision/expertmap/collectionplan_test.cpp
@@ -0,0 +1,103 @@
+// The pattern: one decider before a group of any size, with a link that carries its reports, counts
+// and orders. The figures of the groups are those of the users' deployments (ranks, sets and
+// experts, link) and of the size that docs/CAPACITY.md aims for.
+#include "decision/expertmap/collectionplan.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr double kBytesPerMegabit = 125'000.0;
+
+struct Group
+{
+    std::uint32_t ranks;
+    std::uint64_t countsBytes;
+    double megabits;
+};
+
+const std::vector<Group> kGroups = {
+    {10, 16 * 258, 6}, {12, 4 * 72, 20},   {24, 3 * 96, 20},
+    {63, 8 * 252, 8},  {129, 16 * 258, 6}, {320, 16 * 640, 6},
+};
+
+CollectionPlan planFor(const Group &group)
+{
+    return planCollection({group.ranks, group.countsBytes, group.megabits * kBytesPerMegabit});
+}
+
+std::string nameOf(const Group &group)
+{
+    return std::to_string(group.ranks) + " ranks";
+}
+
+} // namespace
+
+TEST_GROUP(CollectionPlanTest){};
+
+TEST(CollectionPlanTest, LeavesAThirdOfTheLinkToOrdersAtAnySize)
+{
+    constexpr double kReportBytes = 400.0;
+    for (const Group &group : kGroups) {
+        const CollectionPlan plan = planFor(group);
+        const double reports = group.ranks * kReportBytes / toSeconds(plan.reportGap);
+        const double counts =
+            plan.countedRanks * static_cast<double>(group.countsBytes) / toSeconds(plan.countsGap);
+        CHECK_TEXT(reports + counts < group.megabits * kBytesPerMegabit * 2.0 / 3.0,
+                   nameOf(group).c_str());
+    }
+}
+
+TEST(CollectionPlanTest, AReportOutlivesTwoQuestionsAndALateAnswer)
+{
+    for (const Group &group : kGroups) {
+        const CollectionPlan plan = planFor(group);
+        CHECK_TEXT(plan.reportLife >= 2 * plan.reportGap + std::chrono::milliseconds(500),
+                   nameOf(group).c_str());
+    }
+}
+
+TEST(CollectionPlanTest, AskEveryRankOfASmallGroupOnceAPass)
+{
+    for (const Group &group : kGroups) {
+        if (group.ranks > 24 || group.countsBytes > 1000) {
+            continue;
+        }
+        const CollectionPlan plan = planFor(group);
+        LONGS_EQUAL(group.ranks, plan.countedRanks);
+        CHECK_TRUE(plan.countsGap == std::chrono::milliseconds(100));
+        CHECK_TRUE(plan.reportGap == std::chrono::milliseconds(100));
+    }
+}
+
+// 129 ranks with 4 KB of counts each are 0.7 s of a link of 6 Mbit/s: reports queued behind them.
+TEST(CollectionPlanTest, SamplesTheCountsOfALargeGroup)
+{
+    const CollectionPlan plan = planFor({129, 16 * 258, 6});
+    CHECK_TRUE(plan.countsGap <= std::chrono::milliseconds(250));
+    CHECK_TRUE(plan.countedRanks >= 8);
+    CHECK_TRUE(plan.countedRanks <= 32);
+    CHECK_TRUE(plan.roundSpan < plan.countsGap);
+}
+
+TEST(CollectionPlanTest, AnswersOfARoundComeWithinItsSpan)
+{
+    for (const Group &group : kGroups) {
+        const CollectionPlan plan = planFor(group);
+        const double seconds = plan.countedRanks * static_cast<double>(group.countsBytes)
+                               / (group.megabits * kBytesPerMegabit);
+        CHECK_TEXT(toSeconds(plan.roundSpan) >= seconds, nameOf(group).c_str());
+    }
+}
+
+TEST(CollectionPlanTest, HoldsForAGroupThatIsNotKnownYet)
+{
+    const CollectionPlan plan = planCollection({0, 0, 750'000.0});
+    CHECK_TRUE(plan.reportGap == std::chrono::milliseconds(100));
+    LONGS_EQUAL(0, plan.countedRanks);
+}
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -217,9 +217,7 @@
                 answer = planted_ == Planted::LostArmsCountAsDone && arm ? MapOrderAnswer::Done
                                                                          : MapOrderAnswer::Lost;
             }
-            after(between(1, 15), [this, from, action, answer] {
-                deciders_[from]->onAnswer(action.rank, action.order, answer, now_);
-            });
+            answerLater(from, action, answer);
         });
         if (late && planted_ == Planted::LostArmsCountAsDone
             && action.order.kind == MapOrderKind::Arm) {
@@ -227,6 +225,19 @@
         }
     }
 
+    // A prepare is answered when its experts are copied, or as begun when that takes long.
+    void answerLater(std::uint32_t from, const SendMapOrder &action, MapOrderAnswer answer)
+    {
+        const bool begun =
+            action.order.kind == MapOrderKind::Prepare && answer == MapOrderAnswer::Done;
+        after(begun ? between(1, 400) : between(1, 15), [this, from, action, answer, begun] {
+            const bool copied = begun && action.order.epoch == epoch_
+                                && engines_[action.rank].prepared == action.order.version;
+            deciders_[from]->onAnswer(action.rank, action.order,
+                                      copied ? MapOrderAnswer::Copied : answer, now_);
+        });
+    }
+
     void scheduleTicks()
     {
         for (std::uint32_t rank = 0; rank < 2; ++rank) {
@@ -409,6 +420,55 @@
 
 } // namespace
 
+namespace {
+
+// Lets the decider propose a map and hands it the answers of both ranks to its prepares.
+void prepareBoth(GroupDecider &decider, TimePoint now, MapOrderAnswer answer)
+{
+    MapOrders orders;
+    CHECK_TRUE(decider.propose(ExpertMap(1, RankExperts(kPair, {0})), now, orders).has_value());
+    for (const SendMapOrder &order : orders) {
+        decider.onAnswer(order.rank, order.order, answer, now);
+    }
+}
+
+} // namespace
+
+// At 129 ranks a round of reports takes a quarter of a second, which the group stays uneven.
+TEST(GroupDeciderTest, RanksThatAnswerThatTheyHaveCopiedNeedNotReportIt)
+{
+    TimePoint now{std::chrono::seconds(10)};
+    GroupDecider decider(GroupDecider::Settings{});
+    reportPair(decider, now, std::nullopt);
+    prepareBoth(decider, now, MapOrderAnswer::Done);
+    CHECK_TRUE(decider.phase() == GroupDecider::Phase::Preparing);
+
+    GroupDecider sooner(GroupDecider::Settings{});
+    reportPair(sooner, now, std::nullopt);
+    prepareBoth(sooner, now, MapOrderAnswer::Copied);
+    CHECK_TRUE(sooner.phase() == GroupDecider::Phase::Holding);
+}
+
+TEST(GroupDeciderTest, AReportFromBeforeTheAnswerDoesNotUndoIt)
+{
+    const TimePoint asked{std::chrono::seconds(10)};
+    GroupDecider decider(GroupDecider::Settings{});
+    reportPair(decider, asked, std::nullopt);
+    MapOrders orders;
+    decider.propose(ExpertMap(1, RankExperts(kPair, {0})), asked, orders);
+    const TimePoint answered = asked + std::chrono::milliseconds(30);
+    decider.onAnswer(0, orders.at(0).order, MapOrderAnswer::Copied, answered);
+    RankReport early;
+    early.rank = 0;
+    early.ranks = kPair;
+    early.epoch = 1;
+    early.open = true;
+    early.step = 7;
+    decider.onReport(early, asked + std::chrono::milliseconds(10), answered);
+    decider.onAnswer(1, orders.at(1).order, MapOrderAnswer::Copied, answered);
+    CHECK_TRUE(decider.phase() == GroupDecider::Phase::Holding);
+}
+
 // The engines remember the fences of a decider whose agent, and all others, have started anew.
 TEST(GroupDeciderTest, OvertakesAFenceThatNobodyRemembersWithinAFewTries)
 {
--- /dev/null
+++ b/test/experts/orderrelay_test.cpp
@@ -0,0 +1,131 @@
+// What becomes of an order that an agent passes on to the agents of other ranks, when some of them
+// answer, are gone or say nothing. Real sockets on loopback; each agent has an address of its own.
+#include "experts/orderrelay.h"
+#include "experts/rankwire.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+int freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    LONGS_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+// An agent that takes each order for copied and notes its version.
+class CopyingAgent final : public wire::RankAgent::Server
+{
+public:
+    explicit CopyingAgent(std::vector<std::uint64_t> &versions)
+        : versions_(versions)
+    {}
+
+    kj::Promise<void> order(OrderContext context) override
+    {
+        versions_.push_back(readOrder(context.getParams().getOrder())->version);
+        context.getResults().setStatus(static_cast<std::uint16_t>(MapOrderAnswer::Copied));
+        return kj::READY_NOW;
+    }
+
+private:
+    std::vector<std::uint64_t> &versions_;
+};
+
+MapOrder prepareOf(std::uint64_t version)
+{
+    MapOrder order;
+    order.version = version;
+    order.experts = std::make_shared<const ExpertMap>(ExpertMap{{{0}, {1}}});
+    return order;
+}
+
+MapOrderAnswer answerOf(const std::vector<RelayedAnswer> &answers, std::uint32_t rank)
+{
+    for (const RelayedAnswer &answer : answers) {
+        if (answer.rank == rank) {
+            return answer.answer;
+        }
+    }
+    FAIL("no answer of a rank that the order was passed on to");
+    return MapOrderAnswer::Lost;
+}
+
+} // namespace
+
+TEST_GROUP(OrderRelayTest){};
+
+TEST(OrderRelayTest, CollectsAnswersAndTakesTheSilentAndTheGoneForLost)
+{
+    auto loop = *EventLoop::create();
+    auto transport = *RawTransport::create(*loop);
+    const int port = freePort();
+    std::vector<std::uint64_t> versions;
+    std::vector<std::unique_ptr<RpcPeer>> serving;
+    const auto serve = [&](kj::Own<RawStream> stream) {
+        serving.push_back(RpcPeer::server(kj::mv(stream), kj::heap<CopyingAgent>(versions)));
+    };
+    CHECK_TRUE(transport->listen({"127.0.0.1", port}, serve).has_value());
+    std::vector<kj::Own<RawStream>> silent;
+    const auto keep = [&silent](kj::Own<RawStream> stream) { silent.push_back(kj::mv(stream)); };
+    CHECK_TRUE(transport->listen({"127.0.0.2", port}, keep).has_value());
+    std::vector<RelayedAnswer> answers;
+    int calls = 0;
+    {
+        OrderRelay relay(*loop, *transport, port);
+        relay.relay(prepareOf(9), {{1, "127.0.0.1"}, {2, "127.0.0.2"}, {3, "127.0.0.3"}},
+                    [&](const std::vector<RelayedAnswer> &collected) {
+                        answers = collected;
+                        ++calls;
+                    });
+        loop->schedule(std::chrono::milliseconds(1500), [&loop] { loop->stop(); });
+        loop->run();
+    }
+    LONGS_EQUAL(1, calls);
+    LONGS_EQUAL(3, answers.size());
+    CHECK_TRUE(answerOf(answers, 1) == MapOrderAnswer::Copied);
+    CHECK_TRUE(answerOf(answers, 2) == MapOrderAnswer::Lost);
+    CHECK_TRUE(answerOf(answers, 3) == MapOrderAnswer::Lost);
+    CHECK_TRUE(versions == std::vector<std::uint64_t>{9});
+    serving.clear();
+    silent.clear();
+    loop->shutDown();
+}
+
+TEST(OrderRelayTest, ReachesASilentAgentByANewConnectionNextTime)
+{
+    auto loop = *EventLoop::create();
+    auto transport = *RawTransport::create(*loop);
+    const int port = freePort();
+    std::vector<kj::Own<RawStream>> silent;
+    const auto keep = [&silent](kj::Own<RawStream> stream) { silent.push_back(kj::mv(stream)); };
+    CHECK_TRUE(transport->listen({"127.0.0.1", port}, keep).has_value());
+    {
+        OrderRelay relay(*loop, *transport, port);
+        const auto again = [&](const std::vector<RelayedAnswer> & /*lost*/) {
+            loop->schedule(std::chrono::milliseconds(10), [&relay] {
+                relay.relay(prepareOf(10), {{1, "127.0.0.1"}}, [](const auto & /*answers*/) {});
+            });
+        };
+        relay.relay(prepareOf(9), {{1, "127.0.0.1"}}, again);
+        loop->schedule(std::chrono::milliseconds(1500), [&loop] { loop->stop(); });
+        loop->run();
+    }
+    CHECK_TEXT(silent.size() >= 2, "the second order went through the silent connection");
+    silent.clear();
+    loop->shutDown();
+}
--- a/test/experts/rankpeers_test.cpp
+++ b/test/experts/rankpeers_test.cpp
@@ -56,10 +56,12 @@
     };
     CHECK_TRUE(transport->listen({"127.0.0.1", agentPort}, keep).has_value());
     {
-        RankPeers peers(*loop, *transport, ranks, agentPort, GroupId("north"), listener);
+        const RankPeers::Settings settings{agentPort, GroupId("north"), 1e6};
+        RankPeers peers(*loop, *transport, ranks, settings, listener);
         peers.setListed({{InstanceId("i-1"), SocketAddress{"127.0.0.1", freePort()}}});
-        PeriodicTimer asking(*loop, std::chrono::milliseconds(50),
-                             [&peers] { peers.ask({}, std::chrono::milliseconds(100), 0); });
+        constexpr Duration kTurn = std::chrono::milliseconds(50);
+        PeriodicTimer asking(*loop, kTurn,
+                             [&peers, kTurn] { peers.askReports({}, 2 * kTurn, kTurn, 0); });
         loop->schedule(std::chrono::milliseconds(3500), [&loop] { loop->stop(); });
         loop->run();
     }
