Expert planner: what a change takes beside its copies is learned, and small changes are not tried

Cause: at 129 ranks a change takes half a second beside its copies, and each shift was answered by two changes, the second a second after the first; planning took six searches. Change: the time from a plan to its use, less the copies, is averaged and replaces the 250 ms of small groups; copies that take less than an eighth of it are not tried, and the search ends when more copies win less.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -241,6 +241,25 @@
     return gain > settings_.leastGain ? gain * used - settings_.margin * cost : 0.0;
 }
 
+void ExpertPlanner::noteInUse(Duration time)
+{
+    const Duration seen = std::max(settings_.leastTakeUp, time - expectedCopying_);
+    const double weight = settings_.takeUpWeight;
+    settings_.takeUp =
+        fromSeconds(weight * toSeconds(seen) + (1.0 - weight) * toSeconds(settings_.takeUp));
+}
+
+// Returns how many copies a rank the smallest change has: fewer would be in use hardly sooner.
+std::uint32_t ExpertPlanner::fewestCopies() const
+{
+    const Duration least = fromSeconds(toSeconds(settings_.takeUp) * settings_.leastCopying);
+    std::uint32_t copies = 1;
+    while (copies * 2 <= rule_.newExperts * rule_.sets && rule_.copyTime * (copies * 2) <= least) {
+        copies *= 2;
+    }
+    return copies;
+}
+
 std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
 {
     if (current.size() != rule_.sets || current.empty() || weighed_
@@ -255,7 +274,8 @@
     const Duration life = expectedLife(now);
     std::optional<Candidate> best;
     double bestRate = 0.0;
-    for (std::uint32_t copies = 1; copies <= rule_.newExperts * rule_.sets; copies *= 2) {
+    for (std::uint32_t copies = fewestCopies(); copies <= rule_.newExperts * rule_.sets;
+         copies *= 2) {
         const Candidate tried = candidate(current, copies);
         const double worth = worthOf(tried, before, life);
         // What is in use soon goes first: the change that wins most for the time that it takes.
@@ -264,6 +284,8 @@
         if (worth > 0.0 && rate > bestRate) {
             bestRate = rate;
             best = tried;
+        } else if (best) {
+            break; // Each copy more wins less than the one before it, and the search takes time.
         }
         if (tried.copying > life) {
             break;
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -63,8 +63,15 @@
         // group stands still for about this long while a change comes into use.
         double copySlowdown = 0.15;
         Duration standstill = std::chrono::milliseconds(50);
-        // From the last copy until a change is in use: reports, a hold some passes ahead, arms.
+        // What a change takes beside its copies until it is in use, before any was seen: the
+        // orders' way, a hold some passes ahead, arms. The longer, the more copies go into one
+        // change.
         Duration takeUp = std::chrono::milliseconds(250);
+        // The least that it is taken for, and the weight of the last change in the average.
+        Duration leastTakeUp = std::chrono::milliseconds(100);
+        double takeUpWeight = 0.5;
+        // Copies that take less than this part of it are not worth a change of their own.
+        double leastCopying = 0.125;
         // A set's placement is not improved beyond this skew.
         double goodEnough = 1.08;
         std::uint32_t maxChanges = 96;
@@ -90,6 +97,8 @@
     void look(const std::optional<ExpertMap> &current, TimePoint now);
     // Returns a better map than `current`, if there is one worth the change.
     std::optional<ExpertMap> plan(const ExpertMap &current, TimePoint now);
+    // A change has come into use, so long after the plan for it was returned.
+    void noteInUse(Duration time);
     // Tells whether demand has shifted since the last plan was returned.
     bool outdated() const { return shiftedSincePlan_; }
     // Tells whether the last round gave an alarm, on which the next one decides.
@@ -125,6 +134,7 @@
     void remember(TimePoint now);
     double passTime(double skew) const;
     Candidate candidate(const ExpertMap &current, std::uint32_t copies) const;
+    std::uint32_t fewestCopies() const;
     double worthOf(const Candidate &candidate, double before, Duration life) const;
 
     Settings settings_;
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -461,6 +461,9 @@
         return std::nullopt;
     }
     if (proposedVersion_ != 0 && *version == proposedVersion_) {
+        if (!known_ || known_->version != *version) {
+            planner_.noteInUse(loop_.now() - proposedAt_);
+        }
         known_ = KnownMap{*version, proposed_};
     } else if (!known_ || known_->version != *version) {
         known_.reset();
@@ -548,6 +551,7 @@
     proposed_ = std::move(planned);
     const auto version = decider_->propose(proposed_, loop_.now(), orders);
     proposedVersion_ = version.value_or(0);
+    proposedAt_ = loop_.now();
     if (version) {
         logLine(LogLevel::Info, "map.proposed",
                 {{"version", *version},
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -152,6 +152,7 @@
     std::optional<ExpertMap> current_;  // The map in use, once it is known whole.
     ExpertMap proposed_;                // That was last ordered here, and its version;
     std::uint64_t proposedVersion_ = 0; // zero: none in this epoch.
+    TimePoint proposedAt_{};
     GroupDecider::Phase notedPhase_ = GroupDecider::Phase::Idle;
     std::string_view notedObstacle_;
     std::uint64_t notedChanges_ = 0;
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -133,6 +133,31 @@
     CHECK_TRUE(placementSkew(even, shares) < 1.12);
 }
 
+// Weighing every rank as a target takes a time that grows with the square of the group.
+TEST(EvenPlacementTest, TheLeastLoadedRanksWillDoAsTargetsInALargeGroup)
+{
+    constexpr std::uint16_t kManyRanks = 129;
+    constexpr std::uint16_t kManyExperts = 258;
+    std::vector<double> shares(kManyExperts);
+    for (std::size_t expert = 0; expert < shares.size(); ++expert) {
+        shares[expert] = 1.0 / std::pow(static_cast<double>(expert * 101 % 258 + 1), 0.6);
+    }
+    const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+    for (double &share : shares) {
+        share /= sum;
+    }
+    RankExperts placement(kManyRanks);
+    for (std::uint16_t expert = 0; expert < kManyExperts; ++expert) {
+        placement[expert % kManyRanks].push_back(expert);
+    }
+    PlacementBounds bounds{3, 2, 96, 1.08};
+    const double few = placementSkew(improvePlacement(placement, shares, bounds), shares);
+    bounds.targets = kManyRanks;
+    const double all = placementSkew(improvePlacement(placement, shares, bounds), shares);
+    CHECK_TRUE(placementSkew(placement, shares) > 2.0);
+    CHECK_TRUE(few < all + 0.1);
+}
+
 TEST(EvenPlacementTest, SparesASlowRank)
 {
     const std::vector<double> shares = skewedShares(3);
@@ -241,6 +266,23 @@
     LONGS_EQUAL(1, mostCopies({dealt()}, *planned));
 }
 
+// At 129 ranks orders take half a second to reach all. Two small changes take twice that.
+TEST(ExpertPlannerTest, ChangesThatTakeLongToComeIntoUseCopyMore)
+{
+    const auto copies = [](Duration inUse) {
+        ExpertPlanner learning;
+        learning.setRule({1, kExperts, 8, 8, std::chrono::milliseconds(40), 0.85});
+        feed(learning, skewedShares(1), 0, 2000);
+        for (int change = 0; change < 5; ++change) {
+            learning.noteInUse(inUse);
+        }
+        const auto planned = learning.plan({dealt()}, at(2000));
+        CHECK_TRUE(planned.has_value());
+        return mostCopies({dealt()}, *planned);
+    };
+    CHECK_TRUE(copies(std::chrono::milliseconds(1500)) > copies(std::chrono::milliseconds(100)));
+}
+
 TEST(ExpertPlannerTest, SetsShareWhatARankCanCopyInTime)
 {
     constexpr std::uint32_t kSets = 3;
