Gateways: few of a site ask the store, and a list that is known is not handed over again

Cause: when a site starts, each of 149 gateways knows of no other and follows the store itself, and every engine that lists itself wakes all of their watches; when the store turns a hall's follower away, all thirty others begin a list and a watch in the same moment, and each gateway that they ask instead hands them the whole list, since marks named a process's own count of changes. Change: a new gateway follows a seed for three seconds before it takes itself for the first of its hall; knowledge that grows old is sought from other gateways for half a second and then from the store in the hall's order (StoreTurn), within what the settings allow for keys and refused routes; a watch waits in proportion to those; a list is named by a digest of what it holds.

--- a/src/decision/membership/gatewaydirectory.cpp
+++ b/src/decision/membership/gatewaydirectory.cpp
@@ -64,6 +64,19 @@
     return best.second;
 }
 
+HallPlace GatewayDirectory::place() const
+{
+    const Place own = placeOf(self_.id);
+    HallPlace place;
+    for (const auto &[id, member] : members_) {
+        if (member.record.hall == self_.hall) {
+            ++place.gateways;
+            place.index += placeOf(id) < own ? 1 : 0;
+        }
+    }
+    return place;
+}
+
 // Returns the next member after the last turn that fits; one that is passed over only when no other
 // fits.
 template <typename Fits>
--- a/src/decision/membership/gatewaydirectory.h
+++ b/src/decision/membership/gatewaydirectory.h
@@ -11,6 +11,7 @@
 // Pure and single-threaded.
 #pragma once
 
+#include "decision/gateway/upstreamturn.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
@@ -67,6 +68,8 @@
     // Returns the gateway of the own hall that follows the store: the first in the hall's order
     // that is not passed over. That may be this one.
     InstanceId follower(TimePoint now) const;
+    // Returns how many gateways of the own hall come before this one, and how many there are.
+    HallPlace place() const;
     // Returns another gateway than this one and `besides`, a different one with each call, those
     // that are passed over last.
     std::optional<InstanceId> another(const InstanceId &besides, TimePoint now);
--- /dev/null
+++ b/src/decision/membership/storeturn.cpp
@@ -0,0 +1,48 @@
+#include "decision/membership/storeturn.h"
+
+#include <algorithm>
+
+namespace seamarch {
+namespace {
+
+// A few questions to gateways elsewhere, which are asked seven times a second.
+constexpr Duration kPeersFirst = std::chrono::milliseconds(500);
+// The store answers within some milliseconds, and its news passes on with the next question.
+constexpr Duration kPlaceStep = std::chrono::milliseconds(100);
+// Keys that were judged late are refused, routes are not: they may spend less of their time.
+constexpr double kKeysPart = 0.6;
+// The parts of the shorter time that a watch, a follower's patience and the last turn may take. A
+// list of a slow store takes some 200 ms more.
+constexpr double kWatchPart = 0.26;
+constexpr double kOldPart = 0.84;
+constexpr double kLatestPart = 0.9;
+// No watch waits longer: it may have gone silent, and only its end shows that.
+constexpr Duration kLongestWatch = std::chrono::milliseconds(1000);
+// What is followed is at most some 1.4 s old while all is well.
+constexpr Duration kLongestOld = std::chrono::milliseconds(1600);
+
+Duration part(Duration time, double part)
+{
+    return fromSeconds(toSeconds(time) * part);
+}
+
+} // namespace
+
+KnowledgeTimes knowledgeTimes(const KnowledgeBounds &bounds)
+{
+    const Duration time = std::min(part(bounds.keys, kKeysPart), bounds.deny);
+    KnowledgeTimes times;
+    times.watchWait = std::min(part(time, kWatchPart), kLongestWatch);
+    times.old = std::min(part(time, kOldPart), kLongestOld);
+    times.latest = part(time, kLatestPart);
+    return times;
+}
+
+Duration storeTurnAge(const KnowledgeTimes &times, std::size_t place)
+{
+    const Duration wanted =
+        times.old + kPeersFirst + kPlaceStep * static_cast<Duration::rep>(place);
+    return std::min(wanted, times.latest);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/membership/storeturn.h
@@ -0,0 +1,44 @@
+// When a gateway seeks knowledge of the platform's store elsewhere, and when it asks the store
+// itself.
+//
+// The gateways of a hall follow the one that follows the store. When the store turns that one away,
+// or it dies, the knowledge of all the others grows old in the same moment, and if each asked the
+// store then, a hall of thirty would make thirty lists and as many watches. So the others first ask
+// gateways elsewhere, most of which are not concerned, and only then the store: in the hall's
+// order, one after the other, since one that succeeds tells the rest. How long all that may take
+// follows from how old knowledge may be for keys and for routes that are refused; where those are
+// short, all ask at once.
+//
+// Pure.
+#pragma once
+
+#include "seamarch/units.h"
+
+#include <cstddef>
+
+namespace seamarch {
+
+struct KnowledgeBounds
+{
+    Duration keys{}; // A key is judged by knowledge no older than this.
+    Duration deny{}; // A route is refused by knowledge no older than this.
+};
+
+struct KnowledgeTimes
+{
+    // A watch on the store waits this long. Each answer is a call, which has a price.
+    Duration watchWait{};
+    // Knowledge older than this is sought from any gateway: while all is well, what is followed is
+    // at most as old as a watch, a follower's question and the way take.
+    Duration old{};
+    // At this age at the latest the store is asked.
+    Duration latest{};
+};
+
+KnowledgeTimes knowledgeTimes(const KnowledgeBounds &bounds);
+
+// Returns from which age of its knowledge on a gateway asks the store that is at `place` among
+// those of its hall that answer; zero is the first.
+Duration storeTurnAge(const KnowledgeTimes &times, std::size_t place);
+
+} // namespace seamarch
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -1,11 +1,12 @@
 #include "gateway/gatewayknowledge.h"
 
-#include "base/digest.h"
 #include "base/log.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <xxhash.h>
 
 namespace seamarch {
 namespace {
@@ -23,7 +24,6 @@
     , metrics_(metrics)
     , freshness_(freshness)
     , boundsChanged_(std::move(boundsChanged))
-    , markBase_(randomIdentity())
 {}
 
 // A document that could not be read may have taken a key away: until the next one, what is held is
@@ -76,6 +76,22 @@
     return upstreams_.changes() == changesAtAdoption_ ? adoptedMark_ : 0;
 }
 
+std::uint64_t GatewayKnowledge::upstreamsMark() const
+{
+    if (mark_ != 0 && markedChanges_ == upstreams_.changes()) {
+        return mark_;
+    }
+    std::string text;
+    for (const UpstreamRecord *record : upstreams_.all()) {
+        text += fmt::format("{}|{}|{}|{}|{}|{}|{}\n", record->id.value(), record->service.value(),
+                            record->host, record->port, record->hall.value(), record->slots,
+                            record->leaving);
+    }
+    markedChanges_ = upstreams_.changes();
+    mark_ = std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size())); // Zero is no mark.
+    return mark_;
+}
+
 const std::string &GatewayKnowledge::documentText() const
 {
     static const std::string kNone;
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -58,8 +58,9 @@
     bool adopt(const SharedKnowledge &shared, TimePoint confirmedAt);
     // Returns the mark of the list that was adopted last and holds still; zero: none.
     std::uint64_t adoptedMark() const;
-    // Returns the mark of the own list.
-    std::uint64_t upstreamsMark() const { return markBase_ + upstreams_.changes(); }
+    // Returns the mark of the own list, a digest: gateways that hold the same list name it alike,
+    // so one that asks another than before is not handed it again.
+    std::uint64_t upstreamsMark() const;
     std::uint64_t revision() const { return revision_; }
     // Returns the document in force as the store holds it; empty while there is none.
     const std::string &documentText() const;
@@ -72,6 +73,7 @@
     bool hasConfiguration() const { return table_ != nullptr; }
     // Tells whether keys can be judged.
     bool fresh() const { return age() <= freshness_.keys; }
+    const FreshnessBounds &freshness() const { return freshness_; }
     // Returns the version in force; zero while there is none.
     ConfigVersion version() const { return table_ ? table_->version() : ConfigVersion(); }
     // Returns how long ago the store confirmed what is known; the longest duration when it never
@@ -93,8 +95,9 @@
     std::function<void(const CallerBounds &)> boundsChanged_;
     std::shared_ptr<const RouteTable> table_;
     std::optional<TimePoint> confirmedAt_;
-    std::uint64_t revision_ = 0; // Of the store, that the list of upstreams stands at.
-    std::uint64_t markBase_ = 0; // Drawn at random: marks of two lives never meet.
+    std::uint64_t revision_ = 0;     // Of the store, that the list of upstreams stands at.
+    mutable std::uint64_t mark_ = 0; // Of the list after `markedChanges_` changes.
+    mutable std::uint64_t markedChanges_ = 0;
     std::uint64_t adoptedMark_ = 0;
     std::uint64_t changesAtAdoption_ = 0; // Of the list of upstreams.
     bool storeReachable_ = false;
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -18,6 +18,9 @@
 // How often one gateway is asked for those it knows; longer on a large site, whose list is long.
 constexpr Duration kGatewaysGap = std::chrono::seconds(2);
 constexpr Duration kGatewaysGapPerGateway = std::chrono::milliseconds(50);
+// A new gateway asks more often: when a site starts, all of its gateways come within a second.
+constexpr Duration kYoung = std::chrono::seconds(3);
+constexpr Duration kGatewaysGapOfYoung = std::chrono::milliseconds(800);
 // A connection that was not used for this long is closed.
 constexpr Duration kLinkLife = std::chrono::seconds(15);
 
@@ -68,6 +71,7 @@
     , directory_(directory)
     , heard_(std::move(heard))
     , waiting_(loop)
+    , startedAt_(loop.now())
     , tasks_(*this)
 {}
 
@@ -127,8 +131,11 @@
     if (link.asking || now < link.notBefore) {
         return;
     }
+    const bool young = now - startedAt_ < kYoung;
     const Duration gatewaysGap =
-        std::max(kGatewaysGap, kGatewaysGapPerGateway * static_cast<int>(directory_.size()));
+        young
+            ? kGatewaysGapOfYoung
+            : std::max(kGatewaysGap, kGatewaysGapPerGateway * static_cast<int>(directory_.size()));
     const bool gateways =
         link.gatewaysAskedAt == TimePoint{} || now - link.gatewaysAskedAt >= gatewaysGap;
     if (gateways) {
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -92,6 +92,7 @@
     std::uint64_t toldMark_ = 0; // The state at the last tick.
     ConfigVersion toldVersion_;
     TimePoint unknownAt_{};
+    TimePoint startedAt_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     kj::TaskSet tasks_;
 };
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -12,11 +12,6 @@
 // How long a question to the gateway that is followed waits for news. Knowledge is at most this
 // much older here than there.
 constexpr Duration kFollowWait = std::chrono::milliseconds(400);
-// A watch on the store waits this long: its gateway's knowledge is half a second to one second old.
-constexpr Duration kWatchWait = std::chrono::milliseconds(500);
-// Knowledge that others follow is at most 1.4 s old while all is well; older, it is sought
-// elsewhere.
-constexpr Duration kOld = std::chrono::milliseconds(1600);
 // The gateway that follows the store takes another's word when its own is this old.
 constexpr Duration kOwnOld = std::chrono::milliseconds(1200);
 // An own watch that was begun because knowledge was old goes on for this long.
@@ -33,6 +28,9 @@
 // How often any gateway is asked while knowledge is old.
 constexpr Duration kAnyGap = std::chrono::milliseconds(150);
 constexpr Duration kSeedsGap = std::chrono::milliseconds(300);
+// A new gateway may not know yet who is first of its hall: when a site starts, the seeds hear of
+// all gateways within a second, and tell them within two more. Until then it hears the seeds.
+constexpr Duration kYoung = std::chrono::seconds(3);
 
 GatewayRecord recordOf(const KnowledgeSources::Settings &settings)
 {
@@ -51,6 +49,7 @@
     , settings_(settings)
     , directory_(recordOf(settings), GatewayDirectory::Settings())
     , startedAt_(loop.now())
+    , seedTurn_(randomIdentity())
 {}
 
 tl::expected<std::unique_ptr<KnowledgeSources>, NetError>
@@ -104,19 +103,43 @@
     return true;
 }
 
+bool KnowledgeSources::isSeed() const
+{
+    return std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.peerListen)
+           != settings_.seeds.end();
+}
+
+// Tells whether this gateway is so new that it may not know the others of its hall.
+bool KnowledgeSources::isYoung(TimePoint now) const
+{
+    return !settings_.seeds.empty() && !isSeed() && now - startedAt_ < kYoung;
+}
+
 // Tells whether this gateway is new and may yet hear the configuration from others.
 bool KnowledgeSources::hearsFirst(TimePoint now) const
 {
-    const bool ownSeed =
-        std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.peerListen)
-        != settings_.seeds.end();
-    if (peers_ == nullptr || settings_.seeds.empty() || ownSeed || knowledge_.hasConfiguration()) {
+    if (peers_ == nullptr || settings_.seeds.empty() || isSeed() || knowledge_.hasConfiguration()) {
         return false;
     }
     const bool othersWait = now - peers_->unknownAt() < kHearFirst;
     return now - startedAt_ < (othersWait ? kHearFirstAtMost : kHearFirst);
 }
 
+KnowledgeTimes KnowledgeSources::times() const
+{
+    const FreshnessBounds &bounds = knowledge_.freshness();
+    return knowledgeTimes({bounds.keys, bounds.deny});
+}
+
+// Tells whether it is this gateway's turn to ask the store, although it follows another one.
+bool KnowledgeSources::asksStore(TimePoint now) const
+{
+    if (!knowledge_.confirmed()) {
+        return !hearsFirst(now);
+    }
+    return knowledge_.age() > storeTurnAge(times(), directory_.place().index);
+}
+
 void KnowledgeSources::stop()
 {
     stopped_ = true;
@@ -136,13 +159,12 @@
     directory_.expire(now);
     const InstanceId followed = directory_.follower(now);
     const bool own = followed == settings_.instance;
-    const bool old = !knowledge_.confirmed() || knowledge_.age() > kOld;
-    if (old && !hearsFirst(now)) {
+    if (asksStore(now)) {
         storeUntil_ = now + kOwnWatch;
     }
     if (hearsFirst(now) || now < storeNotBefore_) {
         followStore(false, "hears other gateways first");
-    } else if (own) {
+    } else if (own && !isYoung(now)) {
         followStore(true, "first of its hall");
     } else if (now < storeUntil_) {
         followStore(true, "knowledge is old");
@@ -157,7 +179,7 @@
 {
     const bool own = followed == settings_.instance;
     // Knowledge that is followed is older than that of the gateway that follows the store.
-    const bool old = !knowledge_.confirmed() || knowledge_.age() > (own ? kOwnOld : kOld);
+    const bool old = !knowledge_.confirmed() || knowledge_.age() > (own ? kOwnOld : times().old);
     if (!own) {
         askGateway(followed, kFollowWait);
     } else if (now - listsAskedAt_ >= kListsGap) {
@@ -169,13 +191,26 @@
         anyAskedAt_ = now;
         askGateway(directory_.another(followed, now), Duration{});
     }
-    // Seeds are asked while nobody else is known, and by all that have heard of few.
-    if (directory_.size() <= settings_.seeds.size() && now - seedsAskedAt_ >= kSeedsGap) {
-        seedsAskedAt_ = now;
-        for (const SocketAddress &seed : settings_.seeds) {
-            if (settings_.peerListen != seed) {
-                peers_->ask(seed, Duration{});
-            }
+    if (now - seedsAskedAt_ >= kSeedsGap) {
+        askSeeds(own && isYoung(now), now);
+    }
+}
+
+// Seeds are asked while nobody else is known, and by all that have heard of few. A gateway that is
+// new and knows of nobody to follow `follows` one of them: the same one, so that it is not handed
+// the whole list again, unless that one has no news.
+void KnowledgeSources::askSeeds(bool follows, TimePoint now)
+{
+    const bool few = directory_.size() <= settings_.seeds.size();
+    if (!few && !follows) {
+        return;
+    }
+    seedsAskedAt_ = now;
+    seedTurn_ += knowledge_.confirmed() && knowledge_.age() < kOwnOld ? 0 : 1;
+    for (std::size_t index = 0; index < settings_.seeds.size(); ++index) {
+        const bool turn = few || index == seedTurn_ % settings_.seeds.size();
+        if (turn && settings_.peerListen != settings_.seeds[index]) {
+            peers_->ask(settings_.seeds[index], Duration{});
         }
     }
 }
@@ -203,7 +238,7 @@
         return;
     }
     StoreWatcher::Settings watch;
-    watch.wait = peers_ == nullptr ? watch.wait : kWatchWait;
+    watch.wait = peers_ == nullptr ? watch.wait : times().watchWait;
     watch.seed = randomIdentity();
     watcher_ = std::make_unique<StoreWatcher>(loop_, client_, store_, knowledge_, watch);
     watcher_->start();
--- a/src/gateway/knowledgesources.h
+++ b/src/gateway/knowledgesources.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "decision/membership/gatewaydirectory.h"
+#include "decision/membership/storeturn.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/gatewaypeers.h"
 #include "gateway/metadatastore.h"
@@ -47,6 +48,8 @@
     std::uint64_t storeCalls() const;
     bool followsStore() const { return watcher_ != nullptr; }
     std::size_t gateways() const { return directory_.size(); }
+    // Returns where this gateway stands among those of its hall.
+    HallPlace place() const { return directory_.place(); }
 
 private:
     KnowledgeSources(EventLoop &loop, HttpClient &client, const MetadataStore &store,
@@ -54,8 +57,13 @@
     tl::expected<void, NetError> open();
 
     bool takeShared(const SharedKnowledge &shared, TimePoint confirmedAt);
+    bool isSeed() const;
+    bool isYoung(TimePoint now) const;
     bool hearsFirst(TimePoint now) const;
+    KnowledgeTimes times() const;
+    bool asksStore(TimePoint now) const;
     void askPeers(const InstanceId &followed, TimePoint now);
+    void askSeeds(bool follows, TimePoint now);
     void askGateway(const std::optional<InstanceId> &id, Duration longest);
     void followStore(bool wanted, std::string_view reason);
 
@@ -70,6 +78,7 @@
     std::uint64_t earlierCalls_ = 0; // Of watchers that are gone.
     bool stopped_ = false;
     TimePoint startedAt_{};
+    std::uint64_t seedTurn_ = 0; // Drawn at random at first, so that new gateways spread.
     TimePoint storeUntil_{};     // An own watch on the store goes on until then.
     TimePoint storeNotBefore_{}; // Another gateway knows more; the store is asked again from then.
     TimePoint listsAskedAt_{};
--- /dev/null
+++ b/test/decision/gateway/upstreamturn_test.cpp
@@ -0,0 +1,114 @@
+// The pattern: many gateways before one hall's upstreams, few requests each. Requests come by
+// chance and stay for an exponential time; each gateway fills the upstream that it has least at.
+// Thirty gateways before 26 upstreams with six places are a hall of the users' large deployment, in
+// which some 3.3 streams run at an upstream on average.
+#include "decision/gateway/upstreamturn.h"
+
+#include <algorithm>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+struct Hall
+{
+    std::size_t gateways;
+    std::size_t upstreams;
+    std::size_t places;
+    double mean; // Streams at an upstream.
+};
+
+struct Stream
+{
+    double endsAt;
+    std::size_t gateway;
+    std::size_t upstream;
+    bool operator<(const Stream &other) const { return endsAt > other.endsAt; }
+};
+
+// Returns the part of the streams that begin at an upstream whose places are taken.
+double partAtFullUpstreams(const Hall &hall, bool byTurns)
+{
+    constexpr int kStreams = 20'000;
+    std::mt19937_64 random(7);
+    std::exponential_distribution<double> gap(hall.mean * static_cast<double>(hall.upstreams));
+    std::exponential_distribution<double> life(1.0);
+    std::uniform_int_distribution<std::size_t> anyGateway(0, hall.gateways - 1);
+    std::vector<std::vector<std::size_t>> own(hall.gateways,
+                                              std::vector<std::size_t>(hall.upstreams, 0));
+    std::vector<std::size_t> all(hall.upstreams, 0);
+    std::priority_queue<Stream> running;
+    double now = 0.0;
+    int full = 0;
+    for (int count = 0; count < kStreams; ++count) {
+        now += gap(random);
+        for (; !running.empty() && running.top().endsAt <= now; running.pop()) {
+            --own[running.top().gateway][running.top().upstream];
+            --all[running.top().upstream];
+        }
+        const std::size_t gateway = anyGateway(random);
+        const HallPlace place{gateway, hall.gateways};
+        const std::size_t chance = anyGateway(random);
+        const auto order = [&](std::size_t upstream) {
+            const std::size_t turn = byTurns
+                                         ? upstreamTurn(upstream, hall.upstreams, place)
+                                         : (upstream * 7919 + chance * 104'729 + count * 31) % 1009;
+            return std::pair(own[gateway][upstream], turn);
+        };
+        std::size_t best = 0;
+        for (std::size_t upstream = 1; upstream < hall.upstreams; ++upstream) {
+            best = order(upstream) < order(best) ? upstream : best;
+        }
+        full += all[best] >= hall.places ? 1 : 0;
+        ++own[gateway][best];
+        ++all[best];
+        running.push({now + life(random), gateway, best});
+    }
+    return static_cast<double>(full) / kStreams;
+}
+
+} // namespace
+
+TEST_GROUP(UpstreamTurnTest){};
+
+TEST(UpstreamTurnTest, EachUpstreamHasOneTurn)
+{
+    std::vector<bool> seen(26, false);
+    for (std::size_t index = 0; index < seen.size(); ++index) {
+        seen[upstreamTurn(index, seen.size(), {17, 30})] = true;
+    }
+    CHECK_TRUE(std::all_of(seen.begin(), seen.end(), [](bool found) { return found; }));
+}
+
+TEST(UpstreamTurnTest, AsManyGatewaysBeginAtEachUpstream)
+{
+    constexpr std::size_t kGateways = 30;
+    std::vector<int> begins(10, 0);
+    for (std::size_t gateway = 0; gateway < kGateways; ++gateway) {
+        for (std::size_t index = 0; index < begins.size(); ++index) {
+            begins[index] += upstreamTurn(index, begins.size(), {gateway, kGateways}) == 0 ? 1 : 0;
+        }
+    }
+    CHECK_TRUE(begins == std::vector<int>(10, 3));
+}
+
+TEST(UpstreamTurnTest, FewerStreamsMeetAFullUpstreamInALargeHall)
+{
+    const Hall hall{30, 26, 6, 3.3};
+    const double byChance = partAtFullUpstreams(hall, false);
+    const double byTurns = partAtFullUpstreams(hall, true);
+    CHECK_TEXT(byChance > 0.04, "the pattern must show where the choice is by chance");
+    CHECK_TEXT(byTurns < byChance / 3.0, "turns must spare most streams a full upstream");
+}
+
+TEST(UpstreamTurnTest, NoWorseAtOtherSizes)
+{
+    for (const Hall &hall : {Hall{3, 4, 12, 7.0}, Hall{14, 8, 12, 7.0}, Hall{68, 64, 6, 3.3}}) {
+        CHECK_TRUE(partAtFullUpstreams(hall, true) <= partAtFullUpstreams(hall, false) + 0.01);
+    }
+}
--- /dev/null
+++ b/test/decision/membership/storeturn_test.cpp
@@ -0,0 +1,58 @@
+// The pattern: the store turns away the gateway that a whole hall follows, and the knowledge of all
+// the others grows old at once. Thirty a hall, and the bounds, are those of the users' deployments.
+#include "decision/membership/storeturn.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr std::size_t kHall = 30;
+// A configuration is in force everywhere within two or four seconds, a key is gone within five.
+constexpr KnowledgeBounds kSmall{std::chrono::milliseconds(4700), std::chrono::milliseconds(1900)};
+constexpr KnowledgeBounds kLarge{std::chrono::milliseconds(4700), std::chrono::milliseconds(3900)};
+constexpr KnowledgeBounds kShort{std::chrono::milliseconds(2200), std::chrono::milliseconds(1400)};
+// What is followed may be as old as a watch, a question that waits, and the way.
+constexpr Duration kFollowed = std::chrono::milliseconds(450);
+
+} // namespace
+
+TEST_GROUP(StoreTurnTest){};
+
+TEST(StoreTurnTest, NobodySeeksKnowledgeElsewhereWhileAllIsWell)
+{
+    for (const KnowledgeBounds &bounds : {kSmall, kLarge, kShort}) {
+        const KnowledgeTimes times = knowledgeTimes(bounds);
+        CHECK_TRUE(times.watchWait + kFollowed < times.old);
+    }
+}
+
+TEST(StoreTurnTest, EveryTurnComesWhileRoutesAndKeysMayBeJudged)
+{
+    for (const KnowledgeBounds &bounds : {kSmall, kLarge, kShort}) {
+        const Duration last = storeTurnAge(knowledgeTimes(bounds), kHall);
+        CHECK_TRUE(last <= bounds.keys - std::chrono::milliseconds(900));
+        CHECK_TRUE(last < bounds.deny);
+    }
+}
+
+TEST(StoreTurnTest, FewOfALargeHallAskTheStoreBeforeTheFirstIsHeardOf)
+{
+    const KnowledgeTimes times = knowledgeTimes(kLarge);
+    const Duration first = storeTurnAge(times, 0);
+    CHECK_TRUE(first >= times.old + std::chrono::milliseconds(500));
+    const Duration heard = first + std::chrono::milliseconds(250);
+    std::size_t asking = 0;
+    for (std::size_t place = 0; place < kHall; ++place) {
+        asking += storeTurnAge(times, place) <= heard ? 1 : 0;
+    }
+    CHECK_TRUE(asking <= 3);
+}
+
+TEST(StoreTurnTest, WhereTimeIsShortAllAskWithinATenthOfASecond)
+{
+    const KnowledgeTimes times = knowledgeTimes(kSmall);
+    CHECK_TRUE(storeTurnAge(times, 0) >= times.old);
+    CHECK_TRUE(storeTurnAge(times, kHall) - times.old <= std::chrono::milliseconds(150));
+}
--- a/test/gateway/gatewayknowledge_test.cpp
+++ b/test/gateway/gatewayknowledge_test.cpp
@@ -91,6 +91,24 @@
     CHECK_FALSE(knowledge.adopt(same, loop->now()));
 }
 
+// The pattern: the gateway that a hall follows is turned away, and each of the others asks one
+// gateway after the other. Handing the list over each time took more bytes than all else.
+TEST(GatewayKnowledgeTest, GatewaysThatHoldTheSameListNameItAlike)
+{
+    UpstreamTable otherUpstreams;
+    GatewayKnowledge other{*loop, otherUpstreams, metrics, knowledge.freshness(),
+                           [](const CallerBounds &) {}};
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now()));
+    StoreItems listed;
+    listed.revision = 12;
+    listed.items.emplace_back(upstream("i-1"));
+    other.onStoreListed(listed, loop->now());
+    CHECK_TRUE(knowledge.upstreamsMark() == other.upstreamsMark());
+    listed.items.emplace_back(upstream("i-2"));
+    other.onStoreListed(listed, loop->now());
+    CHECK_FALSE(knowledge.upstreamsMark() == other.upstreamsMark());
+}
+
 TEST(GatewayKnowledgeTest, OwnChangeOfTheListEndsItsMark)
 {
     CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
