Gateways: each fills its hall's upstreams in an order of its own

Cause: 149 gateways have some three streams each before 129 engines with six places; a choice by chance among upstreams that are empty to a gateway sends one stream in twenty to an engine whose places are taken, where it waits. Change: the gateways of a hall stand in a circle and begin at evenly spread upstreams (UpstreamTurn).

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -273,11 +273,31 @@
     return route.targets.back().service;
 }
 
-double GatewayCore::score(const UpstreamRecord &record)
+// Rates an upstream; the lowest is the best. `turn` is its place in the own order of its hall's
+// upstreams, from 0 to 1.
+double GatewayCore::score(const UpstreamRecord &record, double turn)
 {
+    constexpr double kTurnWeight = 0.5; // Less than one request in flight.
     const double penalty = record.hall == settings_.hall ? 0.0 : settings_.otherHallPenalty;
-    const double tieBreak = std::uniform_real_distribution<double>(0.0, 0.5)(random_);
-    return states_[record.id].inFlight + penalty + tieBreak;
+    return states_[record.id].inFlight + penalty + kTurnWeight * turn;
+}
+
+// Returns the turn of each candidate in this gateway's order of its hall's upstreams, from 0 to 1.
+std::unordered_map<InstanceId, double>
+GatewayCore::turnsOf(const std::vector<const UpstreamRecord *> &candidates) const
+{
+    std::unordered_map<HallId, std::vector<InstanceId>> halls;
+    for (const UpstreamRecord *record : candidates) {
+        halls[record->hall].push_back(record->id);
+    }
+    std::unordered_map<InstanceId, double> turns;
+    for (const auto &[hall, ids] : halls) {
+        for (std::size_t index = 0; index < ids.size(); ++index) {
+            const auto turn = static_cast<double>(upstreamTurn(index, ids.size(), place_));
+            turns.emplace(ids[index], turn / static_cast<double>(ids.size()));
+        }
+    }
+    return turns;
 }
 
 // Returns the best upstream that has not been tried. Upstreams that failed are passed over while
@@ -286,6 +306,7 @@
 std::optional<InstanceId> GatewayCore::choose(const Request &request, TimePoint now)
 {
     std::vector<const UpstreamRecord *> candidates = upstreams_.candidates(request.service);
+    const std::unordered_map<InstanceId, double> turns = turnsOf(candidates);
     std::erase_if(candidates, [&](const UpstreamRecord *record) {
         return request.tried.contains(record->id) || states_[record->id].fullUntil > now;
     });
@@ -303,7 +324,7 @@
     bool bestDoubtful = true;
     for (const UpstreamRecord *record : candidates) {
         const bool doubtful = isDoubtful(record);
-        const double value = score(*record);
+        const double value = score(*record, turns.at(record->id));
         if (!best || (bestDoubtful && !doubtful)
             || (bestDoubtful == doubtful && value < bestScore)) {
             best = record->id;
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -18,6 +18,7 @@
 #include "decision/gateway/streamlimiter.h"
 #include "decision/gateway/streamqueue.h"
 #include "decision/gateway/upstreamtable.h"
+#include "decision/gateway/upstreamturn.h"
 #include "decision/retry/outlierdetector.h"
 #include "decision/retry/retrybudget.h"
 #include "seamarch/ids.h"
@@ -151,6 +152,8 @@
 
     // Takes how many gateways share the upstreams, this one among them.
     void setGateways(std::size_t count);
+    // Takes where this gateway stands among those of its hall.
+    void setPlace(const HallPlace &place) { place_ = place; }
     void setRetryLimits(const RetryLimits &limits);
 
     UpstreamTable &upstreams() { return upstreams_; }
@@ -221,7 +224,9 @@
     bool mayRepeat(const Request &request) const;
     bool mayTryAgain(const Request &request, TimePoint now);
     std::optional<InstanceId> choose(const Request &request, TimePoint now);
-    double score(const UpstreamRecord &record);
+    double score(const UpstreamRecord &record, double turn);
+    std::unordered_map<InstanceId, double>
+    turnsOf(const std::vector<const UpstreamRecord *> &candidates) const;
     TargetName chooseService(const RouteRule &route);
     bool startAttempt(RequestNumber number, Request &request, TimePoint now,
                       GatewayActions &actions);
@@ -255,6 +260,7 @@
     std::unordered_map<std::string, StatedWaits> statedWaits_; // By the route's name.
     std::unordered_map<RequestNumber, Request> requests_;
     std::size_t gateways_ = 1;
+    HallPlace place_;
     RequestNumber nextNumber_ = 1;
     std::uint64_t secondAttempts_ = 0;
 };
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -520,6 +520,7 @@
 {
     GatewayActions actions;
     core_.setGateways(sources_->gateways() + 1);
+    core_.setPlace(sources_->place());
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
     sources_->tick();
