Gateways: the bound on streams begins with an even share of the upstreams' places

Cause: each gateway began with twelve streams, a twelfth of a small site's places: at 149 gateways before 774 places that is twice what there is. And while a group stands still nobody complains of long pauses, so the bound grew with the queue and met the group's return with all of it at once. Change: the bound begins with 0.6 of the even share, falls back to it after an outage, and does not grow while streams are in flight and none says a word. The fixture of GatewayCoreTest names places, which the bound follows from now; what its tests expect has not changed.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -149,10 +149,23 @@
     const auto [found, added] = services_.try_emplace(request.service);
     if (added) {
         found->second.limiter = StreamLimiter(settings_.streams);
+        beginStreams(found->second, request.service);
     }
     return found->second;
 }
 
+// Bounds the streams at a service by an even share of its slots, until pauses tell more.
+void GatewayCore::beginStreams(ServiceState &service, const TargetName &name)
+{
+    double slots = 0.0;
+    for (const UpstreamRecord *record : upstreams_.candidates(name)) {
+        slots += record->slots;
+    }
+    if (slots > 0.0) {
+        service.limiter.begin(slots, static_cast<double>(gateways_));
+    }
+}
+
 // Returns how long a stream would wait at the pace of the last second.
 Duration GatewayCore::expectedWait(ServiceState &service, const StreamQueue::Entry &entry,
                                    TimePoint now)
@@ -386,7 +399,10 @@
 {
     ServiceState &service = serviceOf(request);
     if (kind != AnswerKind::Full) {
-        service.refusingSince.reset();
+        const auto refusingSince = std::exchange(service.refusingSince, std::nullopt);
+        if (refusingSince && now - *refusingSince >= settings_.outagePatience) {
+            beginStreams(service, request.service);
+        }
         return;
     }
     service.refusingSince = service.refusingSince.value_or(now);
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -235,6 +235,7 @@
     void giveUp(RequestNumber number, FailureCode failure, GatewayActions &actions);
     void leaveUpstream(Request &request);
     ServiceState &serviceOf(const Request &request);
+    void beginStreams(ServiceState &service, const TargetName &name);
     void endRequest(RequestNumber number);
     void noteAnswer(Request &request, AnswerKind kind, TimePoint now);
     static StreamQueue::Entry entryFor(RequestNumber number, const Request &request,
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -1,6 +1,7 @@
 #include "decision/gateway/streamlimiter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace seamarch {
 
@@ -10,6 +11,7 @@
         return;
     }
     heard_ = true;
+    heardAt_ = now;
     const double part = toSeconds(pause) / toSeconds(goal);
     longest_ = std::max(longest_, part);
     if (part >= settings_.strain) {
@@ -19,16 +21,24 @@
     }
 }
 
+void StreamLimiter::begin(double slots, double gateways)
+{
+    const double share =
+        std::clamp(settings_.shareAtFirst * slots / gateways, settings_.least, settings_.most);
+    limit_ = std::exchange(begun_, true) ? std::min(limit_, share) : share;
+}
+
 void StreamLimiter::onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now)
 {
     if (now - adaptedAt_ < settings_.period) {
         return;
     }
     adaptedAt_ = now;
+    const bool silent = inFlight > 0 && heardAt_ && now - *heardAt_ >= settings_.silence;
     if (heard_ && longest_ > settings_.tooLong) {
         const double held = std::min(limit_, static_cast<double>(inFlight));
         limit_ = std::max(settings_.least, held * settings_.decrease);
-    } else if (waiting > 0 && (!heard_ || longest_ < settings_.comfortable)) {
+    } else if (waiting > 0 && !silent && (!heard_ || longest_ < settings_.comfortable)) {
         const double more =
             settings_.increase + settings_.increasePerWaiting * static_cast<double>(waiting);
         limit_ = std::min(settings_.most, limit_ + more);
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -21,8 +21,11 @@
 public:
     struct Settings
     {
-        double initial =
-            12.0;           // Streams. A twelfth of a site's slots, and it adapts within a second.
+        // Streams, before anything is known of the upstreams.
+        double initial = 12.0;
+        // Of an even share of the upstreams' slots, which the bound begins with: some gateways have
+        // more callers than others, and those that need more get it within a second.
+        double shareAtFirst = 0.6;
         double least = 3.0; // Below it a gateway would learn nothing of the pauses.
         double most = 200.0;
         // Parts of the goal: above the first the bound falls, below the second it may rise.
@@ -38,6 +41,10 @@
         // Pauses are heard at the end of each pass: longer than the goal nothing need be waited
         // for.
         Duration strainLife = std::chrono::milliseconds(150);
+        // While streams are in flight and none has said a word for this long, the engines stand
+        // still, and that nobody complains of long pauses says nothing: engines that wait for a
+        // lost one give up after some 1.5 s.
+        Duration silence = std::chrono::milliseconds(1500);
         // How often the bound changes: some passes long, so that a change shows before the next.
         Duration period = std::chrono::milliseconds(200);
     };
@@ -50,6 +57,9 @@
 
     // An event came `pause` after the one before it on the same stream; `goal` is its route's.
     void onPause(Duration pause, Duration goal, TimePoint now);
+    // Begins with an even share of `slots` among `gateways`, where the bound is above it or nothing
+    // was learned yet: the engines are new, or have stood still while callers queued.
+    void begin(double slots, double gateways);
     // Adapts the bound. `waiting` is the number of requests that wait for it.
     void onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now);
 
@@ -68,6 +78,8 @@
     double limit_ = Settings().initial;
     double longest_ = 0.0; // Of the period's pauses, in parts of the goal.
     bool heard_ = false;
+    bool begun_ = false;
+    std::optional<TimePoint> heardAt_; // A pause, of any length.
     TimePoint adaptedAt_{};
     std::optional<TimePoint> strainedAt_;
 };
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -37,6 +37,7 @@
     record.id = InstanceId(id);
     record.service = TargetName("service");
     record.hall = HallId(hall);
+    record.slots = 10; // The streams that a gateway begins with follow from it.
     return record;
 }
 
--- a/test/decision/gateway/streamlimiter_test.cpp
+++ b/test/decision/gateway/streamlimiter_test.cpp
@@ -74,3 +74,46 @@
     limiter.onPause(std::chrono::milliseconds(110), kGoal, at(1000));
     CHECK_FALSE(limiter.strained(at(1000) + StreamLimiter::Settings().strainLife));
 }
+
+// The pattern: 149 gateways before 129 ranks with six places each. A bound of a twelfth of a small
+// site's places for each gateway is twice the places that there are.
+TEST(StreamLimiterTest, GatewaysOfALargeSiteBeginWithinItsPlaces)
+{
+    constexpr double kGateways = 149.0;
+    constexpr double kSlots = 129.0 * 6.0;
+    limiter.begin(kSlots, kGateways);
+    CHECK_TRUE(limiter.limit() * kGateways <= kSlots);
+}
+
+TEST(StreamLimiterTest, GatewaysOfASmallSiteBeginAsBefore)
+{
+    limiter.begin(144.0, 7.0);
+    CHECK_TRUE(limiter.limit() >= 12.0);
+    CHECK_TRUE(limiter.limit() * 7.0 <= 144.0);
+}
+
+// The pattern: a group stands still for seconds while callers queue; nobody complains of pauses.
+TEST(StreamLimiterTest, DoesNotGrowWhileTheEnginesStandStill)
+{
+    limiter.onPause(std::chrono::milliseconds(40), kGoal, at(1000));
+    limiter.onTick(12, 5, at(1100));
+    for (int millis = 2600; millis < 8000; millis += 200) {
+        const double before = limiter.limit();
+        limiter.onTick(12, 50, at(millis));
+        DOUBLES_EQUAL(before, limiter.limit(), 1e-9);
+    }
+}
+
+TEST(StreamLimiterTest, AnOutageEndsWithAnEvenShareAtMost)
+{
+    limiter.begin(144.0, 6.0);
+    for (int millis = 1000; millis < 9000; millis += 200) {
+        limiter.onTick(0, 20, at(millis));
+    }
+    limiter.begin(144.0, 6.0);
+    CHECK_TRUE(limiter.limit() <= 24.0);
+    limiter.onPause(std::chrono::milliseconds(119), kGoal, at(9100));
+    limiter.onTick(8, 0, at(9200));
+    limiter.begin(144.0, 6.0);
+    CHECK_TRUE(limiter.limit() < 8.0);
+}
