Gateways: a refusal after a standstill means that the service is out

Cause: a group that loses a rank stands still for 1.5 s and then refuses, at every gateway, all that it had taken. Change: a refusal that comes a second after the request was sent counts as an outage at once, for which callers are told to come back as late as they will.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -405,7 +405,9 @@
         }
         return;
     }
-    service.refusingSince = service.refusingSince.value_or(now);
+    const bool stoodStill = now - request.sentAt >= settings_.standstill;
+    const TimePoint since = stoodStill ? now - settings_.outagePatience : now;
+    service.refusingSince = std::min(since, service.refusingSince.value_or(since));
     if (now - *service.refusingSince >= settings_.outagePatience) {
         request.comeBack = latestReturn(request, now);
     }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -130,6 +130,9 @@
         // A service whose upstreams have refused everything for this long is out: callers are told
         // to come back as late as they will.
         Duration outagePatience = std::chrono::milliseconds(300);
+        // An upstream without room refuses at once. One that refuses only after so long had taken
+        // the request and stood still: its whole group does, and says so to all at this moment.
+        Duration standstill = std::chrono::milliseconds(1000);
         // Attempts that could not even connect do not count as attempts; this bounds them.
         std::uint32_t maxUnsent = 3;
         RetryLimits retries;
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -141,6 +141,19 @@
     }
 }
 
+// The pattern: a group loses a rank, stands still for a second and a half and then refuses all that
+// it had taken, at every gateway. Callers told to come back at once would be refused again, and
+// come no third time.
+TEST(GatewayCoreTest, RefusalAfterAStandstillMeansThatTheServiceIsOut)
+{
+    const RequestNumber number = begin(Kind::Stream);
+    core->onHead(number, AnswerKind::Full, at(1500), actions);
+    actions.clear();
+    core->onHead(number, AnswerKind::Full, at(1510), actions);
+    CHECK_TRUE(rejected().outcome == Outcome::NotRun);
+    CHECK_TRUE(rejected().retryAfter > std::chrono::seconds(2));
+}
+
 TEST(GatewayCoreTest, OneAnswerEndsTheOutage)
 {
     RequestNumber number = begin(Kind::AtMostOnce);
