--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -24,8 +24,8 @@
 // How often an agent that does not decide asks its own engine for its rank.
 constexpr Duration kOwnGap = std::chrono::milliseconds(400);
 // A decider that has not asked for this long is taken for dead or cut off. It asks some five times
-// in it, whatever the size of the group. Two that both decide are harmless, and a group that one has
-// left held makes no pass.
+// in it, whatever the size of the group. Two that both decide are harmless, and a group that one
+// has left held makes no pass.
 constexpr Duration kDeciderLife = std::chrono::milliseconds(500);
 constexpr Duration kDeciderLifePerRank = std::chrono::milliseconds(10);
 // Each rank waits this much longer than the one before it, so that one takes the role and is heard
