--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -61,6 +61,8 @@
 
 Gateway options:
   --seeds LIST               Where some of the other gateways listen, parted by commas.
+  --agent-port N             Where the agents beside model engines listen, at their engines'
+                             addresses; without it nothing is known of groups.
   --key-life-ms N            A key that was taken away is not used later than this after the
                              store took the change (default 5000).
   --config-spread-ms N       A change of routes is in force within this (default 2000).
@@ -169,6 +171,10 @@
             settings.seeds.push_back(toAddress(seed));
         }
     }
+    if (reader.given("agent-port")) {
+        constexpr std::uint64_t kLastPort = 65'535;
+        settings.agentPort = static_cast<int>(reader.integer("agent-port", 1, kLastPort, 1));
+    }
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
     settings.bounds = readBounds(reader);
     settings.times = readTimes(reader, timesWithin(settings.bounds));
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -92,6 +92,24 @@
     });
 }
 
+bool GroupDecider::takesRequests() const
+{
+    const auto last =
+        std::max_element(ranks_.begin(), ranks_.end(), [](const auto &left, const auto &right) {
+            return left.second.askedAt < right.second.askedAt;
+        });
+    return last == ranks_.end() || !last->second.known || last->second.report.open;
+}
+
+TimePoint GroupDecider::heardAt() const
+{
+    TimePoint heardAt{};
+    for (const auto &[number, rank] : ranks_) {
+        heardAt = std::max(heardAt, rank.askedAt);
+    }
+    return heardAt;
+}
+
 std::optional<std::uint64_t> GroupDecider::mapInUse(TimePoint now) const
 {
     if (!whole(now)) {
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -180,6 +180,10 @@
     Phase phase() const { return phase_; }
     // Tells whether every rank has reported lately, in one epoch, and the group is open.
     bool whole(TimePoint now) const;
+    // Tells whether the group takes requests, as the rank says that was asked last.
+    bool takesRequests() const;
+    // Returns when the rank was asked that was asked last and has answered.
+    TimePoint heardAt() const;
     // Returns the version in use at every rank; nothing while they differ or are not known.
     std::optional<std::uint64_t> mapInUse(TimePoint now) const;
     std::uint64_t epoch() const { return epoch_; }
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -10,13 +10,17 @@
 // A request is given up a little before its time is over, so that its answer still arrives.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
 
-// Waiting streams are looked at every 25 ms; one whose time to begin ends before the look after the
-// next begins now.
-constexpr Duration kStartSlack = std::chrono::milliseconds(40);
 // A caller that has waited for less than this is at its first try: what it states may be less than
 // its program's figure by the time that its connection took.
 constexpr Duration kShortestComeBack = std::chrono::milliseconds(200);
 
+UpstreamChooser::Settings choiceSettings(const GatewayCore::Settings &settings)
+{
+    UpstreamChooser::Settings choice = settings.choice;
+    choice.hall = settings.hall;
+    return choice;
+}
+
 bool saysNotRun(AnswerKind kind)
 {
     return kind == AnswerKind::Full || kind == AnswerKind::WrongInstance
@@ -28,7 +32,7 @@
 GatewayCore::GatewayCore(const Settings &settings)
     : settings_(settings)
     , random_(settings.seed)
-    , outliers_(settings.outliers)
+    , chooser_(choiceSettings(settings), upstreams_, groups_)
 {}
 
 GatewayCore::Request *GatewayCore::find(RequestNumber number)
@@ -59,6 +63,12 @@
     }
 }
 
+void GatewayCore::setPlace(const HallPlace &place)
+{
+    place_ = place;
+    chooser_.setPlace(place);
+}
+
 void GatewayCore::setRetryLimits(const RetryLimits &limits)
 {
     settings_.retries = limits;
@@ -86,16 +96,18 @@
     added.giveUpAt = now + longest - kAnswerMargin;
     budgets_.try_emplace(added.service, ownBudget()).first->second.onSuccess();
     added.arrivedAt = now;
-    ServiceState &service = serviceOf(added);
-    if (route.streamed && !mayStart(service, entryFor(number, added, service), now)) {
-        queueStream(number, added, now, actions);
-        return number;
-    }
     if (route.streamed) {
-        ++service.streams;
+        ServiceState &service = serviceOf(added.service);
+        const auto group = service.lanes.laneFor(entryFor(number, added, service), groups_, now);
+        if (!group) {
+            queueStream(number, added, now, actions);
+            return number;
+        }
         service.started.push_back(now);
-    }
-    if (!startAttempt(number, added, now, actions)) {
+        if (!startAttempt(number, added, group, now, actions)) {
+            giveUp(number, FailureCode::NoUpstream, actions);
+        }
+    } else if (!startAttempt(number, added, std::nullopt, now, actions)) {
         giveUp(number, FailureCode::NoUpstream, actions);
     }
     return number;
@@ -132,7 +144,7 @@
 void GatewayCore::queueStream(RequestNumber number, Request &request, TimePoint now,
                               GatewayActions &actions)
 {
-    ServiceState &service = serviceOf(request);
+    ServiceState &service = serviceOf(request.service);
     const StreamQueue::Entry entry = entryFor(number, request, service);
     request.waits = true;
     const Duration wait = expectedWait(service, entry, now);
@@ -144,26 +156,17 @@
     service.waiting.add(entry, now);
 }
 
-GatewayCore::ServiceState &GatewayCore::serviceOf(const Request &request)
+// Returns the state of a service, with the groups that it has now.
+GatewayCore::ServiceState &GatewayCore::serviceOf(const TargetName &service)
 {
-    const auto [found, added] = services_.try_emplace(request.service);
-    if (added) {
-        found->second.limiter = StreamLimiter(settings_.streams);
-        beginStreams(found->second, request.service);
-    }
-    return found->second;
+    ServiceState &state = services_.try_emplace(service, settings_.lanes).first->second;
+    state.lanes.setGroups(chooser_.groupsOf(service), {gateways_, place_});
+    return state;
 }
 
-// Bounds the streams at a service by an even share of its slots, until pauses tell more.
-void GatewayCore::beginStreams(ServiceState &service, const TargetName &name)
+StreamLane &GatewayCore::laneOf(const Request &request)
 {
-    double slots = 0.0;
-    for (const UpstreamRecord *record : upstreams_.candidates(name)) {
-        slots += record->slots;
-    }
-    if (slots > 0.0) {
-        service.limiter.begin(slots, static_cast<double>(gateways_));
-    }
+    return serviceOf(request.service).lanes.lane(request.group);
 }
 
 // Returns how long a stream would wait at the pace of the last second.
@@ -179,35 +182,20 @@
     return kWindow * (ahead + 1) / pace;
 }
 
-// Tells whether a stream may begin now. While pauses are near the goal, each prompt that the
-// engines read makes all streams late that are being written: one that can still begin in time
-// later waits for passes that are short again, and one that is late already does no harm by
-// waiting.
-bool GatewayCore::mayStart(const ServiceState &service, const StreamQueue::Entry &entry,
-                           TimePoint now) const
-{
-    if (!service.limiter.admits(service.streams)) {
-        return false;
-    }
-    const bool fewest = service.streams < settings_.streams.least;
-    if (fewest || !service.limiter.strained(now)) {
-        return true;
-    }
-    return now <= entry.startBy && now + kStartSlack >= entry.startBy;
-}
-
-// Starts waiting requests while the bound admits them.
+// Starts waiting requests while lanes admit them.
 void GatewayCore::admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
-    for (auto next = service.waiting.next(now); next && mayStart(service, *next, now);
-         next = service.waiting.next(now)) {
+    for (auto next = service.waiting.next(now); next; next = service.waiting.next(now)) {
+        const auto group = service.lanes.laneFor(*next, groups_, now);
+        if (!group) {
+            return;
+        }
         const RequestNumber number = next->number;
         service.waiting.remove(number);
         Request &request = requests_.at(number);
         request.waits = false;
-        ++service.streams;
         service.started.push_back(now);
-        if (!startAttempt(number, request, now, actions)) {
+        if (!startAttempt(number, request, group, now, actions)) {
             giveUp(number, FailureCode::NoUpstream, actions);
         }
     }
@@ -220,11 +208,9 @@
         return;
     }
     const Request &request = found->second;
-    ServiceState &service = serviceOf(request);
+    ServiceState &service = serviceOf(request.service);
     if (request.waits) {
         service.waiting.remove(number);
-    } else if (request.request.route->streamed && service.streams > 0) {
-        --service.streams;
     }
     requests_.erase(found);
 }
@@ -232,11 +218,13 @@
 void GatewayCore::onFirstEvent(RequestNumber number, TimePoint now)
 {
     constexpr int kWeight = 8; // Of the average so far, against one of the new time.
-    const Request *request = find(number);
-    if (request == nullptr || request->sentAt == TimePoint{}) {
+    Request *request = find(number);
+    if (request == nullptr || request->upstream == InstanceId() || request->speaks) {
         return;
     }
-    Duration &average = serviceOf(*request).firstEvent;
+    request->speaks = true;
+    laneOf(*request).onFirstEvent(now);
+    Duration &average = serviceOf(request->service).firstEvent;
     const Duration time = now - request->sentAt;
     average = average == Duration{} ? time : (average * (kWeight - 1) + time) / kWeight;
 }
@@ -244,8 +232,9 @@
 void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
 {
     const Request *request = find(number);
-    if (request != nullptr) {
-        serviceOf(*request).limiter.onPause(pause, request->request.route->pauseGoal, now);
+    if (request != nullptr && request->upstream != InstanceId()) {
+        const Duration goal = request->request.route->pauseGoal;
+        laneOf(*request).onPause(pause, goal, now);
     }
 }
 
@@ -257,14 +246,35 @@
 
 std::uint32_t GatewayCore::streams(const TargetName &service) const
 {
+    std::uint32_t streams = 0;
     const auto found = services_.find(service);
-    return found == services_.end() ? 0 : found->second.streams;
+    if (found != services_.end()) {
+        for (const auto &[group, lane] : found->second.lanes.all()) {
+            streams += lane.inFlight();
+        }
+    }
+    return streams;
 }
 
 double GatewayCore::streamLimit(const TargetName &service) const
+{
+    double limit = 0.0;
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        for (const auto &[group, lane] : found->second.lanes.all()) {
+            limit += lane.limiter().limit();
+        }
+    }
+    return limit;
+}
+
+const StreamLane *GatewayCore::lane(const TargetName &service, const GroupId &group) const
 {
     const auto found = services_.find(service);
-    return found == services_.end() ? settings_.streams.initial : found->second.limiter.limit();
+    if (found == services_.end()) {
+        return nullptr;
+    }
+    return found->second.lanes.find(group);
 }
 
 TargetName GatewayCore::chooseService(const RouteRule &route)
@@ -286,129 +296,77 @@
     return route.targets.back().service;
 }
 
-// Rates an upstream; the lowest is the best. `turn` is its place in the own order of its hall's
-// upstreams, from 0 to 1.
-double GatewayCore::score(const UpstreamRecord &record, double turn)
-{
-    constexpr double kTurnWeight = 0.5; // Less than one request in flight.
-    const double penalty = record.hall == settings_.hall ? 0.0 : settings_.otherHallPenalty;
-    return states_[record.id].inFlight + penalty + kTurnWeight * turn;
-}
-
-// Returns the turn of each candidate in this gateway's order of its hall's upstreams, from 0 to 1.
-std::unordered_map<InstanceId, double>
-GatewayCore::turnsOf(const std::vector<const UpstreamRecord *> &candidates) const
-{
-    std::unordered_map<HallId, std::vector<InstanceId>> halls;
-    for (const UpstreamRecord *record : candidates) {
-        halls[record->hall].push_back(record->id);
-    }
-    std::unordered_map<InstanceId, double> turns;
-    for (const auto &[hall, ids] : halls) {
-        for (std::size_t index = 0; index < ids.size(); ++index) {
-            const auto turn = static_cast<double>(upstreamTurn(index, ids.size(), place_));
-            turns.emplace(ids[index], turn / static_cast<double>(ids.size()));
-        }
-    }
-    return turns;
-}
-
-// Returns the best upstream that has not been tried. Upstreams that failed are passed over while
-// others are left; upstreams without room are passed over always, because asking them again at once
-// only adds to their load.
-std::optional<InstanceId> GatewayCore::choose(const Request &request, TimePoint now)
-{
-    std::vector<const UpstreamRecord *> candidates = upstreams_.candidates(request.service);
-    const std::unordered_map<InstanceId, double> turns = turnsOf(candidates);
-    std::erase_if(candidates, [&](const UpstreamRecord *record) {
-        return request.tried.contains(record->id) || states_[record->id].fullUntil > now;
-    });
-    std::vector<InstanceId> ids;
-    for (const UpstreamRecord *record : candidates) {
-        ids.push_back(record->id);
-    }
-    const std::vector<InstanceId> trusted = outliers_.remaining(ids, now);
-    const auto isDoubtful = [&](const UpstreamRecord *record) {
-        return states_[record->id].avoidUntil > now
-               || std::find(trusted.begin(), trusted.end(), record->id) == trusted.end();
-    };
-    std::optional<InstanceId> best;
-    double bestScore = 0.0;
-    bool bestDoubtful = true;
-    for (const UpstreamRecord *record : candidates) {
-        const bool doubtful = isDoubtful(record);
-        const double value = score(*record, turns.at(record->id));
-        if (!best || (bestDoubtful && !doubtful)
-            || (bestDoubtful == doubtful && value < bestScore)) {
-            best = record->id;
-            bestScore = value;
-            bestDoubtful = doubtful;
-        }
-    }
-    return best;
-}
-
 // Tells whether a request whose attempt has failed can be sent to another upstream.
 bool GatewayCore::mayTryAgain(const Request &request, TimePoint now)
 {
     return mayRepeat(request) && request.attempts < request.request.route->maxAttempts
-           && budgets_.at(request.service).available() && choose(request, now).has_value();
+           && budgets_.at(request.service).available()
+           && chooser_.choose(request.service, std::nullopt, request.tried, now).has_value();
 }
 
-bool GatewayCore::startAttempt(RequestNumber number, Request &request, TimePoint now,
+// Sends the request to the best upstream of `group`, or of any where that has none left.
+bool GatewayCore::startAttempt(RequestNumber number, Request &request,
+                               const std::optional<GroupId> &group, TimePoint now,
                                GatewayActions &actions)
 {
-    const auto chosen = choose(request, now);
+    auto chosen = chooser_.choose(request.service, group, request.tried, now);
+    if (!chosen && group) {
+        chosen = chooser_.choose(request.service, std::nullopt, request.tried, now);
+    }
     if (!chosen || now >= request.giveUpAt) {
         return false;
     }
+    const UpstreamRecord &upstream = *upstreams_.find(*chosen);
     request.upstream = *chosen;
+    request.group = groups_.groupOf(upstream);
+    request.speaks = false;
     request.sentAt = now;
     request.tried.insert(*chosen);
     request.answering = false;
     ++request.attempts;
-    ++states_[*chosen].inFlight;
-    actions.push_back(StartAttempt{number, request.attempts + request.unsent,
-                                   *upstreams_.find(*chosen), request.giveUpAt - now,
-                                   mayRepeat(request)});
+    chooser_.onSent(*chosen);
+    if (request.request.route->streamed) {
+        laneOf(request).onSent(now);
+    }
+    actions.push_back(StartAttempt{number, request.attempts + request.unsent, upstream,
+                                   request.group, request.giveUpAt - now, mayRepeat(request)});
     return true;
 }
 
-void GatewayCore::leaveUpstream(Request &request)
+// Sends the request once more.
+bool GatewayCore::startAgain(RequestNumber number, Request &request, TimePoint now,
+                             GatewayActions &actions)
 {
-    const auto found = states_.find(request.upstream);
-    if (found != states_.end() && found->second.inFlight > 0) {
-        --found->second.inFlight;
-    }
-    request.upstream = InstanceId();
-    request.answering = false;
+    const bool streamed = request.request.route->streamed;
+    const auto group =
+        streamed ? serviceOf(request.service).lanes.laneForRetry(groups_, now) : std::nullopt;
+    return startAttempt(number, request, group, now, actions);
 }
 
-void GatewayCore::noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now)
+void GatewayCore::leaveUpstream(Request &request)
 {
-    UpstreamState &state = states_[upstream];
-    if (kind == AnswerKind::Full) {
-        state.fullUntil = now + settings_.fullPause;
-    } else if (kind == AnswerKind::WrongInstance) {
-        state.avoidUntil = now + settings_.wrongInstancePause;
+    chooser_.onLeft(request.upstream);
+    if (request.request.route->streamed) {
+        laneOf(request).onLeft(request.speaks);
     }
+    request.upstream = InstanceId();
+    request.speaks = false;
+    request.answering = false;
 }
 
-// Learns from an answer whether the whole service refuses, as a group does that stands still.
+// Learns from an answer whether a group refuses everything, as one does that stands still.
 void GatewayCore::noteAnswer(Request &request, AnswerKind kind, TimePoint now)
 {
-    ServiceState &service = serviceOf(request);
+    ServiceLanes &lanes = serviceOf(request.service).lanes;
+    StreamLane &lane = lanes.lane(request.group);
     if (kind != AnswerKind::Full) {
-        const auto refusingSince = std::exchange(service.refusingSince, std::nullopt);
-        if (refusingSince && now - *refusingSince >= settings_.outagePatience) {
-            beginStreams(service, request.service);
+        if (lane.onAnswer(now)) {
+            lanes.beginAnew(request.group);
         }
         return;
     }
-    const bool stoodStill = now - request.sentAt >= settings_.standstill;
-    const TimePoint since = stoodStill ? now - settings_.outagePatience : now;
-    service.refusingSince = std::min(since, service.refusingSince.value_or(since));
-    if (now - *service.refusingSince >= settings_.outagePatience) {
+    lane.onRefusal(request.sentAt, now);
+    if (lanes.isOut(now)) {
         request.comeBack = latestReturn(request, now);
     }
 }
@@ -423,13 +381,13 @@
     const InstanceId upstream = request->upstream;
     noteAnswer(*request, kind, now);
     if (kind == AnswerKind::Success) {
-        outliers_.onSuccess(upstream);
+        chooser_.onSuccess(upstream);
         request->answering = true;
         request->headSent = true;
         return true;
     }
     if (kind == AnswerKind::Failure || kind == AnswerKind::Invalid) {
-        outliers_.onFailure(upstream, now);
+        chooser_.onFailure(upstream, now);
         request->mayHaveRun = true;
         // The last word of an upstream goes to the caller when nothing better can be had.
         if (kind == AnswerKind::Failure && !request->headSent && !mayTryAgain(*request, now)) {
@@ -438,7 +396,11 @@
             return true;
         }
     }
-    noteRefusal(upstream, kind, now);
+    if (kind == AnswerKind::Full) {
+        chooser_.onFull(upstream, now);
+    } else if (kind == AnswerKind::WrongInstance) {
+        chooser_.onWrongInstance(upstream, now);
+    }
     actions.push_back(CancelAttempt{number});
     leaveUpstream(*request);
     if (saysNotRun(kind) || mayRepeat(*request)) {
@@ -460,17 +422,19 @@
     }
     const InstanceId upstream = request->upstream;
     const bool answering = request->answering;
+    const GroupId group = request->group;
     leaveUpstream(*request);
     if (end == AttemptEnd::Complete && answering) {
         endRequest(number);
         return;
     }
     if (end == AttemptEnd::NotSent) {
-        states_[upstream].avoidUntil = now + settings_.unreachablePause;
+        chooser_.onUnreachable(upstream, now);
+        serviceOf(request->service).lanes.lane(group).onUnreachable(now);
         --request->attempts;
         ++request->unsent;
         if (request->unsent <= settings_.maxUnsent) {
-            if (!startAttempt(number, *request, now, actions)) {
+            if (!startAgain(number, *request, now, actions)) {
                 giveUp(number, FailureCode::NoUpstream, actions);
             }
             return;
@@ -478,7 +442,7 @@
         giveUp(number, FailureCode::NoUpstream, actions);
         return;
     }
-    outliers_.onFailure(upstream, now);
+    chooser_.onFailure(upstream, now);
     request->mayHaveRun = true;
     const bool mayResume = !request->headSent || request->request.route->resumable;
     if (mayRepeat(*request) && mayResume) {
@@ -494,7 +458,7 @@
     Request &request = requests_.at(number);
     const bool allowed = request.attempts < request.request.route->maxAttempts;
     if (allowed && budgets_.at(request.service).take()
-        && startAttempt(number, request, now, actions)) {
+        && startAgain(number, request, now, actions)) {
         ++secondAttempts_;
         return;
     }
@@ -543,10 +507,8 @@
 void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
 {
     upstreams_.expire(now);
-    std::erase_if(states_, [now](const auto &entry) {
-        const UpstreamState &state = entry.second;
-        return state.inFlight == 0 && state.avoidUntil <= now && state.fullUntil <= now;
-    });
+    groups_.expire(now);
+    chooser_.expire(now);
     std::vector<RequestNumber> late;
     for (const auto &[number, request] : requests_) {
         const bool waitedLong = request.waits && now - request.arrivedAt >= longestWait(request);
@@ -565,15 +527,10 @@
         giveUp(number, FailureCode::UpstreamTimedOut, actions);
     }
     for (auto &[name, service] : services_) {
-        service.limiter.onTick(service.streams, service.waiting.size(), now);
-        admitWaiting(service, now, actions);
+        ServiceState &current = serviceOf(name);
+        current.lanes.onTick(current.waiting.size(), groups_, now);
+        admitWaiting(current, now, actions);
     }
 }
 
-std::uint32_t GatewayCore::inFlightAt(const InstanceId &upstream) const
-{
-    const auto found = states_.find(upstream);
-    return found == states_.end() ? 0 : found->second.inFlight;
-}
-
 } // namespace seamarch
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -9,17 +9,23 @@
 // A stream that breaks off after its head has gone to the caller is taken up at another upstream
 // after the last whole event, where its route allows that.
 //
+// Streams are admitted by group, because the ranks of a group make every pass together and slow
+// down, stand still and break together: each group has a lane with a bound of its own (StreamLane).
+// A stream goes to a group of the own hall while that admits it, else to another group, and waits
+// only when none does. A lane whose group stands still, refuses or cannot be reached is avoided
+// while there is another, but for a request now and then that shows when it works again.
+//
 // The class is a pure state machine: events and the time come in, actions go out, and the shell
 // around it (src/gateway) carries them out. Single-threaded.
 #pragma once
 
+#include "decision/gateway/grouptable.h"
 #include "decision/gateway/routetable.h"
+#include "decision/gateway/servicelanes.h"
 #include "decision/gateway/statedwaits.h"
-#include "decision/gateway/streamlimiter.h"
 #include "decision/gateway/streamqueue.h"
+#include "decision/gateway/upstreamchooser.h"
 #include "decision/gateway/upstreamtable.h"
-#include "decision/gateway/upstreamturn.h"
-#include "decision/retry/outlierdetector.h"
 #include "decision/retry/retrybudget.h"
 #include "seamarch/ids.h"
 #include "seamarch/outcome.h"
@@ -72,6 +78,7 @@
     RequestNumber request = 0;
     std::uint32_t attempt = 0; // From 1.
     UpstreamRecord upstream;
+    GroupId group; // Of the upstream; without a name where none is known.
     Duration timeLeft{};
     bool mayUseOldConnection = false; // A kept connection that may be closing unseen will do.
 };
@@ -115,29 +122,13 @@
     {
         HallId hall;
         std::uint64_t seed = 0;
-        // What an upstream in another hall is charged, in requests in flight: bytes between halls
-        // are dear, and the way there can be cut.
-        double otherHallPenalty = 2.0;
-        // How long an upstream that refused for want of room is passed over.
-        Duration fullPause = std::chrono::milliseconds(150);
-        // How long an upstream that could not be connected to is passed over.
-        Duration unreachablePause = std::chrono::seconds(1);
-        // How long an address that another instance holds is passed over: a list that is out of
-        // date is corrected within that time.
-        Duration wrongInstancePause = std::chrono::seconds(5);
         // When a refused caller may come back.
         Duration retryAfter = std::chrono::milliseconds(250);
-        // A service whose upstreams have refused everything for this long is out: callers are told
-        // to come back as late as they will.
-        Duration outagePatience = std::chrono::milliseconds(300);
-        // An upstream without room refuses at once. One that refuses only after so long had taken
-        // the request and stood still: its whole group does, and says so to all at this moment.
-        Duration standstill = std::chrono::milliseconds(1000);
         // Attempts that could not even connect do not count as attempts; this bounds them.
         std::uint32_t maxUnsent = 3;
         RetryLimits retries;
-        OutlierDetector::Settings outliers;
-        StreamLimiter::Settings streams;
+        UpstreamChooser::Settings choice; // Its hall is set from `hall`.
+        ServiceLanes::Settings lanes;
         // A stream that waits for a place is refused so long before its caller leaves: its first
         // event would come too late.
         Duration waitMargin = std::chrono::milliseconds(300);
@@ -156,11 +147,13 @@
     // Takes how many gateways share the upstreams, this one among them.
     void setGateways(std::size_t count);
     // Takes where this gateway stands among those of its hall.
-    void setPlace(const HallPlace &place) { place_ = place; }
+    void setPlace(const HallPlace &place);
     void setRetryLimits(const RetryLimits &limits);
 
     UpstreamTable &upstreams() { return upstreams_; }
     const UpstreamTable &upstreams() const { return upstreams_; }
+    GroupTable &groups() { return groups_; }
+    const GroupTable &groups() const { return groups_; }
 
     // Admits a request and sends it, has it wait, or rejects it.
     RequestNumber begin(GatewayRequest request, TimePoint now, GatewayActions &actions);
@@ -168,9 +161,9 @@
     // that is being taken up, when its events are to follow those that went before.
     bool onHead(RequestNumber request, AnswerKind kind, TimePoint now, GatewayActions &actions);
     void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
-    // The first event of the request's stream has come.
+    // The first event of the attempt under way has come.
     void onFirstEvent(RequestNumber request, TimePoint now);
-    // An event of the request's stream came `pause` after the one before it.
+    // An event came `pause` after the one before it of the same attempt.
     void onPause(RequestNumber request, Duration pause, TimePoint now);
     // The caller has left. The request is over.
     void onCallerGone(RequestNumber request, GatewayActions &actions);
@@ -179,11 +172,17 @@
 
     std::size_t inFlight() const { return requests_.size(); }
     std::size_t waiting(const TargetName &service) const;
+    // Returns the streams in flight at a service, at all its groups; and the sum of their bounds.
     std::uint32_t streams(const TargetName &service) const;
     double streamLimit(const TargetName &service) const;
+    // Returns the lane of one group; nothing when no request has gone there.
+    const StreamLane *lane(const TargetName &service, const GroupId &group) const;
     std::uint64_t secondAttempts() const { return secondAttempts_; }
     // Returns this gateway's requests in flight at an upstream.
-    std::uint32_t inFlightAt(const InstanceId &upstream) const;
+    std::uint32_t inFlightAt(const InstanceId &upstream) const
+    {
+        return chooser_.inFlightAt(upstream);
+    }
 
 private:
     struct Request
@@ -197,6 +196,8 @@
         Duration comeBack{};      // When a refused caller may come back; zero: the usual pause.
         bool waits = false;       // For the bound on streams; nothing was sent yet.
         InstanceId upstream;      // Of the attempt under way; empty: none.
+        GroupId group;            // Of that upstream, when the attempt began.
+        bool speaks = false;      // The attempt under way has sent an event.
         std::set<InstanceId> tried;
         std::uint32_t attempts = 0; // That reached an upstream, as far as is known.
         std::uint32_t unsent = 0;
@@ -205,60 +206,49 @@
         bool answering = false; // The attempt under way has sent its head.
     };
 
-    // The streams in flight at one service, and those that wait.
+    // The streams in flight at one service, by group, and those that wait.
     struct ServiceState
     {
-        StreamLimiter limiter;
-        std::uint32_t streams = 0;
-        std::deque<TimePoint> started;          // Of the streams of the last second.
-        std::optional<TimePoint> refusingSince; // No upstream has answered otherwise since.
+        explicit ServiceState(const ServiceLanes::Settings &settings)
+            : lanes(settings)
+        {}
+
+        ServiceLanes lanes;
+        std::deque<TimePoint> started; // Of the streams of the last second.
         StreamQueue waiting;
         Duration firstEvent{}; // From an attempt's start, on average of late; zero: not known.
     };
 
-    struct UpstreamState
-    {
-        std::uint32_t inFlight = 0;
-        TimePoint avoidUntil{};
-        TimePoint fullUntil{};
-    };
-
     RetryBudget::Settings ownBudget() const;
     bool mayRepeat(const Request &request) const;
     bool mayTryAgain(const Request &request, TimePoint now);
-    std::optional<InstanceId> choose(const Request &request, TimePoint now);
-    double score(const UpstreamRecord &record, double turn);
-    std::unordered_map<InstanceId, double>
-    turnsOf(const std::vector<const UpstreamRecord *> &candidates) const;
     TargetName chooseService(const RouteRule &route);
-    bool startAttempt(RequestNumber number, Request &request, TimePoint now,
-                      GatewayActions &actions);
+    StreamLane &laneOf(const Request &request);
+    bool startAttempt(RequestNumber number, Request &request, const std::optional<GroupId> &group,
+                      TimePoint now, GatewayActions &actions);
+    bool startAgain(RequestNumber number, Request &request, TimePoint now, GatewayActions &actions);
     void retryOrGiveUp(RequestNumber number, FailureCode failure, TimePoint now,
                        GatewayActions &actions);
     void giveUp(RequestNumber number, FailureCode failure, GatewayActions &actions);
     void leaveUpstream(Request &request);
-    ServiceState &serviceOf(const Request &request);
-    void beginStreams(ServiceState &service, const TargetName &name);
+    ServiceState &serviceOf(const TargetName &service);
     void endRequest(RequestNumber number);
     void noteAnswer(Request &request, AnswerKind kind, TimePoint now);
     static StreamQueue::Entry entryFor(RequestNumber number, const Request &request,
                                        const ServiceState &service);
-    bool mayStart(const ServiceState &service, const StreamQueue::Entry &entry,
-                  TimePoint now) const;
     Duration longestWait(const Request &request) const;
     Duration latestReturn(const Request &request, TimePoint now) const;
     Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
     void queueStream(RequestNumber number, Request &request, TimePoint now,
                      GatewayActions &actions);
     void admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions);
-    void noteRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
     Request *find(RequestNumber number);
 
     Settings settings_;
     std::mt19937_64 random_;
     UpstreamTable upstreams_;
-    OutlierDetector outliers_;
-    std::unordered_map<InstanceId, UpstreamState> states_;
+    GroupTable groups_;
+    UpstreamChooser chooser_; // Refers to both tables.
     std::unordered_map<TargetName, RetryBudget> budgets_;
     std::unordered_map<TargetName, ServiceState> services_;
     std::unordered_map<std::string, StatedWaits> statedWaits_; // By the route's name.
--- /dev/null
+++ b/src/decision/gateway/grouptable.cpp
@@ -0,0 +1,142 @@
+#include "decision/gateway/grouptable.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace seamarch {
+namespace {
+
+// A group that copies experts or reads a prompt is slow as a whole, so ranks are held against each
+// other and not against a fixed figure.
+double medianPace(const std::vector<GroupMember> &members)
+{
+    std::vector<double> paces;
+    paces.reserve(members.size());
+    for (const GroupMember &member : members) {
+        paces.push_back(member.pace);
+    }
+    if (paces.empty()) {
+        return 1.0;
+    }
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+std::string describe(const GroupFacts &facts)
+{
+    std::string text =
+        fmt::format("{} {} {}", facts.group.value(), facts.epoch, facts.open ? 1 : 0);
+    for (const GroupMember &member : facts.members) {
+        text += fmt::format(" {}:{} {:.2f}", member.host, member.port, member.pace);
+    }
+    return text;
+}
+
+std::uint64_t digest(const std::string &text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+std::uint64_t markOf(const GroupFacts &facts)
+{
+    return digest(describe(facts));
+}
+
+bool GroupTable::learn(const GroupFacts &facts, TimePoint asOf)
+{
+    const auto [found, added] = groups_.try_emplace(facts.group);
+    Known &known = found->second;
+    if (!added && asOf <= known.asOf) {
+        return false;
+    }
+    const bool same = !added && known.facts == facts;
+    known = {facts, asOf};
+    index(known);
+    if (!same) {
+        remark();
+    }
+    return true;
+}
+
+void GroupTable::renew(const GroupId &group, TimePoint asOf)
+{
+    const auto found = groups_.find(group);
+    if (found != groups_.end() && asOf > found->second.asOf) {
+        found->second.asOf = asOf;
+        index(found->second);
+    }
+}
+
+// Notes where the members belong. An engine that is no longer named stays where it was until
+// another group names it: an agent that has just begun to decide does not know all ranks yet, and a
+// rank that is frozen or dead has not left its group.
+void GroupTable::index(const Known &known)
+{
+    const GroupFacts &facts = known.facts;
+    const double median = medianPace(facts.members);
+    for (const GroupMember &member : facts.members) {
+        Place &place = places_[{member.host, member.port}];
+        if (place.asOf <= known.asOf) {
+            changes_ += place.group == facts.group ? 0 : 1;
+            place = {facts.group, known.asOf, median > 0.0 ? member.pace / median : 1.0};
+        }
+    }
+}
+
+void GroupTable::expire(TimePoint now)
+{
+    const auto over = [&](const auto &entry) { return now - entry.second.asOf > settings_.life; };
+    if (std::erase_if(groups_, over) == 0) {
+        return;
+    }
+    std::erase_if(places_,
+                  [this](const auto &entry) { return !groups_.contains(entry.second.group); });
+    ++changes_;
+    remark();
+}
+
+GroupId GroupTable::groupOf(const UpstreamRecord &upstream) const
+{
+    const auto found = places_.find({upstream.host, upstream.port});
+    return found == places_.end() ? GroupId() : found->second.group;
+}
+
+double GroupTable::slowness(const UpstreamRecord &upstream, TimePoint now) const
+{
+    const auto found = places_.find({upstream.host, upstream.port});
+    const bool known = found != places_.end() && now - found->second.asOf < settings_.paceLife;
+    return known ? found->second.slowness : 1.0;
+}
+
+bool GroupTable::closed(const GroupId &group, TimePoint now) const
+{
+    const auto found = groups_.find(group);
+    return found != groups_.end() && !found->second.facts.open
+           && now - found->second.asOf < settings_.closedLife;
+}
+
+bool GroupTable::outOfTouch(const GroupId &group, TimePoint now) const
+{
+    const auto found = groups_.find(group);
+    const auto fresh = [&](const auto &entry) {
+        return now - entry.second.asOf < settings_.touchLife;
+    };
+    return found != groups_.end() && !fresh(*found)
+           && std::any_of(groups_.begin(), groups_.end(), fresh);
+}
+
+void GroupTable::remark()
+{
+    std::string text;
+    for (const auto &[group, known] : groups_) {
+        text += describe(known.facts);
+        text += '\n';
+    }
+    mark_ = text.empty() ? 0 : digest(text);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/servicelanes.h
@@ -0,0 +1,103 @@
+// The lanes of one service: to which of its groups the next stream goes, or that it waits.
+//
+// The own hall's groups come first, because bytes between halls are dear and the way there can be
+// cut. What they do not admit overflows to the group of another hall that is the emptiest by this
+// gateway's own bound there, before anything waits: two whole groups carry what a third cannot.
+// Groups that stand still, refuse or cannot be reached are avoided while there is another.
+//
+// When a group falls out, all gateways of its hall look for another at the same moment. Three
+// things keep them from tipping the next one over: a gateway's bound at a group of another hall
+// begins with a few streams, grows by steps while pauses there are short, and falls earlier than
+// that of the group's own hall; and gateways that see several groups alike begin with different
+// ones.
+//
+// Pure and single-threaded.
+#pragma once
+
+#include "decision/gateway/grouptable.h"
+#include "decision/gateway/streamlane.h"
+#include "decision/gateway/streamqueue.h"
+#include "decision/gateway/upstreamchooser.h"
+#include "decision/gateway/upstreamturn.h"
+#include "seamarch/ids.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace seamarch {
+
+// How a gateway stands among those that share a service's groups.
+struct GatewayShare
+{
+    std::size_t gateways = 1; // Of the site, this one among them.
+    HallPlace place;
+};
+
+class ServiceLanes
+{
+public:
+    struct Settings
+    {
+        StreamLane::Settings lane;
+        // The bound at a group of another hall falls and stops rising at this part of the pauses at
+        // which that of the own hall does, so that a guest leaves before those at home must.
+        double guestPart = 1.0;
+    };
+
+    explicit ServiceLanes(const Settings &settings)
+        : settings_(settings)
+    {}
+
+    // Takes the groups that there are now, and who shares them. `groups` outlives the next call.
+    void setGroups(const UpstreamChooser::Groups &groups, const GatewayShare &share);
+
+    // Returns the group that `entry` may begin at now; nothing when it should wait.
+    std::optional<GroupId> laneFor(const StreamQueue::Entry &entry, const GroupTable &table,
+                                   TimePoint now);
+    // Returns the group for a request that was sent before and is sent again, whatever the bounds.
+    std::optional<GroupId> laneForRetry(const GroupTable &table, TimePoint now) const;
+
+    // Returns the lane of a group; adds one.
+    StreamLane &lane(const GroupId &group);
+    const StreamLane *find(const GroupId &group) const;
+    const std::map<GroupId, StreamLane> &all() const { return lanes_; }
+
+    // The group has answered after an outage, in which callers have queued: its bound begins anew.
+    void beginAnew(const GroupId &group);
+    // Tells whether every group refuses.
+    bool isOut(TimePoint now) const;
+    // Adapts the bounds; `waiting` streams wait for a place.
+    void onTick(std::size_t waiting, const GroupTable &table, TimePoint now);
+
+private:
+    // How much is wrong with a lane; the least is used.
+    enum class Trouble : std::uint8_t { None, StandsStill, Refuses, Unreachable };
+
+    // A lane as the choice sees it.
+    struct Option
+    {
+        GroupId group;
+        Trouble trouble = Trouble::None;
+        bool foreign = false;
+        double fill = 0.0; // Streams over the bound.
+        std::size_t turn = 0;
+    };
+
+    Trouble troubleOf(const GroupId &group, const StreamLane &lane, const GroupTable &table,
+                      TimePoint now) const;
+    std::vector<Option> options(const GroupTable &table, TimePoint now) const;
+    std::optional<GroupId> laneToProbe(const std::vector<Option> &options, const GroupTable &table,
+                                       TimePoint now);
+    bool mayStart(const StreamLane &lane, const StreamQueue::Entry &entry, TimePoint now) const;
+    void begin(StreamLane &lane, const UpstreamChooser::Group &group) const;
+
+    Settings settings_;
+    const UpstreamChooser::Groups *groups_ = nullptr;
+    GatewayShare share_;
+    std::map<GroupId, StreamLane> lanes_;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/streamlane.cpp
@@ -0,0 +1,92 @@
+#include "decision/gateway/streamlane.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+
+void StreamLane::onSent(TimePoint now)
+{
+    if (inFlight_ == 0) {
+        quietSince_ = now;
+    }
+    ++inFlight_;
+}
+
+void StreamLane::onLeft(bool spoke)
+{
+    inFlight_ -= inFlight_ > 0 ? 1 : 0;
+    speaking_ -= spoke && speaking_ > 0 ? 1 : 0;
+}
+
+void StreamLane::noteWord(TimePoint now)
+{
+    quietSince_ = now;
+    standsStill_ = false;
+}
+
+void StreamLane::onFirstEvent(TimePoint now)
+{
+    ++speaking_;
+    noteWord(now);
+}
+
+void StreamLane::onPause(Duration pause, Duration goal, TimePoint now)
+{
+    goal_ = goal > Duration{} ? goal : goal_;
+    noteWord(now);
+    limiter_.onPause(pause, goal, now);
+}
+
+bool StreamLane::onAnswer(TimePoint now)
+{
+    unreachable_ = 0;
+    const auto since = std::exchange(refusingSince_, std::nullopt);
+    return since && now - *since >= settings_.outagePatience;
+}
+
+void StreamLane::onRefusal(TimePoint sentAt, TimePoint now)
+{
+    unreachable_ = 0;
+    const bool stoodStill = now - sentAt >= settings_.lateRefusal;
+    const TimePoint since = stoodStill ? now - settings_.outagePatience : now;
+    refusingSince_ = std::min(since, refusingSince_.value_or(since));
+}
+
+void StreamLane::onUnreachable(TimePoint now)
+{
+    ++unreachable_;
+    probedAt_ = now;
+}
+
+bool StreamLane::silent(TimePoint now) const
+{
+    if (inFlight_ == 0) {
+        return false;
+    }
+    const Duration goals = fromSeconds(toSeconds(goal_) * settings_.standstillGoals);
+    const Duration patience =
+        speaking_ > 0 ? std::max(goals, settings_.leastStandstill) : settings_.firstEventPatience;
+    return now - quietSince_ >= patience;
+}
+
+void StreamLane::onTick(std::size_t waiting, TimePoint now)
+{
+    standsStill_ = standsStill_ || silent(now);
+    limiter_.onTick(inFlight_, waiting, now);
+}
+
+bool StreamLane::refuses(TimePoint now) const
+{
+    return refusingSince_ && now - *refusingSince_ >= settings_.outagePatience;
+}
+
+bool StreamLane::probeDue(TimePoint now) const
+{
+    if (standsStill_ && inFlight_ > 0) {
+        return false;
+    }
+    return now - probedAt_ >= (unreachable() ? settings_.unreachableProbeGap : settings_.probeGap);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/streamlane.h
@@ -0,0 +1,112 @@
+// The streams that a gateway has at one group of engines, and what it concludes of the group from
+// them alone.
+//
+// The ranks of a group make their passes together: all its streams get an event at the end of each
+// pass, and none while the group stands still. So a few streams tell within some passes' time that
+// a group is held, cut off or has lost a rank, long before its upstreams refuse anything. A lane
+// says whether new streams should rather go elsewhere; it never forbids its group when there is no
+// other.
+//
+// Pure and single-threaded; one object for each group of a service.
+#pragma once
+
+#include "decision/gateway/streamlimiter.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace seamarch {
+
+class StreamLane
+{
+public:
+    struct Settings
+    {
+        StreamLimiter::Settings streams;
+        // A group whose streams have all been silent for so many times their pause goal stands
+        // still. After a shift of demand passes take up to two and a half times as long as before,
+        // which stays below; a hold that is released in time lasts as long as one or two passes.
+        double standstillGoals = 2.0;
+        // Shorter silences happen on a lossy link, where a lost packet is sent again after a fifth
+        // of a second.
+        Duration leastStandstill = std::chrono::milliseconds(250);
+        // While no stream has sent an event yet, the first may take this long: some passes, in
+        // which the prompt is read, behind a few others.
+        Duration firstEventPatience = std::chrono::milliseconds(1000);
+        // A group that has refused everything for this long is out.
+        Duration outagePatience = std::chrono::milliseconds(300);
+        // An upstream without room refuses at once. One that refuses only after so long had taken
+        // the request and stood still: its whole group does, and says so to all at this moment.
+        Duration lateRefusal = std::chrono::milliseconds(1000);
+        // So many upstreams in a row that could not be connected to: the way to the group is cut.
+        std::uint32_t unreachableAfter = 2;
+        // How often a lane that should be avoided is tried with one request all the same.
+        Duration probeGap = std::chrono::milliseconds(250);
+        // A try costs its request the time of a connection that is not made.
+        Duration unreachableProbeGap = std::chrono::milliseconds(1000);
+    };
+
+    StreamLane() = default;
+    explicit StreamLane(const Settings &settings)
+        : settings_(settings)
+        , limiter_(settings.streams)
+    {}
+
+    StreamLimiter &limiter() { return limiter_; }
+    const StreamLimiter &limiter() const { return limiter_; }
+    std::uint32_t inFlight() const { return inFlight_; }
+
+    // A stream was sent there.
+    void onSent(TimePoint now);
+    // It is there no more; `spoke`: it had sent events.
+    void onLeft(bool spoke);
+    // A stream has sent its first event.
+    void onFirstEvent(TimePoint now);
+    // An event came `pause` after the one before it on the same stream; `goal` is its route's.
+    void onPause(Duration pause, Duration goal, TimePoint now);
+
+    // An upstream of the group has answered a request, and not for want of room. Returns true when
+    // that ends an outage.
+    bool onAnswer(TimePoint now);
+    // An upstream has refused, for want of room, a request that was sent at `sentAt`.
+    void onRefusal(TimePoint sentAt, TimePoint now);
+    // An upstream could not be connected to.
+    void onUnreachable(TimePoint now);
+    // A request goes there although the lane should be avoided.
+    void onProbe(TimePoint now) { probedAt_ = now; }
+
+    // Adapts the bound and looks for a standstill. `waiting` is the number of requests that wait
+    // for a place there.
+    void onTick(std::size_t waiting, TimePoint now);
+
+    // Tells whether the group was found to stand still, and nothing was heard of it since.
+    bool standsStill() const { return standsStill_; }
+    bool refuses(TimePoint now) const;
+    bool unreachable() const { return unreachable_ >= settings_.unreachableAfter; }
+    // Tells whether no stream there has sent an event for a while, or there is none.
+    bool quiet(TimePoint now) const
+    {
+        return speaking_ == 0 || now - quietSince_ >= settings_.firstEventPatience;
+    }
+    // Tells whether it is time to see with one request whether an avoided lane works again. Streams
+    // that are there will show it themselves.
+    bool probeDue(TimePoint now) const;
+
+private:
+    void noteWord(TimePoint now);
+    bool silent(TimePoint now) const;
+
+    Settings settings_;
+    StreamLimiter limiter_;
+    std::uint32_t inFlight_ = 0;
+    std::uint32_t speaking_ = 0; // Of those, that have sent events.
+    Duration goal_{};            // Of the pauses, as last told.
+    TimePoint quietSince_{};     // The last event of any stream, or the first stream after none.
+    bool standsStill_ = false;
+    std::optional<TimePoint> refusingSince_; // No upstream has answered otherwise since.
+    std::uint32_t unreachable_ = 0;          // Attempts in a row that could not connect.
+    TimePoint probedAt_{};
+};
+
+} // namespace seamarch
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -28,6 +28,12 @@
     limit_ = std::exchange(begun_, true) ? std::min(limit_, share) : share;
 }
 
+void StreamLimiter::beginLeast()
+{
+    limit_ = settings_.least;
+    begun_ = true;
+}
+
 void StreamLimiter::onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now)
 {
     if (now - adaptedAt_ < settings_.period) {
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -60,6 +60,8 @@
     // Begins with an even share of `slots` among `gateways`, where the bound is above it or nothing
     // was learned yet: the engines are new, or have stood still while callers queued.
     void begin(double slots, double gateways);
+    // Begins with the fewest streams.
+    void beginLeast();
     // Adapts the bound. `waiting` is the number of requests that wait for it.
     void onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now);
 
--- /dev/null
+++ b/src/decision/gateway/upstreamchooser.cpp
@@ -0,0 +1,150 @@
+#include "decision/gateway/upstreamchooser.h"
+
+#include <algorithm>
+
+namespace seamarch {
+
+UpstreamChooser::UpstreamChooser(const Settings &settings, const UpstreamTable &upstreams,
+                                 const GroupTable &groups)
+    : settings_(settings)
+    , upstreams_(upstreams)
+    , groups_(groups)
+    , outliers_(settings.outliers)
+{}
+
+const UpstreamChooser::Groups &UpstreamChooser::groupsOf(const TargetName &service)
+{
+    const auto [found, added] = grouped_.try_emplace(service);
+    Grouped &grouped = found->second;
+    const bool changed = grouped.upstreamChanges != upstreams_.changes()
+                         || grouped.groupChanges != groups_.changes();
+    if (added || changed) {
+        grouped = {upstreams_.changes(), groups_.changes(), collect(service)};
+    }
+    return grouped.groups;
+}
+
+UpstreamChooser::Groups UpstreamChooser::collect(const TargetName &service) const
+{
+    Groups groups;
+    for (const UpstreamRecord *record : upstreams_.candidates(service)) {
+        Group &group = groups[groups_.groupOf(*record)];
+        group.inManyHalls =
+            group.inManyHalls
+            || (!group.upstreams.empty() && group.upstreams.front()->hall != record->hall);
+        group.inOwnHall = group.inOwnHall || record->hall == settings_.hall;
+        group.slots += record->slots;
+        group.upstreams.push_back(record);
+    }
+    return groups;
+}
+
+// Rates an upstream; the lowest is the best. `turn` is its place in the own order of its hall's
+// upstreams, from 0 to 1.
+double UpstreamChooser::score(const UpstreamRecord &record, double turn) const
+{
+    constexpr double kTurnWeight = 0.5; // Less than one request in flight.
+    const double penalty = record.hall == settings_.hall ? 0.0 : settings_.otherHallPenalty;
+    return inFlightAt(record.id) + penalty + kTurnWeight * turn;
+}
+
+// Returns the turn of each upstream in this gateway's order of its hall's upstreams, from 0 to 1.
+UpstreamChooser::Turns
+UpstreamChooser::turnsOf(const std::vector<const UpstreamRecord *> &upstreams) const
+{
+    std::unordered_map<HallId, std::vector<InstanceId>> halls;
+    for (const UpstreamRecord *record : upstreams) {
+        halls[record->hall].push_back(record->id);
+    }
+    Turns turns;
+    for (const auto &[hall, ids] : halls) {
+        for (std::size_t index = 0; index < ids.size(); ++index) {
+            const auto turn = static_cast<double>(upstreamTurn(index, ids.size(), place_));
+            turns.emplace(ids[index], turn / static_cast<double>(ids.size()));
+        }
+    }
+    return turns;
+}
+
+std::optional<InstanceId> UpstreamChooser::choose(const TargetName &service,
+                                                  const std::optional<GroupId> &group,
+                                                  const std::set<InstanceId> &tried, TimePoint now)
+{
+    std::vector<const UpstreamRecord *> candidates;
+    for (const auto &[id, members] : groupsOf(service)) {
+        if (!group || *group == id) {
+            candidates.insert(candidates.end(), members.upstreams.begin(), members.upstreams.end());
+        }
+    }
+    const Turns turns = turnsOf(candidates);
+    std::erase_if(candidates, [&](const UpstreamRecord *record) {
+        const auto state = states_.find(record->id);
+        const bool full = state != states_.end() && state->second.fullUntil > now;
+        return full || tried.contains(record->id);
+    });
+    std::vector<InstanceId> ids;
+    ids.reserve(candidates.size());
+    for (const UpstreamRecord *record : candidates) {
+        ids.push_back(record->id);
+    }
+    const std::vector<InstanceId> trusted = outliers_.remaining(ids, now);
+    const auto isDoubtful = [&](const UpstreamRecord *record) {
+        const auto state = states_.find(record->id);
+        const bool avoided = state != states_.end() && state->second.avoidUntil > now;
+        return avoided || groups_.slowness(*record, now) >= settings_.slowRank
+               || std::find(trusted.begin(), trusted.end(), record->id) == trusted.end();
+    };
+    std::optional<InstanceId> best;
+    double bestScore = 0.0;
+    bool bestDoubtful = true;
+    for (const UpstreamRecord *record : candidates) {
+        const bool doubtful = isDoubtful(record);
+        const double value = score(*record, turns.at(record->id));
+        if (!best || (bestDoubtful && !doubtful)
+            || (bestDoubtful == doubtful && value < bestScore)) {
+            best = record->id;
+            bestScore = value;
+            bestDoubtful = doubtful;
+        }
+    }
+    return best;
+}
+
+void UpstreamChooser::onLeft(const InstanceId &upstream)
+{
+    const auto found = states_.find(upstream);
+    if (found != states_.end() && found->second.inFlight > 0) {
+        --found->second.inFlight;
+    }
+}
+
+void UpstreamChooser::onFull(const InstanceId &upstream, TimePoint now)
+{
+    states_[upstream].fullUntil = now + settings_.fullPause;
+}
+
+void UpstreamChooser::onWrongInstance(const InstanceId &upstream, TimePoint now)
+{
+    states_[upstream].avoidUntil = now + settings_.wrongInstancePause;
+}
+
+void UpstreamChooser::onUnreachable(const InstanceId &upstream, TimePoint now)
+{
+    states_[upstream].avoidUntil = now + settings_.unreachablePause;
+}
+
+void UpstreamChooser::expire(TimePoint now)
+{
+    std::erase_if(states_, [now](const auto &entry) {
+        const State &state = entry.second;
+        return state.inFlight == 0 && state.avoidUntil <= now && state.fullUntil <= now;
+    });
+}
+
+std::uint32_t UpstreamChooser::inFlightAt(const InstanceId &upstream) const
+{
+    const auto found = states_.find(upstream);
+    return found == states_.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/upstreamchooser.h
@@ -0,0 +1,126 @@
+// Which upstream of a service, or of one group of it, a gateway sends a request to.
+//
+// The upstream with the fewest of this gateway's requests is the best; one in another hall is
+// charged for the way. Upstreams that failed, that could not be reached, or that are slow ranks of
+// their group are passed over while others are left. Upstreams without room are passed over always,
+// because asking them again at once only adds to their load.
+//
+// A slow rank is worth a rule of its own: its group makes no pass faster than it, so a prompt that
+// it reads, or a stream that it writes, at a fifth of the speed makes every stream of the group
+// wait, while any other rank could have taken it.
+//
+// Pure and single-threaded. The tables outlive the object.
+#pragma once
+
+#include "decision/gateway/grouptable.h"
+#include "decision/gateway/upstreamtable.h"
+#include "decision/gateway/upstreamturn.h"
+#include "decision/retry/outlierdetector.h"
+#include "seamarch/ids.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace seamarch {
+
+class UpstreamChooser
+{
+public:
+    struct Settings
+    {
+        HallId hall;
+        // What an upstream in another hall is charged, in requests in flight: bytes between halls
+        // are dear, and the way there can be cut.
+        double otherHallPenalty = 2.0;
+        // A rank that takes so many times as long as the median of its group is slow. Ranks that
+        // are well differ by a few parts in a hundred.
+        double slowRank = 1.5;
+        // How long an upstream that refused for want of room is passed over.
+        Duration fullPause = std::chrono::milliseconds(150);
+        // How long an upstream that could not be connected to is passed over.
+        Duration unreachablePause = std::chrono::seconds(1);
+        // How long an address that another instance holds is passed over: a list that is out of
+        // date is corrected within that time.
+        Duration wrongInstancePause = std::chrono::seconds(5);
+        OutlierDetector::Settings outliers;
+    };
+
+    // The upstreams of one group that may get requests, in the order of their ids.
+    struct Group
+    {
+        std::vector<const UpstreamRecord *> upstreams;
+        double slots = 0.0;
+        bool inOwnHall = false; // At least one of them is.
+        bool inManyHalls = false;
+    };
+
+    using Groups = std::map<GroupId, Group>;
+
+    UpstreamChooser(const Settings &settings, const UpstreamTable &upstreams,
+                    const GroupTable &groups);
+
+    // Takes where this gateway stands among those of its hall.
+    void setPlace(const HallPlace &place) { place_ = place; }
+
+    // Returns the groups of `service` that have upstreams. Valid until a table changes.
+    const Groups &groupsOf(const TargetName &service);
+
+    // Returns the best upstream that is not in `tried`; of `group`, where one is named.
+    std::optional<InstanceId> choose(const TargetName &service, const std::optional<GroupId> &group,
+                                     const std::set<InstanceId> &tried, TimePoint now);
+
+    // A request goes to `upstream`; it is there no more.
+    void onSent(const InstanceId &upstream) { ++states_[upstream].inFlight; }
+    void onLeft(const InstanceId &upstream);
+    void onFull(const InstanceId &upstream, TimePoint now);
+    void onWrongInstance(const InstanceId &upstream, TimePoint now);
+    void onUnreachable(const InstanceId &upstream, TimePoint now);
+    void onSuccess(const InstanceId &upstream) { outliers_.onSuccess(upstream); }
+    void onFailure(const InstanceId &upstream, TimePoint now)
+    {
+        outliers_.onFailure(upstream, now);
+    }
+
+    // Forgets what means nothing any more. Call it now and then.
+    void expire(TimePoint now);
+
+    // Returns this gateway's requests in flight at an upstream.
+    std::uint32_t inFlightAt(const InstanceId &upstream) const;
+
+private:
+    struct State
+    {
+        std::uint32_t inFlight = 0;
+        TimePoint avoidUntil{};
+        TimePoint fullUntil{};
+    };
+
+    // The groups of a service, as the tables stood after so many changes.
+    struct Grouped
+    {
+        std::uint64_t upstreamChanges = 0;
+        std::uint64_t groupChanges = 0;
+        Groups groups;
+    };
+
+    using Turns = std::unordered_map<InstanceId, double>;
+
+    Groups collect(const TargetName &service) const;
+    Turns turnsOf(const std::vector<const UpstreamRecord *> &upstreams) const;
+    double score(const UpstreamRecord &record, double turn) const;
+
+    Settings settings_;
+    const UpstreamTable &upstreams_;
+    const GroupTable &groups_;
+    OutlierDetector outliers_;
+    HallPlace place_;
+    std::unordered_map<InstanceId, State> states_;
+    std::unordered_map<TargetName, Grouped> grouped_;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/membership/groupsurvey.cpp
@@ -0,0 +1,82 @@
+#include "decision/membership/groupsurvey.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+
+bool GroupSurvey::mayAsk(const std::string &host, TimePoint now) const
+{
+    const auto found = agents_.find(host);
+    return found == agents_.end() || (!found->second.asked && now >= found->second.notBefore);
+}
+
+// Returns the host to ask about a known group: the agent that decided last, else the first of its
+// members that may be asked, because the lowest rank that lives decides.
+std::string GroupSurvey::sourceOf(const GroupTable::Known &known, TimePoint now) const
+{
+    const auto decider = deciders_.find(known.facts.group);
+    if (decider != deciders_.end()) {
+        return decider->second;
+    }
+    for (const GroupMember &member : known.facts.members) {
+        if (mayAsk(member.host, now)) {
+            return member.host;
+        }
+    }
+    return {};
+}
+
+std::vector<std::string> GroupSurvey::next(const std::vector<Engine> &engines,
+                                           const GroupTable &groups, TimePoint now)
+{
+    std::vector<std::string> hosts;
+    const auto ask = [&](const std::string &host) {
+        if (!host.empty() && mayAsk(host, now)) {
+            agents_[host].asked = true;
+            hosts.push_back(host);
+        }
+    };
+    for (const auto &[group, known] : groups.known()) {
+        ask(sourceOf(known, now));
+    }
+    for (const std::string &host : std::exchange(referred_, {})) {
+        ask(host);
+    }
+    std::size_t scouts = 0;
+    for (const Engine &engine : engines) {
+        if (groups.hasMember(engine.host, engine.port)) {
+            continue;
+        }
+        const auto agent = agents_.find(engine.host);
+        const bool asked = agent != agents_.end() && agent->second.asked;
+        if (asked || (scouts < settings_.scouts && mayAsk(engine.host, now))) {
+            ++scouts;
+            ask(engine.host);
+        }
+    }
+    return hosts;
+}
+
+void GroupSurvey::onDecider(const std::string &host, const GroupId &group)
+{
+    agents_[host] = {};
+    deciders_[group] = host;
+}
+
+void GroupSurvey::onReferred(const std::string &host, const std::string &deciderHost, TimePoint now)
+{
+    agents_[host] = {false, now + settings_.pause};
+    std::erase_if(deciders_, [&host](const auto &entry) { return entry.second == host; });
+    if (!deciderHost.empty() && deciderHost != host) {
+        referred_.push_back(deciderHost);
+    }
+}
+
+void GroupSurvey::onFailed(const std::string &host, TimePoint now)
+{
+    agents_[host] = {false, now + settings_.pause};
+    std::erase_if(deciders_, [&host](const auto &entry) { return entry.second == host; });
+}
+
+} // namespace seamarch
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -9,6 +9,7 @@
 #include "net/rpcpeer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -46,8 +47,9 @@
 class ExpertAgent::Server final : public wire::RankAgent::Server
 {
 public:
-    explicit Server(ExpertAgent &agent)
+    Server(ExpertAgent &agent, std::string peerHost)
         : agent_(agent)
+        , peerHost_(std::move(peerHost))
     {}
 
     kj::Promise<void> state(StateContext context) override
@@ -57,7 +59,7 @@
             std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(waiting.fulfiller));
         const auto params = context.getParams();
         const GroupId askerGroup(params.getAskerGroup().cStr());
-        agent_.onAsked(askerGroup, params.getAskerRank());
+        agent_.onAsked(askerGroup, params.getAskerRank(), peerHost_);
         const bool ownGroup = askerGroup == agent_.ownGroup_;
         const RankQuestion question{ownGroup && params.getCounts(), ownGroup && params.getExperts(),
                                     params.getCountsSince()};
@@ -115,8 +117,14 @@
         return kj::mv(waiting.promise);
     }
 
+    kj::Promise<void> group(GroupContext context) override
+    {
+        return agent_.reporter_.answer(context);
+    }
+
 private:
     ExpertAgent &agent_;
+    std::string peerHost_; // Of the agent or gateway that asks.
 };
 
 ExpertAgent::ExpertAgent(EventLoop &loop, const ExpertAgentSettings &settings,
@@ -126,6 +134,7 @@
     , store_(store)
     , engineCalls_(engineCalls)
     , metrics_(0)
+    , reporter_(loop)
     , startedAt_(loop.now())
 {}
 
@@ -156,7 +165,8 @@
     transport_ = std::move(*transport);
     auto listening = transport_->listen(settings_.listen, [this](kj::Own<RawStream> stream) {
         const std::uint64_t id = nextIncoming_++;
-        auto peer = RpcPeer::server(kj::mv(stream), kj::heap<Server>(*this));
+        auto server = kj::heap<Server>(*this, stream->peerHost());
+        auto peer = RpcPeer::server(kj::mv(stream), kj::mv(server));
         peer->onClosed([this, id] { loop_.post([this, id] { incoming_.erase(id); }); });
         incoming_.emplace(id, std::move(peer));
     });
@@ -242,6 +252,7 @@
         if (loop_.now() - ownAskedAt_ >= kOwnGap) {
             askOwn({});
         }
+        reportGroup();
         return;
     }
     if (!upstreams_.expire(loop_.now()).empty()) {
@@ -251,13 +262,44 @@
     planner_.look(current_, loop_.now());
     askGroup();
     runDecider();
+    reportGroup();
 }
 
-void ExpertAgent::onAsked(const GroupId &askerGroup, std::uint32_t askerRank)
+void ExpertAgent::onAsked(const GroupId &askerGroup, std::uint32_t askerRank,
+                          const std::string &askerHost)
 {
     if (ownRank_ && askerGroup == ownGroup_ && askerRank < *ownRank_) {
-        lower_ = LowerDecider{askerRank, loop_.now()};
+        lower_ = LowerDecider{askerRank, loop_.now(), askerHost};
+    }
+}
+
+void ExpertAgent::reportGroup()
+{
+    if (deciding() && decider_->size() > 0) {
+        reporter_.set(groupFacts(), decider_->heardAt());
+    } else {
+        reporter_.refer(lower_ ? lower_->host : std::string());
+    }
+}
+
+// Puts together what gateways are told of the group. Paces are rounded, so that small changes wake
+// nobody.
+GroupFacts ExpertAgent::groupFacts() const
+{
+    constexpr double kPaceStep = 0.25;
+    GroupFacts facts;
+    facts.group = ownGroup_;
+    facts.epoch = decider_->epoch();
+    facts.open = decider_->takesRequests();
+    const std::vector<double> paces = decider_->paces();
+    std::map<std::uint32_t, SocketAddress> engines = peers_->engines();
+    engines[*ownRank_] = settings_.engine;
+    for (const auto &[rank, engine] : engines) {
+        const double pace = rank < paces.size() ? paces[rank] : 1.0;
+        facts.members.push_back(
+            {engine.host, engine.port, std::round(pace / kPaceStep) * kPaceStep});
     }
+    return facts;
 }
 
 bool ExpertAgent::shouldDecide() const
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -14,6 +14,7 @@
 #include "decision/expertmap/expertplanner.h"
 #include "decision/expertmap/groupdecider.h"
 #include "decision/gateway/upstreamtable.h"
+#include "experts/groupreporter.h"
 #include "experts/orderrelay.h"
 #include "experts/ownengine.h"
 #include "experts/rankclient.h"
@@ -29,6 +30,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <tl/expected.hpp>
 
@@ -69,6 +71,7 @@
     {
         std::uint32_t rank = 0;
         TimePoint askedAt{};
+        std::string host;
     };
 
     // A map that was in use when it was last asked for, in this epoch.
@@ -96,7 +99,9 @@
     bool shouldDecide() const;
     void takeRole();
     void leaveRole();
-    void onAsked(const GroupId &askerGroup, std::uint32_t askerRank);
+    void onAsked(const GroupId &askerGroup, std::uint32_t askerRank, const std::string &askerHost);
+    void reportGroup();
+    GroupFacts groupFacts() const;
     void answer(RankQuestion question, OwnEngine::FactsDone done);
     void askOwn(RankQuestion question);
     void askGroup();
@@ -130,6 +135,7 @@
     std::unique_ptr<RankClient> ranks_;
     std::unique_ptr<OwnEngine> engine_;
     std::unique_ptr<OrderRelay> relay_; // Of the orders of other agents.
+    GroupReporter reporter_;
     std::map<std::uint64_t, std::unique_ptr<RpcPeer>> incoming_;
     GroupId ownGroup_; // Empty until the own engine has answered.
     std::optional<std::uint32_t> ownRank_;
--- /dev/null
+++ b/src/experts/groupreporter.cpp
@@ -0,0 +1,60 @@
+#include "experts/groupreporter.h"
+
+#include "gateway/gatewaywire.h"
+
+#include <algorithm>
+
+namespace seamarch {
+namespace {
+
+// The longest that a gateway may have its question wait.
+constexpr Duration kLongestWait = std::chrono::seconds(1);
+
+} // namespace
+
+void GroupReporter::set(const GroupFacts &facts, TimePoint asOf)
+{
+    asOf_ = asOf;
+    if (facts_ && *facts_ == facts) {
+        return;
+    }
+    facts_ = facts;
+    mark_ = markOf(facts);
+    waiting_.wakeAll();
+}
+
+void GroupReporter::refer(const std::string &host)
+{
+    deciderHost_ = host;
+    if (facts_) {
+        facts_.reset();
+        waiting_.wakeAll();
+    }
+}
+
+kj::Promise<void> GroupReporter::answer(Context context)
+{
+    const std::uint64_t asked = context.getParams().getMark();
+    const Duration wait = std::min(Duration(context.getParams().getWaitMicros()), kLongestWait);
+    if (!facts_ || asked != mark_ || wait <= Duration{}) {
+        write(context.getResults(), asked);
+        return kj::READY_NOW;
+    }
+    return waiting_.wait(wait).then(
+        [this, context, asked]() mutable { write(context.getResults(), asked); });
+}
+
+void GroupReporter::write(wire::RankAgent::GroupResults::Builder results,
+                          std::uint64_t askedMark) const
+{
+    results.setDecides(facts_.has_value());
+    if (!facts_) {
+        results.setDeciderHost(deciderHost_);
+        return;
+    }
+    results.setGroup(facts_->group.value());
+    results.setMark(mark_);
+    writeGroup(*facts_, loop_.now() - asOf_, askedMark != mark_, results.initNews());
+}
+
+} // namespace seamarch
--- a/src/experts/rankpeers.cpp
+++ b/src/experts/rankpeers.cpp
@@ -89,6 +89,18 @@
     return found == peers_.end() ? nullptr : &found->second;
 }
 
+std::map<std::uint32_t, SocketAddress> RankPeers::engines() const
+{
+    std::map<std::uint32_t, SocketAddress> engines;
+    for (const auto &[rank, id] : roster_.engines()) {
+        const auto found = peers_.find(id);
+        if (found != peers_.end()) {
+            engines.emplace(rank, found->second.engine);
+        }
+    }
+    return engines;
+}
+
 void RankPeers::askReports(const RankQuestion &question, Duration gap, Duration turn,
                            std::uint32_t ownRank)
 {
--- a/src/experts/rankpeers.h
+++ b/src/experts/rankpeers.h
@@ -64,6 +64,8 @@
     // They are spread evenly over the group; for one that does not answer, the next is asked.
     void askCounts(const RankQuestion &question, std::uint32_t count, std::uint32_t ranks,
                    std::uint32_t ownRank);
+    // Returns the engines of the group's other ranks that have said so, by rank.
+    std::map<std::uint32_t, SocketAddress> engines() const;
     // Hands orders to other ranks. An order to a rank that is not known yet is dropped; the decider
     // sends it again.
     void send(const MapOrders &orders);
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -98,6 +98,12 @@
     return table_ ? table_->source() : kNone;
 }
 
+bool GatewayKnowledge::formsGroups(const TargetName &service) const
+{
+    const ServiceRule *rule = table_ ? table_->service(service) : nullptr;
+    return rule != nullptr && rule->experts.has_value();
+}
+
 Duration GatewayKnowledge::age() const
 {
     return confirmedAt_ ? loop_.now() - *confirmedAt_ : Duration::max();
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -76,6 +76,8 @@
     const FreshnessBounds &freshness() const { return freshness_; }
     // Returns the version in force; zero while there is none.
     ConfigVersion version() const { return table_ ? table_->version() : ConfigVersion(); }
+    // Tells whether the upstreams of `service` are engines that make their passes in groups.
+    bool formsGroups(const TargetName &service) const;
     // Returns how long ago the store confirmed what is known; the longest duration when it never
     // did.
     Duration age() const;
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -44,15 +44,13 @@
         const auto params = context.getParams();
         const TimePoint askedAt = peers_.loop_.now();
         peers_.directory_.hear(readGateway(params.getSelf()), askedAt);
-        const ConfigVersion version(params.getConfigVersion());
-        const std::uint64_t mark = params.getUpstreamsMark();
-        const bool gateways = params.getWantsGateways();
+        const Asker asker{ConfigVersion(params.getConfigVersion()), params.getUpstreamsMark(),
+                          params.getGroupsMark(), params.getWantsGateways()};
         const Duration wait = std::min(Duration(params.getWaitMicros()), kLongestWait);
-        auto answer = [this, context, version, mark, gateways, askedAt]() mutable {
-            peers_.writeNews(context.getResults().initNews(), version, mark,
-                             peers_.loop_.now() - askedAt, gateways);
+        auto answer = [this, context, asker, askedAt]() mutable {
+            peers_.writeNews(context.getResults().initNews(), asker, peers_.loop_.now() - askedAt);
         };
-        if (wait <= Duration{} || peers_.hasNewsFor(version, mark)) {
+        if (wait <= Duration{} || peers_.hasNewsFor(asker)) {
             answer();
             return kj::READY_NOW;
         }
@@ -63,10 +61,11 @@
     GatewayPeers &peers_;
 };
 
-GatewayPeers::GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
-                           GatewayDirectory &directory, Heard heard)
+GatewayPeers::GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups,
+                           const MetadataStore &store, GatewayDirectory &directory, Heard heard)
     : loop_(loop)
     , knowledge_(knowledge)
+    , groups_(groups)
     , store_(store)
     , directory_(directory)
     , heard_(std::move(heard))
@@ -81,11 +80,11 @@
 }
 
 tl::expected<std::unique_ptr<GatewayPeers>, NetError>
-GatewayPeers::create(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
-                     GatewayDirectory &directory, Heard heard)
+GatewayPeers::create(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups,
+                     const MetadataStore &store, GatewayDirectory &directory, Heard heard)
 {
     std::unique_ptr<GatewayPeers> peers(
-        new GatewayPeers(loop, knowledge, store, directory, std::move(heard)));
+        new GatewayPeers(loop, knowledge, groups, store, directory, std::move(heard)));
     if (auto opened = peers->open(); !opened) {
         return tl::unexpected(opened.error());
     }
@@ -148,6 +147,7 @@
     request.setUpstreamsMark(knowledge_.adoptedMark());
     request.setWantsGateways(gateways);
     request.setWaitMicros(longest.count());
+    request.setGroupsMark(link.groupsMark);
     // Whichever comes first, the answer or the end of patience, ends the question.
     const auto over = std::make_shared<bool>(false);
     loop_.schedule(longest + kPatience, [this, address, over, alive = alive_] {
@@ -192,6 +192,7 @@
         takeGateways(news, now);
     }
     directory_.onAnswered(link.id, now);
+    takeGroups(link, askedAt, news);
     if (!news.getKnown()) {
         unknownAt_ = now;
     }
@@ -235,15 +236,47 @@
     return heard_(shared, askedAt + held - age);
 }
 
-bool GatewayPeers::hasNewsFor(ConfigVersion version, std::uint64_t mark) const
+// Takes what the other gateway has heard of groups, each as of its own moment. Facts that it told
+// before are only renewed, if they are still those that are known here.
+void GatewayPeers::takeGroups(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news)
 {
-    return knowledge_.version() > version || knowledge_.upstreamsMark() != mark;
+    const Duration held(news.getHeldMicros());
+    const bool told = link.groupsMark == news.getGroupsMark();
+    const bool same = groups_.mark() == news.getGroupsMark();
+    for (const auto &group : news.getGroups()) {
+        const TimePoint asOf = askedAt + held - Duration(group.getAgeMicros());
+        if (!told) {
+            groups_.learn(readGroup(group), asOf);
+        } else if (same) {
+            groups_.renew(GroupId(group.getGroup().cStr()), asOf);
+        }
+    }
+    link.groupsMark = news.getGroupsMark();
 }
 
-void GatewayPeers::writeNews(wire::GatewayNews::Builder news, ConfigVersion version,
-                             std::uint64_t mark, Duration held, bool gateways)
+bool GatewayPeers::hasNewsFor(const Asker &asker) const
 {
-    if (gateways) {
+    const bool groups = toldGroupsMark_ != 0 && toldGroupsMark_ != asker.groupsMark;
+    return knowledge_.version() > asker.version || knowledge_.upstreamsMark() != asker.upstreamsMark
+           || groups;
+}
+
+void GatewayPeers::writeGroups(wire::GatewayNews::Builder news, std::uint64_t mark) const
+{
+    const TimePoint now = loop_.now();
+    const auto &known = groups_.known();
+    const std::uint64_t ownMark = groups_.mark();
+    news.setGroupsMark(ownMark);
+    auto list = news.initGroups(static_cast<std::uint32_t>(known.size()));
+    std::uint32_t index = 0;
+    for (const auto &[id, group] : known) {
+        writeGroup(group.facts, now - group.asOf, ownMark != mark, list[index++]);
+    }
+}
+
+void GatewayPeers::writeNews(wire::GatewayNews::Builder news, const Asker &asker, Duration held)
+{
+    if (asker.wantsGateways) {
         const TimePoint now = loop_.now();
         const auto known = directory_.known();
         auto list = news.initGateways(static_cast<std::uint32_t>(known.size() + 1));
@@ -252,15 +285,16 @@
             writeGateway(known[index].record, now - known[index].heardAt, list[index + 1]);
         }
     }
+    news.setHeldMicros(held.count());
+    writeGroups(news, asker.groupsMark);
     if (!knowledge_.hasConfiguration() || !knowledge_.confirmed()) {
         return;
     }
     news.setKnown(true);
-    news.setHeldMicros(held.count());
     news.setAgeMicros(knowledge_.age().count());
     news.setRevision(knowledge_.revision());
     news.setConfigVersion(knowledge_.version().value());
-    if (knowledge_.version() > version) {
+    if (knowledge_.version() > asker.version) {
         if (packedVersion_ != knowledge_.version()) {
             packedVersion_ = knowledge_.version();
             packed_ = deflated(knowledge_.documentText());
@@ -269,7 +303,7 @@
         news.setConfigBytes(static_cast<std::uint32_t>(knowledge_.documentText().size()));
     }
     news.setUpstreamsMark(knowledge_.upstreamsMark());
-    if (knowledge_.upstreamsMark() != mark) {
+    if (knowledge_.upstreamsMark() != asker.upstreamsMark) {
         const auto records = knowledge_.upstreams().all();
         auto list = news.initUpstreams(static_cast<std::uint32_t>(records.size()));
         for (std::uint32_t index = 0; index < records.size(); ++index) {
@@ -281,9 +315,12 @@
 void GatewayPeers::tick()
 {
     const TimePoint now = loop_.now();
-    if (knowledge_.upstreamsMark() != toldMark_ || knowledge_.version() != toldVersion_) {
+    const std::uint64_t groupsMark = groups_.mark();
+    if (knowledge_.upstreamsMark() != toldMark_ || knowledge_.version() != toldVersion_
+        || groupsMark != toldGroupsMark_) {
         toldMark_ = knowledge_.upstreamsMark();
         toldVersion_ = knowledge_.version();
+        toldGroupsMark_ = groupsMark;
         waiting_.wakeAll();
     }
     std::erase_if(links_, [now](const auto &entry) {
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -9,6 +9,7 @@
 // given outlives the object.
 #pragma once
 
+#include "decision/gateway/grouptable.h"
 #include "decision/membership/gatewaydirectory.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/metadatastore.h"
@@ -36,8 +37,8 @@
 
     // Listens at the address of the directory's own record.
     static tl::expected<std::unique_ptr<GatewayPeers>, NetError>
-    create(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
-           GatewayDirectory &directory, Heard heard);
+    create(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups,
+           const MetadataStore &store, GatewayDirectory &directory, Heard heard);
     ~GatewayPeers();
     GatewayPeers(const GatewayPeers &) = delete;
     GatewayPeers &operator=(const GatewayPeers &) = delete;
@@ -58,13 +59,14 @@
         std::unique_ptr<RpcLink> rpc;
         InstanceId id; // Empty until it has answered.
         bool asking = false;
+        std::uint64_t groupsMark = 0; // Of the groups that it has told last.
         TimePoint notBefore{};
         TimePoint gatewaysAskedAt{};
         TimePoint usedAt{};
     };
 
-    GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, const MetadataStore &store,
-                 GatewayDirectory &directory, Heard heard);
+    GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups,
+                 const MetadataStore &store, GatewayDirectory &directory, Heard heard);
     tl::expected<void, NetError> open();
 
     Link &linkTo(const SocketAddress &address);
@@ -72,13 +74,23 @@
     void onFailed(const SocketAddress &address);
     bool takeNews(TimePoint askedAt, wire::GatewayNews::Reader news);
     void takeGateways(wire::GatewayNews::Reader news, TimePoint now);
-    bool hasNewsFor(ConfigVersion version, std::uint64_t mark) const;
-    void writeNews(wire::GatewayNews::Builder news, ConfigVersion version, std::uint64_t mark,
-                   Duration held, bool gateways);
+    void takeGroups(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
+    // What an asker says that it knows.
+    struct Asker
+    {
+        ConfigVersion version;
+        std::uint64_t upstreamsMark = 0;
+        std::uint64_t groupsMark = 0;
+        bool wantsGateways = false;
+    };
+    bool hasNewsFor(const Asker &asker) const;
+    void writeNews(wire::GatewayNews::Builder news, const Asker &asker, Duration held);
+    void writeGroups(wire::GatewayNews::Builder news, std::uint64_t mark) const;
     void taskFailed(kj::Exception &&exception) override;
 
     EventLoop &loop_;
     GatewayKnowledge &knowledge_;
+    GroupTable &groups_;
     const MetadataStore &store_;
     GatewayDirectory &directory_;
     Heard heard_;
@@ -91,6 +103,7 @@
     ConfigVersion packedVersion_;
     std::uint64_t toldMark_ = 0; // The state at the last tick.
     ConfigVersion toldVersion_;
+    std::uint64_t toldGroupsMark_ = 0;
     TimePoint unknownAt_{};
     TimePoint startedAt_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 #include "base/log.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -162,9 +163,10 @@
         }
         metricsServer_ = std::move(*metrics);
     }
-    auto sources = KnowledgeSources::create(
-        loop_, *client_, store_, knowledge_,
-        {settings_.instance, settings_.hall, settings_.peerListen, settings_.seeds});
+    auto sources =
+        KnowledgeSources::create(loop_, *client_, store_, knowledge_, core_.groups(),
+                                 {settings_.instance, settings_.hall, settings_.peerListen,
+                                  settings_.seeds, settings_.agentPort});
     if (!sources) {
         return tl::unexpected(sources.error());
     }
@@ -297,16 +299,20 @@
     call.connectTimeout = kConnectTimeout;
     flight.attempt = action.attempt;
     flight.upstream = action.upstream.id;
+    flight.group = action.group;
     flight.body.clear();
     flight.streams = false;
+    flight.attemptSpeaks = false;
     flight.resuming = flight.headSent;
     const TargetName &service = action.upstream.service;
+    const StreamLane *lane = core_.lane(service, action.group);
     logLine(LogLevel::Info, "attempt.started",
             {{"id", flight.facts.requestId},
              {"attempt", action.attempt},
              {"waitedMs", toMillis(loop_.now() - flight.startedAt)},
-             {"streams", core_.streams(service)},
-             {"streamLimit", core_.streamLimit(service)},
+             {"group", action.group.value()},
+             {"streams", lane == nullptr ? 0 : lane->inFlight()},
+             {"streamLimit", lane == nullptr ? 0.0 : lane->limiter().limit()},
              {"waiting", core_.waiting(service)},
              {"upstream", action.upstream.id.value()},
              {"hall", action.upstream.hall.value()},
@@ -365,8 +371,13 @@
              {"route", flight.admitted.route->name},
              {"account", flight.admitted.account.value()},
              {"upstream", flight.upstream.value()},
+             {"group", flight.group.value()},
              {"attempts", flight.attempt},
              {"events", flight.events.events()},
+             {"firstEventMs", flight.firstEventAt == TimePoint{}
+                                  ? json()
+                                  : json(toMillis(flight.firstEventAt - flight.startedAt))},
+             {"longestPauseMs", toMillis(flight.longestPause)},
              {"ms", toMillis(now - flight.startedAt)}});
     byExchange_.erase(flight.exchange);
     flights_.erase(found);
@@ -456,6 +467,12 @@
                      flight.admitted.route->name,
                      now - (first ? flight.startedAt : flight.lastEventAt));
     if (first) {
+        flight.firstEventAt = now;
+    } else {
+        flight.longestPause = std::max(flight.longestPause, now - flight.lastEventAt);
+    }
+    // The caller's pause over a change of upstreams says nothing of either.
+    if (!std::exchange(flight.attemptSpeaks, true)) {
         core_.onFirstEvent(number, now);
     } else {
         core_.onPause(number, now - flight.lastEventAt, now);
@@ -564,7 +581,8 @@
             {"inFlight", flights_.size()},
             {"secondAttempts", core_.secondAttempts()},
             {"connectionsMade", client_->connectionsMade()},
-            {"upstreams", core_.upstreams().all().size()}};
+            {"upstreams", core_.upstreams().all().size()},
+            {"groups", core_.groups().known().size()}};
 }
 
 void GatewayService::applySettings(const GatewaySettings &settings)
@@ -574,7 +592,7 @@
         || settings.listen != settings_.listen
         || settings.operatorListen != settings_.operatorListen
         || settings.metricsListen != settings_.metricsListen || settings.store != settings_.store
-        || settings.peerListen != settings_.peerListen;
+        || settings.peerListen != settings_.peerListen || settings.agentPort != settings_.agentPort;
     if (fixedChanged) {
         logLine(LogLevel::Warning, "settings.need_restart",
                 {{"message", "names and addresses change at the next start"}});
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -37,6 +37,7 @@
     SocketAddress store;
     std::optional<SocketAddress> peerListen; // For other gateways; nothing: each asks the store.
     std::vector<SocketAddress> seeds;        // Some of the other gateways.
+    std::optional<int> agentPort; // Of the agents beside engines, at the engines' addresses.
     std::size_t maxAccountSeries = 300;
     // What the platform asks of every gateway, as its settings tell.
     GatewayBounds bounds;
@@ -76,14 +77,18 @@
         HttpCallId call = 0;
         std::uint32_t attempt = 0; // Of the call under way.
         InstanceId upstream;
+        GroupId group;
         HttpHead head;
         std::string body;     // Of an answer that goes out whole.
         bool streams = false; // The answer under way is a stream of events.
         bool headSent = false;
-        bool resuming = false; // Events follow those of an earlier attempt.
+        bool attemptSpeaks = false; // The attempt under way has sent an event.
+        bool resuming = false;      // Events follow those of an earlier attempt.
         EventStream events;
         TimePoint startedAt{};
+        TimePoint firstEventAt{};
         TimePoint lastEventAt{};
+        Duration longestPause{}; // Between two events, as the caller saw them.
     };
 
     GatewayService(EventLoop &loop, const GatewaySettings &settings, const CallerProtocol &protocol,
--- a/src/gateway/gatewaywire.cpp
+++ b/src/gateway/gatewaywire.cpp
@@ -49,6 +49,37 @@
     return record;
 }
 
+void writeGroup(const GroupFacts &facts, Duration age, bool members, wire::GroupNews::Builder to)
+{
+    to.setGroup(facts.group.value());
+    to.setEpoch(facts.epoch);
+    to.setOpen(facts.open);
+    to.setAgeMicros(age.count());
+    if (!members) {
+        return;
+    }
+    auto list = to.initMembers(static_cast<std::uint32_t>(facts.members.size()));
+    for (std::uint32_t index = 0; index < list.size(); ++index) {
+        const GroupMember &member = facts.members[index];
+        list[index].setHost(member.host);
+        list[index].setPort(static_cast<std::uint16_t>(member.port));
+        list[index].setPace(static_cast<float>(member.pace));
+    }
+}
+
+GroupFacts readGroup(wire::GroupNews::Reader from)
+{
+    GroupFacts facts;
+    facts.group = GroupId(from.getGroup().cStr());
+    facts.epoch = from.getEpoch();
+    facts.open = from.getOpen();
+    for (const auto &member : from.getMembers()) {
+        facts.members.push_back(
+            {member.getHost().cStr(), member.getPort(), static_cast<double>(member.getPace())});
+    }
+    return facts;
+}
+
 std::vector<std::uint8_t> deflated(std::string_view text)
 {
     uLongf size = compressBound(text.size());
--- a/src/gateway/gatewaywire.h
+++ b/src/gateway/gatewaywire.h
@@ -1,6 +1,7 @@
 // Converts what gateways tell each other from and to its form on the wire.
 #pragma once
 
+#include "decision/gateway/grouptable.h"
 #include "decision/membership/gatewaydirectory.h"
 #include "gateway/gatewayknowledge.h"
 #include "wire/seamarch.capnp.h"
@@ -19,6 +20,10 @@
 void writeUpstream(const UpstreamRecord &record, wire::ListedUpstream::Builder to);
 UpstreamRecord readUpstream(wire::ListedUpstream::Reader from);
 
+// Without `members`, what is written renews facts that the reader has.
+void writeGroup(const GroupFacts &facts, Duration age, bool members, wire::GroupNews::Builder to);
+GroupFacts readGroup(wire::GroupNews::Reader from);
+
 // A configuration of many routes is a large text that repeats itself, and goes to every gateway of
 // a hall over the link of one.
 std::vector<std::uint8_t> deflated(std::string_view text);
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -27,6 +27,8 @@
 constexpr Duration kListsGap = std::chrono::seconds(2);
 // How often any gateway is asked while knowledge is old.
 constexpr Duration kAnyGap = std::chrono::milliseconds(150);
+// How often it is looked at whom to ask about groups; answers come when something changes.
+constexpr Duration kGroupsGap = std::chrono::milliseconds(50);
 constexpr Duration kSeedsGap = std::chrono::milliseconds(300);
 // A new gateway may not know yet who is first of its hall: when a site starts, the seeds hear of
 // all gateways within a second, and tell them within two more. Until then it hears the seeds.
@@ -41,11 +43,13 @@
 } // namespace
 
 KnowledgeSources::KnowledgeSources(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-                                   GatewayKnowledge &knowledge, const Settings &settings)
+                                   GatewayKnowledge &knowledge, GroupTable &groups,
+                                   const Settings &settings)
     : loop_(loop)
     , client_(client)
     , store_(store)
     , knowledge_(knowledge)
+    , groups_(groups)
     , settings_(settings)
     , directory_(recordOf(settings), GatewayDirectory::Settings())
     , startedAt_(loop.now())
@@ -54,10 +58,10 @@
 
 tl::expected<std::unique_ptr<KnowledgeSources>, NetError>
 KnowledgeSources::create(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-                         GatewayKnowledge &knowledge, const Settings &settings)
+                         GatewayKnowledge &knowledge, GroupTable &groups, const Settings &settings)
 {
     std::unique_ptr<KnowledgeSources> sources(
-        new KnowledgeSources(loop, client, store, knowledge, settings));
+        new KnowledgeSources(loop, client, store, knowledge, groups, settings));
     if (auto opened = sources->open(); !opened) {
         return tl::unexpected(opened.error());
     }
@@ -66,10 +70,17 @@
 
 tl::expected<void, NetError> KnowledgeSources::open()
 {
+    if (settings_.agentPort) {
+        auto watch = GroupWatch::create(loop_, knowledge_, groups_, *settings_.agentPort);
+        if (!watch) {
+            return tl::unexpected(watch.error());
+        }
+        groupWatch_ = std::move(*watch);
+    }
     if (!settings_.peerListen) {
         return {};
     }
-    auto peers = GatewayPeers::create(loop_, knowledge_, store_, directory_,
+    auto peers = GatewayPeers::create(loop_, knowledge_, groups_, store_, directory_,
                                       [this](const SharedKnowledge &shared, TimePoint confirmedAt) {
                                           return takeShared(shared, confirmedAt);
                                       });
@@ -154,11 +165,14 @@
     const TimePoint now = loop_.now();
     if (peers_ == nullptr) {
         followStore(true, "there are no other gateways");
+        watchGroups(true, now);
         return;
     }
     directory_.expire(now);
     const InstanceId followed = directory_.follower(now);
     const bool own = followed == settings_.instance;
+    // While a site starts nobody knows yet who is first of its hall, and seeds are heard by all.
+    watchGroups(isSeed() && now - startedAt_ < kYoung ? true : own && !isYoung(now), now);
     if (asksStore(now)) {
         storeUntil_ = now + kOwnWatch;
     }
@@ -175,6 +189,14 @@
     peers_->tick();
 }
 
+void KnowledgeSources::watchGroups(bool watches, TimePoint now)
+{
+    if (groupWatch_ != nullptr && now - groupsAskedAt_ >= kGroupsGap) {
+        groupsAskedAt_ = now;
+        groupWatch_->tick(watches);
+    }
+}
+
 void KnowledgeSources::askPeers(const InstanceId &followed, TimePoint now)
 {
     const bool own = followed == settings_.instance;
--- a/src/gateway/knowledgesources.h
+++ b/src/gateway/knowledgesources.h
@@ -12,6 +12,7 @@
 #include "decision/membership/storeturn.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/gatewaypeers.h"
+#include "gateway/groupwatch.h"
 #include "gateway/metadatastore.h"
 #include "gateway/storewatcher.h"
 #include "net/eventloop.h"
@@ -33,11 +34,12 @@
         HallId hall;
         std::optional<SocketAddress> peerListen; // For other gateways; nothing: there are none.
         std::vector<SocketAddress> seeds;        // Of some gateways, maybe gone by now.
+        std::optional<int> agentPort;            // Of the agents beside engines; nothing: none.
     };
 
     static tl::expected<std::unique_ptr<KnowledgeSources>, NetError>
     create(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-           GatewayKnowledge &knowledge, const Settings &settings);
+           GatewayKnowledge &knowledge, GroupTable &groups, const Settings &settings);
 
     // Asks those whose turn it is. Call it often.
     void tick();
@@ -53,7 +55,7 @@
 
 private:
     KnowledgeSources(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-                     GatewayKnowledge &knowledge, const Settings &settings);
+                     GatewayKnowledge &knowledge, GroupTable &groups, const Settings &settings);
     tl::expected<void, NetError> open();
 
     bool takeShared(const SharedKnowledge &shared, TimePoint confirmedAt);
@@ -62,6 +64,7 @@
     bool hearsFirst(TimePoint now) const;
     KnowledgeTimes times() const;
     bool asksStore(TimePoint now) const;
+    void watchGroups(bool watches, TimePoint now);
     void askPeers(const InstanceId &followed, TimePoint now);
     void askSeeds(bool follows, TimePoint now);
     void askGateway(const std::optional<InstanceId> &id, Duration longest);
@@ -71,9 +74,12 @@
     HttpClient &client_;
     const MetadataStore &store_;
     GatewayKnowledge &knowledge_;
+    GroupTable &groups_;
     Settings settings_;
     GatewayDirectory directory_;
     std::unique_ptr<GatewayPeers> peers_;
+    std::unique_ptr<GroupWatch> groupWatch_;
+    TimePoint groupsAskedAt_{};
     std::unique_ptr<StoreWatcher> watcher_;
     std::uint64_t earlierCalls_ = 0; // Of watchers that are gone.
     bool stopped_ = false;
--- a/src/net/rawtransport.cpp
+++ b/src/net/rawtransport.cpp
@@ -1,6 +1,7 @@
 #include "net/rawtransport.h"
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <fmt/format.h>
 #include <kj/debug.h>
@@ -185,6 +186,15 @@
     }
 }
 
+std::string RawStream::peerHost() const
+{
+    constexpr std::size_t kLongestNumber = 64; // Of an IP number as text.
+    std::array<char, kLongestNumber> host{};
+    const bool known = wsi_ != nullptr && !closed_;
+    const char *found = known ? lws_get_peer_simple(wsi_, host.data(), host.size()) : nullptr;
+    return found == nullptr ? std::string() : std::string(found);
+}
+
 void RawStream::onClose()
 {
     wsi_ = nullptr;
--- a/src/net/rawtransport.h
+++ b/src/net/rawtransport.h
@@ -43,6 +43,8 @@
     kj::Promise<void> onClosed();
 
     ConnectionId id() const { return id_; }
+    // Returns the IP number of the other end; empty once the connection is closed.
+    std::string peerHost() const;
     // Tells whether any byte was handed to the socket; may be asked after the stream is gone.
     std::shared_ptr<const bool> wroteAny() const { return wroteAny_; }
 
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -169,6 +169,27 @@
   # Hands an order that copies experts to the agents of other ranks as well, because the link of
   # the agent that decides would carry it to all of them too slowly. Answers when they have.
   relay @2 (order :RankOrder, targets :List(RelayTarget)) -> (answers :List(RelayAnswer));
+  # Tells a gateway of the group. The agent that decides answers with `decides` and `news`, at once
+  # when the group's mark is not the one named, else after `waitMicros` or as soon as it changes.
+  # Any other names the host of the agent that decides, where it knows one.
+  group @3 (mark :UInt64, waitMicros :Int64)
+      -> (decides :Bool, group :Text, deciderHost :Text, mark :UInt64, news :GroupNews);
+}
+
+# One rank of a group.
+struct GroupMember {
+  host @0 :Text;             # Of its engine.
+  port @1 :UInt16;
+  pace @2 :Float32 = 1.0;    # Over 1: the rank takes so many times as long for its work.
+}
+
+# How a group of engines fares, for gateways.
+struct GroupNews {
+  group @0 :Text;
+  epoch @1 :UInt64;
+  open @2 :Bool;             # It takes requests.
+  ageMicros @3 :Int64;       # How long ago, at the answer, it was so.
+  members @4 :List(GroupMember);  # By rank; left out where the asker named the same mark.
 }
 
 struct RelayTarget {
@@ -212,11 +233,14 @@
   upstreamsMark @7 :UInt64;  # Names the state of the list of upstreams.
   upstreams @8 :List(ListedUpstream);  # The whole list, when the asker names another state.
   gateways @9 :List(GatewayRecord);    # When asked for; the first is the one that answers.
+  groupsMark @10 :UInt64;    # Names what is known of the groups of engines, but for its age.
+  groups @11 :List(GroupNews);         # All groups; without members when the asker names this mark.
 }
 
 # Served by each gateway for the others.
 interface GatewayPeer {
   # Answers at once when it knows more than the asker says it does, else after `waitMicros`.
   exchange @0 (self :GatewayRecord, configVersion :UInt64, upstreamsMark :UInt64,
-               wantsGateways :Bool, waitMicros :Int64) -> (news :GatewayNews);
+               wantsGateways :Bool, waitMicros :Int64, groupsMark :UInt64)
+      -> (news :GatewayNews);
 }
--- /dev/null
+++ b/test/decision/gateway/grouptable_test.cpp
@@ -0,0 +1,151 @@
+#include "decision/gateway/grouptable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+UpstreamRecord upstream(const std::string &host)
+{
+    UpstreamRecord record;
+    record.id = InstanceId("i-" + host);
+    record.host = host;
+    record.port = 80;
+    return record;
+}
+
+GroupFacts facts(const char *group, const std::vector<std::string> &hosts)
+{
+    GroupFacts facts;
+    facts.group = GroupId(group);
+    for (const std::string &host : hosts) {
+        facts.members.push_back({host, 80, 1.0});
+    }
+    return facts;
+}
+
+} // namespace
+
+TEST_GROUP(GroupTableTest)
+{
+    GroupTable table;
+
+    std::string groupOf(const std::string &host)
+    {
+        return table.groupOf(upstream(host)).value();
+    }
+};
+
+TEST(GroupTableTest, UpstreamOfWhichNobodyHasSpokenIsInTheGroupWithoutName)
+{
+    STRCMP_EQUAL("", groupOf("a").c_str());
+}
+
+TEST(GroupTableTest, NewestWordHolds)
+{
+    CHECK_TRUE(table.learn(facts("one", {"a"}), at(100)));
+    GroupFacts older = facts("one", {"a"});
+    older.open = false;
+    CHECK_FALSE(table.learn(older, at(50)));
+    CHECK_FALSE(table.closed(GroupId("one"), at(100)));
+}
+
+// An agent that takes the role of deciding knows few ranks at first. An engine that dropped out of
+// its group for that would look like an empty group of its own, and draw all streams to it.
+TEST(GroupTableTest, EngineThatIsNotNamedAnyMoreStaysInItsGroup)
+{
+    table.learn(facts("one", {"a", "b"}), at(0));
+    table.learn(facts("one", {"b"}), at(10));
+    STRCMP_EQUAL("one", groupOf("a").c_str());
+}
+
+TEST(GroupTableTest, EngineThatAnotherGroupNamesHasMoved)
+{
+    table.learn(facts("one", {"a", "b"}), at(0));
+    const std::uint64_t before = table.changes();
+    table.learn(facts("two", {"a"}), at(10));
+    STRCMP_EQUAL("two", groupOf("a").c_str());
+    CHECK_TEXT(table.changes() > before, "those who group upstreams must see that one has moved");
+}
+
+TEST(GroupTableTest, LaterWordOfTheOldGroupDoesNotMoveAnEngineBackUnlessItNamesIt)
+{
+    table.learn(facts("one", {"a", "b"}), at(0));
+    table.learn(facts("two", {"a"}), at(10));
+    table.learn(facts("one", {"b"}), at(20));
+    STRCMP_EQUAL("two", groupOf("a").c_str());
+}
+
+TEST(GroupTableTest, SlownessIsMeasuredAgainstTheMedianOfTheGroup)
+{
+    GroupFacts slow = facts("one", {"a", "b", "c"});
+    for (GroupMember &member : slow.members) {
+        member.pace = 2.0;
+    }
+    slow.members[2].pace = 10.0;
+    table.learn(slow, at(0));
+    DOUBLES_EQUAL(1.0, table.slowness(upstream("a"), at(0)), 0.001);
+    DOUBLES_EQUAL(5.0, table.slowness(upstream("c"), at(0)), 0.001);
+}
+
+TEST(GroupTableTest, OldWordOfASlowRankCountsNoMore)
+{
+    GroupFacts slow = facts("one", {"a", "b", "c"});
+    slow.members[2].pace = 5.0;
+    table.learn(slow, at(0));
+    DOUBLES_EQUAL(5.0, table.slowness(upstream("c"), at(4000)), 0.001);
+    DOUBLES_EQUAL(1.0, table.slowness(upstream("c"), at(6000)), 0.001);
+}
+
+TEST(GroupTableTest, WordThatAGroupIsClosedLapses)
+{
+    GroupFacts closed = facts("one", {"a"});
+    closed.open = false;
+    table.learn(closed, at(0));
+    CHECK_TRUE(table.closed(GroupId("one"), at(1000)));
+    CHECK_FALSE(table.closed(GroupId("one"), at(3000)));
+    table.renew(GroupId("one"), at(2500));
+    CHECK_TRUE(table.closed(GroupId("one"), at(3000)));
+}
+
+// A hall that is cut off: word of its group stays away, while that of the own hall's comes.
+TEST(GroupTableTest, GroupWhoseWordStaysAwayAloneIsOutOfTouch)
+{
+    table.learn(facts("near", {"a"}), at(0));
+    table.learn(facts("far", {"b"}), at(0));
+    table.renew(GroupId("near"), at(2000));
+    CHECK_TRUE(table.outOfTouch(GroupId("far"), at(2100)));
+    CHECK_FALSE(table.outOfTouch(GroupId("near"), at(2100)));
+}
+
+// The gateway that asks for all has died: that says nothing of the groups.
+TEST(GroupTableTest, NoGroupIsOutOfTouchWhenWordOfAllStaysAway)
+{
+    table.learn(facts("near", {"a"}), at(0));
+    table.learn(facts("far", {"b"}), at(0));
+    CHECK_FALSE(table.outOfTouch(GroupId("far"), at(5000)));
+}
+
+TEST(GroupTableTest, MarkNamesTheFactsAndNotTheirAge)
+{
+    GroupTable other;
+    table.learn(facts("one", {"a"}), at(0));
+    other.learn(facts("one", {"a"}), at(700));
+    CHECK_EQUAL(table.mark(), other.mark());
+    other.learn(facts("one", {"a", "b"}), at(800));
+    CHECK_TRUE(table.mark() != other.mark());
+}
+
+TEST(GroupTableTest, GroupOfWhichNothingIsHeardIsForgotten)
+{
+    table.learn(facts("one", {"a"}), at(0));
+    table.expire(at(61'000));
+    STRCMP_EQUAL("", groupOf("a").c_str());
+    LONGS_EQUAL(0, table.mark());
+}
--- /dev/null
+++ b/test/decision/gateway/streamlane_test.cpp
@@ -0,0 +1,128 @@
+#include "decision/gateway/streamlane.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr Duration kGoal = std::chrono::milliseconds(150);
+constexpr Duration kPass = std::chrono::milliseconds(80);
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+TEST_GROUP(StreamLaneTest)
+{
+    StreamLane lane{StreamLane::Settings()};
+
+    // A stream that has sent two events, the last at `now`.
+    void speak(int now)
+    {
+        lane.onSent(at(now - 160));
+        lane.onFirstEvent(at(now - 80));
+        lane.onPause(kPass, kGoal, at(now));
+    }
+
+    // Looks every 25 ms, as its owner does, and returns when a standstill was found.
+    int foundStandingBy(int from, int until)
+    {
+        for (int now = from; now <= until; now += 25) {
+            lane.onTick(0, at(now));
+            if (lane.standsStill()) {
+                return now;
+            }
+        }
+        return until + 1;
+    }
+};
+
+// A group that is held, or has lost a rank, sends no event at all, and refuses nothing for a second
+// and a half. Two goals of silence are some four passes.
+TEST(StreamLaneTest, SilenceOfTwoGoalsIsAStandstill)
+{
+    speak(1000);
+    const int found = foundStandingBy(1000, 2000);
+    CHECK_TEXT(found >= 1300 && found <= 1325, "expected it 300 ms after the last event");
+}
+
+TEST(StreamLaneTest, LongPassesAfterAShiftAreNoStandstill)
+{
+    speak(1000);
+    CHECK_TEXT(foundStandingBy(1000, 1225) > 1225, "passes of 225 ms come right after a shift");
+}
+
+TEST(StreamLaneTest, OneEventEndsAStandstill)
+{
+    speak(1000);
+    foundStandingBy(1000, 2000);
+    lane.onPause(std::chrono::seconds(1), kGoal, at(2000));
+    CHECK_FALSE(lane.standsStill());
+}
+
+// Callers leave a stream that says nothing for two seconds. That the lane is empty then does not
+// mean that the group works again.
+TEST(StreamLaneTest, StandstillOutlivesItsStreams)
+{
+    speak(1000);
+    foundStandingBy(1000, 2000);
+    lane.onLeft(true);
+    lane.onTick(0, at(3000));
+    CHECK_TRUE(lane.standsStill());
+}
+
+TEST(StreamLaneTest, LaneThatStandsStillIsTriedOnlyOnceNoStreamIsThere)
+{
+    speak(1000);
+    foundStandingBy(1000, 2000);
+    CHECK_FALSE(lane.probeDue(at(5000)));
+    lane.onLeft(true);
+    CHECK_TRUE(lane.probeDue(at(5000)));
+    lane.onProbe(at(5000));
+    CHECK_FALSE(lane.probeDue(at(5100)));
+}
+
+TEST(StreamLaneTest, StreamsThatNeverBeginAreAStandstill)
+{
+    lane.onSent(at(0));
+    CHECK_TEXT(foundStandingBy(0, 950) > 950, "a first event may take some passes");
+    const int found = foundStandingBy(975, 2000);
+    CHECK_TEXT(found <= 1025, "expected it a second after the stream was sent");
+}
+
+TEST(StreamLaneTest, EmptyLaneNeverStandsStill)
+{
+    CHECK_TRUE(foundStandingBy(0, 5000) > 5000);
+}
+
+TEST(StreamLaneTest, RefusalsMeanSomethingOnceNothingElseCameForAWhile)
+{
+    lane.onRefusal(at(0), at(5));
+    CHECK_FALSE(lane.refuses(at(100)));
+    CHECK_TRUE(lane.refuses(at(305)));
+    CHECK_TRUE(lane.onAnswer(at(400)));
+    CHECK_FALSE(lane.refuses(at(400)));
+}
+
+// A group that stood still refuses all at one moment.
+TEST(StreamLaneTest, LateRefusalMeansSomethingAtOnce)
+{
+    lane.onRefusal(at(0), at(1500));
+    CHECK_TRUE(lane.refuses(at(1500)));
+}
+
+TEST(StreamLaneTest, TwoUpstreamsInARowThatCannotBeReachedMeanThatTheWayIsCut)
+{
+    lane.onUnreachable(at(0));
+    CHECK_FALSE(lane.unreachable());
+    lane.onUnreachable(at(400));
+    CHECK_TRUE(lane.unreachable());
+    CHECK_FALSE(lane.probeDue(at(1000)));
+    CHECK_TRUE(lane.probeDue(at(1400)));
+    lane.onAnswer(at(1500));
+    CHECK_FALSE(lane.unreachable());
+}
--- /dev/null
+++ b/test/decision/membership/groupsurvey_test.cpp
@@ -0,0 +1,85 @@
+#include "decision/membership/groupsurvey.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace seamarch;
+
+namespace {
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+std::vector<GroupSurvey::Engine> engines(int count)
+{
+    std::vector<GroupSurvey::Engine> list;
+    for (int number = 0; number < count; ++number) {
+        list.push_back({"host" + std::to_string(number), 80});
+    }
+    return list;
+}
+
+GroupFacts facts(const char *group, int from, int count)
+{
+    GroupFacts facts;
+    facts.group = GroupId(group);
+    for (int number = from; number < from + count; ++number) {
+        facts.members.push_back({"host" + std::to_string(number), 80, 1.0});
+    }
+    return facts;
+}
+
+} // namespace
+
+TEST_GROUP(GroupSurveyTest)
+{
+    GroupSurvey survey;
+    GroupTable table;
+};
+
+TEST(GroupSurveyTest, FewAgentsAreAskedAtATimeWhileNothingIsKnown)
+{
+    LONGS_EQUAL(3, survey.next(engines(72), table, at(0)).size());
+    LONGS_EQUAL(0, survey.next(engines(72), table, at(50)).size());
+}
+
+TEST(GroupSurveyTest, AgentThatDecidesElsewhereIsAskedNext)
+{
+    const auto asked = survey.next(engines(24), table, at(0));
+    survey.onReferred(asked.front(), "host20", at(5));
+    const auto next = survey.next(engines(24), table, at(10));
+    CHECK_TRUE(std::find(next.begin(), next.end(), "host20") != next.end());
+}
+
+// Nine groups of 32 ranks: connections grow with the groups and not with the ranks.
+TEST(GroupSurveyTest, OneAgentAGroupIsAskedOnceAllAreKnown)
+{
+    for (int number = 0; number < 9; ++number) {
+        const std::string name = "g" + std::to_string(number);
+        table.learn(facts(name.c_str(), number * 32, 32), at(0));
+        survey.onDecider("host" + std::to_string(number * 32), GroupId(name));
+    }
+    LONGS_EQUAL(9, survey.next(engines(288), table, at(50)).size());
+    LONGS_EQUAL(0, survey.next(engines(288), table, at(100)).size());
+}
+
+TEST(GroupSurveyTest, OtherMembersAreAskedWhenTheAgentThatDecidesFails)
+{
+    table.learn(facts("one", 0, 4), at(0));
+    survey.onDecider("host0", GroupId("one"));
+    survey.next(engines(4), table, at(0));
+    survey.onFailed("host0", at(700));
+    const auto next = survey.next(engines(4), table, at(750));
+    LONGS_EQUAL(1, next.size());
+    STRCMP_EQUAL("host1", next.front().c_str());
+}
+
+TEST(GroupSurveyTest, AgentThatNamesNobodyIsLeftAloneForAWhile)
+{
+    const auto asked = survey.next(engines(1), table, at(0));
+    survey.onReferred(asked.front(), "", at(10));
+    LONGS_EQUAL(0, survey.next(engines(1), table, at(100)).size());
+    LONGS_EQUAL(1, survey.next(engines(1), table, at(600)).size());
+}
