--- a/src/decision/gateway/servicelanes.cpp
+++ b/src/decision/gateway/servicelanes.cpp
@@ -151,7 +151,7 @@
         return GroupId(); // There is no upstream at all, which whoever sends it finds out.
     }
     if (all.front().trouble == Trouble::None && all.back().trouble != Trouble::None) {
-        if (const auto probe = laneToProbe(all, table, now)) {
+        if (auto probe = laneToProbe(all, table, now)) {
             return probe;
         }
     }
--- /dev/null
+++ b/src/gateway/earlyrequests.cpp
@@ -0,0 +1,65 @@
+#include "gateway/earlyrequests.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace seamarch {
+
+bool EarlyRequests::hold(ExchangeId exchange, HttpRequest &request, Duration deadline,
+                         TimePoint now)
+{
+    const std::size_t size = request.body.size();
+    if (held_.size() >= settings_.most || bytes_ + size > settings_.mostBytes) {
+        return false;
+    }
+    const Duration part = fromSeconds(toSeconds(deadline) * settings_.partOfDeadline);
+    const Duration wait =
+        deadline > Duration{} ? std::min(part, settings_.longestWait) : settings_.longestWait;
+    bytes_ += size;
+    held_.emplace(exchange, Entry{std::move(request), now, now + wait});
+    return true;
+}
+
+bool EarlyRequests::drop(ExchangeId exchange)
+{
+    const auto found = held_.find(exchange);
+    if (found == held_.end()) {
+        return false;
+    }
+    bytes_ -= found->second.request.body.size();
+    held_.erase(found);
+    return true;
+}
+
+EarlyRequests::Held EarlyRequests::take(std::map<ExchangeId, Entry>::iterator entry)
+{
+    bytes_ -= entry->second.request.body.size();
+    Held held{entry->first, std::move(entry->second.request), entry->second.arrivedAt};
+    held_.erase(entry);
+    return held;
+}
+
+std::vector<EarlyRequests::Held> EarlyRequests::takeFirst(std::size_t count)
+{
+    std::vector<Held> first;
+    while (first.size() < count && !held_.empty()) {
+        first.push_back(take(held_.begin()));
+    }
+    return first;
+}
+
+std::vector<EarlyRequests::Held> EarlyRequests::takeOverdue(TimePoint now)
+{
+    std::vector<Held> overdue;
+    for (auto entry = held_.begin(); entry != held_.end();) {
+        const auto next = std::next(entry);
+        if (entry->second.until <= now) {
+            overdue.push_back(take(entry));
+        }
+        entry = next;
+    }
+    return overdue;
+}
+
+} // namespace seamarch
--- a/test/decision/gateway/servicelanes_test.cpp
+++ b/test/decision/gateway/servicelanes_test.cpp
@@ -64,7 +64,7 @@
     // Sends a stream where the lanes say; returns nothing when it should wait.
     std::optional<GroupId> send(int now)
     {
-        const auto chosen = lanes.laneFor(entry(now + 400), table, at(now));
+        auto chosen = lanes.laneFor(entry(now + 400), table, at(now));
         if (chosen) {
             lanes.lane(*chosen).onSent(at(now));
         }
--- /dev/null
+++ b/test/gateway/earlyrequests_test.cpp
@@ -0,0 +1,84 @@
+#include "gateway/earlyrequests.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+TEST_GROUP(EarlyRequestsTest)
+{
+    EarlyRequests::Settings settings;
+
+    static bool hold(EarlyRequests & early, ExchangeId exchange, Duration deadline, int now,
+                     std::size_t bytes = 10)
+    {
+        HttpRequest request;
+        request.body.assign(bytes, 'x');
+        return early.hold(exchange, request, deadline, at(now));
+    }
+};
+
+TEST(EarlyRequestsTest, FirstComeFirstHandedOut)
+{
+    EarlyRequests early(settings);
+    hold(early, 7, std::chrono::seconds(8), 0);
+    hold(early, 9, std::chrono::seconds(8), 10);
+    const auto first = early.takeFirst(1);
+    LONGS_EQUAL(1, first.size());
+    LONGS_EQUAL(7, first.front().exchange);
+    CHECK_TRUE(first.front().arrivedAt == at(0));
+    LONGS_EQUAL(1, early.size());
+}
+
+TEST(EarlyRequestsTest, NoneWaitsLongerThanASecond)
+{
+    EarlyRequests early(settings);
+    hold(early, 1, std::chrono::seconds(8), 0);
+    LONGS_EQUAL(0, early.takeOverdue(at(999)).size());
+    LONGS_EQUAL(1, early.takeOverdue(at(1000)).size());
+}
+
+// A caller that waits for a second is told after half of it, while there is time to come back.
+TEST(EarlyRequestsTest, NoneWaitsLongerThanHalfOfItsCallersTime)
+{
+    EarlyRequests early(settings);
+    hold(early, 1, std::chrono::seconds(1), 0);
+    LONGS_EQUAL(1, early.takeOverdue(at(500)).size());
+}
+
+TEST(EarlyRequestsTest, MemoryIsBounded)
+{
+    settings.mostBytes = 25;
+    EarlyRequests early(settings);
+    CHECK_TRUE(hold(early, 1, Duration{}, 0));
+    CHECK_TRUE(hold(early, 2, Duration{}, 0));
+    CHECK_FALSE(hold(early, 3, Duration{}, 0));
+    CHECK_TRUE(early.drop(1));
+    CHECK_TRUE(hold(early, 3, Duration{}, 0));
+}
+
+TEST(EarlyRequestsTest, NumberIsBounded)
+{
+    settings.most = 2;
+    EarlyRequests early(settings);
+    hold(early, 1, Duration{}, 0);
+    hold(early, 2, Duration{}, 0);
+    CHECK_FALSE(hold(early, 3, Duration{}, 0));
+}
+
+TEST(EarlyRequestsTest, CallerThatLeftIsForgotten)
+{
+    EarlyRequests early(settings);
+    hold(early, 1, Duration{}, 0);
+    CHECK_TRUE(early.drop(1));
+    CHECK_FALSE(early.drop(1));
+    LONGS_EQUAL(0, early.size());
+}
--- /dev/null
+++ b/test/gateway/groupwatch_test.cpp
@@ -0,0 +1,181 @@
+// How a gateway hears of groups from the agent beside an engine. Real sockets on loopback. Whom it
+// asks where there are many agents is tested without sockets: see groupsurvey_test.cpp.
+#include "experts/groupreporter.h"
+#include "gateway/groupwatch.h"
+#include "net/rpcpeer.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr const char *kHost = "127.0.0.1";
+constexpr int kFirstEngine = 80; // Ports.
+constexpr int kSecondEngine = 81;
+
+int freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    LONGS_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+// An agent that answers questions about its group and nothing else.
+class Agent
+{
+public:
+    Agent(EventLoop &loop, const char *host, int port)
+        : reporter(loop)
+        , transport_(*RawTransport::create(loop))
+    {
+        const auto accept = [this](kj::Own<RawStream> stream) {
+            ++connections;
+            peers_.push_back(RpcPeer::server(kj::mv(stream), kj::heap<Server>(reporter)));
+        };
+        CHECK_TRUE(transport_->listen({host, port}, accept).has_value());
+    }
+
+    GroupReporter reporter;
+    int connections = 0;
+
+private:
+    class Server final : public wire::RankAgent::Server
+    {
+    public:
+        explicit Server(GroupReporter &reporter)
+            : reporter_(reporter)
+        {}
+        kj::Promise<void> group(GroupContext context) override { return reporter_.answer(context); }
+
+    private:
+        GroupReporter &reporter_;
+    };
+
+    std::unique_ptr<RawTransport> transport_;
+    std::vector<std::unique_ptr<RpcPeer>> peers_;
+};
+
+RoutingDocument documentWithGroups()
+{
+    RoutingDocument document;
+    document.version = ConfigVersion(1);
+    ServiceRule service;
+    service.name = TargetName("model");
+    service.runsEngines = true;
+    service.experts = ExpertRule();
+    document.services = {service};
+    return document;
+}
+
+UpstreamRecord engine(int port)
+{
+    UpstreamRecord record;
+    record.id = InstanceId("i-" + std::to_string(port));
+    record.service = TargetName("model");
+    record.host = kHost;
+    record.port = port;
+    return record;
+}
+
+GroupFacts factsOf(bool open)
+{
+    GroupFacts facts;
+    facts.group = GroupId("north");
+    facts.epoch = 2;
+    facts.open = open;
+    facts.members = {{kHost, kFirstEngine, 1.0}, {kHost, kSecondEngine, 1.0}, {kHost, 82, 5.0}};
+    return facts;
+}
+
+} // namespace
+
+TEST_GROUP(GroupWatchTest)
+{
+    std::unique_ptr<EventLoop> loop = *EventLoop::create();
+    Metrics metrics{0};
+    UpstreamTable upstreams;
+    GatewayKnowledge knowledge{*loop, upstreams, metrics, FreshnessBounds(),
+                               [](const CallerBounds &) {}};
+    GroupTable groups;
+    int port = freePort();
+    std::unique_ptr<Agent> agent = std::make_unique<Agent>(*loop, kHost, port);
+    std::unique_ptr<GroupWatch> watch;
+    std::unique_ptr<PeriodicTimer> timer;
+
+    void setup() override
+    {
+        StoreItems items;
+        items.items = {documentWithGroups(), engine(kFirstEngine), engine(kSecondEngine)};
+        knowledge.onStoreListed(items, loop->now());
+        watch = *GroupWatch::create(*loop, knowledge, groups, port);
+        timer = std::make_unique<PeriodicTimer>(*loop, std::chrono::milliseconds(50),
+                                                [this] { watch->tick(true); });
+    }
+
+    void teardown() override
+    {
+        timer.reset();
+        watch.reset();
+        agent.reset();
+        loop->shutDown();
+        loop.reset();
+    }
+
+    void runFor(int millis)
+    {
+        loop->schedule(std::chrono::milliseconds(millis), [this] { loop->stop(); });
+        loop->run();
+    }
+};
+
+TEST(GroupWatchTest, HearsFromTheAgentThatDecidesAndHowLongAgoItWasSo)
+{
+    agent->reporter.set(factsOf(true), loop->now());
+    runFor(400);
+    STRCMP_EQUAL("north", groups.groupOf(engine(kFirstEngine)).value().c_str());
+    DOUBLES_EQUAL(5.0, groups.slowness(engine(82), loop->now()), 0.01);
+    CHECK_TEXT(groups.known().at(GroupId("north")).asOf <= loop->now(),
+               "facts are never younger than the question for them");
+}
+
+TEST(GroupWatchTest, NewsComesAsSoonAsSomethingChanges)
+{
+    agent->reporter.set(factsOf(true), loop->now());
+    runFor(400);
+    CHECK_FALSE(groups.closed(GroupId("north"), loop->now()));
+    loop->schedule(std::chrono::milliseconds(5),
+                   [this] { agent->reporter.set(factsOf(false), loop->now()); });
+    runFor(150);
+    CHECK_TRUE(groups.closed(GroupId("north"), loop->now()));
+}
+
+TEST(GroupWatchTest, KeepsOneConnectionToTheAgentThatDecides)
+{
+    agent->reporter.set(factsOf(true), loop->now());
+    runFor(1500);
+    LONGS_EQUAL(1, agent->connections);
+}
+
+// An agent that does not decide says nothing of its group, but is asked again: it may decide by
+// then.
+TEST(GroupWatchTest, AsksAgainWhereNobodyDecidesYet)
+{
+    agent->reporter.refer("");
+    runFor(300);
+    LONGS_EQUAL(0, groups.known().size());
+    agent->reporter.set(factsOf(true), loop->now());
+    runFor(900);
+    LONGS_EQUAL(1, groups.known().size());
+}
