Gateways: streams wait for a group that is about to open

Cause: after a loss of power gateways are back a second before the engines' groups have formed; 350 to 570 requests were refused then, most of them at their callers' last try, though a wait of 0.4 to 1.1 s would have served them (late). Change: agents tell that all ranks of a group are there and it does not take requests yet; without word, a group that refuses from its first request on is taken for one that forms, for 3 s. Streams wait for it, no more than can begin then, and one in a while finds out.

--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -101,6 +101,16 @@
     return last == ranks_.end() || !last->second.known || last->second.report.open;
 }
 
+bool GroupDecider::forming(TimePoint now) const
+{
+    const auto reports = [&](const auto &entry) {
+        const Rank &rank = entry.second;
+        return rank.known && now - rank.askedAt <= settings_.reportLife;
+    };
+    return size_ > 0 && ranks_.size() == size_ && !takesRequests()
+           && std::all_of(ranks_.begin(), ranks_.end(), reports);
+}
+
 TimePoint GroupDecider::heardAt() const
 {
     TimePoint heardAt{};
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -182,6 +182,8 @@
     bool whole(TimePoint now) const;
     // Tells whether the group takes requests, as the rank says that was asked last.
     bool takesRequests() const;
+    // Tells whether all ranks have reported lately and the group does not take requests: it forms.
+    bool forming(TimePoint now) const;
     // Returns when the rank was asked that was asked last and has answered.
     TimePoint heardAt() const;
     // Returns the version in use at every rank; nothing while they differ or are not known.
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -90,12 +90,12 @@
     const RouteRule &route = *request.route;
     const Duration longest =
         route.timeout > Duration{} ? std::min(route.timeout, request.deadline) : request.deadline;
-    added.firstAskedAt = now - statedWaits_[route.name].sinceFirstTry(request.deadline);
+    added.arrivedAt = now - request.held;
+    added.firstAskedAt = added.arrivedAt - statedWaits_[route.name].sinceFirstTry(request.deadline);
     added.request = std::move(request);
     added.service = chooseService(route);
-    added.giveUpAt = now + longest - kAnswerMargin;
+    added.giveUpAt = added.arrivedAt + longest - kAnswerMargin;
     budgets_.try_emplace(added.service, ownBudget()).first->second.onSuccess();
-    added.arrivedAt = now;
     if (route.streamed) {
         ServiceState &service = serviceOf(added.service);
         const auto group = service.lanes.laneFor(entryFor(number, added, service), groups_, now);
@@ -147,6 +147,10 @@
     ServiceState &service = serviceOf(request.service);
     const StreamQueue::Entry entry = entryFor(number, request, service);
     request.waits = true;
+    if (mayQueueForOpening(service, now)) {
+        service.waiting.add(entry, now);
+        return;
+    }
     const Duration wait = expectedWait(service, entry, now);
     if (wait * settings_.waitDoubt > longestWait(request)) {
         request.comeBack = std::clamp(wait, settings_.shortestReturn, settings_.longestReturn);
@@ -156,6 +160,35 @@
     service.waiting.add(entry, now);
 }
 
+// Tells whether all groups refuse, one will soon take requests, and the queue is no longer than
+// what can begin then.
+bool GatewayCore::mayQueueForOpening(ServiceState &service, TimePoint now) const
+{
+    constexpr double kQueuePerPlace = 2.0; // A place is free again after a second or two.
+    double places = 0.0;
+    for (const auto &[group, lane] : service.lanes.all()) {
+        places += lane.limiter().limit();
+    }
+    return service.lanes.opensSoon(groups_, now)
+           && static_cast<double>(service.waiting.size()) < kQueuePerPlace * places;
+}
+
+// Has a stream wait that an upstream has refused because its group has yet to open.
+bool GatewayCore::queueAgain(RequestNumber number, Request &request, TimePoint now)
+{
+    ServiceState &service = serviceOf(request.service);
+    const bool fresh = request.request.route->streamed && !request.headSent && !request.mayHaveRun;
+    if (!fresh || !mayQueueForOpening(service, now)) {
+        return false;
+    }
+    request.waits = true;
+    request.sentBefore = true;
+    request.tried.clear();
+    request.attempts = 0; // None has run.
+    service.waiting.add(entryFor(number, request, service), now);
+    return true;
+}
+
 // Returns the state of a service, with the groups that it has now.
 GatewayCore::ServiceState &GatewayCore::serviceOf(const TargetName &service)
 {
@@ -195,7 +228,8 @@
         Request &request = requests_.at(number);
         request.waits = false;
         service.started.push_back(now);
-        if (!startAttempt(number, request, group, now, actions)) {
+        const bool allowed = !request.sentBefore || budgets_.at(request.service).take();
+        if (!allowed || !startAttempt(number, request, group, now, actions)) {
             giveUp(number, FailureCode::NoUpstream, actions);
         }
     }
@@ -357,6 +391,9 @@
 // Learns from an answer whether a group refuses everything, as one does that stands still.
 void GatewayCore::noteAnswer(Request &request, AnswerKind kind, TimePoint now)
 {
+    if (kind == AnswerKind::WrongInstance || kind == AnswerKind::Refused) {
+        return; // Said before the request got as far as the group.
+    }
     ServiceLanes &lanes = serviceOf(request.service).lanes;
     StreamLane &lane = lanes.lane(request.group);
     if (kind != AnswerKind::Full) {
@@ -403,6 +440,9 @@
     }
     actions.push_back(CancelAttempt{number});
     leaveUpstream(*request);
+    if (kind == AnswerKind::Full && queueAgain(number, *request, now)) {
+        return false;
+    }
     if (saysNotRun(kind) || mayRepeat(*request)) {
         retryOrGiveUp(number,
                       saysNotRun(kind) ? FailureCode::NoUpstream : FailureCode::UpstreamFailed, now,
@@ -520,7 +560,8 @@
     for (const RequestNumber number : late) {
         Request &request = requests_.at(number);
         if (request.waits) {
-            request.comeBack = settings_.shortestReturn;
+            const bool out = serviceOf(request.service).lanes.isOut(now);
+            request.comeBack = out ? latestReturn(request, now) : settings_.shortestReturn;
         }
         // The attempt under way was written, as far as is known.
         request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -52,7 +52,8 @@
     const RouteRule *route = nullptr;
     AccountId account;
     std::uint8_t priority = 5; // 0 is the most urgent.
-    Duration deadline{};       // How long the caller waits.
+    Duration deadline{};       // How long the caller waits, from its arrival on.
+    Duration held{};           // How long ago it arrived.
 };
 
 // What the head of an upstream's answer says.
@@ -200,6 +201,7 @@
         bool speaks = false;      // The attempt under way has sent an event.
         std::set<InstanceId> tried;
         std::uint32_t attempts = 0; // That reached an upstream, as far as is known.
+        bool sentBefore = false;    // An upstream has refused it already.
         std::uint32_t unsent = 0;
         bool mayHaveRun = false;
         bool headSent = false;
@@ -241,6 +243,8 @@
     Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
     void queueStream(RequestNumber number, Request &request, TimePoint now,
                      GatewayActions &actions);
+    bool queueAgain(RequestNumber number, Request &request, TimePoint now);
+    bool mayQueueForOpening(ServiceState &service, TimePoint now) const;
     void admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions);
     Request *find(RequestNumber number);
 
--- a/src/decision/gateway/grouptable.cpp
+++ b/src/decision/gateway/grouptable.cpp
@@ -27,7 +27,7 @@
 std::string describe(const GroupFacts &facts)
 {
     std::string text =
-        fmt::format("{} {} {}", facts.group.value(), facts.epoch, facts.open ? 1 : 0);
+        fmt::format("{} {} {}{}", facts.group.value(), facts.epoch, facts.open, facts.forming);
     for (const GroupMember &member : facts.members) {
         text += fmt::format(" {}:{} {:.2f}", member.host, member.port, member.pace);
     }
--- a/src/decision/gateway/servicelanes.cpp
+++ b/src/decision/gateway/servicelanes.cpp
@@ -79,7 +79,7 @@
     if (lane.unreachable() || (foreign && table.outOfTouch(group, now) && lane.quiet(now))) {
         return Trouble::Unreachable;
     }
-    if (lane.refuses(now) || table.closed(group, now)) {
+    if (lane.refuses(now) || lane.mayBeForming(now) || table.closed(group, now)) {
         return Trouble::Refuses;
     }
     return lane.standsStill() ? Trouble::StandsStill : Trouble::None;
@@ -114,12 +114,11 @@
 bool ServiceLanes::mayStart(const StreamLane &lane, const StreamQueue::Entry &entry,
                             TimePoint now) const
 {
-    const StreamLimiter &limiter = lane.limiter();
-    if (!limiter.admits(lane.inFlight())) {
+    if (!lane.limiter().admits(lane.inFlight())) {
         return false;
     }
     const bool fewest = lane.inFlight() < settings_.lane.streams.least;
-    if (fewest || !limiter.strained(now)) {
+    if (fewest || !lane.limiter().strained(now)) {
         return true;
     }
     return now <= entry.startBy && now + kStartSlack >= entry.startBy;
@@ -133,7 +132,8 @@
     for (const Option &option : options) {
         StreamLane &lane = lanes_.at(option.group);
         // Nor one that cannot be heard: a request would only find out after its caller has left.
-        const bool told = table.closed(option.group, now) || table.outOfTouch(option.group, now);
+        const bool closed = table.closed(option.group, now) && !table.forming(option.group, now);
+        const bool told = closed || table.outOfTouch(option.group, now);
         const bool wanted = option.trouble != Trouble::None && !told;
         if (wanted && lane.probeDue(now)) {
             lane.onProbe(now);
@@ -150,8 +150,10 @@
     if (all.empty()) {
         return GroupId(); // There is no upstream at all, which whoever sends it finds out.
     }
-    if (all.front().trouble == Trouble::None && all.back().trouble != Trouble::None) {
-        if (auto probe = laneToProbe(all, table, now)) {
+    const bool out = opensSoon(table, now);
+    if (out || (all.front().trouble == Trouble::None && all.back().trouble != Trouble::None)) {
+        auto probe = laneToProbe(all, table, now);
+        if (out || probe) {
             return probe;
         }
     }
@@ -194,6 +196,20 @@
                        [&](const auto &entry) { return lanes_.at(entry.first).refuses(now); });
 }
 
+bool ServiceLanes::opensSoon(const GroupTable &table, TimePoint now) const
+{
+    bool soon = false;
+    for (const auto &[id, group] : *groups_) {
+        const StreamLane &lane = lanes_.at(id);
+        const bool forms = lane.mayBeForming(now) || table.forming(id, now);
+        if (!forms && !lane.refuses(now) && !table.closed(id, now)) {
+            return false;
+        }
+        soon = soon || forms;
+    }
+    return soon;
+}
+
 void ServiceLanes::onTick(std::size_t waiting, const GroupTable &table, TimePoint now)
 {
     for (auto &[id, lane] : lanes_) {
--- a/src/decision/gateway/servicelanes.h
+++ b/src/decision/gateway/servicelanes.h
@@ -69,6 +69,10 @@
     void beginAnew(const GroupId &group);
     // Tells whether every group refuses.
     bool isOut(TimePoint now) const;
+    // Tells whether no group takes requests and one soon will: it has just started, or its agents
+    // say that it is forming. A stream that waits is then served sooner than its caller
+    // could come back.
+    bool opensSoon(const GroupTable &table, TimePoint now) const;
     // Adapts the bounds; `waiting` streams wait for a place.
     void onTick(std::size_t waiting, const GroupTable &table, TimePoint now);
 
--- a/src/decision/gateway/streamlane.cpp
+++ b/src/decision/gateway/streamlane.cpp
@@ -27,6 +27,7 @@
 
 void StreamLane::onFirstEvent(TimePoint now)
 {
+    ran_ = true;
     ++speaking_;
     noteWord(now);
 }
@@ -41,6 +42,7 @@
 bool StreamLane::onAnswer(TimePoint now)
 {
     unreachable_ = 0;
+    ran_ = true;
     const auto since = std::exchange(refusingSince_, std::nullopt);
     return since && now - *since >= settings_.outagePatience;
 }
@@ -49,6 +51,10 @@
 {
     unreachable_ = 0;
     const bool stoodStill = now - sentAt >= settings_.lateRefusal;
+    // A group that forms refuses at once; one that took a request before it refused has lost a
+    // rank.
+    ran_ = ran_ || stoodStill;
+    refusedFirst_ = refusedFirst_.value_or(now);
     const TimePoint since = stoodStill ? now - settings_.outagePatience : now;
     refusingSince_ = std::min(since, refusingSince_.value_or(since));
 }
@@ -81,6 +87,11 @@
     return refusingSince_ && now - *refusingSince_ >= settings_.outagePatience;
 }
 
+bool StreamLane::mayBeForming(TimePoint now) const
+{
+    return !ran_ && refusedFirst_ && now - *refusedFirst_ < settings_.formingPatience;
+}
+
 bool StreamLane::probeDue(TimePoint now) const
 {
     if (standsStill_ && inFlight_ > 0) {
--- a/src/decision/gateway/streamlane.h
+++ b/src/decision/gateway/streamlane.h
@@ -36,6 +36,10 @@
         Duration firstEventPatience = std::chrono::milliseconds(1000);
         // A group that has refused everything for this long is out.
         Duration outagePatience = std::chrono::milliseconds(300);
+        // Engines that have just started refuse until their group has formed. Where the group has
+        // never taken a request from here, that is held for the reason this long: starting takes a
+        // second or two, and forming what the configuration says, less than one.
+        Duration formingPatience = std::chrono::seconds(3);
         // An upstream without room refuses at once. One that refuses only after so long had taken
         // the request and stood still: its whole group does, and says so to all at this moment.
         Duration lateRefusal = std::chrono::milliseconds(1000);
@@ -89,6 +93,8 @@
     {
         return speaking_ == 0 || now - quietSince_ >= settings_.firstEventPatience;
     }
+    // Tells whether the group refuses, and probably because it has just started.
+    bool mayBeForming(TimePoint now) const;
     // Tells whether it is time to see with one request whether an avoided lane works again. Streams
     // that are there will show it themselves.
     bool probeDue(TimePoint now) const;
@@ -104,7 +110,9 @@
     Duration goal_{};            // Of the pauses, as last told.
     TimePoint quietSince_{};     // The last event of any stream, or the first stream after none.
     bool standsStill_ = false;
+    bool ran_ = false;                       // The group has taken a request, at any time.
     std::optional<TimePoint> refusingSince_; // No upstream has answered otherwise since.
+    std::optional<TimePoint> refusedFirst_;  // The first time that one refused.
     std::uint32_t unreachable_ = 0;          // Attempts in a row that could not connect.
     TimePoint probedAt_{};
 };
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -291,6 +291,7 @@
     facts.group = ownGroup_;
     facts.epoch = decider_->epoch();
     facts.open = decider_->takesRequests();
+    facts.forming = decider_->forming(loop_.now());
     const std::vector<double> paces = decider_->paces();
     std::map<std::uint32_t, SocketAddress> engines = peers_->engines();
     engines[*ownRank_] = settings_.engine;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -194,6 +194,35 @@
         refuse(exchange, facts, FailureCode::EntryStopping, Outcome::NotRun, kNotReadyPause);
         return;
     }
+    const bool early = (!knowledge_.hasConfiguration() || early_.size() > 0) && !stopping_;
+    if (early && early_.hold(exchange, request, facts.deadline.value_or(Duration{}), loop_.now())) {
+        logLine(LogLevel::Info, "request.held",
+                {{"id", facts.requestId}, {"reason", "no configuration"}, {"held", early_.size()}});
+        return;
+    }
+    take(exchange, std::move(request), loop_.now());
+}
+
+// Hands over requests that came before there was a configuration, once there is one; refuses those
+// that have waited long enough.
+void GatewayService::takeEarly()
+{
+    constexpr std::size_t kAtATime = 1;
+    if (knowledge_.hasConfiguration()) {
+        for (EarlyRequests::Held &held : early_.takeFirst(kAtATime)) {
+            take(held.exchange, std::move(held.request), held.arrivedAt);
+        }
+        return;
+    }
+    for (EarlyRequests::Held &held : early_.takeOverdue(loop_.now())) {
+        take(held.exchange, std::move(held.request), held.arrivedAt);
+    }
+}
+
+// Admits a request, or refuses it.
+void GatewayService::take(ExchangeId exchange, HttpRequest request, TimePoint arrivedAt)
+{
+    CallerFacts facts = protocol_.readRequest(request);
     auto admitted = knowledge_.admit(request, facts);
     if (!admitted) {
         const FailureCode code = admitted.error();
@@ -206,10 +235,11 @@
     flight.exchange = exchange;
     flight.request = std::move(request);
     flight.facts = std::move(facts);
+    admitted->held = loop_.now() - arrivedAt;
     flight.admitted = *admitted;
-    flight.startedAt = loop_.now();
+    flight.startedAt = arrivedAt;
     GatewayActions actions;
-    const RequestNumber number = core_.begin(std::move(*admitted), flight.startedAt, actions);
+    const RequestNumber number = core_.begin(std::move(*admitted), loop_.now(), actions);
     byExchange_[exchange] = number;
     flights_.emplace(number, std::move(flight));
     metrics_.count("seamarch_requests_total", "received");
@@ -237,6 +267,9 @@
 
 void GatewayService::onCallerGone(ExchangeId exchange)
 {
+    if (early_.drop(exchange)) {
+        return;
+    }
     const auto found = byExchange_.find(exchange);
     if (found == byExchange_.end()) {
         return;
@@ -535,6 +568,7 @@
 
 void GatewayService::tick()
 {
+    takeEarly();
     GatewayActions actions;
     core_.setGateways(sources_->gateways() + 1);
     core_.setPlace(sources_->place());
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -9,6 +9,7 @@
 #include "decision/gateway/eventstream.h"
 #include "decision/gateway/gatewaycore.h"
 #include "gateway/callerprotocol.h"
+#include "gateway/earlyrequests.h"
 #include "gateway/gatewaybounds.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/knowledgesources.h"
@@ -103,6 +104,8 @@
     nlohmann::json status() const override;
 
     void applyBounds(const CallerBounds &bounds);
+    void take(ExchangeId exchange, HttpRequest request, TimePoint arrivedAt);
+    void takeEarly();
     void refuse(ExchangeId exchange, const CallerFacts &facts, FailureCode code, Outcome outcome,
                 Duration retryAfter);
 
@@ -135,6 +138,7 @@
     std::unique_ptr<OperatorServer> operators_;
     std::unique_ptr<OperatorServer> metricsServer_;
     std::unique_ptr<KnowledgeSources> sources_;
+    EarlyRequests early_;
     std::unordered_map<RequestNumber, Flight> flights_;
     std::unordered_map<ExchangeId, RequestNumber> byExchange_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
--- a/src/gateway/gatewaywire.cpp
+++ b/src/gateway/gatewaywire.cpp
@@ -54,6 +54,7 @@
     to.setGroup(facts.group.value());
     to.setEpoch(facts.epoch);
     to.setOpen(facts.open);
+    to.setForming(facts.forming);
     to.setAgeMicros(age.count());
     if (!members) {
         return;
@@ -73,6 +74,7 @@
     facts.group = GroupId(from.getGroup().cStr());
     facts.epoch = from.getEpoch();
     facts.open = from.getOpen();
+    facts.forming = from.getForming();
     for (const auto &member : from.getMembers()) {
         facts.members.push_back(
             {member.getHost().cStr(), member.getPort(), static_cast<double>(member.getPace())});
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -190,6 +190,7 @@
   open @2 :Bool;             # It takes requests.
   ageMicros @3 :Int64;       # How long ago, at the answer, it was so.
   members @4 :List(GroupMember);  # By rank; left out where the asker named the same mark.
+  forming @5 :Bool;          # It does not take requests yet, but all its ranks are there.
 }
 
 struct RelayTarget {
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -382,3 +382,127 @@
     core->onTick(at(60), actions);
     CHECK_TRUE(first<StartAttempt>(actions) != nullptr);
 }
+
+// The pattern: all instances lose power. Gateways are back a second before the engines' groups have
+// formed, and most callers are at their last try: they had a connection cut or none at all.
+TEST_GROUP(GatewayCoreAfterPowerCutTest)
+{
+    GatewayCore::Settings settings;
+    std::unique_ptr<GatewayCore> core;
+    GatewayActions actions;
+    RoutingDocument document;
+    std::shared_ptr<const RouteTable> table;
+
+    void setup() override
+    {
+        settings.hall = HallId("north");
+        settings.seed = 1;
+        settings.retries = {0.2, 88.0};
+        core = std::make_unique<GatewayCore>(settings);
+        core->upstreams().put(upstream("one"));
+        core->upstreams().put(upstream("two"));
+        RouteRule route = rule(Kind::Stream);
+        route.timeout = std::chrono::seconds(8);
+        document.routes = {route};
+        table = std::make_shared<const RouteTable>(document);
+    }
+
+    RequestNumber begin(int now)
+    {
+        GatewayRequest request;
+        request.table = table;
+        request.route = table->match("x", "/");
+        request.deadline = std::chrono::seconds(8);
+        return core->begin(request, at(now), actions);
+    }
+
+    std::size_t count(bool rejections)
+    {
+        std::size_t count = 0;
+        for (const GatewayAction &action : actions) {
+            count += rejections ? std::holds_alternative<RejectRequest>(action)
+                                : std::holds_alternative<StartAttempt>(action);
+        }
+        return count;
+    }
+};
+
+TEST(GatewayCoreAfterPowerCutTest, StreamThatAFormingGroupRefusesWaits)
+{
+    const RequestNumber number = begin(0);
+    actions.clear();
+    core->onHead(number, AnswerKind::Full, at(5), actions);
+    LONGS_EQUAL(0, count(true));
+    LONGS_EQUAL(1, core->waiting(TargetName("service")));
+}
+
+TEST(GatewayCoreAfterPowerCutTest, OneRequestInAWhileFindsOutWhetherTheGroupIsOpen)
+{
+    const RequestNumber first = begin(0);
+    core->onHead(first, AnswerKind::Full, at(5), actions);
+    actions.clear();
+    int sent = 0;
+    for (int now = 10; now < 1000; now += 10) {
+        begin(now);
+        core->onTick(at(now), actions);
+        for (const GatewayAction &action : GatewayActions(actions)) {
+            if (const auto *start = std::get_if<StartAttempt>(&action)) {
+                ++sent;
+                GatewayActions answer;
+                core->onHead(start->request, AnswerKind::Full, at(now), answer);
+            }
+        }
+        actions.clear();
+    }
+    CHECK_TEXT(sent >= 2 && sent <= 5, "expected a try each quarter of a second");
+}
+
+TEST(GatewayCoreAfterPowerCutTest, AllThatWaitBeginOnceTheGroupIsOpen)
+{
+    const RequestNumber first = begin(0);
+    core->onHead(first, AnswerKind::Full, at(5), actions);
+    begin(100);
+    begin(200);
+    actions.clear();
+    core->onTick(at(600), actions); // A request finds out.
+    const auto *probe = ::first<StartAttempt>(actions);
+    CHECK_TRUE(probe != nullptr);
+    const RequestNumber found = probe->request;
+    actions.clear();
+    core->onHead(found, AnswerKind::Success, at(640), actions);
+    core->onTick(at(650), actions);
+    LONGS_EQUAL(2, count(false));
+    LONGS_EQUAL(0, count(true));
+}
+
+// A group that does not open is no reason to hold a caller until it leaves.
+TEST(GatewayCoreAfterPowerCutTest, StreamsOfAGroupThatStaysClosedAreRefused)
+{
+    begin(0);
+    core->onHead(1, AnswerKind::Full, at(5), actions);
+    actions.clear();
+    core->onTick(at(1700), actions);
+    CHECK_TRUE(count(true) + count(false) == 1);
+    actions.clear();
+    // Three seconds after the first refusal nobody believes any more that the group is forming.
+    const RequestNumber late = begin(3300);
+    core->onHead(late, AnswerKind::Full, at(3305), actions);
+    core->onHead(late, AnswerKind::Full, at(3310), actions);
+    LONGS_EQUAL(1, count(true));
+}
+
+// What its agents say goes before what a gateway guesses.
+TEST(GatewayCoreAfterPowerCutTest, StreamsWaitForAGroupWhoseAgentsSayThatItForms)
+{
+    GroupFacts facts;
+    facts.group = GroupId("g");
+    facts.open = false;
+    facts.forming = true;
+    facts.members = {{"", 0, 1.0}}; // Where the test's upstreams are listed.
+    core->groups().learn(facts, at(10'000));
+    begin(10'010); // The one that finds out.
+    begin(10'020);
+    begin(10'030);
+    LONGS_EQUAL(0, count(true));
+    LONGS_EQUAL(2, core->waiting(TargetName("service")));
+}
