Gateways: a bound that nothing was learned for follows the number of gateways

Cause: a gateway that starts takes itself for the only one of its site, and began with a bound for all of the slots. Change: until the first pause is heard the bound begins anew when the number of gateways changes.

--- a/src/decision/gateway/servicelanes.cpp
+++ b/src/decision/gateway/servicelanes.cpp
@@ -14,13 +14,18 @@
 
 void ServiceLanes::setGroups(const UpstreamChooser::Groups &groups, const GatewayShare &share)
 {
+    const bool otherShare =
+        share.gateways != share_.gateways || share.place.gateways != share_.place.gateways;
     groups_ = &groups;
     share_ = share;
     std::erase_if(lanes_, [&groups](const auto &entry) {
         return entry.second.inFlight() == 0 && !groups.contains(entry.first);
     });
     for (const auto &[id, group] : groups) {
-        lane(id);
+        // A new gateway does not know at once how many share the groups with it.
+        if (StreamLane &known = lane(id); otherShare && !known.limiter().learned()) {
+            begin(known, group);
+        }
     }
 }
 
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -25,13 +25,12 @@
 {
     const double share =
         std::clamp(settings_.shareAtFirst * slots / gateways, settings_.least, settings_.most);
-    limit_ = std::exchange(begun_, true) ? std::min(limit_, share) : share;
+    limit_ = learned() ? std::min(limit_, share) : share;
 }
 
 void StreamLimiter::beginLeast()
 {
     limit_ = settings_.least;
-    begun_ = true;
 }
 
 void StreamLimiter::onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now)
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -57,11 +57,13 @@
 
     // An event came `pause` after the one before it on the same stream; `goal` is its route's.
     void onPause(Duration pause, Duration goal, TimePoint now);
-    // Begins with an even share of `slots` among `gateways`, where the bound is above it or nothing
-    // was learned yet: the engines are new, or have stood still while callers queued.
+    // Begins with an even share of `slots` among `gateways`, where the bound is above it or no
+    // pause was heard yet: the engines are new, or have stood still while callers queued.
     void begin(double slots, double gateways);
     // Begins with the fewest streams.
     void beginLeast();
+    // Tells whether any pause was heard; until then the bound is a guess.
+    bool learned() const { return heardAt_.has_value(); }
     // Adapts the bound. `waiting` is the number of requests that wait for it.
     void onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now);
 
@@ -80,7 +82,6 @@
     double limit_ = Settings().initial;
     double longest_ = 0.0; // Of the period's pauses, in parts of the goal.
     bool heard_ = false;
-    bool begun_ = false;
     std::optional<TimePoint> heardAt_; // A pause, of any length.
     TimePoint adaptedAt_{};
     std::optional<TimePoint> strainedAt_;
