Gateways: late word of a group is no cut

Cause: word of a group comes through two waits of 0.4 s, and an agent that plans a map answers late; after 1.5 s without word the group counted as cut off. Change: 2.5 s, and word of another group must be younger by 1.5 s.

--- a/src/decision/gateway/grouptable.cpp
+++ b/src/decision/gateway/grouptable.cpp
@@ -119,14 +119,21 @@
            && now - found->second.asOf < settings_.closedLife;
 }
 
+bool GroupTable::forming(const GroupId &group, TimePoint now) const
+{
+    const auto found = groups_.find(group);
+    return closed(group, now) && found->second.facts.forming;
+}
+
 bool GroupTable::outOfTouch(const GroupId &group, TimePoint now) const
 {
     const auto found = groups_.find(group);
-    const auto fresh = [&](const auto &entry) {
-        return now - entry.second.asOf < settings_.touchLife;
-    };
-    return found != groups_.end() && !fresh(*found)
-           && std::any_of(groups_.begin(), groups_.end(), fresh);
+    if (found == groups_.end() || now - found->second.asOf < settings_.touchLife) {
+        return false;
+    }
+    return std::any_of(groups_.begin(), groups_.end(), [&](const auto &entry) {
+        return entry.second.asOf - found->second.asOf >= settings_.touchLag;
+    });
 }
 
 void GroupTable::remark()
--- a/src/decision/gateway/grouptable.h
+++ b/src/decision/gateway/grouptable.h
@@ -58,9 +58,11 @@
         Duration closedLife = std::chrono::milliseconds(2000);
         // How long a rank counts as slow after the word that it is.
         Duration paceLife = std::chrono::seconds(5);
-        // Word of each group comes several times a second. When that of one has not come for this
-        // long, and that of another has, the way to the one is cut.
-        Duration touchLife = std::chrono::milliseconds(1500);
+        // Word of each group comes several times a second, through two waits of 0.4 s. When that of
+        // one has not come for the first time, and that of another is younger by the second, the
+        // way to the one is cut.
+        Duration touchLife = std::chrono::milliseconds(2500);
+        Duration touchLag = std::chrono::milliseconds(1500);
         // A group of which nothing was heard for this long is forgotten: its agents are gone, and
         // its engines may be in other groups by then.
         Duration life = std::chrono::seconds(60);
