Expert maps: an urgent change holds sooner while orders go unanswered

Cause: with a tenth of the orders unanswered holds lay 450 ms further ahead, on a map whose most loaded rank makes all streams late anyway.

--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -283,7 +283,7 @@
     return armLeft ? Obstacle::ArmLeft : Obstacle::None;
 }
 
-std::optional<std::uint64_t> GroupDecider::propose(ExpertMap experts, TimePoint now,
+std::optional<std::uint64_t> GroupDecider::propose(ExpertMap experts, bool urgent, TimePoint now,
                                                    MapOrders &orders)
 {
     if (!settled(now)) {
@@ -296,6 +296,7 @@
     version_ = highest + 1 + random_() % kVersionGap;
     experts_ = std::make_shared<const ExpertMap>(std::move(experts));
     committed_ = false;
+    urgent_ = urgent;
     clearing_ = false;
     unanswered_ = 0;
     raiseFence();
@@ -340,7 +341,8 @@
 Duration GroupDecider::lead() const
 {
     const Duration unmeasured = settings_.lead + settings_.leadPerRank * static_cast<int>(size_);
-    const Duration lossy = unanswered_ > 0 ? settings_.leadWhenLossy : Duration{};
+    const Duration rounds = urgent_ ? settings_.leadWhenUrgent : settings_.leadWhenLossy;
+    const Duration lossy = unanswered_ > 0 ? rounds : Duration{};
     if (armTimes_.empty()) {
         return unmeasured + lossy;
     }
