Expert maps: a group goes on while its decider's machine is frozen under its hold

Change: the decider arms its own rank last and its successor's last but one, the successor's engine holds the step, and the version names the decider's rank. The agent beside a rank remembers the orders that it has handed to its engine. One that has handed on no arm of the version, and whose engine has taken a higher fence since, knows that the decider never gets all confirmations; it clears the change without that rank. Such changes are armed through agents alone, and only when all agents answer. While its own engine holds a step an agent takes over after half of a decider's life. Ruled out: a hold at another rank alone (a late confirmation could still arm the decider's rank; it is what the memory of the agents closes).

--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -1,5 +1,7 @@
 #include "decision/expertmap/groupdecider.h"
 
+#include "decision/expertmap/mapversion.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,9 +12,9 @@
 // its predecessor's at the same rank. A floor of tenths of a second since 1970 keeps a fence below
 // 2^53, which every reader of JSON takes exactly.
 constexpr std::uint64_t kFenceStride = 1U << 18U;
-// Versions are drawn with a gap of up to this, so that two deciders never mean different maps by
-// one version.
-constexpr std::uint64_t kVersionGap = 1U << 20U;
+// Versions are drawn with a gap of up to this, so that an agent that starts anew never means
+// another map by a version that it drew in its earlier life. A thousandth of them are its own.
+constexpr std::uint64_t kVersionGap = 1U << 30U;
 
 } // namespace
 
@@ -38,6 +40,9 @@
 {
     phase_ = phase;
     phaseSince_ = now;
+    if (phase == Phase::Idle) {
+        without_.reset();
+    }
     for (auto &[rank, state] : ranks_) {
         state.confirmed = false;
         state.sentAt = {};
@@ -80,15 +85,59 @@
     return highest;
 }
 
+bool GroupDecider::fresh(const Rank &rank, TimePoint now) const
+{
+    return rank.known && rank.report.epoch == epoch_ && rank.report.open
+           && now - rank.askedAt <= settings_.reportLife;
+}
+
 bool GroupDecider::whole(TimePoint now) const
 {
     if (size_ == 0 || ranks_.size() != size_) {
         return false;
     }
+    return std::all_of(ranks_.begin(), ranks_.end(),
+                       [&](const auto &entry) { return fresh(entry.second, now); });
+}
+
+// Returns the one rank that does not answer while all others do.
+std::optional<std::uint32_t> GroupDecider::soleSilentRank(TimePoint now) const
+{
+    std::optional<std::uint32_t> silent;
+    for (std::uint32_t number = 0; number < size_; ++number) {
+        const auto found = ranks_.find(number);
+        if (found != ranks_.end() && fresh(found->second, now)) {
+            continue;
+        }
+        if (silent) {
+            return std::nullopt;
+        }
+        silent = number;
+    }
+    return silent;
+}
+
+bool GroupDecider::armsOwnLast() const
+{
+    return rankArmedLast(version_) == settings_.ownRank;
+}
+
+// Returns the rank whose agent decides after this one: the lowest other.
+std::uint32_t GroupDecider::successor() const
+{
+    return settings_.ownRank == 0 ? 1 : 0;
+}
+
+// Tells whether it is the rank's turn to be armed.
+bool GroupDecider::mayArm(std::uint32_t number) const
+{
+    const bool last = number == settings_.ownRank;
+    if (!armsOwnLast() || (!last && number != successor())) {
+        return true;
+    }
     return std::all_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
-        const Rank &rank = entry.second;
-        return rank.known && rank.report.epoch == epoch_ && rank.report.open
-               && now - rank.askedAt <= settings_.reportLife;
+        const bool later = entry.first == settings_.ownRank || (!last && entry.first == number);
+        return later || entry.second.confirmed;
     });
 }
 
@@ -184,7 +233,7 @@
         const Rank &rank = entry.second;
         const bool seen =
             phase_ != Phase::Clearing || (rank.askedAt > rank.answeredAt && rank.report.armed == 0);
-        return rank.confirmed && seen;
+        return leftOut(entry.first) || (rank.confirmed && seen);
     });
 }
 
@@ -208,14 +257,26 @@
     return rank.sentAt == TimePoint{} || now - rank.sentAt >= rank.resendAfter;
 }
 
-void GroupDecider::sendUnconfirmed(MapOrderKind kind, TimePoint now, MapOrders &orders)
+void GroupDecider::sendPrepares(TimePoint now, MapOrders &orders)
 {
     for (auto &[number, rank] : ranks_) {
-        const bool copying = kind == MapOrderKind::Prepare && rank.answeredAt != TimePoint{};
+        const bool copying = rank.answeredAt != TimePoint{};
         if (!rank.confirmed && !copying && due(rank, now)) {
             unanswered_ += rank.sentAt == TimePoint{} ? 0 : 1;
             rank.sentAt = now;
-            orders.push_back({number, orderFor(kind)});
+            orders.push_back({number, orderFor(MapOrderKind::Prepare), OrderWay::Any});
+        }
+    }
+}
+
+void GroupDecider::sendArms(TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        if (!rank.confirmed && due(rank, now) && mayArm(number)) {
+            unanswered_ += rank.sentAt == TimePoint{} ? 0 : 1;
+            rank.sentAt = now;
+            const OrderWay way = armsOwnLast() ? OrderWay::AgentOnly : OrderWay::Any;
+            orders.push_back({number, orderFor(MapOrderKind::Arm), way});
         }
     }
 }
@@ -223,7 +284,7 @@
 void GroupDecider::sendDisarms(TimePoint now, MapOrders &orders)
 {
     for (auto &[number, rank] : ranks_) {
-        if (rank.confirmed || !due(rank, now)) {
+        if (rank.confirmed || !due(rank, now) || leftOut(number)) {
             continue;
         }
         rank.sentAt = now;
@@ -234,7 +295,7 @@
             // The map in use cannot be disarmed; the order carries the fence alone.
             ++order.version;
         }
-        orders.push_back({number, order});
+        orders.push_back({number, order, OrderWay::Any});
     }
 }
 
@@ -243,7 +304,7 @@
 {
     for (auto &[number, rank] : ranks_) {
         const bool own = number == holder_;
-        const bool holds = rank.report.held.has_value();
+        const bool holds = rank.report.held.has_value() && !leftOut(number);
         if (rank.confirmed || !due(rank, now) || !(own || (clearing_ && holds))) {
             continue;
         }
@@ -252,7 +313,7 @@
         if (!own) {
             order.step = *rank.report.held;
         }
-        orders.push_back({number, order});
+        orders.push_back({number, order, OrderWay::Any});
     }
 }
 
@@ -293,7 +354,12 @@
     for (const auto &[number, rank] : ranks_) {
         highest = std::max({highest, rank.report.map, rank.report.prepared, rank.report.armed});
     }
-    version_ = highest + 1 + random_() % kVersionGap;
+    const bool agentsOnly =
+        size_ > 1 && std::all_of(ranks_.begin(), ranks_.end(), [](const auto &entry) {
+            return entry.second.report.byAgent;
+        });
+    version_ = mapVersionAbove(highest + random_() % kVersionGap,
+                               agentsOnly ? std::optional(settings_.ownRank) : std::nullopt);
     experts_ = std::make_shared<const ExpertMap>(std::move(experts));
     committed_ = false;
     urgent_ = urgent;
@@ -301,7 +367,7 @@
     unanswered_ = 0;
     raiseFence();
     enter(Phase::Preparing, now);
-    sendUnconfirmed(MapOrderKind::Prepare, now, orders);
+    sendPrepares(now, orders);
     return version_;
 }
 
@@ -388,13 +454,16 @@
         chooseHolder();
     }
     ranks_[holder_].sentAt = now;
-    orders.push_back({holder_, orderFor(MapOrderKind::Hold)});
+    const bool straight = !clearing_ && armsOwnLast();
+    orders.push_back(
+        {holder_, orderFor(MapOrderKind::Hold), straight ? OrderWay::Engine : OrderWay::Any});
 }
 
 // Places the hold anew, also where the own rank should hold already: another decider with a higher
 // fence may have released that hold, and may be changing the map now.
-void GroupDecider::beginClearing(TimePoint now)
+void GroupDecider::beginClearing(TimePoint now, std::optional<std::uint32_t> without)
 {
+    without_ = without;
     clearing_ = true;
     committed_ = false;
     raiseFence();
@@ -414,6 +483,7 @@
     const bool foreign = std::any_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
         return isForeign(entry.second.report);
     });
+    watchSilent(foreign, now);
     if (!foreign) {
         foreignSince_.reset();
         return;
@@ -426,6 +496,37 @@
     }
 }
 
+// Tells whether the change that is under way can be cleared without the silent rank: that rank is
+// armed last, and this agent has handed on no arm, so that its own confirmation is still missing.
+bool GroupDecider::mayClearWithout(std::uint32_t silent) const
+{
+    const auto own = ranks_.find(settings_.ownRank);
+    if (own == ranks_.end()) {
+        return false;
+    }
+    const std::uint64_t version = own->second.report.neverArmed;
+    const bool named = version != 0 && rankArmedLast(version) == silent;
+    return named && std::all_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
+               const RankReport &report = entry.second.report;
+               const bool ofChange = report.armed == 0 || report.armed == version;
+               return entry.first == silent || (report.prepared == version && ofChange);
+           });
+}
+
+void GroupDecider::watchSilent(bool foreign, TimePoint now)
+{
+    const auto silent = foreign ? soleSilentRank(now) : std::nullopt;
+    if (!silent || *silent == settings_.ownRank || !mayClearWithout(*silent)) {
+        silentSince_.reset();
+        return;
+    }
+    silentSince_ = silentSince_.value_or(now);
+    if (now - *silentSince_ >= settings_.silentPatience) {
+        silentSince_.reset();
+        beginClearing(now, silent);
+    }
+}
+
 void GroupDecider::onHoldAnswer(MapOrderAnswer answer, TimePoint now)
 {
     switch (answer) {
@@ -488,7 +589,7 @@
     } else if (phase_ == Phase::Clearing && kind == MapOrderKind::Disarm) {
         if (answer == MapOrderAnswer::Fenced) {
             raiseFence(true);
-            beginClearing(now);
+            beginClearing(now, without_);
         } else if (answer == MapOrderAnswer::Done) {
             rank.confirmed = true;
             rank.answeredAt = now;
@@ -514,34 +615,40 @@
 // Takes the step that the confirmations allow.
 void GroupDecider::advance(TimePoint now)
 {
-    if (ranks_.size() != size_ || size_ == 0) {
+    const std::size_t silent = without_ && !ranks_.contains(*without_) ? 1 : 0;
+    if (ranks_.size() + silent != size_ || size_ == 0) {
         return;
     }
     if (phase_ == Phase::Preparing && allConfirmed() && whole(now)) {
         chooseStep();
-        holder_ = settings_.ownRank;
+        holder_ = armsOwnLast() ? successor() : settings_.ownRank;
         enter(Phase::Holding, now);
     } else if (phase_ == Phase::Arming && allConfirmed()) {
         committed_ = true;
         noteArmTime(now - phaseSince_);
         enter(Phase::Releasing, now);
     } else if (phase_ == Phase::Clearing && allConfirmed()) {
-        ++cleared_;
-        enter(Phase::Releasing, now);
-    } else if (phase_ == Phase::Releasing) {
-        const bool released = std::all_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
-            const bool asked =
-                entry.first == holder_ || (clearing_ && entry.second.report.held.has_value());
-            return !asked || entry.second.confirmed;
-        });
-        if (released) {
-            changes_ += committed_ ? 1 : 0;
-            releasedAt_ = now;
-            enter(Phase::Idle, now);
-        }
+        // Its own engine has taken the fence by now: what this agent has not handed on, it refuses.
+        const bool cleared = !without_ || mayClearWithout(*without_);
+        cleared_ += cleared ? 1 : 0;
+        enter(cleared ? Phase::Releasing : Phase::Idle, now);
+    } else if (phase_ == Phase::Releasing && released()) {
+        changes_ += committed_ ? 1 : 0;
+        releasedAt_ = now;
+        enter(Phase::Idle, now);
     }
 }
 
+// Tells whether every hold that this agent releases is released.
+bool GroupDecider::released() const
+{
+    return std::all_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
+        const bool holds = entry.second.report.held.has_value() && !leftOut(entry.first);
+        const bool asked = entry.first == holder_ || (clearing_ && holds);
+        return !asked || entry.second.confirmed;
+    });
+}
+
 // Tells whether the group has broken: it forms anew in another epoch, in which nothing of this one
 // counts.
 bool GroupDecider::broken(TimePoint now) const
@@ -578,13 +685,13 @@
         watchForeign(now);
         return;
     case Phase::Preparing:
-        sendUnconfirmed(MapOrderKind::Prepare, now, orders);
+        sendPrepares(now, orders);
         return;
     case Phase::Holding:
         sendHold(now, orders);
         return;
     case Phase::Arming:
-        sendUnconfirmed(MapOrderKind::Arm, now, orders);
+        sendArms(now, orders);
         return;
     case Phase::Clearing:
         sendDisarms(now, orders);
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -17,6 +17,15 @@
 // that finds arms or holds that are not its own clears them in the same way. The group's forming
 // anew (a new epoch) voids everything, which every order names.
 //
+// A decider whose machine freezes under its hold would stop the group until it wakes, since nobody
+// can ask its own rank what is armed there. So a change that all agents take part in arms the
+// decider's own rank last of all, and its successor's, the lowest other rank, last but one; the
+// successor's engine holds the step, and the version names the decider's rank. The agent beside a
+// rank knows whether it has handed on an arm of the version. One that has not, and whose engine has
+// taken a higher fence since, knows that its confirmation will never come, hence that the decider's
+// rank is not armed and never will be: it clears the change without that rank. No arm passes an
+// agent by, because such a change is armed through agents alone.
+//
 // The class is a pure state machine: reports, answers and the time come in, orders go out.
 // Single-threaded.
 #pragma once
@@ -54,6 +63,10 @@
     double pace = 1.0;                 // Over 1: it takes so many times as long for its work.
     // Ranks, epochs, steps and versions of two groups have nothing to do with each other.
     GroupId group;
+    // The version that the agent beside the rank has handed on a prepare of, and no arm. Zero:
+    // none, or the agent does not know, as after its start. Only that agent itself is told.
+    std::uint64_t neverArmed = 0;
+    bool byAgent = true; // Told by the agent beside the rank, else by the engine itself.
 };
 
 enum class MapOrderKind : std::uint16_t { Prepare, Arm, Disarm, Hold, Go };
@@ -78,11 +91,19 @@
     Copied,  // Of a prepare: done, and all experts that are new to the rank are copied.
 };
 
+// Which way an order goes to a rank.
+enum class OrderWay {
+    Any,       // Through the agent beside the rank, or to the engine when the agent is silent.
+    AgentOnly, // The agent must know of it.
+    Engine,    // An agent that froze with it would leave nobody who can tell what became of it.
+};
+
 // Hand an order to a rank.
 struct SendMapOrder
 {
     std::uint32_t rank = 0;
     MapOrder order;
+    OrderWay way = OrderWay::Any;
 };
 
 using MapOrders = std::vector<SendMapOrder>;
@@ -136,6 +157,9 @@
         Duration reportLife = std::chrono::milliseconds(700);
         // Arms and holds that nobody resolves are cleared after this; their decider may be at it.
         Duration foreignPatience = std::chrono::milliseconds(1200);
+        // The same where all ranks answer but that of their decider, which was silent for longer
+        // before another took the role: a first answer takes some ten milliseconds.
+        Duration silentPatience = std::chrono::milliseconds(150);
     };
 
     // What keeps a change from starting.
@@ -197,6 +221,8 @@
     std::uint64_t epoch() const { return epoch_; }
     std::uint64_t changes() const { return changes_; }
     std::uint64_t cleared() const { return cleared_; }
+    // Returns the rank that the clearing under way leaves out, because its agent is silent.
+    std::optional<std::uint32_t> leavesOut() const { return without_; }
 
 private:
     struct Rank
@@ -217,14 +243,24 @@
     bool allConfirmed() const;
     bool broken(TimePoint now) const;
     bool due(const Rank &rank, TimePoint now) const;
+    bool fresh(const Rank &rank, TimePoint now) const;
+    bool armsOwnLast() const;
+    std::uint32_t successor() const;
+    bool mayArm(std::uint32_t number) const;
+    std::optional<std::uint32_t> soleSilentRank(TimePoint now) const;
+    bool mayClearWithout(std::uint32_t silent) const;
+    bool leftOut(std::uint32_t number) const { return without_ == number; }
     MapOrder orderFor(MapOrderKind kind) const;
-    void sendUnconfirmed(MapOrderKind kind, TimePoint now, MapOrders &orders);
+    void sendPrepares(TimePoint now, MapOrders &orders);
     void sendHold(TimePoint now, MapOrders &orders);
     void sendDisarms(TimePoint now, MapOrders &orders);
     void sendReleases(TimePoint now, MapOrders &orders);
+    void sendArms(TimePoint now, MapOrders &orders);
     void watchForeign(TimePoint now);
+    void watchSilent(bool foreign, TimePoint now);
     bool isForeign(const RankReport &report) const;
-    void beginClearing(TimePoint now);
+    void beginClearing(TimePoint now, std::optional<std::uint32_t> without = std::nullopt);
+    bool released() const;
     void measurePasses(TimePoint askedAt);
     Duration lead() const;
     std::uint64_t margin() const;
@@ -260,6 +296,8 @@
     Duration passTime_{};           // Zero: not measured yet.
     std::deque<Duration> armTimes_; // From the first arm to the last answer, of the last changes.
     std::optional<TimePoint> foreignSince_;
+    std::optional<TimePoint> silentSince_; // All ranks but one answer, and something is foreign.
+    std::optional<std::uint32_t> without_; // The rank that the clearing under way leaves out.
     std::uint64_t changes_ = 0;
     std::uint64_t cleared_ = 0;
 };
--- /dev/null
+++ b/src/decision/expertmap/handedorders.cpp
@@ -0,0 +1,47 @@
+#include "decision/expertmap/handedorders.h"
+
+#include <algorithm>
+
+namespace seamarch {
+
+// Forgets what an earlier epoch had: versions begin anew in each.
+void HandedOrders::enter(std::uint64_t epoch)
+{
+    if (epoch > epoch_) {
+        epoch_ = epoch;
+        prepared_ = 0;
+        reported_ = false;
+        neverArmed_ = 0;
+    }
+}
+
+void HandedOrders::noteReport(std::uint64_t epoch, std::uint64_t prepared)
+{
+    enter(epoch);
+    if (epoch == epoch_) {
+        reported_ = true;
+        prepared_ = std::max(prepared_, prepared);
+    }
+}
+
+bool HandedOrders::add(const MapOrder &order)
+{
+    if (order.fence < fence_) {
+        return false;
+    }
+    fence_ = order.fence;
+    enter(order.epoch);
+    if (order.epoch < epoch_) {
+        return true; // The engine refuses it, and it concerns nothing that is remembered.
+    }
+    // A prepare that comes twice tells nothing of the arms between.
+    if (order.kind == MapOrderKind::Prepare && order.version > prepared_) {
+        prepared_ = order.version;
+        neverArmed_ = reported_ ? order.version : 0;
+    } else if (order.kind == MapOrderKind::Arm && order.version == neverArmed_) {
+        neverArmed_ = 0;
+    }
+    return true;
+}
+
+} // namespace seamarch
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -22,13 +22,18 @@
 constexpr Duration kTick = std::chrono::milliseconds(50);
 // Counts of less than about a pass tell nothing new.
 constexpr Duration kLeastCountsGap = std::chrono::milliseconds(100);
-// How often an agent that does not decide asks its own engine for its rank.
-constexpr Duration kOwnGap = std::chrono::milliseconds(400);
+// How often an agent that does not decide asks its own engine for its rank, unless the agent that
+// decides has asked it meanwhile. Such calls are free.
+constexpr Duration kOwnGap = std::chrono::milliseconds(200);
 // A decider that has not asked for this long is taken for dead or cut off. It asks some five times
 // in it, whatever the size of the group. Two that both decide are harmless, and a group that one
 // has left held makes no pass.
 constexpr Duration kDeciderLife = std::chrono::milliseconds(500);
 constexpr Duration kDeciderLifePerRank = std::chrono::milliseconds(10);
+// While its own engine holds a step, the successor of a decider waits for this part of that life
+// alone, and for no turn: the whole group stands still for a decider that is dead, and one that
+// lives asks several times in it, most often during a change.
+constexpr int kLifePartWhenHeld = 2;
 // Each rank waits this much longer than the one before it, so that one takes the role and is heard
 // before the next would take it: a question and a tick later.
 constexpr Duration kTurnPerRank = std::chrono::milliseconds(100);
@@ -252,7 +257,7 @@
 {
     updateRole();
     if (!deciding()) {
-        if (loop_.now() - ownAskedAt_ >= kOwnGap) {
+        if (loop_.now() - ownLookedAt_ >= kOwnGap) {
             askOwn({});
         }
         reportGroup();
@@ -312,15 +317,17 @@
     if (!ownRank_ || now - startedAt_ < kStartDelay) {
         return false;
     }
-    const Duration life =
+    const Duration whole =
         kDeciderLife + kDeciderLifePerRank * static_cast<Duration::rep>(groupRanks_);
+    const Duration life = ownHeld_ ? whole / kLifePartWhenHeld : whole;
     const bool lowerLives = lower_ && lower_->rank < *ownRank_ && now - lower_->askedAt < life;
     if (deciding() || lowerLives) {
         return !lowerLives;
     }
     const TimePoint from =
         std::max(startedAt_ + kStartDelay, lower_ ? lower_->askedAt + life : TimePoint{});
-    const Duration turn = *ownRank_ == 0 ? Duration{} : kTurnOfOthers + kTurnPerRank * *ownRank_;
+    const bool atOnce = *ownRank_ == 0 || ownHeld_;
+    const Duration turn = atOnce ? Duration{} : kTurnOfOthers + kTurnPerRank * *ownRank_;
     return now - from >= turn;
 }
 
@@ -386,8 +393,10 @@
 // Answers for the own rank.
 void ExpertAgent::answer(RankQuestion question, OwnEngine::FactsDone done)
 {
+    ownLookedAt_ = loop_.now();
     engine_->ask(question, [this, done = std::move(done)](std::optional<RankFacts> facts) {
         if (facts) {
+            ownHeld_ = facts->report.held.has_value();
             noteOwnPlace(facts->report);
             noteFormed(facts->report);
         }
@@ -461,7 +470,7 @@
     ownGroup_ = report.group;
     lower_.reset();
     epoch_ = 0;
-    engine_->forgetFence();
+    engine_->forgetOrders();
     experts_.clear();
     known_.reset();
     proposedVersion_ = 0;
@@ -626,7 +635,11 @@
 {
     const GroupDecider::Phase phase = decider_->phase();
     if (phase != notedPhase_) {
-        logLine(LogLevel::Info, "map.phase", {{"phase", wordFor(phase)}, {"epoch", epoch_}});
+        const auto leftOut = decider_->leavesOut();
+        logLine(LogLevel::Info, "map.phase",
+                {{"phase", wordFor(phase)},
+                 {"epoch", epoch_},
+                 {"withoutRank", leftOut ? json(*leftOut) : json()}});
         notedPhase_ = phase;
     }
     if (decider_->changes() != notedChanges_) {
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -140,11 +140,13 @@
     GroupId ownGroup_; // Empty until the own engine has answered.
     std::optional<std::uint32_t> ownRank_;
     std::uint32_t groupRanks_ = 0; // As the own engine has told.
+    bool ownHeld_ = false;         // The own engine holds a step, by its last report.
     std::optional<LowerDecider> lower_;
     std::uint64_t ownCountsMark_ = 0; // Of the own rank's last counts.
     std::uint64_t epoch_ = 0;
     TimePoint startedAt_{};
-    TimePoint ownAskedAt_{};
+    TimePoint ownAskedAt_{};  // For this agent itself.
+    TimePoint ownLookedAt_{}; // For anyone.
     bool askingOwn_ = false;
     std::uint64_t nextIncoming_ = 1;
     // What the agent that decides has; the others have none of it.
--- a/src/experts/ownengine.cpp
+++ b/src/experts/ownengine.cpp
@@ -42,7 +42,9 @@
                        return;
                    }
                    RankFacts facts{engine->report, std::nullopt, std::move(engine->experts)};
-                   facts.report.fence = fence_;
+                   handed_.noteReport(facts.report.epoch, facts.report.prepared);
+                   facts.report.fence = handed_.fence();
+                   facts.report.neverArmed = handed_.neverArmed(facts.report.epoch);
                    if (!engine->counts.empty()) {
                        facts.choices =
                            ledger_.note(std::move(engine->counts), question.countsSince);
@@ -53,7 +55,15 @@
 
 void OwnEngine::order(const MapOrder &order, OrderDone done)
 {
-    fence_ = std::max(fence_, order.fence);
+    if (!handed_.add(order)) {
+        logLine(LogLevel::Info, "order.fenced",
+                {{"kind", wordFor(order.kind)},
+                 {"version", order.version},
+                 {"fence", order.fence},
+                 {"highest", handed_.fence()}});
+        done(MapOrderAnswer::Fenced);
+        return;
+    }
     logLine(LogLevel::Info, "order.handed",
             {{"kind", wordFor(order.kind)},
              {"version", order.version},
--- a/src/experts/ownengine.h
+++ b/src/experts/ownengine.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "decision/expertmap/choicecounts.h"
+#include "decision/expertmap/handedorders.h"
 #include "experts/rankclient.h"
 #include "experts/rankwire.h"
 #include "net/eventloop.h"
@@ -30,10 +31,11 @@
     // Hands over the facts, or nothing when the engine did not answer in time.
     void ask(RankQuestion question, FactsDone done);
     // Hands an order to the engine. A prepare is answered when its experts are copied, or as begun
-    // when that takes long: the agent that decides then learns of it with the next reports.
+    // when that takes long: the agent that decides then learns of it with the next reports. An
+    // order under a lower fence than an earlier one is refused here.
     void order(const MapOrder &order, OrderDone done);
-    // Forgets the fences that were used: the engine is in another group.
-    void forgetFence() { fence_ = 0; }
+    // Forgets the fences and versions that were used: the engine is in another group.
+    void forgetOrders() { handed_ = {}; }
 
 private:
     void awaitCopies(const MapOrder &order, TimePoint deadline, const OrderDone &done);
@@ -42,7 +44,7 @@
     RankClient &ranks_;
     SocketAddress engine_;
     ChoiceLedger ledger_;
-    std::uint64_t fence_ = 0; // The highest that was handed to the engine.
+    HandedOrders handed_;
     // Timers and answers ask whether the object still exists.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/experts/rankpeers.cpp
+++ b/src/experts/rankpeers.cpp
@@ -243,6 +243,7 @@
         }
         found->second.askingEngine = false;
         if (facts) {
+            facts->report.byAgent = false;
             takeFacts(id, {facts->report, std::nullopt, std::move(facts->experts)}, askedAt);
         }
     };
@@ -257,7 +258,11 @@
         if (peer == nullptr) {
             continue;
         }
-        if (!agentAnswers(*peer)) {
+        const bool silent = !agentAnswers(*peer);
+        if (silent && action.way == OrderWay::AgentOnly) {
+            continue; // The decider sends it again.
+        }
+        if (silent || action.way == OrderWay::Engine) {
             sendToEngine(*peer, action);
         } else if (action.order.kind == MapOrderKind::Prepare) {
             prepares.push_back(action);
@@ -289,7 +294,7 @@
              {"bytes", inputs.orderBytes}});
     for (const RelayBlock &block : blocks) {
         if (block.size() == 1) {
-            sendThroughAgent(*peerOfRank(block.front()), {block.front(), order});
+            sendThroughAgent(*peerOfRank(block.front()), {block.front(), order, OrderWay::Any});
         } else {
             sendThroughRelay(block, order);
         }
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -1,8 +1,12 @@
 // Schedules of GroupDecider against a fake group of engines: orders and answers are lost, delayed,
-// doubled or carried out seconds late, several agents decide at once, are paused and replaced, and
-// the group forms anew. In no pass may two ranks hold different maps, and no group may stay held.
+// doubled or carried out seconds late, several agents decide at once, are paused and replaced,
+// their machines freeze, mostly right after a hold, and the group forms anew. In no pass may two
+// ranks hold different maps, and no group may stay held.
 #include "decision/expertmap/groupdecider.h"
 
+#include "decision/expertmap/handedorders.h"
+#include "decision/expertmap/mapversion.h"
+
 #include <algorithm>
 #include <cstdlib>
 #include <functional>
@@ -21,7 +25,13 @@
 constexpr std::uint32_t kRanks = 4;
 
 // What is wrong with the fake world on purpose.
-enum class Planted { Nothing, EnginesIgnoreFences, LostArmsCountAsDone, HoldsAreIgnored };
+enum class Planted {
+    Nothing,
+    EnginesIgnoreFences,
+    LostArmsCountAsDone,
+    HoldsAreIgnored,
+    AgentsForgetArms,
+};
 
 struct Engine
 {
@@ -41,6 +51,7 @@
         : random_(seed)
         , planted_(planted)
         , engines_(kRanks)
+        , agents_(kRanks)
     {
         for (std::uint32_t rank = 0; rank < 2; ++rank) {
             replace(rank);
@@ -68,7 +79,18 @@
         faults_ = false;
         deciders_[1]->resign();
     }
+
+    // From now on rank 1 decides only while the machine of rank 0 is frozen, and nothing else goes
+    // wrong. That machine freezes for `length` right after its agent's next hold.
+    void freezeAtNextHold(Duration length)
+    {
+        faults_ = false;
+        succession_ = true;
+        freezeAtHold_ = length;
+    }
     bool twoMaps() const { return twoMaps_; }
+    Duration longestStandstill() const { return longestStandstill_; }
+    std::uint64_t freezes() const { return freezes_; }
     std::uint64_t step() const { return step_; }
     std::uint64_t mapsTaken() const { return mapsTaken_; }
 
@@ -101,6 +123,30 @@
         settings.ownRank = rank;
         settings.seed = random_();
         deciders_[rank] = std::make_unique<GroupDecider>(settings);
+        agents_[rank] = HandedOrders();
+    }
+
+    bool frozen(std::uint32_t rank) const
+    {
+        const auto found = frozenUntil_.find(rank);
+        return found != frozenUntil_.end() && now_ < found->second;
+    }
+
+    void freeze(std::uint32_t rank, Duration length)
+    {
+        frozenUntil_[rank] = now_ + length;
+        frozenAt_ = now_;
+        ++freezes_;
+    }
+
+    // Does `action` on the machine of `rank`, now or when it wakes.
+    void onMachine(std::uint32_t rank, const std::function<void()> &action)
+    {
+        if (!frozen(rank)) {
+            action();
+            return;
+        }
+        after(frozenUntil_[rank] - now_, [this, rank, action] { onMachine(rank, action); });
     }
 
     void schedulePass()
@@ -122,6 +168,8 @@
             return;
         }
         step_ = next;
+        longestStandstill_ = std::max(longestStandstill_, now_ - passedAt_);
+        passedAt_ = now_;
         for (Engine &engine : engines_) {
             if (engine.armed != 0 && engine.armedStep == step_) {
                 engine.map = engine.armed;
@@ -205,26 +253,49 @@
         });
     }
 
+    // Hands an order over, through the agent beside the rank or past it, to an engine that may
+    // carry it out seconds late; or the agent gets it seconds late.
     void deliver(std::uint32_t from, const SendMapOrder &action)
     {
         const bool late = faults_ && chance(0.15);
+        const bool lateAtAgent = late && chance(0.5);
+        const bool past = action.way == OrderWay::Engine
+                          || (action.way == OrderWay::Any && faults_ && chance(0.05));
         const bool lostAnswer = late || (faults_ && chance(0.1));
-        const Duration delay = late ? between(2000, 6000) : between(1, 15);
-        after(delay, [this, from, action, lostAnswer] {
-            MapOrderAnswer answer = carryOut(engines_[action.rank], action.order);
-            if (lostAnswer) {
-                const bool arm = action.order.kind == MapOrderKind::Arm;
-                answer = planted_ == Planted::LostArmsCountAsDone && arm ? MapOrderAnswer::Done
-                                                                         : MapOrderAnswer::Lost;
+        const Duration lateness = between(2000, 6000);
+        const Duration atAgent = lateAtAgent ? lateness : between(1, 8);
+        const Duration atEngine = late && !lateAtAgent ? lateness : between(0, 7);
+        const auto handed = [this, from, action, lostAnswer, past, atEngine] {
+            if (!past && !handOver(action)) {
+                answerLater(from, action, MapOrderAnswer::Fenced);
+                return;
             }
-            answerLater(from, action, answer);
-        });
+            after(atEngine, [this, from, action, lostAnswer] {
+                MapOrderAnswer answer = carryOut(engines_[action.rank], action.order);
+                if (lostAnswer) {
+                    const bool arm = action.order.kind == MapOrderKind::Arm;
+                    answer = planted_ == Planted::LostArmsCountAsDone && arm ? MapOrderAnswer::Done
+                                                                             : MapOrderAnswer::Lost;
+                }
+                answerLater(from, action, answer);
+            });
+        };
+        after(atAgent, [this, action, handed] { onMachine(action.rank, handed); });
         if (late && planted_ == Planted::LostArmsCountAsDone
             && action.order.kind == MapOrderKind::Arm) {
             deciders_[from]->onAnswer(action.rank, action.order, MapOrderAnswer::Done, now_);
         }
     }
 
+    // Lets the agent beside the rank see the order. Returns false when it refuses it.
+    bool handOver(const SendMapOrder &action)
+    {
+        if (planted_ == Planted::AgentsForgetArms && action.order.kind == MapOrderKind::Arm) {
+            return true;
+        }
+        return agents_[action.rank].add(action.order);
+    }
+
     // A prepare is answered when its experts are copied, or as begun when that takes long.
     void answerLater(std::uint32_t from, const SendMapOrder &action, MapOrderAnswer answer)
     {
@@ -233,8 +304,10 @@
         after(begun ? between(1, 400) : between(1, 15), [this, from, action, answer, begun] {
             const bool copied = begun && action.order.epoch == epoch_
                                 && engines_[action.rank].prepared == action.order.version;
-            deciders_[from]->onAnswer(action.rank, action.order,
-                                      copied ? MapOrderAnswer::Copied : answer, now_);
+            const MapOrderAnswer said = copied ? MapOrderAnswer::Copied : answer;
+            onMachine(from, [this, from, action, said] {
+                deciders_[from]->onAnswer(action.rank, action.order, said, now_);
+            });
         });
     }
 
@@ -249,16 +322,20 @@
     void tick(std::uint32_t rank)
     {
         const Duration pause = faults_ && chance(0.01) ? between(1000, 5000) : Duration{};
-        after(between(40, 60) + pause, [this, rank] { tick(rank); });
+        after(between(40, 60) + pause,
+              [this, rank] { onMachine(rank, [this, rank] { tick(rank); }); });
         if (faults_ && chance(0.005)) {
             replace(rank);
         }
+        if (faults_ && chance(0.005)) {
+            agents_[kRanks - 1] = HandedOrders(); // That of another rank starts anew.
+        }
         for (std::uint32_t other = 0; other < kRanks; ++other) {
             if (!faults_ || !chance(0.1)) {
                 report(rank, other);
             }
         }
-        if (!faults_ && rank != 0) {
+        if (!faults_ && rank != 0 && !(succession_ && succeeds())) {
             return;
         }
         MapOrders orders;
@@ -270,6 +347,29 @@
         for (const SendMapOrder &order : orders) {
             deliver(rank, order);
         }
+        freezeAfter(rank, orders);
+    }
+
+    // Freezes the machine of a decider, mostly when it has just ordered a hold or an arm.
+    void freezeAfter(std::uint32_t rank, const MapOrders &orders)
+    {
+        const bool holds = std::any_of(orders.begin(), orders.end(), [](const auto &action) {
+            return action.order.kind == MapOrderKind::Hold;
+        });
+        const bool arms = std::any_of(orders.begin(), orders.end(), [](const auto &action) {
+            return action.order.kind == MapOrderKind::Arm;
+        });
+        if (succession_ && rank == 0 && holds && freezeAtHold_ > Duration{}) {
+            freeze(rank, std::exchange(freezeAtHold_, Duration{}));
+        } else if (faults_ && chance(holds || arms ? 0.1 : 0.002)) {
+            freeze(rank, between(500, 5000));
+        }
+    }
+
+    // Tells whether the agent of rank 1 takes that of rank 0 for dead.
+    bool succeeds() const
+    {
+        return frozen(0) && now_ - frozenAt_ >= std::chrono::milliseconds(400);
     }
 
     void report(std::uint32_t to, std::uint32_t of)
@@ -286,15 +386,34 @@
         report.armed = engine.armed;
         report.held = engine.held;
         report.fence = chance(0.5) ? engine.fence : 0;
+        if (frozen(of)) {
+            return;
+        }
+        report.byAgent = !faults_ || !chance(0.05);
+        if (report.byAgent) {
+            agents_[of].noteReport(epoch_, engine.prepared);
+        }
+        report.neverArmed = of == to ? agents_[of].neverArmed(epoch_) : 0;
         const TimePoint askedAt = now_;
-        after(between(1, faults_ ? 80 : 10),
-              [this, to, report, askedAt] { deciders_[to]->onReport(report, askedAt, now_); });
+        after(between(1, faults_ ? 80 : 10), [this, to, report, askedAt] {
+            onMachine(to, [this, to, report, askedAt] {
+                deciders_[to]->onReport(report, askedAt, now_);
+            });
+        });
     }
 
     std::mt19937_64 random_;
     Planted planted_;
     std::vector<Engine> engines_;
+    std::vector<HandedOrders> agents_; // Beside the engines.
     std::map<std::uint32_t, std::unique_ptr<GroupDecider>> deciders_;
+    std::map<std::uint32_t, TimePoint> frozenUntil_; // Machines, by rank.
+    TimePoint frozenAt_{};
+    std::uint64_t freezes_ = 0;
+    bool succession_ = false;
+    Duration freezeAtHold_{};
+    TimePoint passedAt_{std::chrono::seconds(10)};
+    Duration longestStandstill_{};
     std::priority_queue<Event> events_;
     std::uint64_t order_ = 0;
     TimePoint now_{std::chrono::seconds(10)};
@@ -359,6 +478,22 @@
     CHECK_TRUE(violations(Planted::EnginesIgnoreFences, kSeeds) > 0);
     CHECK_TRUE(violations(Planted::LostArmsCountAsDone, kSeeds) > 0);
     CHECK_TRUE(violations(Planted::HoldsAreIgnored, kSeeds) > 0);
+    CHECK_TRUE(violations(Planted::AgentsForgetArms, kSeeds) > 0);
+}
+
+// The load that this answers: all streams of a group stand still while a step is held. A machine
+// that freezes for four seconds right after its agent's hold held them for all of that time.
+TEST(GroupDeciderTest, GroupGoesOnWhileItsDecidersMachineIsFrozen)
+{
+    for (int seed = 1; seed <= seeds(); ++seed) {
+        World world(static_cast<std::uint64_t>(seed), Planted::Nothing);
+        world.freezeAtNextHold(std::chrono::seconds(4));
+        world.run(std::chrono::seconds(20));
+        const std::string text = "held for too long; keep the seed " + std::to_string(seed);
+        LONGS_EQUAL(1, world.freezes());
+        CHECK_FALSE_TEXT(world.twoMaps(), text.c_str());
+        CHECK_TEXT(world.longestStandstill() < std::chrono::milliseconds(1500), text.c_str());
+    }
 }
 
 // A service with groups of unlike sizes lists all of their engines together.
@@ -528,3 +663,81 @@
     patient.onTick(now, orders);
     CHECK_TRUE(patient.phase() == GroupDecider::Phase::Idle);
 }
+
+namespace {
+
+constexpr std::uint32_t kTrio = 3;
+
+// Three ranks that report at `now`; that of `byEngine` through its engine.
+void reportTrio(GroupDecider &decider, TimePoint now, std::uint64_t prepared,
+                std::optional<std::uint32_t> byEngine = std::nullopt)
+{
+    for (std::uint32_t rank = 0; rank < kTrio; ++rank) {
+        RankReport report;
+        report.rank = rank;
+        report.ranks = kTrio;
+        report.epoch = 1;
+        report.open = true;
+        report.step = 7;
+        report.prepared = prepared;
+        report.byAgent = rank != byEngine;
+        decider.onReport(report, now, now);
+    }
+}
+
+// Takes a change as far as its arms, and returns the first of them.
+MapOrders firstArms(GroupDecider &decider, TimePoint now, std::optional<std::uint32_t> byEngine)
+{
+    reportTrio(decider, now, 0, byEngine);
+    MapOrders orders;
+    const auto version = decider.propose(ExpertMap(1, RankExperts(kTrio, {0})), false, now, orders);
+    CHECK_TRUE(version.has_value());
+    reportTrio(decider, now + std::chrono::milliseconds(1), *version, byEngine);
+    MapOrders hold;
+    decider.onTick(now, hold);
+    LONGS_EQUAL(1, hold.size());
+    decider.onAnswer(hold.at(0).rank, hold.at(0).order, MapOrderAnswer::Done, now);
+    MapOrders arms;
+    decider.onTick(now, arms);
+    return arms;
+}
+
+// Confirms the orders, and returns what the decider sends then.
+MapOrders confirm(GroupDecider &decider, const MapOrders &orders, TimePoint now)
+{
+    for (const SendMapOrder &action : orders) {
+        decider.onAnswer(action.rank, action.order, MapOrderAnswer::Done, now);
+    }
+    MapOrders next;
+    decider.onTick(now, next);
+    return next;
+}
+
+} // namespace
+
+TEST(GroupDeciderTest, ArmsItsSuccessorLastButOneAndItsOwnRankLast)
+{
+    const TimePoint now{std::chrono::seconds(10)};
+    GroupDecider decider(GroupDecider::Settings{});
+    MapOrders arms = firstArms(decider, now, std::nullopt);
+    for (const std::uint32_t expected : {2U, 1U, 0U}) {
+        LONGS_EQUAL(1, arms.size());
+        LONGS_EQUAL(expected, arms.at(0).rank);
+        CHECK_TRUE(arms.at(0).order.kind == MapOrderKind::Arm);
+        CHECK_TRUE(arms.at(0).way == OrderWay::AgentOnly);
+        arms = confirm(decider, arms, now);
+    }
+    CHECK_TRUE(decider.phase() == GroupDecider::Phase::Releasing);
+}
+
+// Without its agent nobody could tell whether that rank was armed, so that no one could end the
+// change for its decider: no rank is named, and all are armed at once.
+TEST(GroupDeciderTest, ArmsAllAtOnceWhereAnAgentIsSilent)
+{
+    const TimePoint now{std::chrono::seconds(10)};
+    GroupDecider decider(GroupDecider::Settings{});
+    const MapOrders arms = firstArms(decider, now, 2);
+    LONGS_EQUAL(kTrio, arms.size());
+    CHECK_FALSE(rankArmedLast(arms.at(0).order.version).has_value());
+    CHECK_TRUE(arms.at(0).way == OrderWay::Any);
+}
--- /dev/null
+++ b/test/decision/expertmap/handedorders_test.cpp
@@ -0,0 +1,92 @@
+#include "decision/expertmap/handedorders.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr std::uint64_t kEpoch = 2;
+
+MapOrder order(MapOrderKind kind, std::uint64_t version, std::uint64_t fence = 1)
+{
+    MapOrder order;
+    order.kind = kind;
+    order.version = version;
+    order.epoch = kEpoch;
+    order.fence = fence;
+    return order;
+}
+
+} // namespace
+
+TEST_GROUP(HandedOrdersTest)
+{
+    HandedOrders handed;
+
+    void setup() override
+    {
+        handed.noteReport(kEpoch, 5);
+    }
+};
+
+TEST(HandedOrdersTest, VouchesForWhatWasPreparedAndNotArmed)
+{
+    handed.add(order(MapOrderKind::Prepare, 9));
+    LONGS_EQUAL(9, handed.neverArmed(kEpoch));
+    handed.add(order(MapOrderKind::Hold, 9));
+    LONGS_EQUAL(9, handed.neverArmed(kEpoch));
+    handed.add(order(MapOrderKind::Arm, 9));
+    LONGS_EQUAL(0, handed.neverArmed(kEpoch));
+}
+
+// Whether the engine carries an arm out at once or seconds later, nobody can tell.
+TEST(HandedOrdersTest, PrepareThatComesAgainUndoesNoArm)
+{
+    handed.add(order(MapOrderKind::Prepare, 9));
+    handed.add(order(MapOrderKind::Arm, 9));
+    handed.add(order(MapOrderKind::Prepare, 9));
+    LONGS_EQUAL(0, handed.neverArmed(kEpoch));
+}
+
+TEST(HandedOrdersTest, DisarmLeavesTheArmRemembered)
+{
+    handed.add(order(MapOrderKind::Prepare, 9));
+    handed.add(order(MapOrderKind::Arm, 9));
+    handed.add(order(MapOrderKind::Disarm, 9, 2));
+    LONGS_EQUAL(0, handed.neverArmed(kEpoch));
+}
+
+TEST(HandedOrdersTest, AgentThatStartedAfterTheCopyVouchesForNothing)
+{
+    HandedOrders fresh;
+    fresh.noteReport(kEpoch, 9);
+    fresh.add(order(MapOrderKind::Prepare, 9));
+    LONGS_EQUAL(0, fresh.neverArmed(kEpoch));
+}
+
+TEST(HandedOrdersTest, AgentThatHasHeardNothingOfItsEngineVouchesForNothing)
+{
+    HandedOrders fresh;
+    fresh.add(order(MapOrderKind::Prepare, 9));
+    LONGS_EQUAL(0, fresh.neverArmed(kEpoch));
+}
+
+TEST(HandedOrdersTest, LowerFenceIsRefusedAndNotRemembered)
+{
+    handed.add(order(MapOrderKind::Prepare, 9));
+    CHECK_TRUE(handed.add(order(MapOrderKind::Disarm, 10, 7)));
+    CHECK_FALSE(handed.add(order(MapOrderKind::Arm, 9, 6)));
+    LONGS_EQUAL(9, handed.neverArmed(kEpoch));
+    LONGS_EQUAL(7, handed.fence());
+}
+
+TEST(HandedOrdersTest, NewEpochVoidsTheOneBefore)
+{
+    handed.add(order(MapOrderKind::Prepare, 9));
+    handed.noteReport(kEpoch + 1, 0);
+    LONGS_EQUAL(0, handed.neverArmed(kEpoch));
+    LONGS_EQUAL(0, handed.neverArmed(kEpoch + 1));
+    handed.add(order(MapOrderKind::Arm, 9)); // Of the epoch before, late.
+    LONGS_EQUAL(0, handed.neverArmed(kEpoch + 1));
+}
