--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -344,7 +344,7 @@
     return armLeft ? Obstacle::ArmLeft : Obstacle::None;
 }
 
-std::optional<std::uint64_t> GroupDecider::propose(ExpertMap experts, bool urgent, TimePoint now,
+std::optional<std::uint64_t> GroupDecider::propose(ExpertMap experts, TimePoint now,
                                                    MapOrders &orders)
 {
     if (!settled(now)) {
@@ -362,7 +362,6 @@
                                agentsOnly ? std::optional(settings_.ownRank) : std::nullopt);
     experts_ = std::make_shared<const ExpertMap>(std::move(experts));
     committed_ = false;
-    urgent_ = urgent;
     clearing_ = false;
     unanswered_ = 0;
     raiseFence();
@@ -407,8 +406,7 @@
 Duration GroupDecider::lead() const
 {
     const Duration unmeasured = settings_.lead + settings_.leadPerRank * static_cast<int>(size_);
-    const Duration rounds = urgent_ ? settings_.leadWhenUrgent : settings_.leadWhenLossy;
-    const Duration lossy = unanswered_ > 0 ? rounds : Duration{};
+    const Duration lossy = unanswered_ > 0 ? settings_.leadWhenLossy : Duration{};
     if (armTimes_.empty()) {
         return unmeasured + lossy;
     }
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -135,10 +135,6 @@
         std::size_t armTimesKept = 4;
         // Added when orders of the change were not answered: arms then take some rounds as well.
         Duration leadWhenLossy = std::chrono::milliseconds(450);
-        // The same for an urgent change: passes are so long on the old map that all streams are
-        // late in any case, and a standstill for a round of arms costs them less than the longer
-        // lead.
-        Duration leadWhenUrgent = std::chrono::milliseconds(150);
         // An arm that was not answered is sent again after this: the group may be waiting for it.
         Duration resendArm = std::chrono::milliseconds(100);
         // The time of a pass is measured over this long.
@@ -186,10 +182,8 @@
     bool settled(TimePoint now) const { return obstacle(now) == Obstacle::None; }
     // Tells what keeps a change from starting.
     Obstacle obstacle(TimePoint now) const;
-    // Starts a change to `experts`; an `urgent` one rather stops the group for a moment than come
-    // into use late. Returns the new map's version, or nothing while not settled.
-    std::optional<std::uint64_t> propose(ExpertMap experts, bool urgent, TimePoint now,
-                                         MapOrders &orders);
+    // Starts a change to `experts`. Returns the new map's version, or nothing while not settled.
+    std::optional<std::uint64_t> propose(ExpertMap experts, TimePoint now, MapOrders &orders);
 
     // Gives up a change whose experts are still being copied: nothing is armed, and what was copied
     // does no harm. Returns false when there is none.
@@ -288,7 +282,6 @@
     std::uint64_t step_ = 0;    // That is held.
     std::uint32_t holder_ = 0;  // The rank that holds it.
     bool committed_ = false;    // Every rank has armed `version_`.
-    bool urgent_ = false;       // Of the change under way.
     std::shared_ptr<const ExpertMap> experts_;
     std::uint64_t unanswered_ = 0;   // Orders of the change under way that were sent again.
     std::uint64_t measuredStep_ = 0; // Where the measurement of the passes' time began.
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -43,9 +43,6 @@
 constexpr Duration kStartDelay = std::chrono::milliseconds(600);
 // Fences start at the time of day, in units of this; a decider raises its fence less often.
 constexpr std::chrono::milliseconds kFenceUnit{100};
-// From this load of the most loaded rank on, over the mean, passes last nearly twice as long as
-// with even ranks: goals allow for half of that.
-constexpr double kUrgentSkew = 2.0;
 // A store's watch waits this long here: only the list of engines is wanted, and calls have a price.
 constexpr Duration kWatchWait = std::chrono::seconds(10);
 
@@ -604,8 +601,7 @@
 void ExpertAgent::propose(ExpertMap planned, MapOrders &orders)
 {
     proposed_ = std::move(planned);
-    const bool urgent = planner_.skew(*current_) >= kUrgentSkew;
-    const auto version = decider_->propose(proposed_, urgent, loop_.now(), orders);
+    const auto version = decider_->propose(proposed_, loop_.now(), orders);
     proposedVersion_ = version.value_or(0);
     proposedAt_ = loop_.now();
     if (version) {
@@ -614,7 +610,6 @@
                  {"group", ownGroup_.value()},
                  {"epoch", epoch_},
                  {"skew", planner_.skew(*current_)},
-                 {"urgent", urgent},
                  {"expectedSkew", planner_.expectedSkew()},
                  {"expectedCopyMs", toMillis(planner_.expectedCopying())},
                  {"expectedLifeMs", toMillis(planner_.expectedLife(loop_.now()))},
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -341,8 +341,7 @@
         MapOrders orders;
         deciders_[rank]->onTick(now_, orders);
         if (chance(0.2)) {
-            deciders_[rank]->propose(ExpertMap(1, RankExperts(kRanks, {0})), chance(0.5), now_,
-                                     orders);
+            deciders_[rank]->propose(ExpertMap(1, RankExperts(kRanks, {0})), now_, orders);
         }
         for (const SendMapOrder &order : orders) {
             deliver(rank, order);
@@ -527,8 +526,7 @@
     LONGS_EQUAL(kOwnRanks, decider.size());
     CHECK_TRUE(decider.mapInUse(now) == 4U);
     MapOrders orders;
-    CHECK_TRUE(
-        decider.propose(ExpertMap(1, RankExperts(kOwnRanks, {0})), false, now, orders).has_value());
+    CHECK_TRUE(decider.propose(ExpertMap(1, RankExperts(kOwnRanks, {0})), now, orders).has_value());
     decider.onTick(now, orders);
     LONGS_EQUAL(kOwnRanks, orders.size());
     for (const SendMapOrder &order : orders) {
@@ -563,8 +561,7 @@
 void prepareBoth(GroupDecider &decider, TimePoint now, MapOrderAnswer answer)
 {
     MapOrders orders;
-    CHECK_TRUE(
-        decider.propose(ExpertMap(1, RankExperts(kPair, {0})), false, now, orders).has_value());
+    CHECK_TRUE(decider.propose(ExpertMap(1, RankExperts(kPair, {0})), now, orders).has_value());
     for (const SendMapOrder &order : orders) {
         decider.onAnswer(order.rank, order.order, answer, now);
     }
@@ -593,7 +590,7 @@
     GroupDecider decider(GroupDecider::Settings{});
     reportPair(decider, asked, std::nullopt);
     MapOrders orders;
-    decider.propose(ExpertMap(1, RankExperts(kPair, {0})), false, asked, orders);
+    decider.propose(ExpertMap(1, RankExperts(kPair, {0})), asked, orders);
     const TimePoint answered = asked + std::chrono::milliseconds(30);
     decider.onAnswer(0, orders.at(0).order, MapOrderAnswer::Copied, answered);
     RankReport early;
@@ -620,7 +617,7 @@
         now += std::chrono::milliseconds(100);
         reportPair(decider, now, std::nullopt);
         MapOrders orders;
-        decider.propose(ExpertMap(1, RankExperts(kPair, {0})), false, now, orders);
+        decider.propose(ExpertMap(1, RankExperts(kPair, {0})), now, orders);
         ++tries;
         for (const SendMapOrder &order : orders) {
             taken = order.order.fence > kRemembered;
@@ -639,7 +636,7 @@
     const TimePoint now{std::chrono::seconds(10)};
     reportPair(decider, now, std::nullopt);
     MapOrders orders;
-    decider.propose(ExpertMap(1, RankExperts(kPair, {0})), false, now, orders);
+    decider.propose(ExpertMap(1, RankExperts(kPair, {0})), now, orders);
     CHECK_TRUE(orders.at(0).order.fence > settings.fenceFloor);
     CHECK_TRUE(orders.at(0).order.fence < (1ULL << 53U));
 }
@@ -690,7 +687,7 @@
 {
     reportTrio(decider, now, 0, byEngine);
     MapOrders orders;
-    const auto version = decider.propose(ExpertMap(1, RankExperts(kTrio, {0})), false, now, orders);
+    const auto version = decider.propose(ExpertMap(1, RankExperts(kTrio, {0})), now, orders);
     CHECK_TRUE(version.has_value());
     reportTrio(decider, now + std::chrono::milliseconds(1), *version, byEngine);
     MapOrders hold;
