Gateways: an address belongs to the upstream that was listed there last

Cause: after a loss of power the store lists each engine twice for some seconds, under its old id and its new one; a list had 147 upstreams where 75 lived. Change: a record gives way to one that the store has taken later at the same address. Tests: four schedules of such lists; not run on the code before, which knows no order of records.

--- a/src/decision/gateway/upstreamtable.cpp
+++ b/src/decision/gateway/upstreamtable.cpp
@@ -7,11 +7,54 @@
 
 void UpstreamTable::put(const UpstreamRecord &record)
 {
+    if (!takeAddress(record)) {
+        erase(record.id);
+        return;
+    }
     Entry &entry = entries_[record.id];
     changes_ += entry.record == record ? 0 : 1;
     entry = {record, std::nullopt};
 }
 
+// Takes the record's address from whichever upstream had it before. Returns false when that one was
+// listed later.
+bool UpstreamTable::takeAddress(const UpstreamRecord &record)
+{
+    const Address address{record.host, record.port};
+    const auto held = entries_.find(record.id);
+    if (held != entries_.end() && addressOf(held->second.record) != address) {
+        erase(record.id);
+    }
+    if (record.host.empty()) {
+        return true; // It has none, which whoever sends to it finds out.
+    }
+    const auto [holder, isNew] = byAddress_.try_emplace(address, record.id);
+    if (isNew || holder->second == record.id) {
+        return true;
+    }
+    const InstanceId other = holder->second;
+    if (entries_.at(other).record.listedAt > record.listedAt) {
+        return false;
+    }
+    erase(other);
+    byAddress_.emplace(address, record.id);
+    return true;
+}
+
+void UpstreamTable::erase(const InstanceId &id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    const auto holder = byAddress_.find(addressOf(found->second.record));
+    if (holder != byAddress_.end() && holder->second == id) {
+        byAddress_.erase(holder);
+    }
+    entries_.erase(found);
+    ++changes_;
+}
+
 void UpstreamTable::remove(const InstanceId &id, TimePoint now)
 {
     const auto found = entries_.find(id);
@@ -20,8 +63,7 @@
     }
     const bool outage = lastOutage_ && now - *lastOutage_ < settings_.outageMemory;
     if (!outage || found->second.record.leaving) {
-        entries_.erase(found);
-        ++changes_;
+        erase(id);
         return;
     }
     if (!found->second.lapsedAt) {
@@ -50,8 +92,9 @@
 void UpstreamTable::mirror(const std::vector<UpstreamRecord> &records)
 {
     entries_.clear();
+    byAddress_.clear();
     for (const UpstreamRecord &record : records) {
-        entries_[record.id] = {record, std::nullopt};
+        put(record);
     }
     ++changes_;
 }
@@ -65,8 +108,7 @@
         }
     }
     for (const InstanceId &id : over) {
-        entries_.erase(id);
-        ++changes_;
+        erase(id);
     }
     return over;
 }
--- a/src/decision/gateway/upstreamtable.h
+++ b/src/decision/gateway/upstreamtable.h
@@ -5,6 +5,10 @@
 // an outage is therefore kept in use for a short time, in which a living upstream lists itself
 // again; after that it is gone.
 //
+// An address belongs to the upstream that was listed there last: the one before has ended, though
+// its record may stay for some seconds. After the loss of all machines every address is listed
+// twice, and half of the requests would go to instances that are gone.
+//
 // Pure and single-threaded.
 #pragma once
 
@@ -12,9 +16,11 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace seamarch {
@@ -29,6 +35,9 @@
     HallId hall;
     std::uint32_t slots = 1; // Requests that it runs at once.
     bool leaving = false;
+    // Rises from record to record in the order in which the store has taken them; zero: not known,
+    // as of records that another gateway has handed on.
+    std::uint64_t listedAt = 0;
 
     bool operator==(const UpstreamRecord &) const = default;
 };
@@ -53,7 +62,7 @@
 
     // Changes how long a record that vanished around an outage stays in use.
     void setLapseGrace(Duration grace) { settings_.lapseGrace = grace; }
-    // Takes one record, new or changed.
+    // Takes one record, new or changed, unless a later one has its address.
     void put(const UpstreamRecord &record);
     // The store no longer lists `id`.
     void remove(const InstanceId &id, TimePoint now);
@@ -82,8 +91,15 @@
         std::optional<TimePoint> lapsedAt;
     };
 
+    using Address = std::pair<std::string, int>;
+
+    static Address addressOf(const UpstreamRecord &record) { return {record.host, record.port}; }
+    bool takeAddress(const UpstreamRecord &record);
+    void erase(const InstanceId &id);
+
     Settings settings_;
     std::unordered_map<InstanceId, Entry> entries_;
+    std::map<Address, InstanceId> byAddress_;
     std::optional<TimePoint> lastOutage_;
     std::uint64_t changes_ = 0;
 };
--- a/test/decision/gateway/upstreamtable_test.cpp
+++ b/test/decision/gateway/upstreamtable_test.cpp
@@ -100,3 +100,61 @@
     table.put(record("one", true));
     CHECK_TRUE(table.changes() > before);
 }
+
+// The load that this answers: all machines have lost power. Each engine is back under a new id at
+// its old address, and the store goes on listing the old ids for some seconds.
+TEST_GROUP(UpstreamTableAfterPowerCutTest)
+{
+    UpstreamTable table;
+    const TargetName portal{"portal"};
+
+    static UpstreamRecord placed(const char *id, const char *host, std::uint64_t listedAt)
+    {
+        UpstreamRecord placed = record(id);
+        placed.host = host;
+        placed.port = 8000;
+        placed.listedAt = listedAt;
+        return placed;
+    }
+};
+
+TEST(UpstreamTableAfterPowerCutTest, AddressBelongsToTheUpstreamThatWasListedThereLast)
+{
+    table.replaceAll({placed("new", "10.1.0.1", 90), placed("old", "10.1.0.1", 7),
+                      placed("other", "10.1.0.2", 8)},
+                     at(0));
+    CHECK_TRUE(table.mayReceive(InstanceId("new")));
+    CHECK_FALSE(table.mayReceive(InstanceId("old")));
+    CHECK_TRUE(table.mayReceive(InstanceId("other")));
+    LONGS_EQUAL(2, table.candidates(portal).size());
+}
+
+TEST(UpstreamTableAfterPowerCutTest, OrderInWhichTheyAreReadDoesNotMatter)
+{
+    table.replaceAll({placed("a-old", "10.1.0.1", 7), placed("b-new", "10.1.0.1", 90)}, at(0));
+    LONGS_EQUAL(1, table.candidates(portal).size());
+    CHECK_TRUE(table.mayReceive(InstanceId("b-new")));
+    table.put(placed("a-old", "10.1.0.1", 7)); // A change of the old record that comes late.
+    CHECK_TRUE(table.mayReceive(InstanceId("b-new")));
+    CHECK_FALSE(table.mayReceive(InstanceId("a-old")));
+}
+
+TEST(UpstreamTableAfterPowerCutTest, EndOfTheOldRecordLeavesTheNewOne)
+{
+    table.put(placed("old", "10.1.0.1", 7));
+    table.put(placed("new", "10.1.0.1", 90));
+    table.remove(InstanceId("old"), at(0));
+    CHECK_TRUE(table.mayReceive(InstanceId("new")));
+    table.remove(InstanceId("new"), at(10));
+    LONGS_EQUAL(0, table.candidates(portal).size());
+}
+
+TEST(UpstreamTableAfterPowerCutTest, ListOfAnotherGatewayReplacesWhatWasKnownOfAnAddress)
+{
+    table.put(placed("old", "10.1.0.1", 7));
+    table.mirror({placed("new", "10.1.0.1", 0)});
+    CHECK_TRUE(table.mayReceive(InstanceId("new")));
+    table.replaceAll({placed("new", "10.1.0.1", 90), placed("old", "10.1.0.1", 7)}, at(0));
+    CHECK_TRUE(table.mayReceive(InstanceId("new")));
+    LONGS_EQUAL(1, table.candidates(portal).size());
+}
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -170,6 +170,16 @@
     CHECK_TRUE(store.readWatch(200, "[]").error() == StoreFault::Unreadable);
 }
 
+// The value is {"service":"s","address":"1.2.3.4:5"}.
+TEST(StoreItemsTest, ReadsWhenAnUpstreamWasListed)
+{
+    const auto items = store.readWatch(
+        200, R"({"events":[{"key-file":"servers/i-1","revision":9,"created":4,"lease":0,"value":)"
+             R"("eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxLjIuMy40OjUifQ=="}],"current-rev":9})");
+    LONGS_EQUAL(1, items->items.size());
+    LONGS_EQUAL(4, std::get<UpstreamRecord>(items->items.front()).listedAt);
+}
+
 TEST(StoreItemsTest, NextPageStartsAfterTheLastKey)
 {
     const auto items = store.readList(
