Gateways: what a silent upstream has goes to another while its caller still waits

Cause: an engine whose answer is lost, that hangs or whose machine froze says nothing and resets nothing; its requests waited until their callers left, two seconds for a stream. Change: at half of the time that a caller bears without a word, a request that may be repeated, or a stream that may be resumed, goes to another upstream, in a group that makes its passes and has room, within the budget of second attempts. Where the only group stands still nothing moves. Tests: seven, in a module of their own; the code before has no such move.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -257,6 +257,7 @@
         return;
     }
     request->speaks = true;
+    request->heardAt = now;
     laneOf(*request).onFirstEvent(now);
     Duration &average = serviceOf(request->service).firstEvent;
     const Duration time = now - request->sentAt;
@@ -265,8 +266,9 @@
 
 void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
 {
-    const Request *request = find(number);
+    Request *request = find(number);
     if (request != nullptr && request->upstream != InstanceId()) {
+        request->heardAt = now;
         const Duration goal = request->request.route->pauseGoal;
         laneOf(*request).onPause(pause, goal, now);
     }
@@ -355,6 +357,7 @@
     request.group = groups_.groupOf(upstream);
     request.speaks = false;
     request.sentAt = now;
+    request.heardAt = now;
     request.tried.insert(*chosen);
     request.answering = false;
     ++request.attempts;
@@ -419,6 +422,7 @@
     noteAnswer(*request, kind, now);
     if (kind == AnswerKind::Success) {
         chooser_.onSuccess(upstream);
+        request->heardAt = now;
         request->answering = true;
         request->headSent = true;
         return true;
@@ -438,7 +442,7 @@
     } else if (kind == AnswerKind::WrongInstance) {
         chooser_.onWrongInstance(upstream, now);
     }
-    actions.push_back(CancelAttempt{number});
+    actions.push_back(CancelAttempt{number, false});
     leaveUpstream(*request);
     if (kind == AnswerKind::Full && queueAgain(number, *request, now)) {
         return false;
@@ -513,7 +517,7 @@
     }
     Request &request = found->second;
     if (request.upstream != InstanceId()) {
-        actions.push_back(CancelAttempt{number});
+        actions.push_back(CancelAttempt{number, false});
         leaveUpstream(request);
     }
     if (request.headSent) {
@@ -538,12 +542,61 @@
         return;
     }
     if (request->upstream != InstanceId()) {
-        actions.push_back(CancelAttempt{number});
+        actions.push_back(CancelAttempt{number, false});
         leaveUpstream(*request);
     }
     endRequest(number);
 }
 
+// Tells whether the upstream of a request that may be repeated has said nothing for so long that
+// its caller will soon leave.
+bool GatewayCore::fellSilent(const Request &request, TimePoint now) const
+{
+    const RouteRule &route = *request.request.route;
+    const bool mayMove = request.upstream != InstanceId() && (!request.headSent || route.resumable);
+    const Duration borne = std::min(route.silenceLimit, request.request.deadline);
+    return mayMove && borne > Duration{}
+           && toSeconds(now - request.heardAt) >= toSeconds(borne) * settings_.silencePart;
+}
+
+void GatewayCore::moveSilent(TimePoint now, GatewayActions &actions)
+{
+    std::vector<RequestNumber> silent;
+    for (const auto &[number, request] : requests_) {
+        if (fellSilent(request, now) && mayTryAgain(request, now)) {
+            silent.push_back(number);
+        }
+    }
+    std::sort(silent.begin(), silent.end());
+    for (const RequestNumber number : silent) {
+        move(number, now, actions);
+    }
+}
+
+// Sends a request to another upstream in place of one that is silent, if there is a better one.
+void GatewayCore::move(RequestNumber number, TimePoint now, GatewayActions &actions)
+{
+    Request &request = requests_.at(number);
+    std::optional<GroupId> group;
+    if (request.request.route->streamed) {
+        group = serviceOf(request.service).lanes.laneForMove(request.group, groups_, now);
+        if (!group || !chooser_.choose(request.service, group, request.tried, now)) {
+            return;
+        }
+    }
+    if (!budgets_.at(request.service).take()) {
+        return;
+    }
+    chooser_.onFailure(request.upstream, now);
+    request.mayHaveRun = true;
+    actions.push_back(CancelAttempt{number, true});
+    leaveUpstream(request);
+    ++secondAttempts_;
+    if (!startAttempt(number, request, group, now, actions)) {
+        giveUp(number, FailureCode::UpstreamTimedOut, actions);
+    }
+}
+
 void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
 {
     upstreams_.expire(now);
@@ -567,6 +620,7 @@
         request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
         giveUp(number, FailureCode::UpstreamTimedOut, actions);
     }
+    moveSilent(now, actions);
     for (auto &[name, service] : services_) {
         ServiceState &current = serviceOf(name);
         current.lanes.onTick(current.waiting.size(), groups_, now);
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -9,6 +9,11 @@
 // A stream that breaks off after its head has gone to the caller is taken up at another upstream
 // after the last whole event, where its route allows that.
 //
+// An upstream may also fall silent without a reset: its answer was lost, it hangs, its machine
+// froze, or its group stands still. The caller leaves after some time without a word. When half of
+// that time is over, a request that may be repeated goes to another upstream, in a group that makes
+// its passes.
+//
 // Streams are admitted by group, because the ranks of a group make every pass together and slow
 // down, stand still and break together: each group has a lane with a bound of its own (StreamLane).
 // A stream goes to a group of the own hall while that admits it, else to another group, and waits
@@ -88,6 +93,7 @@
 struct CancelAttempt
 {
     RequestNumber request = 0;
+    bool silent = false; // Its upstream has said nothing for too long; another takes its place.
 };
 
 // Tell the caller that the request failed. The request is over.
@@ -139,6 +145,8 @@
         // Bounds on when a caller that was refused for the queue is told to come back.
         Duration shortestReturn = std::chrono::milliseconds(400);
         Duration longestReturn = std::chrono::milliseconds(2500);
+        // An attempt has this part of the time that its caller bears without a word.
+        double silencePart = 0.5;
         // Callers come back after at most one part in so many of the time that they have left.
         int honouredPart = 3;
     };
@@ -194,6 +202,7 @@
         TimePoint arrivedAt{};
         TimePoint firstAskedAt{}; // When its caller first asked, as far as is known.
         TimePoint sentAt{};       // The attempt under way.
+        TimePoint heardAt{};      // Its last word; when it was sent, before the first.
         Duration comeBack{};      // When a refused caller may come back; zero: the usual pause.
         bool waits = false;       // For the bound on streams; nothing was sent yet.
         InstanceId upstream;      // Of the attempt under way; empty: none.
@@ -246,6 +255,9 @@
     bool queueAgain(RequestNumber number, Request &request, TimePoint now);
     bool mayQueueForOpening(ServiceState &service, TimePoint now) const;
     void admitWaiting(ServiceState &service, TimePoint now, GatewayActions &actions);
+    bool fellSilent(const Request &request, TimePoint now) const;
+    void moveSilent(TimePoint now, GatewayActions &actions);
+    void move(RequestNumber number, TimePoint now, GatewayActions &actions);
     Request *find(RequestNumber number);
 
     Settings settings_;
--- a/src/decision/gateway/servicelanes.cpp
+++ b/src/decision/gateway/servicelanes.cpp
@@ -195,6 +195,19 @@
     return all.front().group;
 }
 
+std::optional<GroupId> ServiceLanes::laneForMove(const GroupId &from, const GroupTable &table,
+                                                 TimePoint now) const
+{
+    for (const Option &option : options(table, now)) {
+        const StreamLane &lane = lanes_.at(option.group);
+        const bool works = option.group != from || lane.speaks(now);
+        if (option.trouble == Trouble::None && works && lane.limiter().admits(lane.inFlight())) {
+            return option.group;
+        }
+    }
+    return std::nullopt;
+}
+
 bool ServiceLanes::isOut(TimePoint now) const
 {
     return std::all_of(groups_->begin(), groups_->end(),
--- a/src/decision/gateway/servicelanes.h
+++ b/src/decision/gateway/servicelanes.h
@@ -60,6 +60,12 @@
     // Returns the group for a request that was sent before and is sent again, whatever the bounds.
     std::optional<GroupId> laneForRetry(const GroupTable &table, TimePoint now) const;
 
+    // Returns the group for a request whose upstream, in the group `from`, has fallen silent;
+    // nothing when all that have room are in trouble, or `from` itself is silent and there is no
+    // other.
+    std::optional<GroupId> laneForMove(const GroupId &from, const GroupTable &table,
+                                       TimePoint now) const;
+
     // Returns the lane of a group; adds one.
     StreamLane &lane(const GroupId &group);
     const StreamLane *find(const GroupId &group) const;
--- a/src/decision/gateway/streamlane.h
+++ b/src/decision/gateway/streamlane.h
@@ -40,6 +40,9 @@
         // never taken a request from here, that is held for the reason this long: starting takes a
         // second or two, and forming what the configuration says, less than one.
         Duration formingPatience = std::chrono::seconds(3);
+        // A group whose streams have had an event within this time makes its passes: they are some
+        // 50 to 200 ms apart.
+        Duration wordLife = std::chrono::milliseconds(300);
         // An upstream without room refuses at once. One that refuses only after so long had taken
         // the request and stood still: its whole group does, and says so to all at this moment.
         Duration lateRefusal = std::chrono::milliseconds(1000);
@@ -93,6 +96,11 @@
     {
         return speaking_ == 0 || now - quietSince_ >= settings_.firstEventPatience;
     }
+    // Tells whether some stream there has had an event within the last passes.
+    bool speaks(TimePoint now) const
+    {
+        return speaking_ > 0 && now - quietSince_ < settings_.wordLife;
+    }
     // Tells whether the group refuses, and probably because it has just started.
     bool mayBeForming(TimePoint now) const;
     // Tells whether it is time to see with one request whether an avoided lane works again. Streams
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -360,8 +360,20 @@
 void GatewayService::carryOut(const CancelAttempt &action)
 {
     const auto found = flights_.find(action.request);
-    if (found != flights_.end() && found->second.call != 0) {
-        client_->cancel(std::exchange(found->second.call, 0));
+    if (found == flights_.end() || found->second.call == 0) {
+        return;
+    }
+    Flight &flight = found->second;
+    client_->cancel(std::exchange(flight.call, 0));
+    if (action.silent) {
+        flight.events.dropPartial();
+        logLine(LogLevel::Info, "attempt.silent",
+                {{"id", flight.facts.requestId},
+                 {"attempt", flight.attempt},
+                 {"upstream", flight.upstream.value()},
+                 {"group", flight.group.value()},
+                 {"events", flight.events.events()},
+                 {"ms", toMillis(loop_.now() - flight.startedAt)}});
     }
 }
 
--- /dev/null
+++ b/test/decision/gateway/silentupstream_test.cpp
@@ -0,0 +1,220 @@
+// The load that this answers: engines whose answers are lost (three in ten of a third of a
+// service's, for six seconds), that hang, or whose machine froze say nothing and reset nothing. A
+// caller leaves a stream after two seconds without a word; in time, and served at all, is only what
+// another engine answers before that.
+#include "decision/gateway/gatewaycore.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+constexpr int kPass = 100; // Milliseconds between the events of a stream.
+
+} // namespace
+
+TEST_GROUP(SilentUpstreamTest)
+{
+    GatewayCore::Settings settings;
+    std::unique_ptr<GatewayCore> core;
+    GatewayActions actions;
+    RoutingDocument document;
+    std::shared_ptr<const RouteTable> table;
+
+    void setup() override
+    {
+        settings.hall = HallId("north");
+        settings.seed = 1;
+        settings.retries = {0.2, 88.0};
+        core = std::make_unique<GatewayCore>(settings);
+        put("north-1", "north", 1);
+        put("north-2", "north", 2);
+        RouteRule route;
+        route.name = "route";
+        route.host = "x";
+        route.pathPrefix = "/";
+        route.targets = {{TargetName("service"), 1}};
+        route.streamed = true;
+        route.resumable = true;
+        route.timeout = std::chrono::seconds(8);
+        route.latencyGoal = std::chrono::milliseconds(500);
+        route.pauseGoal = std::chrono::milliseconds(150);
+        route.silenceLimit = std::chrono::seconds(2);
+        route.maxAttempts = 2;
+        document.routes = {route};
+    }
+
+    void put(const char *id, const char *hall, int port)
+    {
+        UpstreamRecord record;
+        record.id = InstanceId(id);
+        record.service = TargetName("service");
+        record.hall = HallId(hall);
+        record.host = hall;
+        record.port = port;
+        record.slots = 10;
+        core->upstreams().put(record);
+    }
+
+    void learnGroup(const char *name, const std::vector<int> &ports)
+    {
+        GroupFacts facts;
+        facts.group = GroupId(name);
+        for (const int port : ports) {
+            facts.members.push_back({name, port, 1.0});
+        }
+        core->groups().learn(facts, at(0));
+    }
+
+    RequestNumber begin(int now)
+    {
+        table = std::make_shared<const RouteTable>(document);
+        GatewayRequest request;
+        request.table = table;
+        request.route = table->match("x", "/");
+        request.deadline = std::chrono::seconds(8);
+        return core->begin(request, at(now), actions);
+    }
+
+    // The request's engine begins to answer.
+    void answer(RequestNumber number, int now)
+    {
+        core->onHead(number, AnswerKind::Success, at(now), actions);
+        core->onFirstEvent(number, at(now));
+    }
+
+    // Time passes; the streams in `speaking` get an event at each pass.
+    void pass(int from, int to, const std::vector<RequestNumber> &speaking)
+    {
+        for (int now = from; now < to; now += kPass) {
+            for (const RequestNumber number : speaking) {
+                core->onPause(number, std::chrono::milliseconds(kPass), at(now));
+            }
+            core->onTick(at(now), actions);
+        }
+    }
+
+    // Returns where the request was sent last since the actions were cleared.
+    std::string lastSent(RequestNumber number)
+    {
+        std::string sent;
+        for (const GatewayAction &action : actions) {
+            const auto *start = std::get_if<StartAttempt>(&action);
+            if (start != nullptr && start->request == number) {
+                sent = start->upstream.id.value();
+            }
+        }
+        return sent;
+    }
+
+    bool cancelledAsSilent(RequestNumber number)
+    {
+        for (const GatewayAction &action : actions) {
+            const auto *cancel = std::get_if<CancelAttempt>(&action);
+            if (cancel != nullptr && cancel->request == number && cancel->silent) {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+TEST(SilentUpstreamTest, StreamMovesWhileOthersOfItsGroupSpeak)
+{
+    const RequestNumber speaks = begin(0);
+    const RequestNumber silent = begin(0);
+    const std::string before = lastSent(silent);
+    answer(speaks, 50);
+    actions.clear();
+    pass(100, 1000, {speaks});
+    STRCMP_EQUAL("", lastSent(silent).c_str());
+    pass(1000, 1100, {speaks});
+    CHECK_TRUE(cancelledAsSilent(silent));
+    CHECK_TRUE(!lastSent(silent).empty());
+    CHECK_TRUE_TEXT(lastSent(silent) != before, "expected another upstream than the silent one");
+    CHECK_FALSE(cancelledAsSilent(speaks));
+}
+
+// Part of its answer is with the caller: it goes on at another engine after the last whole event.
+TEST(SilentUpstreamTest, StreamThatFallsSilentMidwayMoves)
+{
+    const RequestNumber speaks = begin(0);
+    const RequestNumber silent = begin(0);
+    answer(speaks, 50);
+    answer(silent, 50);
+    actions.clear();
+    pass(100, 700, {speaks, silent});
+    pass(700, 1500, {speaks});
+    CHECK_FALSE(cancelledAsSilent(silent));
+    pass(1500, 1800, {speaks});
+    CHECK_TRUE(cancelledAsSilent(silent));
+}
+
+// A group that stands still as a whole would keep it waiting all the same.
+TEST(SilentUpstreamTest, StreamStaysWhereTheOnlyGroupStandsStill)
+{
+    const RequestNumber one = begin(0);
+    const RequestNumber two = begin(0);
+    answer(one, 50);
+    answer(two, 50);
+    actions.clear();
+    pass(100, 1900, {});
+    CHECK_FALSE(cancelledAsSilent(one));
+    CHECK_FALSE(cancelledAsSilent(two));
+}
+
+TEST(SilentUpstreamTest, StreamOfAGroupThatStandsStillMovesToAnother)
+{
+    put("south-1", "south", 1);
+    learnGroup("north", {1, 2});
+    learnGroup("south", {1});
+    const RequestNumber silent = begin(10);
+    answer(silent, 60);
+    actions.clear();
+    pass(100, 1300, {});
+    CHECK_TRUE(cancelledAsSilent(silent));
+    STRCMP_EQUAL("south-1", lastSent(silent).c_str());
+}
+
+TEST(SilentUpstreamTest, RequestThatMayRunOnceStays)
+{
+    document.routes.front().streamed = false;
+    document.routes.front().resumable = false;
+    const RequestNumber number = begin(0);
+    actions.clear();
+    pass(100, 1900, {});
+    CHECK_FALSE(cancelledAsSilent(number));
+}
+
+// A second attempt is a load that a service in trouble must not get without bound.
+TEST(SilentUpstreamTest, NothingMovesWithoutABudget)
+{
+    core->setRetryLimits({0.0, 0.0});
+    const RequestNumber speaks = begin(0);
+    const RequestNumber silent = begin(0);
+    answer(speaks, 50);
+    actions.clear();
+    pass(100, 1900, {speaks});
+    CHECK_FALSE(cancelledAsSilent(silent));
+}
+
+TEST(SilentUpstreamTest, RepeatableRequestMovesAtHalfOfItsTime)
+{
+    document.routes.front().streamed = false;
+    document.routes.front().resumable = false;
+    document.routes.front().repeatable = true;
+    const RequestNumber number = begin(0);
+    const std::string before = lastSent(number);
+    actions.clear();
+    pass(100, 1000, {});
+    CHECK_FALSE(cancelledAsSilent(number));
+    pass(1000, 1100, {});
+    CHECK_TRUE(cancelledAsSilent(number));
+    CHECK_TRUE(lastSent(number) != before);
+}
