Expert maps: a map that is uneven but serves everybody is left as it is

Change: while passes take less than 0.6 of the shortest pause goal of the service's routes, a map below a skew of 2 is not changed.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -186,6 +186,14 @@
     return 1.0 - rule_.expertPart + rule_.expertPart * skew;
 }
 
+// Tells whether a more even map would make no stream earlier than its caller needs it.
+bool ExpertPlanner::servesNobody(double skew) const
+{
+    const bool known = pass_ > Duration{} && pauseGoal_ > Duration{};
+    return known && skew < settings_.uselessSkew
+           && toSeconds(pass_) < settings_.comfortable * toSeconds(pauseGoal_);
+}
+
 // Returns the best map that `copies` new experts a rank reach. The sets share the copies: the least
 // even one comes first, and what it leaves goes to the next.
 ExpertPlanner::Candidate ExpertPlanner::candidate(const ExpertMap &current,
@@ -271,6 +279,9 @@
     if (1.0 - passTime(settings_.goodEnough) / passTime(before) <= settings_.leastGain) {
         return std::nullopt; // Not even the best that the search goes for: it is spared.
     }
+    if (servesNobody(before)) {
+        return std::nullopt;
+    }
     const Duration life = expectedLife(now);
     std::optional<Candidate> best;
     double bestRate = 0.0;
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -13,6 +13,9 @@
 // not, the alarm was noise. The gaps between shifts are remembered too; they say how long a mixture
 // lasts, and a false one would make every change look too late to pay.
 //
+// A more even map serves nobody while passes end long before the pauses that callers bear: copies
+// have a price, and then only a map that is very uneven is changed.
+//
 // Pure and single-threaded.
 #pragma once
 
@@ -70,6 +73,11 @@
         // The least that it is taken for, and the weight of the last change in the average.
         Duration leastTakeUp = std::chrono::milliseconds(100);
         double takeUpWeight = 0.5;
+        // Passes that take less than this part of the longest pause that callers bear make nobody
+        // late, unless the load grows by more than half. Above the skew, a shift of demand has made
+        // the map useless, and passes may be longer than those that were measured.
+        double comfortable = 0.6;
+        double uselessSkew = 2.0;
         // Copies that take less than this part of it are not worth a change of their own.
         double leastCopying = 0.125;
         // A set's placement is not improved beyond this skew.
@@ -92,6 +100,14 @@
     // Takes how many times as long as a sound rank each rank takes, by rank.
     void setPaces(std::vector<double> paces) { paces_ = std::move(paces); }
 
+    // Takes how long passes take, and the longest pause between events that callers bear; zero: not
+    // known.
+    void setPasses(Duration pass, Duration goal)
+    {
+        pass_ = pass;
+        pauseGoal_ = goal;
+    }
+
     // Ends the round that is complete, if there is one, and learns from it. Called at each tick,
     // also while a change is under way. `current` is the map in use, where it is known.
     void look(const std::optional<ExpertMap> &current, TimePoint now);
@@ -133,6 +149,7 @@
     void noteShift(TimePoint now);
     void remember(TimePoint now);
     double passTime(double skew) const;
+    bool servesNobody(double skew) const;
     Candidate candidate(const ExpertMap &current, std::uint32_t copies) const;
     std::uint32_t fewestCopies() const;
     double worthOf(const Candidate &candidate, double before, Duration life) const;
@@ -146,6 +163,8 @@
     std::optional<TimePoint> roundSince_;
     TimePoint rememberedAt_{};
     std::vector<double> paces_;
+    Duration pass_{};
+    Duration pauseGoal_{};
     double distance_ = 0.0;
     double calmDistance_ = 0.1;
     std::optional<TimePoint> shiftedAt_;
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -197,6 +197,8 @@
 
     // Returns what the ranks report of their pace, by rank.
     std::vector<double> paces() const;
+    // Returns how long passes take of late; zero while that is not known.
+    Duration passTime() const { return passTime_; }
     std::uint32_t ownRank() const { return settings_.ownRank; }
     const GroupId &group() const { return settings_.group; }
     // Returns how many ranks the group has; zero while no report came.
--- a/src/decision/gateway/routetable.cpp
+++ b/src/decision/gateway/routetable.cpp
@@ -18,6 +18,21 @@
 
 } // namespace
 
+Duration shortestPauseGoal(const RoutingDocument &document, const TargetName &service)
+{
+    Duration shortest{};
+    for (const RouteRule &route : document.routes) {
+        const bool leadsThere =
+            std::any_of(route.targets.begin(), route.targets.end(),
+                        [&service](const auto &target) { return target.service == service; });
+        const bool stated = leadsThere && route.pauseGoal > Duration{};
+        if (stated && (shortest == Duration{} || route.pauseGoal < shortest)) {
+            shortest = route.pauseGoal;
+        }
+    }
+    return shortest;
+}
+
 RouteTable::RouteTable(RoutingDocument document)
     : document_(std::move(document))
 {
--- a/src/decision/gateway/routetable.h
+++ b/src/decision/gateway/routetable.h
@@ -93,6 +93,10 @@
     std::string source; // The text that it was read from: what gateways hand on to each other.
 };
 
+// Returns the shortest of the pauses between events that callers of `service` bear; zero when no
+// route to it says.
+Duration shortestPauseGoal(const RoutingDocument &document, const TargetName &service);
+
 class RouteTable
 {
 public:
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -223,6 +223,7 @@
 void ExpertAgent::takeItem(const StoreItem &item)
 {
     if (const auto *document = std::get_if<RoutingDocument>(&item)) {
+        pauseGoal_ = shortestPauseGoal(*document, settings_.service);
         for (const ServiceRule &service : document->services) {
             if (service.name == settings_.service && service.experts) {
                 rule_ = service.experts;
@@ -569,6 +570,7 @@
 void ExpertAgent::replaceChange(MapOrders &orders)
 {
     planner_.setPaces(decider_->paces());
+    planner_.setPasses(decider_->passTime(), pauseGoal_);
     auto planned = planner_.plan(*current_, loop_.now());
     if (planned && decider_->abandon(loop_.now())) {
         logLine(LogLevel::Info, "map.abandoned",
@@ -591,6 +593,7 @@
     }
     noteObstacle(kNoObstacle);
     planner_.setPaces(decider_->paces());
+    planner_.setPasses(decider_->passTime(), pauseGoal_);
     logLine(LogLevel::Debug, "map.weighed",
             {{"distance", planner_.distance()}, {"skew", planner_.skew(*current_)}});
     if (auto planned = planner_.plan(*current_, loop_.now())) {
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -140,6 +140,7 @@
     GroupId ownGroup_; // Empty until the own engine has answered.
     std::optional<std::uint32_t> ownRank_;
     std::uint32_t groupRanks_ = 0; // As the own engine has told.
+    Duration pauseGoal_{};         // Of the service's routes; zero: not known.
     bool ownHeld_ = false;         // The own engine holds a step, by its last report.
     std::optional<LowerDecider> lower_;
     std::uint64_t ownCountsMark_ = 0; // Of the own rank's last counts.
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -41,6 +41,20 @@
     return shares;
 }
 
+// The experts of the first rank, as they are dealt, are chosen nearly twice as often as others.
+std::vector<double> mildlySkewedShares()
+{
+    std::vector<double> shares(kExperts, 1.0);
+    for (std::size_t expert = 0; expert < shares.size(); expert += kRanks) {
+        shares[expert] = 1.8;
+    }
+    const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+    for (double &share : shares) {
+        share /= sum;
+    }
+    return shares;
+}
+
 TimePoint at(int millis)
 {
     return TimePoint(std::chrono::milliseconds(millis));
@@ -375,3 +389,37 @@
     CHECK_TRUE(planner.expectedLife(at(5400)) >= std::chrono::seconds(3));
     CHECK_TRUE(planner.plan({dealt()}, at(5400)).has_value());
 }
+
+// The load that this answers: a calm day, on which passes take half of the pause that callers bear
+// and every second change of a map copies 2 TB for nobody.
+TEST(ExpertPlannerTest, LeavesAModeratelyUnevenMapWhilePassesAreFarInsideTheGoal)
+{
+    feed(planner, mildlySkewedShares(), 0, 2000);
+    const double skew = planner.skew({dealt()});
+    CHECK_TRUE(skew > 1.3 && skew < 2.0);
+    planner.setPasses(std::chrono::milliseconds(80), std::chrono::milliseconds(150));
+    CHECK_FALSE(planner.plan({dealt()}, at(2000)).has_value());
+}
+
+TEST(ExpertPlannerTest, ChangesItOncePassesComeNearTheGoal)
+{
+    feed(planner, mildlySkewedShares(), 0, 2000);
+    planner.setPasses(std::chrono::milliseconds(100), std::chrono::milliseconds(150));
+    CHECK_TRUE(planner.plan({dealt()}, at(2000)).has_value());
+}
+
+// Passes were measured before demand shifted, and streams that last longer make them longer still.
+TEST(ExpertPlannerTest, ChangesAMapThatAShiftHasMadeUselessWhateverThePasses)
+{
+    feed(planner, skewedShares(1), 0, 2000);
+    CHECK_TRUE(planner.skew({dealt()}) >= 2.0);
+    planner.setPasses(std::chrono::milliseconds(50), std::chrono::milliseconds(150));
+    CHECK_TRUE(planner.plan({dealt()}, at(2000)).has_value());
+}
+
+TEST(ExpertPlannerTest, ChangesItWhereNothingIsKnownOfPauses)
+{
+    feed(planner, mildlySkewedShares(), 0, 2000);
+    planner.setPasses(std::chrono::milliseconds(50), Duration{});
+    CHECK_TRUE(planner.plan({dealt()}, at(2000)).has_value());
+}
--- a/test/decision/gateway/routetable_test.cpp
+++ b/test/decision/gateway/routetable_test.cpp
@@ -56,3 +56,20 @@
     POINTERS_EQUAL(nullptr, table.accountOf("key-3"));
     POINTERS_EQUAL(nullptr, table.accountOf(""));
 }
+
+TEST(RouteTableTest, ShortestPauseGoalIsThatOfTheRoutesToTheService)
+{
+    RoutingDocument document;
+    const auto add = [&document](const char *service, int pause) {
+        RouteRule rule;
+        rule.targets = {{TargetName(service), 1}};
+        rule.pauseGoal = std::chrono::milliseconds(pause);
+        document.routes.push_back(rule);
+    };
+    add("model", 200);
+    add("model", 150);
+    add("model", 0);
+    add("other", 40);
+    CHECK_TRUE(shortestPauseGoal(document, TargetName("model")) == std::chrono::milliseconds(150));
+    CHECK_TRUE(shortestPauseGoal(document, TargetName("nobody")) == Duration{});
+}
