Expert maps: before long passes a hold is placed at the very next one

Cause: after a loss of power passes took 400 ms while the backlog was read, and a hold two passes ahead kept the first map of an epoch, 3.6 times uneven, for 0.8 s more; the next change began 1 to 1.4 s later. Change: a hold is as many passes ahead as begin within the lead, where their time is known; the least of two remains for passes that were not measured yet. The decider's file is split by job: what it decides, its orders, and how it clears what others left; the code moved as it was.

--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -100,47 +100,6 @@
                        [&](const auto &entry) { return fresh(entry.second, now); });
 }
 
-// Returns the one rank that does not answer while all others do.
-std::optional<std::uint32_t> GroupDecider::soleSilentRank(TimePoint now) const
-{
-    std::optional<std::uint32_t> silent;
-    for (std::uint32_t number = 0; number < size_; ++number) {
-        const auto found = ranks_.find(number);
-        if (found != ranks_.end() && fresh(found->second, now)) {
-            continue;
-        }
-        if (silent) {
-            return std::nullopt;
-        }
-        silent = number;
-    }
-    return silent;
-}
-
-bool GroupDecider::armsOwnLast() const
-{
-    return rankArmedLast(version_) == settings_.ownRank;
-}
-
-// Returns the rank whose agent decides after this one: the lowest other.
-std::uint32_t GroupDecider::successor() const
-{
-    return settings_.ownRank == 0 ? 1 : 0;
-}
-
-// Tells whether it is the rank's turn to be armed.
-bool GroupDecider::mayArm(std::uint32_t number) const
-{
-    const bool last = number == settings_.ownRank;
-    if (!armsOwnLast() || (!last && number != successor())) {
-        return true;
-    }
-    return std::all_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
-        const bool later = entry.first == settings_.ownRank || (!last && entry.first == number);
-        return later || entry.second.confirmed;
-    });
-}
-
 bool GroupDecider::takesRequests() const
 {
     const auto last =
@@ -237,86 +196,6 @@
     });
 }
 
-MapOrder GroupDecider::orderFor(MapOrderKind kind) const
-{
-    MapOrder order;
-    order.kind = kind;
-    order.version = version_;
-    order.step = step_;
-    order.epoch = epoch_;
-    order.fence = fence_;
-    order.group = settings_.group;
-    if (kind == MapOrderKind::Prepare) {
-        order.experts = experts_;
-    }
-    return order;
-}
-
-bool GroupDecider::due(const Rank &rank, TimePoint now) const
-{
-    return rank.sentAt == TimePoint{} || now - rank.sentAt >= rank.resendAfter;
-}
-
-void GroupDecider::sendPrepares(TimePoint now, MapOrders &orders)
-{
-    for (auto &[number, rank] : ranks_) {
-        const bool copying = rank.answeredAt != TimePoint{};
-        if (!rank.confirmed && !copying && due(rank, now)) {
-            unanswered_ += rank.sentAt == TimePoint{} ? 0 : 1;
-            rank.sentAt = now;
-            orders.push_back({number, orderFor(MapOrderKind::Prepare), OrderWay::Any});
-        }
-    }
-}
-
-void GroupDecider::sendArms(TimePoint now, MapOrders &orders)
-{
-    for (auto &[number, rank] : ranks_) {
-        if (!rank.confirmed && due(rank, now) && mayArm(number)) {
-            unanswered_ += rank.sentAt == TimePoint{} ? 0 : 1;
-            rank.sentAt = now;
-            const OrderWay way = armsOwnLast() ? OrderWay::AgentOnly : OrderWay::Any;
-            orders.push_back({number, orderFor(MapOrderKind::Arm), way});
-        }
-    }
-}
-
-void GroupDecider::sendDisarms(TimePoint now, MapOrders &orders)
-{
-    for (auto &[number, rank] : ranks_) {
-        if (rank.confirmed || !due(rank, now) || leftOut(number)) {
-            continue;
-        }
-        rank.sentAt = now;
-        MapOrder order = orderFor(MapOrderKind::Disarm);
-        if (rank.report.armed != 0) {
-            order.version = rank.report.armed;
-        } else if (order.version == rank.report.map) {
-            // The map in use cannot be disarmed; the order carries the fence alone.
-            ++order.version;
-        }
-        orders.push_back({number, order, OrderWay::Any});
-    }
-}
-
-// Releases the own hold, and after a clearing those of other deciders as well.
-void GroupDecider::sendReleases(TimePoint now, MapOrders &orders)
-{
-    for (auto &[number, rank] : ranks_) {
-        const bool own = number == holder_;
-        const bool holds = rank.report.held.has_value() && !leftOut(number);
-        if (rank.confirmed || !due(rank, now) || !(own || (clearing_ && holds))) {
-            continue;
-        }
-        rank.sentAt = now;
-        MapOrder order = orderFor(MapOrderKind::Go);
-        if (!own) {
-            order.step = *rank.report.held;
-        }
-        orders.push_back({number, order, OrderWay::Any});
-    }
-}
-
 GroupDecider::Obstacle GroupDecider::obstacle(TimePoint now) const
 {
     if (phase_ != Phase::Idle) {
@@ -376,14 +255,6 @@
     foreignSince_.reset();
 }
 
-// A change may wait for a step some passes ahead. To clear, the hold must come before any step at
-// which something may be armed, and that is known of the very next step alone: a rank that accepts
-// a hold of the step after the highest that was reported has not begun it, so nothing lies between.
-void GroupDecider::chooseStep()
-{
-    step_ = highestStep() + (clearing_ ? 1 : margin());
-}
-
 // Measures how long a pass takes, from the highest step of the reports.
 void GroupDecider::measurePasses(TimePoint askedAt)
 {
@@ -403,128 +274,6 @@
     measuredAt_ = askedAt;
 }
 
-Duration GroupDecider::lead() const
-{
-    const Duration unmeasured = settings_.lead + settings_.leadPerRank * static_cast<int>(size_);
-    const Duration lossy = unanswered_ > 0 ? settings_.leadWhenLossy : Duration{};
-    if (armTimes_.empty()) {
-        return unmeasured + lossy;
-    }
-    const Duration longest = *std::max_element(armTimes_.begin(), armTimes_.end());
-    const Duration measured = fromSeconds(toSeconds(longest) * settings_.leadOverArms);
-    return std::clamp(measured, settings_.lead, unmeasured) + lossy;
-}
-
-// Returns how many passes ahead a hold is placed.
-std::uint64_t GroupDecider::margin() const
-{
-    if (passTime_ <= Duration{}) {
-        return settings_.stepMargin;
-    }
-    const auto passes = static_cast<std::uint64_t>(lead() / passTime_ + 1);
-    return std::max(settings_.stepMargin, passes);
-}
-
-// A rank holds one step. Where the own rank holds another one, as an earlier decider left it, a
-// rank that holds nothing takes its place.
-void GroupDecider::chooseHolder()
-{
-    const auto mayHold = [this](const Rank &rank) {
-        return !rank.report.held || *rank.report.held == step_;
-    };
-    holder_ = settings_.ownRank;
-    if (mayHold(ranks_[holder_])) {
-        return;
-    }
-    const auto found = std::find_if(ranks_.begin(), ranks_.end(), [&mayHold](const auto &entry) {
-        return mayHold(entry.second);
-    });
-    holder_ = found == ranks_.end() ? settings_.ownRank : found->first;
-}
-
-void GroupDecider::sendHold(TimePoint now, MapOrders &orders)
-{
-    if (!due(ranks_[holder_], now)) {
-        return;
-    }
-    if (clearing_) {
-        chooseStep();
-        chooseHolder();
-    }
-    ranks_[holder_].sentAt = now;
-    const bool straight = !clearing_ && armsOwnLast();
-    orders.push_back(
-        {holder_, orderFor(MapOrderKind::Hold), straight ? OrderWay::Engine : OrderWay::Any});
-}
-
-// Places the hold anew, also where the own rank should hold already: another decider with a higher
-// fence may have released that hold, and may be changing the map now.
-void GroupDecider::beginClearing(TimePoint now, std::optional<std::uint32_t> without)
-{
-    without_ = without;
-    clearing_ = true;
-    committed_ = false;
-    raiseFence();
-    chooseStep();
-    chooseHolder();
-    enter(Phase::Holding, now);
-}
-
-bool GroupDecider::isForeign(const RankReport &report) const
-{
-    const bool ownArm = committed_ && report.armed == version_;
-    return (report.armed != 0 && !ownArm) || report.held.has_value();
-}
-
-void GroupDecider::watchForeign(TimePoint now)
-{
-    const bool foreign = std::any_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
-        return isForeign(entry.second.report);
-    });
-    watchSilent(foreign, now);
-    if (!foreign) {
-        foreignSince_.reset();
-        return;
-    }
-    foreignSince_ = foreignSince_.value_or(
-        std::exchange(settings_.predecessorHeardAt, std::nullopt).value_or(now));
-    if (now - *foreignSince_ >= settings_.foreignPatience && whole(now)) {
-        foreignSince_.reset();
-        beginClearing(now);
-    }
-}
-
-// Tells whether the change that is under way can be cleared without the silent rank: that rank is
-// armed last, and this agent has handed on no arm, so that its own confirmation is still missing.
-bool GroupDecider::mayClearWithout(std::uint32_t silent) const
-{
-    const auto own = ranks_.find(settings_.ownRank);
-    if (own == ranks_.end()) {
-        return false;
-    }
-    const std::uint64_t version = own->second.report.neverArmed;
-    const bool named = version != 0 && rankArmedLast(version) == silent;
-    return named && std::all_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
-               const RankReport &report = entry.second.report;
-               const bool ofChange = report.armed == 0 || report.armed == version;
-               return entry.first == silent || (report.prepared == version && ofChange);
-           });
-}
-
-void GroupDecider::watchSilent(bool foreign, TimePoint now)
-{
-    const auto silent = foreign ? soleSilentRank(now) : std::nullopt;
-    if (!silent || *silent == settings_.ownRank || !mayClearWithout(*silent)) {
-        silentSince_.reset();
-        return;
-    }
-    silentSince_ = silentSince_.value_or(now);
-    if (now - *silentSince_ >= settings_.silentPatience) {
-        silentSince_.reset();
-        beginClearing(now, silent);
-    }
-}
-
 void GroupDecider::onHoldAnswer(MapOrderAnswer answer, TimePoint now)
 {
     switch (answer) {
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -122,13 +122,13 @@
         // When the decider before this one was last heard, if it was: its patience with what that
         // one left armed or held runs from then.
         std::optional<TimePoint> predecessorHeardAt;
-        // Passes at least between the last that is known to have begun and the hold, and as many
-        // more as begin within the lead. The hold, the arms and their answers take some ten
+        // A hold is placed before the first pass that begins after the lead; so many passes ahead
+        // while their time is not known. The hold, the arms and their answers take some ten
         // milliseconds and more on a large group; a lead that is too short stops the group, which
         // every stream feels, a long one only keeps it on the old map. Before any arms were
         // measured, the lead grows with the group; then it is a multiple of the longest of the last
         // few, and no shorter than `lead`.
-        std::uint64_t stepMargin = 2;
+        std::uint64_t unmeasuredMargin = 2;
         Duration lead = std::chrono::milliseconds(120);
         Duration leadPerRank = std::chrono::milliseconds(3);
         double leadOverArms = 2.0;
--- /dev/null
+++ b/src/decision/expertmap/groupdeciderclearing.cpp
@@ -0,0 +1,95 @@
+// How a GroupDecider finds arms and holds that another one has left, and begins to clear them.
+#include "decision/expertmap/groupdecider.h"
+#include "decision/expertmap/mapversion.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+
+// Returns the one rank that does not answer while all others do.
+std::optional<std::uint32_t> GroupDecider::soleSilentRank(TimePoint now) const
+{
+    std::optional<std::uint32_t> silent;
+    for (std::uint32_t number = 0; number < size_; ++number) {
+        const auto found = ranks_.find(number);
+        if (found != ranks_.end() && fresh(found->second, now)) {
+            continue;
+        }
+        if (silent) {
+            return std::nullopt;
+        }
+        silent = number;
+    }
+    return silent;
+}
+
+bool GroupDecider::isForeign(const RankReport &report) const
+{
+    const bool ownArm = committed_ && report.armed == version_;
+    return (report.armed != 0 && !ownArm) || report.held.has_value();
+}
+
+void GroupDecider::watchForeign(TimePoint now)
+{
+    const bool foreign = std::any_of(ranks_.begin(), ranks_.end(), [this](const auto &entry) {
+        return isForeign(entry.second.report);
+    });
+    watchSilent(foreign, now);
+    if (!foreign) {
+        foreignSince_.reset();
+        return;
+    }
+    foreignSince_ = foreignSince_.value_or(
+        std::exchange(settings_.predecessorHeardAt, std::nullopt).value_or(now));
+    if (now - *foreignSince_ >= settings_.foreignPatience && whole(now)) {
+        foreignSince_.reset();
+        beginClearing(now);
+    }
+}
+
+// Tells whether the change that is under way can be cleared without the silent rank: that rank is
+// armed last, and this agent has handed on no arm, so that its own confirmation is still missing.
+bool GroupDecider::mayClearWithout(std::uint32_t silent) const
+{
+    const auto own = ranks_.find(settings_.ownRank);
+    if (own == ranks_.end()) {
+        return false;
+    }
+    const std::uint64_t version = own->second.report.neverArmed;
+    const bool named = version != 0 && rankArmedLast(version) == silent;
+    return named && std::all_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
+               const RankReport &report = entry.second.report;
+               const bool ofChange = report.armed == 0 || report.armed == version;
+               return entry.first == silent || (report.prepared == version && ofChange);
+           });
+}
+
+void GroupDecider::watchSilent(bool foreign, TimePoint now)
+{
+    const auto silent = foreign ? soleSilentRank(now) : std::nullopt;
+    if (!silent || *silent == settings_.ownRank || !mayClearWithout(*silent)) {
+        silentSince_.reset();
+        return;
+    }
+    silentSince_ = silentSince_.value_or(now);
+    if (now - *silentSince_ >= settings_.silentPatience) {
+        silentSince_.reset();
+        beginClearing(now, silent);
+    }
+}
+
+// Places the hold anew, also where the own rank should hold already: another decider with a higher
+// fence may have released that hold, and may be changing the map now.
+void GroupDecider::beginClearing(TimePoint now, std::optional<std::uint32_t> without)
+{
+    without_ = without;
+    clearing_ = true;
+    committed_ = false;
+    raiseFence();
+    chooseStep();
+    chooseHolder();
+    enter(Phase::Holding, now);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/expertmap/groupdeciderorders.cpp
@@ -0,0 +1,176 @@
+// The orders of a GroupDecider: which, to whom, when and which way.
+#include "decision/expertmap/groupdecider.h"
+#include "decision/expertmap/mapversion.h"
+
+#include <algorithm>
+
+namespace seamarch {
+
+bool GroupDecider::armsOwnLast() const
+{
+    return rankArmedLast(version_) == settings_.ownRank;
+}
+
+// Returns the rank whose agent decides after this one: the lowest other.
+std::uint32_t GroupDecider::successor() const
+{
+    return settings_.ownRank == 0 ? 1 : 0;
+}
+
+// Tells whether it is the rank's turn to be armed.
+bool GroupDecider::mayArm(std::uint32_t number) const
+{
+    const bool last = number == settings_.ownRank;
+    if (!armsOwnLast() || (!last && number != successor())) {
+        return true;
+    }
+    return std::all_of(ranks_.begin(), ranks_.end(), [&](const auto &entry) {
+        const bool later = entry.first == settings_.ownRank || (!last && entry.first == number);
+        return later || entry.second.confirmed;
+    });
+}
+
+MapOrder GroupDecider::orderFor(MapOrderKind kind) const
+{
+    MapOrder order;
+    order.kind = kind;
+    order.version = version_;
+    order.step = step_;
+    order.epoch = epoch_;
+    order.fence = fence_;
+    order.group = settings_.group;
+    if (kind == MapOrderKind::Prepare) {
+        order.experts = experts_;
+    }
+    return order;
+}
+
+bool GroupDecider::due(const Rank &rank, TimePoint now) const
+{
+    return rank.sentAt == TimePoint{} || now - rank.sentAt >= rank.resendAfter;
+}
+
+void GroupDecider::sendPrepares(TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        const bool copying = rank.answeredAt != TimePoint{};
+        if (!rank.confirmed && !copying && due(rank, now)) {
+            unanswered_ += rank.sentAt == TimePoint{} ? 0 : 1;
+            rank.sentAt = now;
+            orders.push_back({number, orderFor(MapOrderKind::Prepare), OrderWay::Any});
+        }
+    }
+}
+
+void GroupDecider::sendArms(TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        if (!rank.confirmed && due(rank, now) && mayArm(number)) {
+            unanswered_ += rank.sentAt == TimePoint{} ? 0 : 1;
+            rank.sentAt = now;
+            const OrderWay way = armsOwnLast() ? OrderWay::AgentOnly : OrderWay::Any;
+            orders.push_back({number, orderFor(MapOrderKind::Arm), way});
+        }
+    }
+}
+
+void GroupDecider::sendDisarms(TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        if (rank.confirmed || !due(rank, now) || leftOut(number)) {
+            continue;
+        }
+        rank.sentAt = now;
+        MapOrder order = orderFor(MapOrderKind::Disarm);
+        if (rank.report.armed != 0) {
+            order.version = rank.report.armed;
+        } else if (order.version == rank.report.map) {
+            // The map in use cannot be disarmed; the order carries the fence alone.
+            ++order.version;
+        }
+        orders.push_back({number, order, OrderWay::Any});
+    }
+}
+
+// Releases the own hold, and after a clearing those of other deciders as well.
+void GroupDecider::sendReleases(TimePoint now, MapOrders &orders)
+{
+    for (auto &[number, rank] : ranks_) {
+        const bool own = number == holder_;
+        const bool holds = rank.report.held.has_value() && !leftOut(number);
+        if (rank.confirmed || !due(rank, now) || !(own || (clearing_ && holds))) {
+            continue;
+        }
+        rank.sentAt = now;
+        MapOrder order = orderFor(MapOrderKind::Go);
+        if (!own) {
+            order.step = *rank.report.held;
+        }
+        orders.push_back({number, order, OrderWay::Any});
+    }
+}
+
+// A change may wait for a step some passes ahead. To clear, the hold must come before any step at
+// which something may be armed, and that is known of the very next step alone: a rank that accepts
+// a hold of the step after the highest that was reported has not begun it, so nothing lies between.
+void GroupDecider::chooseStep()
+{
+    step_ = highestStep() + (clearing_ ? 1 : margin());
+}
+
+Duration GroupDecider::lead() const
+{
+    const Duration unmeasured = settings_.lead + settings_.leadPerRank * static_cast<int>(size_);
+    const Duration lossy = unanswered_ > 0 ? settings_.leadWhenLossy : Duration{};
+    if (armTimes_.empty()) {
+        return unmeasured + lossy;
+    }
+    const Duration longest = *std::max_element(armTimes_.begin(), armTimes_.end());
+    const Duration measured = fromSeconds(toSeconds(longest) * settings_.leadOverArms);
+    return std::clamp(measured, settings_.lead, unmeasured) + lossy;
+}
+
+// Returns how many passes ahead a hold is placed. Before passes that last longer than the lead it
+// is the very next one: the arms mostly come in time, and where they do not, the group waits for
+// less than the pass on the old map that is spared.
+std::uint64_t GroupDecider::margin() const
+{
+    if (passTime_ <= Duration{}) {
+        return settings_.unmeasuredMargin;
+    }
+    return static_cast<std::uint64_t>(lead() / passTime_ + 1);
+}
+
+// A rank holds one step. Where the own rank holds another one, as an earlier decider left it, a
+// rank that holds nothing takes its place.
+void GroupDecider::chooseHolder()
+{
+    const auto mayHold = [this](const Rank &rank) {
+        return !rank.report.held || *rank.report.held == step_;
+    };
+    holder_ = settings_.ownRank;
+    if (mayHold(ranks_[holder_])) {
+        return;
+    }
+    const auto found = std::find_if(ranks_.begin(), ranks_.end(), [&mayHold](const auto &entry) {
+        return mayHold(entry.second);
+    });
+    holder_ = found == ranks_.end() ? settings_.ownRank : found->first;
+}
+
+void GroupDecider::sendHold(TimePoint now, MapOrders &orders)
+{
+    if (!due(ranks_[holder_], now)) {
+        return;
+    }
+    if (clearing_) {
+        chooseStep();
+        chooseHolder();
+    }
+    ranks_[holder_].sentAt = now;
+    const bool straight = !clearing_ && armsOwnLast();
+    orders.push_back(
+        {holder_, orderFor(MapOrderKind::Hold), straight ? OrderWay::Engine : OrderWay::Any});
+}
+
+} // namespace seamarch
