--- a/test/experts/orderrelay_test.cpp
+++ b/test/experts/orderrelay_test.cpp
@@ -2,11 +2,7 @@
 // answer, are gone or say nothing. Real sockets on loopback; each agent has an address of its own.
 #include "experts/orderrelay.h"
 #include "experts/rankwire.h"
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "freeport.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,19 +10,6 @@
 
 namespace {
 
-int freePort()
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    LONGS_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 // An agent that takes each order for copied and notes its version.
 class CopyingAgent final : public wire::RankAgent::Server
 {
--- a/test/experts/rankpeers_test.cpp
+++ b/test/experts/rankpeers_test.cpp
@@ -1,11 +1,7 @@
 // What a decider does when the agent beside a rank goes silent. Real sockets on loopback.
 #include "enginecalls.h"
 #include "experts/rankpeers.h"
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "freeport.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,19 +9,6 @@
 
 namespace {
 
-int freePort()
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    LONGS_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 class NoListener final : public RankPeersListener
 {
 public:
--- a/test/gateway/groupwatch_test.cpp
+++ b/test/gateway/groupwatch_test.cpp
@@ -1,14 +1,10 @@
 // How a gateway hears of groups from the agent beside an engine. Real sockets on loopback. Whom it
 // asks where there are many agents is tested without sockets: see groupsurvey_test.cpp.
 #include "experts/groupreporter.h"
+#include "freeport.h"
 #include "gateway/groupwatch.h"
 #include "net/rpcpeer.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <CppUTest/TestHarness.h>
 
 using namespace seamarch;
@@ -19,19 +15,6 @@
 constexpr int kFirstEngine = 80; // Ports.
 constexpr int kSecondEngine = 81;
 
-int freePort()
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    LONGS_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 // An agent that answers questions about its group and nothing else.
 class Agent
 {
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -1,4 +1,5 @@
 // The HTTP server and client against each other and against raw sockets, on loopback.
+#include "freeport.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 
@@ -15,19 +16,6 @@
 
 constexpr Duration kPatience = std::chrono::seconds(10);
 
-int freePort()
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    LONGS_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-    close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 // Answers each request with its body; a path chooses what else happens.
 class Echo final : public HttpHandler
 {
