Sight: whether an upstream that lost a request has ended, and a digest of what the request asks

Of a lost attempt the log named neither whether its upstream had ended nor whether the same request, under another id, had been lost before. Change: after a lost attempt one connection is tried to its upstream (refused: it has ended); the log line upstream.probed carries the answer and the digest, a counter counts the answers. Decides nothing.

--- a/include/seamarch/ids.h
+++ b/include/seamarch/ids.h
@@ -55,6 +55,9 @@
 using GroupId = StrongId<struct GroupTag, std::string>;
 // The epoch of an expert map of one group.
 using MapEpoch = StrongId<struct MapEpochTag, std::uint64_t>;
+// What a request asks, as a digest: requests that are alike to an upstream have the same one,
+// though each of them has an id of its own.
+using RequestDigest = StrongId<struct RequestDigestTag, std::uint64_t>;
 // The position of a rank in its group.
 using RankIndex = StrongId<struct RankTag, std::uint32_t>;
 
--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -1,7 +1,9 @@
 #include "base/digest.h"
 
 #include <array>
+#include <cstring>
 #include <fmt/format.h>
+#include <memory>
 #include <openssl/evp.h>
 #include <random>
 
@@ -19,6 +21,23 @@
     return hex;
 }
 
+std::uint64_t sha256Of(std::initializer_list<std::string_view> parts)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(),
+                                                                          &EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const std::string_view part : parts) {
+        const std::uint64_t size = part.size();
+        EVP_DigestUpdate(context.get(), &size, sizeof(size));
+        EVP_DigestUpdate(context.get(), part.data(), part.size());
+    }
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    std::uint64_t first = 0;
+    std::memcpy(&first, digest.data(), sizeof(first));
+    return first;
+}
+
 std::uint64_t randomIdentity()
 {
     std::random_device device;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -73,6 +73,13 @@
     return findHeader(head.headers, "content-type").starts_with("text/event-stream");
 }
 
+// Requests are the same to an upstream that have the same method, host, path, account and body.
+RequestDigest digestOf(const HttpRequest &request, const AccountId &account)
+{
+    return RequestDigest(sha256Of(
+        {request.method, request.header("host"), request.target, account.value(), request.body}));
+}
+
 HttpResponseHead toResponse(const HttpHead &head)
 {
     HttpResponseHead response;
@@ -144,6 +151,11 @@
         return tl::unexpected(client.error());
     }
     client_ = std::move(*client);
+    auto probe = UpstreamProbe::create(loop_);
+    if (!probe) {
+        return tl::unexpected(probe.error());
+    }
+    probe_ = std::move(*probe);
     HttpServerOptions options;
     options.address = settings_.listen;
     auto server = HttpServer::create(loop_, *this, options);
@@ -332,6 +344,7 @@
     call.connectTimeout = kConnectTimeout;
     flight.attempt = action.attempt;
     flight.upstream = action.upstream.id;
+    flight.address = call.address;
     flight.group = action.group;
     flight.body.clear();
     flight.streams = false;
@@ -545,6 +558,9 @@
              {"headSent", flight->headSent},
              {"events", flight->events.events()},
              {"ms", toMillis(loop_.now() - flight->startedAt)}});
+    if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::KeptLost) {
+        askAfterUpstream(*flight);
+    }
     flight->events.dropPartial();
     GatewayActions actions;
     core_.onEnd(number, end == HttpCallEnd::NotSent ? AttemptEnd::NotSent : AttemptEnd::Lost,
@@ -552,6 +568,24 @@
     carryOut(actions);
 }
 
+// Finds out whether the upstream has ended that lost the request, and names the request by what it
+// asks: one that comes again has another id.
+void GatewayService::askAfterUpstream(const Flight &flight)
+{
+    const RequestDigest digest = digestOf(flight.request, flight.admitted.account);
+    const TimePoint lostAt = loop_.now();
+    probe_->ask(flight.address, [this, id = flight.facts.requestId, digest, lostAt,
+                                 upstream = flight.upstream](UpstreamState state) {
+        metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
+        logLine(LogLevel::Info, "upstream.probed",
+                {{"id", id},
+                 {"upstream", upstream.value()},
+                 {"state", toString(state)},
+                 {"digest", fmt::format("{:016x}", digest.value())},
+                 {"ms", toMillis(loop_.now() - lostAt)}});
+    });
+}
+
 void GatewayService::finishWhole(RequestNumber number, Flight &flight)
 {
     GatewayActions actions;
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -14,6 +14,7 @@
 #include "gateway/gatewayknowledge.h"
 #include "gateway/knowledgesources.h"
 #include "gateway/metadatastore.h"
+#include "gateway/upstreamprobe.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
@@ -78,6 +79,7 @@
         HttpCallId call = 0;
         std::uint32_t attempt = 0; // Of the call under way.
         InstanceId upstream;
+        SocketAddress address; // Of that upstream.
         GroupId group;
         HttpHead head;
         std::string body;     // Of an answer that goes out whole.
@@ -118,6 +120,7 @@
     void onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head);
     void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
     void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
+    void askAfterUpstream(const Flight &flight);
     void startStream(RequestNumber number, Flight &flight);
     void finishWhole(RequestNumber number, Flight &flight);
     void relayEvents(RequestNumber number, Flight &flight, std::string_view piece);
@@ -134,6 +137,7 @@
     GatewayCore core_;
     GatewayKnowledge knowledge_;
     std::unique_ptr<HttpClient> client_;
+    std::unique_ptr<UpstreamProbe> probe_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<OperatorServer> operators_;
     std::unique_ptr<OperatorServer> metricsServer_;
--- /dev/null
+++ b/src/gateway/upstreamprobe.cpp
@@ -0,0 +1,92 @@
+#include "gateway/upstreamprobe.h"
+
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// How long a host may take to answer: many round trips between the halls of a region, and less than
+// a caller notices, because what a broken connection carried waits for the answer.
+constexpr Duration kPatience = std::chrono::milliseconds(150);
+
+} // namespace
+
+std::string_view toString(UpstreamState state)
+{
+    switch (state) {
+    case UpstreamState::Lives:
+        return "lives";
+    case UpstreamState::Ended:
+        return "ended";
+    case UpstreamState::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+UpstreamProbe::UpstreamProbe(EventLoop &loop)
+    : loop_(loop)
+{}
+
+UpstreamProbe::~UpstreamProbe()
+{
+    for (const auto &[socket, question] : questions_) {
+        loop_.cancel(question.timer);
+    }
+}
+
+tl::expected<std::unique_ptr<UpstreamProbe>, NetError> UpstreamProbe::create(EventLoop &loop)
+{
+    std::unique_ptr<UpstreamProbe> probe(new UpstreamProbe(loop));
+    auto sockets = TcpSockets::create(loop);
+    if (!sockets) {
+        return tl::unexpected(sockets.error());
+    }
+    probe->sockets_ = std::move(*sockets);
+    return probe;
+}
+
+void UpstreamProbe::ask(const SocketAddress &address, Answer answer)
+{
+    const auto asked = byAddress_.find(address);
+    if (asked != byAddress_.end()) {
+        questions_.at(asked->second).answers.push_back(std::move(answer));
+        return;
+    }
+    const SocketId socket = sockets_->connect(address, *this);
+    Question question;
+    question.address = address;
+    question.answers.push_back(std::move(answer));
+    question.timer =
+        loop_.schedule(kPatience, [this, socket] { conclude(socket, UpstreamState::Unknown); });
+    questions_.emplace(socket, std::move(question));
+    byAddress_.emplace(address, socket);
+}
+
+void UpstreamProbe::onConnected(SocketId socket)
+{
+    conclude(socket, UpstreamState::Lives);
+}
+
+void UpstreamProbe::onEnd(SocketId socket, SocketEnd end)
+{
+    conclude(socket, end == SocketEnd::Refused ? UpstreamState::Ended : UpstreamState::Unknown);
+}
+
+void UpstreamProbe::conclude(SocketId socket, UpstreamState state)
+{
+    const auto found = questions_.find(socket);
+    if (found == questions_.end()) {
+        return;
+    }
+    const Question question = std::move(found->second);
+    questions_.erase(found);
+    byAddress_.erase(question.address);
+    loop_.cancel(question.timer);
+    sockets_->close(socket);
+    for (const Answer &answer : question.answers) {
+        answer(state);
+    }
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/gateway/upstreamprobe.h
@@ -0,0 +1,66 @@
+// Tells whether an upstream whose connection broke has ended.
+//
+// A connection breaks for many reasons: the upstream's process ended, its group stood still and cut
+// what it ran, it refuses more connections, the way to it was cut. Only when its process has ended
+// does its host refuse a new connection at once; an upstream that lives takes one, and a host that
+// lost power or is cut off says nothing. So one connection is tried for each upstream that lost
+// requests, however many it lost at the moment, and closed again.
+//
+// Single-threaded. The loop outlives the object.
+#pragma once
+
+#include "net/eventloop.h"
+#include "net/tcpsockets.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace seamarch {
+
+enum class UpstreamState {
+    Lives,   // It takes connections.
+    Ended,   // Nobody listens at its address.
+    Unknown, // Its host says nothing.
+};
+
+std::string_view toString(UpstreamState state);
+
+class UpstreamProbe final : private SocketListener
+{
+public:
+    using Answer = std::function<void(UpstreamState)>;
+
+    static tl::expected<std::unique_ptr<UpstreamProbe>, NetError> create(EventLoop &loop);
+    ~UpstreamProbe() override;
+    UpstreamProbe(const UpstreamProbe &) = delete;
+    UpstreamProbe &operator=(const UpstreamProbe &) = delete;
+
+    // Asks whether anybody listens at `address`. The answer follows soon, never from inside this
+    // call; all that ask of one address meanwhile get the same.
+    void ask(const SocketAddress &address, Answer answer);
+
+private:
+    struct Question
+    {
+        SocketAddress address;
+        std::vector<Answer> answers;
+        TimerId timer = 0;
+    };
+
+    explicit UpstreamProbe(EventLoop &loop);
+    void onConnected(SocketId socket) override;
+    void onBytes(SocketId /*socket*/, std::string_view /*bytes*/) override {}
+    void onEnd(SocketId socket, SocketEnd end) override;
+    void conclude(SocketId socket, UpstreamState state);
+
+    EventLoop &loop_;
+    std::unique_ptr<TcpSockets> sockets_;
+    std::map<SocketId, Question> questions_;
+    std::map<SocketAddress, SocketId> byAddress_;
+};
+
+} // namespace seamarch
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -255,7 +255,7 @@
         return;
     }
     HttpCallEnd how = HttpCallEnd::Interrupted;
-    if (end == SocketEnd::Unreachable) {
+    if (end == SocketEnd::Unreachable || end == SocketEnd::Refused) {
         how = HttpCallEnd::NotSent;
     } else if (end == SocketEnd::Finished && connection.reader.finishAtEnd()) {
         how = HttpCallEnd::Complete;
--- a/src/net/tcpsockets.cpp
+++ b/src/net/tcpsockets.cpp
@@ -69,6 +69,11 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
+SocketEnd endOf(int connectError)
+{
+    return connectError == ECONNREFUSED ? SocketEnd::Refused : SocketEnd::Unreachable;
+}
+
 NetError listenError(const SocketAddress &address)
 {
     return {NetError::Kind::ListenFailed, fmt::format("cannot listen at {}:{}: {}", address.host,
@@ -179,8 +184,9 @@
     const int result =
         ::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
     if (result != 0 && errno != EINPROGRESS) {
+        const SocketEnd how = endOf(errno);
         ::close(descriptor);
-        loop_.post([this, id] { end(id, SocketEnd::Unreachable); });
+        loop_.post([this, id, how] { end(id, how); });
         return id;
     }
     added.descriptor = descriptor;
@@ -345,7 +351,8 @@
         return;
     }
     SocketListener *listener = entry->listener;
-    const SocketEnd seen = entry->connecting ? SocketEnd::Unreachable : how;
+    const bool neverMade = entry->connecting && how != SocketEnd::Refused;
+    const SocketEnd seen = neverMade ? SocketEnd::Unreachable : how;
     release(id);
     if (listener != nullptr) {
         listener->onEnd(id, seen);
@@ -401,7 +408,7 @@
         return false; // Not connected yet.
     }
     if (error != 0) {
-        end(id, SocketEnd::Unreachable);
+        end(id, endOf(error));
         return false;
     }
     entry.connecting = false;
--- a/src/net/tcpsockets.h
+++ b/src/net/tcpsockets.h
@@ -27,6 +27,7 @@
 // How a connection ended.
 enum class SocketEnd {
     Unreachable, // It was never made.
+    Refused,     // It was never made: the peer's host says that nobody listens there.
     Finished,    // The peer ended its direction in order.
     Reset,       // It broke: reset, timed out, or closed with an error.
 };
