--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -1,6 +1,7 @@
 #include "names.h"
 #include "standin.h"
 
+#include <cstdlib>
 #include <fmt/format.h>
 #include <set>
 #include <vector>
@@ -14,7 +15,8 @@
 // An upstream of the platform: answers with its proof, and streams events under /stream. Control:
 // {"id": ID}, {"delayMs": N}, {"full": true} refuses, {"fail": true} answers 500,
 // {"dropAnswers": true} runs and breaks the connection, {"breakAfter": N} breaks a stream inside
-// event N + 1, {"foreignId": true} answers with another request's id, {"list": true}.
+// event N + 1, {"foreignId": true} answers with another request's id, {"endsOn": TEXT} ends the
+// process in the middle of the answer to a request whose body has TEXT.
 class Replica final : public StandIn
 {
 public:
@@ -22,6 +24,7 @@
 
 private:
     static constexpr int kEvents = 10;
+    static constexpr int kEndedByRequest = 70;
 
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
@@ -59,10 +62,15 @@
         const int first = request.header(names::kResumeAfter).empty()
                               ? 1
                               : std::stoi(request.header(names::kResumeAfter)) + 1;
+        const bool ends = !endsOn_.empty() && request.body.find(endsOn_) != std::string::npos;
         open_.insert(exchange);
-        loop().schedule(
-            std::chrono::milliseconds(delayMs_),
-            [this, exchange, head, streams, first] { answer(exchange, head, streams, first); });
+        loop().schedule(std::chrono::milliseconds(delayMs_),
+                        [this, exchange, head, streams, first, ends] {
+                            if (ends) {
+                                std::_Exit(kEndedByRequest);
+                            }
+                            answer(exchange, head, streams, first);
+                        });
     }
 
     void answer(ExchangeId exchange, HttpResponseHead head, bool streams, int first)
@@ -118,6 +126,7 @@
         breakAfter_ = change.value("breakAfter", breakAfter_);
         foreignId_ = change.value("foreignId", foreignId_);
         lies_ = change.value("lies", lies_);
+        endsOn_ = change.value("endsOn", endsOn_);
         return {{"runs", runs_}, {"left", left_}, {"open", open_.size()}};
     }
 
@@ -132,6 +141,7 @@
     bool dropAnswers_ = false;
     bool foreignId_ = false;
     bool lies_ = false;
+    std::string endsOn_;
 };
 
 } // namespace
--- /dev/null
+++ b/test/process/crashingrequest_test.py
@@ -0,0 +1,155 @@
+"""A request that ends every upstream that runs it is not sent on for ever.
+
+Seen: one request of a caller was sent to engines four times more after three of them had ended under
+it. Seven ended in all, one after the other as fast as their group could form, and for twenty seconds
+next to nothing of the service was answered.
+
+How it came about: the caller repeated the request, each time under a new id and at another gateway. An
+engine ended while it ran it, its group stood still and formed again, and the next copy was sent to it.
+
+Cause: what a gateway learns from a broken connection it holds against the upstream alone. It forgets
+the request, and no other gateway ever hears of it, so each copy is a new request to each gateway.
+
+Proved by: the test below fails without a memory of the request, and the log line `upstream.probed`
+shows one digest at every end, sent by all gateways in turn as a first attempt.
+"""
+
+import os
+import signal
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from gateway_test import KEY, GatewaySite  # noqa: E402
+from gatewaysharing_test import OtherGateway  # noqa: E402
+from localsite import call, control, free_address  # noqa: E402
+
+ENDED_BY_REQUEST = 70  # The stand-in's exit code.
+SPREAD = 3.0           # Seconds within which gateways in touch know what ended an upstream.
+BACK_AFTER = 0.4       # Seconds until an upstream that ended starts again.
+
+
+class Keeper:
+    """Starts upstreams again, at their address and under a new id, as the platform does."""
+
+    def __init__(self, site, upstreams):
+        self.site, self.ends, self.number, self.stopped = site, [], upstreams, False
+        self.running = {name: process for name, process in zip(site.upstreams, site.processes[1:])}
+        self.thread = threading.Thread(target=self.watch)
+        self.thread.start()
+
+    def watch(self):
+        while not self.stopped:
+            for name, process in list(self.running.items()):
+                if process.popen.poll() is not None:
+                    self.replace(name, process.popen.returncode)
+            time.sleep(0.01)
+
+    def replace(self, name, code):
+        if code == ENDED_BY_REQUEST:
+            self.ends.append(time.monotonic())
+        time.sleep(BACK_AFTER)
+        self.number += 1
+        new, address = f"i-{self.number}", self.site.upstreams.pop(name)
+        self.running.pop(name)
+        process = self.site.start("seamarch-standin", "replica", "--listen", address)
+        control(address, {"id": new, "endsOn": "poison", "delayMs": 5})
+        self.site.upstreams[new] = address
+        self.site.list_upstream(new)
+        self.running[new] = process
+
+    def stop(self):
+        self.stopped = True
+        self.thread.join()
+
+
+class CrashingRequestTest(unittest.TestCase):
+    def setUp(self):
+        self.seed = free_address()
+        self.site = GatewaySite(upstreams=4, **{"peer-listen": self.seed, "seeds": self.seed})
+        self.addCleanup(self.site.__exit__)
+        self.site.set_all(endsOn="poison", delayMs=5)
+        self.keeper = Keeper(self.site, 4)
+        self.addCleanup(self.keeper.stop)
+        self.others = [OtherGateway(self.site, f"gateway-{number}", self.site.store, self.seed, hall)
+                       for number, hall in ((2, "north"), (3, "south"), (4, "south"))]
+        for other in self.others:
+            self.site.wait_until("the others are ready", other.ready)
+        self.entries = [self.site.entry] + [other.entry for other in self.others]
+        self.asked = 0
+
+    def ask(self, path, body, entry=None, key=KEY):
+        """Asks under an id of its own, at the gateways in turn."""
+        self.asked += 1
+        headers = {"Host": "site.example", "Seamarch-Request-Id": f"c-{self.asked}",
+                   "Seamarch-Deadline-Ms": "4000", "Authorization": f"Token {key}"}
+        return call(entry or self.entries[self.asked % len(self.entries)], path, body, headers, 6, "POST")
+
+    def repeat(self, path, seconds, body="poison"):
+        """Repeats a request at all gateways in turn; returns the last answer."""
+        until = time.monotonic() + seconds
+        answer = None
+        while time.monotonic() < until:
+            answer = self.ask(path, body)
+            time.sleep(0.15)
+        return answer
+
+    def check_stopped(self, path):
+        started = time.monotonic()
+        while len(self.keeper.ends) < 3 and time.monotonic() - started < 8:
+            self.ask(path, "poison")
+            time.sleep(0.15)
+        spread_by = time.monotonic() + SPREAD
+        self.repeat(path, SPREAD + 4)
+        late = [end for end in self.keeper.ends if end > spread_by]
+        self.assertEqual(len(late), 0, f"expected no upstream to end under the request from {SPREAD} s after "
+                         f"the third on, found {len(late)} of {len(self.keeper.ends)} ends")
+
+    def test_repeatable_request_is_stopped(self):
+        self.check_stopped("/status/1")
+
+    def test_stream_is_stopped(self):
+        self.check_stopped("/stream/1")
+
+    def test_request_that_may_run_once_is_stopped(self):
+        self.check_stopped("/letters/1")
+
+    def test_caller_is_told_what_happened_and_not_to_come_back(self):
+        self.repeat("/letters/1", 3)
+        status, headers, text = self.ask("/letters/1", "poison")
+        self.assertEqual(status, 503, text)
+        self.assertIn("request_ends_upstreams", text)
+        self.assertEqual(headers["Seamarch-Outcome"], "not-run")
+        self.assertIsNone(headers["Retry-After"])
+
+    def test_other_requests_of_the_account_are_served(self):
+        self.repeat("/status/1", 4)
+        for entry in self.entries:
+            self.assertEqual(self.ask("/status/1", "harmless", entry)[0], 200)
+            self.assertEqual(self.ask("/status/2", "also harmless", entry)[0], 200)
+
+    def test_request_under_which_upstreams_were_killed_is_served_later(self):
+        """Two upstreams end for reasons of their own under one request; served elsewhere, it is cleared."""
+        for _ in range(2):
+            self.site.set_all(delayMs=400)
+            victims = dict(self.keeper.running)
+            answers = []
+            thread = threading.Thread(target=lambda: answers.append(self.ask("/letters/7", "patient")))
+            thread.start()
+
+            def busy():
+                return [name for name in victims if control(self.site.upstreams[name], {})["open"]]
+            self.site.wait_until("it runs", busy)
+            victims[busy()[0]].send(signal.SIGKILL)
+            thread.join()
+            self.assertEqual(answers[0][0], 502)
+            self.site.wait_until("all are back", lambda: len(self.keeper.running) == 4
+                                 and all(p.popen.poll() is None for p in self.keeper.running.values()))
+            self.site.set_all(delayMs=5)
+            self.site.wait_until("served", lambda: self.ask("/letters/7", "patient")[0] == 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
