The loop's clock counts the time that the machine was suspended

Cause: the steady clock stands still while a machine is suspended, so knowledge from before a suspension looked young after it: a key revoked meanwhile would have been taken as good by a gateway that had just woken, and a lease that had run out held on. Change: EventLoop::now, the one source of time of all decisions, reads CLOCK_BOOTTIME.

--- a/include/seamarch/units.h
+++ b/include/seamarch/units.h
@@ -1,8 +1,8 @@
 // Units of time and work.
 //
-// Time inside the decisions is monotonic time in microseconds since an arbitrary start. It is a
-// type of its own, so that no wall-clock value can slip in: wall clocks step, and a lease that is
-// measured with one would not survive the step.
+// Time inside the decisions is monotonic time in microseconds since an arbitrary start; it counts
+// the time that the machine is suspended. It is a type of its own, so that no wall-clock value can
+// slip in: wall clocks step, and a lease that is measured with one would not survive the step.
 //
 // This header is public. Its names follow the compatibility promise in docs/reference.md.
 #pragma once
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <ctime>
 #include <string>
 #include <sys/resource.h>
 #include <utility>
@@ -94,7 +95,10 @@
 
 TimePoint EventLoop::now() const
 {
-    return TimePoint(Duration(lws_now_usecs()));
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 TimerId EventLoop::schedule(Duration delay, std::function<void()> action)
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -51,7 +51,8 @@
 
     lws_context *context() const { return context_; }
 
-    // Returns monotonic time.
+    // Returns time that never steps back and goes on while the machine is suspended: what was heard
+    // before a suspension must be as old after it as it is.
     TimePoint now() const;
 
     // Calls `action` once after `delay`. The timer can be cancelled until it has fired. A loop that
