--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -1,5 +1,6 @@
 #include "standin.h"
 
+#include <cstdlib>
 #include <vector>
 
 namespace seamarch::standin {
@@ -8,7 +9,8 @@
 using nlohmann::json;
 
 // A plain service that records every run by the body it was given. Control: {"delayMs": N},
-// {"dropAnswers": true} runs and then breaks the connection, {"list": true} lists the runs.
+// {"dropAnswers": true} runs and then breaks the connection, {"endsOn": TEXT} ends the process when
+// it runs a request whose body has TEXT, {"list": true} lists the runs.
 class Service final : public StandIn
 {
 public:
@@ -18,6 +20,9 @@
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
         runs_.push_back(request.body);
+        if (!endsOn_.empty() && request.body.find(endsOn_) != std::string::npos) {
+            std::_Exit(kEndedByRequest);
+        }
         const json answer = {{"echo", request.body}, {"run", runs_.size()}};
         loop().schedule(std::chrono::milliseconds(std::max(1, delayMs_)), [this, exchange, answer] {
             if (dropAnswers_) {
@@ -32,6 +37,7 @@
     {
         delayMs_ = change.value("delayMs", delayMs_);
         dropAnswers_ = change.value("dropAnswers", dropAnswers_);
+        endsOn_ = change.value("endsOn", endsOn_);
         json state = {{"runs", runs_.size()}};
         if (change.value("list", false)) {
             state["bodies"] = runs_;
@@ -39,7 +45,10 @@
         return state;
     }
 
+    static constexpr int kEndedByRequest = 70;
+
     std::vector<std::string> runs_;
+    std::string endsOn_;
     int delayMs_ = 1;
     bool dropAnswers_ = false;
 };
--- /dev/null
+++ b/test/process/crashingcall_test.py
@@ -0,0 +1,86 @@
+"""A call that ends every upstream that runs it is not handed to one agent after the other.
+
+The same fault as in crashingrequest_test.py, looked for where entries and agents carry the requests. An
+entry took an agent's word that its upstream had broken off for a failure of that agent, sent the call to
+up to two others, and forgot it; the caller's next try began from nothing, at this entry or another. The
+proof is the test: with three entries in two halls, upstreams went on ending for as long as the call came.
+"""
+
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from process_test import AUTH, QUICK_AGENT, QUICK_ENTRY  # noqa: E402
+from localsite import Site, call, control  # noqa: E402
+
+ENDED_BY_REQUEST = 70  # The stand-in's exit code.
+SPREAD = 3.0           # Seconds within which entries that hear each other know.
+
+
+class CrashingCallTest(unittest.TestCase):
+    def setUp(self):
+        self.site = Site("crashing", halls=("north", "south"), entry_options=QUICK_ENTRY,
+                         agent_options=QUICK_AGENT, log_path=os.environ.get("SEAMARCH_TEST_LOG"))
+        self.addCleanup(self.site.__exit__)
+        self.site.add_accounts(["bids"], homeHall="north")
+        self.site.config["services"].append({"name": "portal", "routes": [
+            {"method": "POST", "path": "/letters", "repeatable": False},
+            {"method": "POST", "path": "/status", "repeatable": True}]})
+        self.site.add_pool("portal", 4, "service")
+        self.site.add_entries(3)
+        self.site.publish_and_wait()
+        self.ends, self.stopped = [], False
+        for name, address in self.site.upstreams.items():
+            control(address, {"endsOn": "poison"})
+        self.keeper = threading.Thread(target=self.keep)
+        self.keeper.start()
+        self.addCleanup(self.stop)
+
+    def stop(self):
+        self.stopped = True
+        self.keeper.join()
+
+    def keep(self):
+        """Starts upstreams again that have ended."""
+        while not self.stopped:
+            for name, address in self.site.upstreams.items():
+                if self.site.processes[f"{name}.upstream"].popen.poll() == ENDED_BY_REQUEST:
+                    self.ends.append(time.monotonic())
+                    time.sleep(0.3)
+                    self.site.restart(f"{name}.upstream")
+                    control(address, {"endsOn": "poison"})
+            time.sleep(0.01)
+
+    def ask(self, path, body, entry):
+        return call(entry, f"/services/portal/{path}", body, AUTH, 6)
+
+    def check_stopped(self, path):
+        entries = list(self.site.entries.values())
+        started = time.monotonic()
+        asked = 0
+        while time.monotonic() - started < SPREAD + 5:
+            self.ask(path, "poison", entries[asked % len(entries)])
+            asked += 1
+            time.sleep(0.2)
+        late = [end for end in self.ends if end > started + SPREAD]
+        self.assertEqual(len(late), 0, f"expected no upstream to end under the call later than {SPREAD} s "
+                         f"after its first copy, found {len(late)} of {len(self.ends)}")
+        for entry in entries:
+            status, headers, text = self.ask(path, "poison", entry)
+            self.assertEqual(status, 503, text)
+            self.assertIn("request_ends_upstreams", text)
+            self.assertEqual(headers["Seamarch-Outcome"], "not-run")
+            self.assertEqual(self.ask(path, "harmless", entry)[0], 200)
+
+    def test_call_that_may_be_repeated_is_stopped(self):
+        self.check_stopped("status")
+
+    def test_call_that_may_run_once_is_stopped(self):
+        self.check_stopped("letters")
+
+
+if __name__ == "__main__":
+    unittest.main()
