Entries remember under which call upstreams ended, tell each other, and stop it

An agent said of an upstream that had ended what it says of one that broke off an answer, and an entry forgot the call with its end. Change: the agent asks whether its upstream still listens and says upstream_ended; entries keep the same CrashRecord, choose no agent for a call that it stops, hand changes on with every exchange, and warn the entries that others ask. The probe and the conversion stand once, for both paths.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -107,7 +107,7 @@
             const InstanceId agent = std::get<SendCall>(actions.front()).agent;
             core->onAccepted(id, true);
             core->onAnswer(id, agent);
-            core->onComplete(id, agent);
+            core->onComplete(id, agent, now);
         }
     });
     return seconds / kRequests * 1e6;
--- a/bench/virtualfleet.cpp
+++ b/bench/virtualfleet.cpp
@@ -365,7 +365,7 @@
         EntryCore &entry = *entries_[entryOf_.at(id)];
         const InstanceId &agent = list_.instances[index].id;
         if (entry.onAnswer(id, agent)) {
-            entry.onComplete(id, agent);
+            entry.onComplete(id, agent, now_);
         }
         carryOut(index, actions);
     }
--- a/include/seamarch/outcome.h
+++ b/include/seamarch/outcome.h
@@ -37,6 +37,7 @@
     KnowledgeStale,
     Cancelled,
     RequestEndsUpstreams,
+    UpstreamEnded,
 };
 
 // Returns the word that the header `Seamarch-Outcome` carries.
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -211,6 +211,11 @@
     }
     transport_ = std::move(net->transport);
     client_ = std::move(net->client);
+    auto probe = UpstreamProbe::create(loop_);
+    if (!probe) {
+        return tl::unexpected(probe.error());
+    }
+    probe_ = std::move(*probe);
     operators_ = std::move(net->operators);
     auto listening = transport_->listen(
         settings_.listen, [this](kj::Own<RawStream> stream) { accept(kj::mv(stream)); });
@@ -430,12 +435,28 @@
     if (end == HttpCallEnd::Complete && job.headReady) {
         job.ended = true;
         flushLater(id);
+    } else if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::KeptLost) {
+        askAfterUpstream(id);
     } else {
         sendFailure(id, FailureCode::UpstreamFailed, Outcome::Unknown, {});
     }
     carryOut(actions);
 }
 
+// An entry must know whether the upstream broke off this request or ended with all that it had: the
+// same request would end the next one as well.
+void AgentService::askAfterUpstream(RequestId id)
+{
+    probe_->ask(settings_.upstream, [this, id](UpstreamState state) {
+        metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
+        logLine(LogLevel::Info, "upstream.probed",
+                {{"request", id.counter}, {"entry", id.entry.value()}, {"state", toString(state)}});
+        const bool ended = state == UpstreamState::Ended;
+        sendFailure(id, ended ? FailureCode::UpstreamEnded : FailureCode::UpstreamFailed,
+                    Outcome::Unknown, {});
+    });
+}
+
 void AgentService::sendFailure(RequestId id, FailureCode failure, Outcome outcome,
                                Duration retryAfter)
 {
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -14,6 +14,7 @@
 #include "net/httpclient.h"
 #include "net/rawtransport.h"
 #include "net/rpcpeer.h"
+#include "net/upstreamprobe.h"
 #include "observe/metrics.h"
 #include "observe/operatorserver.h"
 #include "wire/seamarch.capnp.h"
@@ -103,6 +104,7 @@
     void onUpstreamHead(RequestId id, int status, const std::string &contentType);
     void onUpstreamPiece(RequestId id, std::string_view piece);
     void onUpstreamEnd(RequestId id, HttpCallEnd end);
+    void askAfterUpstream(RequestId id);
 
     void carryOut(const AgentActions &actions);
     void carryOut(const StartUpstream &action);
@@ -136,6 +138,7 @@
     AgentCore core_;
     std::unique_ptr<RawTransport> transport_;
     std::unique_ptr<HttpClient> client_;
+    std::unique_ptr<UpstreamProbe> probe_;
     std::unique_ptr<OperatorServer> operators_;
     std::map<ConnectionId, Connection> connections_;
     std::unordered_map<RequestId, Job> jobs_;
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -60,8 +60,10 @@
     FailureText{FailureCode::Cancelled, 499, "cancelled", "The caller cancelled the request."},
     FailureText{
         FailureCode::RequestEndsUpstreams, 503, "request_ends_upstreams",
-        "Upstreams have ended, one after the other, while they ran this very request; it was "
-        "not sent to another. Sending it again is of no use; tell the operators."},
+        "Upstreams have ended, one after the other, while they ran this very request, so it was "
+        "not sent to another. Do not repeat it; tell the operators."},
+    FailureText{FailureCode::UpstreamEnded, 502, "upstream_ended",
+                "The upstream's process ended while it had the request; it may have run."},
 };
 
 const FailureText &textOf(FailureCode code)
@@ -76,7 +78,7 @@
             return false;
         }
     }
-    return kFailureTexts.size() == static_cast<std::size_t>(FailureCode::RequestEndsUpstreams) + 1;
+    return kFailureTexts.size() == static_cast<std::size_t>(FailureCode::UpstreamEnded) + 1;
 }
 
 static_assert(textsFollowTheEnumeration(), "kFailureTexts lists each FailureCode once, in order");
--- a/src/decision/dispatch/entrycore.cpp
+++ b/src/decision/dispatch/entrycore.cpp
@@ -24,6 +24,7 @@
     , members_(settings.lease)
     , budget_(settings.retryBudget)
     , outliers_(settings.outliers)
+    , crashes_(settings.crashes)
 {}
 
 void EntryCore::applyConfig(const ConfigDocument &document)
@@ -93,7 +94,7 @@
     added.deadline = now + request.deadline;
     const Choice choice = choose(added, now);
     if (!choice.agent) {
-        fail(id, choice.failure, choice.outcome, kRetryAfterNoUpstream, actions);
+        fail(id, choice.failure, choice.outcome, retryAfter(choice), actions);
         return id;
     }
     if (choice.unheard) {
@@ -127,7 +128,7 @@
         if (choice.agent && !choice.unheard) {
             dispatch(id, request, *choice.agent, now, actions);
         } else {
-            fail(id, choice.failure, choice.outcome, kRetryAfterNoUpstream, actions);
+            fail(id, choice.failure, choice.outcome, retryAfter(choice), actions);
         }
     }
 }
@@ -152,8 +153,17 @@
         SendCall{id, request.agent, request.agentIncarnation, request.deadline - now});
 }
 
+// A request that ends upstreams is not invited to come back.
+Duration EntryCore::retryAfter(const Choice &choice)
+{
+    return choice.failure == FailureCode::RequestEndsUpstreams ? Duration{} : kRetryAfterNoUpstream;
+}
+
 EntryCore::Choice EntryCore::choose(const Request &request, TimePoint now)
 {
+    if (!crashes_.mayBeSent(request.request.digest, now)) {
+        return {std::nullopt, FailureCode::RequestEndsUpstreams, Outcome::NotRun};
+    }
     if (request.request.ticket) {
         return chooseTicketAgent(request, now);
     }
@@ -300,9 +310,13 @@
     if (request == nullptr) {
         return;
     }
-    if (failure == FailureCode::UpstreamUnreachable) {
+    if (failure == FailureCode::UpstreamUnreachable || failure == FailureCode::UpstreamEnded) {
         outliers_.onFailure(request->agent, now);
     }
+    // An upstream that is to leave ends because it was told to.
+    if (failure == FailureCode::UpstreamEnded && members_.mayReceive(request->agent, now)) {
+        crashes_.onEnded(request->request.digest, request->request.account, request->agent, now);
+    }
     if (outcome == Outcome::Unknown) {
         request->mayHaveRun = true;
         if (!request->request.repeatable || request->phase == Phase::Answering) {
@@ -448,13 +462,14 @@
     return true;
 }
 
-void EntryCore::onComplete(RequestId id, const InstanceId &agent)
+void EntryCore::onComplete(RequestId id, const InstanceId &agent, TimePoint now)
 {
     const Request *request = find(id);
     if (request == nullptr || request->agent != agent) {
         return;
     }
     outliers_.onSuccess(agent);
+    crashes_.onSurvived(request->request.digest, now);
     if (request->attempts == 1) {
         budget_.onSuccess();
     }
@@ -477,6 +492,7 @@
 
 void EntryCore::onTick(TimePoint now, EntryActions &actions)
 {
+    crashes_.expire(now);
     std::vector<RequestId> overdue;
     for (const auto &[id, request] : requests_) {
         const bool waits = request.phase == Phase::Resolving || request.phase == Phase::Holding;
--- a/src/decision/dispatch/entrycore.h
+++ b/src/decision/dispatch/entrycore.h
@@ -15,6 +15,7 @@
 #include "decision/membership/membertable.h"
 #include "decision/once/keyhome.h"
 #include "decision/once/ticketbook.h"
+#include "decision/retry/crashrecord.h"
 #include "decision/retry/outlierdetector.h"
 #include "decision/retry/retrybudget.h"
 #include "decision/routing/loadestimate.h"
@@ -48,6 +49,7 @@
     Duration deadline{};
     std::optional<Ticket> ticket;
     std::string callerKey;
+    RequestDigest digest; // Requests that are the same to an upstream have the same one.
 };
 
 // Send the request to the agent.
@@ -109,6 +111,7 @@
         std::uint32_t maxMoves = 3;
         RetryBudget::Settings retryBudget;
         OutlierDetector::Settings outliers;
+        CrashRecord::Settings crashes;
     };
 
     // `router` chooses among the candidates; the product passes an ExpectedWaitRouter.
@@ -145,13 +148,15 @@
     // any more; the part is then dropped.
     bool onAnswer(RequestId id, const InstanceId &agent);
     // The whole answer is here. The request is over.
-    void onComplete(RequestId id, const InstanceId &agent);
+    void onComplete(RequestId id, const InstanceId &agent, TimePoint now);
     // The caller has left. The request is over.
     void onCallerGone(RequestId id, EntryActions &actions);
     // Time has passed: gives up requests whose time to resolve is over.
     void onTick(TimePoint now, EntryActions &actions);
 
     const MemberTable &members() const { return members_; }
+    // The requests that upstreams have ended under. Such a request gets no agent any more.
+    CrashRecord &crashes() { return crashes_; }
     std::size_t inFlight() const { return requests_.size(); }
     std::uint64_t retries() const { return retries_; }
     std::uint64_t moves() const { return moves_; }
@@ -192,6 +197,7 @@
     void dispatch(RequestId id, Request &request, const InstanceId &agent, TimePoint now,
                   EntryActions &actions);
     Choice choose(const Request &request, TimePoint now);
+    static Duration retryAfter(const Choice &choice);
     Choice chooseTicketAgent(const Request &request, TimePoint now) const;
     Choice chooseKeyHome(const Request &request, TimePoint now) const;
     Choice chooseByRouter(const Request &request, TimePoint now);
@@ -213,6 +219,7 @@
     RateLimiter limiter_;
     RetryBudget budget_;
     OutlierDetector outliers_;
+    CrashRecord crashes_;
     PrefixIndex prefixes_;
     std::unordered_map<InstanceId, LoadEstimate> loads_;
     std::unordered_map<HallId, Duration> distances_;
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -27,6 +27,7 @@
     core.incarnation = incarnation;
     core.seed = incarnation.value();
     core.lease = settings.lease;
+    core.crashes.seed = incarnation.value();
     return core;
 }
 
@@ -72,6 +73,7 @@
         status.setIncarnation(service_.incarnation_.value());
         status.setLeaving(service_.stopping_);
     }
+    CrashRecord *crashes() override { return &service_.core_.crashes(); }
 
     EntryService &service_;
 };
@@ -130,7 +132,7 @@
     watcher_ = std::make_unique<PlatformWatcher>(loop_, *client_, knowledge_, settings_.platform,
                                                  incarnation_.value());
     peers_ = std::make_unique<PeerNetwork>(
-        loop_, *transport_, knowledge_,
+        loop_, *transport_, knowledge_, core_.crashes(),
         PeerNetwork::Settings{settings_.instance, settings_.hall, incarnation_, settings_.lease});
     tickTimer_ = std::make_unique<PeriodicTimer>(loop_, kTick, [this] { tick(); });
     peerTimer_ =
@@ -225,12 +227,23 @@
     EntryActions actions;
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
+    tellOfCrashes();
     watcher_->setActive(peers_->shouldWatch());
     if (stopping_) {
         stopIfDrained();
     }
 }
 
+// Others of the site wait for news of requests that end upstreams.
+void EntryService::tellOfCrashes()
+{
+    if (core_.crashes().cursor() != toldCrashes_) {
+        toldCrashes_ = core_.crashes().cursor();
+        changes_.wake();
+        peers_->warn();
+    }
+}
+
 void EntryService::onRequest(ExchangeId exchange, HttpRequest request)
 {
     std::string reason;
@@ -307,6 +320,9 @@
     flight.requestClass = std::move(context.requestClass);
     flight.streamed = context.streamed;
     flight.startedAt = loop_.now();
+    flight.request.digest =
+        RequestDigest(sha256Of({flight.payload.method, flight.payload.path,
+                                flight.request.account.value(), flight.payload.body}));
     EntryActions actions;
     const RequestId id = core_.begin(flight.request, flight.startedAt, actions);
     metrics_.count("seamarch_requests_total", "received");
@@ -366,6 +382,12 @@
     const Flight &flight = found->second;
     metrics_.count("seamarch_failures_total", toString(action.failure));
     metrics_.count("seamarch_outcomes_total", toString(action.outcome));
+    if (action.failure == FailureCode::RequestEndsUpstreams) {
+        logLine(LogLevel::Warning, "request.stopped",
+                {{"digest", fmt::format("{:016x}", flight.request.digest.value())},
+                 {"account", flight.request.account.value()},
+                 {"ends", core_.crashes().ends(flight.request.digest)}});
+    }
     if (flight.headSent) {
         breakOffStream(flight, action.failure, action.outcome);
     } else {
@@ -561,7 +583,7 @@
                          loop_.now() - flight.startedAt);
         metrics_.count("seamarch_requests_total", "answered");
         ++answered_;
-        core_.onComplete(id, flight.agent);
+        core_.onComplete(id, flight.agent, loop_.now());
         endFlight(id);
         return kj::READY_NOW;
     }
--- a/src/entry/entryservice.h
+++ b/src/entry/entryservice.h
@@ -123,6 +123,7 @@
     void tick();
     void heartbeatAll();
     void armHeartbeat();
+    void tellOfCrashes();
     void stopIfDrained();
 
     EventLoop &loop_;
@@ -151,6 +152,7 @@
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
     std::uint64_t answered_ = 0;
+    std::uint64_t toldCrashes_ = 0; // A cursor of the record of requests that end upstreams.
 };
 
 } // namespace seamarch
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "gateway/configpace.h"
 #include "gateway/gatewaywire.h"
+#include "net/crashwire.h"
 
 #include <algorithm>
 #include <limits>
@@ -27,8 +28,6 @@
 constexpr std::uint64_t kNoConfigWanted = std::numeric_limits<std::uint64_t>::max();
 // A connection that was not used for this long is closed.
 constexpr Duration kLinkLife = std::chrono::seconds(15);
-// Requests that end upstreams in one answer: some 20 KB; the rest comes with the next.
-constexpr std::size_t kMostCrashes = 256;
 
 std::pair<std::string, int> keyOf(const SocketAddress &address)
 {
@@ -234,12 +233,8 @@
 void GatewayPeers::takeCrashes(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news)
 {
     const TimePoint toldAt = askedAt + Duration(news.getHeldMicros());
-    const std::uint64_t before = crashes_.cursor();
-    for (const auto &suspect : news.getCrashes()) {
-        crashes_.learn(readSuspect(suspect, toldAt));
-    }
+    const std::uint64_t learned = learnSuspects(news.getCrashes(), toldAt, crashes_);
     link.crashCursor = news.getCrashCursor();
-    const std::uint64_t learned = crashes_.cursor() - before;
     learnedCrashes_ += learned;
     if (learned > 0) {
         logLine(LogLevel::Info, "crashes.heard",
@@ -389,7 +384,7 @@
 
 void GatewayPeers::writeCrashes(wire::GatewayNews::Builder news, std::uint64_t cursor) const
 {
-    const CrashRecord::Changes changes = crashes_.changedSince(cursor, kMostCrashes);
+    const CrashRecord::Changes changes = crashes_.changedSince(cursor, kMostSuspects);
     news.setCrashCursor(changes.cursor);
     auto list = news.initCrashes(static_cast<std::uint32_t>(changes.suspects.size()));
     for (std::uint32_t index = 0; index < list.size(); ++index) {
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -14,10 +14,10 @@
 #include "gateway/gatewayknowledge.h"
 #include "gateway/knowledgesources.h"
 #include "gateway/metadatastore.h"
-#include "gateway/upstreamprobe.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "net/upstreamprobe.h"
 #include "observe/metrics.h"
 #include "observe/operatorserver.h"
 
--- a/src/gateway/gatewaywire.cpp
+++ b/src/gateway/gatewaywire.cpp
@@ -82,35 +82,6 @@
     return facts;
 }
 
-void writeSuspect(const CrashSuspect &suspect, TimePoint now, wire::CrashSuspect::Builder to)
-{
-    to.setDigest(suspect.digest.value());
-    to.setAccount(suspect.account);
-    auto ends = to.initEnds(static_cast<std::uint32_t>(suspect.ends.size()));
-    for (std::uint32_t index = 0; index < ends.size(); ++index) {
-        ends[index].setUpstream(suspect.ends[index].upstream);
-        ends[index].setMicrosAgo((now - suspect.ends[index].at).count());
-    }
-    if (suspect.survivedAt) {
-        to.setSurvived(true);
-        to.setSurvivedMicrosAgo((now - *suspect.survivedAt).count());
-    }
-}
-
-CrashSuspect readSuspect(wire::CrashSuspect::Reader from, TimePoint toldAt)
-{
-    CrashSuspect suspect;
-    suspect.digest = RequestDigest(from.getDigest());
-    suspect.account = from.getAccount();
-    for (const auto &end : from.getEnds()) {
-        suspect.ends.push_back({end.getUpstream(), toldAt - Duration(end.getMicrosAgo())});
-    }
-    if (from.getSurvived()) {
-        suspect.survivedAt = toldAt - Duration(from.getSurvivedMicrosAgo());
-    }
-    return suspect;
-}
-
 std::vector<std::uint8_t> deflated(std::string_view text)
 {
     uLongf size = compressBound(text.size());
--- a/src/gateway/gatewaywire.h
+++ b/src/gateway/gatewaywire.h
@@ -3,7 +3,6 @@
 
 #include "decision/gateway/grouptable.h"
 #include "decision/membership/gatewaydirectory.h"
-#include "decision/retry/crashrecord.h"
 #include "gateway/gatewayknowledge.h"
 #include "wire/seamarch.capnp.h"
 
@@ -25,10 +24,6 @@
 void writeGroup(const GroupFacts &facts, Duration age, bool members, wire::GroupNews::Builder to);
 GroupFacts readGroup(wire::GroupNews::Reader from);
 
-void writeSuspect(const CrashSuspect &suspect, TimePoint now, wire::CrashSuspect::Builder to);
-// `toldAt` is the moment from which the message counts back.
-CrashSuspect readSuspect(wire::CrashSuspect::Reader from, TimePoint toldAt);
-
 // A configuration of many routes is a large text that repeats itself, and goes to every gateway of
 // a hall over the link of one.
 std::vector<std::uint8_t> deflated(std::string_view text);
--- a/src/knowledge/peernetwork.cpp
+++ b/src/knowledge/peernetwork.cpp
@@ -1,6 +1,7 @@
 #include "knowledge/peernetwork.h"
 
 #include "base/log.h"
+#include "net/crashwire.h"
 #include "net/wireconvert.h"
 
 #include <algorithm>
@@ -31,7 +32,8 @@
     onPeerStatus(context.getParams().getStatus());
     const Duration wait(context.getParams().getWaitMicros());
     const KnowledgeUpdates updates = knowledge_.updatesFor(peer);
-    const bool nothingNew = !updates.config && !updates.list && !knowledge_.lags(peer);
+    const bool nothingNew = !updates.config && !updates.list && !knowledge_.lags(peer)
+                            && !hasCrashesFor(context.getParams().getCrashCursor());
     if (wait <= Duration{} || !nothingNew) {
         answer(context, peer);
         return kj::READY_NOW;
@@ -54,6 +56,37 @@
     status.setListAgeMicros(knowledge_.listAge(loop_.now()).count());
     status.setWantsUpdate(wantsUpdate(peer));
     fillStatus(status);
+    writeCrashes(context);
+}
+
+bool PeerServer::hasCrashesFor(std::uint64_t cursor)
+{
+    const CrashRecord *record = crashes();
+    return record != nullptr && record->hasChangedSince(cursor);
+}
+
+void PeerServer::writeCrashes(ExchangeContext context)
+{
+    const CrashRecord *record = crashes();
+    if (record == nullptr) {
+        return;
+    }
+    const CrashRecord::Changes changes =
+        record->changedSince(context.getParams().getCrashCursor(), kMostSuspects);
+    auto results = context.getResults();
+    results.setCrashCursor(changes.cursor);
+    auto list = results.initCrashes(static_cast<std::uint32_t>(changes.suspects.size()));
+    for (std::uint32_t index = 0; index < list.size(); ++index) {
+        writeSuspect(changes.suspects[index], loop_.now(), list[index]);
+    }
+}
+
+kj::Promise<void> PeerServer::warn(WarnContext context)
+{
+    if (CrashRecord *record = crashes()) {
+        learnSuspects(context.getParams().getCrashes(), loop_.now(), *record);
+    }
+    return kj::READY_NOW;
 }
 
 bool PeerServer::wantsUpdate(const KnownVersions &peer)
@@ -143,10 +176,12 @@
 }
 
 PeerNetwork::PeerNetwork(EventLoop &loop, RawTransport &transport, Knowledge &knowledge,
-                         const Settings &settings)
+                         CrashRecord &crashes, const Settings &settings)
     : loop_(loop)
     , transport_(transport)
     , knowledge_(knowledge)
+    , crashes_(crashes)
+    , warnedOf_(crashes.cursor())
     , settings_(settings)
     , order_(settings.self, kWatcherLease, settings.lease)
     , tasks_(*this)
@@ -210,6 +245,40 @@
     }
 }
 
+// Those whom this entry asks hand on what they have told it themselves.
+void PeerNetwork::takeCrashes(Link &link, wire::Peer::ExchangeResults::Reader answer)
+{
+    const bool allTold = warnedOf_ == crashes_.cursor();
+    learnSuspects(answer.getCrashes(), loop_.now(), crashes_);
+    link.crashCursor = answer.getCrashCursor();
+    if (allTold) {
+        warnedOf_ = crashes_.cursor();
+    }
+}
+
+void PeerNetwork::warn()
+{
+    if (!listed_ || !crashes_.hasChangedSince(warnedOf_)) {
+        return;
+    }
+    const CrashRecord::Changes changes = crashes_.changedSince(warnedOf_, kMostSuspects);
+    warnedOf_ = changes.cursor;
+    std::vector<InstanceId> told = order_.watchers(kWatchersPerHall, loop_.now());
+    told.insert(told.end(), farPeers_.begin(), farPeers_.end());
+    for (const InstanceId &entry : told) {
+        const auto link = links_.find(entry);
+        if (link == links_.end()) {
+            continue; // It is this entry.
+        }
+        auto request = link->second.rpc->capability().castAs<wire::Peer>().warnRequest();
+        auto list = request.initCrashes(static_cast<std::uint32_t>(changes.suspects.size()));
+        for (std::uint32_t index = 0; index < list.size(); ++index) {
+            writeSuspect(changes.suspects[index], loop_.now(), list[index]);
+        }
+        tasks_.add(request.send().ignoreResult());
+    }
+}
+
 bool PeerNetwork::shouldWatch() const
 {
     if (!listed_) {
@@ -239,6 +308,7 @@
     status.setInstance(settings_.self.value());
     status.setIncarnation(settings_.incarnation.value());
     writeVersions(knowledge_.versions(), status);
+    request.setCrashCursor(link.crashCursor);
     request.setWaitMicros(hallHeard() ? kWaitForChange.count() : 0);
     tasks_.add(request.send().then(
         [this, entry, askedAt](capnp::Response<wire::Peer::ExchangeResults> &&answer) {
@@ -258,6 +328,7 @@
     const auto found = links_.find(entry);
     if (found != links_.end()) {
         found->second.inFlight = false;
+        takeCrashes(found->second, answer);
     }
     order_.onAnswer(entry, askedAt);
     const KnownVersions known = readVersions(answer.getStatus());
--- a/src/knowledge/peernetwork.h
+++ b/src/knowledge/peernetwork.h
@@ -9,6 +9,7 @@
 // learns.
 #pragma once
 
+#include "decision/retry/crashrecord.h"
 #include "knowledge/knowledge.h"
 #include "net/eventloop.h"
 #include "net/rawtransport.h"
@@ -37,6 +38,9 @@
     // Resolves at the next change, or after `longest`.
     kj::Promise<void> wait(Duration longest) { return waiting_.wait(longest); }
 
+    // Something else that exchanges wait for has changed.
+    void wake() { waiting_.wakeAll(); }
+
     void onConfig(const ConfigDocument & /*document*/) override { waiting_.wakeAll(); }
     void onInstances(const InstanceList & /*list*/) override { waiting_.wakeAll(); }
 
@@ -56,15 +60,20 @@
 
     kj::Promise<void> exchange(ExchangeContext context) override;
     kj::Promise<void> offer(OfferContext context) override;
+    kj::Promise<void> warn(WarnContext context) override;
 
 protected:
     // A peer has told its status.
     virtual void onPeerStatus(wire::Status::Reader /*status*/) {}
     // Fills what is particular to the process; versions are filled already.
     virtual void fillStatus(wire::Status::Builder status) = 0;
+    // What the process knows of requests that end upstreams; nothing: it keeps no record of them.
+    virtual CrashRecord *crashes() { return nullptr; }
 
 private:
     void answer(ExchangeContext context, const KnownVersions &peer);
+    void writeCrashes(ExchangeContext context);
+    bool hasCrashesFor(std::uint64_t cursor);
     bool wantsUpdate(const KnownVersions &peer);
 
     Knowledge &knowledge_;
@@ -129,7 +138,7 @@
     };
 
     PeerNetwork(EventLoop &loop, RawTransport &transport, Knowledge &knowledge,
-                const Settings &settings);
+                CrashRecord &crashes, const Settings &settings);
     ~PeerNetwork();
     PeerNetwork(const PeerNetwork &) = delete;
     PeerNetwork &operator=(const PeerNetwork &) = delete;
@@ -138,6 +147,9 @@
     void setInstances(const InstanceList &list);
     // Exchanges with those whose turn it is.
     void tick();
+    // Tells those whom others ask, in the own hall and elsewhere, what has changed of requests that
+    // end upstreams, unless they told it. Call it often.
+    void warn();
     // Tells whether this entry should watch the platform.
     bool shouldWatch() const;
     // Tells whether the peers of the hall have been asked, so that the highest version is known.
@@ -148,9 +160,11 @@
     {
         std::unique_ptr<RpcLink> rpc;
         bool inFlight = false;
+        std::uint64_t crashCursor = 0; // Of what it has told of requests that end upstreams.
     };
 
     void exchangeWith(const InstanceId &entry);
+    void takeCrashes(Link &link, wire::Peer::ExchangeResults::Reader answer);
     void onAnswer(const InstanceId &entry, wire::Peer::ExchangeResults::Reader answer,
                   TimePoint askedAt);
     void taskFailed(kj::Exception &&exception) override;
@@ -158,6 +172,8 @@
     EventLoop &loop_;
     RawTransport &transport_;
     Knowledge &knowledge_;
+    CrashRecord &crashes_;
+    std::uint64_t warnedOf_; // A cursor of that record.
     Settings settings_;
     WatchOrder order_;
     std::map<InstanceId, Link> links_;
--- /dev/null
+++ b/src/net/crashwire.cpp
@@ -0,0 +1,44 @@
+#include "net/crashwire.h"
+
+namespace seamarch {
+
+void writeSuspect(const CrashSuspect &suspect, TimePoint now, wire::CrashSuspect::Builder to)
+{
+    to.setDigest(suspect.digest.value());
+    to.setAccount(suspect.account);
+    auto ends = to.initEnds(static_cast<std::uint32_t>(suspect.ends.size()));
+    for (std::uint32_t index = 0; index < ends.size(); ++index) {
+        ends[index].setUpstream(suspect.ends[index].upstream);
+        ends[index].setMicrosAgo((now - suspect.ends[index].at).count());
+    }
+    if (suspect.survivedAt) {
+        to.setSurvived(true);
+        to.setSurvivedMicrosAgo((now - *suspect.survivedAt).count());
+    }
+}
+
+CrashSuspect readSuspect(wire::CrashSuspect::Reader from, TimePoint toldAt)
+{
+    CrashSuspect suspect;
+    suspect.digest = RequestDigest(from.getDigest());
+    suspect.account = from.getAccount();
+    for (const auto &end : from.getEnds()) {
+        suspect.ends.push_back({end.getUpstream(), toldAt - Duration(end.getMicrosAgo())});
+    }
+    if (from.getSurvived()) {
+        suspect.survivedAt = toldAt - Duration(from.getSurvivedMicrosAgo());
+    }
+    return suspect;
+}
+
+std::uint64_t learnSuspects(capnp::List<wire::CrashSuspect>::Reader from, TimePoint toldAt,
+                            CrashRecord &record)
+{
+    const std::uint64_t before = record.cursor();
+    for (const auto &suspect : from) {
+        record.learn(readSuspect(suspect, toldAt));
+    }
+    return record.cursor() - before;
+}
+
+} // namespace seamarch
--- a/src/gateway/upstreamprobe.cpp
+++ b/src/net/upstreamprobe.cpp
@@ -1,4 +1,4 @@
-#include "gateway/upstreamprobe.h"
+#include "net/upstreamprobe.h"
 
 #include <utility>
 
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -87,9 +87,15 @@
 interface Peer {
   # Compares versions. The answer carries an update when the responder knows a higher version; when
   # it does not, it may wait for one as long as the caller allows.
-  exchange @0 (status :Status, waitMicros :Int64) -> (status :Status, config :Update, list :Update);
+  # Of requests that end upstreams, those come that changed since `crashCursor`; another one stands
+  # for having heard them.
+  exchange @0 (status :Status, waitMicros :Int64, crashCursor :UInt64)
+      -> (status :Status, config :Update, list :Update, crashes :List(CrashSuspect),
+          crashCursor :UInt64);
   # Hands over updates because the peer asked for them. Returns what it then knows.
   offer @1 (config :Update, list :Update) -> (status :Status);
+  # Hands over, unasked, requests that upstreams have just ended under.
+  warn @2 (crashes :List(CrashSuspect)) -> ();
 }
 
 interface AnswerSink {
--- a/test/decision/dispatch/dispatchworld.cpp
+++ b/test/decision/dispatch/dispatchworld.cpp
@@ -627,7 +627,7 @@
             if (operationOf_.at(to) != operation) {
                 violate(fmt::format("request {} got another's answer", to.counter));
             }
-            core.onComplete(to, agents_[agent].id);
+            core.onComplete(to, agents_[agent].id, now_);
             agentOf_.erase(to);
             ++answered_;
             operations_[static_cast<std::size_t>(operation)].done = true;
--- /dev/null
+++ b/test/decision/dispatch/entrysuspect_test.cpp
@@ -0,0 +1,130 @@
+// The load that this answers: a call that ends every upstream that runs it comes again and again at
+// an entry, and is sent on to the next agent by the entry itself.
+#include "decision/dispatch/entrycore.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+const RequestDigest kGuilty(7);
+const TargetName kTarget("portal");
+
+} // namespace
+
+TEST_GROUP(EntrySuspectTest)
+{
+    std::unique_ptr<EntryCore> core;
+    EntryActions actions;
+    InstanceList list;
+
+    void setup() override
+    {
+        EntryCore::Settings settings;
+        settings.hall = HallId("north");
+        settings.incarnation = Incarnation(1);
+        core = std::make_unique<EntryCore>(settings, std::make_unique<ExpectedWaitRouter>());
+        list.version = ListVersion(1);
+        for (const char *id : {"one", "two", "three", "four"}) {
+            InstanceRecord record;
+            record.id = InstanceId(id);
+            record.hall = settings.hall;
+            record.serves = {kTarget};
+            list.instances.push_back(record);
+        }
+        core->applyList(list);
+        for (const InstanceRecord &record : list.instances) {
+            AgentReport report;
+            report.incarnation = Incarnation(7);
+            report.slots = 8;
+            report.tokensPerSecond = 1000;
+            core->onReport(record.id, report, at(0), at(0), actions);
+        }
+    }
+
+    RequestId begin(bool repeatable, int now)
+    {
+        EntryRequest request;
+        request.account = AccountId("bids");
+        request.target = kTarget;
+        request.repeatable = repeatable;
+        request.deadline = std::chrono::seconds(60);
+        request.digest = kGuilty;
+        return core->begin(request, at(now), actions);
+    }
+
+    InstanceId sentTo() const
+    {
+        InstanceId agent;
+        for (const EntryAction &action : actions) {
+            if (const auto *call = std::get_if<SendCall>(&action)) {
+                agent = call->agent;
+            }
+        }
+        return agent;
+    }
+
+    void endUpstreamOf(RequestId id, int now)
+    {
+        actions.clear();
+        core->onRefused(id, FailureCode::UpstreamEnded, Outcome::Unknown, {}, at(now), actions);
+    }
+
+    const FailRequest *failure() const
+    {
+        const auto *last = actions.empty() ? nullptr : std::get_if<FailRequest>(&actions.back());
+        return last;
+    }
+};
+
+TEST(EntrySuspectTest, SecondEndIsTheLastAndTheNextCopyIsNotSent)
+{
+    const RequestId id = begin(true, 0);
+    endUpstreamOf(id, 100);
+    CHECK_TRUE(sentTo() != InstanceId());
+    endUpstreamOf(id, 200);
+    CHECK_TRUE(sentTo() == InstanceId());
+    CHECK_TRUE(failure()->outcome == Outcome::Unknown);
+    actions.clear();
+    begin(false, 300);
+    CHECK_TRUE(failure()->failure == FailureCode::RequestEndsUpstreams);
+    CHECK_TRUE(failure()->outcome == Outcome::NotRun);
+    CHECK_TRUE(failure()->retryAfter == Duration{});
+}
+
+TEST(EntrySuspectTest, CallThatIsAnsweredIsCleared)
+{
+    endUpstreamOf(begin(false, 0), 100);
+    LONGS_EQUAL(1, core->crashes().ends(kGuilty));
+    actions.clear();
+    const RequestId id = begin(false, 200);
+    const InstanceId agent = sentTo();
+    CHECK_TRUE(core->onAnswer(id, agent));
+    core->onComplete(id, agent, at(300));
+    LONGS_EQUAL(0, core->crashes().ends(kGuilty));
+}
+
+TEST(EntrySuspectTest, UpstreamThatWasLeavingIsNotHeldAgainstItsCalls)
+{
+    const RequestId id = begin(false, 0);
+    for (InstanceRecord &record : list.instances) {
+        record.state = record.id == sentTo() ? InstanceState::Leaving : record.state;
+    }
+    list.version = ListVersion(2);
+    core->applyList(list);
+    endUpstreamOf(id, 100);
+    LONGS_EQUAL(0, core->crashes().ends(kGuilty));
+}
+
+TEST(EntrySuspectTest, FailureOfAnAgentSaysNothingOfTheCall)
+{
+    const RequestId id = begin(false, 0);
+    core->onLost(id, at(100), actions);
+    LONGS_EQUAL(0, core->crashes().ends(kGuilty));
+}
--- a/test/gateway/gatewaywire_test.cpp
+++ b/test/gateway/gatewaywire_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaywire.h"
 
+#include "net/crashwire.h"
+
 #include <capnp/message.h>
 
 #include <CppUTest/TestHarness.h>
