Entries: a warning of a request that ends upstreams is sent again when it did not arrive

Cause: an entry that nobody asks told the watchers once; a watcher that had just gone lost it for all. Change: up to eight tries, half a second apart.

--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -240,8 +240,8 @@
     if (core_.crashes().cursor() != toldCrashes_) {
         toldCrashes_ = core_.crashes().cursor();
         changes_.wake();
-        peers_->warn();
     }
+    peers_->warn();
 }
 
 void EntryService::onRequest(ExchangeId exchange, HttpRequest request)
--- a/src/knowledge/peernetwork.cpp
+++ b/src/knowledge/peernetwork.cpp
@@ -16,6 +16,10 @@
 constexpr Duration kWaitForChange = std::chrono::seconds(5);
 constexpr Duration kLongestWait = std::chrono::seconds(10);
 constexpr Duration kWatcherLease = std::chrono::seconds(12);
+// A warning that did not arrive is sent again after a pause, for some seconds in all: by then a
+// watcher that is gone has been replaced or is asked by nobody.
+constexpr Duration kWarnPause = std::chrono::milliseconds(500);
+constexpr int kWarnTries = 8;
 constexpr Duration kAskAgain = std::chrono::milliseconds(300);
 
 std::uint64_t orderHash(const InstanceId &entry)
@@ -258,12 +262,16 @@
 
 void PeerNetwork::warn()
 {
-    if (!listed_ || !crashes_.hasChangedSince(warnedOf_)) {
+    const TimePoint now = loop_.now();
+    if (!listed_ || now < warnNotBefore_ || !crashes_.hasChangedSince(warnedOf_)) {
         return;
     }
-    const CrashRecord::Changes changes = crashes_.changedSince(warnedOf_, kMostSuspects);
+    const std::uint64_t before = warnedOf_;
+    const CrashRecord::Changes changes = crashes_.changedSince(before, kMostSuspects);
+    warnTries_ = changes.cursor > warnedUpTo_ ? 0 : warnTries_;
     warnedOf_ = changes.cursor;
-    std::vector<InstanceId> told = order_.watchers(kWatchersPerHall, loop_.now());
+    warnedUpTo_ = std::max(warnedUpTo_, changes.cursor);
+    std::vector<InstanceId> told = order_.watchers(kWatchersPerHall, now);
     told.insert(told.end(), farPeers_.begin(), farPeers_.end());
     for (const InstanceId &entry : told) {
         const auto link = links_.find(entry);
@@ -273,9 +281,20 @@
         auto request = link->second.rpc->capability().castAs<wire::Peer>().warnRequest();
         auto list = request.initCrashes(static_cast<std::uint32_t>(changes.suspects.size()));
         for (std::uint32_t index = 0; index < list.size(); ++index) {
-            writeSuspect(changes.suspects[index], loop_.now(), list[index]);
+            writeSuspect(changes.suspects[index], now, list[index]);
         }
-        tasks_.add(request.send().ignoreResult());
+        tasks_.add(request.send().ignoreResult().catch_(
+            [this, before](kj::Exception && /*error*/) { onWarnFailed(before); }));
+    }
+}
+
+// Another entry may take the place of one that is gone; those that have heard lose nothing.
+void PeerNetwork::onWarnFailed(std::uint64_t before)
+{
+    if (warnTries_ < kWarnTries) {
+        ++warnTries_;
+        warnedOf_ = std::min(warnedOf_, before);
+        warnNotBefore_ = loop_.now() + kWarnPause;
     }
 }
 
--- a/src/knowledge/peernetwork.h
+++ b/src/knowledge/peernetwork.h
@@ -164,6 +164,7 @@
     };
 
     void exchangeWith(const InstanceId &entry);
+    void onWarnFailed(std::uint64_t before);
     void takeCrashes(Link &link, wire::Peer::ExchangeResults::Reader answer);
     void onAnswer(const InstanceId &entry, wire::Peer::ExchangeResults::Reader answer,
                   TimePoint askedAt);
@@ -173,7 +174,10 @@
     RawTransport &transport_;
     Knowledge &knowledge_;
     CrashRecord &crashes_;
-    std::uint64_t warnedOf_; // A cursor of that record.
+    std::uint64_t warnedOf_;       // A cursor of that record.
+    std::uint64_t warnedUpTo_ = 0; // The highest that it ever was.
+    int warnTries_ = 0;            // That failed, since there was news.
+    TimePoint warnNotBefore_{};
     Settings settings_;
     WatchOrder order_;
     std::map<InstanceId, Link> links_;
