--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -3,7 +3,6 @@
 #include "base/log.h"
 #include "gateway/configpace.h"
 #include "gateway/gatewaywire.h"
-#include "net/crashwire.h"
 
 #include <algorithm>
 #include <limits>
@@ -14,10 +13,6 @@
 
 // The longest that an asker may have its question wait.
 constexpr Duration kLongestWait = std::chrono::seconds(1);
-// How long an answer may take beyond its wait: some round trips between halls.
-constexpr Duration kPatience = std::chrono::milliseconds(350);
-// A gateway that failed, or whose news was not taken, is not asked again for this long.
-constexpr Duration kPause = std::chrono::milliseconds(150);
 // How often one gateway is asked for those it knows; longer on a large site, whose list is long.
 constexpr Duration kGatewaysGap = std::chrono::seconds(2);
 constexpr Duration kGatewaysGapPerGateway = std::chrono::milliseconds(50);
@@ -86,6 +81,7 @@
     , waiting_(loop)
     , toldCrashes_(crashes.cursor())
     , firstOwnCrashes_(crashes.cursor())
+    , announcedCrashes_(crashes.cursor())
     , startedAt_(loop.now())
     , tasks_(*this)
 {}
@@ -172,7 +168,7 @@
     request.setCrashCursor(link.crashCursor);
     // Whichever comes first, the answer or the end of patience, ends the question.
     const auto over = std::make_shared<bool>(false);
-    loop_.schedule(longest + kPatience, [this, address, over, alive = alive_] {
+    loop_.schedule(longest + detail::kPeerPatience, [this, address, over, alive = alive_] {
         if (*alive && !std::exchange(*over, true)) {
             // The connection may have gone silent for good while a new one works.
             linkTo(address).rpc.reset();
@@ -196,7 +192,7 @@
 {
     Link &link = linkTo(address);
     link.asking = false;
-    link.notBefore = loop_.now() + kPause;
+    link.notBefore = loop_.now() + detail::kPeerPause;
     if (link.id != InstanceId()) {
         directory_.onFailed(link.id, loop_.now());
         logLine(LogLevel::Info, "gateway.unanswered", {{"gateway", link.id.value()}});
@@ -220,7 +216,7 @@
         unknownAt_ = now;
     }
     if (!news.getKnown() || !takeNews(askedAt, news)) {
-        link.notBefore = now + kPause;
+        link.notBefore = now + detail::kPeerPause;
     }
     if (std::exchange(link.askAgain, false)) {
         link.notBefore = {};
@@ -228,86 +224,6 @@
     }
 }
 
-// Takes what the other gateway has heard of requests that end upstreams, counted back from when it
-// answered: `held` after the question came.
-void GatewayPeers::takeCrashes(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news)
-{
-    const TimePoint toldAt = askedAt + Duration(news.getHeldMicros());
-    const std::uint64_t learned = learnSuspects(news.getCrashes(), toldAt, crashes_);
-    link.crashCursor = news.getCrashCursor();
-    learnedCrashes_ += learned;
-    if (learned > 0) {
-        logLine(LogLevel::Info, "crashes.heard",
-                {{"from", link.id.value()}, {"changes", learned}, {"known", crashes_.size()}});
-    }
-}
-
-void GatewayPeers::onHasNews(const GatewayRecord &from)
-{
-    directory_.hear(from, loop_.now());
-    const SocketAddress address{from.host, from.port};
-    Link &link = linkTo(address);
-    link.askAgain = link.asking;
-    link.notBefore = {};
-    ask(address, Duration{});
-}
-
-// Tells the first gateway of each hall, until it has heard it, that upstreams have ended under
-// requests of this one. Gateways of its hall wait there for news.
-void GatewayPeers::announce(TimePoint now)
-{
-    for (const HallId &hall : directory_.halls()) {
-        Announcement &announcement =
-            announcements_.try_emplace(hall, Announcement{firstOwnCrashes_}).first->second;
-        if (announcement.told != ownCrashes() && !announcement.underWay
-            && now >= announcement.notBefore) {
-            announceTo(hall, now);
-        }
-    }
-}
-
-void GatewayPeers::announceTo(const HallId &hall, TimePoint now)
-{
-    const std::optional<InstanceId> first = directory_.firstOf(hall, now);
-    const GatewayRecord *record = first ? directory_.find(*first) : nullptr;
-    if (record == nullptr) {
-        return;
-    }
-    const SocketAddress address{record->host, record->port};
-    announcements_.at(hall).underWay = true;
-    auto request = linkTo(address).rpc->capability().castAs<wire::GatewayPeer>().hasNewsRequest();
-    writeGateway(directory_.self(), Duration{}, request.initSelf());
-    const auto over = std::make_shared<bool>(false);
-    const auto conclude = [this, hall, id = *first, told = ownCrashes(), over](bool heard) {
-        if (std::exchange(*over, true)) {
-            return;
-        }
-        Announcement &announcement = announcements_.at(hall);
-        announcement.underWay = false;
-        if (heard) {
-            announcement.told = told;
-            return;
-        }
-        announcement.notBefore = loop_.now() + kPause;
-        directory_.onFailed(id, loop_.now());
-        logLine(LogLevel::Info, "gateway.unanswered", {{"gateway", id.value()}});
-    };
-    loop_.schedule(kPatience, [this, address, over, conclude, alive = alive_] {
-        if (*alive && !*over) {
-            linkTo(address).rpc.reset();
-            conclude(false);
-        }
-    });
-    tasks_.add(request.send().then(
-        [conclude](capnp::Response<wire::GatewayPeer::HasNewsResults> && /*empty*/) {
-            conclude(true);
-        },
-        [conclude](kj::Exception &&exception) {
-            // A gateway of an earlier version does not know the call; it is asked, and asks, later.
-            conclude(exception.getType() == kj::Exception::Type::UNIMPLEMENTED);
-        }));
-}
-
 void GatewayPeers::takeGateways(wire::GatewayNews::Reader news, TimePoint now)
 {
     for (const auto &gateway : news.getGateways()) {
@@ -382,16 +298,6 @@
     }
 }
 
-void GatewayPeers::writeCrashes(wire::GatewayNews::Builder news, std::uint64_t cursor) const
-{
-    const CrashRecord::Changes changes = crashes_.changedSince(cursor, kMostSuspects);
-    news.setCrashCursor(changes.cursor);
-    auto list = news.initCrashes(static_cast<std::uint32_t>(changes.suspects.size()));
-    for (std::uint32_t index = 0; index < list.size(); ++index) {
-        writeSuspect(changes.suspects[index], loop_.now(), list[index]);
-    }
-}
-
 void GatewayPeers::writeNews(wire::GatewayNews::Builder news, const Asker &asker, Duration held)
 {
     if (asker.wantsGateways) {
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -32,6 +32,15 @@
 
 namespace seamarch {
 
+namespace detail {
+
+// How long an answer may take beyond its wait: some round trips between halls.
+inline constexpr Duration kPeerPatience = std::chrono::milliseconds(350);
+// A gateway that failed, or whose news was not taken, is not asked again for this long.
+inline constexpr Duration kPeerPause = std::chrono::milliseconds(150);
+
+} // namespace detail
+
 class GatewayPeers final : private kj::TaskSet::ErrorHandler
 {
 public:
@@ -120,9 +129,10 @@
     std::uint64_t toldMark_ = 0; // The state at the last tick.
     ConfigVersion toldVersion_;
     std::uint64_t toldGroupsMark_ = 0;
-    std::uint64_t toldCrashes_ = 0;     // A cursor of the record, as those below.
-    std::uint64_t learnedCrashes_ = 0;  // Changes of the record that other gateways brought.
-    std::uint64_t firstOwnCrashes_ = 0; // What `ownCrashes` was at the start.
+    std::uint64_t toldCrashes_ = 0;      // A cursor of the record, as those below.
+    std::uint64_t learnedCrashes_ = 0;   // Changes of the record that other gateways brought.
+    std::uint64_t firstOwnCrashes_ = 0;  // What `ownCrashes` was at the start.
+    std::uint64_t announcedCrashes_ = 0; // What it was when all halls had been told.
     // To the first gateway of a hall, that there is news here.
     struct Announcement
     {
--- /dev/null
+++ b/src/gateway/requestdigest.cpp
@@ -0,0 +1,20 @@
+#include "gateway/requestdigest.h"
+
+#include "base/digest.h"
+
+#include <fmt/format.h>
+
+namespace seamarch {
+
+RequestDigest digestOf(const HttpRequest &request, const AccountId &account)
+{
+    return RequestDigest(sha256Of(
+        {request.method, request.header("host"), request.target, account.value(), request.body}));
+}
+
+std::string toText(const RequestDigest &digest)
+{
+    return fmt::format("{:016x}", digest.value());
+}
+
+} // namespace seamarch
