Upstreams: an entry that is not whole names none, and what was believed of it goes

Cause: an entry of the store without zone, capacity or phase, with a phase that is not named, with an address that is none or a service without a name was taken with defaults; after one that could not be read at all the earlier one stayed in use. An entry may come from another writer. Change: service, address, zone, capacity and phase must be there, of their type and in range; anything else drops what was believed of the id, is logged and counted, and the others hold. Three tests' entries lacked such fields and have them now; OneBadItemDoesNotHideTheOthers asks for more than before.

--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -123,9 +123,7 @@
     logLine(LogLevel::Info, "store.listed",
             {{"revision", items.revision}, {"upstreams", records.size()}});
     routingUnreadable_ = routingUnreadable_ || items.routingUnreadable;
-    for (const std::string &fault : items.faults) {
-        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
-    }
+    noteFaults(items.faults);
     confirm(askedAt, items.revision);
 }
 
@@ -135,12 +133,20 @@
         takeItem(item);
     }
     routingUnreadable_ = routingUnreadable_ || items.routingUnreadable;
-    for (const std::string &fault : items.faults) {
-        logLine(LogLevel::Warning, "store.item_unreadable", {{"fault", fault}});
-    }
+    noteFaults(items.faults);
     confirm(askedAt, items.revision);
 }
 
+void GatewayKnowledge::noteFaults(const std::vector<std::string> &faults)
+{
+    constexpr std::size_t kMostText = 200; // A fault may quote what it stumbled over.
+    for (const std::string &fault : faults) {
+        metrics_.count("seamarch_store_failures_total", "item unreadable");
+        logLine(LogLevel::Warning, "store.item_unreadable",
+                {{"fault", fault.substr(0, kMostText)}});
+    }
+}
+
 void GatewayKnowledge::takeItem(const StoreItem &item)
 {
     if (const auto *document = std::get_if<RoutingDocument>(&item)) {
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -85,6 +85,7 @@
     bool storeReachable() const { return storeReachable_; }
 
 private:
+    void noteFaults(const std::vector<std::string> &faults);
     void takeItem(const StoreItem &item);
     void takeRouting(const RoutingDocument &document);
     void confirm(TimePoint askedAt, std::uint64_t revision);
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -132,9 +132,10 @@
 
 TEST(StoreItemsTest, ReadsChangesAndRemovals)
 {
-    // The value is {"service":"one","address":"10.1.0.9:8080","zone":"north","phase":"draining"}.
+    // The value is {"service":"one","address":"10.1.0.9:8080","zone":"north","capacity":6,
+    // "phase":"draining"}.
     const char *const body =
-        R"({"events":[{"key-file":"servers/i-1","value":"eyJzZXJ2aWNlIjoib25lIiwiYWRkcmVzcyI6IjEwLjEuMC45OjgwODAiLCJ6b25lIjoibm9ydGgiLCJwaGFzZSI6ImRyYWluaW5nIn0=","revision":4},{"key-file":"servers/i-2","revision":5,"removed":true},{"key-file":"other","value":"","revision":6}],"current-rev":6})";
+        R"({"events":[{"key-file":"servers/i-1","value":"eyJzZXJ2aWNlIjoib25lIiwiYWRkcmVzcyI6IjEwLjEuMC45OjgwODAiLCJ6b25lIjoibm9ydGgiLCJjYXBhY2l0eSI6NiwicGhhc2UiOiJkcmFpbmluZyJ9","revision":4},{"key-file":"servers/i-2","revision":5,"removed":true},{"key-file":"other","value":"","revision":6}],"current-rev":6})";
     const auto items = store.readWatch(200, body);
     CHECK_TRUE(items.has_value());
     LONGS_EQUAL(6, items->revision);
@@ -151,8 +152,42 @@
     const auto items = store.readWatch(
         200, R"({"events":[{"key-file":"servers/i-1","value":"%%","revision":4},)"
              R"({"key-file":"servers/i-2","revision":5,"removed":true}],"current-rev":6})");
-    LONGS_EQUAL(1, items->items.size());
+    LONGS_EQUAL(2, items->items.size());
     LONGS_EQUAL(1, items->faults.size());
+    // What was believed of an upstream goes with an entry that makes no sense.
+    STRCMP_EQUAL("i-1", std::get<UpstreamGone>(items->items[0]).id.value().c_str());
+    STRCMP_EQUAL("i-2", std::get<UpstreamGone>(items->items[1]).id.value().c_str());
+}
+
+// An entry may come from another writer: it names nothing to use unless it is whole.
+TEST(StoreItemsTest, EntryThatIsNotWholeNamesNoUpstream)
+{
+    const std::string whole = R"({"service":"s","address":"1.2.3.4:5","zone":"n","capacity":6,)"
+                              R"("phase":"ready","version":"v1","unknown":[1]})";
+    CHECK_TRUE(readUpstream("i-1", whole).has_value());
+    const std::vector<std::pair<std::string, std::vector<std::string>>> fields = {
+        {R"("service":"s")", {R"("service":"")", R"("service":7)", R"("service":null)", ""}},
+        {R"("address":"1.2.3.4:5")",
+         {R"("address":"1.2.3.4")", R"("address":"1.2.3.4:70000")", R"("address":["1.2.3.4",5])",
+          R"("address":"")", ""}},
+        {R"("zone":"n")", {R"("zone":1)", R"("zone":null)", ""}},
+        {R"("capacity":6)",
+         {R"("capacity":"6")", R"("capacity":-1)", R"("capacity":0)", R"("capacity":6.5)",
+          R"("capacity":true)", R"("capacity":99999999999)", ""}},
+        {R"("phase":"ready")", {R"("phase":"warming")", R"("phase":true)", R"("phase":"")", ""}},
+    };
+    for (const auto &[field, others] : fields) {
+        for (const std::string &other : others) {
+            std::string entry = whole;
+            const std::size_t comma = other.empty() ? 1 : 0; // The one after the field.
+            entry.replace(entry.find(field), field.size() + comma, other);
+            CHECK_TEXT(!readUpstream("i-1", entry).has_value(), entry.c_str());
+        }
+    }
+    for (const char *const text :
+         {"", "[]", "null", "7", "{", "\xff\xfe", "{\"service\":\"\xff\"}"}) {
+        CHECK_TEXT(!readUpstream("i-1", text).has_value(), text);
+    }
 }
 
 TEST(StoreItemsTest, SaysWhenTheRoutingDocumentCannotBeRead)
@@ -184,12 +219,13 @@
     LONGS_EQUAL(2, std::get<RoutingDocument>(items->items.front()).version.value());
 }
 
-// The value is {"service":"s","address":"1.2.3.4:5"}.
+// The value is {"service":"s","address":"1.2.3.4:5","zone":"n","capacity":1,"phase":"ready"}.
 TEST(StoreItemsTest, ReadsWhenAnUpstreamWasListed)
 {
     const auto items = store.readWatch(
-        200, R"({"events":[{"key-file":"servers/i-1","revision":9,"created":4,"lease":0,"value":)"
-             R"("eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxLjIuMy40OjUifQ=="}],"current-rev":9})");
+        200,
+        R"({"events":[{"key-file":"servers/i-1","revision":9,"created":4,"lease":0,"value":)"
+        R"("eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxLjIuMy40OjUiLCJ6b25lIjoibiIsImNhcGFjaXR5IjoxLCJwaGFzZSI6InJlYWR5In0="}],"current-rev":9})");
     LONGS_EQUAL(1, items->items.size());
     LONGS_EQUAL(4, std::get<UpstreamRecord>(items->items.front()).listedAt);
 }
