--- a/test/net/upstreamprobe_test.cpp
+++ b/test/net/upstreamprobe_test.cpp
@@ -6,6 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <stdexcept>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace seamarch;
@@ -22,8 +25,10 @@
         : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address = at(port);
-        bind(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
-        listen(descriptor_, backlog);
+        if (bind(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+            || listen(descriptor_, backlog) != 0) {
+            throw std::runtime_error("cannot listen on loopback");
+        }
     }
     ~Listener()
     {
@@ -42,8 +47,11 @@
         for (int count = 0; count < kMoreThanTheQueue; ++count) {
             const int caller = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
             sockaddr_in address = at(port);
-            connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
             callers_.push_back(caller);
+            if (connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+                && errno != EINPROGRESS) {
+                throw std::runtime_error("cannot connect on loopback");
+            }
         }
     }
 
