--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -395,7 +395,7 @@
 
 // Gives up what waits or is under way of requests that must not be sent any more. An upstream that
 // has not begun with one drops it when its connection closes. What has already begun to answer goes
-// on: it may show that the request is innocent.
+// on: it may show that the request is harmless.
 void GatewayCore::giveUpSuspects(TimePoint now, GatewayActions &actions)
 {
     if (crashes_.cursor() == crashesSeen_) {
--- a/src/decision/retry/crashrecord.h
+++ b/src/decision/retry/crashrecord.h
@@ -1,16 +1,16 @@
 // Which requests upstreams have ended under, and which of them are not sent any more.
 //
-// A request may end the process of each upstream that runs it. Its caller repeats it, under a new
-// id and at any gateway, and each repetition takes another upstream and its whole group down. An
-// upstream that ends takes some ten requests with it, all but one of them innocent, or all of them
-// when it was killed; nobody can tell them apart at that moment. What tells them apart is what
+// A poison request ends the process of each upstream that runs it. Its caller repeats it, under a
+// new id and at any gateway, and each repetition takes another upstream and its whole group down.
+// An upstream that ends takes some ten requests with it, all but one of them harmless, or all of
+// them when it was killed; nobody can tell them apart at that moment. What tells them apart is what
 // follows:
 //   - a request that later runs to its end, well or badly, on an upstream that goes on living is
 //     cleared of every end before;
 //   - the same request at one end after the other is hardly there by chance. Three ends prove it.
 //     Two do for a while, unless another request was at both of them: then the third end tells
-//     which of the two it was. Of 200 guilty requests that come again as fast as a group of twelve
-//     engines opens, each takes 2.6 engines with it instead of 3, for no innocent request more.
+//     which of the two it was. Of 200 poison requests that come again as fast as a group of twelve
+//     engines opens, each takes 2.6 engines with it instead of 3, for no harmless request more.
 // What is proved is kept for long after the last end, and then tried again: the software may have
 // been mended.
 //
@@ -61,9 +61,9 @@
         // was at all of them. A third end would stop a group of engines for four seconds more.
         std::size_t suspicion = 2;
         Duration suspicionLife = std::chrono::seconds(60);
-        // How long an end is remembered; zero: nothing is. A request that is proved guilty costs an
-        // upstream, or a whole group for four seconds, each time that it is forgotten, so this is
-        // long; whoever mends the software says so (see docs/OPERATIONS.md).
+        // How long an end is remembered; zero: nothing is. A poison request costs an upstream, or a
+        // whole group for four seconds, each time that it is forgotten, so this is long; whoever
+        // mends the software says so (see docs/OPERATIONS.md).
         Duration life = std::chrono::hours(1);
         // An upstream that ended is back after some seconds, perhaps under the id that it had; word
         // of one end from two gateways differs by some milliseconds.
--- a/test/decision/gateway/suspectrequest_test.cpp
+++ b/test/decision/gateway/suspectrequest_test.cpp
@@ -14,8 +14,8 @@
     return TimePoint(std::chrono::milliseconds(millis));
 }
 
-const RequestDigest kGuilty(7);
-const RequestDigest kInnocent(8);
+const RequestDigest kPoison(7);
+const RequestDigest kHarmless(8);
 const AccountId kAccount("bids");
 
 enum class Kind { AtMostOnce, Repeatable, Stream };
@@ -49,7 +49,7 @@
         return record;
     }
 
-    RequestNumber begin(Kind kind, RequestDigest digest = kGuilty, int now = 0)
+    RequestNumber begin(Kind kind, RequestDigest digest = kPoison, int now = 0)
     {
         RouteRule route;
         route.name = "route";
@@ -86,7 +86,7 @@
     }
 
     // The upstream that a request was sent to last has ended under it.
-    void endUnder(RequestNumber number, int now, RequestDigest digest = kGuilty)
+    void endUnder(RequestNumber number, int now, RequestDigest digest = kPoison)
     {
         const InstanceId upstream = last<StartAttempt>()->upstream.id;
         core->onUpstreamEnded(digest, kAccount, upstream, at(now), at(now), actions);
@@ -96,7 +96,7 @@
     void learnEnds(int count)
     {
         for (int index = 0; index < count; ++index) {
-            core->crashes().onEnded(kGuilty, kAccount,
+            core->crashes().onEnded(kPoison, kAccount,
                                     InstanceId("elsewhere-" + std::to_string(index)),
                                     at(-1000 + index));
         }
@@ -130,7 +130,7 @@
 TEST(SuspectRequestTest, OtherRequestsOfTheAccountAreSent)
 {
     learnEnds(3);
-    begin(Kind::Repeatable, kInnocent);
+    begin(Kind::Repeatable, kHarmless);
     LONGS_EQUAL(1, sent());
 }
 
@@ -176,7 +176,7 @@
     core->onTick(at(30), actions);
     LONGS_EQUAL(1, core->inFlight());
     core->onEnd(number, AttemptEnd::Complete, at(900), actions);
-    CHECK_TRUE(core->crashes().mayBeSent(kGuilty, at(901)));
+    CHECK_TRUE(core->crashes().mayBeSent(kPoison, at(901)));
 }
 
 TEST(SuspectRequestTest, FailureOfAnUpstreamThatLivesClearsTheRequest)
@@ -185,7 +185,7 @@
     const RequestNumber number = begin(Kind::AtMostOnce);
     core->onHead(number, AnswerKind::Failure, at(20), actions);
     core->onEnd(number, AttemptEnd::Complete, at(20), actions);
-    LONGS_EQUAL(0, core->crashes().ends(kGuilty));
+    LONGS_EQUAL(0, core->crashes().ends(kPoison));
 }
 
 TEST(SuspectRequestTest, RefusalOfAnUpstreamSaysNothingOfTheRequest)
@@ -193,7 +193,7 @@
     learnEnds(1);
     const RequestNumber number = begin(Kind::AtMostOnce);
     core->onHead(number, AnswerKind::Full, at(20), actions);
-    LONGS_EQUAL(1, core->crashes().ends(kGuilty));
+    LONGS_EQUAL(1, core->crashes().ends(kPoison));
 }
 
 // A planned end: nobody is to blame for it.
@@ -204,7 +204,7 @@
     leaving.leaving = true;
     core->upstreams().put(leaving);
     endUnder(number, 50);
-    LONGS_EQUAL(0, core->crashes().ends(kGuilty));
+    LONGS_EQUAL(0, core->crashes().ends(kPoison));
 }
 
 // The gateway hears of the end when the caller has left already.
@@ -213,15 +213,15 @@
     const RequestNumber number = begin(Kind::Repeatable);
     const InstanceId upstream = last<StartAttempt>()->upstream.id;
     core->onCallerGone(number, actions);
-    core->onUpstreamEnded(kGuilty, kAccount, upstream, at(50), at(52), actions);
-    LONGS_EQUAL(1, core->crashes().ends(kGuilty));
+    core->onUpstreamEnded(kPoison, kAccount, upstream, at(50), at(52), actions);
+    LONGS_EQUAL(1, core->crashes().ends(kPoison));
 }
 
 TEST(SuspectRequestTest, WaitingCopyIsRefusedWhenTheProofComes)
 {
     std::vector<RequestNumber> running;
     while (core->waiting(TargetName("service")) == 0) {
-        running.push_back(begin(Kind::Stream, kInnocent));
+        running.push_back(begin(Kind::Stream, kHarmless));
     }
     core->onCallerGone(running.back(), actions);
     begin(Kind::Stream);
@@ -237,8 +237,8 @@
 TEST(SuspectRequestTest, SuspectIsNotMovedOffASilentUpstream)
 {
     begin(Kind::Repeatable);
-    core->crashes().onEnded(kGuilty, kAccount, InstanceId("a"), at(100));
-    core->crashes().onEnded(kGuilty, kAccount, InstanceId("b"), at(200));
+    core->crashes().onEnded(kPoison, kAccount, InstanceId("a"), at(100));
+    core->crashes().onEnded(kPoison, kAccount, InstanceId("b"), at(200));
     actions.clear();
     core->onTick(at(300), actions);
     core->onTick(at(7900), actions);
--- a/test/decision/retry/crashrecord_test.cpp
+++ b/test/decision/retry/crashrecord_test.cpp
@@ -1,5 +1,5 @@
 // The load that this answers: one caller repeats a request that ends each upstream that runs it, at
-// every gateway, while upstreams also end for reasons of their own and take innocent requests
+// every gateway, while upstreams also end for reasons of their own and take harmless requests
 // along.
 #include "decision/retry/crashrecord.h"
 
@@ -243,21 +243,21 @@
 namespace {
 
 // A group of engines under load while some of them end. A request that fails comes again at the
-// next opening, up to three times, as a gateway and its caller may repeat it; the guilty one comes
+// next opening, up to three times, as a gateway and its caller may repeat it; the poison one comes
 // again after every end.
 class CrashingGroup
 {
 public:
-    static constexpr std::uint64_t kGuilty = 1;
+    static constexpr std::uint64_t kPoison = 1;
     static constexpr std::uint64_t kUpstreams = 12;
     static constexpr std::uint64_t kSlots = 12;
 
     static constexpr int kRepeats = 3;
 
-    CrashingGroup(std::uint64_t seed, bool guilty, std::size_t suspicion)
+    CrashingGroup(std::uint64_t seed, bool poison, std::size_t suspicion)
         : record_(settingsWith(suspicion))
         , random_(seed)
-        , guilty_(guilty)
+        , poison_(poison)
     {}
 
     // Plays `rounds` openings of the group, `gap` seconds apart; at each an engine ends.
@@ -269,8 +269,8 @@
         }
     }
 
-    std::uint64_t guiltyEnds() const { return guiltyEnds_; }
-    std::uint64_t innocentRefusals() const { return innocentRefusals_; }
+    std::uint64_t poisonEnds() const { return poisonEnds_; }
+    std::uint64_t harmlessRefusals() const { return harmlessRefusals_; }
 
 private:
     static CrashRecord::Settings settingsWith(std::size_t suspicion)
@@ -287,7 +287,7 @@
             if (record_.mayBeSent(request(number), at(now_))) {
                 running.push_back(number);
             } else {
-                ++innocentRefusals_;
+                ++harmlessRefusals_;
             }
         }
         while (running.size() < kUpstreams * kSlots - 1) {
@@ -300,8 +300,8 @@
     void open()
     {
         const std::vector<std::uint64_t> running = admit();
-        const bool hit = guilty_ && record_.mayBeSent(request(kGuilty), at(now_));
-        if (guilty_ && !hit) {
+        const bool hit = poison_ && record_.mayBeSent(request(kPoison), at(now_));
+        if (poison_ && !hit) {
             for (const std::uint64_t number : running) {
                 record_.onSurvived(request(number), at(now_ + 1));
             }
@@ -313,8 +313,8 @@
             record_.onEnded(request(running[slot]), kAccount, upstream(ended), at(now_));
         }
         if (hit) {
-            ++guiltyEnds_;
-            record_.onEnded(request(kGuilty), kAccount, upstream(ended), at(now_));
+            ++poisonEnds_;
+            record_.onEnded(request(kPoison), kAccount, upstream(ended), at(now_));
         }
         // All that the group had is cut off with the engine.
         std::map<std::uint64_t, int> failed;
@@ -330,31 +330,31 @@
 
     CrashRecord record_;
     std::mt19937_64 random_;
-    bool guilty_;
+    bool poison_;
     double now_ = 0.0;
     std::map<std::uint64_t, int> comesAgain_; // And how often.
     std::uint64_t lastRequest_ = 1000;
     std::uint64_t lastUpstream_ = 0;
-    std::uint64_t guiltyEnds_ = 0;
-    std::uint64_t innocentRefusals_ = 0;
+    std::uint64_t poisonEnds_ = 0;
+    std::uint64_t harmlessRefusals_ = 0;
 };
 
 struct Toll
 {
-    int ends = 0;     // Under the guilty request.
-    int refusals = 0; // Of innocent ones.
+    int ends = 0;     // Under the poison request.
+    int refusals = 0; // Of harmless ones.
 };
 
-// Plays 200 groups in which engines end at twelve openings, 4.5 s apart, for as long as the guilty
+// Plays 200 groups in which engines end at twelve openings, 4.5 s apart, for as long as the poison
 // request is sent, or all the time by themselves.
-Toll tollOf(bool guilty, std::size_t suspicion)
+Toll tollOf(bool poison, std::size_t suspicion)
 {
     Toll toll;
     for (std::uint64_t seed = 0; seed < 200; ++seed) {
-        CrashingGroup group(seed, guilty, suspicion);
+        CrashingGroup group(seed, poison, suspicion);
         group.play(12, 4.5);
-        toll.ends += static_cast<int>(group.guiltyEnds());
-        toll.refusals += static_cast<int>(group.innocentRefusals());
+        toll.ends += static_cast<int>(group.poisonEnds());
+        toll.refusals += static_cast<int>(group.harmlessRefusals());
     }
     return toll;
 }
@@ -362,8 +362,8 @@
 } // namespace
 
 // Two ways: to refuse at the third end alone, or at the second where no other request shares both.
-// Over 200 groups: 600 engines and 8 innocent requests, or 524 engines and 8.
-TEST(CrashRecordTest, SecondEndSparesEnginesAndCostsNoInnocentRequestMore)
+// Over 200 groups: 600 engines and 8 harmless requests, or 524 engines and 8.
+TEST(CrashRecordTest, SecondEndSparesEnginesAndCostsNoHarmlessRequestMore)
 {
     const Toll third = tollOf(true, 3);
     const Toll second = tollOf(true, 2);
