Sight: what an upstream says of itself in an answer is read, logged and counted

Change: CallerProtocol::readNotice, the log line upstream.notice and a counter; nothing is decided by it.

--- a/src/gateway/callerprotocol.h
+++ b/src/gateway/callerprotocol.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "decision/gateway/gatewaycore.h"
+#include "decision/gateway/upstreamnotice.h"
 #include "net/httpreader.h"
 #include "net/httpserver.h"
 #include "net/httptypes.h"
@@ -48,6 +49,9 @@
                                         const AttemptFacts &attempt) const = 0;
     // Tells what the head of an upstream's answer to `requestId` says.
     virtual AnswerKind judge(const HttpHead &head, const std::string &requestId) const = 0;
+    // Reads what the head of an upstream's answer says about the upstream itself. One that another
+    // instance gave at the upstream's address says nothing of it.
+    virtual UpstreamNotice readNotice(const HttpHead &head) const = 0;
     // Returns the headers of the gateway's own refusal of a request.
     virtual HttpHeaders refusalHeaders(const std::string &requestId, Outcome outcome,
                                        Duration retryAfter) const = 0;
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -182,6 +182,7 @@
     }
     const AnswerKind kind = protocol_.judge(head, flight->facts.requestId);
     flight->head = std::move(head);
+    noteNotice(*flight);
     const bool events = kind == AnswerKind::Success && flight->admitted.route->streamed
                         && isEventStream(flight->head);
     if (flight->resuming && kind == AnswerKind::Success && !events) {
@@ -209,6 +210,29 @@
     carryOut(actions);
 }
 
+// Takes what the head of an answer says about the upstream that gave it.
+void GatewayService::noteNotice(const Flight &flight)
+{
+    const UpstreamNotice notice = protocol_.readNotice(flight.head);
+    if (notice.empty()) {
+        return;
+    }
+    logLine(LogLevel::Info, "upstream.notice",
+            {{"id", flight.facts.requestId},
+             {"attempt", flight.attempt},
+             {"upstream", flight.upstream.value()},
+             {"status", flight.head.status},
+             {"restMs", notice.rest ? nlohmann::json(toMillis(*notice.rest)) : nlohmann::json()},
+             {"restUnreadable", notice.restUnreadable},
+             {"leaving", notice.leaving}});
+    if (notice.rest || notice.restUnreadable) {
+        metrics_.count("seamarch_upstream_notices_total", notice.rest ? "rest" : "unreadable");
+    }
+    if (notice.leaving) {
+        metrics_.count("seamarch_upstream_notices_total", "leaving");
+    }
+}
+
 void GatewayService::startStream(RequestNumber number, Flight &flight)
 {
     GatewayActions actions;
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -131,6 +131,7 @@
     void carryOut(const BreakAnswer &action);
 
     void onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head);
+    void noteNotice(const Flight &flight);
     void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
     void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
     void onAttemptLost(RequestNumber number, std::uint32_t attempt, AttemptEnd end);
