--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -16,7 +16,9 @@
 // {"id": ID}, {"delayMs": N}, {"full": true} refuses, {"fail": true} answers 500,
 // {"dropAnswers": true} runs and breaks the connection, {"breakAfter": N} breaks a stream inside
 // event N + 1, {"foreignId": true} answers with another request's id, {"endsOn": TEXT} ends the
-// process in the middle of the answer to a request whose body has TEXT.
+// process in the middle of the answer to a request whose body has TEXT, {"rest": TEXT} asks for
+// that many seconds of rest when it refuses, {"leaving": true} says in all answers that it leaves.
+// Reports every arrival: {"id": ID, "ms": N, "refused": BOOL}, times by its own clock.
 class Replica final : public StandIn
 {
 public:
@@ -31,14 +33,23 @@
         const std::string requestId = request.header(names::kRequestId);
         HttpResponseHead head;
         head.headers.push_back({std::string(names::kRequestId), requestId});
+        if (leaving_) {
+            head.headers.push_back({std::string(names::kLeaving), "1"});
+        }
         if (request.header(names::kExpectedInstance) != id_) {
             head.status = 421;
             server().respond(exchange, head, "{}");
             return;
         }
+        arrivals_.push_back({{"id", requestId},
+                             {"ms", toMillis(loop().now().time_since_epoch())},
+                             {"refused", full_}});
         if (full_) {
             head.status = 503;
             head.headers.push_back({std::string(names::kNotRun), "1"});
+            if (!rest_.empty()) {
+                head.headers.push_back({std::string(names::kRetryAfter), rest_});
+            }
             server().respond(exchange, head, "{}");
             return;
         }
@@ -127,11 +138,18 @@
         foreignId_ = change.value("foreignId", foreignId_);
         lies_ = change.value("lies", lies_);
         endsOn_ = change.value("endsOn", endsOn_);
-        return {{"runs", runs_}, {"left", left_}, {"open", open_.size()}};
+        rest_ = change.value("rest", rest_);
+        leaving_ = change.value("leaving", leaving_);
+        return {{"runs", runs_},
+                {"left", left_},
+                {"open", open_.size()},
+                {"arrivals", arrivals_},
+                {"nowMs", toMillis(loop().now().time_since_epoch())}};
     }
 
     std::string id_;
     std::vector<json> runs_;
+    std::vector<json> arrivals_;
     std::set<ExchangeId> open_;
     int delayMs_ = 1;
     int breakAfter_ = 0;
@@ -141,7 +159,9 @@
     bool dropAnswers_ = false;
     bool foreignId_ = false;
     bool lies_ = false;
+    bool leaving_ = false;
     std::string endsOn_;
+    std::string rest_;
 };
 
 } // namespace
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -10,7 +10,9 @@
 
 // A plain service that records every run by the body it was given. Control: {"delayMs": N},
 // {"dropAnswers": true} runs and then breaks the connection, {"endsOn": TEXT} ends the process when
-// it runs a request whose body has TEXT, {"list": true} lists the runs.
+// it runs a request whose body has TEXT, {"rest": TEXT} refuses everything and asks for that many
+// seconds of rest (empty: takes requests again), {"list": true} lists the runs and, under
+// "refusedMs", when it refused, by its own clock.
 class Service final : public StandIn
 {
 public:
@@ -19,6 +21,14 @@
 private:
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
+        if (!rest_.empty()) {
+            refusedMs_.push_back(toMillis(loop().now().time_since_epoch()));
+            HttpResponseHead head;
+            head.status = 503;
+            head.headers.push_back({"Retry-After", rest_});
+            server().respond(exchange, head, "{}");
+            return;
+        }
         runs_.push_back(request.body);
         if (!endsOn_.empty() && request.body.find(endsOn_) != std::string::npos) {
             std::_Exit(kEndedByRequest);
@@ -38,9 +48,11 @@
         delayMs_ = change.value("delayMs", delayMs_);
         dropAnswers_ = change.value("dropAnswers", dropAnswers_);
         endsOn_ = change.value("endsOn", endsOn_);
+        rest_ = change.value("rest", rest_);
         json state = {{"runs", runs_.size()}};
         if (change.value("list", false)) {
             state["bodies"] = runs_;
+            state["refusedMs"] = refusedMs_;
         }
         return state;
     }
@@ -48,6 +60,8 @@
     static constexpr int kEndedByRequest = 70;
 
     std::vector<std::string> runs_;
+    std::vector<std::int64_t> refusedMs_;
+    std::string rest_;
     std::string endsOn_;
     int delayMs_ = 1;
     bool dropAnswers_ = false;
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -75,9 +75,10 @@
     def publish(self, version, keys=(KEY,)):
         control(self.store, {"put": {"op/config": routing(version, keys)}})
 
-    def list_upstream(self, name, phase="ready"):
+    def list_upstream(self, name, phase="ready", **more):
+        """`more` holds further fields of the entry, by name."""
         entry = {"service": "portal", "address": self.upstreams[name], "zone": "north",
-                 "capacity": 6, "phase": phase}
+                 "capacity": 6, "phase": phase, **more}
         control(self.store, {"put": {f"servers/{name}": entry}})
 
     def status(self):
--- /dev/null
+++ b/test/process/restingservice_test.py
@@ -0,0 +1,75 @@
+"""An upstream that asks its agent for rest gets rest from it.
+
+The same fault as in restingupstream_test.py, looked for where agents stand before upstreams: an agent
+handed a refusal to the caller as any other answer, kept nothing of the time that the upstream had asked
+for, and started the next request there at once, whoever had sent it.
+"""
+
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from process_test import AUTH, QUICK_AGENT, QUICK_ENTRY  # noqa: E402
+from localsite import Site, call, control  # noqa: E402
+
+REST = 2.0       # Seconds that the upstream asks for.
+UNDER_WAY = 0.5  # Seconds in which requests that were under way may still arrive.
+STRAY = 2        # Requests that may arrive after that in one rest.
+
+
+class RestingServiceTest(unittest.TestCase):
+    def setUp(self):
+        self.site = Site("resting", halls=("north",), entry_options=QUICK_ENTRY,
+                         agent_options=QUICK_AGENT, log_path=os.environ.get("SEAMARCH_TEST_LOG"))
+        self.addCleanup(self.site.__exit__)
+        self.site.add_accounts(["bids"], homeHall="north")
+        self.site.config["services"].append({"name": "portal", "routes": [
+            {"method": "POST", "path": "/letters", "repeatable": False},
+            {"method": "POST", "path": "/status", "repeatable": True}]})
+        self.site.add_pool("portal", 3, "service")
+        self.site.add_entries(2)
+        self.site.publish_and_wait()
+        self.stopped, self.answers = False, []
+
+    def caller(self, number):
+        entries = list(self.site.entries.values())
+        asked = 0
+        while not self.stopped:
+            asked += 1
+            path = "letters" if (number + asked) % 2 else "status"
+            answer = call(entries[asked % len(entries)], f"/services/portal/{path}", f"{number}-{asked}", AUTH, 6)
+            self.answers.append((time.monotonic(), answer[0], answer[2]))
+            time.sleep(0.03)
+
+    def test_upstream_that_asks_for_rest_gets_it_and_the_others_serve(self):
+        callers = [threading.Thread(target=self.caller, args=(number,)) for number in range(6)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        resting = next(iter(self.site.upstreams.values()))
+        control(resting, {"rest": f"{REST:.0f}"})
+        time.sleep(0.5)
+        served_from = time.monotonic()
+        time.sleep(2 * REST)
+        refused = control(resting, {"rest": "", "list": True})["refusedMs"]
+        runs = control(resting, {})["runs"]
+        time.sleep(REST + 1)
+        again = control(resting, {})["runs"]
+        self.stopped = True
+        for caller in callers:
+            caller.join()
+        self.assertTrue(refused, "it turned nothing away; the test shows nothing")
+        found = max(sum(1 for ms in refused if first + 1000 * UNDER_WAY < ms < first + 1000 * REST)
+                    for first in refused)
+        self.assertLessEqual(found, STRAY, f"it asked for {REST} s of rest and got {found} requests later than "
+                             f"{UNDER_WAY} s after that")
+        self.assertGreater(again, runs, "expected it to get requests again after its rest, found none")
+        failed = [answer for answer in self.answers if answer[0] > served_from and answer[1] != 200]
+        self.assertLessEqual(len(failed), len(self.answers) // 20, failed[:3])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/test/process/restingupstream_test.py
@@ -0,0 +1,176 @@
+"""An upstream that asks a gateway for rest gets rest from it.
+
+Seen: engines turned requests away with 503 and asked for three seconds of rest, and the gateways that
+they had asked sent them four to ten requests more in that time. A fifth to a third of the model's
+requests were refused meanwhile, though two thirds of the engines were well.
+
+How it came about: four of twelve engines shed load for eight seconds. Each time one turned a request
+away, its gateway passed it over for a moment and then sent it the next one, at first tries and second
+ones alike; the engine had the fewest requests in flight, so it was the first choice each time.
+
+Cause: a gateway read from such an answer that the request had not run, and not what the upstream asked
+for itself. It passed over every upstream that refused for the same 150 ms, whatever that had said.
+
+Proved by: the log line `upstream.notice` shows the wish for 3 s, and the next `attempt.started` to the
+same upstream follows 0.15 to 0.19 s later, first and second ones alike, each time.
+"""
+
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from gateway_test import KEY, GatewaySite  # noqa: E402
+from gatewaysharing_test import OtherGateway  # noqa: E402
+from localsite import call, control, free_address  # noqa: E402
+
+REST = 3.0          # Seconds that upstreams ask for.
+UNDER_WAY = 0.5     # Seconds in which requests that were under way may still arrive.
+STRAY = 2           # Requests that may arrive after that in one rest.
+PATHS = ("/letters/1", "/status/1", "/stream/1")
+
+
+def arrivals_in_rests(arrivals, rest=REST):
+    """Returns, for the refusal followed by the most, how many requests came between half a second after
+    it and the end of the rest that it asked for."""
+    refusals = [arrival["ms"] for arrival in arrivals if arrival["refused"]]
+    return max([sum(1 for arrival in arrivals if refused + 1000 * UNDER_WAY < arrival["ms"] < refused + 1000 * rest)
+                for refused in refusals], default=0)
+
+
+class Callers:
+    """Callers that ask all the time, each request under an id of its own."""
+
+    def __init__(self, entries, count=6, pause=0.04):
+        self.entries, self.pause, self.stopped, self.answers = entries, pause, False, []
+        self.threads = [threading.Thread(target=self.run, args=(number,)) for number in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, number):
+        asked = 0
+        while not self.stopped:
+            asked += 1
+            headers = {"Host": "site.example", "Seamarch-Request-Id": f"c-{number}-{asked}",
+                       "Seamarch-Deadline-Ms": "4000", "Authorization": f"Token {KEY}"}
+            entry = self.entries[asked % len(self.entries)]
+            answer = call(entry, PATHS[(number + asked) % len(PATHS)], "x", headers, 6, "POST")
+            self.answers.append((time.monotonic(), answer[0], answer[1], answer[2]))
+            time.sleep(self.pause)
+
+    def stop(self):
+        self.stopped = True
+        for thread in self.threads:
+            thread.join()
+
+
+class RestingUpstreamTest(unittest.TestCase):
+    def setUp(self):
+        self.site = GatewaySite(upstreams=4)
+        self.addCleanup(self.site.__exit__)
+        self.callers = None
+        self.addCleanup(lambda: self.callers and self.callers.stop())
+
+    def begin(self, *entries):
+        self.callers = Callers(list(entries) or [self.site.entry])
+        time.sleep(0.3)
+
+    def shed(self, names, rest=f"{REST:.0f}"):
+        for name in names:
+            control(self.site.upstreams[name], {"full": True, "rest": rest})
+
+    def check_rested(self, names, rest=REST):
+        for name in names:
+            arrivals = control(self.site.upstreams[name], {})["arrivals"]
+            self.assertTrue(any(arrival["refused"] for arrival in arrivals),
+                            f"{name} turned nothing away; the test shows nothing")
+            found = arrivals_in_rests(arrivals, rest)
+            self.assertLessEqual(found, STRAY, f"{name} asked for {rest} s of rest and got {found} requests later "
+                                 f"than {UNDER_WAY} s after that; see `upstream.notice` in the gateway's log")
+
+    def test_upstreams_that_ask_for_rest_get_it_and_the_others_serve(self):
+        self.begin()
+        self.shed(["i-1", "i-2"])
+        time.sleep(0.5)
+        served_from = time.monotonic()
+        time.sleep(2 * REST)
+        self.callers.stop()
+        self.check_rested(["i-1", "i-2"])
+        refused = [answer for answer in self.callers.answers if answer[0] > served_from and answer[1] != 200]
+        self.assertLessEqual(len(refused), len(self.callers.answers) // 20,
+                             f"expected the two others to serve nearly all, found {len(refused)} of "
+                             f"{len(self.callers.answers)} not served")
+
+    def test_rest_holds_when_all_ask_and_callers_hear_how_long(self):
+        self.begin()
+        self.shed(self.site.upstreams)
+        time.sleep(2 * REST)
+        self.callers.stop()
+        self.check_rested(self.site.upstreams)
+        told = [float(answer[2]["Retry-After"]) for answer in self.callers.answers[-20:] if answer[1] == 503]
+        self.assertTrue(told, "nobody was refused with a time to come back; the test shows nothing")
+        self.assertGreater(max(told), 0.5, f"expected callers to hear when an upstream takes requests again, "
+                           f"found {told}")
+
+    def test_rest_outlives_a_new_list_a_new_configuration_and_the_stores_absence(self):
+        self.begin()
+        self.shed(["i-1", "i-2"])
+        time.sleep(0.5)
+        self.site.publish(2)
+        for name in ("i-1", "i-2"):
+            self.site.list_upstream(name)
+        control(self.site.store, {"forget": True})
+        time.sleep(0.5)
+        control(self.site.store, {"busy": True})
+        time.sleep(0.7)
+        control(self.site.store, {"busy": False})
+        time.sleep(REST)
+        self.callers.stop()
+        self.check_rested(["i-1", "i-2"])
+
+    def test_rest_in_fractions_is_kept_to(self):
+        self.begin()
+        self.shed(["i-1"], "1.9")
+        time.sleep(4)
+        self.callers.stop()
+        self.check_rested(["i-1"], 1.9)
+
+    def test_wish_that_is_no_time_is_no_rest(self):
+        """Nothing is lost by it: the upstream is passed over for a moment, as one without room."""
+        self.begin()
+        self.shed(["i-1"], "soon")
+        time.sleep(1)
+        control(self.site.upstreams["i-1"], {"full": False})
+        before = len(self.site.runs())
+        self.site.wait_until("it gets requests again", lambda: len(
+            control(self.site.upstreams["i-1"], {})["runs"]) > 0 and len(self.site.runs()) > before, 3)
+        self.callers.stop()
+        self.assertIn("upstream.notice", self.site.events())
+
+    def test_rested_upstream_gets_requests_again(self):
+        self.begin()
+        self.shed(["i-1"])
+        time.sleep(0.5)
+        control(self.site.upstreams["i-1"], {"full": False})
+        runs = len(control(self.site.upstreams["i-1"], {})["runs"])
+        self.site.wait_until("it runs requests again",
+                             lambda: len(control(self.site.upstreams["i-1"], {})["runs"]) > runs, REST + 2)
+        self.callers.stop()
+        self.check_rested(["i-1"])
+
+    def test_another_gateway_that_was_not_asked_may_send(self):
+        """Each gateway is asked by itself; one that was not has no reason to hold back."""
+        other = OtherGateway(self.site, "gateway-2", self.site.store, free_address())
+        self.site.wait_until("the other is ready", other.ready)
+        self.begin()
+        self.shed(["i-1", "i-2", "i-3", "i-4"])
+        time.sleep(0.5)
+        self.site.set_all(full=False)
+        self.assertEqual(other.ask(), 200)
+        self.callers.stop()
+
+
+if __name__ == "__main__":
+    unittest.main()
