--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <map>
 #include <openssl/evp.h>
+#include <tuple>
+#include <utility>
 
 namespace seamarch::standin {
 namespace {
@@ -42,7 +44,8 @@
 
 // The platform's store of items with waiting watches. Control: {"put": {KEY: VALUE}},
 // {"remove": [KEY]}, {"busy": true} refuses, {"silent": true} says nothing, {"forget": true} drops
-// the history.
+// the history, {"copy": true} keeps a copy of all items, {"goBack": true} goes back to that copy:
+// its revision counts on from there, and the era that all answers tell rises by one.
 class Store final : public StandIn
 {
 public:
@@ -61,16 +64,24 @@
             return;
         }
         if (busy_) {
-            respondJson(exchange, 503, {{"error", "busy"}});
+            reply(exchange, 503, {{"error", "busy"}});
         } else if (request.path == names::kListPath) {
-            respondJson(exchange, 200, list());
+            reply(exchange, 200, list());
         } else if (request.path == names::kWatchPath) {
             watch(exchange, request.query);
         } else {
-            respondJson(exchange, 404, {{"error", "no such call"}});
+            reply(exchange, 404, {{"error", "no such call"}});
         }
     }
 
+    void reply(ExchangeId exchange, int status, const json &body)
+    {
+        HttpResponseHead head;
+        head.status = status;
+        head.headers.push_back({std::string(names::kStoreEra), std::to_string(era_)});
+        server().respond(exchange, head, body.dump());
+    }
+
     json list() const
     {
         json items = json::array();
@@ -96,12 +107,12 @@
     void watch(ExchangeId exchange, const std::string &query)
     {
         const std::uint64_t after = numberOf(parameter(query, "since-rev"));
-        if (after < forgottenUpTo_) {
-            respondJson(exchange, 410, {{"error", "history gone"}});
+        if (after < forgottenUpTo_ || after > revision_) {
+            reply(exchange, 410, {{"error", "history gone"}});
             return;
         }
         if (after < revision_) {
-            respondJson(exchange, 200, changesAfter(after));
+            reply(exchange, 200, changesAfter(after));
             return;
         }
         waiting_[exchange] = {after};
@@ -119,18 +130,38 @@
         const std::uint64_t after = found->second.after;
         waiting_.erase(found);
         if (!silent_) {
-            respondJson(exchange, 200, changesAfter(after));
+            reply(exchange, 200, changesAfter(after));
         }
     }
 
     void onCallerGone(ExchangeId exchange) override { waiting_.erase(exchange); }
 
+    void goBack()
+    {
+        std::tie(items_, revision_) = copy_;
+        forgottenUpTo_ = 0;
+        ++era_;
+        for (const auto &[exchange, watch] : std::exchange(waiting_, {})) {
+            server().abort(exchange);
+        }
+    }
+
     json control(const json &change) override
     {
+        if (change.value("copy", false)) {
+            copy_ = {items_, revision_};
+        }
+        if (change.value("goBack", false)) {
+            goBack();
+        }
         const json puts = change.value("put", json::object());
         for (const auto &[key, value] : puts.items()) {
+            const auto held = items_.find(key);
+            const bool isNew = held == items_.end() || held->second.contains("removed");
+            const json created = isNew ? json(revision_ + 1) : held->second.at("created");
             items_[key] = {{"key-file", key},
                            {"value", encodeBase64(value.dump())},
+                           {"created", created},
                            {"revision", ++revision_}};
         }
         for (const json &key : change.value("remove", json::array())) {
@@ -149,10 +180,12 @@
     }
 
     std::map<std::string, json> items_;
+    std::pair<std::map<std::string, json>, std::uint64_t> copy_;
     std::map<ExchangeId, Watch> waiting_;
     std::uint64_t revision_ = 1;
     std::uint64_t forgottenUpTo_ = 0;
     std::uint64_t calls_ = 0;
+    std::uint64_t era_ = 1;
     bool busy_ = false;
     bool silent_ = false;
 };
