A store that comes back from an older copy is listed anew, and takes nothing back

Cause: nothing read the era that the store tells. A watch from a revision that had been given out again skipped what was written below it; a list of a later era counted as older by its revisions; a copy that lists an upstream as ready that was leaving or gone was believed; an upstream listed anew could lose its address to a higher revision of before.

Change: StorePlace (era, then revision) orders what the store says, in the watcher, in what gateways hold and in what they hand each other. The first answer of a later era begins a new list. Leaving and gone upstreams stay so until a later start or a new entry. What an older copy lacks counts as lapsed. A configuration of a higher version is taken from any gateway. A gateway that does not tell the era is compared by revision.

--- a/src/decision/gateway/leavingupstreams.cpp
+++ b/src/decision/gateway/leavingupstreams.cpp
@@ -6,18 +6,37 @@
 
 namespace seamarch {
 
-void LeavingUpstreams::add(const UpstreamRecord &upstream)
+LeavingUpstreams::Word &LeavingUpstreams::take(const UpstreamRecord &upstream)
 {
     const auto [found, added] = words_.try_emplace(upstream.id);
-    found->second = {upstream.start, upstream.listedAt};
-    if (!added) {
-        return;
+    Word &word = found->second;
+    word.start = upstream.start;
+    word.listedAt = upstream.listedAt;
+    if (added) {
+        order_.push_back(upstream.id);
     }
-    order_.push_back(upstream.id);
     if (order_.size() > kMost) {
         words_.erase(order_.front());
         order_.pop_front();
     }
+    return word;
+}
+
+void LeavingUpstreams::add(const UpstreamRecord &upstream)
+{
+    take(upstream).leaves = true;
+}
+
+void LeavingUpstreams::addGone(const UpstreamRecord &upstream)
+{
+    take(upstream);
+}
+
+bool LeavingUpstreams::isOver(const Word &word, const UpstreamRecord &listed)
+{
+    const bool told = word.listedAt != 0 && listed.listedAt != 0;
+    const bool listedAnew = !told || listed.listedAt != word.listedAt;
+    return isLaterStart(listed, word.start, word.listedAt) || (!word.leaves && listedAnew);
 }
 
 bool LeavingUpstreams::contains(const UpstreamRecord &listed)
@@ -27,7 +46,7 @@
         return false;
     }
     Word &word = found->second;
-    if (isLaterStart(listed, word.start, word.listedAt)) {
+    if (isOver(word, listed)) {
         words_.erase(found);
         order_.erase(std::find(order_.begin(), order_.end(), listed.id));
         return false;
--- a/src/decision/gateway/leavingupstreams.h
+++ b/src/decision/gateway/leavingupstreams.h
@@ -1,12 +1,15 @@
-// The upstreams that have said themselves, in their answers, that they leave.
+// The upstreams that leave or are gone, as they have said themselves or as the store has told.
 //
-// Such a word counts from the moment that it is heard, whatever any list says: the store may be
-// away, behind, or back with an older state. It holds for the start of the upstream that gave it
-// and ends with a later start alone (isLaterStart). Where the list does not tell starts, the first
-// that it tells afterwards is taken for the one that gave the word.
+// A word of leaving counts from the moment that it is heard, whatever any later list says: the
+// store may be away, behind, or back from an older copy. It holds for the start of the upstream
+// that it was said of, and ends with a later start alone (isLaterStart). Where the list does not
+// tell starts, the first that it tells afterwards is taken for the one that leaves.
 //
-// Bounded: beyond `kMost` the oldest word is forgotten, which takes a thousand ends of upstreams
-// that the store still lists. Pure and single-threaded.
+// One that the store has taken away is the same, unless the store lists it anew: an upstream that
+// was cut off from the store lapses there and comes back in a new entry. An entry that was listed
+// when the one that went was listed is that one, out of an older copy.
+//
+// Bounded: beyond `kMost` the oldest is forgotten. Pure and single-threaded.
 #pragma once
 
 #include "seamarch/ids.h"
@@ -23,23 +26,29 @@
 class LeavingUpstreams
 {
 public:
-    static constexpr std::size_t kMost = 1024; // Some 100 bytes each.
+    static constexpr std::size_t kMost = 4096; // Some 150 bytes each.
 
-    // `upstream`, as it was listed when it was asked, has said that it leaves.
+    // `upstream`, listed like this when it was heard of, leaves.
     void add(const UpstreamRecord &upstream);
-    // Tells whether an upstream that is listed like this has said that it leaves. Forgets the word
-    // of a start that `listed` shows to be over.
+    // The store no longer lists `upstream`, which was listed like this.
+    void addGone(const UpstreamRecord &upstream);
+    // Tells whether an upstream that is listed like this leaves or is gone. Forgets what was known
+    // of a start, or of an entry, that `listed` shows to be over.
     bool contains(const UpstreamRecord &listed);
     std::size_t size() const { return words_.size(); }
 
 private:
-    // The start that gave its word.
+    // The start that leaves or is gone.
     struct Word
     {
         UpstreamStart start;
         std::uint64_t listedAt = 0;
+        bool leaves = false; // Else it is only gone from the list.
     };
 
+    Word &take(const UpstreamRecord &upstream);
+    static bool isOver(const Word &word, const UpstreamRecord &listed);
+
     std::unordered_map<InstanceId, Word> words_;
     std::deque<InstanceId> order_; // The oldest first.
 };
--- a/src/decision/gateway/upstreamtable.cpp
+++ b/src/decision/gateway/upstreamtable.cpp
@@ -23,7 +23,10 @@
         return;
     }
     UpstreamRecord taken = record;
-    taken.leaving = record.leaving || leaving_.contains(record);
+    if (record.leaving) {
+        leaving_.add(record);
+    }
+    taken.leaving = leaving_.contains(record);
     Entry &entry = entries_[record.id];
     changes_ += entry.record == taken ? 0 : 1;
     entry = {std::move(taken), std::nullopt};
@@ -81,20 +84,54 @@
     ++changes_;
 }
 
-void UpstreamTable::remove(const InstanceId &id, TimePoint now)
+// Erases a record that the store has taken away for good. An older copy of the store may list it
+// once more; its word to leave, or its end, binds all the same.
+void UpstreamTable::eraseGone(const InstanceId &id)
+{
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        leaving_.addGone(found->second.record);
+        erase(id);
+    }
+}
+
+// Tells whether a record that the list lacks goes at once. One that may have lapsed stays a while.
+bool UpstreamTable::vanishes(const InstanceId &id, TimePoint now)
 {
     const auto found = entries_.find(id);
     if (found == entries_.end()) {
-        return;
+        return false;
     }
     const bool outage = lastOutage_ && now - *lastOutage_ < settings_.outageMemory;
     if (!outage || found->second.record.leaving) {
-        erase(id);
-        return;
+        return true;
     }
     if (!found->second.lapsedAt) {
         found->second.lapsedAt = now;
     }
+    return false;
+}
+
+void UpstreamTable::drop(const InstanceId &id, TimePoint now)
+{
+    if (vanishes(id, now)) {
+        erase(id);
+    }
+}
+
+void UpstreamTable::remove(const InstanceId &id, TimePoint now)
+{
+    if (vanishes(id, now)) {
+        eraseGone(id);
+    }
+}
+
+void UpstreamTable::onStoreWentBack(TimePoint now)
+{
+    onOutage(now);
+    for (auto &[id, entry] : entries_) {
+        entry.record.listedAt = 0;
+    }
 }
 
 void UpstreamTable::replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now)
@@ -134,7 +171,7 @@
         }
     }
     for (const InstanceId &id : over) {
-        erase(id);
+        eraseGone(id);
     }
     return over;
 }
--- a/src/decision/gateway/upstreamtable.h
+++ b/src/decision/gateway/upstreamtable.h
@@ -74,6 +74,8 @@
     void setLapseGrace(Duration grace) { settings_.lapseGrace = grace; }
     // Takes one record, new or changed, unless a later one has its address.
     void put(const UpstreamRecord &record);
+    // The store lists `id` in a way that makes no sense; nothing is said of whether it lives.
+    void drop(const InstanceId &id, TimePoint now);
     // The store no longer lists `id`.
     void remove(const InstanceId &id, TimePoint now);
     // Takes the whole list: what is not in it has vanished.
@@ -85,6 +87,9 @@
     bool announceLeaving(const UpstreamRecord &upstream);
     // A call to the store has failed.
     void onOutage(TimePoint now) { lastOutage_ = now; }
+    // The store has come back from an older copy. What vanishes now counts as lapsed, and the order
+    // in which it had taken records until then means nothing for those to come.
+    void onStoreWentBack(TimePoint now);
     // Drops lapsed records whose time is over. Returns those dropped.
     std::vector<InstanceId> expire(TimePoint now);
 
@@ -109,6 +114,8 @@
     static Address addressOf(const UpstreamRecord &record) { return {record.host, record.port}; }
     bool takeAddress(const UpstreamRecord &record);
     void erase(const InstanceId &id);
+    void eraseGone(const InstanceId &id);
+    bool vanishes(const InstanceId &id, TimePoint now);
 
     Settings settings_;
     std::unordered_map<InstanceId, Entry> entries_;
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -202,6 +202,10 @@
             takeItem(item);
         }
     }
+    if (wentBack(storePlace_, items.place)) {
+        upstreams_.onStoreWentBack(loop_.now());
+    }
+    storePlace_ = items.place;
     upstreams_.replaceAll(records, loop_.now());
     updatePeers();
 }
@@ -233,7 +237,11 @@
     } else if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
         upstreams_.put(*record);
     } else if (const auto *gone = std::get_if<UpstreamGone>(&item)) {
-        upstreams_.remove(gone->id, loop_.now());
+        if (gone->unreadable) {
+            upstreams_.drop(gone->id, loop_.now());
+        } else {
+            upstreams_.remove(gone->id, loop_.now());
+        }
     }
 }
 
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -28,9 +28,9 @@
 
 // A document that could not be read may have taken a key away: until the next one, what is held is
 // not confirmed by anything.
-void GatewayKnowledge::confirm(TimePoint askedAt, std::uint64_t revision)
+void GatewayKnowledge::confirm(TimePoint askedAt, const StorePlace &place)
 {
-    revision_ = std::max(revision_, revision);
+    takePlace(std::max(place_, place));
     noteReachable();
     if (!routingUnreadable_) {
         confirmedAt_ = confirmedAt_ ? std::max(*confirmedAt_, askedAt) : askedAt;
@@ -41,32 +41,63 @@
 {
     if (!storeReachable_) {
         storeReachable_ = true;
-        logLine(LogLevel::Info, "store.reached", {{"revision", revision_}});
+        logLine(LogLevel::Info, "store.reached",
+                {{"revision", place_.revision}, {"era", place_.era}});
+    }
+}
+
+// Living upstreams that an older copy lacks are listed again soon, as after an outage.
+void GatewayKnowledge::notePlace(const StorePlace &place)
+{
+    if (!wentBack(place_, place)) {
+        return;
+    }
+    logLine(LogLevel::Warning, "store.went_back",
+            {{"era", place.era},
+             {"eraBefore", place_.era},
+             {"revision", place.revision},
+             {"revisionBefore", place_.revision}});
+    upstreams_.onStoreWentBack(loop_.now());
+}
+
+void GatewayKnowledge::takePlace(const StorePlace &place)
+{
+    if (place.era != place_.era) {
+        metrics_.set("seamarch_store_era", static_cast<double>(place.era));
+    }
+    place_ = place;
+}
+
+void GatewayKnowledge::adoptVersion(const SharedKnowledge &shared)
+{
+    if (shared.document) {
+        takeRouting(*shared.document);
     }
 }
 
 bool GatewayKnowledge::adopt(const SharedKnowledge &shared, TimePoint confirmedAt)
 {
-    const bool news =
-        shared.revision >= revision_ && (!confirmedAt_ || confirmedAt > *confirmedAt_);
+    adoptVersion(shared);
+    // A gateway of an earlier version does not tell the era.
+    const StorePlace place{shared.place.era == 0 ? place_.era : shared.place.era,
+                           shared.place.revision};
+    const bool news = place >= place_ && (!confirmedAt_ || confirmedAt > *confirmedAt_);
     const bool whole = (shared.document || shared.version <= version())
                        && (shared.upstreams || shared.upstreamsMark == adoptedMark());
     if (!news || !whole) {
         return false;
     }
-    if (shared.document) {
-        takeRouting(*shared.document);
-    }
+    notePlace(place);
     if (shared.upstreams) {
         upstreams_.mirror(*shared.upstreams);
         adoptedMark_ = shared.upstreamsMark;
         changesAtAdoption_ = upstreams_.changes();
         logLine(LogLevel::Info, "upstreams.adopted",
-                {{"revision", shared.revision},
+                {{"revision", place.revision},
                  {"upstreams", shared.upstreams->size()},
                  {"confirmedMsAgo", toMillis(loop_.now() - confirmedAt)}});
     }
-    revision_ = shared.revision;
+    takePlace(place);
     confirmedAt_ = confirmedAt;
     return true;
 }
@@ -120,12 +151,13 @@
             takeItem(item);
         }
     }
+    notePlace(items.place);
     upstreams_.replaceAll(records, loop_.now());
     logLine(LogLevel::Info, "store.listed",
-            {{"revision", items.revision}, {"upstreams", records.size()}});
+            {{"revision", items.place.revision}, {"upstreams", records.size()}});
     routingUnreadable_ = routingUnreadable_ || items.routingUnreadable;
     noteFaults(items.faults);
-    confirm(askedAt, items.revision);
+    confirm(askedAt, items.place);
 }
 
 void GatewayKnowledge::onStoreChanged(const StoreItems &items, TimePoint askedAt)
@@ -135,7 +167,7 @@
     }
     routingUnreadable_ = routingUnreadable_ || items.routingUnreadable;
     noteFaults(items.faults);
-    confirm(askedAt, items.revision);
+    confirm(askedAt, items.place);
 }
 
 void GatewayKnowledge::noteFaults(const std::vector<std::string> &faults)
@@ -159,7 +191,11 @@
                  {"service", record->service.value()},
                  {"leaving", record->leaving}});
     } else if (const auto *gone = std::get_if<UpstreamGone>(&item)) {
-        upstreams_.remove(gone->id, loop_.now());
+        if (gone->unreadable) {
+            upstreams_.drop(gone->id, loop_.now());
+        } else {
+            upstreams_.remove(gone->id, loop_.now());
+        }
         logLine(LogLevel::Info, "upstream.gone", {{"upstream", gone->id.value()}});
     }
 }
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -4,7 +4,9 @@
 // Knowledge is as old as the call that last confirmed it, measured on the own steady clock from
 // when the call was made. It comes from the store, or from another gateway that has asked the store
 // more recently: then its age travels with it. Within the life of a process a configuration never
-// goes back.
+// goes back, also when the store itself comes back from an older copy: a version that was heard of
+// is in force until a higher one is heard, at the store or at any gateway, whatever else that one
+// knows.
 //
 // Single-threaded. The loop, the table of upstreams and the metrics outlive the object.
 #pragma once
@@ -32,7 +34,7 @@
 // What one gateway tells another of the store.
 struct SharedKnowledge
 {
-    std::uint64_t revision = 0; // Of the store.
+    StorePlace place; // Of the store.
     ConfigVersion version;
     std::optional<RoutingDocument> document;              // When the asker's version is lower.
     std::uint64_t upstreamsMark = 0;                      // Names the state of the teller's list.
@@ -56,12 +58,14 @@
     // Takes what another gateway knows, which the store confirmed at `confirmedAt`. Returns false,
     // and takes nothing, when that is no news or leaves out what is not known here.
     bool adopt(const SharedKnowledge &shared, TimePoint confirmedAt);
+    // Takes no more than the configuration of another gateway, if its version is higher.
+    void adoptVersion(const SharedKnowledge &shared);
     // Returns the mark of the list that was adopted last and holds still; zero: none.
     std::uint64_t adoptedMark() const;
     // Returns the mark of the own list, a digest: gateways that hold the same list name it alike,
     // so one that asks another than before is not handed it again.
     std::uint64_t upstreamsMark() const;
-    std::uint64_t revision() const { return revision_; }
+    const StorePlace &place() const { return place_; }
     // Returns the document in force as the store holds it; empty while there is none.
     const std::string &documentText() const;
     const UpstreamTable &upstreams() const { return upstreams_; }
@@ -88,7 +92,9 @@
     void noteFaults(const std::vector<std::string> &faults);
     void takeItem(const StoreItem &item);
     void takeRouting(const RoutingDocument &document);
-    void confirm(TimePoint askedAt, std::uint64_t revision);
+    void confirm(TimePoint askedAt, const StorePlace &place);
+    void takePlace(const StorePlace &place);
+    void notePlace(const StorePlace &place);
     void noteReachable();
 
     EventLoop &loop_;
@@ -98,7 +104,7 @@
     std::function<void(const CallerBounds &)> boundsChanged_;
     std::shared_ptr<const RouteTable> table_;
     std::optional<TimePoint> confirmedAt_;
-    std::uint64_t revision_ = 0;     // Of the store, that the list of upstreams stands at.
+    StorePlace place_;               // Of the store, that the list of upstreams stands at.
     mutable std::uint64_t mark_ = 0; // Of the list after `markedChanges_` changes.
     mutable std::uint64_t markedChanges_ = 0;
     std::uint64_t adoptedMark_ = 0;
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -234,7 +234,7 @@
 bool GatewayPeers::takeNews(TimePoint askedAt, wire::GatewayNews::Reader news)
 {
     SharedKnowledge shared;
-    shared.revision = news.getRevision();
+    shared.place = {news.getEra(), news.getRevision()};
     shared.version = ConfigVersion(news.getConfigVersion());
     shared.upstreamsMark = news.getUpstreamsMark();
     if (news.hasConfig() && shared.version > knowledge_.version()) {
@@ -317,7 +317,8 @@
     }
     news.setKnown(true);
     news.setAgeMicros(knowledge_.age().count());
-    news.setRevision(knowledge_.revision());
+    news.setRevision(knowledge_.place().revision);
+    news.setEra(knowledge_.place().era);
     news.setConfigVersion(knowledge_.version().value());
     if (knowledge_.version() > asker.version) {
         if (packedVersion_ != knowledge_.version()) {
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -103,6 +103,7 @@
 bool KnowledgeSources::takeShared(const SharedKnowledge &shared, TimePoint confirmedAt)
 {
     if (watcher_ != nullptr && knowledge_.confirmed() && knowledge_.age() < kOwnOld) {
+        knowledge_.adoptVersion(shared);
         return false;
     }
     if (!knowledge_.adopt(shared, confirmedAt)) {
--- a/src/gateway/metadatastore.h
+++ b/src/gateway/metadatastore.h
@@ -6,6 +6,7 @@
 
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/upstreamtable.h"
+#include "gateway/storeplace.h"
 #include "net/httpclient.h"
 #include "seamarch/units.h"
 
@@ -22,15 +23,16 @@
 struct UpstreamGone
 {
     InstanceId id;
+    bool unreadable = false; // It is listed, but its entry makes no sense.
 };
 
 // One item of the store, or its removal. Items of no interest are left out.
 using StoreItem = std::variant<RoutingDocument, UpstreamRecord, UpstreamGone>;
 
-// What a listing or a watch brought. Revisions count all changes of the store.
+// What a listing or a watch brought.
 struct StoreItems
 {
-    std::uint64_t revision = 0;
+    StorePlace place; // The reader knows the revision; who made the call adds the era.
     std::vector<StoreItem> items;
     std::string nextPage;            // Where the next page starts; empty: this was the last.
     std::vector<std::string> faults; // Items that could not be read, for the log.
@@ -56,6 +58,8 @@
                                                           std::string_view body) const = 0;
     virtual tl::expected<StoreItems, StoreFault> readWatch(int status,
                                                            std::string_view body) const = 0;
+    // Reads the era of the store that gave an answer; zero when the answer does not tell it.
+    virtual std::uint64_t readEra(const HttpHeaders &headers) const = 0;
     // Reads a routing document as the store holds it; fails with what is wrong with it.
     virtual tl::expected<RoutingDocument, std::string>
     readDocument(std::string_view text) const = 0;
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -1,7 +1,6 @@
 #include "gateway/storewatcher.h"
 
 #include "gateway/configpace.h"
-#include "net/httpfetch.h"
 
 #include <algorithm>
 #include <iterator>
@@ -52,7 +51,7 @@
     request.connectTimeout = settings_.patience;
     call_ = fetchText(loop_, client_, std::move(request), longest, [this](const HttpText &text) {
         if (text.complete) {
-            onAnswer(text.status, text.body);
+            onAnswer(text);
         } else {
             onFailure("no whole answer in time");
         }
@@ -72,19 +71,46 @@
 void StoreWatcher::watch()
 {
     step_ = Step::Watch;
-    makeCall(store_.watchCall(revision_, settings_.wait), settings_.wait + settings_.patience);
+    makeCall(store_.watchCall(place_.revision, settings_.wait),
+             settings_.wait + settings_.patience);
 }
 
-void StoreWatcher::onAnswer(int status, const std::string &body)
+// Takes the era that an answer tells. Returns false when what it says cannot be used: it was given
+// before the store went back, or it is the first after that and goes on from what is gone.
+bool StoreWatcher::isOfThisEra(const HttpText &text)
 {
-    auto items =
-        step_ == Step::List ? store_.readList(status, body) : store_.readWatch(status, body);
+    const StorePlace told{store_.readEra(text.headers), 0};
+    if (told.era == 0 || told.era == place_.era) {
+        return true;
+    }
+    if (told.era < place_.era) {
+        onFailure("answer of an earlier era");
+        return false;
+    }
+    const bool first = place_.era == 0;
+    place_ = told;
+    const bool startsList = step_ == Step::List && listed_.place == StorePlace();
+    if (first || startsList) {
+        return true;
+    }
+    list({});
+    return false;
+}
+
+void StoreWatcher::onAnswer(const HttpText &text)
+{
+    if (!isOfThisEra(text)) {
+        return;
+    }
+    auto items = step_ == Step::List ? store_.readList(text.status, text.body)
+                                     : store_.readWatch(text.status, text.body);
     if (!items) {
         onFault(items.error());
         return;
     }
     failures_ = 0;
     reachable_ = true;
+    items->place.era = place_.era;
     if (step_ == Step::List) {
         onListed(std::move(*items));
     } else {
@@ -95,7 +121,7 @@
 void StoreWatcher::onListed(StoreItems items)
 {
     // Pages are no snapshot: changes are followed from the first page's revision on.
-    listed_.revision = listed_.revision == 0 ? items.revision : listed_.revision;
+    listed_.place = listed_.place == StorePlace() ? items.place : listed_.place;
     std::move(items.items.begin(), items.items.end(), std::back_inserter(listed_.items));
     std::move(items.faults.begin(), items.faults.end(), std::back_inserter(listed_.faults));
     listed_.routingUnreadable = listed_.routingUnreadable || items.routingUnreadable;
@@ -103,7 +129,7 @@
         list(items.nextPage);
         return;
     }
-    revision_ = listed_.revision;
+    place_ = listed_.place;
     const StoreItems whole = std::exchange(listed_, {});
     listener_.onStoreListed(whole, listStartedAt_);
     watch();
@@ -111,7 +137,7 @@
 
 void StoreWatcher::onChanged(const StoreItems &items)
 {
-    revision_ = std::max(revision_, items.revision);
+    place_ = std::max(place_, items.place);
     listener_.onStoreChanged(items, askedAt_);
     const Duration rest = restAfter(items);
     if (rest > Duration{}) {
@@ -146,7 +172,7 @@
     std::uniform_real_distribution<double> jitter(0.5, 1.5);
     listener_.onStoreFailed(cause);
     timer_ = loop_.schedule(fromSeconds(toSeconds(pause) * jitter(random_)), [this] {
-        if (revision_ == 0) {
+        if (place_.revision == 0) {
             list({});
         } else {
             watch();
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -4,11 +4,17 @@
 // confirms that what is held was true when the call was made. A call that is not answered in time
 // is given up with its connection, and the next one follows after a pause that doubles, with
 // jitter, so that a store that comes back is not met by all gateways together.
+//
+// A store that comes back from an older copy gives revisions out again: a watch from the one that
+// is held would skip what was written below it. So the first answer of a later era, whatever it
+// says, begins a new list at once. An answer that does not tell its era is taken for one of the
+// same.
 #pragma once
 
 #include "gateway/metadatastore.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
+#include "net/httpfetch.h"
 
 #include <cstdint>
 #include <optional>
@@ -55,7 +61,6 @@
     void start() { list({}); }
     bool reachable() const { return reachable_; }
     std::uint64_t calls() const { return calls_; }
-    std::uint64_t revision() const { return revision_; }
 
 private:
     enum class Step { List, Watch };
@@ -63,7 +68,8 @@
     void list(const std::string &page);
     void watch();
     void makeCall(HttpCallRequest request, Duration longest);
-    void onAnswer(int status, const std::string &body);
+    void onAnswer(const HttpText &text);
+    bool isOfThisEra(const HttpText &text);
     void onListed(StoreItems items);
     void onChanged(const StoreItems &items);
     void onFault(StoreFault fault);
@@ -82,7 +88,7 @@
     TimePoint listStartedAt_{};
     HttpCallId call_ = 0;
     TimerId timer_ = 0;
-    std::uint64_t revision_ = 0;
+    StorePlace place_;
     std::uint64_t calls_ = 0;
     int failures_ = 0;
     bool reachable_ = false;
--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -30,7 +30,11 @@
         });
     }
 
-    void onHead(HttpHead head) override { text_.status = head.status; }
+    void onHead(HttpHead head) override
+    {
+        text_.status = head.status;
+        text_.headers = std::move(head.headers);
+    }
     void onPiece(std::string_view piece) override
     {
         tooLong_ = tooLong_ || text_.body.size() + piece.size() > kMaxBytes;
--- a/src/net/httpfetch.h
+++ b/src/net/httpfetch.h
@@ -13,6 +13,7 @@
 {
     bool complete = false; // The whole answer arrived in time; else the fields below mean nothing.
     int status = 0;
+    HttpHeaders headers;
     std::string body;
 };
 
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -260,6 +260,7 @@
   groups @11 :List(GroupNews);         # All groups; without members when the asker names this mark.
   crashCursor @12 :UInt64;   # Stands for having heard `crashes` and all that came before.
   crashes @13 :List(CrashSuspect);     # Those that changed since the cursor that the asker names.
+  era @14 :UInt64;           # Of the store, in which it counts revisions; zero: not known.
 }
 
 # Served by each gateway for the others.
--- a/test/decision/gateway/leavingupstreams_test.cpp
+++ b/test/decision/gateway/leavingupstreams_test.cpp
@@ -123,3 +123,76 @@
     CHECK_FALSE(words.contains(record("9")));
     CHECK_TRUE(words.contains(record("10")));
 }
+
+// The store came back from an older copy, in which the upstream was ready.
+TEST(LeavingUpstreamsTest, UpstreamThatTheStoreToldToLeaveStaysSo)
+{
+    UpstreamRecord leaving = record("one", 5, 40);
+    leaving.leaving = true;
+    table.put(leaving);
+    table.onStoreWentBack(at(0));
+    table.replaceAll({record("one", 5, 40)}, at(0));
+    CHECK_FALSE(table.mayReceive(one));
+}
+
+TEST(LeavingUpstreamsTest, UpstreamThatWasGoneIsNotBackWithTheEntryThatItHad)
+{
+    table.put(record("one", 5, 40));
+    table.remove(one, at(0));
+    table.onStoreWentBack(at(10));
+    table.replaceAll({record("one", 5, 40)}, at(10));
+    CHECK_FALSE(table.mayReceive(one));
+}
+
+TEST(LeavingUpstreamsTest, UpstreamThatLapsedIsBackWithANewEntry)
+{
+    table.put(record("one", 5, 40));
+    table.remove(one, at(0));
+    table.put(record("one", 5, 55));
+    CHECK_TRUE(table.mayReceive(one));
+}
+
+// Of a list that another gateway handed on it is not known when its entries were listed.
+TEST(LeavingUpstreamsTest, UpstreamThatWasGoneIsBackWhereItIsNotKnownWhenItWasListed)
+{
+    table.put(record("one", 5));
+    table.remove(one, at(0));
+    table.put(record("one", 5));
+    CHECK_TRUE(table.mayReceive(one));
+}
+
+TEST(LeavingUpstreamsTest, EntryThatMadeNoSenseForAWhileIsNoEnd)
+{
+    table.put(record("one", 5, 40));
+    table.drop(one, at(0));
+    CHECK_FALSE(table.mayReceive(one));
+    table.put(record("one", 5, 40));
+    CHECK_TRUE(table.mayReceive(one));
+}
+
+TEST(LeavingUpstreamsTest, LivingUpstreamThatAnOlderCopyLacksIsKeptForAWhile)
+{
+    table.put(record("one", 5, 40));
+    table.onStoreWentBack(at(0));
+    table.replaceAll({}, at(0));
+    CHECK_TRUE(table.mayReceive(one));
+    table.expire(at(1400));
+    CHECK_TRUE(table.mayReceive(one));
+    table.expire(at(1500));
+    CHECK_FALSE(table.mayReceive(one));
+    table.put(record("one", 5, 41));
+    CHECK_TRUE(table.mayReceive(one));
+}
+
+// Revisions are given out again: that of the earlier holder of the address says nothing any more.
+TEST(LeavingUpstreamsTest, UpstreamThatIsListedAfterTheStoreWentBackKeepsItsAddress)
+{
+    UpstreamRecord earlier = record("one", 5, 90);
+    UpstreamRecord later = record("two", 6, 41);
+    later.port = earlier.port;
+    table.put(earlier);
+    table.onStoreWentBack(at(0));
+    table.replaceAll({later}, at(0));
+    CHECK_TRUE(table.mayReceive(InstanceId("two")));
+    CHECK_FALSE(table.mayReceive(one));
+}
--- a/test/gateway/gatewayknowledge_test.cpp
+++ b/test/gateway/gatewayknowledge_test.cpp
@@ -38,7 +38,7 @@
     // What another gateway tells of version 3 with one upstream, at revision 10.
     SharedKnowledge shared() const
     {
-        return {10, ConfigVersion(3), document(3), 77, std::vector{upstream("i-1")}};
+        return {{1, 10}, ConfigVersion(3), document(3), 77, std::vector{upstream("i-1")}};
     }
 };
 
@@ -67,15 +67,68 @@
 {
     CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
     SharedKnowledge earlier = shared();
-    earlier.revision = 9;
+    earlier.place.revision = 9;
     CHECK_FALSE(knowledge.adopt(earlier, loop->now()));
 }
 
+// The store came back from an older copy: a revision means nothing without its era.
+TEST(GatewayKnowledgeTest, TakesALowerRevisionOfALaterEra)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(2)));
+    SharedKnowledge later = shared();
+    later.place = {2, 4};
+    CHECK_TRUE(knowledge.adopt(later, loop->now() - std::chrono::seconds(1)));
+    SharedKnowledge earlier = shared();
+    earlier.place = {1, 99};
+    CHECK_FALSE(knowledge.adopt(earlier, loop->now()));
+}
+
+TEST(GatewayKnowledgeTest, GatewayOfAnEarlierVersionIsHeardByItsRevisions)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(2)));
+    SharedKnowledge without = shared();
+    without.place = {0, 11};
+    CHECK_TRUE(knowledge.adopt(without, loop->now() - std::chrono::seconds(1)));
+    without.place = {0, 9};
+    CHECK_FALSE(knowledge.adopt(without, loop->now()));
+}
+
+TEST(GatewayKnowledgeTest, HigherVersionIsTakenWhateverElseItsGatewayKnows)
+{
+    CHECK_TRUE(knowledge.adopt(shared(), loop->now()));
+    SharedKnowledge behind = shared();
+    behind.place = {1, 2};
+    behind.version = ConfigVersion(4);
+    behind.document = document(4);
+    CHECK_FALSE(knowledge.adopt(behind, loop->now() - std::chrono::seconds(1)));
+    LONGS_EQUAL(4, knowledge.version().value());
+    LONGS_EQUAL(10, knowledge.place().revision);
+}
+
+TEST(GatewayKnowledgeTest, OlderCopyOfTheStoreTakesNothingBack)
+{
+    StoreItems listed;
+    listed.place = {1, 20};
+    listed.items.emplace_back(document(4));
+    listed.items.emplace_back(upstream("i-1", true));
+    listed.items.emplace_back(upstream("i-2"));
+    knowledge.onStoreListed(listed, loop->now());
+    StoreItems copy;
+    copy.place = {2, 9};
+    copy.items.emplace_back(document(3));
+    copy.items.emplace_back(upstream("i-1"));
+    knowledge.onStoreListed(copy, loop->now());
+    LONGS_EQUAL(4, knowledge.version().value());
+    LONGS_EQUAL(9, knowledge.place().revision);
+    CHECK_FALSE(upstreams.mayReceive(InstanceId("i-1")));
+    CHECK_TRUE(upstreams.mayReceive(InstanceId("i-2"))); // It may live, and lists itself again.
+}
+
 TEST(GatewayKnowledgeTest, VersionNeverGoesBack)
 {
     CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
     SharedKnowledge later = shared();
-    later.revision = 11;
+    later.place.revision = 11;
     later.version = ConfigVersion(2);
     later.document = document(2);
     CHECK_TRUE(knowledge.adopt(later, loop->now()));
@@ -85,7 +138,7 @@
 TEST(GatewayKnowledgeTest, ListThatIsLeftOutHoldsOnlyUnderItsMark)
 {
     CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(2)));
-    SharedKnowledge same{11, ConfigVersion(3), std::nullopt, 77, std::nullopt};
+    SharedKnowledge same{{1, 11}, ConfigVersion(3), std::nullopt, 77, std::nullopt};
     CHECK_TRUE(knowledge.adopt(same, loop->now() - std::chrono::seconds(1)));
     same.upstreamsMark = 78;
     CHECK_FALSE(knowledge.adopt(same, loop->now()));
@@ -100,7 +153,7 @@
                            [](const CallerBounds &) {}};
     CHECK_TRUE(knowledge.adopt(shared(), loop->now()));
     StoreItems listed;
-    listed.revision = 12;
+    listed.place.revision = 12;
     listed.items.emplace_back(upstream("i-1"));
     other.onStoreListed(listed, loop->now());
     CHECK_TRUE(knowledge.upstreamsMark() == other.upstreamsMark());
@@ -113,7 +166,7 @@
 {
     CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
     StoreItems items;
-    items.revision = 11;
+    items.place.revision = 11;
     items.items.emplace_back(upstream("i-1", true));
     knowledge.onStoreChanged(items, loop->now());
     LONGS_EQUAL(0, knowledge.adoptedMark());
@@ -121,8 +174,8 @@
 
 TEST(GatewayKnowledgeTest, NewVersionWithoutItsDocumentIsNotTaken)
 {
-    const SharedKnowledge bare{10, ConfigVersion(3), std::nullopt, 77,
-                               std::vector{upstream("i-1")}};
+    const SharedKnowledge bare{
+        {1, 10}, ConfigVersion(3), std::nullopt, 77, std::vector{upstream("i-1")}};
     CHECK_FALSE(knowledge.adopt(bare, loop->now()));
     CHECK_FALSE(knowledge.hasConfiguration());
 }
