--- a/test/decision/gateway/restingupstream_test.cpp
+++ b/test/decision/gateway/restingupstream_test.cpp
@@ -110,7 +110,7 @@
     InstanceId askForRest(Kind kind, int now)
     {
         const RequestNumber number = begin(kind, now);
-        const InstanceId upstream = last<StartAttempt>()->upstream.id;
+        InstanceId upstream = last<StartAttempt>()->upstream.id;
         core->onNotice(number, kRest, at(now));
         core->onHead(number, AnswerKind::Full, at(now), actions);
         core->onCallerGone(number, actions);
