Soak: upstreams ask for rest and start again under their ids, and the store goes back to an older copy

Cause: the soak had none of the three, so it could not show a rest that is not kept; and its upstreams came back from leaving without a new start, which the platform's never do.

Change: a fault and a calm phase with an upstream that asks for rest, judged by what arrived from each life of a gateway, unless that was paused or the way to it broken; an older copy of the store among its troubles; entries tell their start. A planted fault (answers lose the wish on their way) joins the three.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,7 +4,8 @@
 open: `pass`, `delay`, `silent` (accepts and says nothing), `one_way` (bytes toward the listener go
 on, answers are held), and `reset` (resets what is open and what comes). Bytes that are held go on
 when the mode changes back. `plant` holds a fault for testing the checks: `twice` sends each request
-again on a connection of its own, `skip` takes one event out of every stream.
+again on a connection of its own, `skip` takes one event out of every stream, `deaf` takes out of
+answers that rest is asked for.
 """
 
 import asyncio
@@ -104,6 +105,8 @@
                     asyncio.ensure_future(self._again(piece))
                 if self.plant == "skip" and not onward:
                     piece = self._without_event(piece)
+                if self.plant == "deaf" and not onward:
+                    piece = piece.replace(b"Retry-After", b"X-Not-Heard")
                 writer.write(piece)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -3,9 +3,9 @@
 
 Callers use kept connections until they break, send letters that may run once, questions that may be
 repeated, and streams. Faults come in series and overlap: links to the store and to upstreams are
-delayed, reset, silenced or cut one way; upstreams fail, refuse, lose answers and break streams;
-gateways are stopped, paused, killed and started again; configurations follow each other, keys are
-revoked, upstreams leave. The checks judge by what callers and upstreams saw. The same seed draws the
+delayed, reset, silenced or cut one way; upstreams fail, refuse, ask for rest, lose answers and break
+streams; gateways are stopped, paused, killed and started again; configurations follow each other, keys
+are revoked, upstreams leave and start again under their ids; the store goes back to an older copy. The checks judge by what callers and upstreams saw. The same seed draws the
 same faults; what runs between them is up to the machine. The system keeps no storage and decides
 nothing by the time of day, so neither is tampered with.
 
@@ -37,12 +37,16 @@
 NOT_RUN = {408, 421, 429, 503}  # Statuses that promise that the request never runs.
 REVOKED_AFTER = 5.0             # Seconds after which a revoked key is dead everywhere.
 LEFT_AFTER = 2.0                # Seconds after which an upstream that leaves gets nothing new.
+REST = 1.5                      # Seconds of rest that an upstream asks for.
+UNDER_WAY = 0.5                 # Seconds of it in which requests that were under way may arrive.
+STRAY = 2                       # Requests that may arrive in the remainder.
+PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1}  # Each with a seed.
 STREAM = [f"id: {n}\ndata: token {n}" for n in range(1, 11)]
 LINK_MODES = ("delay", "reset", "silent", "one_way")
 UPSTREAM_TROUBLES = ({"fail": True}, {"full": True}, {"dropAnswers": True}, {"foreignId": True},
-                     {"breakAfter": 4}, {"delayMs": 300})
+                     {"breakAfter": 4}, {"delayMs": 300}, {"full": True, "rest": str(REST)})
 HEALTHY = {"fail": False, "full": False, "dropAnswers": False, "foreignId": False,
-           "breakAfter": 0, "delayMs": 5, "lies": False}
+           "breakAfter": 0, "delayMs": 5, "lies": False, "rest": ""}
 
 
 class Site:
@@ -53,7 +57,7 @@
         self.version, self.keys = 0, ["key-0"]
         self.store = free_address()
         self.start("seamarch-standin", "store", "--listen", self.store)
-        self.upstreams, self.links = {}, {}
+        self.upstreams, self.links, self.starts = {}, {}, {}
         for number in range(args.upstreams):
             name, address = f"i-{number}", free_address()
             self.start("seamarch-standin", "replica", "--listen", address)
@@ -91,7 +95,7 @@
 
     def list_upstream(self, name, phase="ready"):
         entry = {"service": "portal", "address": self.links[name].address, "zone": "north",
-                 "capacity": 6, "phase": phase}
+                 "capacity": 6, "phase": phase, "born": self.starts.setdefault(name, 1)}
         control(self.store, {"put": {f"servers/{name}": entry}})
 
     def runs(self, name):
@@ -187,6 +191,7 @@
         self.failures, self.versions = [], {}
         self.planned = []  # The lives of gateways that a planned stop alone has ended.
         self.busy = {}  # What a fault holds, by name.
+        self.excuses = []  # (name, from, to) of what kept a gateway from hearing or heeding.
 
     def new_request(self, kind, gateway, drawn):
         with self.lock:
@@ -205,7 +210,16 @@
     def fault_link(self, name):
         mode = self.random.choice(LINK_MODES)
         self.site.links[name].set(mode)
-        return lambda: self.site.links[name].set("pass")
+        return self.excused(name, lambda: self.site.links[name].set("pass"))
+
+    def excused(self, name, undo):
+        """Returns `undo`, which also notes for how long the fault held `name`."""
+        started = time.monotonic()
+
+        def undo_and_note():
+            undo()
+            self.excuses.append((name, started, time.monotonic()))
+        return undo_and_note
 
     def fault_upstream(self, name):
         address = self.site.upstreams[name]
@@ -215,7 +229,7 @@
     def fault_pause(self, name):
         gateway = self.site.gateways[name]
         gateway.process.send(signal.SIGSTOP)
-        return lambda: gateway.process.send(signal.SIGCONT)
+        return self.excused(name, lambda: gateway.process.send(signal.SIGCONT))
 
     def fault_kill(self, name):
         gateway = self.site.gateways[name]
@@ -239,10 +253,21 @@
         return again
 
     def fault_store(self, _):
-        trouble = self.random.choice(("silent", "busy"))
+        trouble = self.random.choice(("silent", "busy", "goBack"))
+        if trouble == "goBack":
+            control(self.site.store, {"copy": True})
+            return self.go_back
         control(self.site.store, {trouble: True})
         return lambda: control(self.site.store, {trouble: False})
 
+    def go_back(self):
+        """The store goes back to the copy; the operator and the upstreams write again."""
+        with self.lock:
+            control(self.site.store, {"goBack": True})
+            self.site.publish()
+            for name in self.site.upstreams:
+                self.site.list_upstream(name)
+
     def draw_fault(self):
         gateways, upstreams = list(self.site.gateways), list(self.site.upstreams)
         kinds = [(self.fault_link, gateways + upstreams), (self.fault_upstream, upstreams),
@@ -289,8 +314,19 @@
         for number in late:
             if sent.get(number, 0) > started:
                 self.fail(f"{number} reached {name} over {LEFT_AFTER} s after it was leaving")
+        self.site.starts[name] += 1
         self.site.list_upstream(name)
 
+    def shed(self):
+        """One upstream turns everything away and asks for rest while nothing else goes wrong."""
+        self.lift(everything=True)
+        self.wait_ready()
+        time.sleep(1.0)  # What faults had begun is over.
+        address = self.site.upstreams[self.random.choice(list(self.site.upstreams))]
+        control(address, {"full": True, "rest": str(REST)})
+        time.sleep(REST + 0.5)
+        control(address, HEALTHY)
+
     def stop_calmly(self):
         """A planned stop while nothing else goes wrong cuts off nothing that was passed on."""
         self.lift(everything=True)
@@ -342,6 +378,7 @@
             if time.monotonic() > leave_at:
                 leave_at = end
                 self.leave()
+                self.shed()
                 self.stop_calmly()
             time.sleep(self.random.uniform(0.05, 0.25))
         self.lift(everything=True)
@@ -365,11 +402,32 @@
                 self.fail(f"an upstream ran {number}, which nobody sent")
         for request in self.requests:
             self.check_request(request, runs.get(request.id, []))
+        for name in self.site.upstreams:
+            self.check_rests(name, known)
         served = sum(request.result == 200 for request in self.requests)
         if served < len(self.requests) / 10:
             self.fail(f"only {served} of {len(self.requests)} requests were served")
         self.served = served
 
+    def check_rests(self, name, known):
+        """What an upstream asked a gateway for, it got, unless something kept the gateway from it."""
+        state = control(self.site.upstreams[name], {})
+        offset = time.monotonic() - state["nowMs"] / 1000
+        by_life = {}
+        for arrival in state["arrivals"]:
+            request = known.get(arrival["id"])
+            if request is not None:
+                at = arrival["ms"] / 1000 + offset
+                by_life.setdefault((request.gateway, request.life), []).append((at, arrival["rest"]))
+        for (gateway, _), arrivals in by_life.items():
+            for asked, rest in arrivals:
+                until = asked + float(rest or 0)
+                late = [at for at, _ in arrivals if asked + UNDER_WAY < at < until]
+                excused = any(held in (name, gateway) and start < until and end > asked - 1
+                              for held, start, end in self.excuses)
+                if len(late) > STRAY and not excused:
+                    self.fail(f"{name} asked {gateway} for {rest} s of rest and got {len(late)} requests")
+
     def check_request(self, request, runs):
         about = f"{request.id} ({request.kind} at {request.gateway}, {request.result})"
         if request.kind == "letters" and len(runs) > 1:
@@ -437,6 +495,7 @@
     parser.add_argument("--seeds", help="FIRST-LAST")
     parser.add_argument("--regression", action="store_true")
     parser.add_argument("--planted", action="store_true")
+    parser.add_argument("--plant", default="", help="one planted fault, with --seed")
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--upstreams", type=int, default=5)
@@ -444,8 +503,7 @@
     parser.add_argument("--overlap", type=int, default=5, help="faults at one time")
     args = parser.parse_args()
     if args.planted:
-        missed = [plant for plant in ("lies", "twice", "skip")
-                  if run_seed(args, 1, 8, plant) == 0]
+        missed = [plant for plant, seed in PLANTED.items() if run_seed(args, seed, 8, plant) == 0]
         print(f"planted faults missed: {', '.join(missed) or 'none'}")
         sys.exit(1 if missed else 0)
     seeds = regression_seeds() if args.regression else []
@@ -454,7 +512,7 @@
         seeds += range(int(first), int(last) + 1)
     if args.seed is not None or not seeds:
         seeds.append(args.seed if args.seed is not None else int(time.time()))
-    broken = [seed for seed in seeds if run_seed(args, seed) > 0]
+    broken = [seed for seed in seeds if run_seed(args, seed, plant=args.plant) > 0]
     print(f"{len(seeds)} seeds, {len(broken)} with a promise broken {broken or ''}")
     sys.exit(1 if broken else 0)
 
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -18,7 +18,8 @@
 // event N + 1, {"foreignId": true} answers with another request's id, {"endsOn": TEXT} ends the
 // process in the middle of the answer to a request whose body has TEXT, {"rest": TEXT} asks for
 // that many seconds of rest when it refuses, {"leaving": true} says in all answers that it leaves.
-// Reports every arrival: {"id": ID, "ms": N, "refused": BOOL}, times by its own clock.
+// Reports every arrival: {"id": ID, "ms": N, "refused": BOOL, "rest": TEXT}, times by its own
+// clock.
 class Replica final : public StandIn
 {
 public:
@@ -43,7 +44,8 @@
         }
         arrivals_.push_back({{"id", requestId},
                              {"ms", toMillis(loop().now().time_since_epoch())},
-                             {"refused", full_}});
+                             {"refused", full_},
+                             {"rest", full_ ? rest_ : std::string()}});
         if (full_) {
             head.status = 503;
             head.headers.push_back({std::string(names::kNotRun), "1"});
