Gateways: one that knows nobody asks the first that it hears of at once

It counted its first look at an empty list as asked, so it asked the one that came to it up to 2 s later; with the 2 s for which the others pass over one that did not answer, it was sent a poison request later than 3 s after its start.

Change: the look counts only when there is somebody to ask.

--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -207,7 +207,9 @@
     const bool old = !knowledge_.confirmed() || knowledge_.age() > (own ? kOwnOld : times().old);
     if (!own) {
         askGateway(followed, kFollowWait);
-    } else if (now - listsAskedAt_ >= kListsGap) {
+    } else if (directory_.size() > 1 && now - listsAskedAt_ >= kListsGap) {
+        // One that knew nobody, as a seed that starts anew, asks the first that it hears of at
+        // once: what it has forgotten must be known within the time in which it counts as in touch.
         listsAskedAt_ = now;
         askGateway(directory_.farOne(now), Duration{});
         askGateway(directory_.another(settings_.instance, now), Duration{});
--- a/test/process/crashingrequest_test.py
+++ b/test/process/crashingrequest_test.py
@@ -141,6 +141,22 @@
             self.assertEqual(self.ask("/status/1", "poison", entry)[0], 503)
         self.assertEqual(len(self.keeper.ends), before)
 
+    def test_gateway_that_starts_anew_asks_the_first_that_it_hears_of_at_once(self):
+        """Seen beside load: a gateway that is itself the only seed knew nobody when it started anew, and
+        asked the one that then came to it up to two seconds later, by when it had been sent the request."""
+        self.repeat("/status/1", 2)
+        for late in (0.0, 0.5, 1.0, 1.5):
+            self.site.gateway.end()
+            time.sleep(late)  # The others look again two seconds after they have missed it.
+            self.site.gateway = self.site.start("seamarchd", "gateway", "--config", self.site.settings.name)
+            self.site.wait_until("it is up", lambda: call(self.site.operators, "/status", timeout=2)[0] == 200)
+            self.site.wait_until("it hears of another", lambda: self.site.status()["gateways"] > 1)
+            heard = time.monotonic()
+            self.site.wait_until("it knows of the request", lambda: self.site.status()["requestsThatEndUpstreams"])
+            took = time.monotonic() - heard
+            self.assertLess(took, 0.8, f"started {late} s after its end it heard of another gateway and took "
+                            f"{took:.1f} s more to hear what that one knows")
+
     def test_gateway_that_stood_still_hears_of_it_when_it_goes_on(self):
         frozen = self.others[2].process
         frozen.send(signal.SIGSTOP)
