Gateways: the one of a hall that follows the store asks a seed in its rounds

A seed that starts anew while no other seed lives knows nobody, and is known again when others come to it: those ask one of all gateways in turn every 2 s, so with four gateways it took up to 4 s, and a poison request reached an upstream later than 3 s after the start.

Change: the first of a hall asks one seed in turn with its other questions, every 2 s, so a lone seed is heard of within 2 s and asks back at once. Ruled out: all seeds in each round (at the size of hundreds each answer may carry the whole list).

--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -213,6 +213,7 @@
         listsAskedAt_ = now;
         askGateway(directory_.farOne(now), Duration{});
         askGateway(directory_.another(settings_.instance, now), Duration{});
+        askSeedInTurn();
     }
     if (old && now - anyAskedAt_ >= kAnyGap) {
         anyAskedAt_ = now;
@@ -242,6 +243,19 @@
     }
 }
 
+// A seed that starts anew while no other one lives is told of nobody; who asks it is whom it hears
+// of.
+void KnowledgeSources::askSeedInTurn()
+{
+    if (settings_.seeds.empty()) {
+        return;
+    }
+    const SocketAddress &seed = settings_.seeds[seedTurn_++ % settings_.seeds.size()];
+    if (seed != settings_.peerListen) {
+        peers_->ask(seed, Duration{});
+    }
+}
+
 void KnowledgeSources::askGateway(const std::optional<InstanceId> &id, Duration longest)
 {
     const GatewayRecord *record = id ? directory_.find(*id) : nullptr;
--- a/src/gateway/knowledgesources.h
+++ b/src/gateway/knowledgesources.h
@@ -69,6 +69,7 @@
     void watchGroups(bool watches, TimePoint now);
     void askPeers(const InstanceId &followed, TimePoint now);
     void askSeeds(bool follows, TimePoint now);
+    void askSeedInTurn();
     void askGateway(const std::optional<InstanceId> &id, Duration longest);
     void followStore(bool wanted, std::string_view reason);
 
--- a/test/process/crashingrequest_test.py
+++ b/test/process/crashingrequest_test.py
@@ -150,12 +150,15 @@
             time.sleep(late)  # The others look again two seconds after they have missed it.
             self.site.gateway = self.site.start("seamarchd", "gateway", "--config", self.site.settings.name)
             self.site.wait_until("it is up", lambda: call(self.site.operators, "/status", timeout=2)[0] == 200)
+            up = time.monotonic()
             self.site.wait_until("it hears of another", lambda: self.site.status()["gateways"] > 1)
             heard = time.monotonic()
             self.site.wait_until("it knows of the request", lambda: self.site.status()["requestsThatEndUpstreams"])
             took = time.monotonic() - heard
             self.assertLess(took, 0.8, f"started {late} s after its end it heard of another gateway and took "
                             f"{took:.1f} s more to hear what that one knows")
+            self.assertLess(heard + took - up, SPREAD, f"started {late} s after its end it knew of the request "
+                            f"{heard + took - up:.1f} s after it was up")
 
     def test_gateway_that_stood_still_hears_of_it_when_it_goes_on(self):
         frozen = self.others[2].process
