Sight: the limit that an upstream names in its answers is read, logged and counted

Nothing in the product looked at it, so logs could not tell whether it was not read, kept by each gateway alone, or gone round. Decimal numbers of requests a second; the lowest of several; what is no such number is logged as unreadable.

--- a/src/decision/gateway/upstreamnotice.h
+++ b/src/decision/gateway/upstreamnotice.h
@@ -1,6 +1,7 @@
 // What an upstream says about itself in the head of an answer, whatever it says of the request.
 #pragma once
 
+#include "decision/gateway/requestrate.h"
 #include "seamarch/units.h"
 
 #include <optional>
@@ -14,8 +15,14 @@
     std::optional<Duration> rest;
     bool restUnreadable = false; // It asks for rest, and for how long makes no sense.
     bool leaving = false;        // It will end, and wants nothing new from anybody.
+    // What it takes from all gateways together, for as long as its answers say so.
+    std::optional<RequestRate> limit = std::nullopt;
+    bool limitUnreadable = false; // It names a limit, and how much makes no sense.
 
-    bool empty() const { return !rest && !restUnreadable && !leaving; }
+    bool empty() const
+    {
+        return !rest && !restUnreadable && !leaving && !limit && !limitUnreadable;
+    }
 };
 
 } // namespace seamarch
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -224,13 +224,20 @@
              {"status", flight.head.status},
              {"restMs", notice.rest ? nlohmann::json(toMillis(*notice.rest)) : nlohmann::json()},
              {"restUnreadable", notice.restUnreadable},
-             {"leaving", notice.leaving}});
+             {"leaving", notice.leaving},
+             {"limitPerSecond",
+              notice.limit ? nlohmann::json(notice.limit->perSecond()) : nlohmann::json()},
+             {"limitUnreadable", notice.limitUnreadable}});
     if (notice.rest || notice.restUnreadable) {
         metrics_.count("seamarch_upstream_notices_total", notice.rest ? "rest" : "unreadable");
     }
     if (notice.leaving) {
         metrics_.count("seamarch_upstream_notices_total", "leaving");
     }
+    if (notice.limit || notice.limitUnreadable) {
+        metrics_.count("seamarch_upstream_notices_total",
+                       notice.limit ? "limit" : "limit unreadable");
+    }
     core_.onNotice(number, notice, loop_.now());
 }
 
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -17,7 +17,8 @@
 // {"dropAnswers": true} runs and breaks the connection, {"breakAfter": N} breaks a stream inside
 // event N + 1, {"foreignId": true} answers with another request's id, {"endsOn": TEXT} ends the
 // process in the middle of the answer to a request whose body has TEXT, {"rest": TEXT} asks for
-// that many seconds of rest when it refuses, {"leaving": true} says in all answers that it leaves.
+// that many seconds of rest when it refuses, {"leaving": true} says in all answers that it leaves,
+// {"limit": TEXT} names that limit in all answers, {"limit": ""} names none any more.
 // Reports every arrival: {"id": ID, "ms": N, "refused": BOOL, "rest": TEXT}, times by its own
 // clock.
 class Replica final : public StandIn
@@ -37,6 +38,9 @@
         if (leaving_) {
             head.headers.push_back({std::string(names::kLeaving), "1"});
         }
+        if (!limit_.empty()) {
+            head.headers.push_back({std::string(names::kRateLimit), limit_});
+        }
         if (request.header(names::kExpectedInstance) != id_) {
             head.status = 421;
             server().respond(exchange, head, "{}");
@@ -142,6 +146,7 @@
         endsOn_ = change.value("endsOn", endsOn_);
         rest_ = change.value("rest", rest_);
         leaving_ = change.value("leaving", leaving_);
+        limit_ = change.value("limit", limit_);
         return {{"runs", runs_},
                 {"left", left_},
                 {"open", open_.size()},
@@ -164,6 +169,7 @@
     bool leaving_ = false;
     std::string endsOn_;
     std::string rest_;
+    std::string limit_;
 };
 
 } // namespace
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -113,10 +113,34 @@
     CHECK_TRUE(protocol.readNotice(head(503, {{"Retry-After", "soon"}})).restUnreadable);
 }
 
+TEST(CallerHeadersTest, AnswersOfEveryKindTellHowMuchTheUpstreamTakes)
+{
+    for (const int status : {200, 404, 429, 500, 503}) {
+        const UpstreamNotice notice = protocol.readNotice(head(status, {{"Server-Limit", "1.3"}}));
+        CHECK_TRUE(notice.limit == RequestRate(1.3));
+    }
+    CHECK_TRUE(protocol.readNotice(head(200, {{"server-limit", "0"}})).limit == RequestRate(0.0));
+}
+
+TEST(CallerHeadersTest, LimitThatIsNoRateIsUnreadable)
+{
+    for (const char *text : {"", "-1", "soon", "1 a second", "nan", "inf", "1e3", "0x10"}) {
+        const UpstreamNotice notice = protocol.readNotice(head(200, {{"Server-Limit", text}}));
+        CHECK_FALSE(notice.limit.has_value());
+        CHECK_TRUE(notice.limitUnreadable);
+    }
+}
+
+TEST(CallerHeadersTest, LowestOfSeveralLimitsBinds)
+{
+    const HttpHeaders several{{"Server-Limit", "3"}, {"Server-Limit", "1.5"}};
+    CHECK_TRUE(protocol.readNotice(head(200, several)).limit == RequestRate(1.5));
+}
+
 // Whoever has the address by now speaks for itself.
 TEST(CallerHeadersTest, AnotherInstanceAtTheAddressSaysNothingOfTheOneThatWasMeant)
 {
-    const HttpHeaders all{{"Retry-After", "3"}, {"Server-Leaving", "1"}};
+    const HttpHeaders all{{"Retry-After", "3"}, {"Server-Leaving", "1"}, {"Server-Limit", "1"}};
     CHECK_TRUE(protocol.readNotice(head(421, all)).empty());
 }
 
