--- /dev/null
+++ b/test/process/limitedupstream_test.py
@@ -0,0 +1,150 @@
+"""An upstream that names a limit gets no more than that from all gateways together.
+
+Seen: engines said in their answers that they take one request a second from all gateways together, and got
+13 to 16 in 4 s from gateways that had passed on such an answer. All of these requests were served.
+
+How it came about: an engine in need names its limit. Three gateways of its hall, and now and then one of
+another, went on to send to it at the pace of before: none of them alone more than 1.7 a second, all together
+three times what the engine had named.
+
+Cause: being looked for. The gateways' logs show the word in the answers (`upstream.notice`) and the next requests
+to the same upstream as soon after it as before.
+"""
+
+import os
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from gateway_test import GatewaySite  # noqa: E402
+from gatewaysharing_test import OtherGateway  # noqa: E402
+from localsite import control, free_address  # noqa: E402
+from restingupstream_test import Callers  # noqa: E402
+
+SPAN = 4.0       # Seconds over which an upstream counts.
+SETTLED = 3.0    # Seconds after its first word from which on its limit binds all.
+SLACK = 5        # Requests that may arrive in a span besides one and a half times the limit.
+
+
+def most_in_a_span(arrivals, since):
+    """Returns the most requests that came within a span that ends `SETTLED` after `since` or later."""
+    times = [arrival["ms"] / 1000 for arrival in arrivals]
+    return max([sum(1 for each in times if end - SPAN < each <= end and each > since + 0.5)
+                for end in times if end >= since + SETTLED], default=0)
+
+
+def allowed(limit):
+    return 1.5 * limit * SPAN + SLACK
+
+
+class LimitedUpstreamTest(unittest.TestCase):
+    def setUp(self):
+        seed = free_address()
+        self.site = GatewaySite(upstreams=4, **{"peer-listen": seed, "seeds": seed})
+        self.addCleanup(self.site.__exit__)
+        self.gateways = [OtherGateway(self.site, f"gateway-{number}", self.site.store, seed,
+                                      "north" if number % 2 else "south") for number in (2, 3, 4)]
+        for gateway in self.gateways:
+            self.site.wait_until("the other is ready", gateway.ready)
+        self.callers = None
+        self.addCleanup(lambda: self.callers and self.callers.stop())
+
+    def begin(self):
+        self.callers = Callers([self.site.entry] + [gateway.entry for gateway in self.gateways], count=8)
+        time.sleep(1)
+
+    def limit(self, names, limit):
+        """Has upstreams name `limit` from now on; returns when, by their clock."""
+        for name in names:
+            control(self.site.upstreams[name], {"limit": str(limit)})
+        return control(self.site.upstreams[names[0]], {})["nowMs"] / 1000
+
+    def arrivals(self, name):
+        return control(self.site.upstreams[name], {})["arrivals"]
+
+    def check_kept(self, name, limit, since):
+        found = most_in_a_span(self.arrivals(name), since)
+        self.assertLessEqual(found, allowed(limit), f"{name} named a limit of {limit} a second and got {found} "
+                             f"requests in {SPAN:.0f} s; see `upstream.notice` in the gateways' logs")
+
+    def check_served(self, since, part=0.95):
+        answers = [answer for answer in self.callers.answers if answer[0] > since]
+        served = sum(1 for answer in answers if answer[1] == 200)
+        self.assertGreaterEqual(served, part * len(answers), f"expected the other upstreams to serve nearly all, "
+                                f"found {served} of {len(answers)} served")
+
+    def test_limit_holds_for_all_gateways_together_and_others_serve(self):
+        self.begin()
+        since = self.limit(["i-1"], 1)
+        begun = time.monotonic()
+        time.sleep(10)
+        self.callers.stop()
+        self.check_kept("i-1", 1, since)
+        self.check_served(begun)
+
+    def test_limited_upstream_is_not_given_up(self):
+        """What it still takes is worth having: at least half of it is used."""
+        self.begin()
+        since = self.limit(["i-1", "i-2"], 3)
+        time.sleep(10)
+        self.callers.stop()
+        for name in ("i-1", "i-2"):
+            self.check_kept(name, 3, since)
+            used = [each for each in self.arrivals(name) if each["ms"] / 1000 > since + 2]
+            self.assertGreaterEqual(len(used), 0.5 * 3 * 8, f"expected {name} to get at least half of what it takes "
+                                    f"in 8 s, found {len(used)} requests")
+
+    def test_limit_that_falls_binds_as_the_lower_one(self):
+        self.begin()
+        self.limit(["i-1"], 6)
+        time.sleep(4)
+        since = self.limit(["i-1"], 0.5)
+        time.sleep(8)
+        self.callers.stop()
+        self.check_kept("i-1", 0.5, since + 1)
+
+    def test_upstream_that_names_no_limit_any_more_gets_its_part_again(self):
+        self.begin()
+        self.limit(["i-1"], 2)
+        time.sleep(4)
+        since = self.limit(["i-1"], "")
+        time.sleep(4)
+        self.callers.stop()
+        late = [each for each in self.arrivals("i-1") if each["ms"] / 1000 > since + 2]
+        self.assertGreater(len(late), 20, f"expected its part of some 100 requests a second, found {len(late)} in 2 s")
+
+    def test_callers_are_served_up_to_the_limits_when_all_upstreams_name_one(self):
+        self.begin()
+        names = list(self.site.upstreams)
+        since = self.limit(names, 3)
+        time.sleep(2)
+        begun = time.monotonic()
+        time.sleep(8)
+        self.callers.stop()
+        for name in names:
+            self.check_kept(name, 3, since)
+        refused = [answer for answer in self.callers.answers if answer[0] > begun and answer[1] == 503]
+        served = [answer for answer in self.callers.answers if answer[0] > begun and answer[1] == 200]
+        self.assertGreaterEqual(len(served), 0.5 * 3 * len(names) * 8)
+        self.assertTrue(refused, "nobody was refused; the test shows nothing")
+        self.assertTrue(all(answer[2].get("Seamarch-Outcome") == "not-run" and "Retry-After" in answer[2]
+                            for answer in refused), "expected each refusal to say not-run and when to come back")
+
+    def test_limit_holds_when_a_gateway_starts_anew(self):
+        self.begin()
+        since = self.limit(["i-1"], 1)
+        time.sleep(4)
+        again = OtherGateway(self.site, "gateway-5", self.site.store, self.gateways[0].peers)
+        self.site.wait_until("the new one is ready", again.ready)
+        self.callers.entries[:] = [again.entry if entry == self.gateways[1].entry else entry
+                                   for entry in self.callers.entries]
+        time.sleep(0.5)
+        self.gateways[1].process.end()
+        time.sleep(7)
+        self.callers.stop()
+        self.check_kept("i-1", 1, since)
+
+
+if __name__ == "__main__":
+    unittest.main()
