A limit that an upstream names for all gateways together is kept

Callers saw nothing of it; an upstream in need got three times what it had said it takes, since no gateway read the word. Two that hand out at once, as while a hall is cut off, stay within what the upstream bears. A request that has nothing else to go to waits up to 200 ms for a permit; if none can come it is rejected at once.

--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -17,6 +17,9 @@
 // A request under which upstreams have ended, one after the other, is not sent any more, wherever
 // it is: new, waiting for a place, or about to go to another upstream (CrashRecord).
 //
+// Upstreams may name a limit for all gateways together (UpstreamLimits). A request goes there only
+// for a permit; where there is nothing else to send it to, it waits a moment for one.
+//
 // Streams are admitted by group, because the ranks of a group make every pass together and slow
 // down, stand still and break together: each group has a lane with a bound of its own (StreamLane).
 // A stream goes to a group of the own hall while that admits it, else to another group, and waits
@@ -28,11 +31,14 @@
 #pragma once
 
 #include "decision/gateway/grouptable.h"
+#include "decision/gateway/permitdesk.h"
 #include "decision/gateway/routetable.h"
+#include "decision/gateway/sendpermits.h"
 #include "decision/gateway/servicelanes.h"
 #include "decision/gateway/statedwaits.h"
 #include "decision/gateway/streamqueue.h"
 #include "decision/gateway/upstreamchooser.h"
+#include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamnotice.h"
 #include "decision/gateway/upstreamtable.h"
 #include "decision/retry/crashrecord.h"
@@ -143,6 +149,10 @@
         UpstreamChooser::Settings choice; // Its hall is set from `hall`.
         ServiceLanes::Settings lanes;
         CrashRecord::Settings crashes;
+        UpstreamLimits::Settings limits;
+        // How long a request waits for a permit, when all that it could be sent to name limits:
+        // about the time in which another gateway answers, sooner than a caller comes back.
+        Duration permitWait = std::chrono::milliseconds(200);
         // A stream that waits for a place is refused so long before its caller leaves: its first
         // event would come too late.
         Duration waitMargin = std::chrono::milliseconds(300);
@@ -172,6 +182,9 @@
     const GroupTable &groups() const { return groups_; }
     CrashRecord &crashes() { return crashes_; }
     const CrashRecord &crashes() const { return crashes_; }
+    UpstreamLimits &limits() { return limits_; }
+    const UpstreamLimits &limits() const { return limits_; }
+    PermitDesk &permitDesk() { return permitDesk_; }
 
     // Admits a request and sends it, has it wait, or rejects it.
     RequestNumber begin(GatewayRequest request, TimePoint now, GatewayActions &actions);
@@ -181,6 +194,14 @@
     // The upstream of the attempt under way says something about itself. Comes before `onHead`, so
     // that what that sends on does not go there.
     void onNotice(RequestNumber request, const UpstreamNotice &notice, TimePoint now);
+    // An answer to the attempt under way names this limit for all gateways together, or none.
+    UpstreamLimits::Change onLimit(RequestNumber request, std::optional<RequestRate> limit,
+                                   TimePoint now);
+    // Returns the questions for permits that are due; they are under way from now on.
+    std::vector<SendPermits::Ask> takePermitAsks(TimePoint now) { return permits_.takeAsks(now); }
+    // The question about `upstream` that was asked at `askedAt` is answered.
+    void onPermits(const InstanceId &upstream, const PermitAnswer &answer, TimePoint askedAt,
+                   TimePoint now, GatewayActions &actions);
     void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
     // An upstream has ended while it had a request, at `at`; the request may be over by now.
     void onUpstreamEnded(const RequestDigest &digest, const AccountId &account,
@@ -223,6 +244,7 @@
         TimePoint heardAt{};      // Its last word; when it was sent, before the first.
         Duration comeBack{};      // When a refused caller may come back; zero: the usual pause.
         bool waits = false;       // For the bound on streams; nothing was sent yet.
+        TimePoint permitUntil{};  // It waits so long for a permit; zero: it does not.
         InstanceId upstream;      // Of the attempt under way; empty: none.
         UpstreamRecord sentTo;    // That upstream, as it was listed when the attempt began.
         GroupId group;            // Of that upstream, when the attempt began.
@@ -256,6 +278,9 @@
     StreamLane &laneOf(const Request &request);
     bool startAttempt(RequestNumber number, Request &request, const std::optional<GroupId> &group,
                       TimePoint now, GatewayActions &actions);
+    void startOrWait(RequestNumber number, Request &request, const std::optional<GroupId> &group,
+                     TimePoint now, GatewayActions &actions);
+    void startWaitingForPermits(TimePoint now, GatewayActions &actions);
     bool startAgain(RequestNumber number, Request &request, TimePoint now, GatewayActions &actions);
     void retryOrGiveUp(RequestNumber number, FailureCode failure, TimePoint now,
                        GatewayActions &actions);
@@ -286,7 +311,11 @@
     std::mt19937_64 random_;
     UpstreamTable upstreams_;
     GroupTable groups_;
-    UpstreamChooser chooser_; // Refers to both tables.
+    UpstreamLimits limits_;
+    SendPermits permits_;
+    PermitDesk permitDesk_;
+    UpstreamChooser chooser_; // Refers to the tables and permits.
+    std::set<RequestNumber> waitForPermits_;
     CrashRecord crashes_;
     std::uint64_t crashesSeen_ = 0; // The state of the record that requests were held against.
     std::unordered_map<TargetName, RetryBudget> budgets_;
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -130,7 +130,9 @@
         request.waits = false;
         service.started.push_back(now);
         const bool allowed = !request.sentBefore || budgets_.at(request.service).take();
-        if (!allowed || !startAttempt(number, request, group, now, actions)) {
+        if (allowed) {
+            startOrWait(number, request, group, now, actions);
+        } else {
             giveUp(number, FailureCode::NoUpstream, now, actions);
         }
     }
--- /dev/null
+++ b/src/decision/gateway/permitdesk.h
@@ -0,0 +1,76 @@
+// Hands out the permits to send requests to upstreams that name a limit for all gateways together.
+//
+// Each such upstream has one gateway that all ask (GatewayDirectory::keeperOf). Weighed: an equal
+// part for each gateway leaves nearly all of a small limit unused where one of them has the
+// callers, and lets as many requests go at once as there are gateways. Nothing is agreed on and
+// nothing is stored: where gateways differ for a while on whom to ask, two hand out at once, so
+// each hands out three quarters of the limit. An upstream bears one and a half times what it names
+// for a while.
+//
+// A desk begins with no permits: what was handed out before it took over is not known here.
+// Permits of the past are not saved up, so that a pause is not followed by a heap of requests.
+//
+// Pure and single-threaded.
+#pragma once
+
+#include "decision/admission/tokenbucket.h"
+#include "decision/gateway/requestrate.h"
+#include "seamarch/ids.h"
+#include "seamarch/units.h"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace seamarch {
+
+struct PermitAnswer
+{
+    std::uint32_t granted = 0;
+    Duration askAgain{}; // In vain sooner, where not all that was wanted is granted.
+};
+
+class PermitDesk
+{
+public:
+    struct Settings
+    {
+        double part = 0.65; // Of the limit that is handed out.
+        // Requests a second by which an upstream that takes nothing is asked whether that holds.
+        RequestRate least{0.1};
+        // How much of a second's permits may lie ready.
+        double savedSeconds = 0.1;
+        // The time that each gateway which asked within the last second keeps from the next
+        // question of one that got nothing; it bounds the questions that a desk gets.
+        Duration pausePerAsker = std::chrono::milliseconds(5);
+        // A desk for an upstream that nobody has asked about for so long is closed.
+        Duration life = std::chrono::minutes(1);
+    };
+
+    PermitDesk()
+        : PermitDesk(Settings())
+    {}
+    explicit PermitDesk(const Settings &settings)
+        : settings_(settings)
+    {}
+
+    // Hands `asker` up to `wanted` permits to send to `upstream`, which names `limit`.
+    PermitAnswer take(const InstanceId &upstream, RequestRate limit, const InstanceId &asker,
+                      std::uint32_t wanted, TimePoint now);
+    // Closes what is not used any more. Call it now and then.
+    void expire(TimePoint now);
+
+private:
+    struct Book
+    {
+        TokenBucket bucket;
+        std::unordered_map<InstanceId, TimePoint> askers; // When each asked last.
+        TimePoint usedAt{};
+    };
+
+    Book &bookOf(const InstanceId &upstream, RequestRate limit, TimePoint now);
+
+    Settings settings_;
+    std::unordered_map<InstanceId, Book> books_;
+};
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/gateway/sendpermits.cpp
@@ -0,0 +1,80 @@
+#include "decision/gateway/sendpermits.h"
+
+#include <algorithm>
+
+namespace seamarch {
+
+bool SendPermits::has(const InstanceId &upstream, TimePoint now) const
+{
+    const auto found = states_.find(upstream);
+    return found != states_.end() && found->second.held > 0 && found->second.heldUntil > now;
+}
+
+void SendPermits::use(const InstanceId &upstream, TimePoint now)
+{
+    const auto found = states_.find(upstream);
+    if (found != states_.end() && has(upstream, now)) {
+        --found->second.held;
+    }
+}
+
+void SendPermits::want(const InstanceId &upstream)
+{
+    State &state = states_[upstream];
+    state.wanted = std::min(state.wanted + 1, settings_.mostWanted);
+}
+
+bool SendPermits::waitsForAnswer(const State &state, TimePoint now) const
+{
+    return state.askedAt != TimePoint{} && now - state.askedAt < settings_.patience;
+}
+
+bool SendPermits::mayComeUntil(const InstanceId &upstream, TimePoint end, TimePoint now) const
+{
+    const auto found = states_.find(upstream);
+    return found == states_.end() || waitsForAnswer(found->second, now)
+           || found->second.notBefore < end;
+}
+
+std::vector<SendPermits::Ask> SendPermits::takeAsks(TimePoint now)
+{
+    std::vector<Ask> asks;
+    for (auto &[upstream, state] : states_) {
+        if (state.wanted == 0 || waitsForAnswer(state, now) || state.notBefore > now) {
+            continue;
+        }
+        asks.push_back({upstream, state.wanted});
+        state.wanted = 0;
+        state.askedAt = now;
+    }
+    return asks;
+}
+
+void SendPermits::onAnswer(const InstanceId &upstream, const PermitAnswer &answer,
+                           TimePoint askedAt, TimePoint now)
+{
+    const auto found = states_.find(upstream);
+    if (found == states_.end() || found->second.askedAt != askedAt) {
+        return; // Given up; what it grants is as good as used.
+    }
+    State &state = found->second;
+    state.askedAt = {};
+    state.notBefore = now + answer.askAgain;
+    const TimePoint until = askedAt + settings_.life;
+    if (answer.granted == 0 || until <= now) {
+        return;
+    }
+    state.held = (has(upstream, now) ? state.held : 0) + answer.granted;
+    state.heldUntil = until;
+}
+
+void SendPermits::expire(TimePoint now)
+{
+    std::erase_if(states_, [&](const auto &entry) {
+        const State &state = entry.second;
+        const bool holds = state.held > 0 && state.heldUntil > now;
+        return !holds && state.wanted == 0 && !waitsForAnswer(state, now) && state.notBefore <= now;
+    });
+}
+
+} // namespace seamarch
--- a/src/decision/gateway/upstreamchooser.cpp
+++ b/src/decision/gateway/upstreamchooser.cpp
@@ -1,14 +1,18 @@
 #include "decision/gateway/upstreamchooser.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace seamarch {
 
 UpstreamChooser::UpstreamChooser(const Settings &settings, const UpstreamTable &upstreams,
-                                 const GroupTable &groups)
+                                 const GroupTable &groups, const UpstreamLimits &limits,
+                                 SendPermits &permits)
     : settings_(settings)
     , upstreams_(upstreams)
     , groups_(groups)
+    , limits_(limits)
+    , permits_(permits)
     , outliers_(settings.outliers)
 {}
 
@@ -73,6 +77,11 @@
            && std::max(state->second.fullUntil, state->second.restUntil) > now;
 }
 
+bool UpstreamChooser::lacksPermit(const UpstreamRecord &upstream, TimePoint now) const
+{
+    return limits_.limitOf(upstream) && !permits_.has(upstream.id, now);
+}
+
 std::optional<InstanceId> UpstreamChooser::choose(const TargetName &service,
                                                   const std::optional<GroupId> &group,
                                                   const std::set<InstanceId> &tried, TimePoint now)
@@ -100,21 +109,46 @@
                || std::find(trusted.begin(), trusted.end(), record->id) == trusted.end();
     };
     std::optional<InstanceId> best;
-    double bestScore = 0.0;
-    bool bestDoubtful = true;
+    std::pair<bool, double> bestRank;
+    std::vector<std::pair<std::pair<bool, double>, InstanceId>> withoutPermit;
     for (const UpstreamRecord *record : candidates) {
-        const bool doubtful = isDoubtful(record);
-        const double value = score(*record, turns.at(record->id));
-        if (!best || (bestDoubtful && !doubtful)
-            || (bestDoubtful == doubtful && value < bestScore)) {
+        const std::pair rank(isDoubtful(record), score(*record, turns.at(record->id)));
+        if (lacksPermit(*record, now)) {
+            withoutPermit.emplace_back(rank, record->id);
+        } else if (!best || rank < bestRank) {
             best = record->id;
-            bestScore = value;
-            bestDoubtful = doubtful;
+            bestRank = rank;
+        }
+    }
+    for (const auto &[rank, upstream] : withoutPermit) {
+        if (!best || rank < bestRank) {
+            permits_.want(upstream);
         }
     }
     return best;
 }
 
+void UpstreamChooser::onSent(const UpstreamRecord &upstream, TimePoint now)
+{
+    ++states_[upstream.id].inFlight;
+    if (limits_.limitOf(upstream)) {
+        permits_.use(upstream.id, now);
+    }
+}
+
+bool UpstreamChooser::awaitsPermit(const TargetName &service, TimePoint end, TimePoint now)
+{
+    for (const auto &[id, group] : groupsOf(service)) {
+        for (const UpstreamRecord *record : group.upstreams) {
+            if (!takesNothing(record->id, now) && lacksPermit(*record, now)
+                && permits_.mayComeUntil(record->id, end, now)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void UpstreamChooser::onLeft(const InstanceId &upstream)
 {
     const auto found = states_.find(upstream);
--- a/src/decision/gateway/upstreamchooser.h
+++ b/src/decision/gateway/upstreamchooser.h
@@ -13,10 +13,17 @@
 // comes to be sent: no list, no answer of another kind and no lack of others cuts it short. It
 // knows why it asks; what it gets all the same is turned away and costs its callers a try.
 //
+// An upstream that names a limit for all gateways together gets a request only for a permit that
+// this gateway holds, by whatever way the request comes to be sent. With a permit it is chosen as
+// any other is: what it still takes is worth having, and only an answer shows that it names no
+// limit any more.
+//
 // Pure and single-threaded. The tables outlive the object.
 #pragma once
 
 #include "decision/gateway/grouptable.h"
+#include "decision/gateway/sendpermits.h"
+#include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamtable.h"
 #include "decision/gateway/upstreamturn.h"
 #include "decision/retry/outlierdetector.h"
@@ -66,7 +73,7 @@
     using Groups = std::map<GroupId, Group>;
 
     UpstreamChooser(const Settings &settings, const UpstreamTable &upstreams,
-                    const GroupTable &groups);
+                    const GroupTable &groups, const UpstreamLimits &limits, SendPermits &permits);
 
     // Takes where this gateway stands among those of its hall.
     void setPlace(const HallPlace &place) { place_ = place; }
@@ -74,12 +81,13 @@
     // Returns the groups of `service` that have upstreams. Valid until a table changes.
     const Groups &groupsOf(const TargetName &service);
 
-    // Returns the best upstream that is not in `tried`; of `group`, where one is named.
+    // Returns the best upstream that is not in `tried`; of `group`, where one is named. Wants
+    // permits for those that would be better.
     std::optional<InstanceId> choose(const TargetName &service, const std::optional<GroupId> &group,
                                      const std::set<InstanceId> &tried, TimePoint now);
 
     // A request goes to `upstream`; it is there no more.
-    void onSent(const InstanceId &upstream) { ++states_[upstream].inFlight; }
+    void onSent(const UpstreamRecord &upstream, TimePoint now);
     void onLeft(const InstanceId &upstream);
     void onFull(const InstanceId &upstream, TimePoint now);
     // `upstream` wants nothing before `until`.
@@ -98,6 +106,8 @@
     // Returns when the first upstream of `service` takes requests again; nothing when there is none
     // or some do not rest.
     std::optional<TimePoint> restsUntil(const TargetName &service, TimePoint now);
+    // Tells whether a permit for an upstream of `service` may come until `end`.
+    bool awaitsPermit(const TargetName &service, TimePoint end, TimePoint now);
     // Returns the upstreams that rest, and until when, in the order of their ids.
     std::map<InstanceId, TimePoint> resting(TimePoint now) const;
 
@@ -125,12 +135,15 @@
 
     Groups collect(const TargetName &service) const;
     bool takesNothing(const InstanceId &upstream, TimePoint now) const;
+    bool lacksPermit(const UpstreamRecord &upstream, TimePoint now) const;
     Turns turnsOf(const std::vector<const UpstreamRecord *> &upstreams) const;
     double score(const UpstreamRecord &record, double turn) const;
 
     Settings settings_;
     const UpstreamTable &upstreams_;
     const GroupTable &groups_;
+    const UpstreamLimits &limits_;
+    SendPermits &permits_;
     OutlierDetector outliers_;
     HallPlace place_;
     std::unordered_map<InstanceId, State> states_;
--- /dev/null
+++ b/src/decision/gateway/upstreamlimits.cpp
@@ -0,0 +1,129 @@
+#include "decision/gateway/upstreamlimits.h"
+
+#include "decision/gateway/upstreamtable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// Tells whether a word of the start `said` may be one of the upstream that is listed as `listed`.
+// Where one of them is not told, an id stands for one start.
+bool mayBeOf(UpstreamStart said, UpstreamStart listed)
+{
+    return said == listed || said == UpstreamStart() || listed == UpstreamStart();
+}
+
+} // namespace
+
+void UpstreamLimits::put(const LimitWord &word, TimePoint now)
+{
+    words_[word.upstream] = {word, now};
+    ++mark_;
+    if (words_.size() <= kMost) {
+        return;
+    }
+    const auto oldest =
+        std::min_element(words_.begin(), words_.end(), [](const auto &left, const auto &right) {
+            return left.second.word.saidAt < right.second.word.saidAt;
+        });
+    words_.erase(oldest);
+}
+
+UpstreamLimits::Change UpstreamLimits::onAnswer(const UpstreamRecord &upstream,
+                                                std::optional<RequestRate> rate, TimePoint sentAt,
+                                                TimePoint now)
+{
+    const auto found = words_.find(upstream.id);
+    const bool known = found != words_.end() && mayBeOf(found->second.word.start, upstream.start);
+    const auto before = known ? found->second.word.rate : std::nullopt;
+    if (before == rate) {
+        if (rate) {
+            found->second.word.saidAt = std::max(found->second.word.saidAt, now);
+            if (now - found->second.toldAt >= settings_.renewal) {
+                put(found->second.word, now);
+            }
+        }
+        return Change::None;
+    }
+    if (!rate && sentAt <= found->second.word.saidAt) {
+        return Change::None; // It may be the earlier word of the two.
+    }
+    put({upstream.id, upstream.start, rate, now}, now);
+    ++ownChanges_;
+    if (!rate) {
+        return Change::Ended;
+    }
+    return before ? Change::Changed : Change::Begun;
+}
+
+bool UpstreamLimits::isLater(const LimitWord &word, const LimitWord &known) const
+{
+    const bool doubtful = word.saidAt > known.saidAt - settings_.doubt
+                          && word.saidAt < known.saidAt + settings_.doubt;
+    if (doubtful && word.rate.has_value() != known.rate.has_value()) {
+        return word.rate.has_value();
+    }
+    if (doubtful && word.rate && known.rate) {
+        return *word.rate < *known.rate;
+    }
+    return word.saidAt > known.saidAt;
+}
+
+bool UpstreamLimits::learn(const LimitWord &word, TimePoint now)
+{
+    if (now - word.saidAt > settings_.life) {
+        return false;
+    }
+    const auto found = words_.find(word.upstream);
+    if (found == words_.end()) {
+        if (!word.rate) {
+            return false;
+        }
+        put(word, now);
+        return true;
+    }
+    LimitWord &known = found->second.word;
+    if (!isLater(word, known)) {
+        return false;
+    }
+    if (known.rate == word.rate && known.start == word.start) {
+        known.saidAt = word.saidAt;
+        return false;
+    }
+    put(word, now);
+    return true;
+}
+
+const LimitWord *UpstreamLimits::find(const UpstreamRecord &upstream) const
+{
+    const auto found = words_.find(upstream.id);
+    const bool known = found != words_.end() && mayBeOf(found->second.word.start, upstream.start);
+    return known ? &found->second.word : nullptr;
+}
+
+std::optional<RequestRate> UpstreamLimits::limitOf(const UpstreamRecord &upstream) const
+{
+    const LimitWord *word = find(upstream);
+    return word == nullptr ? std::nullopt : word->rate;
+}
+
+void UpstreamLimits::expire(TimePoint now)
+{
+    const std::size_t forgotten = std::erase_if(
+        words_, [&](const auto &entry) { return now - entry.second.word.saidAt > settings_.life; });
+    mark_ += forgotten;
+}
+
+std::vector<LimitWord> UpstreamLimits::all() const
+{
+    std::vector<LimitWord> words;
+    words.reserve(words_.size());
+    for (const auto &[upstream, entry] : words_) {
+        words.push_back(entry.word);
+    }
+    return words;
+}
+
+} // namespace seamarch
--- a/src/decision/membership/gatewaydirectory.cpp
+++ b/src/decision/membership/gatewaydirectory.cpp
@@ -1,6 +1,7 @@
 #include "decision/membership/gatewaydirectory.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
@@ -76,6 +77,22 @@
     return best ? std::optional(best->second) : std::nullopt;
 }
 
+InstanceId GatewayDirectory::keeperOf(const InstanceId &upstream, const HallId &hall,
+                                      TimePoint now) const
+{
+    const auto rankOf = [&](const GatewayRecord &record) {
+        const std::string both = upstream.value() + '/' + record.id.value();
+        return std::tuple(record.hall != hall, XXH3_64bits(both.data(), both.size()), record.id);
+    };
+    auto best = rankOf(self_);
+    for (const auto &[id, member] : members_) {
+        if (member.avoidUntil <= now) {
+            best = std::min(best, rankOf(member.record));
+        }
+    }
+    return std::get<InstanceId>(best);
+}
+
 std::set<HallId> GatewayDirectory::halls() const
 {
     std::set<HallId> halls;
--- a/src/decision/membership/gatewaydirectory.h
+++ b/src/decision/membership/gatewaydirectory.h
@@ -71,6 +71,10 @@
     InstanceId follower(TimePoint now) const;
     // Returns the first in the order of another hall that is not passed over; nothing when all are.
     std::optional<InstanceId> firstOf(const HallId &hall, TimePoint now) const;
+    // Returns the gateway that hands out permits for an upstream in `hall`: all compute it alike.
+    // One of that hall is taken, if there is any: its gateways send most of what goes there, and
+    // they still reach each other when their hall is cut off.
+    InstanceId keeperOf(const InstanceId &upstream, const HallId &hall, TimePoint now) const;
     // Returns the halls that other gateways are in.
     std::set<HallId> halls() const;
     // Returns how many gateways of the own hall come before this one, and how many there are.
--- a/src/gateway/gatewayannouncements.cpp
+++ b/src/gateway/gatewayannouncements.cpp
@@ -1,10 +1,13 @@
-// The part of GatewayPeers that spreads word of requests that end upstreams.
+// The part of GatewayPeers that spreads word of requests that end upstreams, and of limits that
+// upstreams name.
 #include "base/log.h"
 #include "gateway/gatewaypeers.h"
 #include "gateway/gatewaywire.h"
 #include "net/crashwire.h"
 
+#include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 namespace seamarch {
 
@@ -22,6 +25,40 @@
     }
 }
 
+// Takes what the other gateway has heard of limits, counted back from when it answered.
+void GatewayPeers::takeLimits(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news)
+{
+    const TimePoint toldAt = askedAt + Duration(news.getHeldMicros());
+    for (const auto &limit : news.getLimits()) {
+        const LimitWord word = readLimit(limit, toldAt);
+        if (limits_.learn(word, loop_.now())) {
+            logLine(LogLevel::Info, "limit.heard",
+                    {{"from", link.id.value()},
+                     {"upstream", word.upstream.value()},
+                     {"perSecond",
+                      word.rate ? nlohmann::json(word.rate->perSecond()) : nlohmann::json()},
+                     {"ageMs", toMillis(loop_.now() - word.saidAt)}});
+        }
+    }
+    link.limitsMark = news.getLimitsMark();
+}
+
+void GatewayPeers::writeLimits(wire::GatewayNews::Builder news, const Asker &asker) const
+{
+    if (!asker.wantsLimits) {
+        return;
+    }
+    news.setLimitsMark(limits_.mark());
+    if (limits_.mark() == asker.limitsMark) {
+        return;
+    }
+    const std::vector<LimitWord> words = limits_.all();
+    auto list = news.initLimits(static_cast<std::uint32_t>(words.size()));
+    for (std::uint32_t index = 0; index < list.size(); ++index) {
+        writeLimit(words[index], loop_.now(), list[index]);
+    }
+}
+
 void GatewayPeers::onHasNews(const GatewayRecord &from)
 {
     directory_.hear(from, loop_.now());
@@ -32,24 +69,25 @@
     ask(address, Duration{});
 }
 
-// Tells the first gateway of each hall, until it has heard it, that upstreams have ended under
-// requests of this one. Gateways of its hall wait there for news.
+// Tells the first gateway of each hall, until it has heard it, that there is news here: upstreams
+// have ended under requests of this one, or told it what they take. Gateways of its hall wait there
+// for news.
 void GatewayPeers::announce(TimePoint now)
 {
-    if (announcedCrashes_ == ownCrashes()) {
+    if (announcedNews_ == ownNews()) {
         return;
     }
     bool allTold = true;
     for (const HallId &hall : directory_.halls()) {
         Announcement &announcement =
-            announcements_.try_emplace(hall, Announcement{firstOwnCrashes_}).first->second;
-        allTold = allTold && announcement.told == ownCrashes();
-        if (announcement.told != ownCrashes() && !announcement.underWay
+            announcements_.try_emplace(hall, Announcement{firstOwnNews_}).first->second;
+        allTold = allTold && announcement.told == ownNews();
+        if (announcement.told != ownNews() && !announcement.underWay
             && now >= announcement.notBefore) {
             announceTo(hall, now);
         }
     }
-    announcedCrashes_ = allTold ? ownCrashes() : announcedCrashes_;
+    announcedNews_ = allTold ? ownNews() : announcedNews_;
 }
 
 void GatewayPeers::announceTo(const HallId &hall, TimePoint now)
@@ -64,7 +102,7 @@
     auto request = linkTo(address).rpc->capability().castAs<wire::GatewayPeer>().hasNewsRequest();
     writeGateway(directory_.self(), Duration{}, request.initSelf());
     const auto over = std::make_shared<bool>(false);
-    const auto conclude = [this, hall, id = *first, told = ownCrashes(), over](bool heard) {
+    const auto conclude = [this, hall, id = *first, told = ownNews(), over](bool heard) {
         if (std::exchange(*over, true)) {
             return;
         }
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -44,9 +44,13 @@
         const auto params = context.getParams();
         const TimePoint askedAt = peers_.loop_.now();
         peers_.directory_.hear(readGateway(params.getSelf()), askedAt);
-        const Asker asker{ConfigVersion(params.getConfigVersion()), params.getUpstreamsMark(),
-                          params.getGroupsMark(), params.getCrashCursor(),
-                          params.getWantsGateways()};
+        const Asker asker{ConfigVersion(params.getConfigVersion()),
+                          params.getUpstreamsMark(),
+                          params.getGroupsMark(),
+                          params.getCrashCursor(),
+                          params.getWantsGateways(),
+                          params.getWantsLimits(),
+                          params.getLimitsMark()};
         const Duration wait = std::min(Duration(params.getWaitMicros()), kLongestWait);
         auto answer = [this, context, asker, askedAt]() mutable {
             peers_.writeNews(context.getResults().initNews(), asker, peers_.loop_.now() - askedAt);
@@ -64,24 +68,37 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> permits(PermitsContext context) override
+    {
+        const auto params = context.getParams();
+        const PermitAnswer answer =
+            peers_.handPermits(params.getSelf(), params.getLimit(), params.getWanted());
+        context.getResults().setGranted(answer.granted);
+        context.getResults().setAskAgainMicros(answer.askAgain.count());
+        return kj::READY_NOW;
+    }
+
 private:
     GatewayPeers &peers_;
 };
 
-GatewayPeers::GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups,
-                           CrashRecord &crashes, const MetadataStore &store,
+GatewayPeers::GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge,
+                           const SharedBeliefs &beliefs, const MetadataStore &store,
                            GatewayDirectory &directory, Heard heard)
     : loop_(loop)
     , knowledge_(knowledge)
-    , groups_(groups)
-    , crashes_(crashes)
+    , groups_(beliefs.groups)
+    , crashes_(beliefs.crashes)
+    , limits_(beliefs.limits)
+    , permitDesk_(beliefs.permitDesk)
     , store_(store)
     , directory_(directory)
     , heard_(std::move(heard))
     , waiting_(loop)
-    , toldCrashes_(crashes.cursor())
-    , firstOwnCrashes_(crashes.cursor())
-    , announcedCrashes_(crashes.cursor())
+    , toldCrashes_(crashes_.cursor())
+    , toldLimits_(limits_.mark())
+    , firstOwnNews_(ownNews())
+    , announcedNews_(ownNews())
     , startedAt_(loop.now())
     , tasks_(*this)
 {}
@@ -92,12 +109,11 @@
 }
 
 tl::expected<std::unique_ptr<GatewayPeers>, NetError>
-GatewayPeers::create(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups,
-                     CrashRecord &crashes, const MetadataStore &store, GatewayDirectory &directory,
-                     Heard heard)
+GatewayPeers::create(EventLoop &loop, GatewayKnowledge &knowledge, const SharedBeliefs &beliefs,
+                     const MetadataStore &store, GatewayDirectory &directory, Heard heard)
 {
     std::unique_ptr<GatewayPeers> peers(
-        new GatewayPeers(loop, knowledge, groups, crashes, store, directory, std::move(heard)));
+        new GatewayPeers(loop, knowledge, beliefs, store, directory, std::move(heard)));
     if (auto opened = peers->open(); !opened) {
         return tl::unexpected(opened.error());
     }
@@ -166,6 +182,8 @@
     request.setWaitMicros(longest.count());
     request.setGroupsMark(link.groupsMark);
     request.setCrashCursor(link.crashCursor);
+    request.setWantsLimits(true);
+    request.setLimitsMark(link.limitsMark);
     // Whichever comes first, the answer or the end of patience, ends the question.
     const auto over = std::make_shared<bool>(false);
     loop_.schedule(longest + detail::kPeerPatience, [this, address, over, alive = alive_] {
@@ -212,6 +230,7 @@
     directory_.onAnswered(link.id, now);
     takeGroups(link, askedAt, news);
     takeCrashes(link, askedAt, news);
+    takeLimits(link, askedAt, news);
     if (!news.getKnown()) {
         unknownAt_ = now;
     }
@@ -282,7 +301,8 @@
 {
     const bool groups = toldGroupsMark_ != 0 && toldGroupsMark_ != asker.groupsMark;
     return knowledge_.version() > asker.version || knowledge_.upstreamsMark() != asker.upstreamsMark
-           || groups || crashes_.hasChangedSince(asker.crashCursor);
+           || groups || crashes_.hasChangedSince(asker.crashCursor)
+           || (asker.wantsLimits && limits_.mark() != asker.limitsMark);
 }
 
 void GatewayPeers::writeGroups(wire::GatewayNews::Builder news, std::uint64_t mark) const
@@ -312,6 +332,7 @@
     news.setHeldMicros(held.count());
     writeGroups(news, asker.groupsMark);
     writeCrashes(news, asker.crashCursor);
+    writeLimits(news, asker);
     if (!knowledge_.hasConfiguration() || !knowledge_.confirmed()) {
         return;
     }
@@ -343,11 +364,13 @@
     const TimePoint now = loop_.now();
     const std::uint64_t groupsMark = groups_.mark();
     if (knowledge_.upstreamsMark() != toldMark_ || knowledge_.version() != toldVersion_
-        || groupsMark != toldGroupsMark_ || crashes_.cursor() != toldCrashes_) {
+        || groupsMark != toldGroupsMark_ || crashes_.cursor() != toldCrashes_
+        || limits_.mark() != toldLimits_) {
         toldMark_ = knowledge_.upstreamsMark();
         toldVersion_ = knowledge_.version();
         toldGroupsMark_ = groupsMark;
         toldCrashes_ = crashes_.cursor();
+        toldLimits_ = limits_.mark();
         waiting_.wakeAll();
     }
     announce(now);
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -7,16 +7,16 @@
 //
 // That upstreams have ended under a request cannot wait until somebody asks: the first gateway of
 // each hall is told at once that there is news, asks for it, and the others of its hall wait there.
+// So is what an upstream says that it takes from all gateways together.
 //
 // Whom to ask is decided elsewhere: see KnowledgeSources. Single-threaded; what the constructor is
 // given outlives the object.
 #pragma once
 
-#include "decision/gateway/grouptable.h"
 #include "decision/membership/gatewaydirectory.h"
-#include "decision/retry/crashrecord.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/metadatastore.h"
+#include "gateway/sharedbeliefs.h"
 #include "net/eventloop.h"
 #include "net/rawtransport.h"
 #include "net/rpclink.h"
@@ -50,7 +50,7 @@
 
     // Listens at the address of the directory's own record.
     static tl::expected<std::unique_ptr<GatewayPeers>, NetError>
-    create(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups, CrashRecord &crashes,
+    create(EventLoop &loop, GatewayKnowledge &knowledge, const SharedBeliefs &beliefs,
            const MetadataStore &store, GatewayDirectory &directory, Heard heard);
     ~GatewayPeers();
     GatewayPeers(const GatewayPeers &) = delete;
@@ -58,6 +58,11 @@
 
     // Asks a gateway, unless a question to it is under way; the answer may wait for `longest`.
     void ask(const SocketAddress &address, Duration longest);
+    using PermitsAnswered = std::function<void(const PermitAnswer &)>;
+    // Asks the gateway `keeper` for permits to send to the upstream that said `limit`. `answered`
+    // is called once, also when no answer comes.
+    void askForPermits(const GatewayRecord &keeper, const LimitWord &limit, std::uint32_t wanted,
+                       PermitsAnswered answered);
     // Wakes the questions that wait here, if there is news for them. Call it often.
     void tick();
     // Returns when another gateway last answered that it has no configuration; the distant past
@@ -75,14 +80,14 @@
         bool askAgain = false;         // It has news; ask once more when the question is answered.
         std::uint64_t groupsMark = 0;  // Of the groups that it has told last.
         std::uint64_t crashCursor = 0; // Of what it has told of requests that end upstreams.
+        std::uint64_t limitsMark = 0;  // Of the limits that it has told last.
         TimePoint notBefore{};
         TimePoint gatewaysAskedAt{};
         TimePoint usedAt{};
     };
 
-    GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, GroupTable &groups,
-                 CrashRecord &crashes, const MetadataStore &store, GatewayDirectory &directory,
-                 Heard heard);
+    GatewayPeers(EventLoop &loop, GatewayKnowledge &knowledge, const SharedBeliefs &beliefs,
+                 const MetadataStore &store, GatewayDirectory &directory, Heard heard);
     tl::expected<void, NetError> open();
 
     Link &linkTo(const SocketAddress &address);
@@ -92,9 +97,15 @@
     void takeGateways(wire::GatewayNews::Reader news, TimePoint now);
     void takeGroups(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
     void takeCrashes(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
+    void takeLimits(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
+    PermitAnswer handPermits(wire::GatewayRecord::Reader asker, wire::UpstreamLimit::Reader limit,
+                             std::uint32_t wanted);
     void onHasNews(const GatewayRecord &from);
-    // Counts the changes of the record that this gateway saw itself.
-    std::uint64_t ownCrashes() const { return crashes_.cursor() - learnedCrashes_; }
+    // Counts the crashes and the changes of limits that this gateway saw itself.
+    std::uint64_t ownNews() const
+    {
+        return crashes_.cursor() - learnedCrashes_ + limits_.ownChanges();
+    }
     void announce(TimePoint now);
     void announceTo(const HallId &hall, TimePoint now);
     // What an asker says that it knows.
@@ -105,17 +116,22 @@
         std::uint64_t groupsMark = 0;
         std::uint64_t crashCursor = 0;
         bool wantsGateways = false;
+        bool wantsLimits = false; // One of an earlier version does not know them.
+        std::uint64_t limitsMark = 0;
     };
     bool hasNewsFor(const Asker &asker) const;
     void writeNews(wire::GatewayNews::Builder news, const Asker &asker, Duration held);
     void writeGroups(wire::GatewayNews::Builder news, std::uint64_t mark) const;
     void writeCrashes(wire::GatewayNews::Builder news, std::uint64_t cursor) const;
+    void writeLimits(wire::GatewayNews::Builder news, const Asker &asker) const;
     void taskFailed(kj::Exception &&exception) override;
 
     EventLoop &loop_;
     GatewayKnowledge &knowledge_;
     GroupTable &groups_;
     CrashRecord &crashes_;
+    UpstreamLimits &limits_;
+    PermitDesk &permitDesk_;
     const MetadataStore &store_;
     GatewayDirectory &directory_;
     Heard heard_;
@@ -129,14 +145,15 @@
     std::uint64_t toldMark_ = 0; // The state at the last tick.
     ConfigVersion toldVersion_;
     std::uint64_t toldGroupsMark_ = 0;
-    std::uint64_t toldCrashes_ = 0;      // A cursor of the record, as those below.
-    std::uint64_t learnedCrashes_ = 0;   // Changes of the record that other gateways brought.
-    std::uint64_t firstOwnCrashes_ = 0;  // What `ownCrashes` was at the start.
-    std::uint64_t announcedCrashes_ = 0; // What it was when all halls had been told.
+    std::uint64_t toldCrashes_ = 0;    // A cursor of the record, as those below.
+    std::uint64_t toldLimits_ = 0;     // A mark of the limits.
+    std::uint64_t learnedCrashes_ = 0; // Changes of the record that other gateways brought.
+    std::uint64_t firstOwnNews_ = 0;   // What `ownNews` was at the start.
+    std::uint64_t announcedNews_ = 0;  // What it was when all halls had been told.
     // To the first gateway of a hall, that there is news here.
     struct Announcement
     {
-        std::uint64_t told = 0; // Of `ownCrashes`.
+        std::uint64_t told = 0; // Of `ownNews`.
         bool underWay = false;
         TimePoint notBefore{};
     };
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -26,6 +26,7 @@
     core.retries = retryLimits(settings.bounds);
     core.crashes.life = settings.crashMemory;
     core.crashes.seed = randomIdentity();
+    core.limits.firstMark = randomIdentity() | 1U;
     return core;
 }
 
@@ -90,7 +91,8 @@
         metricsServer_ = std::move(*metrics);
     }
     auto sources = KnowledgeSources::create(
-        loop_, *client_, store_, knowledge_, core_.groups(), core_.crashes(),
+        loop_, *client_, store_, knowledge_,
+        {core_.groups(), core_.crashes(), core_.limits(), core_.permitDesk()},
         {settings_.instance, settings_.hall, settings_.peerListen, settings_.seeds,
          settings_.agentPort});
     if (!sources) {
@@ -225,6 +227,7 @@
     for (const GatewayAction &action : actions) {
         std::visit([this](const auto &each) { carryOut(each); }, action);
     }
+    askForPermits();
 }
 
 void GatewayService::carryOut(const RejectRequest &action)
@@ -349,6 +352,20 @@
     return shown;
 }
 
+// The upstreams that name a limit for all gateways together, and how long ago they last did.
+json GatewayService::limited() const
+{
+    const TimePoint now = loop_.now();
+    json shown = json::object();
+    for (const LimitWord &word : core_.limits().all()) {
+        if (word.rate) {
+            shown[word.upstream.value()] = {{"perSecond", word.rate->perSecond()},
+                                            {"msAgo", toMillis(now - word.saidAt)}};
+        }
+    }
+    return shown;
+}
+
 json GatewayService::status() const
 {
     std::string reason;
@@ -370,6 +387,7 @@
             {"upstreams", core_.upstreams().all().size()},
             {"groups", core_.groups().known().size()},
             {"restingUpstreams", resting()},
+            {"limitedUpstreams", limited()},
             {"requestsThatEndUpstreams", suspects()}};
 }
 
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -118,6 +118,7 @@
     nlohmann::json status() const override;
     nlohmann::json suspects() const;
     nlohmann::json resting() const;
+    nlohmann::json limited() const;
 
     void applyBounds(const CallerBounds &bounds);
     void take(ExchangeId exchange, HttpRequest request, TimePoint arrivedAt);
@@ -132,7 +133,10 @@
     void carryOut(const BreakAnswer &action);
 
     void onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head);
-    void noteNotice(RequestNumber number, const Flight &flight);
+    void noteNotice(RequestNumber number, const Flight &flight, AnswerKind kind);
+    void noteLimit(RequestNumber number, const Flight &flight, const UpstreamNotice &notice,
+                   AnswerKind kind);
+    void askForPermits();
     void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
     void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
     void onAttemptLost(RequestNumber number, std::uint32_t attempt, AttemptEnd end);
--- a/src/gateway/gatewaywire.cpp
+++ b/src/gateway/gatewaywire.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaywire.h"
 
+#include <algorithm>
+#include <cmath>
 #include <zlib.h>
 
 namespace seamarch {
@@ -51,6 +53,30 @@
     return record;
 }
 
+void writeLimit(const LimitWord &word, TimePoint now, wire::UpstreamLimit::Builder to)
+{
+    to.setUpstream(word.upstream.value());
+    to.setStartedUnixMillis(word.start.value());
+    to.setNamed(word.rate.has_value());
+    to.setPerSecond(word.rate.value_or(RequestRate()).perSecond());
+    to.setSaidMicrosAgo((now - word.saidAt).count());
+}
+
+LimitWord readLimit(wire::UpstreamLimit::Reader from, TimePoint writtenAt)
+{
+    LimitWord word;
+    word.upstream = InstanceId(from.getUpstream().cStr());
+    word.start = UpstreamStart(from.getStartedUnixMillis());
+    // A rate that makes no sense binds as none at all would: the upstream is asked now and then.
+    const double perSecond = from.getPerSecond();
+    const bool readable = std::isfinite(perSecond) && perSecond >= 0.0;
+    if (from.getNamed()) {
+        word.rate = RequestRate(readable ? perSecond : 0.0);
+    }
+    word.saidAt = writtenAt - std::max(Duration{}, Duration(from.getSaidMicrosAgo()));
+    return word;
+}
+
 void writeGroup(const GroupFacts &facts, Duration age, bool members, wire::GroupNews::Builder to)
 {
     to.setGroup(facts.group.value());
--- a/src/gateway/gatewaywire.h
+++ b/src/gateway/gatewaywire.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "decision/gateway/grouptable.h"
+#include "decision/gateway/upstreamlimits.h"
 #include "decision/membership/gatewaydirectory.h"
 #include "gateway/gatewayknowledge.h"
 #include "wire/seamarch.capnp.h"
@@ -24,6 +25,10 @@
 void writeGroup(const GroupFacts &facts, Duration age, bool members, wire::GroupNews::Builder to);
 GroupFacts readGroup(wire::GroupNews::Reader from);
 
+// `word` is written as of `now`, and read as of when it was written.
+void writeLimit(const LimitWord &word, TimePoint now, wire::UpstreamLimit::Builder to);
+LimitWord readLimit(wire::UpstreamLimit::Reader from, TimePoint writtenAt);
+
 // A configuration of many routes is a large text that repeats itself, and goes to every gateway of
 // a hall over the link of one.
 std::vector<std::uint8_t> deflated(std::string_view text);
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -43,14 +43,13 @@
 } // namespace
 
 KnowledgeSources::KnowledgeSources(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-                                   GatewayKnowledge &knowledge, GroupTable &groups,
-                                   CrashRecord &crashes, const Settings &settings)
+                                   GatewayKnowledge &knowledge, const SharedBeliefs &beliefs,
+                                   const Settings &settings)
     : loop_(loop)
     , client_(client)
     , store_(store)
     , knowledge_(knowledge)
-    , groups_(groups)
-    , crashes_(crashes)
+    , beliefs_(beliefs)
     , settings_(settings)
     , directory_(recordOf(settings), GatewayDirectory::Settings())
     , startedAt_(loop.now())
@@ -59,11 +58,11 @@
 
 tl::expected<std::unique_ptr<KnowledgeSources>, NetError>
 KnowledgeSources::create(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-                         GatewayKnowledge &knowledge, GroupTable &groups, CrashRecord &crashes,
+                         GatewayKnowledge &knowledge, const SharedBeliefs &beliefs,
                          const Settings &settings)
 {
     std::unique_ptr<KnowledgeSources> sources(
-        new KnowledgeSources(loop, client, store, knowledge, groups, crashes, settings));
+        new KnowledgeSources(loop, client, store, knowledge, beliefs, settings));
     if (auto opened = sources->open(); !opened) {
         return tl::unexpected(opened.error());
     }
@@ -73,7 +72,7 @@
 tl::expected<void, NetError> KnowledgeSources::open()
 {
     if (settings_.agentPort) {
-        auto watch = GroupWatch::create(loop_, knowledge_, groups_, *settings_.agentPort);
+        auto watch = GroupWatch::create(loop_, knowledge_, beliefs_.groups, *settings_.agentPort);
         if (!watch) {
             return tl::unexpected(watch.error());
         }
@@ -82,7 +81,7 @@
     if (!settings_.peerListen) {
         return {};
     }
-    auto peers = GatewayPeers::create(loop_, knowledge_, groups_, crashes_, store_, directory_,
+    auto peers = GatewayPeers::create(loop_, knowledge_, beliefs_, store_, directory_,
                                       [this](const SharedKnowledge &shared, TimePoint confirmedAt) {
                                           return takeShared(shared, confirmedAt);
                                       });
@@ -93,6 +92,26 @@
     return {};
 }
 
+void KnowledgeSources::askForPermits(const SendPermits::Ask &ask,
+                                     GatewayPeers::PermitsAnswered answered)
+{
+    const TimePoint now = loop_.now();
+    const UpstreamRecord *upstream = knowledge_.upstreams().find(ask.upstream);
+    const LimitWord *word = upstream ? beliefs_.limits.find(*upstream) : nullptr;
+    if (word == nullptr || !word->rate) {
+        answered({}); // It names none any more, or is gone.
+        return;
+    }
+    const InstanceId keeper = directory_.keeperOf(ask.upstream, upstream->hall, now);
+    const GatewayRecord *record = directory_.find(keeper);
+    if (peers_ == nullptr || record == nullptr) {
+        const InstanceId &self = settings_.instance;
+        answered(beliefs_.permitDesk.take(ask.upstream, *word->rate, self, ask.wanted, now));
+        return;
+    }
+    peers_->askForPermits(*record, *word, ask.wanted, std::move(answered));
+}
+
 std::uint64_t KnowledgeSources::storeCalls() const
 {
     return earlierCalls_ + (watcher_ ? watcher_->calls() : 0);
--- a/src/gateway/knowledgesources.h
+++ b/src/gateway/knowledgesources.h
@@ -8,12 +8,14 @@
 // Single-threaded; what the constructor is given outlives the object.
 #pragma once
 
+#include "decision/gateway/sendpermits.h"
 #include "decision/membership/gatewaydirectory.h"
 #include "decision/membership/storeturn.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/gatewaypeers.h"
 #include "gateway/groupwatch.h"
 #include "gateway/metadatastore.h"
+#include "gateway/sharedbeliefs.h"
 #include "gateway/storewatcher.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
@@ -39,8 +41,11 @@
 
     static tl::expected<std::unique_ptr<KnowledgeSources>, NetError>
     create(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-           GatewayKnowledge &knowledge, GroupTable &groups, CrashRecord &crashes,
-           const Settings &settings);
+           GatewayKnowledge &knowledge, const SharedBeliefs &beliefs, const Settings &settings);
+
+    // Asks for permits to send to an upstream that names a limit, the gateway whose turn that is or
+    // this one itself. `answered` is called once, maybe before this returns.
+    void askForPermits(const SendPermits::Ask &ask, GatewayPeers::PermitsAnswered answered);
 
     // Asks those whose turn it is. Call it often.
     void tick();
@@ -56,7 +61,7 @@
 
 private:
     KnowledgeSources(EventLoop &loop, HttpClient &client, const MetadataStore &store,
-                     GatewayKnowledge &knowledge, GroupTable &groups, CrashRecord &crashes,
+                     GatewayKnowledge &knowledge, const SharedBeliefs &beliefs,
                      const Settings &settings);
     tl::expected<void, NetError> open();
 
@@ -77,8 +82,7 @@
     HttpClient &client_;
     const MetadataStore &store_;
     GatewayKnowledge &knowledge_;
-    GroupTable &groups_;
-    CrashRecord &crashes_;
+    SharedBeliefs beliefs_;
     Settings settings_;
     GatewayDirectory directory_;
     std::unique_ptr<GatewayPeers> peers_;
--- /dev/null
+++ b/src/gateway/sharedbeliefs.h
@@ -0,0 +1,20 @@
+// What gateways tell each other besides the state of the platform's store.
+#pragma once
+
+#include "decision/gateway/grouptable.h"
+#include "decision/gateway/permitdesk.h"
+#include "decision/gateway/upstreamlimits.h"
+#include "decision/retry/crashrecord.h"
+
+namespace seamarch {
+
+// All of it belongs to the gateway's core, which outlives those that are given it.
+struct SharedBeliefs
+{
+    GroupTable &groups;
+    CrashRecord &crashes;
+    UpstreamLimits &limits;
+    PermitDesk &permitDesk;
+};
+
+} // namespace seamarch
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -244,6 +244,15 @@
   survivedMicrosAgo @4 :Int64;  # this long before the answer.
 }
 
+# What an upstream says that it takes from all gateways together.
+struct UpstreamLimit {
+  upstream @0 :Text;
+  startedUnixMillis @1 :Int64;  # Of the upstream as it spoke; zero: not known.
+  named @2 :Bool;            # It names a limit; else none any more.
+  perSecond @3 :Float64;
+  saidMicrosAgo @4 :Int64;   # How long before the answer it was last said.
+}
+
 # What a gateway knows of the platform's store, for one that does not ask the store itself.
 struct GatewayNews {
   known @0 :Bool;            # It has a configuration; else only `gateways` is meant.
@@ -261,14 +270,21 @@
   crashCursor @12 :UInt64;   # Stands for having heard `crashes` and all that came before.
   crashes @13 :List(CrashSuspect);     # Those that changed since the cursor that the asker names.
   era @14 :UInt64;           # Of the store, in which it counts revisions; zero: not known.
+  limitsMark @15 :UInt64;    # Names what is known of limits.
+  limits @16 :List(UpstreamLimit);     # All, when the asker names another mark.
 }
 
 # Served by each gateway for the others.
 interface GatewayPeer {
   # Answers at once when it knows more than the asker says it does, else after `waitMicros`.
   exchange @0 (self :GatewayRecord, configVersion :UInt64, upstreamsMark :UInt64,
-               wantsGateways :Bool, waitMicros :Int64, groupsMark :UInt64, crashCursor :UInt64)
+               wantsGateways :Bool, waitMicros :Int64, groupsMark :UInt64, crashCursor :UInt64,
+               wantsLimits :Bool, limitsMark :UInt64)
       -> (news :GatewayNews);
   # The caller has news that cannot wait until it is asked; the callee asks it at once.
   hasNews @1 (self :GatewayRecord) -> ();
+  # Asks for permits to send to an upstream that names a limit. The callee answers as the one that
+  # hands them out, whether or not it takes itself for that one.
+  permits @2 (self :GatewayRecord, limit :UpstreamLimit, wanted :UInt32)
+      -> (granted :UInt32, askAgainMicros :Int64);
 }
--- a/test/process/limitedupstream_test.py
+++ b/test/process/limitedupstream_test.py
@@ -7,8 +7,11 @@
 another, went on to send to it at the pace of before: none of them alone more than 1.7 a second, all together
 three times what the engine had named.
 
-Cause: being looked for. The gateways' logs show the word in the answers (`upstream.notice`) and the next requests
-to the same upstream as soon after it as before.
+Cause: no gateway read the word. What an upstream says of itself to everybody was nobody's to keep: each
+gateway went by its own requests alone.
+
+Proved by: the gateways' logs show the word in the answers (`upstream.notice`) and the next requests to the same
+upstream as soon after it as before, of every kind, at each gateway.
 """
 
 import os
