A request that expects other weights does not put its upstream aside

A caller may name the version of the weights that it expects, and an upstream with another refuses it with the status that also says that another instance has the address. The gateway took it for that and passed the upstream over for 5 s, for all callers. Such a refusal now says nothing of the upstream, and ends no limit either.

--- a/src/gateway/callerprotocol.h
+++ b/src/gateway/callerprotocol.h
@@ -26,6 +26,7 @@
     std::string key;                  // Of a client account; empty when there is none.
     std::optional<Duration> deadline; // How long the caller waits.
     std::string resumeAfter;          // The last event that the caller has; empty: from the start.
+    bool expectsVersion = false;      // Upstreams whose weights have another version refuse it.
 };
 
 // What an upstream is told besides the request itself.
@@ -47,8 +48,8 @@
     // Returns the headers of the request as an upstream gets it.
     virtual HttpHeaders upstreamHeaders(const HttpRequest &request,
                                         const AttemptFacts &attempt) const = 0;
-    // Tells what the head of an upstream's answer to `requestId` says.
-    virtual AnswerKind judge(const HttpHead &head, const std::string &requestId) const = 0;
+    // Tells what the head of an upstream's answer to a request says.
+    virtual AnswerKind judge(const HttpHead &head, const CallerFacts &request) const = 0;
     // Reads what the head of an upstream's answer says about the upstream itself. One that another
     // instance gave at the upstream's address says nothing of it.
     virtual UpstreamNotice readNotice(const HttpHead &head) const = 0;
--- a/src/gateway/gatewayattempts.cpp
+++ b/src/gateway/gatewayattempts.cpp
@@ -195,7 +195,7 @@
     if (flight == nullptr) {
         return;
     }
-    const AnswerKind kind = protocol_.judge(head, flight->facts.requestId);
+    const AnswerKind kind = protocol_.judge(head, flight->facts);
     flight->head = std::move(head);
     noteNotice(number, *flight, kind);
     const bool events = kind == AnswerKind::Success && flight->admitted.route->streamed
@@ -258,11 +258,12 @@
 }
 
 // Takes the limit that an answer names, or that it names none. An answer that cannot be trusted, or
-// that another instance gave, ends no limit.
+// that another instance may have given, ends no limit.
 void GatewayService::noteLimit(RequestNumber number, const Flight &flight,
                                const UpstreamNotice &notice, AnswerKind kind)
 {
-    const bool trusted = kind != AnswerKind::Invalid && kind != AnswerKind::WrongInstance;
+    const bool trusted =
+        kind == AnswerKind::Success || kind == AnswerKind::Failure || kind == AnswerKind::Full;
     if (!notice.limit && (notice.limitUnreadable || !trusted)) {
         return;
     }
@@ -438,7 +439,7 @@
         endFlight(number, "served");
         return;
     }
-    const AnswerKind kind = protocol_.judge(flight.head, flight.facts.requestId);
+    const AnswerKind kind = protocol_.judge(flight.head, flight.facts);
     if (!core_.onHead(number, kind, loop_.now(), actions)) {
         logLine(LogLevel::Info, "attempt.failed",
                 {{"id", flight.facts.requestId},
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -18,6 +18,7 @@
 // event N + 1, {"foreignId": true} answers with another request's id, {"endsOn": TEXT} ends the
 // process in the middle of the answer to a request whose body has TEXT, {"rest": TEXT} asks for
 // that many seconds of rest when it refuses, {"leaving": true} says in all answers that it leaves,
+// {"weights": TEXT} refuses requests that expect another version of its weights,
 // {"limit": TEXT} names that limit in all answers, {"limit": ""} names none any more.
 // Reports every arrival: {"id": ID, "ms": N, "refused": BOOL, "rest": TEXT}, times by its own
 // clock.
@@ -46,6 +47,12 @@
             server().respond(exchange, head, "{}");
             return;
         }
+        const std::string expected = request.header(names::kExpectedVersion);
+        if (!expected.empty() && expected != weights_) {
+            head.status = 421;
+            server().respond(exchange, head, "{}");
+            return;
+        }
         arrivals_.push_back({{"id", requestId},
                              {"ms", toMillis(loop().now().time_since_epoch())},
                              {"refused", full_},
@@ -147,6 +154,7 @@
         rest_ = change.value("rest", rest_);
         leaving_ = change.value("leaving", leaving_);
         limit_ = change.value("limit", limit_);
+        weights_ = change.value("weights", weights_);
         return {{"runs", runs_},
                 {"left", left_},
                 {"open", open_.size()},
@@ -170,6 +178,7 @@
     std::string endsOn_;
     std::string rest_;
     std::string limit_;
+    std::string weights_;
 };
 
 } // namespace
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -18,6 +18,13 @@
     return head;
 }
 
+CallerFacts requestOf(const std::string &id)
+{
+    CallerFacts request;
+    request.requestId = id;
+    return request;
+}
+
 constexpr const char *kRouting = R"({"version":7,
   "routes":[{"name":"r","hostname":"a.example","path-prefix":"/x/","type":"streaming",
     "timeout-ms":8000,"target-latency-ms":500,"priority":1,"max-attempts":2,"stream-resume":true,
@@ -84,15 +91,19 @@
     const HttpHeader id{"Seamarch-Request-Id", "id-1"};
     const HttpHeader proof{"Seamarch-Replica-Signature", "p"};
     const HttpHeader notRun{"Seamarch-Not-Executed", "1"};
-    CHECK_TRUE(protocol.judge(head(200, {id, proof}), "id-1") == AnswerKind::Success);
-    CHECK_TRUE(protocol.judge(head(200, {id}), "id-1") == AnswerKind::Invalid);
-    CHECK_TRUE(protocol.judge(head(200, {id, proof}), "id-2") == AnswerKind::Invalid);
-    CHECK_TRUE(protocol.judge(head(200, {id, proof, {"Content-Encoding", "gzip"}}), "id-1")
-               == AnswerKind::Invalid);
-    CHECK_TRUE(protocol.judge(head(503, {id, notRun}), "id-1") == AnswerKind::Full);
-    CHECK_TRUE(protocol.judge(head(503, {id}), "id-1") == AnswerKind::Invalid);
-    CHECK_TRUE(protocol.judge(head(421, {id}), "id-1") == AnswerKind::WrongInstance);
-    CHECK_TRUE(protocol.judge(head(500, {id, proof}), "id-1") == AnswerKind::Failure);
+    CHECK_TRUE(protocol.judge(head(200, {id, proof}), requestOf("id-1")) == AnswerKind::Success);
+    CHECK_TRUE(protocol.judge(head(200, {id}), requestOf("id-1")) == AnswerKind::Invalid);
+    CHECK_TRUE(protocol.judge(head(200, {id, proof}), requestOf("id-2")) == AnswerKind::Invalid);
+    CHECK_TRUE(
+        protocol.judge(head(200, {id, proof, {"Content-Encoding", "gzip"}}), requestOf("id-1"))
+        == AnswerKind::Invalid);
+    CHECK_TRUE(protocol.judge(head(503, {id, notRun}), requestOf("id-1")) == AnswerKind::Full);
+    CHECK_TRUE(protocol.judge(head(503, {id}), requestOf("id-1")) == AnswerKind::Invalid);
+    CHECK_TRUE(protocol.judge(head(421, {id}), requestOf("id-1")) == AnswerKind::WrongInstance);
+    CallerFacts expecting = requestOf("id-1");
+    expecting.expectsVersion = true;
+    CHECK_TRUE(protocol.judge(head(421, {id}), expecting) == AnswerKind::Refused);
+    CHECK_TRUE(protocol.judge(head(500, {id, proof}), requestOf("id-1")) == AnswerKind::Failure);
 }
 
 TEST(CallerHeadersTest, AnswersOfEveryKindTellThatTheUpstreamLeaves)
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -102,6 +102,9 @@
         return [run for address in self.upstreams.values()
                 for run in control(address, {})["runs"]]
 
+    def runs_at(self, name):
+        return len(control(self.upstreams[name], {})["runs"])
+
     def set_all(self, **change):
         for address in self.upstreams.values():
             control(address, change)
@@ -134,6 +137,23 @@
             self.assertEqual(headers["Seamarch-Outcome"], "unknown")
             self.assertEqual(len(site.runs()), 1)
 
+    # An upstream refuses with the same status when it is another instance than the one that is meant.
+    def test_request_that_expects_other_weights_does_not_put_its_upstream_aside(self):
+        with GatewaySite() as site:
+            first = "i-1" if site.ask("/letters/1") and site.runs_at("i-1") else "i-2"
+            other = "i-2" if first == "i-1" else "i-1"
+            control(site.upstreams[first], {"weights": "1"})
+            control(site.upstreams[other], {"weights": "2"})
+            headers = {"Host": "site.example", "Seamarch-Request-Id": "v-1", "Seamarch-Expect-Version": "2",
+                       "Authorization": f"Token {KEY}"}
+            self.assertEqual(call(site.entry, "/letters/1", "x", headers, 10, "POST")[0], 200)
+            self.assertEqual(site.runs_at(other), 1, "the other one did not run it; the test shows nothing")
+            before = site.runs_at(first)
+            for _ in range(3):
+                self.assertEqual(site.ask("/letters/1")[0], 200)
+            self.assertGreater(site.runs_at(first), before, f"{first} refused a request that expects other weights "
+                               "and is passed over by all others")
+
     def test_full_upstreams_are_not_run_and_say_when_to_come_back(self):
         with GatewaySite() as site:
             site.set_all(full=True)
