Soak: upstreams in turn name limits for all gateways together, beside all other faults; a test of requests that crash upstreams

What gateways that were told send there in any 4 s stays within one and a half times the limit and five. Drawn apart, so that seeds keep their faults. SuspectRequestTest: whatever part of the requests crashes its upstreams, at any moment, ends three at most (80 runs).

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,7 +5,7 @@
 on, answers are held), and `reset` (resets what is open and what comes). Bytes that are held go on
 when the mode changes back. `plant` holds a fault for testing the checks: `twice` sends each request
 again on a connection of its own, `skip` takes one event out of every stream, `deaf` takes out of
-answers that rest is asked for.
+answers that rest is asked for, `unbound` that a limit is named.
 """
 
 import asyncio
@@ -107,6 +107,8 @@
                     piece = self._without_event(piece)
                 if self.plant == "deaf" and not onward:
                     piece = piece.replace(b"Retry-After", b"X-Not-Heard")
+                if self.plant == "unbound" and not onward:
+                    piece = piece.replace(b"Server-Limit", b"X-Not-Heard-")
                 writer.write(piece)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -5,7 +5,9 @@
 repeated, and streams. Faults come in series and overlap: links to the store and to upstreams are
 delayed, reset, silenced or cut one way; upstreams fail, refuse, ask for rest, lose answers and break
 streams; gateways are stopped, paused, killed and started again; configurations follow each other, keys
-are revoked, upstreams leave and start again under their ids; the store goes back to an older copy. The checks judge by what callers and upstreams saw. The same seed draws the
+are revoked, upstreams leave and start again under their ids; the store goes back to an older copy. One
+upstream names a limit for all gateways together, and another one later. The checks judge by what callers
+and upstreams saw. The same seed draws the
 same faults; what runs between them is up to the machine. The system keeps no storage and decides
 nothing by the time of day, so neither is tampered with.
 
@@ -40,7 +42,11 @@
 REST = 1.5                      # Seconds of rest that an upstream asks for.
 UNDER_WAY = 0.5                 # Seconds of it in which requests that were under way may arrive.
 STRAY = 2                       # Requests that may arrive in the remainder.
-PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1}  # Each with a seed.
+LIMITS = (0.5, 1, 3)            # Requests a second that an upstream takes from all gateways together.
+LIMIT_SPAN = 4.0                # Seconds over which it counts.
+LIMIT_SETTLED = 3.0             # Seconds after its first word from which on it counts.
+LIMIT_SLACK = 5                 # Requests besides one and a half times the limit.
+PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1, "unbound": 1}  # Each with a seed.
 STREAM = [f"id: {n}\ndata: token {n}" for n in range(1, 11)]
 LINK_MODES = ("delay", "reset", "silent", "one_way")
 UPSTREAM_TROUBLES = ({"fail": True}, {"full": True}, {"dropAnswers": True}, {"foreignId": True},
@@ -190,6 +196,8 @@
         self.revoked = {}  # Key to the time after which it must be dead.
         self.failures, self.versions = [], {}
         self.planned = []  # The lives of gateways that a planned stop alone has ended.
+        self.limited, self.limits = None, []  # The upstream that names one; [name, limit, from, to].
+        self.limit_random = random.Random(f"limits of {args.seed}")  # Apart, so that seeds keep their faults.
         self.busy = {}  # What a fault holds, by name.
         self.excuses = []  # (name, from, to) of what kept a gateway from hearing or heeding.
 
@@ -299,11 +307,16 @@
             if gone is not None:
                 self.revoked[gone] = time.monotonic() + REVOKED_AFTER
 
+    def unlimited(self):
+        names = list(self.site.upstreams)
+        name = self.random.choice(names)
+        return name if name != self.limited else names[names.index(name) - 1]
+
     def leave(self):
         """One upstream leaves while nothing else goes wrong, and gets nothing new."""
         self.lift(everything=True)
         self.wait_ready()
-        name = self.random.choice(list(self.site.upstreams))
+        name = self.unlimited()
         self.site.list_upstream(name, "draining")
         time.sleep(LEFT_AFTER)
         before = {run["id"] for run in self.site.runs(name)}
@@ -317,12 +330,23 @@
         self.site.starts[name] += 1
         self.site.list_upstream(name)
 
+    def name_limit(self):
+        """Another upstream than before names a limit, and that one none any more."""
+        names = [name for name in self.site.upstreams if name != self.limited]
+        if self.limited is not None:
+            control(self.site.upstreams[self.limited], {"limit": ""})
+            self.limits[-1][3] = time.monotonic()
+        self.limited = self.limit_random.choice(names)
+        limit = self.limit_random.choice(LIMITS)
+        control(self.site.upstreams[self.limited], {"limit": str(limit)})
+        self.limits.append([self.limited, limit, time.monotonic(), float("inf")])
+
     def shed(self):
         """One upstream turns everything away and asks for rest while nothing else goes wrong."""
         self.lift(everything=True)
         self.wait_ready()
         time.sleep(1.0)  # What faults had begun is over.
-        address = self.site.upstreams[self.random.choice(list(self.site.upstreams))]
+        address = self.site.upstreams[self.unlimited()]
         control(address, {"full": True, "rest": str(REST)})
         time.sleep(REST + 0.5)
         control(address, HEALTHY)
@@ -369,6 +393,7 @@
             caller.start()
         end = time.monotonic() + self.args.seconds
         leave_at = time.monotonic() + self.args.seconds / 2
+        self.name_limit()
         while time.monotonic() < end:
             self.draw_fault()
             self.lift()
@@ -380,6 +405,7 @@
                 self.leave()
                 self.shed()
                 self.stop_calmly()
+                self.name_limit()
             time.sleep(self.random.uniform(0.05, 0.25))
         self.lift(everything=True)
         self.wait_ready()
@@ -404,6 +430,8 @@
             self.check_request(request, runs.get(request.id, []))
         for name in self.site.upstreams:
             self.check_rests(name, known)
+        for named in self.limits:
+            self.check_limit(*named, known)
         served = sum(request.result == 200 for request in self.requests)
         if served < len(self.requests) / 10:
             self.fail(f"only {served} of {len(self.requests)} requests were served")
@@ -428,6 +456,29 @@
                 if len(late) > STRAY and not excused:
                     self.fail(f"{name} asked {gateway} for {rest} s of rest and got {len(late)} requests")
 
+    def check_limit(self, name, limit, since, until, known):
+        """What an upstream takes from all gateways together is not exceeded by those that it has told, unless
+        something kept one of them from it."""
+        state = control(self.site.upstreams[name], {})
+        offset = time.monotonic() - state["nowMs"] / 1000
+        told, counted = {}, []
+        for arrival in state["arrivals"]:
+            request, at = known.get(arrival["id"]), arrival["ms"] / 1000 + offset
+            if request is None or not since < at < until:
+                continue
+            sender = (request.gateway, request.life)
+            told.setdefault(sender, at + 2 * UNDER_WAY)
+            excused = any(held in (name, request.gateway) and start < at and end > at - LIMIT_SPAN
+                          for held, start, end in self.excuses)
+            if at > told[sender] and not excused:
+                counted.append(at)
+        allowed = 1.5 * limit * LIMIT_SPAN + LIMIT_SLACK
+        for end in counted:
+            found = sum(end - LIMIT_SPAN < at <= end for at in counted)
+            if end > since + LIMIT_SETTLED and found > allowed:
+                self.fail(f"{name} named a limit of {limit} a second and got {found} requests in 4 s")
+                return
+
     def check_request(self, request, runs):
         about = f"{request.id} ({request.kind} at {request.gateway}, {request.result})"
         if request.kind == "letters" and len(runs) > 1:
--- a/test/decision/gateway/suspectrequest_test.cpp
+++ b/test/decision/gateway/suspectrequest_test.cpp
@@ -3,6 +3,10 @@
 // about to move off a silent upstream.
 #include "decision/gateway/gatewaycore.h"
 
+#include <cstdint>
+#include <random>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace seamarch;
@@ -233,6 +237,39 @@
     CHECK_TRUE(last<RejectRequest>()->failure == FailureCode::RequestEndsUpstreams);
 }
 
+// Upstreams crashed under one kind of request, one after the other, with all that they had; callers
+// of others were refused for seconds each time. Whatever part of the requests it is, and whenever
+// it comes again, three upstreams are the most that it ends.
+TEST(SuspectRequestTest, NoShareAndNoMomentEndsMoreThanThreeUpstreams)
+{
+    for (const double share : {0.01, 0.03, 0.08, 0.5}) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            setup();
+            std::mt19937_64 random(seed);
+            std::bernoulli_distribution isPoison(share);
+            int ends = 0;
+            for (int now = 0; now < 60000; now += 20) {
+                actions.clear();
+                const RequestDigest digest = isPoison(random) ? kPoison : kHarmless;
+                const RequestNumber number = begin(Kind::Repeatable, digest, now);
+                while (digest == kPoison && last<StartAttempt>() != nullptr) {
+                    const UpstreamRecord ended = last<StartAttempt>()->upstream;
+                    ++ends;
+                    actions.clear();
+                    core->onUpstreamEnded(digest, kAccount, ended.id, at(now), at(now), actions);
+                    core->upstreams().remove(ended.id, at(now));
+                    core->upstreams().put(record(std::to_string(now + ends).c_str()));
+                    core->onEnd(number, AttemptEnd::Lost, at(now), actions);
+                }
+                core->onCallerGone(number, actions);
+                core->onTick(at(now), actions);
+            }
+            CHECK_TRUE(ends >= 1);
+            CHECK_TRUE(ends <= 3);
+        }
+    }
+}
+
 // The upstream says nothing for half of what its caller bears; at another one it would end that.
 TEST(SuspectRequestTest, SuspectIsNotMovedOffASilentUpstream)
 {
