--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -547,7 +547,7 @@
     crashes_.expire(now);
     limits_.expire(now);
     permits_.expire(now);
-    permitDesk_.expire(now);
+    permitIssuer_.expire(now);
     startWaitingForPermits(now, actions);
     giveUpSuspects(now, actions);
     std::vector<RequestNumber> late;
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -31,7 +31,7 @@
 #pragma once
 
 #include "decision/gateway/grouptable.h"
-#include "decision/gateway/permitdesk.h"
+#include "decision/gateway/permitissuer.h"
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/sendpermits.h"
 #include "decision/gateway/servicelanes.h"
@@ -184,7 +184,7 @@
     const CrashRecord &crashes() const { return crashes_; }
     UpstreamLimits &limits() { return limits_; }
     const UpstreamLimits &limits() const { return limits_; }
-    PermitDesk &permitDesk() { return permitDesk_; }
+    PermitIssuer &permitIssuer() { return permitIssuer_; }
 
     // Admits a request and sends it, has it wait, or rejects it.
     RequestNumber begin(GatewayRequest request, TimePoint now, GatewayActions &actions);
@@ -313,7 +313,7 @@
     GroupTable groups_;
     UpstreamLimits limits_;
     SendPermits permits_;
-    PermitDesk permitDesk_;
+    PermitIssuer permitIssuer_;
     UpstreamChooser chooser_; // Refers to the tables and permits.
     std::set<RequestNumber> waitForPermits_;
     CrashRecord crashes_;
--- a/src/decision/gateway/permitdesk.cpp
+++ b/src/decision/gateway/permitissuer.cpp
@@ -1,4 +1,4 @@
-#include "decision/gateway/permitdesk.h"
+#include "decision/gateway/permitissuer.h"
 
 #include <algorithm>
 
@@ -9,7 +9,8 @@
 
 } // namespace
 
-PermitDesk::Book &PermitDesk::bookOf(const InstanceId &upstream, RequestRate limit, TimePoint now)
+PermitIssuer::Book &PermitIssuer::bookOf(const InstanceId &upstream, RequestRate limit,
+                                         TimePoint now)
 {
     const double rate = std::max(limit.perSecond() * settings_.part, settings_.least.perSecond());
     constexpr double kNothingSaved = 0.0;
@@ -20,8 +21,8 @@
     return book;
 }
 
-PermitAnswer PermitDesk::take(const InstanceId &upstream, RequestRate limit,
-                              const InstanceId &asker, std::uint32_t wanted, TimePoint now)
+PermitAnswer PermitIssuer::take(const InstanceId &upstream, RequestRate limit,
+                                const InstanceId &asker, std::uint32_t wanted, TimePoint now)
 {
     Book &book = bookOf(upstream, limit, now);
     std::erase_if(book.askers,
@@ -39,7 +40,7 @@
     return answer;
 }
 
-void PermitDesk::expire(TimePoint now)
+void PermitIssuer::expire(TimePoint now)
 {
     std::erase_if(books_,
                   [&](const auto &entry) { return now - entry.second.usedAt > settings_.life; });
--- a/src/decision/gateway/permitdesk.h
+++ b/src/decision/gateway/permitissuer.h
@@ -1,13 +1,13 @@
 // Hands out the permits to send requests to upstreams that name a limit for all gateways together.
 //
-// Each such upstream has one gateway that all ask (GatewayDirectory::keeperOf). Weighed: an equal
+// Each such upstream has one gateway that all ask (GatewayDirectory::issuerOf). Weighed: an equal
 // part for each gateway leaves nearly all of a small limit unused where one of them has the
 // callers, and lets as many requests go at once as there are gateways. Nothing is agreed on and
 // nothing is stored: where gateways differ for a while on whom to ask, two hand out at once, so
 // each hands out three quarters of the limit. An upstream bears one and a half times what it names
 // for a while.
 //
-// A desk begins with no permits: what was handed out before it took over is not known here.
+// A issuer begins with no permits: what was handed out before it took over is not known here.
 // Permits of the past are not saved up, so that a pause is not followed by a heap of requests.
 //
 // Pure and single-threaded.
@@ -29,7 +29,7 @@
     Duration askAgain{}; // In vain sooner, where not all that was wanted is granted.
 };
 
-class PermitDesk
+class PermitIssuer
 {
 public:
     struct Settings
@@ -40,23 +40,23 @@
         // How much of a second's permits may lie ready.
         double savedSeconds = 0.1;
         // The time that each gateway which asked within the last second keeps from the next
-        // question of one that got nothing; it bounds the questions that a desk gets.
+        // question of one that got nothing; it bounds the questions that a issuer gets.
         Duration pausePerAsker = std::chrono::milliseconds(5);
-        // A desk for an upstream that nobody has asked about for so long is closed.
+        // A issuer for an upstream that nobody has asked about for so long is closed.
         Duration life = std::chrono::minutes(1);
     };
 
-    PermitDesk()
-        : PermitDesk(Settings())
+    PermitIssuer()
+        : PermitIssuer(Settings())
     {}
-    explicit PermitDesk(const Settings &settings)
+    explicit PermitIssuer(const Settings &settings)
         : settings_(settings)
     {}
 
     // Hands `asker` up to `wanted` permits to send to `upstream`, which names `limit`.
     PermitAnswer take(const InstanceId &upstream, RequestRate limit, const InstanceId &asker,
                       std::uint32_t wanted, TimePoint now);
-    // Closes what is not used any more. Call it now and then.
+    // Drops what is not used any more. Call it now and then.
     void expire(TimePoint now);
 
 private:
--- a/src/decision/gateway/sendpermits.h
+++ b/src/decision/gateway/sendpermits.h
@@ -8,7 +8,7 @@
 // Pure and single-threaded.
 #pragma once
 
-#include "decision/gateway/permitdesk.h"
+#include "decision/gateway/permitissuer.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
--- a/src/decision/membership/gatewaydirectory.cpp
+++ b/src/decision/membership/gatewaydirectory.cpp
@@ -77,7 +77,7 @@
     return best ? std::optional(best->second) : std::nullopt;
 }
 
-InstanceId GatewayDirectory::keeperOf(const InstanceId &upstream, const HallId &hall,
+InstanceId GatewayDirectory::issuerOf(const InstanceId &upstream, const HallId &hall,
                                       TimePoint now) const
 {
     const auto rankOf = [&](const GatewayRecord &record) {
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -90,7 +90,7 @@
     , groups_(beliefs.groups)
     , crashes_(beliefs.crashes)
     , limits_(beliefs.limits)
-    , permitDesk_(beliefs.permitDesk)
+    , permitIssuer_(beliefs.permitIssuer)
     , store_(store)
     , directory_(directory)
     , heard_(std::move(heard))
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -59,9 +59,9 @@
     // Asks a gateway, unless a question to it is under way; the answer may wait for `longest`.
     void ask(const SocketAddress &address, Duration longest);
     using PermitsAnswered = std::function<void(const PermitAnswer &)>;
-    // Asks the gateway `keeper` for permits to send to the upstream that said `limit`. `answered`
+    // Asks the gateway `issuer` for permits to send to the upstream that said `limit`. `answered`
     // is called once, also when no answer comes.
-    void askForPermits(const GatewayRecord &keeper, const LimitWord &limit, std::uint32_t wanted,
+    void askForPermits(const GatewayRecord &issuer, const LimitWord &limit, std::uint32_t wanted,
                        PermitsAnswered answered);
     // Wakes the questions that wait here, if there is news for them. Call it often.
     void tick();
@@ -131,7 +131,7 @@
     GroupTable &groups_;
     CrashRecord &crashes_;
     UpstreamLimits &limits_;
-    PermitDesk &permitDesk_;
+    PermitIssuer &permitIssuer_;
     const MetadataStore &store_;
     GatewayDirectory &directory_;
     Heard heard_;
--- a/src/gateway/gatewaypermits.cpp
+++ b/src/gateway/gatewaypermits.cpp
@@ -26,13 +26,13 @@
     upstream.id = word.upstream;
     upstream.start = word.start;
     const RequestRate rate = limits_.limitOf(upstream).value_or(word.rate.value_or(RequestRate()));
-    return permitDesk_.take(word.upstream, rate, from.id, wanted, now);
+    return permitIssuer_.take(word.upstream, rate, from.id, wanted, now);
 }
 
-void GatewayPeers::askForPermits(const GatewayRecord &keeper, const LimitWord &limit,
+void GatewayPeers::askForPermits(const GatewayRecord &issuer, const LimitWord &limit,
                                  std::uint32_t wanted, PermitsAnswered answered)
 {
-    const SocketAddress address{keeper.host, keeper.port};
+    const SocketAddress address{issuer.host, issuer.port};
     auto request = linkTo(address).rpc->capability().castAs<wire::GatewayPeer>().permitsRequest();
     writeGateway(directory_.self(), Duration{}, request.initSelf());
     writeLimit(limit, loop_.now(), request.initLimit());
@@ -45,7 +45,7 @@
         }
     };
     loop_.schedule(detail::kPeerPatience,
-                   [this, address, id = keeper.id, over, conclude, alive = alive_] {
+                   [this, address, id = issuer.id, over, conclude, alive = alive_] {
                        if (!*alive || *over) {
                            return;
                        }
@@ -59,7 +59,7 @@
         [conclude](capnp::Response<wire::GatewayPeer::PermitsResults> &&answer) {
             conclude({answer.getGranted(), Duration(answer.getAskAgainMicros())});
         },
-        [this, conclude, id = keeper.id](kj::Exception &&exception) {
+        [this, conclude, id = issuer.id](kj::Exception &&exception) {
             const bool unknown = exception.getType() == kj::Exception::Type::UNIMPLEMENTED;
             if (!unknown) {
                 directory_.onFailed(id, loop_.now());
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -92,7 +92,7 @@
     }
     auto sources = KnowledgeSources::create(
         loop_, *client_, store_, knowledge_,
-        {core_.groups(), core_.crashes(), core_.limits(), core_.permitDesk()},
+        {core_.groups(), core_.crashes(), core_.limits(), core_.permitIssuer()},
         {settings_.instance, settings_.hall, settings_.peerListen, settings_.seeds,
          settings_.agentPort});
     if (!sources) {
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -102,11 +102,11 @@
         answered({}); // It names none any more, or is gone.
         return;
     }
-    const InstanceId keeper = directory_.keeperOf(ask.upstream, upstream->hall, now);
-    const GatewayRecord *record = directory_.find(keeper);
+    const InstanceId issuer = directory_.issuerOf(ask.upstream, upstream->hall, now);
+    const GatewayRecord *record = directory_.find(issuer);
     if (peers_ == nullptr || record == nullptr) {
         const InstanceId &self = settings_.instance;
-        answered(beliefs_.permitDesk.take(ask.upstream, *word->rate, self, ask.wanted, now));
+        answered(beliefs_.permitIssuer.take(ask.upstream, *word->rate, self, ask.wanted, now));
         return;
     }
     peers_->askForPermits(*record, *word, ask.wanted, std::move(answered));
--- a/src/gateway/sharedbeliefs.h
+++ b/src/gateway/sharedbeliefs.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "decision/gateway/grouptable.h"
-#include "decision/gateway/permitdesk.h"
+#include "decision/gateway/permitissuer.h"
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/retry/crashrecord.h"
 
@@ -14,7 +14,7 @@
     GroupTable &groups;
     CrashRecord &crashes;
     UpstreamLimits &limits;
-    PermitDesk &permitDesk;
+    PermitIssuer &permitIssuer;
 };
 
 } // namespace seamarch
--- a/test/decision/gateway/sharedlimit_test.cpp
+++ b/test/decision/gateway/sharedlimit_test.cpp
@@ -4,7 +4,7 @@
 //
 // The upstream counts what arrives in each 4 s and bears one and a half times its limit and five
 // requests.
-#include "decision/gateway/permitdesk.h"
+#include "decision/gateway/permitissuer.h"
 #include "decision/gateway/sendpermits.h"
 
 #include <algorithm>
@@ -71,7 +71,7 @@
 struct Gateway
 {
     SendPermits permits;
-    PermitDesk desk;
+    PermitIssuer issuer;
     int standsUntil = 0;
     int life = 0; // Counts its starts.
 };
@@ -108,7 +108,7 @@
     bool isFar(std::size_t index) const { return index >= gateways_.size() / 2; }
 
     // Each side of a cut has one that it asks.
-    std::size_t keeperFor(std::size_t index) const
+    std::size_t issuerFor(std::size_t index) const
     {
         return cut() && isFar(index) ? gateways_.size() / 2 : 0;
     }
@@ -159,8 +159,8 @@
                 ++found_.questions;
                 Message answer{0, message.to, message.from,    true,
                                0, {},         message.askedAt, message.life};
-                answer.answer = gateway.desk.take(kUpstream, RequestRate(world_.limit),
-                                                  idOf(message.from), message.wanted, at(now_));
+                answer.answer = gateway.issuer.take(kUpstream, RequestRate(world_.limit),
+                                                    idOf(message.from), message.wanted, at(now_));
                 send(answer);
             }
         }
@@ -178,11 +178,11 @@
             }
         }
         for (const SendPermits::Ask &ask : gateway.permits.takeAsks(at(now_))) {
-            send({0, index, keeperFor(index), false, ask.wanted, {}, now_, gateway.life});
+            send({0, index, issuerFor(index), false, ask.wanted, {}, now_, gateway.life});
         }
         if (now_ % 25 == 0) {
             gateway.permits.expire(at(now_));
-            gateway.desk.expire(at(now_));
+            gateway.issuer.expire(at(now_));
         }
     }
 
@@ -297,11 +297,11 @@
 TEST(SharedLimitTest, PermitsAreNotSavedUpOverAPause)
 {
     SendPermits permits;
-    PermitDesk desk;
+    PermitIssuer issuer;
     const InstanceId upstream("up");
     const InstanceId self("g");
-    desk.take(upstream, RequestRate(1.0), self, 1, at(0));
-    const PermitAnswer answer = desk.take(upstream, RequestRate(1.0), self, 16, at(30000));
+    issuer.take(upstream, RequestRate(1.0), self, 1, at(0));
+    const PermitAnswer answer = issuer.take(upstream, RequestRate(1.0), self, 16, at(30000));
     UNSIGNED_LONGS_EQUAL(1, answer.granted);
     permits.want(upstream);
     permits.takeAsks(at(30000));
