--- a/src/decision/gateway/permitissuer.h
+++ b/src/decision/gateway/permitissuer.h
@@ -7,7 +7,7 @@
 // each hands out three quarters of the limit. An upstream bears one and a half times what it names
 // for a while.
 //
-// A issuer begins with no permits: what was handed out before it took over is not known here.
+// An issuer begins with no permits: what was handed out before it took over is not known here.
 // Permits of the past are not saved up, so that a pause is not followed by a heap of requests.
 //
 // Pure and single-threaded.
@@ -40,9 +40,9 @@
         // How much of a second's permits may lie ready.
         double savedSeconds = 0.1;
         // The time that each gateway which asked within the last second keeps from the next
-        // question of one that got nothing; it bounds the questions that a issuer gets.
+        // question of one that got nothing; it bounds the questions that an issuer gets.
         Duration pausePerAsker = std::chrono::milliseconds(5);
-        // A issuer for an upstream that nobody has asked about for so long is closed.
+        // What is kept of an upstream that nobody has asked about for so long is dropped.
         Duration life = std::chrono::minutes(1);
     };
 
