A word of an earlier start of an upstream does not take the place of a later one's

After the store went back to a copy that lists an earlier start as leaving, the word of the start that really leaves was lost, and a gateway that was handed a list with that start sent to it again.

--- a/src/decision/gateway/leavingupstreams.cpp
+++ b/src/decision/gateway/leavingupstreams.cpp
@@ -6,6 +6,19 @@
 
 namespace seamarch {
 
+// Tells whether `upstream` shows an earlier start than the one whose word is known.
+bool LeavingUpstreams::isOfEarlierStart(const UpstreamRecord &upstream) const
+{
+    const auto found = words_.find(upstream.id);
+    if (found == words_.end()) {
+        return false;
+    }
+    const Word &word = found->second;
+    const bool told = word.start != UpstreamStart() && upstream.start != UpstreamStart();
+    return told && upstream.start != word.start
+           && !isLaterStart(upstream, word.start, word.listedAt);
+}
+
 LeavingUpstreams::Word &LeavingUpstreams::take(const UpstreamRecord &upstream)
 {
     const auto [found, added] = words_.try_emplace(upstream.id);
@@ -24,12 +37,16 @@
 
 void LeavingUpstreams::add(const UpstreamRecord &upstream)
 {
-    take(upstream).leaves = true;
+    if (!isOfEarlierStart(upstream)) {
+        take(upstream).leaves = true;
+    }
 }
 
 void LeavingUpstreams::addGone(const UpstreamRecord &upstream)
 {
-    take(upstream);
+    if (!isOfEarlierStart(upstream)) {
+        take(upstream);
+    }
 }
 
 bool LeavingUpstreams::isOver(const Word &word, const UpstreamRecord &listed)
--- a/src/decision/gateway/leavingupstreams.h
+++ b/src/decision/gateway/leavingupstreams.h
@@ -3,7 +3,9 @@
 // A word of leaving counts from the moment that it is heard, whatever any later list says: the
 // store may be away, behind, or back from an older copy. It holds for the start of the upstream
 // that it was said of, and ends with a later start alone (isLaterStart). Where the list does not
-// tell starts, the first that it tells afterwards is taken for the one that leaves.
+// tell starts, the first that it tells afterwards is taken for the one that leaves. A word of an
+// earlier start, out of an older copy of the store, does not take its place: the later start would
+// be believed again.
 //
 // One that the store has taken away is the same, unless the store lists it anew: an upstream that
 // was cut off from the store lapses there and comes back in a new entry. An entry that was listed
@@ -46,6 +48,7 @@
         bool leaves = false; // Else it is only gone from the list.
     };
 
+    bool isOfEarlierStart(const UpstreamRecord &upstream) const;
     Word &take(const UpstreamRecord &upstream);
     static bool isOver(const Word &word, const UpstreamRecord &listed);
 
--- a/test/decision/gateway/leavingupstreams_test.cpp
+++ b/test/decision/gateway/leavingupstreams_test.cpp
@@ -57,6 +57,20 @@
     CHECK_FALSE(table.mayReceive(one));
 }
 
+// An older copy of the store lists the start before the one that leaves.
+TEST(LeavingUpstreamsTest, WordOfAnEarlierStartDoesNotTakeThePlaceOfALaterOne)
+{
+    table.put(record("one", 5));
+    table.announceLeaving(record("one", 5));
+    UpstreamRecord earlier = record("one", 4);
+    earlier.leaving = true;
+    table.put(earlier);
+    table.mirror({record("one", 5)});
+    CHECK_FALSE(table.mayReceive(one));
+    table.put(record("one", 6));
+    CHECK_TRUE(table.mayReceive(one));
+}
+
 TEST(LeavingUpstreamsTest, LaterStartGetsRequestsAgain)
 {
     table.put(record("one", 5));
