--- a/test/decision/gateway/limitedupstream_test.cpp
+++ b/test/decision/gateway/limitedupstream_test.cpp
@@ -3,6 +3,8 @@
 // come and go, and permits are granted, refused or not answered.
 #include "decision/gateway/gatewaycore.h"
 
+#include "decision/gateway/routekinds.h"
+
 #include <array>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -13,6 +15,8 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace seamarch;
+using seamarch::testing::Kind;
+using seamarch::testing::tableFor;
 
 namespace {
 
@@ -23,28 +27,6 @@
 
 constexpr RequestRate kLimit{1.0};
 
-enum class Kind { AtMostOnce, Repeatable, Stream };
-
-std::shared_ptr<const RouteTable> tableFor(Kind kind)
-{
-    RouteRule route;
-    route.name = "route";
-    route.host = "x";
-    route.pathPrefix = "/";
-    route.targets = {{TargetName("service"), 1}};
-    route.repeatable = kind == Kind::Repeatable;
-    route.streamed = kind == Kind::Stream;
-    route.resumable = kind == Kind::Stream;
-    route.timeout = std::chrono::seconds(8);
-    route.silenceLimit = std::chrono::seconds(2);
-    route.latencyGoal = std::chrono::milliseconds(500);
-    route.pauseGoal = std::chrono::milliseconds(120);
-    route.maxAttempts = 3;
-    RoutingDocument document;
-    document.routes = {route};
-    return std::make_shared<const RouteTable>(document);
-}
-
 UpstreamRecord record(const std::string &id, std::int64_t start = 1)
 {
     UpstreamRecord record;
