--- a/src/decision/gateway/permitissuer.h
+++ b/src/decision/gateway/permitissuer.h
@@ -4,8 +4,8 @@
 // part for each gateway leaves nearly all of a small limit unused where one of them has the
 // callers, and lets as many requests go at once as there are gateways. Nothing is agreed on and
 // nothing is stored: where gateways differ for a while on whom to ask, two hand out at once, so
-// each hands out three quarters of the limit. An upstream bears one and a half times what it names
-// for a while.
+// each hands out less than three quarters of the limit. An upstream bears one and a half times what
+// it names for a while.
 //
 // An issuer begins with no permits: what was handed out before it took over is not known here.
 // Permits of the past are not saved up, so that a pause is not followed by a heap of requests.
