Requests that are bound to regions stay in them

Cause: the regions that routes and client accounts name (allowed-regions) were read by nobody. Change: what both name binds, also where that is nothing; one check where every sender chooses, so first and second tries, streams that are taken up, waiting ones and moves keep to it; a hall whose region is not known is in none. A request that no allowed region has an upstream for is refused at once, not run, by a code of its own. The settings tell the regions of halls (hall-regions). Weighed: a list of upstreams by request (a copy of hundreds each); the check at admission alone (a second try would leave the region).

--- a/include/seamarch/ids.h
+++ b/include/seamarch/ids.h
@@ -40,6 +40,8 @@
 using AccountId = StrongId<struct AccountTag, std::string>;
 // A data hall.
 using HallId = StrongId<struct HallTag, std::string>;
+// A region: halls whose requests may be bound to stay there.
+using RegionId = StrongId<struct RegionTag, std::string>;
 // A process of the system: an entry or an agent, as the platform lists it.
 using InstanceId = StrongId<struct InstanceTag, std::string>;
 // What a request asks for: the name of a model or of a plain service.
--- a/include/seamarch/outcome.h
+++ b/include/seamarch/outcome.h
@@ -38,6 +38,7 @@
     Cancelled,
     RequestEndsUpstreams,
     UpstreamEnded,
+    NoUpstreamInRegions,
 };
 
 // Returns the word that the header `Seamarch-Outcome` carries.
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -64,6 +64,9 @@
         "not sent to another. Do not repeat it; tell the operators."},
     FailureText{FailureCode::UpstreamEnded, 502, "upstream_ended",
                 "The upstream's process ended while it had the request; it may have run."},
+    FailureText{FailureCode::NoUpstreamInRegions, 503, "no_upstream_in_regions",
+                "The regions in which this request may be served have no upstream now; come back "
+                "after Retry-After seconds."},
 };
 
 const FailureText &textOf(FailureCode code)
@@ -78,7 +81,7 @@
             return false;
         }
     }
-    return kFailureTexts.size() == static_cast<std::size_t>(FailureCode::UpstreamEnded) + 1;
+    return kFailureTexts.size() == static_cast<std::size_t>(FailureCode::NoUpstreamInRegions) + 1;
 }
 
 static_assert(textsFollowTheEnumeration(), "kFailureTexts lists each FailureCode once, in order");
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -140,6 +140,24 @@
     return addresses;
 }
 
+std::map<std::string, std::string> SettingsReader::pairs(std::string_view name)
+{
+    const std::string value = text(name);
+    std::map<std::string, std::string> pairs;
+    std::string_view rest = value;
+    while (!rest.empty()) {
+        const std::size_t comma = rest.find(',');
+        const std::string_view pair = trim(rest.substr(0, comma));
+        const std::size_t colon = pair.find(':');
+        const bool whole = colon != std::string_view::npos && colon > 0 && colon + 1 < pair.size();
+        if (!whole || !pairs.emplace(pair.substr(0, colon), pair.substr(colon + 1)).second) {
+            fault(name, fmt::format("expected NAME:VALUE, each name once, found '{}'", pair));
+        }
+        rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
+    }
+    return pairs;
+}
+
 HostPort SettingsReader::readAddress(std::string_view name, std::string_view value)
 {
     auto parsed = parseHostPort(value);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -62,6 +62,8 @@
     HostPort address(std::string_view name, std::optional<std::string> fallback = {});
     // Reads addresses that commas part.
     std::vector<HostPort> addresses(std::string_view name);
+    // Reads pairs `NAME:VALUE` that commas part; each name stands once.
+    std::map<std::string, std::string> pairs(std::string_view name);
     std::uint64_t integer(std::string_view name, std::uint64_t low, std::uint64_t high,
                           std::uint64_t fallback);
     // Reads a number that may have a fraction.
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -61,6 +61,8 @@
 
 Gateway options:
   --seeds LIST               Where some of the other gateways listen, parted by commas.
+  --hall-regions LIST        The region of each hall, as HALL:REGION, parted by commas. Routes and
+                             client accounts that name regions are served in these alone.
   --agent-port N             Where the agents beside model engines listen, at their engines'
                              addresses; without it nothing is known of groups.
   --crash-memory-s N         How long it is remembered that an upstream ended under a request
@@ -174,6 +176,11 @@
             settings.seeds.push_back(toAddress(seed));
         }
     }
+    if (reader.given("hall-regions")) {
+        for (const auto &[hall, region] : reader.pairs("hall-regions")) {
+            settings.regions.emplace(HallId(hall), RegionId(region));
+        }
+    }
     if (reader.given("agent-port")) {
         constexpr std::uint64_t kLastPort = 65'535;
         settings.agentPort = static_cast<int>(reader.integer("agent-port", 1, kLastPort, 1));
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -14,6 +14,7 @@
 {
     UpstreamChooser::Settings choice = settings.choice;
     choice.hall = settings.hall;
+    choice.regions = settings.regions;
     return choice;
 }
 
@@ -98,6 +99,10 @@
         giveUp(number, FailureCode::RequestEndsUpstreams, now, actions);
         return number;
     }
+    if (!chooser_.hasUpstream(added.service, added.request.residency)) {
+        giveUp(number, FailureCode::NoUpstreamInRegions, now, actions);
+        return number;
+    }
     if (route.streamed) {
         ServiceState &service = serviceOf(added.service);
         const auto group = service.lanes.laneFor(entryFor(number, added, service), groups_, now);
@@ -153,7 +158,14 @@
     return mayRepeat(request) && mayBeSent(request, now)
            && request.attempts < request.request.route->maxAttempts
            && budgets_.at(request.service).available()
-           && chooser_.choose(request.service, std::nullopt, request.tried, now).has_value();
+           && chooseFor(request, std::nullopt, now).has_value();
+}
+
+// Returns the best upstream of `group`, or of any group, that the request was not sent to yet.
+std::optional<InstanceId> GatewayCore::chooseFor(const Request &request,
+                                                 const std::optional<GroupId> &group, TimePoint now)
+{
+    return chooser_.choose({request.service, group, request.request.residency}, request.tried, now);
 }
 
 // Sends the request to the best upstream of `group`, or of any where that has none left.
@@ -164,9 +176,9 @@
     if (!mayBeSent(request, now)) {
         return false;
     }
-    auto chosen = chooser_.choose(request.service, group, request.tried, now);
+    auto chosen = chooseFor(request, group, now);
     if (!chosen && group) {
-        chosen = chooser_.choose(request.service, std::nullopt, request.tried, now);
+        chosen = chooseFor(request, std::nullopt, now);
     }
     if (!chosen || now >= request.giveUpAt) {
         return false;
@@ -371,8 +383,10 @@
         actions.push_back(
             RejectRequest{number, FailureCode::RequestEndsUpstreams, Outcome::NotRun, {}});
     } else {
-        actions.push_back(RejectRequest{number, FailureCode::NoUpstream, Outcome::NotRun,
-                                        comeBackAfter(request, now)});
+        const bool regions = failure == FailureCode::NoUpstreamInRegions;
+        actions.push_back(
+            RejectRequest{number, regions ? failure : FailureCode::NoUpstream, Outcome::NotRun,
+                          comeBackAfter(request, now)});
     }
     endRequest(number);
 }
@@ -471,7 +485,7 @@
     std::optional<GroupId> group;
     if (request.request.route->streamed) {
         group = serviceOf(request.service).lanes.laneForMove(request.group, groups_, now);
-        if (!group || !chooser_.choose(request.service, group, request.tried, now)) {
+        if (!group || !chooseFor(request, group, now)) {
             return;
         }
     }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -20,6 +20,9 @@
 // Upstreams may name a limit for all gateways together (UpstreamLimits). A request goes there only
 // for a permit; where there is nothing else to send it to, it waits a moment for one.
 //
+// A request that may be served in some regions only is sent nowhere else, and is given up at once
+// while those have no upstream.
+//
 // Streams are admitted by group, because the ranks of a group make every pass together and slow
 // down, stand still and break together: each group has a lane with a bound of its own (StreamLane).
 // A stream goes to a group of the own hall while that admits it, else to another group, and waits
@@ -32,6 +35,7 @@
 
 #include "decision/gateway/grouptable.h"
 #include "decision/gateway/permitissuer.h"
+#include "decision/gateway/residency.h"
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/sendpermits.h"
 #include "decision/gateway/servicelanes.h"
@@ -70,6 +74,7 @@
     std::uint8_t priority = 5; // 0 is the most urgent.
     Duration deadline{};       // How long the caller waits, from its arrival on.
     Duration held{};           // How long ago it arrived.
+    Residency residency;       // Where it may be served.
     RequestDigest digest;      // Requests that are the same to an upstream have the same one.
 };
 
@@ -140,6 +145,7 @@
     struct Settings
     {
         HallId hall;
+        HallRegions regions;
         std::uint64_t seed = 0;
         // When a refused caller may come back.
         Duration retryAfter = std::chrono::milliseconds(250);
@@ -274,6 +280,8 @@
     RetryBudget::Settings ownBudget() const;
     bool mayRepeat(const Request &request) const;
     bool mayTryAgain(const Request &request, TimePoint now);
+    std::optional<InstanceId> chooseFor(const Request &request, const std::optional<GroupId> &group,
+                                        TimePoint now);
     TargetName chooseService(const RouteRule &route);
     StreamLane &laneOf(const Request &request);
     bool startAttempt(RequestNumber number, Request &request, const std::optional<GroupId> &group,
--- a/src/decision/gateway/routetable.h
+++ b/src/decision/gateway/routetable.h
@@ -44,6 +44,7 @@
     Duration silenceLimit = std::chrono::seconds(2);
     std::uint8_t priority = 5; // 0 is the most urgent, 9 the least.
     std::uint32_t maxAttempts = 1;
+    std::vector<RegionId> regions; // Where its requests may be served; empty: anywhere.
 };
 
 // A client account and its keys.
@@ -52,6 +53,7 @@
     AccountId id;
     std::vector<std::string> keys;
     std::optional<std::uint8_t> priority; // Goes before the route's.
+    std::vector<RegionId> regions;        // As the route's; both bind.
 };
 
 // How the experts of a service's model are spread over the ranks of its groups.
--- a/src/decision/gateway/upstreamchooser.cpp
+++ b/src/decision/gateway/upstreamchooser.cpp
@@ -82,19 +82,39 @@
     return limits_.limitOf(upstream) && !permits_.has(upstream.id, now);
 }
 
-std::optional<InstanceId> UpstreamChooser::choose(const TargetName &service,
-                                                  const std::optional<GroupId> &group,
+bool UpstreamChooser::mayServe(const UpstreamRecord &upstream, const Residency &residency) const
+{
+    const auto region = settings_.regions.find(upstream.hall);
+    return residency.allows(region == settings_.regions.end() ? RegionId() : region->second);
+}
+
+bool UpstreamChooser::hasUpstream(const TargetName &service, const Residency &residency)
+{
+    if (residency.isFree()) {
+        return true;
+    }
+    const Groups &groups = groupsOf(service);
+    return std::any_of(groups.begin(), groups.end(), [&](const auto &group) {
+        const auto &upstreams = group.second.upstreams;
+        return std::any_of(
+            upstreams.begin(), upstreams.end(),
+            [&](const UpstreamRecord *upstream) { return mayServe(*upstream, residency); });
+    });
+}
+
+std::optional<InstanceId> UpstreamChooser::choose(const Target &target,
                                                   const std::set<InstanceId> &tried, TimePoint now)
 {
     std::vector<const UpstreamRecord *> candidates;
-    for (const auto &[id, members] : groupsOf(service)) {
-        if (!group || *group == id) {
+    for (const auto &[id, members] : groupsOf(target.service)) {
+        if (!target.group || *target.group == id) {
             candidates.insert(candidates.end(), members.upstreams.begin(), members.upstreams.end());
         }
     }
     const Turns turns = turnsOf(candidates);
     std::erase_if(candidates, [&](const UpstreamRecord *record) {
-        return takesNothing(record->id, now) || tried.contains(record->id);
+        return takesNothing(record->id, now) || tried.contains(record->id)
+               || !mayServe(*record, target.residency);
     });
     std::vector<InstanceId> ids;
     ids.reserve(candidates.size());
@@ -136,11 +156,13 @@
     }
 }
 
-bool UpstreamChooser::awaitsPermit(const TargetName &service, TimePoint end, TimePoint now)
+bool UpstreamChooser::awaitsPermit(const TargetName &service, const Residency &residency,
+                                   TimePoint end, TimePoint now)
 {
     for (const auto &[id, group] : groupsOf(service)) {
         for (const UpstreamRecord *record : group.upstreams) {
-            if (!takesNothing(record->id, now) && lacksPermit(*record, now)
+            if (!takesNothing(record->id, now) && mayServe(*record, residency)
+                && lacksPermit(*record, now)
                 && permits_.mayComeUntil(record->id, end, now)) {
                 return true;
             }
--- a/src/decision/gateway/upstreamchooser.h
+++ b/src/decision/gateway/upstreamchooser.h
@@ -18,10 +18,14 @@
 // any other is: what it still takes is worth having, and only an answer shows that it names no
 // limit any more.
 //
+// A request that may be served in some regions only goes to upstreams of halls that are known to be
+// in these, by whatever way it comes to be sent.
+//
 // Pure and single-threaded. The tables outlive the object.
 #pragma once
 
 #include "decision/gateway/grouptable.h"
+#include "decision/gateway/residency.h"
 #include "decision/gateway/sendpermits.h"
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamtable.h"
@@ -39,12 +43,16 @@
 
 namespace seamarch {
 
+// The region of each hall.
+using HallRegions = std::map<HallId, RegionId>;
+
 class UpstreamChooser
 {
 public:
     struct Settings
     {
         HallId hall;
+        HallRegions regions;
         // What an upstream in another hall is charged, in requests in flight: bytes between halls
         // are dear, and the way there can be cut.
         double otherHallPenalty = 2.0;
@@ -81,10 +89,21 @@
     // Returns the groups of `service` that have upstreams. Valid until a table changes.
     const Groups &groupsOf(const TargetName &service);
 
-    // Returns the best upstream that is not in `tried`; of `group`, where one is named. Wants
-    // permits for those that would be better.
-    std::optional<InstanceId> choose(const TargetName &service, const std::optional<GroupId> &group,
-                                     const std::set<InstanceId> &tried, TimePoint now);
+    // Where a request is to be sent.
+    struct Target
+    {
+        const TargetName &service;
+        const std::optional<GroupId> &group; // Nothing: any.
+        const Residency &residency;
+    };
+
+    // Returns the best upstream of `target` that is not in `tried`. Wants permits for those that
+    // would be better.
+    std::optional<InstanceId> choose(const Target &target, const std::set<InstanceId> &tried,
+                                     TimePoint now);
+    // Tells whether `service` has an upstream where a request with this residency may be served, or
+    // the request may be served anywhere.
+    bool hasUpstream(const TargetName &service, const Residency &residency);
 
     // A request goes to `upstream`; it is there no more.
     void onSent(const UpstreamRecord &upstream, TimePoint now);
@@ -106,8 +125,10 @@
     // Returns when the first upstream of `service` takes requests again; nothing when there is none
     // or some do not rest.
     std::optional<TimePoint> restsUntil(const TargetName &service, TimePoint now);
-    // Tells whether a permit for an upstream of `service` may come until `end`.
-    bool awaitsPermit(const TargetName &service, TimePoint end, TimePoint now);
+    // Tells whether a permit for an upstream of `service` that a request with this residency may go
+    // to may come until `end`.
+    bool awaitsPermit(const TargetName &service, const Residency &residency, TimePoint end,
+                      TimePoint now);
     // Returns from when on a permit for an upstream of `service` may be had; nothing when some take
     // requests without one.
     std::optional<TimePoint> permitsFrom(const TargetName &service, TimePoint now);
@@ -137,6 +158,7 @@
     using Turns = std::unordered_map<InstanceId, double>;
 
     Groups collect(const TargetName &service) const;
+    bool mayServe(const UpstreamRecord &upstream, const Residency &residency) const;
     bool takesNothing(const InstanceId &upstream, TimePoint now) const;
     bool lacksPermit(const UpstreamRecord &upstream, TimePoint now) const;
     Turns turnsOf(const std::vector<const UpstreamRecord *> &upstreams) const;
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -276,6 +276,7 @@
         return tl::unexpected(mayDeny ? FailureCode::NotFound : FailureCode::KnowledgeStale);
     }
     admitted.priority = admitted.route->priority;
+    admitted.residency.restrictTo(admitted.route->regions);
     const Duration longest =
         admitted.route->timeout > Duration{} ? admitted.route->timeout : kDefaultDeadline;
     admitted.deadline = facts.deadline.value_or(longest);
@@ -290,6 +291,7 @@
         return tl::unexpected(FailureCode::KnowledgeStale);
     }
     admitted.account = account->id;
+    admitted.residency.restrictTo(account->regions);
     admitted.priority = account->priority.value_or(admitted.priority);
     return admitted;
 }
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -22,6 +22,7 @@
 {
     GatewayCore::Settings core;
     core.hall = settings.hall;
+    core.regions = settings.regions;
     core.seed = randomIdentity();
     core.retries = retryLimits(settings.bounds);
     core.crashes.life = settings.crashMemory;
@@ -395,6 +396,7 @@
 {
     const bool fixedChanged =
         settings.instance != settings_.instance || settings.hall != settings_.hall
+        || settings.regions != settings_.regions
         || settings.listen != settings_.listen
         || settings.operatorListen != settings_.operatorListen
         || settings.metricsListen != settings_.metricsListen || settings.store != settings_.store
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -33,6 +33,7 @@
 {
     InstanceId instance;
     HallId hall;
+    HallRegions regions;
     SocketAddress listen;         // For callers.
     SocketAddress operatorListen; // For the platform's balancer and operators.
     std::optional<SocketAddress> metricsListen;
--- /dev/null
+++ b/test/decision/gateway/residency_test.cpp
@@ -0,0 +1,232 @@
+// The load that this answers: routes and client accounts name the regions in which their requests
+// may be served, while upstreams refuse, fail, break streams and fall silent, come and go, and halls
+// are drained.
+#include "decision/gateway/residency.h"
+
+#include "decision/gateway/gatewaycore.h"
+#include "decision/gateway/routekinds.h"
+
+#include <array>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <iterator>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+using seamarch::testing::Kind;
+using seamarch::testing::tableFor;
+
+namespace {
+
+const RegionId kCentre("centre");
+const RegionId kCoast("coast");
+
+TimePoint at(int millis)
+{
+    return TimePoint(std::chrono::milliseconds(millis));
+}
+
+UpstreamRecord record(const std::string &id, const std::string &hall)
+{
+    UpstreamRecord record;
+    record.id = InstanceId(id);
+    record.service = TargetName("service");
+    record.hall = HallId(hall);
+    record.slots = 4;
+    record.start = UpstreamStart(1);
+    return record;
+}
+
+Residency boundTo(const std::vector<RegionId> &regions)
+{
+    Residency residency;
+    residency.restrictTo(regions);
+    return residency;
+}
+
+} // namespace
+
+TEST_GROUP(ResidencyTest)
+{
+    std::unique_ptr<GatewayCore> core;
+    GatewayActions actions;
+    const HallRegions regions{{HallId("north"), kCentre},
+                              {HallId("south"), kCoast},
+                              {HallId("west"), kCoast}};
+
+    void setup() override
+    {
+        start(1);
+    }
+
+    void start(std::uint64_t seed)
+    {
+        GatewayCore::Settings settings;
+        settings.hall = HallId("north");
+        settings.regions = regions;
+        settings.seed = seed;
+        settings.retries = {0.2, 88.0};
+        core = std::make_unique<GatewayCore>(settings);
+        for (const auto &[id, hall] : listed()) {
+            core->upstreams().put(record(id, hall));
+        }
+    }
+
+    static std::map<std::string, std::string> listed()
+    {
+        return {{"n-1", "north"}, {"n-2", "north"}, {"s-1", "south"},
+                {"w-1", "west"},  {"x-1", "unknown"}};
+    }
+
+    RequestNumber begin(Kind kind, const Residency &residency, int now)
+    {
+        actions.clear();
+        GatewayRequest request;
+        request.table = tableFor(kind);
+        request.route = request.table->match("x", "/");
+        request.deadline = std::chrono::seconds(8);
+        request.residency = residency;
+        return core->begin(request, at(now), actions);
+    }
+
+    const RejectRequest *rejection() const
+    {
+        const auto *found = actions.empty() ? nullptr : std::get_if<RejectRequest>(&actions.back());
+        return found;
+    }
+};
+
+TEST(ResidencyTest, NothingNamedIsAnywhere)
+{
+    CHECK_TRUE(boundTo({}).allows(kCoast));
+    CHECK_TRUE(boundTo({}).allows(RegionId()));
+}
+
+TEST(ResidencyTest, WhatSeveralNameIsWhatAllOfThemName)
+{
+    Residency residency = boundTo({kCentre, kCoast});
+    residency.restrictTo({});
+    residency.restrictTo({kCoast, RegionId("hills")});
+    CHECK_TRUE(residency.allows(kCoast));
+    CHECK_FALSE(residency.allows(kCentre));
+    CHECK_FALSE(residency.allows(RegionId("hills")));
+    residency.restrictTo({kCentre});
+    CHECK_FALSE(residency.allows(kCoast));
+    CHECK_FALSE(residency.isFree());
+}
+
+TEST(ResidencyTest, RegionThatIsNotKnownIsNoneOfThoseNamed)
+{
+    CHECK_FALSE(boundTo({kCoast}).allows(RegionId()));
+}
+
+TEST(ResidencyTest, RequestThatNoAllowedRegionServesIsRejectedAtOnce)
+{
+    for (const Kind kind : {Kind::AtMostOnce, Kind::Repeatable, Kind::Stream}) {
+        begin(kind, boundTo({RegionId("hills")}), 0);
+        CHECK_TRUE(rejection() != nullptr);
+        CHECK_TRUE(rejection()->failure == FailureCode::NoUpstreamInRegions);
+        CHECK_TRUE(rejection()->outcome == Outcome::NotRun);
+        CHECK_TRUE(rejection()->retryAfter > Duration{});
+    }
+}
+
+TEST(ResidencyTest, RequestIsRejectedAtOnceWhileTheOnlyHallOfItsRegionIsDrained)
+{
+    core->upstreams().setDrainedHalls({HallId("north")});
+    begin(Kind::Stream, boundTo({kCentre}), 0);
+    CHECK_TRUE(rejection()->failure == FailureCode::NoUpstreamInRegions);
+    begin(Kind::Stream, Residency(), 0);
+    CHECK_TRUE(rejection() == nullptr);
+}
+
+// Every order of events that a seed draws; more seeds by hand with SEAMARCH_SEEDS.
+TEST(ResidencyTest, NoScheduleSendsToAnotherRegionOrToADrainedHall)
+{
+    const char *asked = std::getenv("SEAMARCH_SEEDS");
+    const int seeds = asked == nullptr ? 400 : std::atoi(asked);
+    const std::array residencies{Residency(), boundTo({kCentre}), boundTo({kCoast}),
+                                 boundTo({kCentre, kCoast})};
+    for (int seed = 1; seed <= seeds; ++seed) {
+        start(static_cast<std::uint64_t>(seed));
+        std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+        const auto draw = [&random](std::size_t most) { return random() % most; };
+        std::map<RequestNumber, Residency> open;
+        for (int step = 0, now = 0; step < 300; ++step) {
+            now += static_cast<int>(draw(60));
+            actions.clear();
+            const auto chosen =
+                open.empty() ? open.end()
+                             : std::next(open.begin(), static_cast<std::ptrdiff_t>(draw(open.size())));
+            switch (draw(9)) {
+            case 0:
+            case 1: {
+                const Residency residency = residencies[draw(residencies.size())];
+                const auto kind = static_cast<Kind>(draw(3));
+                const RequestNumber number = begin(kind, residency, now);
+                open.emplace(number, residency);
+                break;
+            }
+            case 2:
+            case 3:
+                if (chosen != open.end()) {
+                    const std::array kinds{AnswerKind::Full, AnswerKind::Failure,
+                                           AnswerKind::Invalid, AnswerKind::Success,
+                                           AnswerKind::WrongInstance};
+                    core->onHead(chosen->first, kinds[draw(kinds.size())], at(now), actions);
+                }
+                break;
+            case 4:
+                if (chosen != open.end()) {
+                    const std::array ends{AttemptEnd::Complete, AttemptEnd::NotSent,
+                                          AttemptEnd::Lost};
+                    core->onEnd(chosen->first, ends[draw(ends.size())], at(now), actions);
+                }
+                break;
+            case 5: {
+                for (const auto &[id, hall] : listed()) {
+                    if (draw(4) == 0) {
+                        core->upstreams().remove(InstanceId(id), at(now));
+                    } else {
+                        core->upstreams().put(record(id, hall));
+                    }
+                }
+                break;
+            }
+            case 6: {
+                std::set<HallId> drained;
+                for (const auto &[hall, region] : regions) {
+                    if (draw(3) == 0) {
+                        drained.insert(hall);
+                    }
+                }
+                core->upstreams().setDrainedHalls(drained);
+                break;
+            }
+            default:
+                core->onTick(at(now), actions);
+                break;
+            }
+            for (const GatewayAction &action : actions) {
+                const auto *sent = std::get_if<StartAttempt>(&action);
+                if (sent == nullptr) {
+                    continue;
+                }
+                const HallId &hall = sent->upstream.hall;
+                const auto region = regions.find(hall);
+                const bool allowed =
+                    open.at(sent->request)
+                        .allows(region == regions.end() ? RegionId() : region->second);
+                const std::string text =
+                    fmt::format("seed {}, {} ms: sent to hall {}", seed, now, hall.value());
+                CHECK_TEXT(allowed, text.c_str());
+                CHECK_TEXT(!core->upstreams().drainedHalls().contains(hall), text.c_str());
+            }
+        }
+    }
+}
--- a/test/decision/gateway/routetable_test.cpp
+++ b/test/decision/gateway/routetable_test.cpp
@@ -21,7 +21,7 @@
     document.version = ConfigVersion(7);
     document.routes = {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
                        route("other", "b.example", "/x/")};
-    document.accounts = {{AccountId("bids"), {"key-1", "key-2"}, std::nullopt}};
+    document.accounts = {{AccountId("bids"), {"key-1", "key-2"}, std::nullopt, {}}};
     return document;
 }
 
