Upstreams that warm up get no more than they bear, from all gateways together

Cause: how long an upstream still warms up (its entry) and what it bears meanwhile (the configuration) were read by nobody. Change: a request goes to such an upstream only for a permit, as to one that names a limit: the sum over gateways is what permits were built for. The limit under which they are handed out follows from what is borne in one second, so that three issuers at once stay within it. Entries that do not tell are of older software: a new start warms up for as long as the service says. A request wants two permits at most, not one of each upstream that is better. Weighed: even parts for each gateway (one gateway with most callers uses 1/43 of it; at 531 gateways the sum of least parts is over what is borne); a mechanism of its own (the same questions and answers).

--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -76,6 +76,9 @@
                              (default 8).
   --retry-ratio N            Second attempts of all gateways, for each request (default 0.2).
   --retry-slack N            Second attempts of all gateways besides (default 88).
+  --warm-up-factor N         An upstream that warms up gets in one second, from all gateways, at
+                             most this times what its service bears (default 1.5),
+  --warm-up-slack N          and so many requests besides (default 5).
   --key-freshness-ms N       A key is good under a confirmation this young (default:
                              the key's life less 300).
   --deny-freshness-ms N      401 and 404 are given under a confirmation this young (default:
@@ -140,6 +143,8 @@
         reader.number("stop-limit-s", 0.1, kMaxMillis / 1e3, toSeconds(usual.stopLimit)));
     bounds.retryRatio = reader.number("retry-ratio", 0.0, 1.0, usual.retryRatio);
     bounds.retrySlack = reader.number("retry-slack", 0.0, kMostRetries, usual.retrySlack);
+    bounds.warmUp.factor = reader.number("warm-up-factor", 0.0, kMostRetries, usual.warmUp.factor);
+    bounds.warmUp.slack = reader.number("warm-up-slack", 0.0, kMostRetries, usual.warmUp.slack);
     return bounds;
 }
 
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -30,7 +30,7 @@
     : settings_(settings)
     , random_(settings.seed)
     , limits_(settings.limits)
-    , chooser_(choiceSettings(settings), upstreams_, groups_, limits_, permits_)
+    , chooser_(choiceSettings(settings), upstreams_, groups_, limits_, warmUps_, permits_)
     , crashes_(settings.crashes)
 {}
 
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -17,8 +17,8 @@
 // A request under which upstreams have ended, one after the other, is not sent any more, wherever
 // it is: new, waiting for a place, or about to go to another upstream (CrashRecord).
 //
-// Upstreams may name a limit for all gateways together (UpstreamLimits). A request goes there only
-// for a permit; where there is nothing else to send it to, it waits a moment for one.
+// Upstreams may name a limit for all gateways together (UpstreamLimits), and bear little while they
+// warm up (WarmUpLimits). A request goes there only for a permit; where there is nothing else to send it to, it waits a moment for one.
 //
 // A request that may be served in some regions only is sent nowhere else, and is given up at once
 // while those have no upstream.
@@ -45,6 +45,7 @@
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamnotice.h"
 #include "decision/gateway/upstreamtable.h"
+#include "decision/gateway/warmuplimits.h"
 #include "decision/retry/crashrecord.h"
 #include "decision/retry/retrybudget.h"
 #include "seamarch/ids.h"
@@ -191,6 +192,7 @@
     UpstreamLimits &limits() { return limits_; }
     const UpstreamLimits &limits() const { return limits_; }
     PermitIssuer &permitIssuer() { return permitIssuer_; }
+    WarmUpLimits &warmUps() { return warmUps_; }
 
     // Admits a request and sends it, has it wait, or rejects it.
     RequestNumber begin(GatewayRequest request, TimePoint now, GatewayActions &actions);
@@ -320,6 +322,7 @@
     UpstreamTable upstreams_;
     GroupTable groups_;
     UpstreamLimits limits_;
+    WarmUpLimits warmUps_;
     SendPermits permits_;
     PermitIssuer permitIssuer_;
     UpstreamChooser chooser_; // Refers to the tables and permits.
--- a/src/decision/gateway/permitissuer.h
+++ b/src/decision/gateway/permitissuer.h
@@ -1,4 +1,5 @@
-// Hands out the permits to send requests to upstreams that name a limit for all gateways together.
+// Hands out the permits to send requests to upstreams that name a limit for all gateways together,
+// or that are warming up.
 //
 // Each such upstream has one gateway that all ask (GatewayDirectory::issuerOf). Weighed: an equal
 // part for each gateway leaves nearly all of a small limit unused where one of them has the
@@ -23,6 +24,9 @@
 
 namespace seamarch {
 
+// The part of a limit that an issuer hands out.
+inline constexpr double kHandedOutPart = 0.65;
+
 struct PermitAnswer
 {
     std::uint32_t granted = 0;
@@ -34,7 +38,7 @@
 public:
     struct Settings
     {
-        double part = 0.65; // Of the limit that is handed out.
+        double part = kHandedOutPart;
         // Requests a second by which an upstream that takes nothing is asked whether that holds.
         RequestRate least{0.1};
         // How much of a second's permits may lie ready.
@@ -53,7 +57,7 @@
         : settings_(settings)
     {}
 
-    // Hands `asker` up to `wanted` permits to send to `upstream`, which names `limit`.
+    // Hands `asker` up to `wanted` permits to send to `upstream`, which takes `limit`.
     PermitAnswer take(const InstanceId &upstream, RequestRate limit, const InstanceId &asker,
                       std::uint32_t wanted, TimePoint now);
     // Drops what is not used any more. Call it now and then.
--- a/src/decision/gateway/routetable.h
+++ b/src/decision/gateway/routetable.h
@@ -6,6 +6,7 @@
 // is known of a service. Pure; a table never changes.
 #pragma once
 
+#include "decision/gateway/requestrate.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
@@ -73,6 +74,8 @@
     TargetName name;
     std::uint32_t maxConnections = 0; // To one upstream, from all gateways; zero: not bounded.
     bool runsEngines = false;         // Its upstreams are model engines.
+    Duration warmUp{};                // That an upstream takes from its start on.
+    RequestRate warmUpRate;           // That it bears meanwhile; zero: there is no bound.
     std::optional<ExpertRule> experts;
 };
 
@@ -117,6 +120,7 @@
     // Returns the account that holds `key`; nothing when none does.
     const AccountRule *accountOf(const std::string &key) const;
     const ServiceRule *service(const TargetName &name) const;
+    const std::vector<ServiceRule> &services() const { return document_.services; }
 
 private:
     RoutingDocument document_;
--- a/src/decision/gateway/sendpermits.h
+++ b/src/decision/gateway/sendpermits.h
@@ -1,4 +1,5 @@
-// The permits that a gateway holds to send requests to upstreams that name a limit.
+// The permits that a gateway holds to send requests to upstreams that name a limit or are warming
+// up.
 //
 // A permit is asked for when a request would have gone to such an upstream and there was none; the
 // request goes elsewhere, or waits a moment where there is nothing else. A permit lasts for half a
--- a/src/decision/gateway/upstreamchooser.cpp
+++ b/src/decision/gateway/upstreamchooser.cpp
@@ -7,11 +7,12 @@
 
 UpstreamChooser::UpstreamChooser(const Settings &settings, const UpstreamTable &upstreams,
                                  const GroupTable &groups, const UpstreamLimits &limits,
-                                 SendPermits &permits)
+                                 const WarmUpLimits &warmUps, SendPermits &permits)
     : settings_(settings)
     , upstreams_(upstreams)
     , groups_(groups)
     , limits_(limits)
+    , warmUps_(warmUps)
     , permits_(permits)
     , outliers_(settings.outliers)
 {}
@@ -77,9 +78,29 @@
            && std::max(state->second.fullUntil, state->second.restUntil) > now;
 }
 
+bool UpstreamChooser::needsPermit(const UpstreamRecord &upstream, TimePoint now) const
+{
+    return limits_.limitOf(upstream) || warmUps_.limitOf(upstream, now);
+}
+
 bool UpstreamChooser::lacksPermit(const UpstreamRecord &upstream, TimePoint now) const
 {
-    return limits_.limitOf(upstream) && !permits_.has(upstream.id, now);
+    return needsPermit(upstream, now) && !permits_.has(upstream.id, now);
+}
+
+// Wants permits for the best of them that can be had now. One request takes one permit; a second
+// question covers an issuer that has none. To ask for all of a service that warms up would take as
+// many questions as it has upstreams, for each request.
+void UpstreamChooser::wantPermits(std::vector<Ranked> upstreams, TimePoint now)
+{
+    constexpr std::size_t kMostWanted = 2;
+    std::erase_if(upstreams, [&](const Ranked &ranked) {
+        return permits_.notBefore(ranked.second) > now;
+    });
+    std::sort(upstreams.begin(), upstreams.end());
+    for (std::size_t index = 0; index < std::min(kMostWanted, upstreams.size()); ++index) {
+        permits_.want(upstreams[index].second);
+    }
 }
 
 bool UpstreamChooser::mayServe(const UpstreamRecord &upstream, const Residency &residency) const
@@ -130,7 +151,7 @@
     };
     std::optional<InstanceId> best;
     std::pair<bool, double> bestRank;
-    std::vector<std::pair<std::pair<bool, double>, InstanceId>> withoutPermit;
+    std::vector<Ranked> withoutPermit;
     for (const UpstreamRecord *record : candidates) {
         const std::pair rank(isDoubtful(record), score(*record, turns.at(record->id)));
         if (lacksPermit(*record, now)) {
@@ -140,18 +161,16 @@
             bestRank = rank;
         }
     }
-    for (const auto &[rank, upstream] : withoutPermit) {
-        if (!best || rank < bestRank) {
-            permits_.want(upstream);
-        }
-    }
+    std::erase_if(withoutPermit,
+                  [&](const Ranked &ranked) { return best && ranked.first >= bestRank; });
+    wantPermits(std::move(withoutPermit), now);
     return best;
 }
 
 void UpstreamChooser::onSent(const UpstreamRecord &upstream, TimePoint now)
 {
     ++states_[upstream.id].inFlight;
-    if (limits_.limitOf(upstream)) {
+    if (needsPermit(upstream, now)) {
         permits_.use(upstream.id, now);
     }
 }
--- a/src/decision/gateway/upstreamchooser.h
+++ b/src/decision/gateway/upstreamchooser.h
@@ -13,10 +13,10 @@
 // comes to be sent: no list, no answer of another kind and no lack of others cuts it short. It
 // knows why it asks; what it gets all the same is turned away and costs its callers a try.
 //
-// An upstream that names a limit for all gateways together gets a request only for a permit that
-// this gateway holds, by whatever way the request comes to be sent. With a permit it is chosen as
-// any other is: what it still takes is worth having, and only an answer shows that it names no
-// limit any more.
+// An upstream that names a limit for all gateways together, or is warming up, gets a request only
+// for a permit that this gateway holds, by whatever way the request comes to be sent. With a permit
+// it is chosen as any other is: what it still takes is worth having, and only an answer shows that
+// it names no limit any more.
 //
 // A request that may be served in some regions only goes to upstreams of halls that are known to be
 // in these, by whatever way it comes to be sent.
@@ -30,6 +30,7 @@
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamtable.h"
 #include "decision/gateway/upstreamturn.h"
+#include "decision/gateway/warmuplimits.h"
 #include "decision/retry/outlierdetector.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
@@ -81,7 +82,8 @@
     using Groups = std::map<GroupId, Group>;
 
     UpstreamChooser(const Settings &settings, const UpstreamTable &upstreams,
-                    const GroupTable &groups, const UpstreamLimits &limits, SendPermits &permits);
+                    const GroupTable &groups, const UpstreamLimits &limits,
+                    const WarmUpLimits &warmUps, SendPermits &permits);
 
     // Takes where this gateway stands among those of its hall.
     void setPlace(const HallPlace &place) { place_ = place; }
@@ -160,7 +162,11 @@
     Groups collect(const TargetName &service) const;
     bool mayServe(const UpstreamRecord &upstream, const Residency &residency) const;
     bool takesNothing(const InstanceId &upstream, TimePoint now) const;
+    bool needsPermit(const UpstreamRecord &upstream, TimePoint now) const;
     bool lacksPermit(const UpstreamRecord &upstream, TimePoint now) const;
+    // An upstream that is passed over for want of a permit, by its rank among the candidates.
+    using Ranked = std::pair<std::pair<bool, double>, InstanceId>;
+    void wantPermits(std::vector<Ranked> upstreams, TimePoint now);
     Turns turnsOf(const std::vector<const UpstreamRecord *> &upstreams) const;
     double score(const UpstreamRecord &record, double turn) const;
 
@@ -168,6 +174,7 @@
     const UpstreamTable &upstreams_;
     const GroupTable &groups_;
     const UpstreamLimits &limits_;
+    const WarmUpLimits &warmUps_;
     SendPermits &permits_;
     OutlierDetector outliers_;
     HallPlace place_;
--- a/src/decision/gateway/upstreamtable.h
+++ b/src/decision/gateway/upstreamtable.h
@@ -47,6 +47,9 @@
     // as of records that another gateway has handed on.
     std::uint64_t listedAt = 0;
     UpstreamStart start;
+    // How long it still warmed up when it wrote its entry; nothing: the entry does not tell.
+    std::optional<Duration> warmUpLeft;
+    TimePoint warmAt{}; // It is warm from then on, at the latest.
 
     bool operator==(const UpstreamRecord &) const = default;
 };
--- /dev/null
+++ b/src/decision/gateway/warmuplimits.cpp
@@ -0,0 +1,42 @@
+#include "decision/gateway/warmuplimits.h"
+
+#include "decision/gateway/permitissuer.h"
+
+#include <algorithm>
+
+namespace seamarch {
+
+RequestRate warmUpLimit(RequestRate rate, const WarmUpBounds &bounds)
+{
+    constexpr double kIssuers = 3.0;
+    // A permit is used up to half a second after it was given, and the request is sent up to half a
+    // second later, when its connection is made: one second gets the permits of two.
+    constexpr double kSeconds = 2.0;
+    constexpr double kReady = 1.0; // A permit that lay ready at the issuer.
+    const double borne = rate.perSecond() * bounds.factor + bounds.slack;
+    const double handedOut = (borne / kIssuers - kReady) / kSeconds;
+    return RequestRate(std::max(0.0, handedOut / kHandedOutPart));
+}
+
+void WarmUpLimits::setServices(const std::vector<ServiceRule> &services)
+{
+    rates_.clear();
+    for (const ServiceRule &service : services) {
+        if (service.warmUpRate > RequestRate()) {
+            rates_[service.name] = service.warmUpRate;
+        }
+    }
+}
+
+std::optional<RequestRate> WarmUpLimits::limitOf(const UpstreamRecord &upstream,
+                                                 TimePoint now) const
+{
+    if (upstream.warmAt <= now) {
+        return std::nullopt;
+    }
+    const auto rate = rates_.find(upstream.service);
+    return rate == rates_.end() ? std::nullopt
+                                : std::optional(warmUpLimit(rate->second, bounds_));
+}
+
+} // namespace seamarch
--- a/src/gateway/gatewaybounds.h
+++ b/src/gateway/gatewaybounds.h
@@ -26,6 +26,8 @@
     // What all gateways may send of second attempts: for each request, and besides in a span.
     double retryRatio = 0.2;
     double retrySlack = 88.0;
+    // What an upstream that warms up gets from all gateways in one second.
+    WarmUpBounds warmUp;
 };
 
 // How young a confirmation must be.
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -20,12 +20,12 @@
 
 GatewayKnowledge::GatewayKnowledge(EventLoop &loop, UpstreamTable &upstreams, Metrics &metrics,
                                    const FreshnessBounds &freshness,
-                                   std::function<void(const CallerBounds &)> boundsChanged)
+                                   Applied applied)
     : loop_(loop)
     , upstreams_(upstreams)
     , metrics_(metrics)
     , freshness_(freshness)
-    , boundsChanged_(std::move(boundsChanged))
+    , applied_(std::move(applied))
 {}
 
 // A document that could not be read may have taken a key away: until the next one, what is held is
@@ -118,9 +118,10 @@
     std::string text;
     for (const UpstreamRecord *record : upstreams_.all()) {
         text +=
-            fmt::format("{}|{}|{}|{}|{}|{}|{}|{}\n", record->id.value(), record->service.value(),
+            fmt::format("{}|{}|{}|{}|{}|{}|{}|{}|{}\n", record->id.value(), record->service.value(),
                         record->host, record->port, record->hall.value(), record->slots,
-                        record->leaving, record->start.value());
+                        record->leaving, record->start.value(),
+                        record->warmUpLeft ? record->warmUpLeft->count() : -1);
     }
     for (const HallId &hall : upstreams_.drainedHalls()) {
         text += fmt::format("drained|{}\n", hall.value());
@@ -153,7 +154,7 @@
     std::set<HallId> drained;
     for (const StoreItem &item : items.items) {
         if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
-            records.push_back(*record);
+            records.push_back(dated(*record));
         } else if (const auto *drain = std::get_if<HallDrain>(&item)) {
             drained.insert(drain->hall);
         } else {
@@ -190,16 +191,37 @@
     }
 }
 
+// Returns the record with the time from which on its upstream is warm. What the entry tells was
+// true when it was written, so counted from now it is never too short. An entry of older software
+// does not tell: its upstream has then just started, if the start is a new one.
+UpstreamRecord GatewayKnowledge::dated(UpstreamRecord record) const
+{
+    if (record.warmUpLeft) {
+        record.warmAt = loop_.now() + *record.warmUpLeft;
+        return record;
+    }
+    const UpstreamRecord *known = upstreams_.find(record.id);
+    if (known != nullptr && known->start == record.start) {
+        record.warmAt = known->warmAt;
+        return record;
+    }
+    const ServiceRule *rule = table_ ? table_->service(record.service) : nullptr;
+    record.warmAt = rule != nullptr ? loop_.now() + rule->warmUp : TimePoint{};
+    return record;
+}
+
 void GatewayKnowledge::takeItem(const StoreItem &item)
 {
     if (const auto *document = std::get_if<RoutingDocument>(&item)) {
         takeRouting(*document);
     } else if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
-        upstreams_.put(*record);
+        upstreams_.put(dated(*record));
         logLine(LogLevel::Info, "upstream.listed",
                 {{"upstream", record->id.value()},
                  {"service", record->service.value()},
-                 {"leaving", record->leaving}});
+                 {"leaving", record->leaving},
+                 {"warmUpLeftMs",
+                  record->warmUpLeft ? json(toMillis(*record->warmUpLeft)) : json()}});
     } else if (const auto *gone = std::get_if<UpstreamGone>(&item)) {
         if (gone->unreadable) {
             upstreams_.drop(gone->id, loop_.now());
@@ -242,7 +264,7 @@
     }
     table_ = std::make_shared<const RouteTable>(document);
     routingUnreadable_ = false;
-    boundsChanged_(table_->bounds());
+    applied_(*table_);
     logLine(LogLevel::Info, "config.applied",
             {{"version", document.version.value()},
              {"before", held.value()},
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -46,10 +46,11 @@
 class GatewayKnowledge final : public StoreListener
 {
 public:
-    // `boundsChanged` hears of the bounds on callers of each configuration that comes into force.
+    // Hears of each configuration that comes into force.
+    using Applied = std::function<void(const RouteTable &)>;
+
     GatewayKnowledge(EventLoop &loop, UpstreamTable &upstreams, Metrics &metrics,
-                     const FreshnessBounds &freshness,
-                     std::function<void(const CallerBounds &)> boundsChanged);
+                     const FreshnessBounds &freshness, Applied applied);
 
     void setFreshness(const FreshnessBounds &freshness) { freshness_ = freshness; }
 
@@ -93,6 +94,7 @@
 private:
     void noteFaults(const std::vector<std::string> &faults);
     void takeItem(const StoreItem &item);
+    UpstreamRecord dated(UpstreamRecord record) const;
     void takeDrainedHalls(std::set<HallId> halls);
     void takeRouting(const RoutingDocument &document);
     void confirm(TimePoint askedAt, const StorePlace &place);
@@ -104,7 +106,7 @@
     UpstreamTable &upstreams_;
     Metrics &metrics_;
     FreshnessBounds freshness_;
-    std::function<void(const CallerBounds &)> boundsChanged_;
+    Applied applied_;
     std::shared_ptr<const RouteTable> table_;
     std::optional<TimePoint> confirmedAt_;
     StorePlace place_;               // Of the store, that the list of upstreams stands at.
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -70,9 +70,7 @@
 
     kj::Promise<void> permits(PermitsContext context) override
     {
-        const auto params = context.getParams();
-        const PermitAnswer answer =
-            peers_.handPermits(params.getSelf(), params.getLimit(), params.getWanted());
+        const PermitAnswer answer = peers_.handPermits(context.getParams());
         context.getResults().setGranted(answer.granted);
         context.getResults().setAskAgainMicros(answer.askAgain.count());
         return kj::READY_NOW;
@@ -271,7 +269,7 @@
     if (news.hasUpstreams()) {
         shared.upstreams.emplace();
         for (const auto &upstream : news.getUpstreams()) {
-            shared.upstreams->push_back(readUpstream(upstream));
+            shared.upstreams->push_back(readUpstream(upstream, loop_.now()));
         }
         shared.drainedHalls = readDrainedHalls(news);
     }
@@ -355,7 +353,7 @@
         const auto records = knowledge_.upstreams().all();
         auto list = news.initUpstreams(static_cast<std::uint32_t>(records.size()));
         for (std::uint32_t index = 0; index < records.size(); ++index) {
-            writeUpstream(*records[index], list[index]);
+            writeUpstream(*records[index], loop_.now(), list[index]);
         }
         writeDrainedHalls(knowledge_.upstreams().drainedHalls(), news);
     }
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -28,6 +28,7 @@
 #include <kj/async.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <tl/expected.hpp>
 
 namespace seamarch {
@@ -59,9 +60,17 @@
     // Asks a gateway, unless a question to it is under way; the answer may wait for `longest`.
     void ask(const SocketAddress &address, Duration longest);
     using PermitsAnswered = std::function<void(const PermitAnswer &)>;
-    // Asks the gateway `issuer` for permits to send to the upstream that said `limit`. `answered`
-    // is called once, also when no answer comes.
-    void askForPermits(const GatewayRecord &issuer, const LimitWord &limit, std::uint32_t wanted,
+    // What permits are asked for.
+    struct PermitQuestion
+    {
+        InstanceId upstream;
+        UpstreamStart start;
+        std::uint32_t wanted = 0;
+        std::optional<LimitWord> limit;    // That the upstream named; nothing: none.
+        std::optional<RequestRate> warmUp; // What it takes while it warms up; nothing: it is warm.
+    };
+    // Asks the gateway `issuer` for permits. `answered` is called once, also when no answer comes.
+    void askForPermits(const GatewayRecord &issuer, const PermitQuestion &question,
                        PermitsAnswered answered);
     // Wakes the questions that wait here, if there is news for them. Call it often.
     void tick();
@@ -98,8 +107,7 @@
     void takeGroups(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
     void takeCrashes(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
     void takeLimits(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
-    PermitAnswer handPermits(wire::GatewayRecord::Reader asker, wire::UpstreamLimit::Reader limit,
-                             std::uint32_t wanted);
+    PermitAnswer handPermits(wire::GatewayPeer::PermitsParams::Reader question);
     void onHasNews(const GatewayRecord &from);
     // Counts the crashes and the changes of limits that this gateway saw itself.
     std::uint64_t ownNews() const
--- a/src/gateway/gatewaypermits.cpp
+++ b/src/gateway/gatewaypermits.cpp
@@ -1,9 +1,11 @@
-// The part of GatewayPeers that asks for permits to send to upstreams that name a limit, and hands
-// them out.
+// The part of GatewayPeers that asks for permits to send to upstreams that name a limit or warm up,
+// and hands them out.
 #include "base/log.h"
 #include "gateway/gatewaypeers.h"
 #include "gateway/gatewaywire.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace seamarch {
@@ -12,31 +14,47 @@
 // One that answers that it does not know the question is of an earlier version and hands out none.
 constexpr Duration kUnknownPause = std::chrono::seconds(1);
 
+// A rate that makes no sense lets an upstream be asked now and then.
+RequestRate readRate(double perSecond)
+{
+    return RequestRate(std::isfinite(perSecond) && perSecond >= 0.0 ? perSecond : 0.0);
+}
+
 } // namespace
 
-PermitAnswer GatewayPeers::handPermits(wire::GatewayRecord::Reader asker,
-                                       wire::UpstreamLimit::Reader limit, std::uint32_t wanted)
+// Hands out by the lowest of what the asker and this gateway know.
+PermitAnswer GatewayPeers::handPermits(wire::GatewayPeer::PermitsParams::Reader question)
 {
     const TimePoint now = loop_.now();
-    const GatewayRecord from = readGateway(asker);
+    const GatewayRecord from = readGateway(question.getSelf());
     directory_.hear(from, now);
-    const LimitWord word = readLimit(limit, now);
-    limits_.learn(word, now);
+    const LimitWord word = readLimit(question.getLimit(), now);
+    if (word.rate) {
+        limits_.learn(word, now);
+    }
     UpstreamRecord upstream;
     upstream.id = word.upstream;
     upstream.start = word.start;
-    const RequestRate rate = limits_.limitOf(upstream).value_or(word.rate.value_or(RequestRate()));
-    return permitIssuer_.take(word.upstream, rate, from.id, wanted, now);
+    std::optional<RequestRate> rate = limits_.limitOf(upstream);
+    rate = rate ? rate : word.rate;
+    if (question.getWarmUpPerSecond() != 0.0) {
+        const RequestRate warmUp = readRate(question.getWarmUpPerSecond());
+        rate = std::min(rate.value_or(warmUp), warmUp);
+    }
+    return permitIssuer_.take(word.upstream, rate.value_or(RequestRate()), from.id,
+                              question.getWanted(), now);
 }
 
-void GatewayPeers::askForPermits(const GatewayRecord &issuer, const LimitWord &limit,
-                                 std::uint32_t wanted, PermitsAnswered answered)
+void GatewayPeers::askForPermits(const GatewayRecord &issuer, const PermitQuestion &question,
+                                 PermitsAnswered answered)
 {
     const SocketAddress address{issuer.host, issuer.port};
     auto request = linkTo(address).rpc->capability().castAs<wire::GatewayPeer>().permitsRequest();
     writeGateway(directory_.self(), Duration{}, request.initSelf());
-    writeLimit(limit, loop_.now(), request.initLimit());
-    request.setWanted(wanted);
+    const LimitWord none{question.upstream, question.start, std::nullopt, TimePoint{}};
+    writeLimit(question.limit.value_or(none), loop_.now(), request.initLimit());
+    request.setWanted(question.wanted);
+    request.setWarmUpPerSecond(question.warmUp.value_or(RequestRate()).perSecond());
     // Whichever comes first, the answer or the end of patience, ends the question.
     const auto over = std::make_shared<bool>(false);
     const auto conclude = [over, answered = std::move(answered)](const PermitAnswer &answer) {
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -42,8 +42,9 @@
     , metrics_(settings.maxAccountSeries)
     , core_(coreSettings(settings))
     , knowledge_(loop, core_.upstreams(), metrics_, settings.times.freshness,
-                 [this](const CallerBounds &bounds) { applyBounds(bounds); })
+                 [this](const RouteTable &table) { applyConfiguration(table); })
 {
+    core_.warmUps().setBounds(settings.bounds.warmUp);
     core_.upstreams().setLapseGrace(settings.times.lapseGrace);
 }
 
@@ -93,7 +94,7 @@
     }
     auto sources = KnowledgeSources::create(
         loop_, *client_, store_, knowledge_,
-        {core_.groups(), core_.crashes(), core_.limits(), core_.permitIssuer()},
+        {core_.groups(), core_.crashes(), core_.limits(), core_.permitIssuer(), core_.warmUps()},
         {settings_.instance, settings_.hall, settings_.peerListen, settings_.seeds,
          settings_.agentPort});
     if (!sources) {
@@ -105,8 +106,10 @@
     return {};
 }
 
-void GatewayService::applyBounds(const CallerBounds &bounds)
+void GatewayService::applyConfiguration(const RouteTable &table)
 {
+    core_.warmUps().setServices(table.services());
+    const CallerBounds &bounds = table.bounds();
     HttpServerOptions options;
     options.maxHeaderBytes = bounds.headerBytes;
     options.maxBodyBytes = bounds.bodyBytes;
@@ -409,6 +412,7 @@
     settings_.times = settings.times;
     settings_.bounds = settings.bounds;
     core_.setRetryLimits(retryLimits(settings_.bounds));
+    core_.warmUps().setBounds(settings_.bounds.warmUp);
     settings_.crashMemory = settings.crashMemory;
     core_.crashes().setLife(settings_.crashMemory);
     core_.upstreams().setLapseGrace(settings_.times.lapseGrace);
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -121,7 +121,7 @@
     nlohmann::json resting() const;
     nlohmann::json limited() const;
 
-    void applyBounds(const CallerBounds &bounds);
+    void applyConfiguration(const RouteTable &table);
     void take(ExchangeId exchange, HttpRequest request, TimePoint arrivedAt);
     void takeEarly();
     void refuse(ExchangeId exchange, const CallerFacts &facts, FailureCode code, Outcome outcome,
--- a/src/gateway/gatewaywire.cpp
+++ b/src/gateway/gatewaywire.cpp
@@ -27,7 +27,7 @@
             from.getPort()};
 }
 
-void writeUpstream(const UpstreamRecord &record, wire::ListedUpstream::Builder to)
+void writeUpstream(const UpstreamRecord &record, TimePoint now, wire::ListedUpstream::Builder to)
 {
     to.setId(record.id.value());
     to.setService(record.service.value());
@@ -37,9 +37,12 @@
     to.setSlots(record.slots);
     to.setLeaving(record.leaving);
     to.setStartedUnixMillis(record.start.value());
+    to.setTellsWarmUp(record.warmUpLeft.has_value());
+    to.setWarmUpLeftMicros(record.warmUpLeft.value_or(Duration{}).count());
+    to.setWarmInMicros(std::max(Duration{}, record.warmAt - now).count());
 }
 
-UpstreamRecord readUpstream(wire::ListedUpstream::Reader from)
+UpstreamRecord readUpstream(wire::ListedUpstream::Reader from, TimePoint now)
 {
     UpstreamRecord record;
     record.id = InstanceId(from.getId().cStr());
@@ -50,6 +53,11 @@
     record.slots = from.getSlots();
     record.leaving = from.getLeaving();
     record.start = UpstreamStart(from.getStartedUnixMillis());
+    if (from.getTellsWarmUp()) {
+        record.warmUpLeft = Duration(from.getWarmUpLeftMicros());
+    }
+    const Duration warmIn(from.getWarmInMicros());
+    record.warmAt = warmIn > Duration{} ? now + warmIn : TimePoint{};
     return record;
 }
 
--- a/src/gateway/gatewaywire.h
+++ b/src/gateway/gatewaywire.h
@@ -19,8 +19,9 @@
 void writeGateway(const GatewayRecord &record, Duration heardAgo, wire::GatewayRecord::Builder to);
 GatewayRecord readGateway(wire::GatewayRecord::Reader from);
 
-void writeUpstream(const UpstreamRecord &record, wire::ListedUpstream::Builder to);
-UpstreamRecord readUpstream(wire::ListedUpstream::Reader from);
+// `record` is written as of `now`, and read as of when it is read.
+void writeUpstream(const UpstreamRecord &record, TimePoint now, wire::ListedUpstream::Builder to);
+UpstreamRecord readUpstream(wire::ListedUpstream::Reader from, TimePoint now);
 
 void writeDrainedHalls(const std::set<HallId> &halls, wire::GatewayNews::Builder to);
 std::set<HallId> readDrainedHalls(wire::GatewayNews::Reader from);
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -97,19 +97,29 @@
 {
     const TimePoint now = loop_.now();
     const UpstreamRecord *upstream = knowledge_.upstreams().find(ask.upstream);
-    const LimitWord *word = upstream ? beliefs_.limits.find(*upstream) : nullptr;
-    if (word == nullptr || !word->rate) {
-        answered({}); // It names none any more, or is gone.
+    if (upstream == nullptr) {
+        answered({}); // It is gone.
+        return;
+    }
+    GatewayPeers::PermitQuestion question{upstream->id, upstream->start, ask.wanted, {}, {}};
+    if (const LimitWord *word = beliefs_.limits.find(*upstream); word != nullptr && word->rate) {
+        question.limit = *word;
+    }
+    question.warmUp = beliefs_.warmUps.limitOf(*upstream, now);
+    if (!question.limit && !question.warmUp) {
+        answered({}); // It names none any more, and is warm.
         return;
     }
     const InstanceId issuer = directory_.issuerOf(ask.upstream, upstream->hall, now);
     const GatewayRecord *record = directory_.find(issuer);
     if (peers_ == nullptr || record == nullptr) {
         const InstanceId &self = settings_.instance;
-        answered(beliefs_.permitIssuer.take(ask.upstream, *word->rate, self, ask.wanted, now));
+        const RequestRate rate = question.limit ? *question.limit->rate : *question.warmUp;
+        answered(beliefs_.permitIssuer.take(
+            ask.upstream, std::min(rate, question.warmUp.value_or(rate)), self, ask.wanted, now));
         return;
     }
-    peers_->askForPermits(*record, *word, ask.wanted, std::move(answered));
+    peers_->askForPermits(*record, question, std::move(answered));
 }
 
 std::uint64_t KnowledgeSources::storeCalls() const
--- a/src/gateway/sharedbeliefs.h
+++ b/src/gateway/sharedbeliefs.h
@@ -4,6 +4,7 @@
 #include "decision/gateway/grouptable.h"
 #include "decision/gateway/permitissuer.h"
 #include "decision/gateway/upstreamlimits.h"
+#include "decision/gateway/warmuplimits.h"
 #include "decision/retry/crashrecord.h"
 
 namespace seamarch {
@@ -15,6 +16,7 @@
     CrashRecord &crashes;
     UpstreamLimits &limits;
     PermitIssuer &permitIssuer;
+    const WarmUpLimits &warmUps;
 };
 
 } // namespace seamarch
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -227,6 +227,9 @@
   slots @5 :UInt32;
   leaving @6 :Bool;
   startedUnixMillis @7 :Int64;  # As the upstream says; zero: it does not.
+  tellsWarmUp @8 :Bool;      # The upstream tells how long it still warmed up,
+  warmUpLeftMicros @9 :Int64;   # which was so long when it wrote its entry.
+  warmInMicros @10 :Int64;   # It is warm so long after the answer, at the latest.
 }
 
 # The end of an upstream's process.
@@ -286,6 +289,8 @@
   hasNews @1 (self :GatewayRecord) -> ();
   # Asks for permits to send to an upstream that names a limit. The callee answers as the one that
   # hands them out, whether or not it takes itself for that one.
-  permits @2 (self :GatewayRecord, limit :UpstreamLimit, wanted :UInt32)
+  # `warmUpPerSecond`: the upstream warms up and takes so much meanwhile; zero: it is warm.
+  permits @2 (self :GatewayRecord, limit :UpstreamLimit, wanted :UInt32,
+              warmUpPerSecond :Float64)
       -> (granted :UInt32, askAgainMicros :Int64);
 }
--- a/test/decision/gateway/sharedlimit_test.cpp
+++ b/test/decision/gateway/sharedlimit_test.cpp
@@ -3,9 +3,11 @@
 // stand still, start anew, and differ on whom to ask for permits.
 //
 // The upstream counts what arrives in each 4 s and bears one and a half times its limit and five
-// requests.
+// requests. One that warms up counts in single seconds, and gateways may be in three parts that do
+// not reach each other.
 #include "decision/gateway/permitissuer.h"
 #include "decision/gateway/sendpermits.h"
+#include "decision/gateway/warmuplimits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -41,8 +43,10 @@
     int mostDelay = 3;           // Of a question or an answer, in ms.
     double lost = 0.0;           // Part of the questions and answers that are lost.
     double trouble = 0.0;        // Events a second: starts anew, standstills.
-    int cutFrom = 0;             // Half of the gateways and the others do not reach each other.
+    int cutFrom = 0;             // Gateways of different parts do not reach each other.
     int cutUntil = 0;
+    std::size_t parts = 2;
+    int spanMs = kSpanMs; // In which the upstream counts.
     std::uint64_t seed = 1;
 };
 
@@ -105,12 +109,13 @@
     int draw(int most) { return std::uniform_int_distribution<>(0, most)(random_); }
 
     bool cut() const { return now_ >= world_.cutFrom && now_ < world_.cutUntil; }
-    bool isFar(std::size_t index) const { return index >= gateways_.size() / 2; }
+    std::size_t partOf(std::size_t index) const { return index * world_.parts / gateways_.size(); }
 
-    // Each side of a cut has one that it asks.
+    // Each part has one that it asks, its first.
     std::size_t issuerFor(std::size_t index) const
     {
-        return cut() && isFar(index) ? gateways_.size() / 2 : 0;
+        const std::size_t part = cut() ? partOf(index) : 0;
+        return (part * gateways_.size() + world_.parts - 1) / world_.parts;
     }
 
     void disturb()
@@ -144,7 +149,7 @@
             Message message = messages_.top();
             messages_.pop();
             Gateway &gateway = gateways_[message.to];
-            if (cut() && isFar(message.from) != isFar(message.to)) {
+            if (cut() && partOf(message.from) != partOf(message.to)) {
                 continue;
             }
             if (gateway.standsUntil > now_) {
@@ -189,7 +194,7 @@
     void arrive()
     {
         arrivals_.push_back(now_);
-        while (arrivals_.front() <= now_ - kSpanMs) {
+        while (arrivals_.front() <= now_ - world_.spanMs) {
             arrivals_.pop_front();
         }
         found_.most = std::max(found_.most, static_cast<int>(arrivals_.size()));
@@ -330,3 +335,111 @@
         checkBorne(world, Model(world).run());
     }
 }
+
+namespace {
+
+// What an upstream that warms up bears of `rate` in one second.
+double borneInASecond(double rate, const WarmUpBounds &bounds)
+{
+    return rate * bounds.factor + bounds.slack;
+}
+
+// A world before an upstream that warms up and bears `rate` a second.
+World warmingWorld(double rate, const WarmUpBounds &bounds)
+{
+    World world;
+    world.limit = warmUpLimit(RequestRate(rate), bounds).perSecond();
+    world.spanMs = 1000;
+    world.parts = 3;
+    return world;
+}
+
+// Returns a world that is drawn at random, before an upstream that bears `rate` a second.
+World drawnWarming(std::uint64_t seed, double &rate)
+{
+    std::mt19937_64 random(seed);
+    rate = std::exp(std::uniform_real_distribution<>(std::log(2.0), std::log(100.0))(random));
+    const World warming = warmingWorld(rate, WarmUpBounds());
+    World world = drawn(seed);
+    world.limit = warming.limit;
+    world.spanMs = warming.spanMs;
+    world.parts = warming.parts;
+    world.gateways += 3;
+    world.millis = 8000;
+    return world;
+}
+
+std::string foundText(const World &world, const Found &found, double borne)
+{
+    return fmt::format("seed {}, {} gateways, permits of {:.1f} a second: {} requests in 1 s, {} "
+                       "are borne",
+                       world.seed, world.gateways, world.limit, found.most, borne);
+}
+
+} // namespace
+
+TEST_GROUP(WarmUpLimitTest){};
+
+TEST(WarmUpLimitTest, ThreeIssuersAtOnceStayWithinWhatIsBorne)
+{
+    for (const std::size_t gateways : {7U, 43U, 67U, 531U}) {
+        for (const double rate : {2.0, 26.0, 60.0}) {
+            World world = warmingWorld(rate, WarmUpBounds());
+            world.gateways = gateways;
+            world.millis = 8000;
+            world.cutFrom = 3000;
+            world.cutUntil = 8000;
+            const Found found = Model(world).run();
+            const double borne = borneInASecond(rate, WarmUpBounds());
+            CHECK_TEXT(found.most <= borne, foundText(world, found, borne).c_str());
+        }
+    }
+}
+
+TEST(WarmUpLimitTest, BoundHoldsAlsoWithoutSlack)
+{
+    const WarmUpBounds bounds{1.0, 0.0};
+    World world = warmingWorld(26.0, bounds);
+    world.gateways = 43;
+    world.cutFrom = 2000;
+    world.cutUntil = 20000;
+    const Found found = Model(world).run();
+    CHECK_TEXT(found.most <= borneInASecond(26.0, bounds),
+               foundText(world, found, borneInASecond(26.0, bounds)).c_str());
+}
+
+// Where all of a service warm up, what they bear is used: an issuer hands out 6.8 a second here.
+TEST(WarmUpLimitTest, HalfOfWhatIsHandedOutIsUsedWhereThereIsNothingElse)
+{
+    World world = warmingWorld(26.0, WarmUpBounds());
+    world.gateways = 43;
+    world.millis = 20000;
+    const Found found = Model(world).run();
+    const double handedOut = world.limit * kHandedOutPart * world.millis / 1000.0;
+    CHECK_TEXT(found.total >= 0.5 * handedOut,
+               fmt::format("{} requests of {:.0f}", found.total, handedOut).c_str());
+}
+
+TEST(WarmUpLimitTest, PermitsByTheWholeRateAreCaught)
+{
+    World world = warmingWorld(26.0, WarmUpBounds());
+    world.gateways = 43;
+    world.limit = 26.0 / kHandedOutPart;
+    world.cutFrom = 2000;
+    world.cutUntil = 20000;
+    CHECK_TRUE(Model(world).run().most > borneInASecond(26.0, WarmUpBounds()));
+}
+
+// More seeds by hand: SEAMARCH_SHARED_LIMIT_SEEDS says how many.
+TEST(WarmUpLimitTest, BoundHoldsOnEverySchedule)
+{
+    const char *wanted = std::getenv("SEAMARCH_SHARED_LIMIT_SEEDS");
+    const std::uint64_t seeds = wanted == nullptr ? 400 : std::strtoull(wanted, nullptr, 10);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        double rate = 0.0;
+        const World world = drawnWarming(seed, rate);
+        const Found found = Model(world).run();
+        const double borne = borneInASecond(rate, WarmUpBounds());
+        CHECK_TEXT(found.most <= borne, foundText(world, found, borne).c_str());
+    }
+}
--- a/test/gateway/gatewayknowledge_test.cpp
+++ b/test/gateway/gatewayknowledge_test.cpp
@@ -33,7 +33,7 @@
                                upstreams,
                                metrics,
                                {std::chrono::milliseconds(4700), std::chrono::milliseconds(1900)},
-                               [](const CallerBounds &) {}};
+                               [](const RouteTable &) {}};
 
     // What another gateway tells of version 3 with one upstream, at revision 10.
     SharedKnowledge shared() const
@@ -124,6 +124,70 @@
     CHECK_TRUE(upstreams.mayReceive(InstanceId("i-2"))); // It may live, and lists itself again.
 }
 
+TEST(GatewayKnowledgeTest, WarmUpIsCountedFromWhenTheEntryIsRead)
+{
+    StoreItems listed;
+    listed.place = {1, 20};
+    UpstreamRecord record = upstream("i-1");
+    record.warmUpLeft = std::chrono::seconds(3);
+    listed.items.emplace_back(record);
+    knowledge.onStoreListed(listed, loop->now());
+    CHECK_TRUE(upstreams.find(InstanceId("i-1"))->warmAt > loop->now() + std::chrono::seconds(2));
+    record.warmUpLeft = Duration{};
+    StoreItems changed;
+    changed.place = {1, 21};
+    changed.items.emplace_back(record);
+    knowledge.onStoreChanged(changed, loop->now());
+    CHECK_TRUE(upstreams.find(InstanceId("i-1"))->warmAt <= loop->now());
+}
+
+TEST(GatewayKnowledgeTest, EntryThatDoesNotTellItsWarmUpIsOfANewStart)
+{
+    StoreItems listed;
+    listed.place = {1, 20};
+    RoutingDocument made = document(1);
+    made.services.emplace_back();
+    made.services.back().name = TargetName("portal");
+    made.services.back().warmUp = std::chrono::seconds(3);
+    listed.items.emplace_back(made);
+    knowledge.onStoreListed(listed, loop->now());
+    StoreItems changed;
+    changed.place = {1, 21};
+    UpstreamRecord record = upstream("i-1");
+    record.start = UpstreamStart(1);
+    changed.items.emplace_back(record);
+    knowledge.onStoreChanged(changed, loop->now());
+    const TimePoint warmAt = upstreams.find(InstanceId("i-1"))->warmAt;
+    CHECK_TRUE(warmAt > loop->now() + std::chrono::seconds(2));
+    changed.place = {1, 22};
+    knowledge.onStoreChanged(changed, loop->now());
+    CHECK_TRUE(upstreams.find(InstanceId("i-1"))->warmAt == warmAt);
+}
+
+TEST(GatewayKnowledgeTest, DrainedHallsComeFromListsChangesAndOtherGateways)
+{
+    const auto drained = [this](const char *hall) {
+        return upstreams.drainedHalls().contains(HallId(hall));
+    };
+    StoreItems listed;
+    listed.place = {1, 20};
+    listed.items.emplace_back(document(1));
+    listed.items.emplace_back(HallDrain{HallId("north"), false});
+    knowledge.onStoreListed(listed, loop->now() - std::chrono::seconds(2));
+    CHECK_TRUE(drained("north"));
+    StoreItems changed;
+    changed.place = {1, 21};
+    changed.items.emplace_back(HallDrain{HallId("north"), true});
+    changed.items.emplace_back(HallDrain{HallId("south"), false});
+    knowledge.onStoreChanged(changed, loop->now() - std::chrono::seconds(1));
+    CHECK_TRUE(!drained("north") && drained("south"));
+    SharedKnowledge told = shared();
+    told.place = {1, 22};
+    told.drainedHalls = {HallId("west")};
+    CHECK_TRUE(knowledge.adopt(told, loop->now()));
+    CHECK_TRUE(!drained("south") && drained("west"));
+}
+
 TEST(GatewayKnowledgeTest, VersionNeverGoesBack)
 {
     CHECK_TRUE(knowledge.adopt(shared(), loop->now() - std::chrono::seconds(1)));
@@ -150,7 +214,7 @@
 {
     UpstreamTable otherUpstreams;
     GatewayKnowledge other{*loop, otherUpstreams, metrics, knowledge.freshness(),
-                           [](const CallerBounds &) {}};
+                           [](const RouteTable &) {}};
     CHECK_TRUE(knowledge.adopt(shared(), loop->now()));
     StoreItems listed;
     listed.place.revision = 12;
--- a/test/gateway/gatewaywire_test.cpp
+++ b/test/gateway/gatewaywire_test.cpp
@@ -30,11 +30,37 @@
                                 6,
                                 true,
                                 0,
-                                UpstreamStart(1'764'000'000'123)};
+                                UpstreamStart(1'764'000'000'123),
+                                std::chrono::milliseconds(2500),
+                                TimePoint(std::chrono::seconds(9))};
+    const TimePoint now{std::chrono::seconds(7)};
     capnp::MallocMessageBuilder message;
     auto to = message.initRoot<wire::ListedUpstream>();
-    writeUpstream(record, to);
-    CHECK_TRUE(readUpstream(to.asReader()) == record);
+    writeUpstream(record, now, to);
+    CHECK_TRUE(readUpstream(to.asReader(), now) == record);
+}
+
+// The clocks of two gateways have nothing to do with each other.
+TEST(GatewayWireTest, WarmUpEndsAsLongAfterItIsReadAsItWasLeftWhenItWasWritten)
+{
+    UpstreamRecord record;
+    record.warmAt = TimePoint(std::chrono::seconds(9));
+    capnp::MallocMessageBuilder message;
+    auto to = message.initRoot<wire::ListedUpstream>();
+    writeUpstream(record, TimePoint(std::chrono::seconds(7)), to);
+    const TimePoint readAt{std::chrono::seconds(100)};
+    CHECK_TRUE(readUpstream(to.asReader(), readAt).warmAt == readAt + std::chrono::seconds(2));
+    writeUpstream(record, TimePoint(std::chrono::seconds(10)), to);
+    CHECK_TRUE(readUpstream(to.asReader(), readAt).warmAt <= readAt);
+}
+
+TEST(GatewayWireTest, DrainedHallsCrossTheWireUnchanged)
+{
+    const std::set<HallId> halls{HallId("north"), HallId("south")};
+    capnp::MallocMessageBuilder message;
+    auto to = message.initRoot<wire::GatewayNews>();
+    writeDrainedHalls(halls, to);
+    CHECK_TRUE(readDrainedHalls(to.asReader()) == halls);
 }
 
 TEST(GatewayWireTest, DocumentsInflateToWhatTheyWere)
--- a/test/gateway/groupwatch_test.cpp
+++ b/test/gateway/groupwatch_test.cpp
@@ -90,7 +90,7 @@
     Metrics metrics{0};
     UpstreamTable upstreams;
     GatewayKnowledge knowledge{*loop, upstreams, metrics, FreshnessBounds(),
-                               [](const CallerBounds &) {}};
+                               [](const RouteTable &) {}};
     GroupTable groups;
     int port = freePort();
     std::unique_ptr<Agent> agent = std::make_unique<Agent>(*loop, kHost, port);
--- a/test/gateway/halldrain_test.cpp
+++ b/test/gateway/halldrain_test.cpp
@@ -45,7 +45,7 @@
     explicit Gateway(EventLoop &loop, Metrics &metrics)
         : knowledge(loop, upstreams, metrics,
                     {std::chrono::milliseconds(4700), std::chrono::milliseconds(1900)},
-                    [](const CallerBounds &) {})
+                    [](const RouteTable &) {})
     {}
 
     UpstreamTable upstreams;
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -276,6 +276,69 @@
     }
 }
 
+TEST(StoreItemsTest, EntryTellsHowLongItsUpstreamStillWarmsUp)
+{
+    const std::string whole = R"({"service":"s","address":"1.2.3.4:5","zone":"n","capacity":6,)"
+                              R"("phase":"ready"%})";
+    const auto entry = [&whole](const std::string &more) {
+        std::string text = whole;
+        return text.replace(text.find('%'), 1, more);
+    };
+    const auto left = readUpstream("i-1", entry(R"(,"warmup-left-ms":2500)"))->warmUpLeft;
+    CHECK_TRUE(left == Duration(std::chrono::milliseconds(2500)));
+    CHECK_TRUE(readUpstream("i-1", entry(R"(,"warmup-left-ms":0)"))->warmUpLeft == Duration{});
+    CHECK_FALSE(readUpstream("i-1", entry(""))->warmUpLeft.has_value()); // Of older software.
+    for (const char *const text : {"\"1\"", "-1", "null", "true", "[]", "1e300"}) {
+        const std::string field = std::string(",\"warmup-left-ms\":") + text;
+        CHECK_TEXT(!readUpstream("i-1", entry(field)).has_value(), text);
+    }
+}
+
+TEST(StoreItemsTest, ConfigurationTellsWhatUpstreamsBearWhileTheyWarmUp)
+{
+    const auto document = readRouting(
+        R"({"version":1,"routes":[],"services":[{"name":"one","warmup-s":3.0,"warmup-per-s":26.0},)"
+        R"({"name":"two"}]})");
+    CHECK_TRUE(document->services[0].warmUp == Duration(std::chrono::seconds(3)));
+    CHECK_TRUE(document->services[0].warmUpRate == RequestRate(26.0));
+    CHECK_TRUE(document->services[1].warmUpRate == RequestRate());
+}
+
+TEST(StoreItemsTest, ConfigurationTellsWhereRequestsMayBeServed)
+{
+    const auto document = readRouting(
+        R"({"version":1,"routes":[{"name":"r","hostname":"h","path-prefix":"/","service":"s",)"
+        R"("allowed-regions":["centre","coast"]}],)"
+        R"("tenants":[{"name":"t","api-keys":[],"allowed-regions":["coast"]},{"name":"u"}]})");
+    UNSIGNED_LONGS_EQUAL(2, document->routes[0].regions.size());
+    CHECK_TRUE(document->accounts[0].regions == std::vector{RegionId("coast")});
+    CHECK_TRUE(document->accounts[1].regions.empty());
+    for (const char *const text : {"\"coast\"", "[1]", "[null]", "7"}) {
+        const std::string accounts =
+            std::string(R"({"version":1,"routes":[],"tenants":[{"name":"t","allowed-regions":)")
+            + text + "}]}";
+        CHECK_TEXT(!readRouting(accounts).has_value(), text);
+    }
+}
+
+// The values are "{}" and no base64 at all.
+TEST(StoreItemsTest, KeyAloneNamesAHallThatIsDrained)
+{
+    const auto items = store.readWatch(
+        200, R"({"events":[{"key-file":"op/evacuate/north","value":"e30=","revision":4},)"
+             R"({"key-file":"op/evacuate/south","value":"?","revision":5},)"
+             R"({"key-file":"op/evacuate/north","revision":6,"removed":true},)"
+             R"({"key-file":"op/evacuate/","value":"e30=","revision":7}],"current-rev":7})");
+    UNSIGNED_LONGS_EQUAL(3, items->items.size());
+    const auto drain = [&items](std::size_t index) {
+        return std::get<HallDrain>(items->items[index]);
+    };
+    CHECK_TRUE(drain(0).hall == HallId("north") && !drain(0).over);
+    CHECK_TRUE(drain(1).hall == HallId("south") && !drain(1).over);
+    CHECK_TRUE(drain(2).hall == HallId("north") && drain(2).over);
+    UNSIGNED_LONGS_EQUAL(1, items->faults.size());
+}
+
 TEST(StoreItemsTest, SaysWhenTheRoutingDocumentCannotBeRead)
 {
     const auto items = store.readWatch(
