Gateways go on knowing each other, however many they are

Cause: a follower asked for the list of gateways every 50 ms times their number, and one that was not heard of for 10 s is forgotten. From 200 gateways on all forgot the others between two lists: they took themselves for the first of their hall, followed the store themselves, and counted few that share limits and second attempts. In the model, 531 gateways by the rule before: fewer than all known; a planted rule that gets rarer with the fleet is caught. Change: the list is asked for every 2 s by the process, not by each connection, and where asker and teller know the same gateways ages are told, a byte each. The first of a hall asks the first of each other hall instead of one gateway after the other in the order of ids, which took minutes to come to the next hall. Weighed: the oldest age alone for all (ages grow from hop to hop until all are forgotten); a longer life (a larger constant, and the dead are followed for longer).

--- a/src/decision/membership/gatewaydirectory.cpp
+++ b/src/decision/membership/gatewaydirectory.cpp
@@ -27,10 +27,74 @@
     if (member.heardAt != TimePoint{} && heardAt <= member.heardAt) {
         return;
     }
-    member.record = record;
+    if (member.record != record) {
+        member.record = record;
+        mark_ = 0;
+    }
     member.heardAt = heardAt;
 }
 
+// Returns all, this one included, in the order of their ids.
+std::vector<GatewayDirectory::Known> GatewayDirectory::sorted(TimePoint now) const
+{
+    std::vector<Known> all = known();
+    const auto place =
+        std::lower_bound(all.begin(), all.end(), self_.id, [](const Known &known, const InstanceId &id) {
+            return known.record.id < id;
+        });
+    all.insert(place, {self_, now});
+    return all;
+}
+
+std::uint64_t GatewayDirectory::mark() const
+{
+    if (mark_ == 0) {
+        std::string text;
+        for (const Known &known : sorted(TimePoint{})) {
+            const GatewayRecord &record = known.record;
+            text += record.id.value() + '|' + record.hall.value() + '|' + record.host + '|'
+                    + std::to_string(record.port) + '\n';
+        }
+        mark_ = std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+    }
+    return mark_;
+}
+
+GatewayDirectory::News GatewayDirectory::newsFor(std::uint64_t askerMark, TimePoint now) const
+{
+    News news;
+    news.mark = mark();
+    if (askerMark != news.mark) {
+        news.all = known();
+        return news;
+    }
+    constexpr Duration::rep kOldest = 255;
+    for (const Known &known : sorted(now)) {
+        const Duration age = std::max(Duration{}, now - known.heardAt);
+        const Duration::rep steps = (age + kAgeStep - Duration(1)) / kAgeStep; // Never too young.
+        news.ages.push_back(static_cast<std::uint8_t>(std::min(steps, kOldest)));
+    }
+    return news;
+}
+
+bool GatewayDirectory::take(const News &news, TimePoint now)
+{
+    for (const Known &known : news.all) {
+        hear(known.record, known.heardAt);
+    }
+    if (news.ages.empty()) {
+        return true;
+    }
+    if (news.mark != mark() || news.ages.size() != size()) {
+        return false;
+    }
+    const std::vector<Known> all = sorted(now);
+    for (std::size_t index = 0; index < all.size(); ++index) {
+        hear(all[index].record, now - kAgeStep * static_cast<Duration::rep>(news.ages[index]));
+    }
+    return true;
+}
+
 void GatewayDirectory::onAnswered(const InstanceId &id, TimePoint now)
 {
     const auto found = members_.find(id);
@@ -50,8 +114,9 @@
 
 void GatewayDirectory::expire(TimePoint now)
 {
-    std::erase_if(members_,
-                  [&](const auto &entry) { return now - entry.second.heardAt > settings_.life; });
+    const std::size_t forgotten = std::erase_if(
+        members_, [&](const auto &entry) { return now - entry.second.heardAt > settings_.life; });
+    mark_ = forgotten > 0 ? 0 : mark_;
 }
 
 InstanceId GatewayDirectory::follower(TimePoint now) const
@@ -115,17 +180,14 @@
     return place;
 }
 
-// Returns the next member after the last turn that fits; one that is passed over only when no other
-// fits.
-template <typename Fits>
-std::optional<InstanceId> GatewayDirectory::nextThat(Fits fits, TimePoint now)
+std::optional<InstanceId> GatewayDirectory::another(const InstanceId &besides, TimePoint now)
 {
     std::optional<InstanceId> best;
     std::pair<bool, bool> bestRank{true, true};
     for (const auto &[id, member] : members_) {
         // Those after the last turn come before those up to it.
         const std::pair<bool, bool> rank{member.avoidUntil > now, id <= lastTurn_};
-        if (fits(member.record) && (!best || rank < bestRank)) {
+        if (id != besides && (!best || rank < bestRank)) {
             best = id;
             bestRank = rank;
         }
@@ -136,16 +198,6 @@
     return best;
 }
 
-std::optional<InstanceId> GatewayDirectory::another(const InstanceId &besides, TimePoint now)
-{
-    return nextThat([&besides](const GatewayRecord &record) { return record.id != besides; }, now);
-}
-
-std::optional<InstanceId> GatewayDirectory::farOne(TimePoint now)
-{
-    return nextThat([this](const GatewayRecord &record) { return record.hall != self_.hall; }, now);
-}
-
 const GatewayRecord *GatewayDirectory::find(const InstanceId &id) const
 {
     const auto found = members_.find(id);
--- a/src/decision/membership/gatewaydirectory.h
+++ b/src/decision/membership/gatewaydirectory.h
@@ -6,7 +6,9 @@
 // hash of their ids; the first that answers is the one to follow. Two gateways with different views
 // may both follow the store, which only costs calls.
 //
-// A gateway that was not heard of for a while, by any of those it hears from, is forgotten.
+// A gateway that was not heard of for a while, by any of those it hears from, is forgotten. So the
+// gateways tell each other again and again whom they have heard of. Where asker and teller know the
+// same gateways, which is nearly always, ages are all that is told: a byte for each.
 //
 // Pure and single-threaded.
 #pragma once
@@ -15,6 +17,7 @@
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -51,6 +54,18 @@
         TimePoint heardAt{};
     };
 
+    // What one gateway tells another of those that it knows.
+    struct News
+    {
+        std::uint64_t mark = 0; // Names the set of gateways that the teller knows, itself included.
+        std::vector<Known> all; // All but the teller, where the asker knows another set.
+        // Else how long ago each was heard of, in the order of their ids, the teller among them; in
+        // steps of `kAgeStep`.
+        std::vector<std::uint8_t> ages;
+    };
+
+    static constexpr Duration kAgeStep = std::chrono::milliseconds(50);
+
     GatewayDirectory(GatewayRecord self, const Settings &settings)
         : self_(std::move(self))
         , settings_(settings)
@@ -66,6 +81,15 @@
     // Forgets those that were not heard of for too long.
     void expire(TimePoint now);
 
+    // Returns a number that names the set of gateways that are known, this one included, and where
+    // they listen; not zero.
+    std::uint64_t mark() const;
+    // Returns what to tell one that knows the set named `askerMark`.
+    News newsFor(std::uint64_t askerMark, TimePoint now) const;
+    // Takes what another gateway tells at `now`. Returns false when ages came for another set than
+    // the one that is known by now.
+    bool take(const News &news, TimePoint now);
+
     // Returns the gateway of the own hall that follows the store: the first in the hall's order
     // that is not passed over. That may be this one.
     InstanceId follower(TimePoint now) const;
@@ -82,8 +106,6 @@
     // Returns another gateway than this one and `besides`, a different one with each call, those
     // that are passed over last.
     std::optional<InstanceId> another(const InstanceId &besides, TimePoint now);
-    // The same, of another hall.
-    std::optional<InstanceId> farOne(TimePoint now);
 
     const GatewayRecord *find(const InstanceId &id) const;
     // Returns all but this one, in the order of their ids.
@@ -98,13 +120,13 @@
         TimePoint avoidUntil{};
     };
 
-    template <typename Fits>
-    std::optional<InstanceId> nextThat(Fits fits, TimePoint now);
+    std::vector<Known> sorted(TimePoint now) const;
 
     GatewayRecord self_;
     Settings settings_;
     std::map<InstanceId, Member> members_; // Without this one.
-    InstanceId lastTurn_;                  // That `another` and `farOne` returned last.
+    mutable std::uint64_t mark_ = 0;       // Zero: to be computed.
+    InstanceId lastTurn_;                  // That `another` returned last.
 };
 
 } // namespace seamarch
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -13,9 +13,8 @@
 
 // The longest that an asker may have its question wait.
 constexpr Duration kLongestWait = std::chrono::seconds(1);
-// How often one gateway is asked for those it knows; longer on a large site, whose list is long.
+// How often any gateway is asked for those it knows: several times in the life of what is told.
 constexpr Duration kGatewaysGap = std::chrono::seconds(2);
-constexpr Duration kGatewaysGapPerGateway = std::chrono::milliseconds(50);
 // A new gateway asks more often: when a site starts, all of its gateways come within a second.
 constexpr Duration kYoung = std::chrono::seconds(3);
 constexpr Duration kGatewaysGapOfYoung = std::chrono::milliseconds(800);
@@ -49,6 +48,7 @@
                           params.getGroupsMark(),
                           params.getCrashCursor(),
                           params.getWantsGateways(),
+                          params.getGatewaysMark(),
                           params.getWantsLimits(),
                           params.getLimitsMark()};
         const Duration wait = std::min(Duration(params.getWaitMicros()), kLongestWait);
@@ -150,23 +150,26 @@
     return link;
 }
 
-void GatewayPeers::ask(const SocketAddress &address, Duration longest)
+// Tells whether it is time to hear whom the other gateway knows; one whose id is not known says it
+// with its list.
+bool GatewayPeers::isListDue(const Link &link, TimePoint now) const
+{
+    const bool young = now - startedAt_ < kYoung;
+    const Duration gap = young ? kGatewaysGapOfYoung : kGatewaysGap;
+    return link.id == InstanceId() || now - listAskedAt_ >= gap;
+}
+
+void GatewayPeers::ask(const SocketAddress &address, const InstanceId &id, Duration longest,
+                       AskList list)
 {
     const TimePoint now = loop_.now();
     Link &link = linkTo(address);
     if (link.asking || now < link.notBefore) {
         return;
     }
-    const bool young = now - startedAt_ < kYoung;
-    const Duration gatewaysGap =
-        young
-            ? kGatewaysGapOfYoung
-            : std::max(kGatewaysGap, kGatewaysGapPerGateway * static_cast<int>(directory_.size()));
-    const bool gateways =
-        link.gatewaysAskedAt == TimePoint{} || now - link.gatewaysAskedAt >= gatewaysGap;
-    if (gateways) {
-        link.gatewaysAskedAt = now;
-    }
+    link.id = id == InstanceId() ? link.id : id;
+    const bool gateways = list == AskList::Always || isListDue(link, now);
+    listAskedAt_ = gateways ? now : listAskedAt_;
     link.asking = true;
     auto request = link.rpc->capability().castAs<wire::GatewayPeer>().exchangeRequest();
     writeGateway(directory_.self(), Duration{}, request.initSelf());
@@ -177,6 +180,7 @@
     request.setConfigVersion(rests ? kNoConfigWanted : knowledge_.version().value());
     request.setUpstreamsMark(knowledge_.adoptedMark());
     request.setWantsGateways(gateways);
+    request.setGatewaysMark(directory_.mark());
     request.setWaitMicros(longest.count());
     request.setGroupsMark(link.groupsMark);
     request.setCrashCursor(link.crashCursor);
@@ -209,6 +213,7 @@
     Link &link = linkTo(address);
     link.asking = false;
     link.notBefore = loop_.now() + detail::kPeerPause;
+    listAskedAt_ = {};
     if (link.id != InstanceId()) {
         directory_.onFailed(link.id, loop_.now());
         logLine(LogLevel::Info, "gateway.unanswered", {{"gateway", link.id.value()}});
@@ -237,15 +242,36 @@
     }
     if (std::exchange(link.askAgain, false)) {
         link.notBefore = {};
-        ask(address, Duration{});
+        ask(address, link.id, Duration{});
     }
 }
 
-void GatewayPeers::takeGateways(wire::GatewayNews::Reader news, TimePoint now)
+void GatewayPeers::takeGateways(wire::GatewayNews::Reader reader, TimePoint now)
 {
-    for (const auto &gateway : news.getGateways()) {
-        directory_.hear(readGateway(gateway), now - Duration(gateway.getHeardMicrosAgo()));
+    GatewayDirectory::News news;
+    news.mark = reader.getGatewaysMark();
+    const auto told = reader.getGateways();
+    directory_.hear(readGateway(told[0]), now);
+    for (std::uint32_t index = 1; index < told.size(); ++index) {
+        const TimePoint heardAt = now - Duration(told[index].getHeardMicrosAgo());
+        news.all.push_back({readGateway(told[index]), heardAt});
     }
+    const auto ages = reader.getGatewayAges();
+    news.ages.assign(ages.begin(), ages.end());
+    directory_.take(news, now);
+}
+
+void GatewayPeers::writeGateways(wire::GatewayNews::Builder to, std::uint64_t askerMark) const
+{
+    const TimePoint now = loop_.now();
+    const GatewayDirectory::News news = directory_.newsFor(askerMark, now);
+    to.setGatewaysMark(news.mark);
+    auto list = to.initGateways(static_cast<std::uint32_t>(news.all.size() + 1));
+    writeGateway(directory_.self(), Duration{}, list[0]);
+    for (std::uint32_t index = 0; index < news.all.size(); ++index) {
+        writeGateway(news.all[index].record, now - news.all[index].heardAt, list[index + 1]);
+    }
+    to.setGatewayAges(kj::arrayPtr(news.ages.data(), news.ages.size()));
 }
 
 bool GatewayPeers::takeNews(TimePoint askedAt, wire::GatewayNews::Reader news)
@@ -320,13 +346,7 @@
 void GatewayPeers::writeNews(wire::GatewayNews::Builder news, const Asker &asker, Duration held)
 {
     if (asker.wantsGateways) {
-        const TimePoint now = loop_.now();
-        const auto known = directory_.known();
-        auto list = news.initGateways(static_cast<std::uint32_t>(known.size() + 1));
-        writeGateway(directory_.self(), Duration{}, list[0]);
-        for (std::uint32_t index = 0; index < known.size(); ++index) {
-            writeGateway(known[index].record, now - known[index].heardAt, list[index + 1]);
-        }
+        writeGateways(news, asker.gatewaysMark);
     }
     news.setHeldMicros(held.count());
     writeGroups(news, asker.groupsMark);
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -57,8 +57,13 @@
     GatewayPeers(const GatewayPeers &) = delete;
     GatewayPeers &operator=(const GatewayPeers &) = delete;
 
-    // Asks a gateway, unless a question to it is under way; the answer may wait for `longest`.
-    void ask(const SocketAddress &address, Duration longest);
+    // Whether a question also asks whom the other gateway has heard of.
+    enum class AskList { IfDue, Always };
+
+    // Asks a gateway, unless a question to it is under way; the answer may wait for `longest`. The
+    // id of one that was never heard of is empty.
+    void ask(const SocketAddress &address, const InstanceId &id, Duration longest,
+             AskList list = AskList::IfDue);
     using PermitsAnswered = std::function<void(const PermitAnswer &)>;
     // What permits are asked for.
     struct PermitQuestion
@@ -91,7 +96,6 @@
         std::uint64_t crashCursor = 0; // Of what it has told of requests that end upstreams.
         std::uint64_t limitsMark = 0;  // Of the limits that it has told last.
         TimePoint notBefore{};
-        TimePoint gatewaysAskedAt{};
         TimePoint usedAt{};
     };
 
@@ -103,7 +107,9 @@
     void onNews(const SocketAddress &address, TimePoint askedAt, wire::GatewayNews::Reader news);
     void onFailed(const SocketAddress &address);
     bool takeNews(TimePoint askedAt, wire::GatewayNews::Reader news);
+    bool isListDue(const Link &link, TimePoint now) const;
     void takeGateways(wire::GatewayNews::Reader news, TimePoint now);
+    void writeGateways(wire::GatewayNews::Builder news, std::uint64_t askerMark) const;
     void takeGroups(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
     void takeCrashes(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
     void takeLimits(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news);
@@ -124,6 +130,7 @@
         std::uint64_t groupsMark = 0;
         std::uint64_t crashCursor = 0;
         bool wantsGateways = false;
+        std::uint64_t gatewaysMark = 0;
         bool wantsLimits = false; // One of an earlier version does not know them.
         std::uint64_t limitsMark = 0;
     };
@@ -168,6 +175,7 @@
     std::map<HallId, Announcement> announcements_;
     TimePoint unknownAt_{};
     TimePoint startedAt_{};
+    TimePoint listAskedAt_{};     // Last, from any gateway.
     TimePoint configNotBefore_{}; // It rests from reading the last configuration until then.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     kj::TaskSet tasks_;
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -22,8 +22,9 @@
 // that they have no configuration either, as when a site starts.
 constexpr Duration kHearFirst = std::chrono::milliseconds(700);
 constexpr Duration kHearFirstAtMost = std::chrono::seconds(5);
-// How often the gateway that follows the store asks one of another hall and any one; that keeps the
-// lists of gateways together, so that two that follow the store in one hall find each other.
+// How often the gateway that follows the store asks the first of each other hall, and any one. That
+// keeps the lists of gateways together: of a gateway in any hall all hear again well within the time
+// after which it is forgotten, and two that follow the store in one hall find each other.
 constexpr Duration kListsGap = std::chrono::seconds(2);
 // How often any gateway is asked while knowledge is old.
 constexpr Duration kAnyGap = std::chrono::milliseconds(150);
@@ -240,8 +241,9 @@
         // One that knew nobody, as a seed that starts anew, asks the first that it hears of at
         // once: what it has forgotten must be known within the time in which it counts as in touch.
         listsAskedAt_ = now;
-        askGateway(directory_.farOne(now), Duration{});
-        askGateway(directory_.another(settings_.instance, now), Duration{});
+        askOtherHalls(now);
+        askGateway(directory_.another(settings_.instance, now), Duration{},
+                   GatewayPeers::AskList::Always);
         askSeedInTurn();
     }
     if (old && now - anyAskedAt_ >= kAnyGap) {
@@ -267,7 +269,16 @@
     for (std::size_t index = 0; index < settings_.seeds.size(); ++index) {
         const bool turn = few || index == seedTurn_ % settings_.seeds.size();
         if (turn && settings_.peerListen != settings_.seeds[index]) {
-            peers_->ask(settings_.seeds[index], Duration{});
+            peers_->ask(settings_.seeds[index], InstanceId(), Duration{});
+        }
+    }
+}
+
+void KnowledgeSources::askOtherHalls(TimePoint now)
+{
+    for (const HallId &hall : directory_.halls()) {
+        if (hall != settings_.hall) {
+            askGateway(directory_.firstOf(hall, now), Duration{}, GatewayPeers::AskList::Always);
         }
     }
 }
@@ -281,15 +292,16 @@
     }
     const SocketAddress &seed = settings_.seeds[seedTurn_++ % settings_.seeds.size()];
     if (seed != settings_.peerListen) {
-        peers_->ask(seed, Duration{});
+        peers_->ask(seed, InstanceId(), Duration{}, GatewayPeers::AskList::Always);
     }
 }
 
-void KnowledgeSources::askGateway(const std::optional<InstanceId> &id, Duration longest)
+void KnowledgeSources::askGateway(const std::optional<InstanceId> &id, Duration longest,
+                                  GatewayPeers::AskList list)
 {
     const GatewayRecord *record = id ? directory_.find(*id) : nullptr;
     if (record != nullptr) {
-        peers_->ask({record->host, record->port}, longest);
+        peers_->ask({record->host, record->port}, record->id, longest, list);
     }
 }
 
--- a/src/gateway/knowledgesources.h
+++ b/src/gateway/knowledgesources.h
@@ -74,8 +74,10 @@
     void watchGroups(bool watches, TimePoint now);
     void askPeers(const InstanceId &followed, TimePoint now);
     void askSeeds(bool follows, TimePoint now);
+    void askOtherHalls(TimePoint now);
     void askSeedInTurn();
-    void askGateway(const std::optional<InstanceId> &id, Duration longest);
+    void askGateway(const std::optional<InstanceId> &id, Duration longest,
+                    GatewayPeers::AskList list = GatewayPeers::AskList::IfDue);
     void followStore(bool wanted, std::string_view reason);
 
     EventLoop &loop_;
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -267,7 +267,8 @@
   configBytes @6 :UInt32;    # Before it was deflated.
   upstreamsMark @7 :UInt64;  # Names the state of the list of upstreams.
   upstreams @8 :List(ListedUpstream);  # The whole list, when the asker names another state.
-  gateways @9 :List(GatewayRecord);    # When asked for; the first is the one that answers.
+  gateways @9 :List(GatewayRecord);    # When asked for; the first is the one that answers. No more
+                                       # than that one where the asker names the same set of them.
   groupsMark @10 :UInt64;    # Names what is known of the groups of engines, but for its age.
   groups @11 :List(GroupNews);         # All groups; without members when the asker names this mark.
   crashCursor @12 :UInt64;   # Stands for having heard `crashes` and all that came before.
@@ -276,6 +277,9 @@
   limitsMark @15 :UInt64;    # Names what is known of limits.
   limits @16 :List(UpstreamLimit);     # All, when the asker names another mark.
   drainedHalls @17 :List(Text);        # Whose upstreams get nothing new; told with `upstreams`.
+  gatewaysMark @18 :UInt64;  # Names the set of `gateways`; zero: not asked for, or not known.
+  gatewayAges @19 :Data;     # Where the asker names the same set: how long ago each was heard of, in
+                             # the order of the ids, in steps of 50 ms.
 }
 
 # Served by each gateway for the others.
@@ -283,7 +287,7 @@
   # Answers at once when it knows more than the asker says it does, else after `waitMicros`.
   exchange @0 (self :GatewayRecord, configVersion :UInt64, upstreamsMark :UInt64,
                wantsGateways :Bool, waitMicros :Int64, groupsMark :UInt64, crashCursor :UInt64,
-               wantsLimits :Bool, limitsMark :UInt64)
+               wantsLimits :Bool, limitsMark :UInt64, gatewaysMark :UInt64)
       -> (news :GatewayNews);
   # The caller has news that cannot wait until it is asked; the callee asks it at once.
   hasNews @1 (self :GatewayRecord) -> ();
--- /dev/null
+++ b/test/decision/membership/directoryspread_test.cpp
@@ -0,0 +1,231 @@
+// The load that this answers: hundreds of gateways in some halls must all know of each other, though
+// each asks few others, and a gateway that is gone must be forgotten by all.
+//
+// In virtual time, with the real directories: in each hall all follow the same gateway and ask it
+// whom it knows, and that one asks the first of each other hall, any one, and a seed by turns.
+#include "decision/membership/gatewaydirectory.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+constexpr int kStepMs = 400; // A question to the gateway that is followed waits so long.
+constexpr int kYoungMs = 3000; // New gateways ask more often.
+constexpr int kYoungGapMs = 800;
+// A record on the wire: an id, a hall and an address.
+constexpr std::size_t kRecordBytes = 64;
+constexpr std::size_t kNewsBytes = 48;
+
+struct Site
+{
+    std::size_t gateways = 30;
+    std::size_t halls = 3;
+    int millis = 22000;
+    std::function<int(std::size_t)> gapMs = [](std::size_t) { return 2000; }; // By gateways known.
+    int stopAtMs = -1; // The last gateway is gone from then on.
+    std::uint64_t seed = 1;
+};
+
+struct Spread
+{
+    int allKnownAtMs = -1;          // Since then all know all.
+    std::size_t fewestAfter = 0;    // That any gateway knew in the last 10 s.
+    double busiestBytes = 0.0;      // Told by one gateway a second, in the last 10 s.
+    int forgottenAtMs = -1;         // Nobody knows the one that is gone.
+};
+
+class World
+{
+public:
+    explicit World(const Site &site)
+        : site_(site)
+        , random_(site.seed)
+        , askedAt_(site.gateways, -site.millis)
+        , told_(site.gateways, 0)
+    {
+        for (std::size_t index = 0; index < site.gateways; ++index) {
+            records_.push_back({InstanceId(fmt::format("g-{:04}", index)),
+                                HallId(fmt::format("hall-{}", index * site.halls / site.gateways)), "10.0.0.1",
+                                static_cast<int>(index)});
+            directories_.emplace_back(records_.back(), GatewayDirectory::Settings());
+        }
+    }
+
+    Spread run()
+    {
+        constexpr int kLast = 10000;
+        Spread spread;
+        spread.fewestAfter = site_.gateways;
+        for (now_ = kStepMs; now_ <= site_.millis; now_ += kStepMs) {
+            if (now_ == site_.millis - kLast) {
+                std::fill(told_.begin(), told_.end(), 0);
+            }
+            for (std::size_t index = 0; index < living(); ++index) {
+                step(index);
+            }
+            look(spread, now_ > site_.millis - kLast);
+        }
+        const double seconds = std::min(kLast, site_.millis) / 1000.0;
+        spread.busiestBytes = static_cast<double>(*std::max_element(told_.begin(), told_.end())) / seconds;
+        return spread;
+    }
+
+private:
+    TimePoint now() const { return TimePoint(std::chrono::milliseconds(now_)); }
+    bool stopped() const { return site_.stopAtMs >= 0 && now_ >= site_.stopAtMs; }
+    std::size_t living() const { return site_.gateways - (stopped() ? 1 : 0); }
+
+    void step(std::size_t index)
+    {
+        GatewayDirectory &directory = directories_[index];
+        directory.expire(now());
+        const InstanceId followed = directory.follower(now());
+        const int gap = now_ < kYoungMs ? kYoungGapMs : site_.gapMs(directory.size());
+        const bool due = now_ - askedAt_[index] >= gap;
+        if (followed != records_[index].id) {
+            // It asks the one that it follows all the time, which so hears of it.
+            ask(index, indexOf(followed), due);
+            askedAt_[index] = due ? now_ : askedAt_[index];
+        } else if (due) {
+            askedAt_[index] = now_;
+            for (const HallId &hall : directory.halls()) {
+                if (hall != records_[index].hall) {
+                    askSome(index, directory.firstOf(hall, now()));
+                }
+            }
+            askSome(index, directory.another(records_[index].id, now()));
+            ask(index, seed(), true);
+        }
+        if (directory.size() <= 3) {
+            ask(index, seed(), true);
+        }
+    }
+
+    // One of three, each in another hall.
+    std::size_t seed() { return random_() % 3 * site_.gateways / 3; }
+
+    void askSome(std::size_t asker, const std::optional<InstanceId> &id)
+    {
+        if (id) {
+            ask(asker, indexOf(*id), true);
+        }
+    }
+
+    std::size_t indexOf(const InstanceId &id) const
+    {
+        return static_cast<std::size_t>(
+            std::lower_bound(records_.begin(), records_.end(), id,
+                             [](const GatewayRecord &record, const InstanceId &wanted) {
+                                 return record.id < wanted;
+                             })
+            - records_.begin());
+    }
+
+    void ask(std::size_t asker, std::size_t teller, bool list)
+    {
+        if (asker == teller) {
+            return;
+        }
+        GatewayDirectory &directory = directories_[asker];
+        if (teller >= living()) {
+            directory.onFailed(records_[teller].id, now());
+            return;
+        }
+        directories_[teller].hear(records_[asker], now());
+        directory.onAnswered(records_[teller].id, now());
+        if (!list) {
+            return;
+        }
+        const GatewayDirectory::News news = directories_[teller].newsFor(directory.mark(), now());
+        told_[teller] += kNewsBytes + news.all.size() * kRecordBytes + news.ages.size();
+        directory.hear(records_[teller], now());
+        directory.take(news, now());
+    }
+
+    void look(Spread &spread, bool late)
+    {
+        std::size_t fewest = site_.gateways;
+        bool forgotten = true;
+        for (std::size_t index = 0; index < living(); ++index) {
+            fewest = std::min(fewest, directories_[index].size());
+            forgotten = forgotten && directories_[index].find(records_.back().id) == nullptr;
+        }
+        const bool all = fewest == site_.gateways;
+        spread.allKnownAtMs = !all ? -1 : spread.allKnownAtMs < 0 ? now_ : spread.allKnownAtMs;
+        spread.fewestAfter = late ? std::min(spread.fewestAfter, fewest) : spread.fewestAfter;
+        if (stopped()) {
+            spread.forgottenAtMs = !forgotten                  ? -1
+                                   : spread.forgottenAtMs < 0 ? now_
+                                                              : spread.forgottenAtMs;
+        }
+    }
+
+    Site site_;
+    std::mt19937_64 random_;
+    std::vector<GatewayRecord> records_;
+    std::vector<GatewayDirectory> directories_;
+    std::vector<int> askedAt_; // For whom others know.
+    std::vector<std::size_t> told_; // Bytes.
+    int now_ = 0;
+};
+
+Site siteOf(std::size_t gateways, std::size_t halls)
+{
+    Site site;
+    site.gateways = gateways;
+    site.halls = halls;
+    return site;
+}
+
+} // namespace
+
+TEST_GROUP(DirectorySpreadTest){};
+
+TEST(DirectorySpreadTest, AllKnowAllAtEverySizeAndGoOnKnowing)
+{
+    for (const auto &[gateways, halls] :
+         std::vector<std::pair<std::size_t, std::size_t>>{{30, 3}, {149, 3}, {531, 5}, {1062, 9}}) {
+        const Spread spread = World(siteOf(gateways, halls)).run();
+        const std::string text =
+            fmt::format("{} gateways: all known since {} ms, fewest known later {}, busiest tells "
+                        "{:.0f} bytes a second",
+                        gateways, spread.allKnownAtMs, spread.fewestAfter, spread.busiestBytes);
+        if (std::getenv("SEAMARCH_PRINT") != nullptr) {
+            fmt::print("{}\n", text);
+        }
+        CHECK_TEXT(spread.allKnownAtMs >= 0 && spread.allKnownAtMs <= 6000, text.c_str());
+        UNSIGNED_LONGS_EQUAL_TEXT(gateways, spread.fewestAfter, text.c_str());
+        // A fortieth of a link of 40 Mbit/s, at every size.
+        CHECK_TEXT(spread.busiestBytes <= 125'000, text.c_str());
+    }
+}
+
+TEST(DirectorySpreadTest, QuestionsThatGetRarerWithTheFleetAreCaught)
+{
+    Site site = siteOf(531, 5);
+    site.gapMs = [](std::size_t known) { return std::max(2000, 50 * static_cast<int>(known)); };
+    CHECK_TRUE(World(site).run().fewestAfter < site.gateways);
+}
+
+TEST(DirectorySpreadTest, OneThatIsGoneIsForgottenByAll)
+{
+    for (const std::size_t gateways : {30U, 149U, 265U}) {
+        Site site = siteOf(gateways, 5);
+        site.stopAtMs = 6000;
+        site.millis = 36000;
+        const Spread spread = World(site).run();
+        CHECK_TEXT(spread.forgottenAtMs >= 0,
+                   fmt::format("{} gateways still know one that is gone", gateways).c_str());
+    }
+}
--- a/test/decision/membership/gatewaydirectory_test.cpp
+++ b/test/decision/membership/gatewaydirectory_test.cpp
@@ -114,12 +114,61 @@
     CHECK_TRUE(*directory.another(kSite[2].id, at(3)) == kSite[1].id);
 }
 
-TEST(GatewayDirectoryTest, AFarOneStandsInAnotherHall)
+TEST(GatewayDirectoryTest, FirstOfEachOtherHallStandsThere)
 {
-    GatewayDirectory directory = directoryOf(kSite[0], kSite);
-    for (int turn = 0; turn < 4; ++turn) {
-        CHECK_TRUE(directory.find(*directory.farOne(at(2)))->hall == HallId("b"));
+    const GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    for (const HallId &hall : directory.halls()) {
+        CHECK_TRUE(directory.find(*directory.firstOf(hall, at(2)))->hall == hall);
     }
+    CHECK_TRUE(directory.halls().contains(HallId("b")));
+}
+
+TEST(GatewayDirectoryTest, GatewaysThatKnowTheSameOnesNameThemAlike)
+{
+    std::set<std::uint64_t> marks;
+    for (const GatewayRecord &self : kSite) {
+        marks.insert(directoryOf(self, kSite).mark());
+    }
+    UNSIGNED_LONGS_EQUAL(1, marks.size());
+    GatewayDirectory directory = directoryOf(kSite[0], kSite);
+    GatewayRecord moved = kSite[1];
+    moved.port = 7001;
+    directory.hear(moved, at(2));
+    CHECK_FALSE(marks.contains(directory.mark()));
+}
+
+TEST(GatewayDirectoryTest, AgesAreToldToOneThatKnowsTheSameGateways)
+{
+    GatewayDirectory teller = directoryOf(kSite[0], kSite);
+    GatewayDirectory asker = directoryOf(kSite[1], kSite);
+    teller.hear(kSite[4], at(6000));
+    const auto news = teller.newsFor(asker.mark(), at(7000));
+    CHECK_TRUE(news.all.empty());
+    CHECK_TRUE(asker.take(news, at(7000)));
+    asker.expire(at(10050)); // Ages are told in steps, and never too young.
+    CHECK_TRUE(asker.find(kSite[4].id) != nullptr);
+    CHECK_TRUE(asker.find(kSite[3].id) == nullptr);
+    CHECK_TRUE(asker.find(kSite[0].id) != nullptr);
+    asker.expire(at(16050));
+    CHECK_TRUE(asker.find(kSite[4].id) == nullptr);
+}
+
+TEST(GatewayDirectoryTest, AgesOfAnotherSetAreNotTaken)
+{
+    GatewayDirectory teller = directoryOf(kSite[0], kSite);
+    GatewayDirectory asker = directoryOf(kSite[1], kSite);
+    const auto news = teller.newsFor(asker.mark(), at(7000));
+    asker.hear(gateway("c-1", "c"), at(7000));
+    CHECK_FALSE(asker.take(news, at(7001)));
+}
+
+TEST(GatewayDirectoryTest, AllAreToldToOneThatKnowsOthers)
+{
+    GatewayDirectory teller = directoryOf(kSite[0], kSite);
+    GatewayDirectory asker(kSite[1], {});
+    asker.hear(kSite[0], at(1));
+    CHECK_TRUE(asker.take(teller.newsFor(asker.mark(), at(2)), at(2)));
+    UNSIGNED_LONGS_EQUAL(kSite.size(), asker.size());
 }
 
 TEST(GatewayDirectoryTest, AllAgreeOnTheFirstOfAnotherHallAndPassOverOneThatFails)
