The store's changes are gathered for a moment before the next are asked for

Cause: each change of the store answers every watch at once, and each answer is a call. While upstreams are replaced one after the other, changes follow each other in milliseconds. Change: after changes a watch rests for a twentieth of the shortest bound on a change (100 ms where that is 2 s, 250 ms where it is 5 s); the agents that decide rest 200 ms. The first change after a quiet time is heard at once, as before.

--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -45,6 +45,8 @@
 constexpr std::chrono::milliseconds kFenceUnit{100};
 // A store's watch waits this long here: only the list of engines is wanted, and calls have a price.
 constexpr Duration kWatchWait = std::chrono::seconds(10);
+// Changes of the list are gathered for this long: an engine that is new forms its group later.
+constexpr Duration kWatchRest = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -378,6 +380,7 @@
     notedCleared_ = 0;
     StoreWatcher::Settings watch;
     watch.wait = kWatchWait;
+    watch.rest = kWatchRest;
     watch.seed = randomIdentity();
     StoreListener &storeListener = *this;
     watcher_ = std::make_unique<StoreWatcher>(loop_, *client_, store_, storeListener, watch);
--- a/src/gateway/gatewaybounds.cpp
+++ b/src/gateway/gatewaybounds.cpp
@@ -20,6 +20,8 @@
 // counted from when a gateway first hears the store again.
 constexpr Duration kListedAgain = std::chrono::milliseconds(1500);
 constexpr Duration kLeast = std::chrono::milliseconds(1);
+// A change may come this part of the shortest bound on it later for being gathered with others.
+constexpr int kStoreRestPart = 20;
 
 } // namespace
 
@@ -33,6 +35,7 @@
     times.stopDelay = std::min(kBalancerNotices, times.stopDeadline / 2);
     times.lapseGrace =
         std::clamp(bounds.leavingLimit - kNewsTravel, Duration(kLeast), Duration(kListedAgain));
+    times.storeRest = std::min(bounds.leavingLimit, bounds.configSpread) / kStoreRestPart;
     return times;
 }
 
--- a/src/gateway/gatewaybounds.h
+++ b/src/gateway/gatewaybounds.h
@@ -47,6 +47,8 @@
     Duration stopDeadline{};
     // How long an upstream that vanished around an outage of the store stays in use.
     Duration lapseGrace{};
+    // How long the store's changes are gathered after one of them was heard.
+    Duration storeRest{};
 };
 
 GatewayTimes timesWithin(const GatewayBounds &bounds);
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -139,7 +139,8 @@
 {
     place_ = std::max(place_, items.place);
     listener_.onStoreChanged(items, askedAt_);
-    const Duration rest = restAfter(items);
+    const bool changed = !items.items.empty() || !items.faults.empty();
+    const Duration rest = std::max(restAfter(items), changed ? settings_.rest : Duration{});
     if (rest > Duration{}) {
         timer_ = loop_.schedule(rest, [this] { watch(); });
     } else {
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -49,6 +49,9 @@
         Duration patience = std::chrono::milliseconds(900);
         Duration firstPause = std::chrono::milliseconds(100);
         Duration longestPause = std::chrono::milliseconds(800);
+        // How long to wait after changes before asking for the next. Each answer of a watch is a
+        // call, and when many upstreams come and go, changes follow each other in milliseconds.
+        Duration rest{};
         std::uint64_t seed = 0;
     };
 
