Few gateways of a hall ask the store when the one that they follow knows nothing

Cause: the turns in which the others of a hall ask came 100 ms apart up to an age of 2.5 s, and all that were left asked at that moment: five of thirty, a hundred of a hundred and seven. While the store is away for everybody each goes on asking. Change: twelve of a hall have a turn, up to the age from which a list would come too late; the others ask only when no gateway has answered them for a second. The first of a hall whose knowledge is old asks the firsts of other halls, which follow the store, instead of any gateway. Tests: StoreTurnTest, twelve askers in halls of 30, 107, 222 and 667, one after the other.

--- a/src/decision/membership/storeturn.cpp
+++ b/src/decision/membership/storeturn.cpp
@@ -9,6 +9,9 @@
 constexpr Duration kPeersFirst = std::chrono::milliseconds(500);
 // The store answers within some milliseconds, and its news passes on with the next question.
 constexpr Duration kPlaceStep = std::chrono::milliseconds(100);
+// Of a hall; a store that turns a third of the machines away turns all of these away once in half a
+// million times.
+constexpr std::size_t kMostAskers = 12;
 // Keys that were judged late are refused, routes are not: they may spend less of their time.
 constexpr double kKeysPart = 0.6;
 // The parts of the shorter time that a watch, a follower's patience and the last turn may take. A
@@ -16,6 +19,8 @@
 constexpr double kWatchPart = 0.26;
 constexpr double kOldPart = 0.84;
 constexpr double kLatestPart = 0.9;
+// A list that is asked for last must come before keys can be judged no more.
+constexpr Duration kListTime = std::chrono::milliseconds(900);
 // No watch waits longer: it may have gone silent, and only its end shows that.
 constexpr Duration kLongestWatch = std::chrono::milliseconds(1000);
 // What is followed is at most some 1.4 s old while all is well.
@@ -34,10 +39,16 @@
     KnowledgeTimes times;
     times.watchWait = std::min(part(time, kWatchPart), kLongestWatch);
     times.old = std::min(part(time, kOldPart), kLongestOld);
-    times.latest = part(time, kLatestPart);
+    times.latest = std::max(part(time, kLatestPart),
+                            std::min(bounds.keys - kListTime, part(bounds.deny, kLatestPart)));
     return times;
 }
 
+bool hasStoreTurn(std::size_t place)
+{
+    return place < kMostAskers;
+}
+
 Duration storeTurnAge(const KnowledgeTimes &times, std::size_t place)
 {
     const Duration wanted =
--- a/src/decision/membership/storeturn.h
+++ b/src/decision/membership/storeturn.h
@@ -7,7 +7,9 @@
 // gateways elsewhere, most of which are not concerned, and only then the store: in the hall's
 // order, one after the other, since one that succeeds tells the rest. How long all that may take
 // follows from how old knowledge may be for keys and for routes that are refused; where those are
-// short, all ask at once.
+// short, all ask at once. Only some of a hall have a turn at all, however many it has: the store
+// hardly turns away so many and serves others, and while it is down for everybody each call is in
+// vain.
 //
 // Pure.
 #pragma once
@@ -31,14 +33,16 @@
     // Knowledge older than this is sought from any gateway: while all is well, what is followed is
     // at most as old as a watch, a follower's question and the way take.
     Duration old{};
-    // At this age at the latest the store is asked.
+    // At this age at the latest the store is asked, also by one that hears no other gateway.
     Duration latest{};
 };
 
 KnowledgeTimes knowledgeTimes(const KnowledgeBounds &bounds);
 
-// Returns from which age of its knowledge on a gateway asks the store that is at `place` among
-// those of its hall that answer; zero is the first.
+// Tells whether a gateway at `place` among those of its hall that answer asks the store at all while
+// others do; zero is the first.
+bool hasStoreTurn(std::size_t place);
+// Returns from which age of its knowledge on a gateway at `place` asks the store.
 Duration storeTurnAge(const KnowledgeTimes &times, std::size_t place);
 
 } // namespace seamarch
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -82,6 +82,8 @@
     // Returns when another gateway last answered that it has no configuration; the distant past
     // when none did.
     TimePoint unknownAt() const { return unknownAt_; }
+    // Returns when any gateway last answered; the distant past when none did.
+    TimePoint answeredAt() const { return answeredAt_; }
 
 private:
     class Server;
@@ -174,6 +176,7 @@
     };
     std::map<HallId, Announcement> announcements_;
     TimePoint unknownAt_{};
+    TimePoint answeredAt_{};
     TimePoint startedAt_{};
     TimePoint listAskedAt_{};     // Last, from any gateway.
     TimePoint configNotBefore_{}; // It rests from reading the last configuration until then.
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -28,6 +28,8 @@
 constexpr Duration kListsGap = std::chrono::seconds(2);
 // How often any gateway is asked while knowledge is old.
 constexpr Duration kAnyGap = std::chrono::milliseconds(150);
+// A gateway that nobody has answered for this long may be cut off from the others.
+constexpr Duration kHeard = std::chrono::seconds(1);
 // How often it is looked at whom to ask about groups; answers come when something changes.
 constexpr Duration kGroupsGap = std::chrono::milliseconds(50);
 constexpr Duration kSeedsGap = std::chrono::milliseconds(300);
@@ -175,9 +177,19 @@
     return knowledgeTimes({bounds.keys, bounds.deny});
 }
 
+// Tells whether others of the hall ask the store in place of this gateway, and it hears them.
+bool KnowledgeSources::leavesStoreToOthers(TimePoint now) const
+{
+    const bool hearsOthers = peers_ != nullptr && now - peers_->answeredAt() < kHeard;
+    return hearsOthers && !hasStoreTurn(directory_.place().index);
+}
+
 // Tells whether it is this gateway's turn to ask the store, although it follows another one.
 bool KnowledgeSources::asksStore(TimePoint now) const
 {
+    if (leavesStoreToOthers(now)) {
+        return false;
+    }
     if (!knowledge_.confirmed()) {
         return !hearsFirst(now);
     }
@@ -248,7 +260,7 @@
     }
     if (old && now - anyAskedAt_ >= kAnyGap) {
         anyAskedAt_ = now;
-        askGateway(directory_.another(followed, now), Duration{});
+        askGateway(own ? firstElsewhere(now) : directory_.another(followed, now), Duration{});
     }
     if (now - seedsAskedAt_ >= kSeedsGap) {
         askSeeds(own && isYoung(now), now);
@@ -274,6 +286,23 @@
     }
 }
 
+// Returns the first of another hall, a different one with each call: those that follow the store
+// know most. Any gateway where there is no other hall.
+std::optional<InstanceId> KnowledgeSources::firstElsewhere(TimePoint now)
+{
+    std::vector<InstanceId> firsts;
+    for (const HallId &hall : directory_.halls()) {
+        const auto first = hall == settings_.hall ? std::nullopt : directory_.firstOf(hall, now);
+        if (first) {
+            firsts.push_back(*first);
+        }
+    }
+    if (firsts.empty()) {
+        return directory_.another(settings_.instance, now);
+    }
+    return firsts[hallTurn_++ % firsts.size()];
+}
+
 void KnowledgeSources::askOtherHalls(TimePoint now)
 {
     for (const HallId &hall : directory_.halls()) {
--- a/src/gateway/knowledgesources.h
+++ b/src/gateway/knowledgesources.h
@@ -72,9 +72,11 @@
     bool hearsFirst(TimePoint now) const;
     KnowledgeTimes times() const;
     bool asksStore(TimePoint now) const;
+    bool leavesStoreToOthers(TimePoint now) const;
     void watchGroups(bool watches, TimePoint now);
     void askPeers(const InstanceId &followed, TimePoint now);
     void askSeeds(bool follows, TimePoint now);
+    std::optional<InstanceId> firstElsewhere(TimePoint now);
     void askOtherHalls(TimePoint now);
     void askSeedInTurn();
     void askGateway(const std::optional<InstanceId> &id, Duration longest,
@@ -95,6 +97,7 @@
     std::uint64_t earlierCalls_ = 0; // Of watchers that are gone.
     bool stopped_ = false;
     TimePoint startedAt_{};
+    std::size_t hallTurn_ = 0;   // Whose first is asked next.
     std::uint64_t seedTurn_ = 0; // Drawn at random at first, so that new gateways spread.
     TimePoint storeUntil_{};     // An own watch on the store goes on until then.
     TimePoint storeNotBefore_{}; // Another gateway knows more; the store is asked again from then.
--- a/test/decision/membership/storeturn_test.cpp
+++ b/test/decision/membership/storeturn_test.cpp
@@ -50,6 +50,25 @@
     CHECK_TRUE(asking <= 3);
 }
 
+TEST(StoreTurnTest, TurnsOfAHallComeOneAfterTheOtherWhereThereIsTime)
+{
+    const KnowledgeTimes times = knowledgeTimes(kLarge);
+    for (std::size_t place = 1; hasStoreTurn(place); ++place) {
+        CHECK_TRUE(storeTurnAge(times, place) > storeTurnAge(times, place - 1));
+    }
+}
+
+TEST(StoreTurnTest, NoMoreThanTwelveOfAHallAskTheStoreHoweverManyItHas)
+{
+    for (const std::size_t gateways : {30U, 107U, 222U, 667U}) {
+        std::size_t askers = 0;
+        for (std::size_t place = 0; place < gateways; ++place) {
+            askers += hasStoreTurn(place) ? 1 : 0;
+        }
+        UNSIGNED_LONGS_EQUAL(12, askers);
+    }
+}
+
 TEST(StoreTurnTest, WhereTimeIsShortAllAskWithinATenthOfASecond)
 {
     const KnowledgeTimes times = knowledgeTimes(kSmall);
