A gateway names the groups that it knows to one that it asks for the first time

Cause: groups are named by what the same connection told before, so one that asks many gateways in turn was handed all members of all groups by each (516 of some 30 bytes). Change: on a new connection the own state is named; a digest, so gateways that know the same name it alike. From then on what that connection told, as before.

--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -182,6 +182,7 @@
     request.setWantsGateways(gateways);
     request.setGatewaysMark(directory_.mark());
     request.setWaitMicros(longest.count());
+    link.groupsMark = link.groupsMark == 0 ? groups_.mark() : link.groupsMark;
     request.setGroupsMark(link.groupsMark);
     request.setCrashCursor(link.crashCursor);
     request.setWantsLimits(true);
@@ -306,7 +307,7 @@
 }
 
 // Takes what the other gateway has heard of groups, each as of its own moment. Facts that it told
-// before are only renewed, if they are still those that are known here.
+// before, or that were known here as well, are only renewed, if they are still those that are known.
 void GatewayPeers::takeGroups(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news)
 {
     const Duration held(news.getHeldMicros());
