A gateway that follows the store names its list to those that it asks

Cause: it named none, and so was handed the whole list each time (77 kB of 516 upstreams). Change: lists are named by the mark under which they were adopted while they hold, else by their own.

--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -85,7 +85,7 @@
                            shared.place.revision};
     const bool news = place >= place_ && (!confirmedAt_ || confirmedAt > *confirmedAt_);
     const bool whole = (shared.document || shared.version <= version())
-                       && (shared.upstreams || shared.upstreamsMark == adoptedMark());
+                       && (shared.upstreams || shared.upstreamsMark == namedMark());
     if (!news || !whole) {
         return false;
     }
@@ -105,9 +105,13 @@
     return true;
 }
 
-std::uint64_t GatewayKnowledge::adoptedMark() const
+std::uint64_t GatewayKnowledge::namedMark() const
 {
-    return upstreams_.changes() == changesAtAdoption_ ? adoptedMark_ : 0;
+    if (!confirmed()) {
+        return 0;
+    }
+    const bool adopted = adoptedMark_ != 0 && upstreams_.changes() == changesAtAdoption_;
+    return adopted ? adoptedMark_ : upstreamsMark();
 }
 
 std::uint64_t GatewayKnowledge::upstreamsMark() const
@@ -197,7 +201,8 @@
 UpstreamRecord GatewayKnowledge::dated(UpstreamRecord record) const
 {
     if (record.warmUpLeft) {
-        record.warmAt = loop_.now() + *record.warmUpLeft;
+        const bool warm = *record.warmUpLeft <= Duration{};
+        record.warmAt = warm ? TimePoint{} : loop_.now() + *record.warmUpLeft;
         return record;
     }
     const UpstreamRecord *known = upstreams_.find(record.id);
--- a/src/gateway/gatewayknowledge.h
+++ b/src/gateway/gatewayknowledge.h
@@ -63,8 +63,10 @@
     bool adopt(const SharedKnowledge &shared, TimePoint confirmedAt);
     // Takes no more than the configuration of another gateway, if its version is higher.
     void adoptVersion(const SharedKnowledge &shared);
-    // Returns the mark of the list that was adopted last and holds still; zero: none.
-    std::uint64_t adoptedMark() const;
+    // Returns by which mark the own list is named to other gateways: the one under which it was
+    // adopted, while it holds still, else its own; zero: there is none. The two may differ, because
+    // this gateway may know of an upstream that leaves and the teller did not.
+    std::uint64_t namedMark() const;
     // Returns the mark of the own list, a digest: gateways that hold the same list name it alike,
     // so one that asks another than before is not handed it again.
     std::uint64_t upstreamsMark() const;
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -178,7 +178,7 @@
         longest = std::min(longest, configNotBefore_ - now);
     }
     request.setConfigVersion(rests ? kNoConfigWanted : knowledge_.version().value());
-    request.setUpstreamsMark(knowledge_.adoptedMark());
+    request.setUpstreamsMark(knowledge_.namedMark());
     request.setWantsGateways(gateways);
     request.setGatewaysMark(directory_.mark());
     request.setWaitMicros(longest.count());
