Gateways hand on what changed of the list of upstreams, not the whole list

Cause: each change of one entry went to every gateway of a hall as the whole list: bytes grow with gateways times upstreams for each change. One of an earlier version is handed whole lists.

--- /dev/null
+++ b/src/decision/gateway/upstreamhistory.cpp
@@ -0,0 +1,89 @@
+#include "decision/gateway/upstreamhistory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace seamarch {
+namespace {
+
+// Returns the record without what differs between gateways that hold the same list.
+UpstreamRecord comparable(const UpstreamRecord &record)
+{
+    UpstreamRecord same = record;
+    same.listedAt = 0;
+    same.warmAt = {};
+    return same;
+}
+
+} // namespace
+
+void UpstreamHistory::note(std::uint64_t mark, const std::vector<const UpstreamRecord *> &records)
+{
+    if (mark == mark_) {
+        return;
+    }
+    Step step;
+    step.from = mark_;
+    std::map<InstanceId, UpstreamRecord> list;
+    for (const UpstreamRecord *record : records) {
+        const auto &[id, listed] = *list.emplace(record->id, comparable(*record)).first;
+        const auto before = list_.find(id);
+        if (before == list_.end() || before->second != listed) {
+            step.changed.push_back(id);
+        }
+    }
+    for (const auto &[id, record] : list_) {
+        if (!list.contains(id)) {
+            step.changed.push_back(id);
+        }
+    }
+    list_ = std::move(list);
+    mark_ = mark;
+    if (step.from != 0) {
+        steps_.push_back(std::move(step));
+    }
+    if (steps_.size() > kMostStates) {
+        steps_.pop_front();
+    }
+}
+
+std::optional<std::set<InstanceId>> UpstreamHistory::changedSince(std::uint64_t mark) const
+{
+    constexpr std::size_t kWorthwhile = 2; // At most one part in so many of the list.
+    std::set<InstanceId> changed;
+    if (mark == mark_) {
+        return changed;
+    }
+    for (auto step = steps_.rbegin(); step != steps_.rend(); ++step) {
+        changed.insert(step->changed.begin(), step->changed.end());
+        if (changed.size() * kWorthwhile > list_.size()) {
+            return std::nullopt;
+        }
+        if (step->from == mark) {
+            return changed;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<UpstreamRecord> withChanges(const std::vector<const UpstreamRecord *> &list,
+                                        const std::vector<UpstreamRecord> &changed,
+                                        const std::set<InstanceId> &removed)
+{
+    std::map<InstanceId, UpstreamRecord> records;
+    for (const UpstreamRecord *record : list) {
+        records.emplace(record->id, *record).first->second.listedAt = 0;
+    }
+    for (const UpstreamRecord &record : changed) {
+        records[record.id] = record;
+    }
+    std::vector<UpstreamRecord> result;
+    for (auto &[id, record] : records) {
+        if (!removed.contains(id)) {
+            result.push_back(std::move(record));
+        }
+    }
+    return result;
+}
+
+} // namespace seamarch
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -45,6 +45,7 @@
         peers_.directory_.hear(readGateway(params.getSelf()), askedAt);
         const Asker asker{ConfigVersion(params.getConfigVersion()),
                           params.getUpstreamsMark(),
+                          params.getTakesChanges(),
                           params.getGroupsMark(),
                           params.getCrashCursor(),
                           params.getWantsGateways(),
@@ -179,6 +180,7 @@
     }
     request.setConfigVersion(rests ? kNoConfigWanted : knowledge_.version().value());
     request.setUpstreamsMark(knowledge_.namedMark());
+    request.setTakesChanges(true);
     request.setWantsGateways(gateways);
     request.setGatewaysMark(directory_.mark());
     request.setWaitMicros(longest.count());
@@ -295,10 +297,7 @@
         shared.document = std::move(*document);
     }
     if (news.hasUpstreams()) {
-        shared.upstreams.emplace();
-        for (const auto &upstream : news.getUpstreams()) {
-            shared.upstreams->push_back(readUpstream(upstream, loop_.now()));
-        }
+        shared.upstreams = readUpstreams(news);
         shared.drainedHalls = readDrainedHalls(news);
     }
     const Duration held(news.getHeldMicros());
@@ -372,15 +371,66 @@
     }
     news.setUpstreamsMark(knowledge_.upstreamsMark());
     if (knowledge_.upstreamsMark() != asker.upstreamsMark) {
-        const auto records = knowledge_.upstreams().all();
-        auto list = news.initUpstreams(static_cast<std::uint32_t>(records.size()));
-        for (std::uint32_t index = 0; index < records.size(); ++index) {
-            writeUpstream(*records[index], loop_.now(), list[index]);
-        }
+        writeUpstreams(news, asker);
         writeDrainedHalls(knowledge_.upstreams().drainedHalls(), news);
     }
 }
 
+void GatewayPeers::noteList()
+{
+    if (knowledge_.confirmed()) {
+        history_.note(knowledge_.upstreamsMark(), knowledge_.upstreams().all());
+    }
+}
+
+// Writes what has changed since the list that the asker names, where that is known, else all.
+void GatewayPeers::writeUpstreams(wire::GatewayNews::Builder news, const Asker &asker)
+{
+    noteList();
+    std::vector<const UpstreamRecord *> records = knowledge_.upstreams().all();
+    const auto changed = asker.takesChanges && asker.upstreamsMark != 0
+                             ? history_.changedSince(asker.upstreamsMark)
+                             : std::nullopt;
+    if (changed) {
+        std::set<InstanceId> removed = *changed;
+        std::erase_if(records, [&](const UpstreamRecord *record) {
+            removed.erase(record->id);
+            return !changed->contains(record->id);
+        });
+        news.setUpstreamsSince(asker.upstreamsMark);
+        auto ids = news.initRemovedUpstreams(static_cast<std::uint32_t>(removed.size()));
+        std::uint32_t index = 0;
+        for (const InstanceId &id : removed) {
+            ids.set(index++, id.value());
+        }
+    }
+    auto list = news.initUpstreams(static_cast<std::uint32_t>(records.size()));
+    for (std::uint32_t index = 0; index < records.size(); ++index) {
+        writeUpstream(*records[index], loop_.now(), list[index]);
+    }
+}
+
+// Returns the whole list; nothing where what changed is told of a list that is not held any more.
+std::optional<std::vector<UpstreamRecord>>
+GatewayPeers::readUpstreams(wire::GatewayNews::Reader news) const
+{
+    std::vector<UpstreamRecord> records;
+    for (const auto &upstream : news.getUpstreams()) {
+        records.push_back(readUpstream(upstream, loop_.now()));
+    }
+    if (news.getUpstreamsSince() == 0) {
+        return records;
+    }
+    if (news.getUpstreamsSince() != knowledge_.namedMark()) {
+        return std::nullopt;
+    }
+    std::set<InstanceId> removed;
+    for (const auto &id : news.getRemovedUpstreams()) {
+        removed.insert(InstanceId(id.cStr()));
+    }
+    return withChanges(knowledge_.upstreams().all(), records, removed);
+}
+
 void GatewayPeers::tick()
 {
     const TimePoint now = loop_.now();
@@ -388,6 +438,7 @@
     if (knowledge_.upstreamsMark() != toldMark_ || knowledge_.version() != toldVersion_
         || groupsMark != toldGroupsMark_ || crashes_.cursor() != toldCrashes_
         || limits_.mark() != toldLimits_) {
+        noteList();
         toldMark_ = knowledge_.upstreamsMark();
         toldVersion_ = knowledge_.version();
         toldGroupsMark_ = groupsMark;
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -13,6 +13,7 @@
 // given outlives the object.
 #pragma once
 
+#include "decision/gateway/upstreamhistory.h"
 #include "decision/membership/gatewaydirectory.h"
 #include "gateway/gatewayknowledge.h"
 #include "gateway/metadatastore.h"
@@ -130,6 +131,7 @@
     {
         ConfigVersion version;
         std::uint64_t upstreamsMark = 0;
+        bool takesChanges = false; // One of an earlier version takes whole lists alone.
         std::uint64_t groupsMark = 0;
         std::uint64_t crashCursor = 0;
         bool wantsGateways = false;
@@ -139,6 +141,9 @@
     };
     bool hasNewsFor(const Asker &asker) const;
     void writeNews(wire::GatewayNews::Builder news, const Asker &asker, Duration held);
+    void noteList();
+    void writeUpstreams(wire::GatewayNews::Builder news, const Asker &asker);
+    std::optional<std::vector<UpstreamRecord>> readUpstreams(wire::GatewayNews::Reader news) const;
     void writeGroups(wire::GatewayNews::Builder news, std::uint64_t mark) const;
     void writeCrashes(wire::GatewayNews::Builder news, std::uint64_t cursor) const;
     void writeLimits(wire::GatewayNews::Builder news, const Asker &asker) const;
@@ -160,6 +165,7 @@
     std::map<std::pair<std::string, int>, Link> links_; // By address.
     std::vector<std::uint8_t> packed_;                  // The document of `packedVersion_`.
     ConfigVersion packedVersion_;
+    UpstreamHistory history_;
     std::uint64_t toldMark_ = 0; // The state at the last tick.
     ConfigVersion toldVersion_;
     std::uint64_t toldGroupsMark_ = 0;
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -266,7 +266,8 @@
   config @5 :Data;           # Deflated; when the asker's version is lower.
   configBytes @6 :UInt32;    # Before it was deflated.
   upstreamsMark @7 :UInt64;  # Names the state of the list of upstreams.
-  upstreams @8 :List(ListedUpstream);  # The whole list, when the asker names another state.
+  upstreams @8 :List(ListedUpstream);  # When the asker names another state: the whole list, or
+                                       # what has changed since the state `upstreamsSince`.
   gateways @9 :List(GatewayRecord);    # When asked for; the first is the one that answers. No more
                                        # than that one where the asker names the same set of them.
   groupsMark @10 :UInt64;    # Names what is known of the groups of engines, but for its age.
@@ -280,6 +281,8 @@
   gatewaysMark @18 :UInt64;  # Names the set of `gateways`; zero: not asked for, or not known.
   gatewayAges @19 :Data;     # Where the asker names the same set: how long ago each was heard of, in
                              # the order of the ids, in steps of 50 ms.
+  upstreamsSince @20 :UInt64;          # Zero: `upstreams` is the whole list.
+  removedUpstreams @21 :List(Text);    # Ids that are listed no more since that state.
 }
 
 # Served by each gateway for the others.
@@ -287,7 +290,7 @@
   # Answers at once when it knows more than the asker says it does, else after `waitMicros`.
   exchange @0 (self :GatewayRecord, configVersion :UInt64, upstreamsMark :UInt64,
                wantsGateways :Bool, waitMicros :Int64, groupsMark :UInt64, crashCursor :UInt64,
-               wantsLimits :Bool, limitsMark :UInt64, gatewaysMark :UInt64)
+               wantsLimits :Bool, limitsMark :UInt64, gatewaysMark :UInt64, takesChanges :Bool)
       -> (news :GatewayNews);
   # The caller has news that cannot wait until it is asked; the callee asks it at once.
   hasNews @1 (self :GatewayRecord) -> ();
--- /dev/null
+++ b/test/decision/gateway/upstreamhistory_test.cpp
@@ -0,0 +1,124 @@
+// The load that this answers: dozens of upstreams are replaced one after the other while hundreds of
+// gateways follow the list, ask one gateway and then another, and miss some states of it.
+#include "decision/gateway/upstreamhistory.h"
+
+#include <cstdlib>
+#include <fmt/format.h>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+namespace {
+
+UpstreamRecord record(int number, std::int64_t start = 1)
+{
+    UpstreamRecord record;
+    record.id = InstanceId(fmt::format("i-{:04}", number));
+    record.service = TargetName("service");
+    record.start = UpstreamStart(start);
+    return record;
+}
+
+std::vector<const UpstreamRecord *> pointersTo(const std::vector<UpstreamRecord> &records)
+{
+    std::vector<const UpstreamRecord *> pointers;
+    for (const UpstreamRecord &record : records) {
+        pointers.push_back(&record);
+    }
+    return pointers;
+}
+
+} // namespace
+
+TEST_GROUP(UpstreamHistoryTest)
+{
+    UpstreamHistory history;
+
+    void note(std::uint64_t mark, const std::vector<UpstreamRecord> &records)
+    {
+        history.note(mark, pointersTo(records));
+    }
+};
+
+TEST(UpstreamHistoryTest, TellsWhatWasListedChangedAndRemoved)
+{
+    note(1, {record(1), record(2), record(3), record(4), record(5), record(6), record(7)});
+    note(2, {record(1), record(2), record(3), record(4), record(5), record(6), record(7, 2)});
+    note(3, {record(2), record(3), record(4), record(5), record(6), record(7, 2), record(8)});
+    const std::set<InstanceId> sinceTwo{record(1).id, record(8).id};
+    CHECK_TRUE(history.changedSince(2) == sinceTwo);
+    const std::set<InstanceId> sinceOne{record(1).id, record(7).id, record(8).id};
+    CHECK_TRUE(history.changedSince(1) == sinceOne);
+    CHECK_TRUE(history.changedSince(3)->empty());
+}
+
+TEST(UpstreamHistoryTest, StateThatIsNotRememberedTakesTheWholeList)
+{
+    CHECK_FALSE(history.changedSince(1).has_value());
+    for (std::size_t state = 1; state <= UpstreamHistory::kMostStates + 2; ++state) {
+        note(state, {record(1, static_cast<std::int64_t>(state)), record(2), record(3)});
+    }
+    CHECK_FALSE(history.changedSince(1).has_value());
+    CHECK_TRUE(history.changedSince(2).has_value());
+}
+
+TEST(UpstreamHistoryTest, ChangesOfMostOfTheListAreNotWorthTelling)
+{
+    note(1, {record(1), record(2)});
+    note(2, {record(3), record(4)});
+    CHECK_FALSE(history.changedSince(1).has_value());
+}
+
+TEST(UpstreamHistoryTest, WhatDiffersBetweenGatewaysIsNoChange)
+{
+    std::vector<UpstreamRecord> list{record(1), record(2), record(3)};
+    note(1, list);
+    list[0].warmAt = TimePoint(std::chrono::seconds(9));
+    list[1].listedAt = 7;
+    note(2, list);
+    CHECK_TRUE(history.changedSince(1)->empty());
+}
+
+// Whatever state a gateway holds, what it is told makes its list that of the teller. More seeds by
+// hand: SEAMARCH_SEEDS.
+TEST(UpstreamHistoryTest, ListWithItsChangesIsTheListOfTheTeller)
+{
+    const char *asked = std::getenv("SEAMARCH_SEEDS");
+    const int seeds = asked == nullptr ? 200 : std::atoi(asked);
+    for (int seed = 1; seed <= seeds; ++seed) {
+        std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+        UpstreamHistory teller;
+        std::vector<std::vector<UpstreamRecord>> states;
+        std::vector<UpstreamRecord> list;
+        for (int number = 0; number < 40; ++number) {
+            list.push_back(record(number));
+        }
+        for (std::uint64_t mark = 1; mark <= 60; ++mark) {
+            teller.note(mark, pointersTo(list));
+            states.push_back(list);
+            const std::uint64_t held = 1 + random() % mark;
+            if (const auto changed = teller.changedSince(held)) {
+                std::vector<UpstreamRecord> told;
+                std::set<InstanceId> removed = *changed;
+                for (const UpstreamRecord &each : list) {
+                    if (removed.erase(each.id) > 0) {
+                        told.push_back(each);
+                    }
+                }
+                const auto made = withChanges(pointersTo(states[held - 1]), told, removed);
+                CHECK_TEXT(made == list, fmt::format("seed {}, from {} to {}", seed, held, mark).c_str());
+            }
+            const std::size_t place = random() % list.size();
+            if (random() % 2 == 0) {
+                list[place].start = UpstreamStart(static_cast<std::int64_t>(mark + 1));
+            } else if (list.size() > 20) {
+                list.erase(list.begin() + static_cast<std::ptrdiff_t>(place));
+            }
+            list.push_back(record(static_cast<int>(100 + mark)));
+        }
+    }
+}
