--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,8 +6,8 @@
 delayed, reset, silenced or cut one way; upstreams fail, refuse, ask for rest, lose answers and break
 streams; gateways are stopped, paused, killed and started again; configurations follow each other, keys
 are revoked, upstreams leave and start again under their ids; the store goes back to an older copy. One
-upstream names a limit for all gateways together, and another one later. The checks judge by what callers
-and upstreams saw. The same seed draws the
+upstream names a limit for all gateways together, and another one later; one warms up. A hall is drained and
+taken back. The checks judge by what callers and upstreams saw. The same seed draws the
 same faults; what runs between them is up to the machine. The system keeps no storage and decides
 nothing by the time of day, so neither is tampered with.
 
@@ -46,7 +46,9 @@
 LIMIT_SPAN = 4.0                # Seconds over which it counts.
 LIMIT_SETTLED = 3.0             # Seconds after its first word from which on it counts.
 LIMIT_SLACK = 5                 # Requests besides one and a half times the limit.
-PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1, "unbound": 1}  # Each with a seed.
+WARM_UP_RATE = 1.0              # Requests a second that an upstream bears while it warms up.
+WARM_UP_MS = 60_000             # Longer than a run.
+PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1, "unbound": 1, "warm": 1, "undrained": 1}  # Each with a seed.
 STREAM = [f"id: {n}\ndata: token {n}" for n in range(1, 11)]
 LINK_MODES = ("delay", "reset", "silent", "one_way")
 UPSTREAM_TROUBLES = ({"fail": True}, {"full": True}, {"dropAnswers": True}, {"foreignId": True},
@@ -64,6 +66,7 @@
         self.store = free_address()
         self.start("seamarch-standin", "store", "--listen", self.store)
         self.upstreams, self.links, self.starts = {}, {}, {}
+        self.warming, self.plant = set(), args.plant
         for number in range(args.upstreams):
             name, address = f"i-{number}", free_address()
             self.start("seamarch-standin", "replica", "--listen", address)
@@ -96,14 +99,20 @@
                                      ("stream", "streaming"))]
         document = {"version": self.version, "routes": routes,
                     "tenants": [{"name": "bids", "api-keys": list(self.keys)}],
-                    "services": [{"name": "portal", "max-connections": 200}]}
+                    "services": [{"name": "portal", "max-connections": 200, "warmup-s": 3.0,
+                                  "warmup-per-s": WARM_UP_RATE}]}
         control(self.store, {"put": {"op/config": document}})
 
     def list_upstream(self, name, phase="ready"):
-        entry = {"service": "portal", "address": self.links[name].address, "zone": "north",
-                 "capacity": 6, "phase": phase, "born": self.starts.setdefault(name, 1)}
+        entry = {"service": "portal", "address": self.links[name].address, "zone": self.hall_of(name),
+                 "capacity": 6, "phase": phase, "born": self.starts.setdefault(name, 1),
+                 "warmup-left-ms": WARM_UP_MS if name in self.warming and self.plant != "warm" else 0}
         control(self.store, {"put": {f"servers/{name}": entry}})
 
+    @staticmethod
+    def hall_of(name):
+        return "south" if int(name[2:]) % 3 == 2 else "north"
+
     def runs(self, name):
         return control(self.upstreams[name], {})["runs"]
 
@@ -198,6 +207,7 @@
         self.planned = []  # The lives of gateways that a planned stop alone has ended.
         self.limited, self.limits = None, []  # The upstream that names one; [name, limit, from, to].
         self.limit_random = random.Random(f"limits of {args.seed}")  # Apart, so that seeds keep their faults.
+        self.warm_ups = []  # [name, since, until]
         self.busy = {}  # What a fault holds, by name.
         self.excuses = []  # (name, from, to) of what kept a gateway from hearing or heeding.
 
@@ -341,6 +351,36 @@
         control(self.site.upstreams[self.limited], {"limit": str(limit)})
         self.limits.append([self.limited, limit, time.monotonic(), float("inf")])
 
+    def warm_up(self):
+        """An upstream warms up from now on, and one that did is warm."""
+        with self.lock:
+            for name in list(self.site.warming):
+                self.site.warming.discard(name)
+                self.site.list_upstream(name)
+                self.warm_ups[-1][2] = time.monotonic()
+            name = self.limit_random.choice([each for each in self.site.upstreams if each != self.limited])
+            self.site.warming.add(name)
+            self.site.list_upstream(name)
+            self.warm_ups.append([name, time.monotonic(), float("inf")])
+
+    def drain_hall(self):
+        """A hall is drained while nothing else goes wrong, gets nothing new, and is taken back."""
+        self.lift(everything=True)
+        self.wait_ready()
+        if self.args.plant != "undrained":
+            control(self.site.store, {"put": {"op/evacuate/south": {}}})
+        time.sleep(LEFT_AFTER)
+        started = time.monotonic()
+        time.sleep(0.7)
+        control(self.site.store, {"remove": ["op/evacuate/south"]})
+        sent = {request.id: request.sent_at for request in list(self.requests)}
+        for name in self.site.upstreams:
+            late = [run["id"] for run in self.site.runs(name)
+                    if self.site.hall_of(name) == "south" and started < sent.get(run["id"], 0) < started + 0.7]
+            if late:
+                self.fail(f"{late[0]} and {len(late) - 1} more reached {name} over {LEFT_AFTER} s after its hall was "
+                          "drained")
+
     def shed(self):
         """One upstream turns everything away and asks for rest while nothing else goes wrong."""
         self.lift(everything=True)
@@ -394,6 +434,7 @@
         end = time.monotonic() + self.args.seconds
         leave_at = time.monotonic() + self.args.seconds / 2
         self.name_limit()
+        self.warm_up()
         while time.monotonic() < end:
             self.draw_fault()
             self.lift()
@@ -405,7 +446,9 @@
                 self.leave()
                 self.shed()
                 self.stop_calmly()
+                self.drain_hall()
                 self.name_limit()
+                self.warm_up()
             time.sleep(self.random.uniform(0.05, 0.25))
         self.lift(everything=True)
         self.wait_ready()
@@ -432,6 +475,8 @@
             self.check_rests(name, known)
         for named in self.limits:
             self.check_limit(*named, known)
+        for warm_up in self.warm_ups:
+            self.check_warm_up(*warm_up, known)
         served = sum(request.result == 200 for request in self.requests)
         if served < len(self.requests) / 10:
             self.fail(f"only {served} of {len(self.requests)} requests were served")
@@ -479,6 +524,26 @@
                 self.fail(f"{name} named a limit of {limit} a second and got {found} requests in 4 s")
                 return
 
+    def check_warm_up(self, name, since, until, known):
+        """What an upstream bears while it warms up is not exceeded by gateways that could hear of it."""
+        state = control(self.site.upstreams[name], {})
+        offset = time.monotonic() - state["nowMs"] / 1000
+        counted = []
+        for arrival in state["arrivals"]:
+            request, at = known.get(arrival["id"]), arrival["ms"] / 1000 + offset
+            if request is None or not since + LEFT_AFTER < at < until:
+                continue
+            excused = any(held in (name, request.gateway, "store") and start < at and end > at - LEFT_AFTER
+                          for held, start, end in self.excuses)
+            if not excused:
+                counted.append(at)
+        allowed = 1.5 * WARM_UP_RATE + LIMIT_SLACK
+        for end in counted:
+            found = sum(end - 1.0 < at <= end for at in counted)
+            if found > allowed:
+                self.fail(f"{name} warmed up and got {found} requests in one second, {allowed} are borne")
+                return
+
     def check_request(self, request, runs):
         about = f"{request.id} ({request.kind} at {request.gateway}, {request.result})"
         if request.kind == "letters" and len(runs) > 1:
