--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -384,9 +384,8 @@
             RejectRequest{number, FailureCode::RequestEndsUpstreams, Outcome::NotRun, {}});
     } else {
         const bool regions = failure == FailureCode::NoUpstreamInRegions;
-        actions.push_back(
-            RejectRequest{number, regions ? failure : FailureCode::NoUpstream, Outcome::NotRun,
-                          comeBackAfter(request, now)});
+        actions.push_back(RejectRequest{number, regions ? failure : FailureCode::NoUpstream,
+                                        Outcome::NotRun, comeBackAfter(request, now)});
     }
     endRequest(number);
 }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -18,7 +18,8 @@
 // it is: new, waiting for a place, or about to go to another upstream (CrashRecord).
 //
 // Upstreams may name a limit for all gateways together (UpstreamLimits), and bear little while they
-// warm up (WarmUpLimits). A request goes there only for a permit; where there is nothing else to send it to, it waits a moment for one.
+// warm up (WarmUpLimits). A request goes there only for a permit; where there is nothing else to
+// send it to, it waits a moment for one.
 //
 // A request that may be served in some regions only is sent nowhere else, and is given up at once
 // while those have no upstream.
--- a/src/decision/gateway/gatewaycorepermits.cpp
+++ b/src/decision/gateway/gatewaycorepermits.cpp
@@ -16,7 +16,8 @@
         return;
     }
     const TimePoint end = std::min(now + settings_.permitWait, request.giveUpAt);
-    if (mayBeSent(request, now) && chooser_.awaitsPermit(request.service, request.request.residency, end, now)) {
+    if (mayBeSent(request, now)
+        && chooser_.awaitsPermit(request.service, request.request.residency, end, now)) {
         request.permitUntil = end;
         waitForPermits_.insert(number);
         return;
@@ -35,7 +36,7 @@
             waitForPermits_.erase(number);
         } else if (now >= request.permitUntil
                    || !chooser_.awaitsPermit(request.service, request.request.residency,
-                                            request.permitUntil, now)) {
+                                             request.permitUntil, now)) {
             giveUp(number, FailureCode::NoUpstream, now, actions);
         }
     }
--- a/src/decision/gateway/upstreamchooser.cpp
+++ b/src/decision/gateway/upstreamchooser.cpp
@@ -94,9 +94,8 @@
 void UpstreamChooser::wantPermits(std::vector<Ranked> upstreams, TimePoint now)
 {
     constexpr std::size_t kMostWanted = 2;
-    std::erase_if(upstreams, [&](const Ranked &ranked) {
-        return permits_.notBefore(ranked.second) > now;
-    });
+    std::erase_if(upstreams,
+                  [&](const Ranked &ranked) { return permits_.notBefore(ranked.second) > now; });
     std::sort(upstreams.begin(), upstreams.end());
     for (std::size_t index = 0; index < std::min(kMostWanted, upstreams.size()); ++index) {
         permits_.want(upstreams[index].second);
@@ -117,9 +116,9 @@
     const Groups &groups = groupsOf(service);
     return std::any_of(groups.begin(), groups.end(), [&](const auto &group) {
         const auto &upstreams = group.second.upstreams;
-        return std::any_of(
-            upstreams.begin(), upstreams.end(),
-            [&](const UpstreamRecord *upstream) { return mayServe(*upstream, residency); });
+        return std::any_of(upstreams.begin(), upstreams.end(), [&](const UpstreamRecord *upstream) {
+            return mayServe(*upstream, residency);
+        });
     });
 }
 
@@ -181,8 +180,7 @@
     for (const auto &[id, group] : groupsOf(service)) {
         for (const UpstreamRecord *record : group.upstreams) {
             if (!takesNothing(record->id, now) && mayServe(*record, residency)
-                && lacksPermit(*record, now)
-                && permits_.mayComeUntil(record->id, end, now)) {
+                && lacksPermit(*record, now) && permits_.mayComeUntil(record->id, end, now)) {
                 return true;
             }
         }
--- a/src/decision/gateway/warmuplimits.cpp
+++ b/src/decision/gateway/warmuplimits.cpp
@@ -35,8 +35,7 @@
         return std::nullopt;
     }
     const auto rate = rates_.find(upstream.service);
-    return rate == rates_.end() ? std::nullopt
-                                : std::optional(warmUpLimit(rate->second, bounds_));
+    return rate == rates_.end() ? std::nullopt : std::optional(warmUpLimit(rate->second, bounds_));
 }
 
 } // namespace seamarch
--- a/src/decision/membership/gatewaydirectory.cpp
+++ b/src/decision/membership/gatewaydirectory.cpp
@@ -38,10 +38,9 @@
 std::vector<GatewayDirectory::Known> GatewayDirectory::sorted(TimePoint now) const
 {
     std::vector<Known> all = known();
-    const auto place =
-        std::lower_bound(all.begin(), all.end(), self_.id, [](const Known &known, const InstanceId &id) {
-            return known.record.id < id;
-        });
+    const auto place = std::lower_bound(
+        all.begin(), all.end(), self_.id,
+        [](const Known &known, const InstanceId &id) { return known.record.id < id; });
     all.insert(place, {self_, now});
     return all;
 }
--- a/src/decision/membership/storeturn.h
+++ b/src/decision/membership/storeturn.h
@@ -39,8 +39,8 @@
 
 KnowledgeTimes knowledgeTimes(const KnowledgeBounds &bounds);
 
-// Tells whether a gateway at `place` among those of its hall that answer asks the store at all while
-// others do; zero is the first.
+// Tells whether a gateway at `place` among those of its hall that answer asks the store at all
+// while others do; zero is the first.
 bool hasStoreTurn(std::size_t place);
 // Returns from which age of its knowledge on a gateway at `place` asks the store.
 Duration storeTurnAge(const KnowledgeTimes &times, std::size_t place);
--- a/src/gateway/gatewayknowledge.cpp
+++ b/src/gateway/gatewayknowledge.cpp
@@ -19,8 +19,7 @@
 } // namespace
 
 GatewayKnowledge::GatewayKnowledge(EventLoop &loop, UpstreamTable &upstreams, Metrics &metrics,
-                                   const FreshnessBounds &freshness,
-                                   Applied applied)
+                                   const FreshnessBounds &freshness, Applied applied)
     : loop_(loop)
     , upstreams_(upstreams)
     , metrics_(metrics)
@@ -121,11 +120,10 @@
     }
     std::string text;
     for (const UpstreamRecord *record : upstreams_.all()) {
-        text +=
-            fmt::format("{}|{}|{}|{}|{}|{}|{}|{}|{}\n", record->id.value(), record->service.value(),
-                        record->host, record->port, record->hall.value(), record->slots,
-                        record->leaving, record->start.value(),
-                        record->warmUpLeft ? record->warmUpLeft->count() : -1);
+        text += fmt::format(
+            "{}|{}|{}|{}|{}|{}|{}|{}|{}\n", record->id.value(), record->service.value(),
+            record->host, record->port, record->hall.value(), record->slots, record->leaving,
+            record->start.value(), record->warmUpLeft ? record->warmUpLeft->count() : -1);
     }
     for (const HallId &hall : upstreams_.drainedHalls()) {
         text += fmt::format("drained|{}\n", hall.value());
@@ -221,12 +219,12 @@
         takeRouting(*document);
     } else if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
         upstreams_.put(dated(*record));
-        logLine(LogLevel::Info, "upstream.listed",
-                {{"upstream", record->id.value()},
-                 {"service", record->service.value()},
-                 {"leaving", record->leaving},
-                 {"warmUpLeftMs",
-                  record->warmUpLeft ? json(toMillis(*record->warmUpLeft)) : json()}});
+        logLine(
+            LogLevel::Info, "upstream.listed",
+            {{"upstream", record->id.value()},
+             {"service", record->service.value()},
+             {"leaving", record->leaving},
+             {"warmUpLeftMs", record->warmUpLeft ? json(toMillis(*record->warmUpLeft)) : json()}});
     } else if (const auto *gone = std::get_if<UpstreamGone>(&item)) {
         if (gone->unreadable) {
             upstreams_.drop(gone->id, loop_.now());
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -306,7 +306,8 @@
 }
 
 // Takes what the other gateway has heard of groups, each as of its own moment. Facts that it told
-// before, or that were known here as well, are only renewed, if they are still those that are known.
+// before, or that were known here as well, are only renewed, if they are still those that are
+// known.
 void GatewayPeers::takeGroups(Link &link, TimePoint askedAt, wire::GatewayNews::Reader news)
 {
     const Duration held(news.getHeldMicros());
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -399,8 +399,7 @@
 {
     const bool fixedChanged =
         settings.instance != settings_.instance || settings.hall != settings_.hall
-        || settings.regions != settings_.regions
-        || settings.listen != settings_.listen
+        || settings.regions != settings_.regions || settings.listen != settings_.listen
         || settings.operatorListen != settings_.operatorListen
         || settings.metricsListen != settings_.metricsListen || settings.store != settings_.store
         || settings.peerListen != settings_.peerListen || settings.agentPort != settings_.agentPort;
--- a/src/gateway/knowledgesources.cpp
+++ b/src/gateway/knowledgesources.cpp
@@ -23,8 +23,8 @@
 constexpr Duration kHearFirst = std::chrono::milliseconds(700);
 constexpr Duration kHearFirstAtMost = std::chrono::seconds(5);
 // How often the gateway that follows the store asks the first of each other hall, and any one. That
-// keeps the lists of gateways together: of a gateway in any hall all hear again well within the time
-// after which it is forgotten, and two that follow the store in one hall find each other.
+// keeps the lists of gateways together: of a gateway in any hall all hear again well within the
+// time after which it is forgotten, and two that follow the store in one hall find each other.
 constexpr Duration kListsGap = std::chrono::seconds(2);
 // How often any gateway is asked while knowledge is old.
 constexpr Duration kAnyGap = std::chrono::milliseconds(150);
--- a/test/decision/gateway/residency_test.cpp
+++ b/test/decision/gateway/residency_test.cpp
@@ -1,6 +1,6 @@
 // The load that this answers: routes and client accounts name the regions in which their requests
-// may be served, while upstreams refuse, fail, break streams and fall silent, come and go, and halls
-// are drained.
+// may be served, while upstreams refuse, fail, break streams and fall silent, come and go, and
+// halls are drained.
 #include "decision/gateway/residency.h"
 
 #include "decision/gateway/gatewaycore.h"
@@ -55,9 +55,8 @@
 {
     std::unique_ptr<GatewayCore> core;
     GatewayActions actions;
-    const HallRegions regions{{HallId("north"), kCentre},
-                              {HallId("south"), kCoast},
-                              {HallId("west"), kCoast}};
+    const HallRegions regions{
+        {HallId("north"), kCentre}, {HallId("south"), kCoast}, {HallId("west"), kCoast}};
 
     void setup() override
     {
@@ -79,8 +78,11 @@
 
     static std::map<std::string, std::string> listed()
     {
-        return {{"n-1", "north"}, {"n-2", "north"}, {"s-1", "south"},
-                {"w-1", "west"},  {"x-1", "unknown"}};
+        return {{"n-1", "north"},
+                {"n-2", "north"},
+                {"s-1", "south"},
+                {"w-1", "west"},
+                {"x-1", "unknown"}};
     }
 
     RequestNumber begin(Kind kind, const Residency &residency, int now)
@@ -161,8 +163,9 @@
             now += static_cast<int>(draw(60));
             actions.clear();
             const auto chosen =
-                open.empty() ? open.end()
-                             : std::next(open.begin(), static_cast<std::ptrdiff_t>(draw(open.size())));
+                open.empty()
+                    ? open.end()
+                    : std::next(open.begin(), static_cast<std::ptrdiff_t>(draw(open.size())));
             switch (draw(9)) {
             case 0:
             case 1: {
--- a/test/decision/gateway/upstreamhistory_test.cpp
+++ b/test/decision/gateway/upstreamhistory_test.cpp
@@ -1,5 +1,5 @@
-// The load that this answers: dozens of upstreams are replaced one after the other while hundreds of
-// gateways follow the list, ask one gateway and then another, and miss some states of it.
+// The load that this answers: dozens of upstreams are replaced one after the other while hundreds
+// of gateways follow the list, ask one gateway and then another, and miss some states of it.
 #include "decision/gateway/upstreamhistory.h"
 
 #include <cstdlib>
@@ -110,7 +110,8 @@
                     }
                 }
                 const auto made = withChanges(pointersTo(states[held - 1]), told, removed);
-                CHECK_TEXT(made == list, fmt::format("seed {}, from {} to {}", seed, held, mark).c_str());
+                CHECK_TEXT(made == list,
+                           fmt::format("seed {}, from {} to {}", seed, held, mark).c_str());
             }
             const std::size_t place = random() % list.size();
             if (random() % 2 == 0) {
--- a/test/decision/membership/directoryspread_test.cpp
+++ b/test/decision/membership/directoryspread_test.cpp
@@ -1,5 +1,5 @@
-// The load that this answers: hundreds of gateways in some halls must all know of each other, though
-// each asks few others, and a gateway that is gone must be forgotten by all.
+// The load that this answers: hundreds of gateways in some halls must all know of each other,
+// though each asks few others, and a gateway that is gone must be forgotten by all.
 //
 // In virtual time, with the real directories: in each hall all follow the same gateway and ask it
 // whom it knows, and that one asks the first of each other hall, any one, and a seed by turns.
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr int kStepMs = 400; // A question to the gateway that is followed waits so long.
+constexpr int kStepMs = 400;   // A question to the gateway that is followed waits so long.
 constexpr int kYoungMs = 3000; // New gateways ask more often.
 constexpr int kYoungGapMs = 800;
 // A record on the wire: an id, a hall and an address.
@@ -39,10 +39,10 @@
 
 struct Spread
 {
-    int allKnownAtMs = -1;          // Since then all know all.
-    std::size_t fewestAfter = 0;    // That any gateway knew in the last 10 s.
-    double busiestBytes = 0.0;      // Told by one gateway a second, in the last 10 s.
-    int forgottenAtMs = -1;         // Nobody knows the one that is gone.
+    int allKnownAtMs = -1;       // Since then all know all.
+    std::size_t fewestAfter = 0; // That any gateway knew in the last 10 s.
+    double busiestBytes = 0.0;   // Told by one gateway a second, in the last 10 s.
+    int forgottenAtMs = -1;      // Nobody knows the one that is gone.
 };
 
 class World
@@ -56,8 +56,8 @@
     {
         for (std::size_t index = 0; index < site.gateways; ++index) {
             records_.push_back({InstanceId(fmt::format("g-{:04}", index)),
-                                HallId(fmt::format("hall-{}", index * site.halls / site.gateways)), "10.0.0.1",
-                                static_cast<int>(index)});
+                                HallId(fmt::format("hall-{}", index * site.halls / site.gateways)),
+                                "10.0.0.1", static_cast<int>(index)});
             directories_.emplace_back(records_.back(), GatewayDirectory::Settings());
         }
     }
@@ -77,7 +77,8 @@
             look(spread, now_ > site_.millis - kLast);
         }
         const double seconds = std::min(kLast, site_.millis) / 1000.0;
-        spread.busiestBytes = static_cast<double>(*std::max_element(told_.begin(), told_.end())) / seconds;
+        spread.busiestBytes =
+            static_cast<double>(*std::max_element(told_.begin(), told_.end())) / seconds;
         return spread;
     }
 
@@ -165,7 +166,7 @@
         spread.allKnownAtMs = !all ? -1 : spread.allKnownAtMs < 0 ? now_ : spread.allKnownAtMs;
         spread.fewestAfter = late ? std::min(spread.fewestAfter, fewest) : spread.fewestAfter;
         if (stopped()) {
-            spread.forgottenAtMs = !forgotten                  ? -1
+            spread.forgottenAtMs = !forgotten                 ? -1
                                    : spread.forgottenAtMs < 0 ? now_
                                                               : spread.forgottenAtMs;
         }
@@ -175,7 +176,7 @@
     std::mt19937_64 random_;
     std::vector<GatewayRecord> records_;
     std::vector<GatewayDirectory> directories_;
-    std::vector<int> askedAt_; // For whom others know.
+    std::vector<int> askedAt_;      // For whom others know.
     std::vector<std::size_t> told_; // Bytes.
     int now_ = 0;
 };
--- a/test/gateway/halldrain_test.cpp
+++ b/test/gateway/halldrain_test.cpp
@@ -140,8 +140,8 @@
     {
         const Gateway &gateway = *gateways_[index];
         const std::uint64_t since = gateway.knowledge.place().revision;
-        Message message{static_cast<std::size_t>(index), lives_[index], now_, wholeList || since == 0,
-                        StoreItems(),                    {}};
+        Message message{static_cast<std::size_t>(index), lives_[index], now_,
+                        wholeList || since == 0,         StoreItems(),  {}};
         message.items->place = {1, revision_};
         if (message.wholeList) {
             RoutingDocument document;
@@ -169,8 +169,8 @@
         if (from == to || !teller.knowledge.confirmed()) {
             return;
         }
-        Message message{static_cast<std::size_t>(to), lives_[to], teller.confirmedAt, false,
-                        std::nullopt,                 {}};
+        Message message{
+            static_cast<std::size_t>(to), lives_[to], teller.confirmedAt, false, std::nullopt, {}};
         SharedKnowledge &shared = message.shared;
         shared.place = teller.knowledge.place();
         shared.version = teller.knowledge.version();
@@ -231,10 +231,11 @@
             const std::uint64_t revision = gateway.knowledge.place().revision;
             const std::set<HallId> &drained = drainedAt_.at(revision);
             for (int hall = 0; hall < kHalls; ++hall) {
-                const bool sends = gateway.upstreams.mayReceive(InstanceId(fmt::format("i-{}", hall)));
+                const bool sends =
+                    gateway.upstreams.mayReceive(InstanceId(fmt::format("i-{}", hall)));
                 if (sends == drained.contains(hallOf(hall))) {
-                    found_ = fmt::format("seed {}: gateway {} at revision {} {} hall {}", seed_, index,
-                                         revision, sends ? "sends to" : "leaves out", hall);
+                    found_ = fmt::format("seed {}: gateway {} at revision {} {} hall {}", seed_,
+                                         index, revision, sends ? "sends to" : "leaves out", hall);
                 }
             }
         }
