Gateways tell each other which entry of the store lists an upstream

Cause: lists that are handed on did not tell when entries were created, so after the store went back to an older copy a gateway believed an upstream again that it knew to be gone. The entry is named by the revision at which it was created; what the gateway kept of that was dropped with the order of records, which means nothing after a loss. Change: what names an entry and what orders entries are kept apart, and both are handed on. Ruled out: handing on the order alone (seed 39 of the model fails). In the model the line that kept the order from being handed on is gone, because it was the wire's; its checks and seeds are as they were.

--- a/src/decision/gateway/leavingupstreams.cpp
+++ b/src/decision/gateway/leavingupstreams.cpp
@@ -25,6 +25,7 @@
     Word &word = found->second;
     word.start = upstream.start;
     word.listedAt = upstream.listedAt;
+    word.createdAt = upstream.createdAt;
     if (added) {
         order_.push_back(upstream.id);
     }
@@ -51,8 +52,8 @@
 
 bool LeavingUpstreams::isOver(const Word &word, const UpstreamRecord &listed)
 {
-    const bool told = word.listedAt != 0 && listed.listedAt != 0;
-    const bool listedAnew = !told || listed.listedAt != word.listedAt;
+    const bool told = word.createdAt != 0 && listed.createdAt != 0;
+    const bool listedAnew = !told || listed.createdAt != word.createdAt;
     return isLaterStart(listed, word.start, word.listedAt) || (!word.leaves && listedAnew);
 }
 
--- a/src/decision/gateway/leavingupstreams.h
+++ b/src/decision/gateway/leavingupstreams.h
@@ -45,6 +45,7 @@
     {
         UpstreamStart start;
         std::uint64_t listedAt = 0;
+        std::uint64_t createdAt = 0;
         bool leaves = false; // Else it is only gone from the list.
     };
 
--- a/src/decision/gateway/upstreamhistory.cpp
+++ b/src/decision/gateway/upstreamhistory.cpp
@@ -11,6 +11,7 @@
 {
     UpstreamRecord same = record;
     same.listedAt = 0;
+    same.createdAt = 0;
     same.warmAt = {};
     return same;
 }
@@ -72,7 +73,7 @@
 {
     std::map<InstanceId, UpstreamRecord> records;
     for (const UpstreamRecord *record : list) {
-        records.emplace(record->id, *record).first->second.listedAt = 0;
+        records.emplace(record->id, *record);
     }
     for (const UpstreamRecord &record : changed) {
         records[record.id] = record;
--- a/src/decision/gateway/upstreamhistory.h
+++ b/src/decision/gateway/upstreamhistory.h
@@ -1,9 +1,10 @@
-// What has changed in a gateway's list of upstreams, from state to state, for the gateways that ask.
+// What has changed in a gateway's list of upstreams, from state to state, for the gateways that
+// ask.
 //
 // While many upstreams come and go the list changes several times a second. Handed on whole to all
-// that follow, it takes the bytes of gateways times upstreams for each change; what has changed takes
-// those of the change. States are named by the marks of the list, which gateways with the same list
-// compute alike, so one may ask another than before and still be told changes alone.
+// that follow, it takes the bytes of gateways times upstreams for each change; what has changed
+// takes those of the change. States are named by the marks of the list, which gateways with the
+// same list compute alike, so one may ask another than before and still be told changes alone.
 //
 // Bounded: `kMostStates` states are remembered; one that names an earlier state is handed the whole
 // list. Pure and single-threaded.
@@ -46,8 +47,8 @@
     std::deque<Step> steps_; // The oldest first.
 };
 
-// Returns `list` with `changed` in the place of those that it lists already, or besides, and without
-// `removed`; in the order of ids. The order in which the store had taken them is not known any more.
+// Returns `list` with `changed` in the place of those that it lists already, or besides, and
+// without `removed`; in the order of ids.
 std::vector<UpstreamRecord> withChanges(const std::vector<const UpstreamRecord *> &list,
                                         const std::vector<UpstreamRecord> &changed,
                                         const std::set<InstanceId> &removed);
--- a/src/decision/gateway/upstreamtable.h
+++ b/src/decision/gateway/upstreamtable.h
@@ -44,8 +44,11 @@
     std::uint32_t slots = 1; // Requests that it runs at once.
     bool leaving = false;
     // Rises from record to record in the order in which the store has taken them; zero: not known,
-    // as of records that another gateway has handed on.
+    // as of records that a gateway of an earlier version has handed on.
     std::uint64_t listedAt = 0;
+    // The store's revision at which the entry was created; zero: not known. It names the entry,
+    // also in an older copy of the store, whose revisions have no order with those before.
+    std::uint64_t createdAt = 0;
     UpstreamStart start;
     // How long it still warmed up when it wrote its entry; nothing: the entry does not tell.
     std::optional<Duration> warmUpLeft;
--- a/src/gateway/gatewaywire.cpp
+++ b/src/gateway/gatewaywire.cpp
@@ -39,6 +39,8 @@
     to.setStartedUnixMillis(record.start.value());
     to.setTellsWarmUp(record.warmUpLeft.has_value());
     to.setWarmUpLeftMicros(record.warmUpLeft.value_or(Duration{}).count());
+    to.setListedAt(record.listedAt);
+    to.setCreatedAt(record.createdAt);
     to.setWarmInMicros(std::max(Duration{}, record.warmAt - now).count());
 }
 
@@ -53,6 +55,8 @@
     record.slots = from.getSlots();
     record.leaving = from.getLeaving();
     record.start = UpstreamStart(from.getStartedUnixMillis());
+    record.listedAt = from.getListedAt();
+    record.createdAt = from.getCreatedAt();
     if (from.getTellsWarmUp()) {
         record.warmUpLeft = Duration(from.getWarmUpLeftMicros());
     }
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -230,6 +230,8 @@
   tellsWarmUp @8 :Bool;      # The upstream tells how long it still warmed up,
   warmUpLeftMicros @9 :Int64;   # which was so long when it wrote its entry.
   warmInMicros @10 :Int64;   # It is warm so long after the answer, at the latest.
+  listedAt @11 :UInt64;      # The store's revision at which it was listed, in its order; zero: not known.
+  createdAt @12 :UInt64;     # The same, which names the entry, also in an older copy of the store.
 }
 
 # The end of an upstream's process.
--- a/test/decision/gateway/leavingupstreams_test.cpp
+++ b/test/decision/gateway/leavingupstreams_test.cpp
@@ -22,6 +22,7 @@
     record.port = static_cast<int>(std::hash<std::string>{}(id) % 60'000);
     record.start = UpstreamStart(start);
     record.listedAt = listedAt;
+    record.createdAt = listedAt;
     return record;
 }
 
--- a/test/decision/gateway/residency_test.cpp
+++ b/test/decision/gateway/residency_test.cpp
@@ -169,7 +169,7 @@
             switch (draw(9)) {
             case 0:
             case 1: {
-                const Residency residency = residencies[draw(residencies.size())];
+                const Residency &residency = residencies[draw(residencies.size())];
                 const auto kind = static_cast<Kind>(draw(3));
                 const RequestNumber number = begin(kind, residency, now);
                 open.emplace(number, residency);
--- a/test/gateway/gatewaywire_test.cpp
+++ b/test/gateway/gatewaywire_test.cpp
@@ -29,7 +29,8 @@
                                 HallId("south"),
                                 6,
                                 true,
-                                0,
+                                41,
+                                40,
                                 UpstreamStart(1'764'000'000'123),
                                 std::chrono::milliseconds(2500),
                                 TimePoint(std::chrono::seconds(9))};
--- a/test/gateway/storedrill_test.cpp
+++ b/test/gateway/storedrill_test.cpp
@@ -170,6 +170,7 @@
         record.start = UpstreamStart(upstream.start);
         record.leaving = upstream.leaving;
         record.listedAt = held == store_.entries.end() ? revision : held->second.record.listedAt;
+        record.createdAt = record.listedAt;
         store_.entries[id] = {record, revision};
         store_.removedAt.erase(id);
     }
@@ -281,7 +282,6 @@
         late.shared.upstreams.emplace();
         for (const UpstreamRecord *record : teller.upstreams.all()) {
             late.shared.upstreams->push_back(*record);
-            late.shared.upstreams->back().listedAt = 0;
         }
         late_.push_back(std::move(late));
     }
@@ -421,3 +421,10 @@
         STRCMP_EQUAL("", played(seed).failOfGone().c_str());
     }
 }
+
+// The upstream writes a new entry after the store has gone back to a copy; then the store goes back to
+// the same copy once more, which holds the entry before.
+TEST(StoreDrillTest, CopyThatComesBackTwiceTakesNothingBack)
+{
+    STRCMP_EQUAL("", played(30683).failOfGone().c_str());
+}
