--- a/test/gateway/storedrill_test.cpp
+++ b/test/gateway/storedrill_test.cpp
@@ -422,8 +422,8 @@
     }
 }
 
-// The upstream writes a new entry after the store has gone back to a copy; then the store goes back to
-// the same copy once more, which holds the entry before.
+// The upstream writes a new entry after the store has gone back to a copy; then the store goes back
+// to the same copy once more, which holds the entry before.
 TEST(StoreDrillTest, CopyThatComesBackTwiceTakesNothingBack)
 {
     STRCMP_EQUAL("", played(30683).failOfGone().c_str());
