Order queued streams by the urgency of account and route

Cause: the priority of a client account replaced that of its route. Change: the account decides first, the route among equally urgent accounts (Urgency). The size that a caller states is decoded for later use.

--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -47,6 +47,7 @@
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamnotice.h"
 #include "decision/gateway/upstreamtable.h"
+#include "decision/gateway/urgency.h"
 #include "decision/gateway/warmuplimits.h"
 #include "decision/retry/crashrecord.h"
 #include "decision/retry/retrybudget.h"
@@ -68,17 +69,25 @@
 
 namespace seamarch {
 
+// The work that a request asks of an engine, as its caller states it. Zero if not stated.
+struct RequestSize
+{
+    Tokens prompt = 0;
+    Tokens answer = 0; // Expected length; correct at the median, but often far off.
+};
+
 // A caller's request with its route and account.
 struct GatewayRequest
 {
     std::shared_ptr<const RouteTable> table; // Keeps `route` alive.
     const RouteRule *route = nullptr;
     AccountId account;
-    std::uint8_t priority = 5; // 0 is the most urgent.
-    Duration deadline{};       // How long the caller waits, from the request's arrival.
-    Duration age{};            // Time since its arrival.
-    Residency residency;       // The regions that may serve it.
-    RequestDigest digest;      // Equal for requests that are identical to an upstream.
+    Urgency urgency;
+    RequestSize size;
+    Duration deadline{};  // How long the caller waits, from the request's arrival.
+    Duration age{};       // Time since its arrival.
+    Residency residency;  // The regions that may serve it.
+    RequestDigest digest; // Equal for requests that are identical to an upstream.
 };
 
 // The meaning of the head of an upstream's answer.
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -1,5 +1,6 @@
 // The part of GatewayCore that admits streams: selects the group for a stream, limits its time in
 // the queue and starts queued streams.
+#include "decision/fairness/requestcost.h"
 #include "decision/gateway/gatewaycore.h"
 
 #include <algorithm>
@@ -19,7 +20,10 @@
     const Duration latencyTarget = request.request.route->latencyTarget;
     StreamQueue::Entry entry;
     entry.number = number;
-    entry.priority = request.request.priority;
+    entry.urgency = request.request.urgency;
+    entry.account = request.request.account;
+    entry.cost =
+        static_cast<double>(requestCost(request.request.size.prompt, request.request.size.answer));
     entry.isRetry = request.arrivedAt - request.firstSentAt >= kMinRetryAge;
     // Without a latency target a later start is no worse until the request fails.
     entry.startDeadline = latencyTarget > Duration{}
--- a/src/decision/gateway/streamqueue.cpp
+++ b/src/decision/gateway/streamqueue.cpp
@@ -8,10 +8,10 @@
 StreamQueue::Key StreamQueue::sortKey(const Entry &entry, TimePoint now)
 {
     if (now <= entry.startDeadline) {
-        return {entry.priority, Timeliness::InTime, entry.number};
+        return {entry.urgency, Timeliness::InTime, entry.number};
     }
     const Timeliness late = entry.isRetry ? Timeliness::LateRetry : Timeliness::Late;
-    return {entry.priority, late, entry.number};
+    return {entry.urgency, late, entry.number};
 }
 
 // Moves the streams whose start deadline has passed behind those that are still in time.
--- a/src/decision/gateway/streamqueue.h
+++ b/src/decision/gateway/streamqueue.h
@@ -8,6 +8,8 @@
 // Pure and single-threaded.
 #pragma once
 
+#include "decision/gateway/urgency.h"
+#include "seamarch/ids.h"
 #include "seamarch/units.h"
 
 #include <cstddef>
@@ -27,10 +29,15 @@
 public:
     struct Entry
     {
-        RequestNumber number = 0;  // Increases in order of arrival.
-        std::uint8_t priority = 0; // 0 is the most urgent.
+        RequestNumber number = 0; // Increases in order of arrival.
+        Urgency urgency;
         bool isRetry = false;      // Its caller was rejected before.
         TimePoint startDeadline{}; // A later start misses the route's latency target.
+        // A later start cannot serve the caller at all: it disconnects before the first event, or
+        // its deadline passes before the last one.
+        TimePoint latestStart = TimePoint::max();
+        AccountId account;
+        double cost = 1.0; // Expected work, in the unit of requestcost.h.
     };
 
     void add(const Entry &entry, TimePoint now);
@@ -48,7 +55,7 @@
     // Whether a stream can still start in time; in the order of service.
     enum class Timeliness : std::uint8_t { InTime, LateRetry, Late };
 
-    using Key = std::tuple<std::uint8_t, Timeliness, RequestNumber>;
+    using Key = std::tuple<Urgency, Timeliness, RequestNumber>;
 
     static Key sortKey(const Entry &entry, TimePoint now);
     void demoteLate(TimePoint now);
--- a/src/gateway/callerprotocol.h
+++ b/src/gateway/callerprotocol.h
@@ -27,6 +27,7 @@
     std::optional<Duration> deadline; // How long the caller waits for the answer.
     // Id of the last event that the caller received; empty to start from the beginning.
     std::string resumeAfter;
+    RequestSize size;
     bool expectsVersion = false; // Upstreams with other weights refuse the request.
 };
 
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -290,6 +290,8 @@
              {"upstream", active.upstream.value()},
              {"group", active.group.value()},
              {"attempts", active.attempt},
+             {"accountPriority", active.admitted.urgency.account},
+             {"routePriority", active.admitted.urgency.route},
              {"events", active.events.eventCount()},
              {"firstEventMs", active.firstEventAt == TimePoint{}
                                   ? json()
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -116,7 +116,7 @@
     AttemptMetadata metadata;
     metadata.instance = action.upstream.id;
     metadata.account = active.admitted.account;
-    metadata.priority = active.admitted.priority;
+    metadata.priority = active.admitted.urgency.account;
     metadata.timeLeft = action.timeLeft;
     metadata.resumeAfter =
         active.events.lastId().empty() ? active.metadata.resumeAfter : active.events.lastId();
--- a/src/gateway/gatewaystoreview.cpp
+++ b/src/gateway/gatewaystoreview.cpp
@@ -305,7 +305,8 @@
     if (admitted.route == nullptr) {
         return tl::unexpected(mayDeny ? FailureCode::NotFound : FailureCode::KnowledgeStale);
     }
-    admitted.priority = admitted.route->priority;
+    admitted.urgency = Urgency::of(admitted.route->priority, std::nullopt);
+    admitted.size = metadata.size;
     admitted.residency.restrictTo(admitted.route->regions);
     const Duration defaultDeadline =
         admitted.route->timeout > Duration{} ? admitted.route->timeout : kDefaultDeadline;
@@ -322,7 +323,7 @@
     }
     admitted.account = account->id;
     admitted.residency.restrictTo(account->regions);
-    admitted.priority = account->priority.value_or(admitted.priority);
+    admitted.urgency = Urgency::of(admitted.route->priority, account->priority);
     return admitted;
 }
 
--- a/test/decision/gateway/streamqueue_test.cpp
+++ b/test/decision/gateway/streamqueue_test.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::uint8_t kUrgent = 1;
-constexpr std::uint8_t kNormal = 5;
+constexpr Urgency kUrgent{1, 1};
+constexpr Urgency kNormal{5, 5};
 
 TimePoint at(int millis)
 {
@@ -20,10 +20,21 @@
 {
     StreamQueue queue;
 
-    void add(RequestNumber number, int startDeadline, std::uint8_t priority = kNormal,
+    static StreamQueue::Entry entry(RequestNumber number, int startDeadline,
+                                    Urgency urgency = kNormal, bool isRetry = false)
+    {
+        StreamQueue::Entry entry;
+        entry.number = number;
+        entry.urgency = urgency;
+        entry.isRetry = isRetry;
+        entry.startDeadline = at(startDeadline);
+        return entry;
+    }
+
+    void add(RequestNumber number, int startDeadline, Urgency urgency = kNormal,
              bool isRetry = false)
     {
-        queue.add({number, priority, isRetry, at(startDeadline)}, at(0));
+        queue.add(entry(number, startDeadline, urgency, isRetry), at(0));
     }
 
     void checkNext(RequestNumber expected, int now)
@@ -58,6 +69,16 @@
     checkNext(2, 200);
 }
 
+TEST(StreamQueueTest, RouteDecidesBetweenEquallyUrgentAccounts)
+{
+    add(1, 400, {1, 2});
+    add(2, 400, {1, 0});
+    add(3, 400, {0, 2});
+    checkNext(3, 10);
+    checkNext(2, 10);
+    checkNext(1, 10);
+}
+
 TEST(StreamQueueTest, RetryGoesFirstAmongLateStreams)
 {
     add(1, 100);
@@ -70,9 +91,9 @@
 {
     add(1, 100);
     add(2, 400);
-    LONGS_EQUAL(2, queue.countAhead({3, kNormal, false, at(300)}, at(50)));
-    LONGS_EQUAL(1, queue.countAhead({3, kNormal, false, at(300)}, at(200)));
-    LONGS_EQUAL(0, queue.countAhead({3, kUrgent, false, at(300)}, at(200)));
+    LONGS_EQUAL(2, queue.countAhead(entry(3, 300, kNormal), at(50)));
+    LONGS_EQUAL(1, queue.countAhead(entry(3, 300, kNormal), at(200)));
+    LONGS_EQUAL(0, queue.countAhead(entry(3, 300, kUrgent), at(200)));
 }
 
 TEST(StreamQueueTest, RemovedStreamsAreNotCounted)
@@ -80,7 +101,7 @@
     add(1, 100);
     add(2, 100);
     queue.remove(1);
-    LONGS_EQUAL(1, queue.countAhead({3, kNormal, false, at(-1)}, at(200)));
+    LONGS_EQUAL(1, queue.countAhead(entry(3, -1, kNormal), at(200)));
     queue.remove(2);
     queue.remove(2);
     CHECK_TRUE(queue.empty());
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -70,6 +70,29 @@
     }
 }
 
+TEST(CallerHeadersTest, ReadsRequestSize)
+{
+    request.headers.push_back({"Seamarch-Token-Usage", "1460,80"});
+    LONGS_EQUAL(1460, protocol.readRequest(request).size.prompt);
+    LONGS_EQUAL(80, protocol.readRequest(request).size.answer);
+    request.headers.push_back({"Seamarch-Length-Hint", "30"});
+    LONGS_EQUAL(30, protocol.readRequest(request).size.answer);
+}
+
+TEST(CallerHeadersTest, LengthHintBeyondTheStatedMaximumIsLimited)
+{
+    request.headers.push_back({"Seamarch-Token-Usage", "1460,80"});
+    request.headers.push_back({"Seamarch-Length-Hint", "3000"});
+    LONGS_EQUAL(80, protocol.readRequest(request).size.answer);
+}
+
+TEST(CallerHeadersTest, UnreadableSizeCountsAsNotStated)
+{
+    request.headers.push_back({"Seamarch-Token-Usage", "many,-3"});
+    LONGS_EQUAL(0, protocol.readRequest(request).size.prompt);
+    LONGS_EQUAL(0, protocol.readRequest(request).size.answer);
+}
+
 TEST(CallerHeadersTest, DropsKeyAndForgedAccountForUpstream)
 {
     AttemptMetadata attempt;
