--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -39,6 +39,7 @@
 #include "decision/gateway/grouptable.h"
 #include "decision/gateway/permitissuer.h"
 #include "decision/gateway/requestageestimator.h"
+#include "decision/gateway/requestsize.h"
 #include "decision/gateway/residency.h"
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/sendpermits.h"
@@ -69,13 +70,6 @@
 
 namespace seamarch {
 
-// The work that a request asks of an engine, as its caller states it. Zero if not stated.
-struct RequestSize
-{
-    Tokens prompt = 0;
-    Tokens answer = 0; // Expected length; correct at the median, but often far off.
-};
-
 // A caller's request with its route and account.
 struct GatewayRequest
 {
