Counts of a sufficient sample instead of all ranks, more often

Cause: with 63 to 72 ranks on a link of 8 Mbit/s, rounds of counts were 250 ms apart, because all ranks were to be counted; a shift of demand was confirmed after two of them. Change: the interval follows from 16 ranks, which the header shows to suffice. Groups whose links carry all counts in 100 ms, and those whose links do not carry 16 in 250 ms, keep their plans.

--- a/src/decision/expertmap/collectionplan.cpp
+++ b/src/decision/expertmap/collectionplan.cpp
@@ -18,6 +18,10 @@
 // A sample of fewer ranks is too noisy. If the link cannot carry this many at the maximum interval,
 // the interval grows.
 constexpr std::uint32_t kMinSampledRanks = 8;
+// With this many ranks, rounds are frequent rather than larger: their sample tells shifts from
+// noise (see the header), and every round sooner shortens the time that streams run with a skewed
+// map.
+constexpr std::uint32_t kSufficientRanks = 16;
 // Round-trip time without the transfer: scheduling of two processes and network latency.
 constexpr Duration kRoundTripTime = std::chrono::milliseconds(40);
 // A report expires after two intervals plus this allowance for an agent that answers late.
@@ -42,11 +46,12 @@
     plan.reportInterval = std::max(
         kMinInterval, transferTime(ranks * kReportBytes, inputs.linkBytesPerSecond * kReportShare));
     plan.reportTimeToLive = 2 * plan.reportInterval + kLateAnswerAllowance;
-    const Duration allRanksTime = transferTime(ranks * bytes, countsRate);
+    const Duration sufficientRanksTime =
+        transferTime(std::min(ranks, double{kSufficientRanks}) * bytes, countsRate);
     const Duration minRanksTime =
         transferTime(std::min(ranks, double{kMinSampledRanks}) * bytes, countsRate);
     plan.countsInterval =
-        std::max(std::clamp(allRanksTime, kMinInterval, kMaxCountsInterval), minRanksTime);
+        std::max(std::clamp(sufficientRanksTime, kMinInterval, kMaxCountsInterval), minRanksTime);
     const double fittingRanks = std::floor(toSeconds(plan.countsInterval) * countsRate / bytes);
     plan.sampledRanks = static_cast<std::uint32_t>(
         std::clamp(fittingRanks, std::min(ranks, double{kMinSampledRanks}), ranks));
--- a/test/decision/expertmap/collectionplan_test.cpp
+++ b/test/decision/expertmap/collectionplan_test.cpp
@@ -76,6 +76,15 @@
     }
 }
 
+// Demand shifts every few seconds, and the map stays skewed until two rounds have shown the shift.
+// Counts of all 63 ranks occupied the link for so long that the rounds were 250 ms apart.
+TEST(CollectionPlanTest, PollsSufficientSampleOfMediumGroupOncePerPass)
+{
+    const CollectionPlan plan = planFor({63, 8 * 252, 8});
+    CHECK_TRUE(plan.countsInterval == std::chrono::milliseconds(100));
+    CHECK_TRUE(plan.sampledRanks >= 16);
+}
+
 // Counts of 4 KB from each of 129 ranks occupy a link of 6 Mbit/s for 0.7 s. Without sampling,
 // reports would queue behind them.
 TEST(CollectionPlanTest, SamplesCountsOfLargeGroup)
