Rounds of counts end with their last answer

Cause: a round of counts ended at the first tick after its whole window, although all polled ranks had answered in a third of it, twice for every shift of demand; a tick that was slightly early put off the next round by another one. Change: the planner knows how many ranks were polled and ends a round with the last answer; the window remains for ranks that do not answer.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -22,6 +22,7 @@
         round_.assign(size, 0.0);
         suspectedHistory_.clear();
         roundStartedAt_.reset();
+        answers_ = 0;
     }
     rule_ = rule;
 }
@@ -34,6 +35,7 @@
     for (std::size_t index = 0; index < choices.size(); ++index) {
         round_[index] += choices[index];
     }
+    ++answers_;
     roundStartedAt_ = roundStartedAt_.value_or(now);
 }
 
@@ -124,13 +126,15 @@
 
 void ExpertPlanner::endRound(const std::optional<ExpertMap> &current, TimePoint now)
 {
-    const bool complete = roundStartedAt_ && now - *roundStartedAt_ >= settings_.roundWindow;
+    const bool complete =
+        roundStartedAt_ && (roundAnswered() || now - *roundStartedAt_ >= settings_.roundWindow);
     if (!complete || sumOf(round_) < settings_.minChoices) {
         return;
     }
     evaluateRound(current, now);
     std::fill(round_.begin(), round_.end(), 0.0);
     roundStartedAt_.reset();
+    answers_ = 0;
 }
 
 // Merges the complete round into the history, and confirms, refutes or records a suspected shift.
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -100,6 +100,11 @@
     // Sets the dimensions and limits of the map. Discards the history if the number of sets or
     // experts changes.
     void setRule(const ExpertRule &rule);
+    // Sets the number of ranks that have been polled for the next round.
+    void expectAnswers(std::uint32_t ranks) { expectedAnswers_ = ranks; }
+    // Returns whether all polled ranks have answered in the current round, so that it can end
+    // before its window has passed.
+    bool roundAnswered() const { return expectedAnswers_ > 0 && answers_ >= expectedAnswers_; }
     // Adds the number of choices of each expert at one rank since that rank's previous report, set
     // by set. Ignores counts whose size does not match the rule.
     void addChoices(std::span<const double> choices, TimePoint now);
@@ -172,9 +177,12 @@
     // is suspected.
     std::vector<double> suspectedHistory_;
     std::optional<TimePoint> roundStartedAt_;
+    std::uint32_t answers_ = 0;         // Ranks that have answered in the current round.
+    std::uint32_t expectedAnswers_ = 0; // Ranks polled for a round; zero: unknown.
     TimePoint mergedAt_{};
     std::vector<double> paces_;
     Duration passTime_{};
+    Duration evenPassTime_{};
     Duration gapTarget_{};
     double distance_ = 0.0;
     double steadyDistance_ = 0.1;
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -280,8 +280,7 @@
     if (!upstreams_.expire(loop_.now()).empty()) {
         updatePeers();
     }
-    currentMap_ = mapInUse();
-    planner_.endRound(currentMap_, loop_.now());
+    endRound();
     pollGroup();
     runDecider();
     publishGroupFacts();
@@ -461,12 +460,16 @@
     const Duration countsInterval = planner_.shiftSuspected()
                                         ? std::max(plan.countsInterval / 2, plan.roundWindow)
                                         : plan.countsInterval;
-    const bool counts = now - countsRequestedAt_ >= std::max(countsInterval, kMinCountsInterval);
+    // Half a tick of tolerance, because a tick that is slightly early would cost a whole one.
+    const bool counts = now - countsRequestedAt_
+                        >= std::max(countsInterval, kMinCountsInterval) - kTickInterval / 2;
     const RankQuery query{false, !cachedMap_, 0};
     if (counts) {
         countsRequestedAt_ = now;
         pollOwnEngine({true, query.experts, 0});
-        rankPeers_->requestCounts(query, plan.sampledRanks, decider_->size(), *ownRank_);
+        const std::uint32_t polledPeers =
+            rankPeers_->requestCounts(query, plan.sampledRanks, decider_->size(), *ownRank_);
+        planner_.expectAnswers(polledPeers + 1);
     } else if (decider_->phase() != GroupDecider::Phase::Idle
                || now - ownPolledAt_ >= plan.reportInterval) {
         pollOwnEngine(query);
@@ -528,6 +531,16 @@
         planner_.addChoices(decodeChoices(*facts.choices), loop_.now());
     }
     decider_->onReport(report, requestedAt, loop_.now());
+    if (facts.choices && planner_.roundAnswered()) {
+        endRound();
+        runDecider();
+    }
+}
+
+void ExpertAgent::endRound()
+{
+    currentMap_ = mapInUse();
+    planner_.endRound(currentMap_, loop_.now());
 }
 
 // Returns the map in use, or nothing if it is not known for all ranks. A map that this agent
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -115,6 +115,8 @@
                            MapOrderAnswer answer) override;
     void updateOwnRank(const RankReport &report);
     void updateEpoch(const RankReport &report);
+    void endRound();
+    void updatePassOutlook();
     void runDecider();
     void replaceOutdatedChange(MapOrders &orders);
     void proposeChange(MapOrders &orders);
--- a/src/experts/rankpeers.cpp
+++ b/src/experts/rankpeers.cpp
@@ -126,9 +126,10 @@
     }
 }
 
-void RankPeers::requestCounts(const RankQuery &query, std::uint32_t count, std::uint32_t ranks,
-                              std::uint32_t ownRank)
+std::uint32_t RankPeers::requestCounts(const RankQuery &query, std::uint32_t count,
+                                       std::uint32_t ranks, std::uint32_t ownRank)
 {
+    std::uint32_t sent = 0;
     const std::map<std::uint32_t, InstanceId> engines = membership_.engines();
     std::uint64_t credit = 0; // Queries due, in units of 1 / `ranks`.
     for (std::uint32_t rank = 0; rank < ranks; ++rank) {
@@ -148,8 +149,10 @@
             RankQuery countsQuery = query;
             countsQuery.counts = true;
             requestFacts(engine->second, countsQuery, ownRank);
+            ++sent;
         }
     }
+    return sent;
 }
 
 void RankPeers::requestFacts(const InstanceId &id, const RankQuery &query, std::uint32_t ownRank)
--- a/src/experts/rankpeers.h
+++ b/src/experts/rankpeers.h
@@ -66,9 +66,9 @@
                         std::uint32_t ownRank);
     // Requests reports with counts from about `count` of the group's `ranks` ranks, including the
     // own rank, which the caller polls itself. The ranks are spread evenly over the group; one that
-    // does not respond is replaced by the next.
-    void requestCounts(const RankQuery &query, std::uint32_t count, std::uint32_t ranks,
-                       std::uint32_t ownRank);
+    // does not respond is replaced by the next. Returns the number of queries sent.
+    std::uint32_t requestCounts(const RankQuery &query, std::uint32_t count, std::uint32_t ranks,
+                                std::uint32_t ownRank);
     // Returns the engines of the group's other ranks, by rank, as far as they have reported it.
     std::map<std::uint32_t, SocketAddress> engines() const;
     // Sends orders to other ranks. An order to a rank that is not known yet is dropped; the decider
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -335,6 +335,28 @@
     LONGS_EQUAL(1, planner.shifts());
 }
 
+// A round took its whole window although the last answer had arrived in a third of it, twice for
+// every shift of demand.
+TEST(ExpertPlannerTest, EndsRoundOnceAllPolledRanksHaveAnswered)
+{
+    const auto distanceAfterRoundOf = [this](std::uint32_t polled) {
+        planner = ExpertPlanner();
+        planner.setRule({1, kExperts, 8, 3});
+        feedChoices(planner, skewedShares(1), 0, 2000);
+        planner.expectAnswers(polled);
+        std::vector<double> choices = skewedShares(2);
+        for (double &choice : choices) {
+            choice *= 1e6;
+        }
+        planner.addChoices(choices, at(2000));
+        planner.addChoices(choices, at(2010));
+        planner.endRound(std::nullopt, at(2011));
+        return planner.roundDistance();
+    };
+    CHECK_TRUE(distanceAfterRoundOf(2) > 0.1);
+    CHECK_TRUE(distanceAfterRoundOf(3) < 0.01);
+}
+
 TEST(ExpertPlannerTest, LearnsWorkloadDuration)
 {
     for (int shift = 0; shift < 6; ++shift) {
