Choose the step of a change by the pass time to expect

Cause: one rank turned 12 times as slow; the new map was armed 0.3 s later, but for a step four passes ahead by the pass time of before, and each pass took 650 ms: in use after 2.4 s. Change: the pass time is forecast from recent measurements and the relative cost of a pass under the present skew and paces. Where passes exceed the gap target by themselves, the group may wait for its arms for as long as a pass with the new map saves. Phases are logged with both pass times.

--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -192,6 +192,13 @@
     return 1.0 - rule_.expertShare + rule_.expertShare * skew;
 }
 
+double ExpertPlanner::relativePassCost(double skew) const
+{
+    const double slowest =
+        paces_.empty() ? 1.0 : std::max(1.0, *std::max_element(paces_.begin(), paces_.end()));
+    return (1.0 - rule_.expertShare) * slowest + rule_.expertShare * skew;
+}
+
 // Returns whether passes are already so short that a more balanced map would not help any caller.
 bool ExpertPlanner::isWithinGapTarget(double skew) const
 {
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -136,6 +136,9 @@
     // Returns the skew of `map` under the history: the largest load of a rank divided by the mean,
     // averaged over the sets.
     double skew(const ExpertMap &map) const;
+    // Returns the time of a pass at a skew of `skew`, relative to a pass whose load is spread
+    // evenly over healthy ranks. Includes the work that each rank does by itself.
+    double relativePassCost(double skew) const;
     // Return the expected skew and copy time of the last plan.
     double expectedSkew() const { return expectedSkew_; }
     Duration expectedCopying() const { return expectedCopying_; }
--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -153,7 +153,7 @@
     clearing_ = false;
     foreignSince_.reset();
     measuredAt_ = {};
-    passTime_ = {};
+    passForecast_.clear();
     enterPhase(Phase::Idle, now);
 }
 
@@ -270,7 +270,9 @@
         return;
     }
     if (step > measuredStep_) {
-        passTime_ = (requestedAt - measuredAt_) / static_cast<Duration::rep>(step - measuredStep_);
+        passForecast_.record((requestedAt - measuredAt_)
+                                 / static_cast<Duration::rep>(step - measuredStep_),
+                             outlook_.costNow);
     }
     measuredStep_ = step;
     measuredAt_ = requestedAt;
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -32,6 +32,7 @@
 #pragma once
 
 #include "decision/expertmap/evenplacement.h"
+#include "decision/expertmap/passforecast.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
@@ -112,6 +113,14 @@
 
 using MapOrders = std::vector<SendMapOrder>;
 
+// Relative costs of a pass (see PassForecast) and the pauses that callers tolerate.
+struct PassOutlook
+{
+    double costNow = 1.0;         // With the map in use.
+    double costAfterChange = 1.0; // With the map that is being changed to.
+    Duration gapTarget{}; // Longest pause between events that callers tolerate; zero: unknown.
+};
+
 // Coordinates changes of the expert map of one group, and clears changes that another decider has
 // left unfinished.
 class GroupDecider
@@ -219,8 +228,15 @@
 
     // Returns the reported paces, by rank.
     std::vector<double> paces() const;
+    // Sets what the caller knows about the cost of passes. Must be called on every tick.
+    void setPassOutlook(const PassOutlook &outlook) { outlook_ = outlook; }
+
     // Returns the last measured pass time, or zero if unknown.
-    Duration passTime() const { return passTime_; }
+    Duration passTime() const { return passForecast_.lastMeasured(); }
+    // Returns the pass time expected at the present cost of a pass, or zero if unknown.
+    Duration expectedPassTime() const { return passForecast_.expectedAt(outlook_.costNow); }
+    // Returns the time of a pass whose load is spread evenly, or zero if unknown.
+    Duration evenPassTime() const { return passForecast_.evenTimeScaledTo(1.0); }
     std::uint32_t ownRank() const { return settings_.ownRank; }
     const GroupId &group() const { return settings_.group; }
     // Returns the number of ranks in the group, or zero before the first report.
@@ -285,6 +301,7 @@
     bool allHoldsReleased() const;
     void measurePasses(TimePoint requestedAt);
     Duration lead() const;
+    Duration toleratedPause(Duration pass) const;
     std::uint64_t margin() const;
     void chooseStep();
     void chooseHolder();
@@ -315,7 +332,8 @@
     std::uint64_t resentOrders_ = 0; // Number of orders of the current change that were resent.
     std::uint64_t measuredStep_ = 0; // Step at which the measurement of the pass time started.
     TimePoint measuredAt_{};
-    Duration passTime_{};           // Zero if not measured yet.
+    PassForecast passForecast_;
+    PassOutlook outlook_;
     std::deque<Duration> armTimes_; // From the first arm to the last answer, for the last changes.
     std::optional<TimePoint> foreignSince_;
     std::optional<TimePoint> silentSince_; // All ranks but one answer, and foreign state exists.
--- a/src/decision/expertmap/groupdeciderorders.cpp
+++ b/src/decision/expertmap/groupdeciderorders.cpp
@@ -131,15 +131,30 @@
     return std::clamp(measured, settings_.lead, unmeasured) + lossy;
 }
 
-// Returns the number of passes by which a hold is placed ahead. If passes take longer than the
-// lead, the next step is held: the arms usually arrive in time, and otherwise the group waits for
-// less than the pass with the old map that is avoided.
+// Returns how long the group may wait at the held step for its arms. Normally not at all, because
+// every stream that runs through a pause is late. If a pass with the old map exceeds the gap target
+// by itself, these streams are late already, and a pause shorter than the time that a pass with the
+// new map saves ends that state sooner than another pass with the old map.
+Duration GroupDecider::toleratedPause(Duration pass) const
+{
+    if (outlook_.gapTarget <= Duration{} || pass <= outlook_.gapTarget) {
+        return {};
+    }
+    return std::max(Duration{}, pass - passForecast_.evenTimeScaledTo(outlook_.costAfterChange));
+}
+
+// Returns the number of passes by which a hold is placed ahead, by the pass time that is expected
+// with the old map. If passes take longer than the lead, the next step is held: the arms usually
+// arrive in time, and otherwise the group waits for less than the pass with the old map that is
+// avoided.
 std::uint64_t GroupDecider::margin() const
 {
-    if (passTime_ <= Duration{}) {
+    const Duration pass = expectedPassTime();
+    if (pass <= Duration{}) {
         return settings_.defaultMarginPasses;
     }
-    return static_cast<std::uint64_t>(lead() / passTime_ + 1);
+    const Duration needed = std::max(Duration{}, lead() - toleratedPause(pass));
+    return static_cast<std::uint64_t>(needed / pass + 1);
 }
 
 // Chooses the rank that holds the step. A rank can hold only one step. If the own rank still holds
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -586,9 +586,21 @@
     return map;
 }
 
+void ExpertAgent::updatePassOutlook()
+{
+    if (!currentMap_) {
+        return; // The last outlook stands until the map in use is known again.
+    }
+    planner_.setPaces(decider_->paces());
+    const double costNow = planner_.relativePassCost(planner_.skew(*currentMap_));
+    const double costAfterChange = planner_.relativePassCost(planner_.expectedSkew());
+    decider_->setPassOutlook({costNow, costAfterChange, gapTarget_});
+}
+
 void ExpertAgent::runDecider()
 {
     MapOrders orders;
+    updatePassOutlook();
     decider_->onTick(loop_.now(), orders);
     const bool proposalOutdated = decider_->phase() == GroupDecider::Phase::Preparing
                                   && planner_.planOutdated() && currentMap_;
@@ -676,6 +688,8 @@
         logLine(LogLevel::Info, "map.phase",
                 {{"phase", logName(phase)},
                  {"epoch", epoch_},
+                 {"expectedPassMs", toMillis(decider_->expectedPassTime())},
+                 {"measuredPassMs", toMillis(decider_->passTime())},
                  {"withoutRank", excludedRank ? json(*excludedRank) : json()}});
         loggedPhase_ = phase;
     }
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -754,3 +754,56 @@
     CHECK_FALSE(rankArmedLast(arms.at(0).order.version).has_value());
     CHECK_TRUE(arms.at(0).route == OrderRoute::Any);
 }
+
+namespace {
+
+// Passes per second of a healthy group, one report every 100 ms.
+constexpr int kReportsPerMeasurement = 5;
+constexpr Duration kReportInterval = std::chrono::milliseconds(100);
+
+// Reports passes of 100 ms for half a second under an even load. Then one rank slows down, and the
+// caller learns that passes cost `costNow` times as much. Returns how many steps ahead of the last
+// reported one the next change is held.
+std::uint64_t holdMarginAt(double costNow, Duration gapTarget)
+{
+    GroupDecider decider(GroupDecider::Settings{});
+    TimePoint now{std::chrono::seconds(10)};
+    RankReport report;
+    report.ranks = kTwoRanks;
+    report.epoch = 1;
+    report.open = true;
+    for (int count = 0; count <= kReportsPerMeasurement; ++count) {
+        now += kReportInterval;
+        ++report.step;
+        for (report.rank = 0; report.rank < kTwoRanks; ++report.rank) {
+            decider.onReport(report, now, now);
+        }
+    }
+    CHECK_TRUE(decider.passTime() == kReportInterval);
+    decider.setPassOutlook({costNow, 1.1, gapTarget});
+    prepareBoth(decider, now, MapOrderAnswer::Copied);
+    MapOrders hold;
+    decider.onTick(now, hold);
+    LONGS_EQUAL(1, hold.size());
+    return hold.at(0).order.step - report.step;
+}
+
+constexpr Duration kGapTarget = std::chrono::milliseconds(150);
+
+} // namespace
+
+// One rank turned 12 times as slow. The step of the change was chosen by the pass time of before,
+// and the group made four passes of 650 ms until the change took effect.
+TEST(GroupDeciderTest, HoldsNextStepWhenPassesAreExpectedToTakeLongerThanLead)
+{
+    LONGS_EQUAL(2, holdMarginAt(1.0, kGapTarget));
+    LONGS_EQUAL(1, holdMarginAt(10.0, kGapTarget));
+}
+
+// Every stream that runs through a pause is late, unless passes alone exceed the gap target.
+TEST(GroupDeciderTest, PausesForArmsOnlyWhenPassesExceedGapTarget)
+{
+    LONGS_EQUAL(2, holdMarginAt(1.2, Duration{}));
+    LONGS_EQUAL(2, holdMarginAt(1.2, kGapTarget));
+    LONGS_EQUAL(1, holdMarginAt(1.2, std::chrono::milliseconds(110)));
+}
