Bound the memory that a gateway holds for slow callers and upstreams

Cause: bodies that callers upload slowly and answers that they do not read were kept without a bound on their sum; a process over the memory of its machine is killed with all its requests. Reading went on to the end of the kernel's buffer after it was paused. Change: MemoryBudget. Beyond half of the limit only the oldest large upload continues; a request whose body does not fit is rejected, not run; unsent answers share a quarter. The limit is half of the new setting memory-mb.

--- a/include/seamarch/outcome.h
+++ b/include/seamarch/outcome.h
@@ -40,6 +40,7 @@
     RequestEndsUpstreams,
     UpstreamEnded,
     NoUpstreamInRegions,
+    MemoryFull,
 };
 
 // Returns the value of the header `Seamarch-Outcome`.
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -68,6 +68,9 @@
     FailureText{FailureCode::NoUpstreamInRegions, 503, "no_upstream_in_regions",
                 "The regions in which this request may be served have no upstream now; come back "
                 "after Retry-After seconds."},
+    FailureText{FailureCode::MemoryFull, 503, "memory_full",
+                "This instance holds too many bytes for others to take a request of this size now; "
+                "come back after Retry-After seconds."},
 };
 
 const FailureText &textOf(FailureCode code)
@@ -83,7 +86,7 @@
             return false;
         }
     }
-    return kFailureTexts.size() == static_cast<std::size_t>(FailureCode::NoUpstreamInRegions) + 1;
+    return kFailureTexts.size() == static_cast<std::size_t>(FailureCode::MemoryFull) + 1;
 }
 
 static_assert(textsMatchEnumeration(), "kFailureTexts lists each FailureCode once, in order");
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -87,6 +87,8 @@
                              send to an upstream that is warming up, as a multiple of the
                              configured rate of its service (default 1.5).
   --warm-up-slack N          Requests per second in addition to that maximum (default 5).
+  --memory-mb N              Memory of the process in MB, of which half may be held for callers
+                             and upstreams that are slow (default 0: no bound).
   --key-freshness-ms N       Maximum age of the store's last confirmation to accept a key
                              (default: the value of key-life-ms less 300).
   --deny-freshness-ms N      Maximum age of the store's last confirmation to answer 401 or
@@ -137,6 +139,14 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+// Returns the bytes that a process with this memory may hold for others. The other half is for the
+// process itself.
+std::size_t maxHeldBytes(std::uint64_t memoryMegabytes)
+{
+    constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
+    return static_cast<std::size_t>(memoryMegabytes) * kBytesPerMegabyte / 2;
+}
+
 GatewayBounds readBounds(SettingsReader &reader)
 {
     // Largest value of the settings that have no unit and no smaller limit.
@@ -178,6 +188,7 @@
 GatewaySettings readGateway(SettingsReader &reader)
 {
     constexpr double kMaxCrashRetentionSeconds = 24.0 * 3600;
+    constexpr std::uint64_t kMaxMemoryMegabytes = 1'000'000;
     GatewaySettings settings;
     settings.instance = InstanceId(reader.text("instance"));
     settings.hall = HallId(reader.text("hall"));
@@ -207,6 +218,7 @@
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
     settings.crashRetention = fromSeconds(reader.number(
         "crash-memory-s", 0.0, kMaxCrashRetentionSeconds, toSeconds(settings.crashRetention)));
+    settings.maxHeldBytes = maxHeldBytes(reader.integer("memory-mb", 0, kMaxMemoryMegabytes, 0));
     settings.bounds = readBounds(reader);
     settings.timings = readTimings(reader, deriveTimings(settings.bounds));
     return settings;
--- /dev/null
+++ b/src/decision/admission/memorybudget.cpp
@@ -0,0 +1,42 @@
+#include "decision/admission/memorybudget.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace seamarch {
+namespace {
+
+// A body is held by the request and by the call that sends it.
+constexpr std::size_t kCopiesPerBody = 2;
+constexpr std::size_t kSmallBody = std::size_t{16} * 1024;
+// Some dozen events: fewer would stop and resume the upstream at every event.
+constexpr std::size_t kMinUnsent = std::size_t{8} * 1024;
+constexpr std::size_t kMaxUnsent = std::size_t{256} * 1024;
+
+} // namespace
+
+bool MemoryBudget::admits(const HeldMemory &held, std::size_t bodyBytes) const
+{
+    return limit_ == 0 || bodyBytes <= kSmallBody
+           || held.sum() + kCopiesPerBody * bodyBytes <= limit_;
+}
+
+std::size_t MemoryBudget::maxUploads(const HeldMemory &held) const
+{
+    if (limit_ == 0) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    const std::size_t others = held.requests + held.unsent;
+    return limit_ / 2 - std::min(limit_ / 2, others);
+}
+
+std::size_t MemoryBudget::maxUnsent(std::size_t answers) const
+{
+    if (limit_ == 0) {
+        return kMaxUnsent;
+    }
+    const std::size_t share = limit_ / 4 / std::max<std::size_t>(1, answers);
+    return std::clamp(share, kMinUnsent, kMaxUnsent);
+}
+
+} // namespace seamarch
--- /dev/null
+++ b/src/decision/admission/memorybudget.h
@@ -0,0 +1,52 @@
+// Bounds the memory that a gateway holds for callers and upstreams that read or write slowly.
+//
+// Answers the load of callers that upload large bodies slowly or leave answers unread: every byte
+// of them is kept here, and a process that exceeds the memory of its machine is killed together
+// with all its requests. The budget harms few callers, and as little as possible. First, answers of
+// slow readers are read from their upstreams only as fast as they are taken. Then only the oldest
+// upload continues, so that one of them completes. Last, requests with a body that would not fit
+// are rejected before they run; requests with a small one are always admitted.
+//
+// The thresholds leave half of the limit to requests that have been admitted: each may be kept for
+// a second attempt, and is copied once for sending.
+//
+// Pure and single-threaded.
+#pragma once
+
+#include <cstddef>
+
+namespace seamarch {
+
+// Bytes that a process holds for others.
+struct HeldMemory
+{
+    std::size_t uploads = 0;  // Parts of request bodies that are not complete yet.
+    std::size_t requests = 0; // Bodies of requests in progress.
+    std::size_t unsent = 0;   // Answers and requests that the other side has not taken yet.
+
+    std::size_t sum() const { return uploads + requests + unsent; }
+};
+
+class MemoryBudget
+{
+public:
+    // `limit` is the number of bytes that may be held; zero: no limit.
+    explicit MemoryBudget(std::size_t limit = 0)
+        : limit_(limit)
+    {}
+
+    std::size_t limit() const { return limit_; }
+    // Returns whether a request with a body of this size may be admitted.
+    bool admits(const HeldMemory &held, std::size_t bodyBytes) const;
+    // Returns how many bytes of incomplete request bodies may be held beside everything else.
+    // Beyond that, only the oldest upload continues.
+    std::size_t maxUploads(const HeldMemory &held) const;
+    // Returns how many bytes of one answer may be unsent before it is no longer read from its
+    // upstream, while `answers` of them are in progress.
+    std::size_t maxUnsent(std::size_t answers) const;
+
+private:
+    std::size_t limit_;
+};
+
+} // namespace seamarch
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -18,6 +18,8 @@
 // The Retry-After of requests refused because this gateway has no recent configuration or is
 // stopping.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
+// The Retry-After of requests refused for lack of memory: some answers are taken within this time.
+constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
 GatewayCore::Settings coreSettings(const GatewaySettings &settings)
 {
@@ -47,6 +49,7 @@
 {
     core_.warmUps().setBounds(settings.bounds.warmUp);
     core_.upstreams().setLapseGrace(settings.timings.lapseGrace);
+    memoryBudget_ = MemoryBudget(settings.maxHeldBytes);
 }
 
 GatewayService::~GatewayService() = default;
@@ -128,6 +131,16 @@
                kNotReadyRetryAfter);
         return;
     }
+    if (!memoryBudget_.admits(heldMemory_, request.body.size())) {
+        logLine(LogLevel::Warning, "request.too_large_now",
+                {{"id", metadata.requestId},
+                 {"bodyBytes", request.body.size()},
+                 {"heldBytes", heldMemory_.sum()},
+                 {"limit", memoryBudget_.limit()}});
+        refuse(exchange, metadata, FailureCode::MemoryFull, Outcome::NotRun, kMemoryRetryAfter);
+        return;
+    }
+    heldMemory_.requests += request.body.size();
     const bool awaitsConfiguration =
         (!storeView_.hasConfiguration() || startupQueue_.size() > 0) && !stopping_;
     if (awaitsConfiguration
@@ -302,8 +315,30 @@
     activeRequests_.erase(found);
 }
 
+void GatewayService::updateHeldMemory()
+{
+    if (memoryBudget_.limit() == 0) {
+        return;
+    }
+    heldMemory_ = {server_->uploadedBytes(), 0, server_->bufferedTotal() + client_->unsentBytes()};
+    for (const auto &[number, active] : activeRequests_) {
+        heldMemory_.requests += active.request.body.size() + active.body.size();
+    }
+    server_->limitUploads(memoryBudget_.maxUploads(heldMemory_));
+    const bool restricted = server_->uploadsRestricted();
+    if (restricted != uploadsRestricted_) {
+        uploadsRestricted_ = restricted;
+        logLine(LogLevel::Warning, restricted ? "memory.restricted" : "memory.released",
+                {{"uploadBytes", heldMemory_.uploads},
+                 {"requestBytes", heldMemory_.requests},
+                 {"unsentBytes", heldMemory_.unsent},
+                 {"limit", memoryBudget_.limit()}});
+    }
+}
+
 void GatewayService::tick()
 {
+    updateHeldMemory();
     processStartupQueue();
     GatewayActions actions;
     core_.setGatewayCount(synchronizer_->gateways() + 1);
@@ -395,6 +430,8 @@
             {"followsStore", synchronizer_->followsStore()},
             {"gateways", synchronizer_->gateways()},
             {"inFlight", activeRequests_.size()},
+            {"heldBytes", heldMemory_.sum()},
+            {"maxHeldBytes", memoryBudget_.limit()},
             {"secondAttempts", core_.secondAttempts()},
             {"connectionsMade", client_->connectionsMade()},
             {"upstreams", core_.upstreams().all().size()},
@@ -423,6 +460,8 @@
     core_.warmUps().setBounds(settings_.bounds.warmUp);
     settings_.crashRetention = settings.crashRetention;
     core_.crashes().setRetention(settings_.crashRetention);
+    settings_.maxHeldBytes = settings.maxHeldBytes;
+    memoryBudget_ = MemoryBudget(settings_.maxHeldBytes);
     core_.upstreams().setLapseGrace(settings_.timings.lapseGrace);
 }
 
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -9,6 +9,7 @@
 // Single-threaded; runs on the event loop that it is created with.
 #pragma once
 
+#include "decision/admission/memorybudget.h"
 #include "decision/gateway/eventsplitter.h"
 #include "decision/gateway/gatewaycore.h"
 #include "gateway/callerprotocol.h"
@@ -48,6 +49,8 @@
     std::size_t maxAccountSeries = 300; // The number of accounts with metric series of their own.
     // How long the record is kept that an upstream ended under a request; zero disables it.
     Duration crashRetention = CrashRecord::Settings().retention;
+    // Bytes that may be held for callers and upstreams that are slow; zero: no bound.
+    std::size_t maxHeldBytes = 0;
     // Limits from the platform's settings, and the timings derived from them.
     GatewayBounds bounds;
     GatewayTimings timings = deriveTimings(GatewayBounds());
@@ -130,6 +133,8 @@
     // Starts the request if it is admitted, else refuses it. Its times count from `arrivedAt`.
     void admitRequest(ExchangeId exchange, HttpRequest request, TimePoint arrivedAt);
     void processStartupQueue();
+    // Updates the record of held memory and restricts uploads accordingly.
+    void updateHeldMemory();
     void refuse(ExchangeId exchange, const RequestMetadata &metadata, FailureCode code,
                 Outcome outcome, Duration retryAfter);
 
@@ -176,6 +181,9 @@
     std::unordered_map<RequestNumber, ActiveRequest> activeRequests_;
     std::unordered_map<ExchangeId, RequestNumber> byExchange_;
     std::unique_ptr<PeriodicTimer> tickTimer_;
+    MemoryBudget memoryBudget_;
+    HeldMemory heldMemory_; // As of the last tick, with the requests that came since.
+    bool uploadsRestricted_ = false;
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
 };
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -229,14 +229,13 @@
 void GatewayService::onAnswerPiece(RequestNumber number, std::uint32_t attempt,
                                    std::string_view piece)
 {
-    constexpr std::size_t kBufferedHighWater = std::size_t{256} * 1024;
     ActiveRequest *active = findActiveRequest(number, attempt);
     if (active == nullptr) {
         return;
     }
     if (active->streams) {
         relayEvents(number, *active, piece);
-        if (server_->buffered(active->exchange) > kBufferedHighWater) {
+        if (server_->buffered(active->exchange) > memoryBudget_.maxUnsent(activeRequests_.size())) {
             client_->pause(active->call, true);
         }
         return;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -91,6 +91,8 @@
     // Closes the idle connections to `address`, for an address that another peer has taken over.
     void closeIdleConnections(const SocketAddress &address);
 
+    // Returns the number of bytes of requests that have not been passed to the kernel yet.
+    std::size_t unsentBytes() const { return sockets_->queuedTotal(); }
     std::uint64_t connectionsMade() const { return connectionsMade_; }
 
 private:
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -17,6 +17,8 @@
 // reset it, and the caller could lose the response.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
+// Uploads that have reached this size are paused while memory is short.
+constexpr std::size_t kLargeUploadBytes = std::size_t{16} * 1024;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
@@ -65,6 +67,7 @@
     bool headRequest = false;
     bool headSent = false;
     bool lingering = false; // No further response follows; received data is discarded.
+    bool uploadPaused = false;
 };
 
 HttpServer::HttpServer(EventLoop &loop, HttpHandler &handler, HttpServerOptions options)
@@ -162,6 +165,8 @@
     }
     if (reader.done()) {
         deliver(*connection);
+    } else if (isLargeUpload(*connection)) {
+        restrictUploads();
     }
 }
 
@@ -357,6 +362,56 @@
     return found == exchanges_.end() ? 0 : sockets_->queued(found->second);
 }
 
+std::size_t HttpServer::uploadedBytes() const
+{
+    std::size_t total = 0;
+    for (const auto &[socket, connection] : connections_) {
+        total += connection->request.body.size() + connection->readAhead.size();
+    }
+    return total;
+}
+
+bool HttpServer::isLargeUpload(const Connection &connection)
+{
+    return connection.exchange == 0 && !connection.lingering
+           && connection.request.body.size() >= kLargeUploadBytes;
+}
+
+void HttpServer::pauseUpload(Connection &connection, bool paused)
+{
+    if (paused || connection.uploadPaused) {
+        connection.lastActive = loop_.now(); // A paused upload is not idle.
+    }
+    if (connection.uploadPaused != paused) {
+        connection.uploadPaused = paused;
+        sockets_->pause(connection.socket, paused);
+    }
+}
+
+void HttpServer::limitUploads(std::size_t maxBytes)
+{
+    maxUploadBytes_ = maxBytes;
+    restrictUploads();
+}
+
+// Pauses or resumes uploads by the number of bytes that are held.
+void HttpServer::restrictUploads()
+{
+    const std::size_t uploaded = uploadedBytes();
+    uploadsRestricted_ = uploaded > (uploadsRestricted_ ? maxUploadBytes_ / 2 : maxUploadBytes_);
+    Connection *oldest = nullptr;
+    for (const auto &[socket, connection] : connections_) {
+        if (isLargeUpload(*connection)
+            && (oldest == nullptr || connection->readingSince < oldest->readingSince)) {
+            oldest = connection.get();
+        }
+    }
+    for (const auto &[socket, connection] : connections_) {
+        pauseUpload(*connection,
+                    uploadsRestricted_ && isLargeUpload(*connection) && connection.get() != oldest);
+    }
+}
+
 void HttpServer::onWritten(SocketId socket)
 {
     Connection *connection = find(socket);
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -17,6 +17,7 @@
 #include "net/tcpsockets.h"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -106,6 +107,16 @@
 
     // Returns the number of response bytes that have not been passed to the kernel yet.
     std::size_t buffered(ExchangeId exchange) const;
+    // Returns the same for all exchanges.
+    std::size_t bufferedTotal() const { return sockets_->queuedTotal(); }
+    // Returns the size of the request bodies of which a part has been received.
+    std::size_t uploadedBytes() const;
+    // Sets how many bytes of incomplete request bodies are held. Beyond that, only the oldest of
+    // the bodies that have reached a size of some KB is received, until less than half of it is
+    // held. Must be called often, as paused uploads wait for it.
+    void limitUploads(std::size_t maxBytes);
+    // Returns whether uploads are paused.
+    bool uploadsRestricted() const { return uploadsRestricted_; }
     // Returns the number of open exchanges.
     std::size_t openExchanges() const { return exchanges_.size(); }
     // Makes all further responses carry `Connection: close` and closes their connections.
@@ -130,12 +141,17 @@
     void sendHead(Connection &connection, const HttpResponseHead &head, std::string_view body,
                   bool hasFullBody);
     Connection *connectionOf(ExchangeId exchange);
+    static bool isLargeUpload(const Connection &connection);
+    void pauseUpload(Connection &connection, bool paused);
+    void restrictUploads();
     Connection *find(SocketId socket);
     void sweep();
 
     EventLoop &loop_;
     HttpHandler &handler_;
     HttpServerOptions options_;
+    std::size_t maxUploadBytes_ = std::numeric_limits<std::size_t>::max();
+    bool uploadsRestricted_ = false;
     std::unique_ptr<TcpSockets> sockets_;
     std::unordered_map<SocketId, std::unique_ptr<Connection>> connections_;
     std::unordered_map<ExchangeId, SocketId> exchanges_;
--- a/src/net/tcpsockets.cpp
+++ b/src/net/tcpsockets.cpp
@@ -293,6 +293,15 @@
     return found == entries_.end() ? 0 : found->second->queue.size();
 }
 
+std::size_t TcpSockets::queuedTotal() const
+{
+    std::size_t total = 0;
+    for (const auto &[socket, entry] : entries_) {
+        total += entry->queue.size();
+    }
+    return total;
+}
+
 bool TcpSockets::wroteAny(SocketId socket) const
 {
     const auto found = entries_.find(socket);
@@ -303,6 +312,7 @@
 {
     Entry *entry = find(socket);
     if (entry != nullptr && entry->wsi != nullptr) {
+        entry->paused = paused;
         lws_rx_flow_control(entry->wsi, paused ? 0 : 1);
     }
 }
@@ -378,8 +388,12 @@
         const ssize_t size = ::recv(entry->descriptor, buffer_.data(), buffer_.size(), 0);
         if (size > 0) {
             entry->listener->onBytes(id, {buffer_.data(), static_cast<std::size_t>(size)});
-            if (static_cast<std::size_t>(size) < buffer_.size()) {
-                return find(id) == nullptr ? -1 : 0;
+            entry = find(id);
+            if (entry == nullptr) {
+                return -1;
+            }
+            if (entry->paused || static_cast<std::size_t>(size) < buffer_.size()) {
+                return 0;
             }
             continue;
         }
--- a/src/net/tcpsockets.h
+++ b/src/net/tcpsockets.h
@@ -68,6 +68,8 @@
     void send(SocketId socket, std::string_view bytes);
     // Returns the number of queued bytes.
     std::size_t queued(SocketId socket) const;
+    // Returns the number of queued bytes of all sockets.
+    std::size_t queuedTotal() const;
     // Returns whether any byte has been passed to the kernel.
     bool wroteAny(SocketId socket) const;
     // Stops (`paused` is true) or resumes reading.
@@ -90,6 +92,7 @@
         bool connecting = false;
         bool shutdownPending = false; // Close the sending direction when the queue is empty.
         bool wroteAny = false;
+        bool paused = false;         // Reading is paused.
         bool failurePending = false; // A write failed; endAfterReading() is posted.
     };
 
--- /dev/null
+++ b/test/process/slowcallers_test.py
@@ -0,0 +1,80 @@
+"""Checks that callers that upload large bodies slowly do not exhaust a gateway's memory.
+
+The failure: a gateway receives all uploads at once and keeps every part of them.
+"""
+
+import os
+import socket
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from gateway_test import KEY, GatewaySite  # noqa: E402
+
+MEGABYTE = 1024 * 1024
+MAX_HELD = 4 * MEGABYTE  # Half of the setting `memory-mb`.
+UPLOADS = 12
+# Parts that the kernel and one read of each connection hold beyond a pause.
+SLACK = UPLOADS * 64 * 1024
+
+
+class Upload:
+    """A caller that sends a body of 1 MB in parts, and pauses before the last one until `finish`."""
+
+    def __init__(self, address, number):
+        host, port = address.split(":")
+        self.socket = socket.create_connection((host, int(port)))
+        self.head = (f"POST /status/{number} HTTP/1.1\r\nHost: site.example\r\nSeamarch-Request-Id: up-{number}\r\n"
+                     f"Authorization: Token {KEY}\r\nContent-Length: {MEGABYTE}\r\n\r\n").encode()
+        self.may_finish = threading.Event()
+        self.answer = b""
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        self.socket.settimeout(30)
+        self.socket.sendall(self.head + b"x" * (MEGABYTE - 1))
+        self.may_finish.wait(30)
+        self.socket.sendall(b"x")
+        self.answer = self.socket.recv(65536)
+        self.socket.close()
+
+
+class SlowCallersTest(unittest.TestCase):
+    def setUp(self):
+        self.site = GatewaySite(upstreams=2, **{"memory-mb": 2 * MAX_HELD // MEGABYTE})
+        self.addCleanup(self.site.__exit__)
+        self.uploads = [Upload(self.site.entry, number) for number in range(UPLOADS)]
+        self.site.wait_until("uploads are restricted", lambda: "memory.restricted" in self.site.events())
+
+    def finish_all(self):
+        for upload in self.uploads:
+            upload.may_finish.set()
+        for upload in self.uploads:
+            upload.thread.join(30)
+
+    def test_held_bytes_stay_within_the_limit(self):
+        end = time.monotonic() + 2
+        most = 0
+        while time.monotonic() < end:
+            most = max(most, self.site.status()["heldBytes"])
+            time.sleep(0.05)
+        self.assertLessEqual(most, MAX_HELD + SLACK, "expected uploads to pause; see memory.restricted in the log")
+
+    def test_other_callers_are_served_meanwhile(self):
+        for _ in range(5):
+            self.assertEqual(self.site.ask("/letters/1")[0], 200)
+
+    def test_all_uploads_are_served_or_told_that_they_have_not_run(self):
+        self.finish_all()
+        for upload in self.uploads:
+            status = upload.answer.split(b" ")[1:2]
+            refused = status == [b"503"] and b"Seamarch-Outcome: not-run" in upload.answer
+            self.assertTrue(status == [b"200"] or refused, upload.answer[:200])
+        self.assertTrue(any(upload.answer.startswith(b"HTTP/1.1 200") for upload in self.uploads))
+
+
+if __name__ == "__main__":
+    unittest.main()
