Keep the virtual times of accounts in one type

Cause: FairQueue kept the virtual times of client accounts itself, and the stream queue of gateways needs the same bookkeeping. Change: VirtualTimes keeps shares, virtual times and the time of the service; FairQueue uses it. It also tells the virtual time of the service, and keeps accounts whose share was set. Behaviour is unchanged.

--- a/src/decision/fairness/fairqueue.cpp
+++ b/src/decision/fairness/fairqueue.cpp
@@ -10,6 +10,7 @@
     Account &accountState = accounts_[account];
     accountState.policy = policy;
     accountState.configured = true;
+    times_.setShare(account, policy.share);
 }
 
 bool FairQueue::push(QueuedRequest request)
@@ -19,8 +20,8 @@
         return false;
     }
     if (account.waiting.empty()) {
-        account.virtualTime = std::max(account.virtualTime, virtualTime_);
-        backlog_.emplace(account.virtualTime, request.account);
+        times_.activate(request.account);
+        backlog_.emplace(times_.of(request.account), request.account);
     }
     const OrderKey orderKey{request.priority, nextSequence_++};
     account.queuedTokens += request.expectedCost;
@@ -41,9 +42,9 @@
     return result;
 }
 
-void FairQueue::removeFromBacklog(const AccountId &id, const Account &account)
+void FairQueue::removeFromBacklog(const AccountId &id)
 {
-    backlog_.erase({account.virtualTime, id});
+    backlog_.erase({times_.of(id), id});
 }
 
 std::optional<QueuedRequest> FairQueue::pop()
@@ -53,12 +54,14 @@
     }
     const AccountId id = backlog_.begin()->second;
     Account &account = accounts_.at(id);
-    removeFromBacklog(id, account);
-    virtualTime_ = std::max(virtualTime_, account.virtualTime);
+    removeFromBacklog(id);
+    times_.onServed(id);
     QueuedRequest result = extract(account, account.waiting.begin());
-    account.virtualTime += static_cast<double>(result.expectedCost) / account.policy.share;
-    if (!account.waiting.empty()) {
-        backlog_.emplace(account.virtualTime, id);
+    times_.charge(id, static_cast<double>(result.expectedCost));
+    if (account.waiting.empty()) {
+        times_.deactivate(id);
+    } else {
+        backlog_.emplace(times_.of(id), id);
     }
     return result;
 }
@@ -73,7 +76,8 @@
     Account &account = accounts_.at(accountId);
     extract(account, account.waiting.find(position->second.orderKey));
     if (account.waiting.empty()) {
-        removeFromBacklog(accountId, account);
+        removeFromBacklog(accountId);
+        times_.deactivate(accountId);
     }
     return true;
 }
@@ -105,14 +109,13 @@
     if (found == accounts_.end()) {
         return;
     }
-    Account &accountState = found->second;
-    const bool waits = !accountState.waiting.empty();
+    const bool waits = !found->second.waiting.empty();
     if (waits) {
-        removeFromBacklog(account, accountState);
+        removeFromBacklog(account);
     }
-    accountState.virtualTime += delta / accountState.policy.share;
+    times_.charge(account, delta);
     if (waits) {
-        backlog_.emplace(accountState.virtualTime, account);
+        backlog_.emplace(times_.of(account), account);
     }
 }
 
@@ -124,8 +127,7 @@
     const double ownShare = own == accounts_.end() ? 1.0 : own->second.policy.share;
     const double ownQueued =
         own == accounts_.end() ? 0.0 : static_cast<double>(own->second.queuedTokens);
-    const double start =
-        own == accounts_.end() ? virtualTime_ : std::max(own->second.virtualTime, virtualTime_);
+    const double start = std::max(times_.of(account), times_.serviceTime());
     const double finish = start + ownQueued / ownShare;
     double ahead = ownQueued;
     for (const auto &[virtualTime, id] : backlog_) {
@@ -142,11 +144,12 @@
 
 void FairQueue::removeIdleAccounts()
 {
-    std::erase_if(accounts_, [this](const auto &accountState) {
-        const Account &account = accountState.second;
+    std::erase_if(accounts_, [this](const auto &entry) {
+        const auto &[id, account] = entry;
         return account.waiting.empty() && !account.configured
-               && account.virtualTime <= virtualTime_;
+               && times_.of(id) <= times_.serviceTime();
     });
+    times_.removeIdle();
 }
 
 } // namespace seamarch
--- a/src/decision/fairness/fairqueue.h
+++ b/src/decision/fairness/fairqueue.h
@@ -1,7 +1,7 @@
 // A weighted fair queue of the requests that wait at one upstream, shared by client accounts.
 //
-// Each account has a virtual time that advances by (cost served) / (share), in the cost unit of
-// requestcost.h. The backlogged account with the lowest virtual time is served next. Within an
+// Each account has a virtual time (VirtualTimes), in the cost unit of requestcost.h. The backlogged
+// account with the lowest virtual time is served next. Within an
 // account, requests are ordered by priority, highest first, and then by arrival. A request is
 // charged its expected cost when it is popped; the charge is adjusted as the actual length becomes
 // known, so an account gains nothing by declaring too few tokens. An account that becomes
@@ -10,6 +10,7 @@
 // The class is pure and single-threaded. Complexity: O(log n) for push, pop and adjustCharge.
 #pragma once
 
+#include "decision/fairness/virtualtimes.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
@@ -95,7 +96,6 @@
     {
         AccountPolicy policy;
         bool configured = false; // Whether setPolicy was called for the account.
-        double virtualTime = 0.0;
         Tokens queuedTokens = 0; // Total expected cost of `waiting`.
         std::map<OrderKey, QueuedRequest> waiting;
     };
@@ -111,13 +111,13 @@
 
     // Removes a request from its account and from the totals; leaves `backlog_` unchanged.
     QueuedRequest extract(Account &account, std::map<OrderKey, QueuedRequest>::iterator request);
-    void removeFromBacklog(const AccountId &id, const Account &account);
+    void removeFromBacklog(const AccountId &id);
 
     std::unordered_map<AccountId, Account> accounts_;
     Backlog backlog_; // Accounts with waiting requests, by virtual time.
     std::unordered_map<RequestId, Position> positions_;
     Tokens queuedTokens_ = 0;
-    double virtualTime_ = 0.0;
+    VirtualTimes times_;
     std::uint64_t nextSequence_ = 0;
 };
 
--- a/src/decision/fairness/virtualtimes.h
+++ b/src/decision/fairness/virtualtimes.h
@@ -27,11 +27,14 @@
     void deactivate(const AccountId &account);
     // Charges the cost of a request that is served; a negative cost is a refund.
     void charge(const AccountId &account, double cost);
-    // Returns the virtual time of an account: the lowest one goes first.
+    // Returns the virtual time of an account: the lowest one goes first. That of an account without
+    // state is the service's.
     double of(const AccountId &account) const;
     // Advances the virtual time of the service to that of the account that is served now.
     void onServed(const AccountId &account);
-    // Removes inactive accounts that are not ahead of the service.
+    // Returns the virtual time of the service, at which an idle account starts.
+    double serviceTime() const { return serviceTime_; }
+    // Removes inactive accounts that have no share set and are not ahead of the service.
     void removeIdle();
     // Returns the number of accounts for which state is kept.
     std::size_t size() const { return accounts_.size(); }
@@ -42,8 +45,11 @@
         double share = 1.0;
         double time = 0.0;
         bool active = false;
+        bool configured = false; // Whether setShare was called.
     };
 
+    Account &stateOf(const AccountId &account);
+
     std::unordered_map<AccountId, Account> accounts_;
     double serviceTime_ = 0.0;
 };
