Share the starts of queued streams among accounts and classes

Cause: among equally urgent streams the queue went by age, so an account at ten times its share took ten times the slots; a stream that arrived between two ticks took a slot before queued, more urgent ones; the least urgent class had no least share; countAhead walked the queue. Change: within a class of urgency and timeliness the account with the lowest virtual time goes first (AccountOrder, VirtualTimes), also charged for streams that start without having been queued while others wait. Each class keeps a quarter of its part of the waiting streams as a least share of the starts. A new stream lets those that go before it start first. countAhead adds up sizes and estimates within a class.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -5,6 +5,7 @@
 #include "decision/dispatch/agentcore.h"
 #include "decision/dispatch/entrycore.h"
 #include "decision/expertmap/mapswitchparticipant.h"
+#include "decision/gateway/streamqueue.h"
 #include "decision/placement/balancer.h"
 #include "observe/metrics.h"
 
@@ -139,6 +140,37 @@
     return seconds / kRequests * 1e6;
 }
 
+// Returns the microseconds in which a gateway estimates the wait of a stream, queues it and starts
+// the next one, while 10,000 streams of `accounts` accounts wait.
+double streamQueueMicrosPerStream(std::uint64_t accounts)
+{
+    constexpr std::uint64_t kQueued = 10'000;
+    constexpr std::uint64_t kStreams = 20'000;
+    constexpr std::uint64_t kRoutePriorities = 3;
+    std::vector<StreamQueue::Entry> entries;
+    for (std::uint64_t number = 1; number <= kQueued + kStreams; ++number) {
+        StreamQueue::Entry entry;
+        entry.number = number;
+        entry.urgency = {1, static_cast<std::uint8_t>(number % kRoutePriorities)};
+        entry.account = AccountId(fmt::format("account-{}", number % accounts));
+        entry.cost = 100.0;
+        entries.push_back(entry);
+    }
+    StreamQueue queue;
+    const TimePoint now{};
+    for (std::uint64_t index = 0; index < kQueued; ++index) {
+        queue.add(entries[index], now);
+    }
+    const double seconds = measureSeconds([&] {
+        for (std::uint64_t index = kQueued; index < entries.size(); ++index) {
+            static_cast<void>(queue.countAhead(entries[index], now));
+            queue.add(entries[index], now);
+            queue.takeNext(now);
+        }
+    });
+    return seconds / static_cast<double>(kStreams) * 1e6;
+}
+
 // Returns the milliseconds of one balancer step with at most one move, for Zipf-distributed
 // experts.
 double balanceMillisPerStep(std::uint32_t ranks, std::uint32_t experts)
@@ -186,6 +218,8 @@
             {"entry_request_us_at_40_candidates", entryMicrosPerRequest(40)},
             {"agent_request_us_at_10_accounts", agentMicrosPerRequest(10)},
             {"agent_request_us_at_2200_accounts", agentMicrosPerRequest(2200)},
+            {"stream_queue_us_at_24_accounts", streamQueueMicrosPerStream(24)},
+            {"stream_queue_us_at_2200_accounts", streamQueueMicrosPerStream(2200)},
             {"config_diff_ms_at_2200_accounts", diffSeconds * 1e3},
             {"config_apply_ms_at_2200_accounts", applySeconds * 1e3},
             {"config_validate_ms_at_2200_accounts", validateSeconds * 1e3},
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -106,12 +106,16 @@
     }
     if (route.streamed) {
         ServiceState &service = serviceOf(added.service);
-        const auto group =
-            service.selector.selectForNew(queueEntryFor(number, added, service), groups_, now);
+        const StreamQueue::Entry entry = queueEntryFor(number, added, service);
+        if (service.queue.countAhead(entry, now) > 0) {
+            admitQueued(service, now, actions); // They take the slots that have become free.
+        }
+        const auto group = service.selector.selectForNew(entry, groups_, now);
         if (!group) {
             queueStream(number, added, now, actions);
             return number;
         }
+        service.queue.chargeDirectStart(entry);
         service.recentStarts.push_back(now);
         startOrAwaitPermit(number, added, group, now, actions);
     } else {
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -127,12 +127,18 @@
 void GatewayCore::admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
     for (auto next = service.queue.next(now); next; next = service.queue.next(now)) {
-        const auto group = service.selector.selectForNew(*next, groups_, now);
+        auto group = service.selector.selectForNew(*next, groups_, now);
+        const auto mostUrgent = service.queue.mostUrgent(now);
+        if (!group && mostUrgent->number != next->number) {
+            // A stream that is held back does not hold back more urgent ones.
+            next = mostUrgent;
+            group = service.selector.selectForNew(*next, groups_, now);
+        }
         if (!group) {
             return;
         }
         const RequestNumber number = next->number;
-        service.queue.remove(number);
+        service.queue.start(number);
         Request &request = requests_.at(number);
         request.queued = false;
         service.recentStarts.push_back(now);
