Reject queued streams without hope when more urgent ones arrive

Cause: a less urgent stream waited until it timed out although the more urgent ones that had arrived since left it no chance; its caller learned it late. Change: when a stream is queued, the last less urgent ones that can no longer start before their callers leave are rejected at once, not run, with a retry delay. The wait is judged by the start rate since the first start of the last second, so that a stall does not empty the queue. The gateway logs request.displaced with both requests and counts seamarch_displaced_requests_total. Nothing in progress is broken off.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -394,7 +394,8 @@
     } else {
         const bool regions = failure == FailureCode::NoUpstreamInRegions;
         actions.push_back(RejectRequest{number, regions ? failure : FailureCode::NoUpstream,
-                                        Outcome::NotRun, retryAfterFor(request, now)});
+                                        Outcome::NotRun, retryAfterFor(request, now),
+                                        request.displacedBy});
     }
     endRequest(number);
 }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -126,6 +126,8 @@
     FailureCode failure = FailureCode::NoUpstream;
     Outcome outcome = Outcome::NotRun;
     Duration retryAfter{}; // Zero: not stated to the caller.
+    // The more urgent stream for which the request was rejected from the queue; zero: none.
+    RequestNumber displacedBy = 0;
 };
 
 // Aborts an answer whose head was forwarded to the caller. Ends the request.
@@ -268,8 +270,9 @@
         TimePoint progressAt{};       // Last sign of progress of the current attempt, or its start.
         Duration retryAfterHint{};    // Retry delay for a rejection; zero: the default.
         bool queued = false;          // In the stream queue; no attempt is in progress.
-        TimePoint permitDeadline{};   // End of the wait for a permit; zero: not waiting.
-        InstanceId upstream;          // Of the current attempt; empty if there is none.
+        RequestNumber displacedBy = 0; // As in RejectRequest.
+        TimePoint permitDeadline{};    // End of the wait for a permit; zero: not waiting.
+        InstanceId upstream;           // Of the current attempt; empty if there is none.
         UpstreamRecord upstreamRecord; // Its record at the start of the attempt.
         GroupId group;                 // Its group at the start of the attempt.
         bool hasEvents = false;        // The current attempt has sent an event.
@@ -324,6 +327,9 @@
     Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
     void queueStream(RequestNumber number, Request &request, TimePoint now,
                      GatewayActions &actions);
+    static Duration shortestWait(const ServiceState &service, TimePoint now);
+    void displaceHopeless(ServiceState &service, const StreamQueue::Entry &arrived, TimePoint now,
+                          GatewayActions &actions);
     bool requeue(RequestNumber number, Request &request, TimePoint now);
     bool mayQueueUntilOpen(ServiceState &service, TimePoint now) const;
     void admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions);
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -63,6 +63,27 @@
         return;
     }
     service.queue.add(entry, now);
+    displaceHopeless(service, entry, now, actions);
+}
+
+// Rejects the last queued streams that are less urgent than `arrived` if they can no longer start
+// before their callers disconnect. The callers can return at a better time.
+void GatewayCore::displaceHopeless(ServiceState &service, const StreamQueue::Entry &arrived,
+                                   TimePoint now, GatewayActions &actions)
+{
+    for (auto last = service.queue.last(now); last && arrived.urgency < last->urgency;
+         last = service.queue.last(now)) {
+        Request &request = requests_.at(last->number);
+        const TimePoint latestStart =
+            std::min(request.arrivedAt + maxQueueTime(request), last->latestStart);
+        const Duration wait = expectedWait(service, *last, now);
+        if (now + wait <= latestStart || now + shortestWait(service, now) <= latestStart) {
+            return;
+        }
+        request.displacedBy = arrived.number;
+        request.retryAfterHint = std::clamp(wait, settings_.minRetryAfter, settings_.maxRetryAfter);
+        giveUp(last->number, FailureCode::NoUpstream, now, actions);
+    }
 }
 
 // Returns whether no group accepts requests but one will soon, and the queue is no longer than the
@@ -123,6 +144,18 @@
     return kWindow * (ahead + 1) / startRate;
 }
 
+// Returns how long the last queued stream waits at the start rate since the first start of the last
+// second: after a stall, the rate of the whole second is too low.
+Duration GatewayCore::shortestWait(const ServiceState &service, TimePoint now)
+{
+    if (service.recentStarts.empty()) {
+        return {};
+    }
+    const auto starts = static_cast<Duration::rep>(service.recentStarts.size());
+    const auto queued = static_cast<Duration::rep>(service.queue.size());
+    return (now - service.recentStarts.front()) * queued / starts;
+}
+
 // Starts queued streams while a group admits them.
 void GatewayCore::admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -256,10 +256,31 @@
                  {"account", active.admitted.account.value()},
                  {"ends", core_.crashes().crashCount(digest)}});
     }
+    if (action.displacedBy != 0) {
+        logDisplaced(active, action);
+    }
     refuse(active.exchange, active.metadata, action.failure, action.outcome, action.retryAfter);
     endRequest(action.request, toString(action.failure));
 }
 
+// Logs which more urgent request took the place of a queued one.
+void GatewayService::logDisplaced(const ActiveRequest &active, const RejectRequest &action)
+{
+    const auto found = activeRequests_.find(action.displacedBy);
+    const ActiveRequest *urgent = found == activeRequests_.end() ? nullptr : &found->second;
+    const Urgency urgency = urgent == nullptr ? Urgency() : urgent->admitted.urgency;
+    metrics_.count("seamarch_displaced_requests_total", active.admitted.route->name);
+    logLine(LogLevel::Info, "request.displaced",
+            {{"id", active.metadata.requestId},
+             {"accountPriority", active.admitted.urgency.account},
+             {"routePriority", active.admitted.urgency.route},
+             {"waitedMs", toMillis(loop_.now() - active.startedAt)},
+             {"retryAfterMs", toMillis(action.retryAfter)},
+             {"by", urgent == nullptr ? std::string() : urgent->metadata.requestId},
+             {"byAccountPriority", urgency.account},
+             {"byRoutePriority", urgency.route}});
+}
+
 void GatewayService::carryOut(const AbortAnswer &action)
 {
     const auto found = activeRequests_.find(action.request);
