Gateways know the demand of the others and their share of a group

Cause: each gateway guesses its share of a group of engines from pauses alone; one queues while another has unused places.

DemandTable redistributes the stated limits by max-min: what a gateway of a hall stated, or the sums of a hall. Sums keep gateways that queue apart from those that do not.

Added to the agreed header of DemandTable: siteSums, own, oldestAge, and that mergeHall under the own hall takes the sums of all halls from the first gateway.

Within the time to live after a cut each side may still count on what the other stated: that is not bounded.

--- a/src/decision/gateway/demandtable.h
+++ b/src/decision/gateway/demandtable.h
@@ -10,6 +10,10 @@
 // are redistributed. So on both sides of a cut the shares add up to at most the limits held there
 // before, and a gateway that hears from nobody has no share and keeps to its own limit.
 //
+// A gateway wants its streams and queued streams, and as many more as the number of streams of
+// independent callers varies by: the square root. Sums keep gateways that queue apart from those
+// that do not; within a sum the wants count as equal, which can only lower a share.
+//
 // Pure and single-threaded.
 #pragma once
 
@@ -60,16 +64,24 @@
     bool setOwn(const Demands &demands, TimePoint now);
     // Adds what another gateway of this hall wants as of `asOf`. Older statements are ignored.
     void mergeGateway(const InstanceId &gateway, const Demands &demands, TimePoint asOf);
-    // Adds the sums of another hall as of `asOf`.
+    // Adds the sums of another hall as of `asOf`. Under this gateway's own hall: the sums of all
+    // halls, this gateway included, from the first gateway of this hall.
     void mergeHall(const HallId &hall, const Demands &demands, TimePoint asOf);
-    // Returns the sums of this hall, this gateway included, for other halls.
+    // Returns what this gateway has stated that it wants.
+    const Demands &own() const { return own_.demands; }
+    // Returns the sums of this hall, this gateway included, for other halls. A group has up to two
+    // entries: the gateways that have queued streams, and those that have none.
     Demands hallSums(TimePoint now) const;
+    // Returns the sums of all halls, for the gateways of this hall.
+    Demands siteSums(TimePoint now) const;
     // Returns this gateway's share of a group; nullopt if no other gateway is known that wants or
     // has any of it.
     std::optional<double> shareOf(const TargetName &service, const GroupId &group,
                                   TimePoint now) const;
     // Removes what is older than its time to live.
     void expire(TimePoint now);
+    // Returns the age of the oldest statement that shares rest on; zero if there is none.
+    Duration oldestAge(TimePoint now) const;
     // Returns a counter that rises with each change that others have to hear of.
     std::uint64_t version() const { return version_; }
 
@@ -80,10 +92,19 @@
         TimePoint asOf{};
     };
 
+    bool isFresh(const Statement &statement, TimePoint now) const
+    {
+        return now - statement.asOf < settings_.timeToLive;
+    }
+    const Statement *freshSite(TimePoint now) const;
+    bool differs(const Demands &told, const Demands &present) const;
+    void updateVersion(TimePoint now);
+
     Settings settings_;
     InstanceId self_;
     HallId hall_;
     Statement own_;
+    Demands toldSums_; // The sums of all halls at the last change of the version.
     std::map<InstanceId, Statement> gateways_;
     std::map<HallId, Statement> halls_;
     std::uint64_t version_ = 1;
