Limits of streams move toward the gateway's share of a group

Cause: a limit rises only by small steps, and never falls while others queue.

At each adaptation the limit moves half of the way to the share: up while callers wait and pauses are within the target, down only while pauses are not short. GatewayCore states streams, queue and limit of each group that reports itself and has upstreams in the own hall.

--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -247,6 +247,10 @@
     double streamLimit(const TargetName &service) const;
     // Returns the tracker of one group; nullptr if no request was sent there.
     const GroupTracker *tracker(const TargetName &service, const GroupId &group) const;
+    // Returns what this gateway wants of each group of engines, ordered by service and group.
+    DemandTable::Demands demands() const;
+    // Sets this gateway's share of a group; nullopt if it is not known.
+    void setShare(const TargetName &service, const GroupId &group, std::optional<double> share);
     std::uint64_t secondAttempts() const { return secondAttempts_; }
     // Returns the upstreams that asked for a rest, with the end of the rest.
     std::map<InstanceId, TimePoint> resting(TimePoint now) const { return chooser_.resting(now); }
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -4,6 +4,7 @@
 #include "decision/gateway/gatewaycore.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace seamarch {
 namespace {
@@ -210,4 +211,26 @@
     return found->second.selector.find(group);
 }
 
+DemandTable::Demands GatewayCore::demands() const
+{
+    DemandTable::Demands all;
+    for (const auto &[name, service] : services_) {
+        const auto demands = service.selector.demands(name, service.queue.size(), groups_);
+        all.insert(all.end(), demands.begin(), demands.end());
+    }
+    std::sort(all.begin(), all.end(), [](const GroupDemand &left, const GroupDemand &right) {
+        return std::tie(left.service, left.group) < std::tie(right.service, right.group);
+    });
+    return all;
+}
+
+void GatewayCore::setShare(const TargetName &service, const GroupId &group,
+                           std::optional<double> share)
+{
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        found->second.selector.setShare(group, share);
+    }
+}
+
 } // namespace seamarch
--- a/src/decision/gateway/groupselector.cpp
+++ b/src/decision/gateway/groupselector.cpp
@@ -214,6 +214,31 @@
     return std::nullopt;
 }
 
+void GroupSelector::setShare(const GroupId &group, std::optional<double> share)
+{
+    const auto found = trackers_.find(group);
+    if (found != trackers_.end()) {
+        found->second.limiter().setShare(share);
+    }
+}
+
+DemandTable::Demands GroupSelector::demands(const TargetName &service, std::size_t waiting,
+                                            const GroupTable &table) const
+{
+    DemandTable::Demands demands;
+    for (const auto &[id, tracker] : trackers_) {
+        const auto group = groups_->find(id);
+        if (group != groups_->end() && group->second.inOwnHall && table.groups().contains(id)) {
+            demands.push_back({service, id, 1, tracker.inFlight(), 0, tracker.limiter().limit()});
+        }
+    }
+    const std::size_t groups = demands.size();
+    for (GroupDemand &demand : demands) {
+        demand.queued = static_cast<std::uint32_t>((waiting + groups - 1) / groups);
+    }
+    return demands;
+}
+
 bool GroupSelector::allRefusing(TimePoint now) const
 {
     return std::all_of(groups_->begin(), groups_->end(), [&](const auto &entry) {
--- a/src/decision/gateway/groupselector.h
+++ b/src/decision/gateway/groupselector.h
@@ -13,6 +13,7 @@
 // Pure and single-threaded.
 #pragma once
 
+#include "decision/gateway/demandtable.h"
 #include "decision/gateway/grouptable.h"
 #include "decision/gateway/grouptracker.h"
 #include "decision/gateway/hallposition.h"
@@ -75,6 +76,13 @@
 
     // Resets the limit of a group that answers after an outage, during which callers have queued.
     void resetLimit(const GroupId &group);
+    // Sets this gateway's share of a group; ignored if no stream was sent there.
+    void setShare(const GroupId &group, std::optional<double> share);
+    // Returns what this gateway wants of each group that reports itself and has upstreams in this
+    // hall. `waiting` is the number of queued streams, which are divided between the groups. A
+    // group of another hall is left to the gateways of that hall, which go first there.
+    DemandTable::Demands demands(const TargetName &service, std::size_t waiting,
+                                 const GroupTable &table) const;
     // Returns whether every group refuses.
     bool allRefusing(TimePoint now) const;
     // Returns whether no group accepts requests but one will soon: it has just started, or its
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -33,6 +33,12 @@
     limit_ = settings_.minLimit;
 }
 
+void StreamLimiter::moveTowardShare()
+{
+    limit_ = std::clamp(limit_ + settings_.shareStep * (*share_ - limit_), settings_.minLimit,
+                        settings_.maxLimit);
+}
+
 void StreamLimiter::onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now)
 {
     if (now - adaptedAt_ < settings_.adaptPeriod) {
@@ -43,11 +49,16 @@
     if (sampledInPeriod_ && maxRatio_ > settings_.decreaseAbove) {
         const double used = std::min(limit_, static_cast<double>(inFlight));
         limit_ = std::max(settings_.minLimit, used * settings_.decreaseFactor);
-    } else if (waiting > 0 && !stalled
-               && (!sampledInPeriod_ || maxRatio_ < settings_.increaseBelow)) {
-        const double step =
-            settings_.increaseStep + settings_.increasePerQueued * static_cast<double>(waiting);
-        limit_ = std::min(settings_.maxLimit, limit_ + step);
+    } else if (!stalled) {
+        const bool isShort = !sampledInPeriod_ || maxRatio_ < settings_.increaseBelow;
+        if (share_ && (*share_ > limit_ ? waiting > 0 : !isShort)) {
+            moveTowardShare();
+        }
+        if (waiting > 0 && isShort) {
+            const double step =
+                settings_.increaseStep + settings_.increasePerQueued * static_cast<double>(waiting);
+            limit_ = std::min(settings_.maxLimit, limit_ + step);
+        }
     }
     sampledInPeriod_ = false;
     maxRatio_ = 0.0;
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -50,6 +50,9 @@
         // Interval between changes of the limit: some passes, so that a change takes effect before
         // the next.
         Duration adaptPeriod = std::chrono::milliseconds(200);
+        // Fraction of the difference between the limit and this gateway's share of the group by
+        // which the limit changes at each adaptation: others learn of it half a second later.
+        double shareStep = 0.5;
     };
 
     StreamLimiter() = default;
@@ -64,6 +67,10 @@
     // Resets the limit to the initial share of `slots` among `gateways` if the limit is above that
     // or there are no samples: the engines are new, or were stalled while callers queued.
     void resetToShare(double slots, double gateways);
+    // Sets this gateway's share of the limits of all gateways, toward which the limit moves while
+    // pauses allow it; nullopt if it is not known.
+    void setShare(std::optional<double> share) { share_ = share; }
+    std::optional<double> share() const { return share_; }
     // Resets the limit to its minimum.
     void resetToMinimum();
     // Returns whether there is any sample; until then the limit is a guess.
@@ -82,8 +89,11 @@
     double limit() const { return limit_; }
 
 private:
+    void moveTowardShare();
+
     Settings settings_;
     double limit_ = Settings().initialLimit;
+    std::optional<double> share_;
     double maxRatio_ = 0.0; // Longest pause of this period, as a ratio of its gap target.
     bool sampledInPeriod_ = false;
     std::optional<TimePoint> sampledAt_; // Time of the last sample.
