Polls between gateways carry statements of demand

The field `demand` is at the end of the polls and of their answers, and is absent without a statement, so that such a message is no longer than before.

--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -20,6 +20,8 @@
 // gateways appear within a second.
 constexpr Duration kStartupPeriod = std::chrono::seconds(3);
 constexpr Duration kStartupGatewayListInterval = std::chrono::milliseconds(800);
+// The ordinal of `exchange` in wire::GatewayPeer.
+constexpr std::uint16_t kExchangeMethod = 0;
 // Sent as the own version to request no configuration: no configuration is newer than this one.
 constexpr std::uint64_t kNewerThanAnyConfig = std::numeric_limits<std::uint64_t>::max();
 // A connection is closed after it was not used for this long.
@@ -44,7 +46,9 @@
     {
         const auto params = context.getParams();
         const TimePoint receivedAt = peers_.loop_.now();
-        peers_.directory_.recordSeen(readGateway(params.getSelf()), receivedAt);
+        const GatewayRecord poller = readGateway(params.getSelf());
+        peers_.directory_.recordSeen(poller, receivedAt);
+        peers_.applyDemand(poller, params);
         const PollRequest pollRequest{ConfigVersion(params.getConfigVersion()),
                                       params.getUpstreamsMark(),
                                       params.getTakesChanges(),
@@ -55,8 +59,8 @@
                                       params.getWantsLimits(),
                                       params.getLimitsMark()};
         const Duration wait = std::min(Duration(params.getWaitMicros()), kMaxPollWait);
-        auto answer = [this, context, pollRequest, receivedAt]() mutable {
-            peers_.writeNews(context.getResults().initNews(), pollRequest,
+        auto answer = [this, context, pollRequest, poller, receivedAt]() mutable {
+            peers_.writeNews(peers_.initNews(context.getResults(), poller), pollRequest,
                              peers_.loop_.now() - receivedAt);
         };
         if (wait <= Duration{} || peers_.hasNewsFor(pollRequest)) {
@@ -93,6 +97,7 @@
     , crashes_(gossip.crashes)
     , limits_(gossip.limits)
     , permitIssuer_(gossip.permitIssuer)
+    , demand_(gossip.demand)
     , store_(store)
     , directory_(directory)
     , onStateReceived_(std::move(onStateReceived))
@@ -176,7 +181,9 @@
     const bool withGatewayList = list == ListRequest::Always || isGatewayListDue(link, now);
     gatewayListRequestedAt_ = withGatewayList ? now : gatewayListRequestedAt_;
     link.polling = true;
-    auto request = link.rpc->capability().castAs<wire::GatewayPeer>().exchangeRequest();
+    auto message = link.rpc->capability().typelessRequest(capnp::typeId<wire::GatewayPeer>(),
+                                                          kExchangeMethod, nullptr);
+    auto request = initPoll(message, link);
     writeGateway(directory_.self(), Duration{}, request.initSelf());
     const bool configDeferred = now < configNotBefore_;
     if (configDeferred) {
@@ -202,11 +209,10 @@
             onFailed(address);
         }
     });
-    tasks_.add(request.send().then(
-        [this, address, now,
-         finished](capnp::Response<wire::GatewayPeer::ExchangeResults> &&answer) {
+    tasks_.add(message.send().then(
+        [this, address, now, finished](capnp::Response<capnp::AnyPointer> &&answer) {
             if (!std::exchange(*finished, true)) {
-                onNews(address, now, answer.getNews());
+                onNews(address, now, answer.getAs<wire::GatewayPeer::ExchangeResults>().getNews());
             }
         },
         [this, address, finished](kj::Exception && /*exception*/) {
@@ -223,6 +229,9 @@
     link.notBefore = loop_.now() + detail::kPeerRetryDelay;
     gatewayListRequestedAt_ = {};
     if (link.id != InstanceId()) {
+        if (demand_ != nullptr) {
+            demand_->onFailed(link.id);
+        }
         directory_.onFailed(link.id, loop_.now());
         logLine(LogLevel::Info, "gateway.unanswered", {{"gateway", link.id.value()}});
     }
@@ -243,6 +252,7 @@
     applyGroups(link, sentAt, news);
     applyCrashes(link, sentAt, news);
     applyLimits(link, sentAt, news);
+    applyDemand(link, sentAt, news);
     if (!news.getKnown()) {
         lastUnconfiguredAnswerAt_ = now;
     }
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -123,6 +123,12 @@
     void applyGroups(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
     void applyCrashes(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
     void applyLimits(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
+    wire::GatewayPeer::ExchangeParams::Builder
+    initPoll(capnp::Request<capnp::AnyPointer, capnp::AnyPointer> &request, const Link &link);
+    wire::GatewayNews::Builder initNews(wire::GatewayPeer::ExchangeResults::Builder results,
+                                        const GatewayRecord &poller);
+    void applyDemand(const GatewayRecord &from, wire::GatewayPeer::ExchangeParams::Reader params);
+    void applyDemand(const Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
     PermitGrant grantPermits(wire::GatewayPeer::PermitsParams::Reader permitRequest);
     void onHasNews(const GatewayRecord &from);
     // Counts the changes to crashes and limits that this gateway observed itself.
@@ -161,6 +167,7 @@
     CrashRecord &crashes_;
     UpstreamLimits &limits_;
     PermitIssuer &permitIssuer_;
+    DemandExchange *demand_; // Null if gateways do not tell each other demand.
     const StoreProtocol &store_;
     GatewayDirectory &directory_;
     StateReceived onStateReceived_;
--- a/src/gateway/gatewaywire.h
+++ b/src/gateway/gatewaywire.h
@@ -9,9 +9,12 @@
 #include "gateway/gatewaystoreview.h"
 #include "wire/seamarch.capnp.h"
 
+#include <algorithm>
+#include <capnp/any.h>
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +43,45 @@
 void writeLimit(const LimitReport &report, TimePoint now, wire::UpstreamLimit::Builder to);
 LimitReport readLimit(wire::UpstreamLimit::Reader from, TimePoint writtenAt);
 
+// The position of the field `demand` among the pointers of a message.
+template <typename Message>
+inline constexpr std::uint16_t kDemandPointer = 0;
+template <>
+inline constexpr std::uint16_t kDemandPointer<wire::GatewayPeer::ExchangeParams> = 1;
+template <>
+inline constexpr std::uint16_t kDemandPointer<wire::GatewayNews> = 9;
+
+// Initializes a message, with the field `demand` only if `statement` is not empty.
+template <typename Message>
+typename Message::Builder initWithDemand(capnp::AnyPointer::Builder to,
+                                         const std::vector<std::uint8_t> &statement)
+{
+    using Layout = typename Message::_capnpPrivate;
+    constexpr std::uint16_t index = kDemandPointer<Message>;
+    const std::uint16_t pointers = statement.empty()
+                                       ? Layout::pointerCount
+                                       : std::max<std::uint16_t>(Layout::pointerCount, index + 1);
+    auto message = to.initAsAnyStruct(Layout::dataWordSize, pointers);
+    if (!statement.empty()) {
+        message.getPointerSection()[index].template setAs<capnp::Data>(
+            kj::arrayPtr(statement.data(), statement.size()));
+    }
+    return message.template as<Message>();
+}
+
+// Returns the field `demand` of a message; empty if it has none.
+template <typename MessageReader>
+std::span<const std::uint8_t> readDemand(const MessageReader &message)
+{
+    const auto pointers = capnp::AnyStruct::Reader(message).getPointerSection();
+    constexpr std::uint16_t index = kDemandPointer<capnp::FromReader<MessageReader>>;
+    if (index >= pointers.size()) {
+        return {};
+    }
+    const auto bytes = pointers[index].template getAs<capnp::Data>();
+    return {bytes.begin(), bytes.size()};
+}
+
 // Compresses a text with zlib. Configurations are sent compressed, because one with many routes is
 // large and repetitive, and one gateway sends it over its link to all gateways of a hall.
 std::vector<std::uint8_t> compressText(std::string_view text);
--- a/src/gateway/statesynchronizer.cpp
+++ b/src/gateway/statesynchronizer.cpp
@@ -244,6 +244,7 @@
     } else {
         followStore(false, "another gateway of the hall follows the store");
     }
+    shareDemand(followsSelf && !isDiscovering(now), now);
     pollPeers(followed, now);
     peers_->tick();
 }
@@ -332,6 +333,24 @@
     }
 }
 
+// Polls the first gateways of other halls for demand; within a hall it comes with the polls of the
+// first gateway.
+void StateSynchronizer::shareDemand(bool isFirst, TimePoint now)
+{
+    if (gossip_.demand == nullptr) {
+        return;
+    }
+    gossip_.demand->setPosition(isFirst, directory_.hallPosition().gateways);
+    gossip_.demand->expire(now);
+    for (const HallId &hall : directory_.peerHalls()) {
+        const auto first =
+            hall == settings_.hall ? std::nullopt : directory_.storeFollowerOf(hall, now);
+        if (first && gossip_.demand->isHallPollDue({*first, hall}, now)) {
+            pollGateway(first, Duration{});
+        }
+    }
+}
+
 // Polls the seeds in round-robin order. A seed that restarts while no other seed is running has
 // no gateway to learn from, and learns of a gateway when that gateway polls it.
 void StateSynchronizer::pollNextSeed()
--- a/src/gateway/statesynchronizer.h
+++ b/src/gateway/statesynchronizer.h
@@ -85,6 +85,7 @@
     std::optional<InstanceId> nextRemoteGateway(TimePoint now);
     void pollOtherHalls(TimePoint now);
     void pollNextSeed();
+    void shareDemand(bool isFirst, TimePoint now);
     void pollGateway(const std::optional<InstanceId> &id, Duration longPollWait,
                      GatewayPeers::ListRequest list = GatewayPeers::ListRequest::IfDue);
     void followStore(bool follow, std::string_view reason);
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -304,6 +304,7 @@
                              # last known to be alive, ordered by id, in units of 50 ms.
   upstreamsSince @20 :UInt64;          # Base state of `upstreams`; zero: it is the whole list.
   removedUpstreams @21 :List(Text);    # Ids removed from the list since that state.
+  demand @22 :Data;          # A statement of demand (demandmessage.h); absent if it is as before.
 }
 
 # Served by each gateway to the other gateways.
@@ -312,7 +313,8 @@
   # or after `waitMicros`. `takesChanges`: the caller accepts a delta of the list of upstreams.
   exchange @0 (self :GatewayRecord, configVersion :UInt64, upstreamsMark :UInt64,
                wantsGateways :Bool, waitMicros :Int64, groupsMark :UInt64, crashCursor :UInt64,
-               wantsLimits :Bool, limitsMark :UInt64, gatewaysMark :UInt64, takesChanges :Bool)
+               wantsLimits :Bool, limitsMark :UInt64, gatewaysMark :UInt64, takesChanges :Bool,
+               demand :Data)
       -> (news :GatewayNews);
   # Notifies the callee of urgent news; the callee calls `exchange` on the caller at once.
   hasNews @1 (self :GatewayRecord) -> ();
