--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -69,6 +69,9 @@
                              there.
   --agent-port N             Port of the agents, which run at the addresses of their model
                              engines; without it the gateway has no information on groups.
+  --demand-exchange MODE     on: gateways tell each other the demand for groups of engines and
+                             share their streams by it; off: each gateway keeps to what it
+                             observes (default on).
   --crash-memory-s N         How long the gateway keeps the record that an upstream ended
                              while it ran a request (default 3600; 0 disables the record).
   --key-life-ms N            Maximum time for which a key is accepted after the store
@@ -175,7 +178,18 @@
     return timings;
 }
 
-GatewaySettings readGateway(SettingsReader &reader)
+// Reads a setting that is on or off.
+bool readSwitch(SettingsReader &reader, const std::string &name, bool fallback,
+                std::vector<SettingFault> &faults)
+{
+    const std::string value = reader.text(name, fallback ? "on" : "off");
+    if (value != "on" && value != "off") {
+        faults.push_back({name, fmt::format("expected on or off, found '{}'", value)});
+    }
+    return value == "on";
+}
+
+GatewaySettings readGateway(SettingsReader &reader, std::vector<SettingFault> &faults)
 {
     constexpr double kMaxCrashRetentionSeconds = 24.0 * 3600;
     GatewaySettings settings;
@@ -204,6 +218,8 @@
         constexpr std::uint64_t kMaxPort = 65'535;
         settings.agentPort = static_cast<int>(reader.integer("agent-port", 1, kMaxPort, 1));
     }
+    settings.demandExchange =
+        readSwitch(reader, "demand-exchange", settings.demandExchange, faults);
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
     settings.crashRetention = fromSeconds(reader.number(
         "crash-memory-s", 0.0, kMaxCrashRetentionSeconds, toSeconds(settings.crashRetention)));
@@ -282,13 +298,13 @@
     const char *environmentPath = std::getenv("SEAMARCH_CONFIG");
     options.settingsFile =
         flagValue("config").value_or(environmentPath == nullptr ? "" : environmentPath);
-    std::vector<SettingFault> fileFaults;
-    SettingsReader reader(flagValue, readSettingsFile(options.settingsFile, fileFaults));
+    std::vector<SettingFault> moreFaults;
+    SettingsReader reader(flagValue, readSettingsFile(options.settingsFile, moreFaults));
     options.checkOnly = parsed.at("--check-settings").asBool();
     if (parsed.at("entry").asBool()) {
         options.entry = readEntry(reader);
     } else if (parsed.at("gateway").asBool()) {
-        options.gateway = readGateway(reader);
+        options.gateway = readGateway(reader, moreFaults);
     } else if (parsed.at("expertagent").asBool()) {
         options.expertAgent = readExpertAgent(reader);
     } else {
@@ -296,7 +312,7 @@
     }
     const std::string level = reader.text("log-level", "info");
     options.faults = reader.faults();
-    options.faults.insert(options.faults.end(), fileFaults.begin(), fileFaults.end());
+    options.faults.insert(options.faults.end(), moreFaults.begin(), moreFaults.end());
     if (!parseLogLevel(level, options.logLevel)) {
         options.faults.push_back(
             {"log-level",
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -93,9 +93,14 @@
         }
         metricsServer_ = std::move(*metrics);
     }
+    if (settings_.demandExchange && settings_.peerListen && settings_.agentPort) {
+        demand_ =
+            std::make_unique<DemandSharing>(core_, metrics_, settings_.instance, settings_.hall);
+    }
     auto synchronizer = StateSynchronizer::create(
         loop_, *client_, store_, storeView_,
-        {core_.groups(), core_.crashes(), core_.limits(), core_.permitIssuer(), core_.warmUps()},
+        {core_.groups(), core_.crashes(), core_.limits(), core_.permitIssuer(), core_.warmUps(),
+         demand_ ? &demand_->exchange() : nullptr},
         {settings_.instance, settings_.hall, settings_.peerListen, settings_.seeds,
          settings_.agentPort, settings_.timings.storeCoalesceDelay});
     if (!synchronizer) {
@@ -308,6 +313,9 @@
     GatewayActions actions;
     core_.setGatewayCount(synchronizer_->gateways() + 1);
     core_.setHallPosition(synchronizer_->hallPosition());
+    if (demand_) {
+        demand_->tick(loop_.now());
+    }
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
     synchronizer_->tick();
@@ -401,6 +409,7 @@
             {"groups", core_.groups().groups().size()},
             {"restingUpstreams", restingStatus()},
             {"limitedUpstreams", limitedStatus()},
+            {"demandShares", demand_ ? demand_->status(loop_.now()) : json()},
             {"requestsThatEndUpstreams", suspectsStatus()}};
 }
 
@@ -411,10 +420,11 @@
         || settings.regions != settings_.regions || settings.listen != settings_.listen
         || settings.operatorListen != settings_.operatorListen
         || settings.metricsListen != settings_.metricsListen || settings.store != settings_.store
-        || settings.peerListen != settings_.peerListen || settings.agentPort != settings_.agentPort;
+        || settings.peerListen != settings_.peerListen || settings.agentPort != settings_.agentPort
+        || settings.demandExchange != settings_.demandExchange;
     if (fixedChanged) {
         logLine(LogLevel::Warning, "settings.need_restart",
-                {{"message", "names and addresses change at the next start"}});
+                {{"message", "names, addresses and demand-exchange change at the next start"}});
     }
     storeView_.setFreshness(settings.timings.freshness);
     settings_.timings = settings.timings;
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -12,6 +12,7 @@
 #include "decision/gateway/eventsplitter.h"
 #include "decision/gateway/gatewaycore.h"
 #include "gateway/callerprotocol.h"
+#include "gateway/demandsharing.h"
 #include "gateway/gatewaybounds.h"
 #include "gateway/gatewaystoreview.h"
 #include "gateway/startuprequestqueue.h"
@@ -45,6 +46,7 @@
     std::optional<SocketAddress> peerListen; // For other gateways; if empty, each polls the store.
     std::vector<SocketAddress> seeds;        // Some of the other gateways, for discovery.
     std::optional<int> agentPort; // The port of the agents, which run at the engines' addresses.
+    bool demandExchange = true;   // Gateways tell each other the demand for groups of engines.
     std::size_t maxAccountSeries = 300; // The number of accounts with metric series of their own.
     // How long the record is kept that an upstream ended under a request; zero disables it.
     Duration crashRetention = CrashRecord::Settings().retention;
@@ -171,6 +173,7 @@
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<OperatorServer> operators_;
     std::unique_ptr<OperatorServer> metricsServer_;
+    std::unique_ptr<DemandSharing> demand_; // Null if gateways do not tell each other demand.
     std::unique_ptr<StateSynchronizer> synchronizer_;
     StartupRequestQueue startupQueue_;
     std::unordered_map<RequestNumber, ActiveRequest> activeRequests_;
