Reject streams that cannot be served; let callers wait out an outage

In an outage all callers were rejected at once, also those that had come back already and do not come a third time. Change: a stream has a latest start by the observed times of the service; it is rejected at arrival or at the tick in which it can no longer be served. While no group accepts requests only probes are sent; callers wait where the outage will probably end in time, others are told when to return.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -10,6 +10,10 @@
 // A request fails this long before its deadline, so that the rejection still reaches the caller.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
 
+// Samples older than this say nothing about the present pace. A gateway whose estimates reject all
+// streams gets no samples, and tries again after this time.
+constexpr Duration kSampleTimeToLive = std::chrono::seconds(1);
+
 UpstreamChooser::Settings chooserSettings(const GatewayCore::Settings &settings)
 {
     UpstreamChooser::Settings chooser = settings.chooser;
@@ -105,6 +109,9 @@
         return number;
     }
     if (route.streamed) {
+        if (rejectIfHopeless(number, added, now, actions)) {
+            return number;
+        }
         ServiceState &service = serviceOf(added.service);
         const auto group =
             service.selector.selectForNew(queueEntryFor(number, added, service), groups_, now);
@@ -112,7 +119,7 @@
             queueStream(number, added, now, actions);
             return number;
         }
-        service.recentStarts.push_back(now);
+        service.availability.onStart(now);
         startOrAwaitPermit(number, added, group, now, actions);
     } else {
         startOrAwaitPermit(number, added, std::nullopt, now, actions);
@@ -202,7 +209,8 @@
         trackerOf(request).onStreamStart(now);
     }
     actions.push_back(StartAttempt{number, request.attempts + request.connectFailures, upstream,
-                                   request.group, request.failAt - now, mayRepeat(request)});
+                                   request.group, request.failAt - now, mayRepeat(request),
+                                   isReturn(request)});
     return true;
 }
 
@@ -298,7 +306,7 @@
     }
     actions.push_back(CancelAttempt{number, false});
     detachUpstream(*request);
-    if (kind == AnswerKind::Full && requeue(number, *request, now)) {
+    if (kind == AnswerKind::Full && requeue(number, *request, now, actions)) {
         return false;
     }
     if (provesNotRun(kind) || mayRepeat(*request)) {
@@ -324,6 +332,9 @@
     detachUpstream(*request);
     if (end == AttemptEnd::Complete && attemptHasHead) {
         crashes_.onRequestCompleted(request->request.digest, now);
+        if (request->events > 0) {
+            serviceOf(request->service).times.onComplete(request->request.size, request->events);
+        }
         endRequest(number);
         return;
     }
@@ -390,22 +401,12 @@
     } else {
         const bool regions = failure == FailureCode::NoUpstreamInRegions;
         actions.push_back(RejectRequest{number, regions ? failure : FailureCode::NoUpstream,
-                                        Outcome::NotRun, retryAfterFor(request, now)});
+                                        Outcome::NotRun, retryAfterFor(request, now),
+                                        request.rejection, isReturn(request)});
     }
     endRequest(number);
 }
 
-// Returns the retry delay for a rejected caller. It is no shorter than the time until an upstream
-// ends its rest or permits are available again.
-Duration GatewayCore::retryAfterFor(const Request &request, TimePoint now)
-{
-    const Duration wait =
-        request.retryAfterHint > Duration{} ? request.retryAfterHint : settings_.retryAfter;
-    const TimePoint restsUntil = chooser_.earliestRestEnd(request.service, now).value_or(now);
-    const TimePoint permitsFrom = chooser_.earliestPermitAt(request.service, now).value_or(now);
-    return std::max({wait, restsUntil - now, permitsFrom - now});
-}
-
 void GatewayCore::onCallerGone(RequestNumber number, GatewayActions &actions)
 {
     Request *request = find(number);
@@ -509,41 +510,43 @@
     }
 }
 
-void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
+// Fails the requests whose time is over.
+void GatewayCore::failExpired(TimePoint now, GatewayActions &actions)
 {
-    upstreams_.expire(now);
-    groups_.expire(now);
-    chooser_.expire(now);
-    crashes_.expire(now);
-    limits_.expire(now);
-    permits_.expire(now);
-    permitIssuer_.expire(now);
-    servePermitWaiters(now, actions);
-    giveUpSuspects(now, actions);
     std::vector<RequestNumber> expired;
     for (const auto &[number, request] : requests_) {
-        const bool queueTimedOut =
-            request.queued && now - request.arrivedAt >= maxQueueTime(request);
-        if (now >= request.failAt || queueTimedOut) {
+        if (now >= request.failAt) {
             expired.push_back(number);
         }
     }
     std::sort(expired.begin(), expired.end());
     for (const RequestNumber number : expired) {
         Request &request = requests_.at(number);
-        if (request.queued) {
-            const bool serviceOut = serviceOf(request.service).selector.allRefusing(now);
-            request.retryAfterHint =
-                serviceOut ? maxHonouredRetryAfter(request, now) : settings_.minRetryAfter;
-        }
         // The current attempt may have been written.
         request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
         giveUp(number, FailureCode::UpstreamTimedOut, now, actions);
     }
+}
+
+void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
+{
+    upstreams_.expire(now);
+    groups_.expire(now);
+    chooser_.expire(now);
+    crashes_.expire(now);
+    limits_.expire(now);
+    permits_.expire(now);
+    permitIssuer_.expire(now);
+    servePermitWaiters(now, actions);
+    giveUpSuspects(now, actions);
+    failExpired(now, actions);
+    rejectQueued(now, actions);
     failOverSilent(now, actions);
     for (auto &[name, service] : services_) {
         ServiceState &current = serviceOf(name);
         current.selector.onTick(current.queue.size(), groups_, now);
+        current.availability.onState(current.selector, groups_, now);
+        current.timesFresh = now - current.timesSampledAt < kSampleTimeToLive;
         admitQueued(current, now, actions);
     }
 }
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -1,21 +1,14 @@
-// The part of GatewayCore that admits streams: selects the group for a stream, limits its time in
-// the queue and starts queued streams.
+// The part of GatewayCore that admits streams: selects the group for a stream, queues it and starts
+// queued streams.
 #include "decision/fairness/requestcost.h"
 #include "decision/gateway/gatewaycore.h"
 
 #include <algorithm>
 
 namespace seamarch {
-namespace {
-
-// A request that is younger than this counts as a first try: the deadline that a caller states may
-// be shorter than its configured one by the time that connecting took.
-constexpr Duration kMinRetryAge = std::chrono::milliseconds(200);
-
-} // namespace
 
 StreamQueue::Entry GatewayCore::queueEntryFor(RequestNumber number, const Request &request,
-                                              const ServiceState &service)
+                                              const ServiceState &service) const
 {
     const Duration latencyTarget = request.request.route->latencyTarget;
     StreamQueue::Entry entry;
@@ -24,40 +17,28 @@
     entry.account = request.request.account;
     entry.cost =
         static_cast<double>(requestCost(request.request.size.prompt, request.request.size.answer));
-    entry.isRetry = request.arrivedAt - request.firstSentAt >= kMinRetryAge;
+    entry.isRetry = isReturn(request);
     // Without a latency target a later start is no worse until the request fails.
-    entry.startDeadline = latencyTarget > Duration{}
-                              ? request.firstSentAt + latencyTarget - service.meanTimeToFirstEvent
-                              : request.failAt;
+    entry.startDeadline = latencyTarget > Duration{} ? request.firstSentAt + latencyTarget
+                                                           - service.times.timeToFirstEvent()
+                                                     : request.failAt;
+    entry.latestStart = latestStart(request, service);
     return entry;
 }
 
-// Returns how long a stream may be queued; its caller disconnects shortly after that.
-Duration GatewayCore::maxQueueTime(const Request &request) const
-{
-    return request.request.route->silenceTimeout - settings_.queueTimeoutMargin;
-}
-
-// Returns the longest retry delay that the caller honours.
-Duration GatewayCore::maxHonouredRetryAfter(const Request &request, TimePoint now) const
-{
-    const Duration left = request.arrivedAt + request.request.deadline - now;
-    return std::max(settings_.minRetryAfter, left / settings_.maxRetryAfterDivisor);
-}
-
 // Queues a stream, or rejects it at once if the expected wait is too long.
 void GatewayCore::queueStream(RequestNumber number, Request &request, TimePoint now,
                               GatewayActions &actions)
 {
+    if (planInOutage(number, request, now, actions)) {
+        return;
+    }
     ServiceState &service = serviceOf(request.service);
     const StreamQueue::Entry entry = queueEntryFor(number, request, service);
     request.queued = true;
-    if (mayQueueUntilOpen(service, now)) {
-        service.queue.add(entry, now);
-        return;
-    }
     const Duration wait = expectedWait(service, entry, now);
-    if (wait * settings_.waitSafetyFactor > maxQueueTime(request)) {
+    if (wait * settings_.waitSafetyFactor > entry.latestStart - now) {
+        request.rejection = StreamRejection::QueueSlow;
         request.retryAfterHint = std::clamp(wait, settings_.minRetryAfter, settings_.maxRetryAfter);
         giveUp(number, FailureCode::NoUpstream, now, actions);
         return;
@@ -65,41 +46,10 @@
     service.queue.add(entry, now);
 }
 
-// Returns whether no group accepts requests but one will soon, and the queue is no longer than the
-// number of streams that can start then.
-bool GatewayCore::mayQueueUntilOpen(ServiceState &service, TimePoint now) const
-{
-    constexpr double kQueuedPerSlot = 2.0; // A slot is free again after a second or two.
-    double slots = 0.0;
-    for (const auto &[group, tracker] : service.selector.all()) {
-        slots += tracker.limiter().limit();
-    }
-    return service.selector.opensSoon(groups_, now)
-           && static_cast<double>(service.queue.size()) < kQueuedPerSlot * slots;
-}
-
-// Queues a stream that an upstream refused because its group does not accept requests yet. Returns
-// false if the stream may not be queued.
-bool GatewayCore::requeue(RequestNumber number, Request &request, TimePoint now)
-{
-    ServiceState &service = serviceOf(request.service);
-    const bool mayRequeue = request.request.route->streamed && !request.headSent
-                            && !request.mayHaveRun && mayBeSent(request, now);
-    if (!mayRequeue || !mayQueueUntilOpen(service, now)) {
-        return false;
-    }
-    request.queued = true;
-    request.refusedBefore = true;
-    request.tried.clear();
-    request.attempts = 0; // No attempt has run.
-    service.queue.add(queueEntryFor(number, request, service), now);
-    return true;
-}
-
 // Returns the state of a service with its groups brought up to date; adds it if there is none.
 GatewayCore::ServiceState &GatewayCore::serviceOf(const TargetName &service)
 {
-    ServiceState &state = services_.try_emplace(service, settings_.selector).first->second;
+    ServiceState &state = services_.try_emplace(service, settings_).first->second;
     state.selector.setGroups(chooser_.groupsOf(service), {gateways_, hallPosition_});
     return state;
 }
@@ -109,20 +59,6 @@
     return serviceOf(request.service).selector.tracker(request.group);
 }
 
-// Returns how long a stream would be queued at the start rate of the last second.
-Duration GatewayCore::expectedWait(ServiceState &service, const StreamQueue::Entry &entry,
-                                   TimePoint now)
-{
-    constexpr Duration kWindow = std::chrono::seconds(1);
-    while (!service.recentStarts.empty() && now - service.recentStarts.front() > kWindow) {
-        service.recentStarts.pop_front();
-    }
-    const auto ahead = static_cast<Duration::rep>(service.queue.countAhead(entry, now));
-    const auto startRate =
-        static_cast<Duration::rep>(std::max<std::size_t>(1, service.recentStarts.size()));
-    return kWindow * (ahead + 1) / startRate;
-}
-
 // Starts queued streams while a group admits them.
 void GatewayCore::admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
@@ -135,7 +71,7 @@
         service.queue.remove(number);
         Request &request = requests_.at(number);
         request.queued = false;
-        service.recentStarts.push_back(now);
+        service.availability.onStart(now);
         const bool allowed = !request.refusedBefore || budgets_.at(request.service).tryAcquire();
         if (allowed) {
             startOrAwaitPermit(number, request, group, now, actions);
@@ -145,32 +81,6 @@
     }
 }
 
-void GatewayCore::onFirstEvent(RequestNumber number, TimePoint now)
-{
-    constexpr int kHistoryWeight = 8; // Weight of the previous average; a new sample has weight 1.
-    Request *request = find(number);
-    if (request == nullptr || request->upstream == InstanceId() || request->hasEvents) {
-        return;
-    }
-    request->hasEvents = true;
-    request->progressAt = now;
-    trackerOf(*request).onFirstEvent(now);
-    Duration &average = serviceOf(request->service).meanTimeToFirstEvent;
-    const Duration time = now - request->attemptStartedAt;
-    average =
-        average == Duration{} ? time : (average * (kHistoryWeight - 1) + time) / kHistoryWeight;
-}
-
-void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
-{
-    Request *request = find(number);
-    if (request != nullptr && request->upstream != InstanceId()) {
-        request->progressAt = now;
-        const Duration gapTarget = request->request.route->gapTarget;
-        trackerOf(*request).onPause(pause, gapTarget, now);
-    }
-}
-
 std::size_t GatewayCore::queuedStreams(const TargetName &service) const
 {
     const auto found = services_.find(service);
--- a/src/decision/gateway/groupselector.cpp
+++ b/src/decision/gateway/groupselector.cpp
@@ -159,7 +159,8 @@
     if (all.empty()) {
         return GroupId(); // No upstream at all; sending the request will fail.
     }
-    const bool opening = opensSoon(table, now);
+    // While no group accepts requests, only probes are sent.
+    const bool opening = opensSoon(table, now) || all.front().fault == Fault::Refusing;
     if (opening || (all.front().fault == Fault::None && all.back().fault != Fault::None)) {
         auto probe = selectForProbe(all, table, now);
         if (opening || probe) {
