Average pauses over the time of a stream

Cause: the pace of a stream came from the last two passes, so that half a second of long passes after a shift of demand made callers with enough time left count as hopeless. Change: the mean of the pauses of 100 ms is one sample. The retry delay of a stream goes by its caller's deadline, not by the route's timeout.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -10,10 +10,6 @@
 // A request fails this long before its deadline, so that the rejection still reaches the caller.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
 
-// Samples older than this say nothing about the present pace. A gateway whose estimates reject all
-// streams gets no samples, and tries again after this time.
-constexpr Duration kSampleTimeToLive = std::chrono::seconds(1);
-
 UpstreamChooser::Settings chooserSettings(const GatewayCore::Settings &settings)
 {
     UpstreamChooser::Settings chooser = settings.chooser;
@@ -546,7 +542,7 @@
         ServiceState &current = serviceOf(name);
         current.selector.onTick(current.queue.size(), groups_, now);
         current.availability.onState(current.selector, groups_, now);
-        current.timesFresh = now - current.timesSampledAt < kSampleTimeToLive;
+        updateTimes(current, now);
         admitQueued(current, now, actions);
     }
 }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -326,6 +326,9 @@
         ServiceAvailability availability;
         StreamQueue queue;
         StreamTimes times;
+        Duration pauseSum{}; // Of the pauses since the last sample of `times`.
+        int pauseCount = 0;
+        TimePoint pausesAveragedAt{};
         TimePoint timesSampledAt{}; // Time of the last sample of `times`.
         bool timesFresh = false;    // The samples are recent enough to decide by them.
         ReturnPlan returns;
@@ -367,6 +370,7 @@
     StreamRejection rejectionOf(const StreamQueue::Entry &entry, const Request &request,
                                 ServiceState &service, bool checkWait, TimePoint now);
     void failExpired(TimePoint now, GatewayActions &actions);
+    static void updateTimes(ServiceState &service, TimePoint now);
     void rejectQueued(TimePoint now, GatewayActions &actions);
     static Duration callerTimeLeft(const Request &request, TimePoint now);
     Duration maxHonouredRetryAfter(const Request &request, TimePoint now) const;
--- a/src/decision/gateway/gatewaycorereturns.cpp
+++ b/src/decision/gateway/gatewaycorereturns.cpp
@@ -12,6 +12,13 @@
 // be shorter than its configured one by the time that connecting took.
 constexpr Duration kMinRetryAge = std::chrono::milliseconds(200);
 
+// Samples older than this say nothing about the present pace. A gateway whose estimates reject all
+// streams gets no samples, and tries again after this time.
+constexpr Duration kSampleTimeToLive = std::chrono::seconds(1);
+
+// The pauses of this time make up one sample: all streams have about the same in each pass.
+constexpr Duration kPauseSampleInterval = std::chrono::milliseconds(100);
+
 // Interval of the checks whether queued streams will still start in time.
 constexpr Duration kWaitCheckInterval = std::chrono::milliseconds(100);
 
@@ -80,7 +87,7 @@
         if (!request.returnPlanned && acceptsNone(service, now)) {
             mayAwaitGroup(request, false, now);
         }
-        const Duration useful = request.failAt - now - service.times.duration(request.request.size);
+        const Duration useful = callerTimeLeft(request, now) - service.times.duration(request.request.size);
         if (useful < settings_.minRetryAfter
             || (request.returnPlanned && request.retryAfterHint == Duration{})) {
             return {};
@@ -238,6 +245,18 @@
     }
 }
 
+// Takes the mean of the last pauses as a sample, and checks the age of the samples.
+void GatewayCore::updateTimes(ServiceState &service, TimePoint now)
+{
+    if (service.pauseCount > 0 && now - service.pausesAveragedAt >= kPauseSampleInterval) {
+        service.times.onPause(service.pauseSum / service.pauseCount);
+        service.pauseSum = {};
+        service.pauseCount = 0;
+        service.pausesAveragedAt = now;
+    }
+    service.timesFresh = now - service.timesSampledAt < kSampleTimeToLive;
+}
+
 void GatewayCore::onFirstEvent(RequestNumber number, TimePoint now)
 {
     Request *request = find(number);
@@ -263,7 +282,8 @@
     request->progressAt = now;
     trackerOf(*request).onPause(pause, request->request.route->gapTarget, now);
     ServiceState &service = serviceOf(request->service);
-    service.times.onPause(pause);
+    service.pauseSum += pause;
+    ++service.pauseCount;
     service.timesSampledAt = now;
 }
 
--- a/src/decision/gateway/streamtimes.cpp
+++ b/src/decision/gateway/streamtimes.cpp
@@ -5,9 +5,9 @@
 namespace seamarch {
 namespace {
 
-// Pauses are averaged over more samples than other times: all streams of a gateway have one in
-// each pass.
-constexpr int kPauseHistoryFactor = 8;
+// Pauses are averaged over more samples than other times: a stream has many of them, and its
+// duration follows from their mean over its whole time.
+constexpr int kPauseHistoryFactor = 2;
 
 template <typename Value>
 Value average(Value previous, Value sample, int historyWeight)
