Count the streams ahead of a queued one by the older ones of its account

Change: accounts keep their waiting streams in a set that tells ranks; waits are checked after the starts, by the more favourable of two start rates.

--- a/src/decision/fairness/accountorder.cpp
+++ b/src/decision/fairness/accountorder.cpp
@@ -21,7 +21,8 @@
 void AccountOrder::remove(const AccountId &account, Number number)
 {
     const auto found = accounts_.find(account);
-    if (found == accounts_.end() || !found->second.numbers.contains(number)) {
+    if (found == accounts_.end()
+        || found->second.numbers.find(number) == found->second.numbers.end()) {
         return;
     }
     Account &state = found->second;
@@ -64,4 +65,10 @@
     return found == accounts_.end() ? 0 : found->second.numbers.size();
 }
 
+std::size_t AccountOrder::olderOf(const AccountId &account, Number number) const
+{
+    const auto found = accounts_.find(account);
+    return found == accounts_.end() ? 0 : found->second.numbers.order_of_key(number);
+}
+
 } // namespace seamarch
--- a/src/decision/fairness/accountorder.h
+++ b/src/decision/fairness/accountorder.h
@@ -9,6 +9,9 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+#include <functional>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -37,6 +40,8 @@
     double lowestTime() const { return order_.empty() ? 0.0 : order_.begin()->time; }
     // Returns the number of requests of one account.
     std::size_t waitingOf(const AccountId &account) const;
+    // Returns the number of requests of one account that are older than `number`.
+    std::size_t olderOf(const AccountId &account, Number number) const;
     std::size_t accounts() const { return accounts_.size(); }
     std::size_t size() const { return size_; }
 
@@ -54,10 +59,15 @@
         }
     };
 
+    // An ordered set that tells the rank of a number in O(log n).
+    using Numbers =
+        __gnu_pbds::tree<Number, __gnu_pbds::null_type, std::less<>, __gnu_pbds::rb_tree_tag,
+                         __gnu_pbds::tree_order_statistics_node_update>;
+
     struct Account
     {
         double time = 0.0;
-        std::set<Number> numbers;
+        Numbers numbers;
     };
 
     static Position positionOf(const AccountId &id, const Account &account);
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -540,7 +540,7 @@
     servePermitWaiters(now, actions);
     giveUpSuspects(now, actions);
     failExpired(now, actions);
-    rejectQueued(now, actions);
+    rejectQueued(false, now, actions);
     failOverSilent(now, actions);
     for (auto &[name, service] : services_) {
         ServiceState &current = serviceOf(name);
@@ -549,6 +549,7 @@
         updateTimes(current, now);
         admitQueued(current, now, actions);
     }
+    checkWaits(now, actions); // After the starts, which the expected waits follow from.
 }
 
 } // namespace seamarch
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -378,7 +378,8 @@
                                 ServiceState &service, bool checkWait, TimePoint now);
     void failExpired(TimePoint now, GatewayActions &actions);
     static void updateTimes(ServiceState &service, TimePoint now);
-    void rejectQueued(TimePoint now, GatewayActions &actions);
+    void checkWaits(TimePoint now, GatewayActions &actions);
+    void rejectQueued(bool checkWait, TimePoint now, GatewayActions &actions);
     static Duration callerTimeLeft(const Request &request, TimePoint now);
     Duration maxHonouredRetryAfter(const Request &request, TimePoint now) const;
     Duration retryAfterFor(Request &request, TimePoint now);
--- a/src/decision/gateway/gatewaycorereturns.cpp
+++ b/src/decision/gateway/gatewaycorereturns.cpp
@@ -215,16 +215,26 @@
                                                      : StreamRejection::None;
     }
     // The next stream of the queue needs only one slot, whatever the rate.
-    const Duration wait = expectedWait(service, entry, now);
-    const bool isNext = service.queue.countAhead(entry, now) == 0;
-    return checkWait && !isNext && wait > left ? StreamRejection::QueueSlow : StreamRejection::None;
+    const std::size_t ahead = service.queue.countAhead(entry, now);
+    const Duration wait = std::min(expectedWait(service, entry, now),
+                                   service.availability.shortestWait(ahead + 1, now));
+    return checkWait && ahead > 0 && wait > left ? StreamRejection::QueueSlow
+                                                 : StreamRejection::None;
 }
 
-// Rejects the queued streams that can no longer be served.
-void GatewayCore::rejectQueued(TimePoint now, GatewayActions &actions)
+// Rejects the queued streams whose expected wait has become too long.
+void GatewayCore::checkWaits(TimePoint now, GatewayActions &actions)
+{
+    if (now - waitsCheckedAt_ >= kWaitCheckInterval) {
+        waitsCheckedAt_ = now;
+        rejectQueued(true, now, actions);
+    }
+}
+
+// Rejects the queued streams that can no longer be served. `checkWait`: also by their expected
+// wait.
+void GatewayCore::rejectQueued(bool checkWait, TimePoint now, GatewayActions &actions)
 {
-    const bool checkWait = now - waitsCheckedAt_ >= kWaitCheckInterval;
-    waitsCheckedAt_ = checkWait ? now : waitsCheckedAt_;
     std::vector<RequestNumber> queued;
     for (const auto &[number, request] : requests_) {
         if (request.queued) {
--- a/src/decision/gateway/serviceavailability.h
+++ b/src/decision/gateway/serviceavailability.h
@@ -37,8 +37,9 @@
 
     // Returns the starts of the last second; right after an outage, those before it. At least 1.
     double startRate(TimePoint now);
-    // Returns how long the last of `queued` streams waits at the rate since the first start of the
-    // last second: after a stall, the rate of the whole second is too low. Zero if none started.
+    // Returns how long the last of `queued` streams would wait at the rate since the first start of
+    // the last second: after a stall, the rate of the whole second is too low. Zero if none
+    // started.
     Duration shortestWait(std::size_t queued, TimePoint now) const;
     // Returns the moving average of the start rate outside outages.
     double usualStartRate() const { return usualStartRate_; }
--- a/src/decision/gateway/streamqueue.cpp
+++ b/src/decision/gateway/streamqueue.cpp
@@ -218,8 +218,8 @@
     if (order.size() == 0) {
         return 0;
     }
-    const std::size_t own = order.waitingOf(entry.account);
-    const std::size_t others = order.accounts() - (own > 0 ? 1 : 0);
+    const std::size_t own = order.olderOf(entry.account, entry.number);
+    const std::size_t others = order.accounts() - (order.waitingOf(entry.account) > 0 ? 1 : 0);
     const double time =
         std::max(urgencyClass.times.of(entry.account), urgencyClass.times.serviceTime());
     const double ahead = time - order.lowestTime();
