Start a queued stream that becomes late while the preferred one is held back

Cause: while passes are long a stream starts only shortly before it becomes late. With the order by account the preferred stream may have the later deadline; held back, it held back the others of its class until they were late. Change: the queue names its candidates in order of preference: the next one, the next one of the most urgent class, and that class's next one to become late. The gateway starts the first that a group admits.

--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -159,18 +159,19 @@
 // Starts queued streams while a group admits them.
 void GatewayCore::admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
-    for (auto next = service.queue.next(now); next; next = service.queue.next(now)) {
-        auto group = service.selector.selectForNew(*next, groups_, now);
-        const auto mostUrgent = service.queue.mostUrgent(now);
-        if (!group && mostUrgent->number != next->number) {
-            // A stream that is held back does not hold back more urgent ones.
-            next = mostUrgent;
-            group = service.selector.selectForNew(*next, groups_, now);
+    while (!service.queue.empty()) {
+        std::optional<GroupId> group;
+        RequestNumber number = 0;
+        for (const StreamQueue::Entry &candidate : service.queue.candidates(now)) {
+            number = candidate.number;
+            group = service.selector.selectForNew(candidate, groups_, now);
+            if (group) {
+                break;
+            }
         }
         if (!group) {
             return;
         }
-        const RequestNumber number = next->number;
         service.queue.start(number);
         Request &request = requests_.at(number);
         request.queued = false;
--- a/src/decision/gateway/streamqueue.cpp
+++ b/src/decision/gateway/streamqueue.cpp
@@ -74,12 +74,19 @@
 // Moves the streams whose start deadline has passed behind those that are still in time.
 void StreamQueue::demoteLate(TimePoint now)
 {
-    while (!startDeadlines_.empty() && startDeadlines_.begin()->first < now) {
-        const RequestNumber number = startDeadlines_.begin()->second;
-        startDeadlines_.erase(startDeadlines_.begin());
+    for (auto &[urgency, urgencyClass] : classes_) {
+        demoteLate(urgencyClass, now);
+    }
+}
+
+void StreamQueue::demoteLate(UrgencyClass &urgencyClass, TimePoint now)
+{
+    auto &deadlines = urgencyClass.startDeadlines;
+    while (!deadlines.empty() && deadlines.begin()->first < now) {
+        const RequestNumber number = deadlines.begin()->second;
+        deadlines.erase(deadlines.begin());
         Waiting &waiting = entries_.at(number);
         const AccountId &account = waiting.entry.account;
-        UrgencyClass &urgencyClass = classes_.at(waiting.entry.urgency);
         urgencyClass.order(waiting.timeliness).remove(account, number);
         waiting.timeliness = timelinessOf(waiting.entry, now);
         urgencyClass.order(waiting.timeliness).add(account, number, urgencyClass.times.of(account));
@@ -101,7 +108,7 @@
     ++urgencyClass.size;
     urgencyClass.totalCost += entry.cost;
     if (waiting.timeliness == Timeliness::InTime) {
-        startDeadlines_.emplace(entry.startDeadline, entry.number);
+        urgencyClass.startDeadlines.emplace(entry.startDeadline, entry.number);
     }
 }
 
@@ -119,7 +126,7 @@
     }
     --urgencyClass.size;
     urgencyClass.totalCost -= entry.cost;
-    startDeadlines_.erase({entry.startDeadline, number});
+    urgencyClass.startDeadlines.erase({entry.startDeadline, number});
     entries_.erase(found);
 }
 
@@ -168,24 +175,34 @@
     return found == classes_.end() ? nullptr : &found->second;
 }
 
+// Returns the most urgent class that waits; nullptr if the queue is empty.
+StreamQueue::UrgencyClass *StreamQueue::mostUrgentClass()
+{
+    const auto found = std::find_if(classes_.begin(), classes_.end(),
+                                    [](const auto &each) { return each.second.size > 0; });
+    return found == classes_.end() ? nullptr : &found->second;
+}
+
 std::optional<StreamQueue::Entry> StreamQueue::next(TimePoint now)
 {
     demoteLate(now);
-    if (const UrgencyClass *due = classDue()) {
-        return entries_.at(*due->first()).entry;
-    }
-    return mostUrgent(now);
+    const UrgencyClass *due = classDue();
+    const UrgencyClass *chosen = due == nullptr ? mostUrgentClass() : due;
+    return chosen == nullptr ? std::nullopt : std::optional(entries_.at(*chosen->first()).entry);
 }
 
-std::optional<StreamQueue::Entry> StreamQueue::mostUrgent(TimePoint now)
+std::vector<StreamQueue::Entry> StreamQueue::candidates(TimePoint now)
 {
-    demoteLate(now);
-    for (const auto &[urgency, urgencyClass] : classes_) {
-        if (const auto first = urgencyClass.first()) {
-            return entries_.at(*first).entry;
+    std::vector<Entry> candidates;
+    if (const auto nextEntry = next(now)) {
+        candidates.push_back(*nextEntry);
+        const UrgencyClass &urgent = *mostUrgentClass();
+        candidates.push_back(entries_.at(*urgent.first()).entry);
+        if (!urgent.startDeadlines.empty()) {
+            candidates.push_back(entries_.at(urgent.startDeadlines.begin()->second).entry);
         }
     }
-    return std::nullopt;
+    return candidates;
 }
 
 std::optional<StreamQueue::Entry> StreamQueue::last(TimePoint now)
--- a/src/decision/gateway/streamqueue.h
+++ b/src/decision/gateway/streamqueue.h
@@ -34,6 +34,7 @@
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace seamarch {
 
@@ -66,9 +67,10 @@
     void chargeDirectStart(const Entry &entry);
     // Returns the next stream without removing it; nullopt if the queue is empty.
     std::optional<Entry> next(TimePoint now);
-    // Returns the next stream of the most urgent class; nullopt if the queue is empty. It differs
-    // from `next` while a less urgent class is due for its least share.
-    std::optional<Entry> mostUrgent(TimePoint now);
+    // Returns the streams that may start next, in order of preference and without removing them:
+    // the next one, the next one of the most urgent class, and that class's next one to become
+    // late. A later one is for when the earlier ones are held back.
+    std::vector<Entry> candidates(TimePoint now);
     // Returns the last stream of the least urgent class; nullopt if the queue is empty.
     std::optional<Entry> last(TimePoint now);
     // Removes the next stream as `start` does and returns its number; nullopt if the queue is
@@ -98,6 +100,8 @@
         std::size_t size = 0;
         double totalCost = 0.0;
         double startsDue = 0.0; // Starts of its least share that it has not had yet.
+        // Streams that are still in time, by start deadline.
+        std::set<std::pair<TimePoint, RequestNumber>> startDeadlines;
 
         AccountOrder &order(Timeliness timeliness);
         std::size_t waitingOf(const AccountId &account) const;
@@ -110,13 +114,13 @@
     static std::size_t countAheadInOrder(const Entry &entry, const UrgencyClass &urgencyClass,
                                          const AccountOrder &order);
     void demoteLate(TimePoint now);
+    void demoteLate(UrgencyClass &urgencyClass, TimePoint now);
     void accountForStart(UrgencyClass &started);
     UrgencyClass *classDue();
+    UrgencyClass *mostUrgentClass();
 
     std::unordered_map<RequestNumber, Waiting> entries_;
     std::map<Urgency, UrgencyClass> classes_;
-    // Streams that are still in time, by start deadline.
-    std::set<std::pair<TimePoint, RequestNumber>> startDeadlines_;
 };
 
 } // namespace seamarch
