Bound the cost of removing idle accounts from a queue's classes

Cause: with more accounts than twice the queued streams, each start looked through all of them for idle ones: accounts that stay ahead of the service are not removed, and 2,200 were looked through each time. Change: the number above which idle accounts are removed doubles with those that stay.

--- a/src/decision/gateway/streamqueue.cpp
+++ b/src/decision/gateway/streamqueue.cpp
@@ -10,8 +10,6 @@
 constexpr double kLeastShare = 0.25;
 // Starts of a least share that may be overdue: one, and one while another class has its own.
 constexpr double kMaxStartsDue = 2.0;
-// Virtual times of accounts without waiting streams are removed when there are more than this.
-constexpr std::size_t kMaxIdleAccounts = 64;
 
 } // namespace
 
@@ -58,8 +56,9 @@
     if (!waits) {
         times.deactivate(entry.account);
     }
-    if (times.size() > 2 * size + kMaxIdleAccounts) {
+    if (times.size() > maxAccounts) {
         times.removeIdle();
+        maxAccounts = 2 * times.size() + kMinAccountsKept;
     }
 }
 
--- a/src/decision/gateway/streamqueue.h
+++ b/src/decision/gateway/streamqueue.h
@@ -95,7 +95,12 @@
     // The streams of equal urgency.
     struct UrgencyClass
     {
+        static constexpr std::size_t kMinAccountsKept = 64;
+
         VirtualTimes times;
+        // Idle accounts are removed from `times` when it has more. Doubled with those that stay, so
+        // that the cost of removing them is constant on average.
+        std::size_t maxAccounts = kMinAccountsKept;
         std::array<AccountOrder, 3> orders; // By timeliness.
         std::size_t size = 0;
         double totalCost = 0.0;
