Test that a lost change is stated again, and that a queue takes known places at once

Cause: without forgetting what a gateway was told when a poll of it fails, only the first statement of a lost one was requested again; no test showed it.

Measured: with DemandExchange::onFailed emptied, the first test and the random schedules fail; all 16 tests pass as it is.

--- a/test/decision/gateway/demandexchange_test.cpp
+++ b/test/decision/gateway/demandexchange_test.cpp
@@ -123,6 +123,28 @@
     DOUBLES_EQUAL(80.0, site.shareOf(1).value_or(-1.0), 0.5);
 }
 
+TEST(DemandExchangeTest, AChangeThatWasLostIsStatedAgain)
+{
+    DemandSite site(1, 4, 10.0);
+    site.run(1s);
+    site.lost = [] { return true; };
+    site.gateways[1].limit = 30.0;
+    site.run(400ms);
+    site.lost = nullptr;
+    site.gateways[2].queued = 100;
+    site.run(900ms);
+    DOUBLES_EQUAL(60.0, site.shareOf(2).value_or(-1.0), 0.5);
+}
+
+TEST(DemandExchangeTest, AGatewayWhereCallersQueueTakesKnownPlacesAtOnce)
+{
+    DemandSite site(1, 4, 10.0);
+    site.run(1s);
+    site.gateways[1].queued = 20;
+    site.step();
+    CHECK_TRUE(site.shareOf(1).value_or(-1.0) > 20.0);
+}
+
 TEST(DemandExchangeTest, LateAndRepeatedStatementsAreIgnored)
 {
     DemandSite site(1, 2, 10.0);
--- a/test/decision/gateway/demandsite.h
+++ b/test/decision/gateway/demandsite.h
@@ -74,11 +74,11 @@
     {
         Gateway &asking = gateways[from];
         Gateway &answering = gateways[to];
+        const auto stated = asking.exchange->takeStatement(answering.peer, now);
         if (answering.silent || !reach(from, to) || (lost && lost())) {
             asking.exchange->onFailed(answering.peer.id);
             return;
         }
-        const auto stated = asking.exchange->takeStatement(answering.peer, now);
         answering.exchange->onMessage(asking.peer, stated, now);
         const auto answer = answering.exchange->takeStatement(asking.peer, now);
         if (lost && lost()) {
