--- a/src/gateway/gatewaywire.h
+++ b/src/gateway/gatewaywire.h
@@ -57,13 +57,13 @@
                                          const std::vector<std::uint8_t> &statement)
 {
     using Layout = typename Message::_capnpPrivate;
-    constexpr std::uint16_t index = kDemandPointer<Message>;
+    constexpr std::uint16_t kIndex = kDemandPointer<Message>;
     const std::uint16_t pointers = statement.empty()
                                        ? Layout::pointerCount
-                                       : std::max<std::uint16_t>(Layout::pointerCount, index + 1);
+                                       : std::max<std::uint16_t>(Layout::pointerCount, kIndex + 1);
     auto message = to.initAsAnyStruct(Layout::dataWordSize, pointers);
     if (!statement.empty()) {
-        message.getPointerSection()[index].template setAs<capnp::Data>(
+        message.getPointerSection()[kIndex].template setAs<capnp::Data>(
             kj::arrayPtr(statement.data(), statement.size()));
     }
     return message.template as<Message>();
@@ -74,11 +74,11 @@
 std::span<const std::uint8_t> readDemand(const MessageReader &message)
 {
     const auto pointers = capnp::AnyStruct::Reader(message).getPointerSection();
-    constexpr std::uint16_t index = kDemandPointer<capnp::FromReader<MessageReader>>;
-    if (index >= pointers.size()) {
+    constexpr std::uint16_t kIndex = kDemandPointer<capnp::FromReader<MessageReader>>;
+    if (kIndex >= pointers.size()) {
         return {};
     }
-    const auto bytes = pointers[index].template getAs<capnp::Data>();
+    const auto bytes = pointers[kIndex].template getAs<capnp::Data>();
     return {bytes.begin(), bytes.size()};
 }
 
