Bound the stream limit by the longest pauses where pauses surge again and again

Cause: demand shifts every 2.1 to 3.9 s, and passes take two to three times as long for 0.9 s after each shift. The limit rises in the calm between two shifts, and one pass over the gap target makes all streams in flight late.

Change: PauseEnvelope remembers the pauses of the last 4 s with the streams in flight. If three surges follow each other within that time, it converts the longest pauses to the number of streams with which they meet the target, and StreamLimiter bounds the limit by it. Pauses that concern less than a quarter of a period's events (lost packets) and stalls do not count. Begin and end of a bound are logged and counted.

--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -213,6 +213,8 @@
     // nullopt if it states none.
     UpstreamLimits::Change onLimit(RequestNumber request, std::optional<RequestRate> limit,
                                    TimePoint now);
+    // Returns the changes of what governs the stream limits since the last call.
+    std::vector<std::pair<GroupId, LimitChange>> takeLimitChanges();
     // Returns the permit requests that are due and marks them as sent.
     std::vector<SendPermits::Query> takePermitQueries(TimePoint now)
     {
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -171,6 +171,16 @@
     }
 }
 
+std::vector<std::pair<GroupId, LimitChange>> GatewayCore::takeLimitChanges()
+{
+    std::vector<std::pair<GroupId, LimitChange>> changes;
+    for (auto &[name, service] : services_) {
+        auto taken = service.selector.takeLimitChanges();
+        changes.insert(changes.end(), taken.begin(), taken.end());
+    }
+    return changes;
+}
+
 std::size_t GatewayCore::queuedStreams(const TargetName &service) const
 {
     const auto found = services_.find(service);
--- a/src/decision/gateway/groupselector.cpp
+++ b/src/decision/gateway/groupselector.cpp
@@ -246,4 +246,15 @@
     }
 }
 
+std::vector<std::pair<GroupId, LimitChange>> GroupSelector::takeLimitChanges()
+{
+    std::vector<std::pair<GroupId, LimitChange>> changes;
+    for (auto &[id, tracker] : trackers_) {
+        for (const LimitChange &change : tracker.limiter().takeChanges()) {
+            changes.emplace_back(id, change);
+        }
+    }
+    return changes;
+}
+
 } // namespace seamarch
--- a/src/decision/gateway/groupselector.h
+++ b/src/decision/gateway/groupselector.h
@@ -24,6 +24,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace seamarch {
@@ -83,6 +84,8 @@
     bool opensSoon(const GroupTable &table, TimePoint now) const;
     // Adapts the limits. `waiting` is the number of queued streams.
     void onTick(std::size_t waiting, const GroupTable &table, TimePoint now);
+    // Returns the changes of what governs the limits since the last call.
+    std::vector<std::pair<GroupId, LimitChange>> takeLimitChanges();
 
 private:
     // The fault of a group, in increasing severity; groups with the least severe one are used.
--- a/src/decision/gateway/pauseenvelope.h
+++ b/src/decision/gateway/pauseenvelope.h
@@ -6,6 +6,11 @@
 // more streams than the next shift can bear, and then all of them are late. The envelope holds the
 // longest pauses of the last seconds and converts them to a number of streams.
 //
+// It bounds the streams only where pauses surge again and again, be it at few streams: one long
+// pass makes all streams in flight late, so the bound must be known before a shift meets many of
+// them. After a rare surge, most streams that are admitted end before the next one, and a bound
+// would reject callers for nothing.
+//
 // Passes have a part that does not depend on the number of streams, so the conversion is linear in
 // the part above it; see `fixedShare`. Pure and single-threaded; one object for each group.
 #pragma once
@@ -25,8 +30,21 @@
     {
         // How long a long pause is remembered: more than the time between two shifts of demand.
         Duration window = std::chrono::milliseconds(4000);
-        // Part of a pass that does not depend on the number of streams.
+        // Part of a pass that does not depend on the number of streams, as a ratio of the target.
         double fixedShare = 0.3;
+        // A surge: pauses that exceed the shortest ones of the time before by this factor. Reading
+        // a prompt lengthens a pass by a tenth to a fifth.
+        double surgeFactor = 1.3;
+        // The time before; also the longest time that one surge lasts.
+        Duration surgeTime = std::chrono::milliseconds(1000);
+        // So many surges in a row, each within `window` of the one before, count as recurring: one
+        // more may be the backlog of the first.
+        std::size_t minSurges = 3;
+        // Longer pauses are stalls, which do not depend on the number of streams.
+        double maxRatio = 2.5;
+        // The pauses that count as the longest, as a fraction of the very longest one's part above
+        // the fixed one: a gateway's streams vary by chance, so several periods are averaged.
+        double longestFraction = 0.85;
     };
 
     PauseEnvelope() = default;
@@ -37,9 +55,11 @@
     // Records the longest pause of a period, as a ratio of its gap target, and the streams in
     // flight during it.
     void onPeriod(double pauseRatio, std::uint32_t inFlight, TimePoint now);
-    // Returns the number of streams with which no pause of the window would have exceeded `ratio`;
-    // nullopt if none did.
+    // Returns the number of streams with which the longest pauses of the window would not have
+    // exceeded `ratio`; nullopt if pauses do not surge again and again.
     std::optional<double> safeStreams(double ratio, TimePoint now) const;
+    // Forgets all pauses.
+    void clear();
 
 private:
     struct Sample
@@ -49,8 +69,12 @@
         TimePoint at{};
     };
 
+    void detectSurge(double pauseRatio, TimePoint now);
+    bool recurs(TimePoint now) const;
+
     Settings settings_;
-    std::deque<Sample> samples_;
+    std::deque<Sample> samples_;     // Of the window, oldest first.
+    std::deque<TimePoint> surgedAt_; // Starts of the last surges, oldest first.
 };
 
 } // namespace seamarch
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -7,16 +7,33 @@
 // it in steps while pauses are short and requests are queued (additive increase, multiplicative
 // decrease). So gateways share the engines without communication between them.
 //
+// A PauseEnvelope bounds the limit: where pauses become long for a moment every few seconds, the
+// limit stays at the number of streams with which the next long pauses still meet the target.
+//
 // Pure and single-threaded; one object for each group of a service.
 #pragma once
 
+#include "decision/gateway/pauseenvelope.h"
 #include "seamarch/units.h"
 
 #include <cstdint>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace seamarch {
 
+// A change of what governs the stream limit of a group.
+struct LimitChange
+{
+    enum class Kind : std::uint8_t { BoundBegun, BoundEnded };
+
+    Kind kind = Kind::BoundBegun;
+    double limit = 0.0;
+    std::uint32_t inFlight = 0;
+    double pauseRatio = 0.0; // Pause that most streams had lately, as a ratio of its gap target.
+};
+
 class StreamLimiter
 {
 public:
@@ -50,12 +67,20 @@
         // Interval between changes of the limit: some passes, so that a change takes effect before
         // the next.
         Duration adaptPeriod = std::chrono::milliseconds(200);
+        PauseEnvelope::Settings envelope;
+        // A long pause bounds the limit if it concerns a quarter of a period's events: a pass is
+        // common to all streams, a lost packet delays one. Fewer samples show neither.
+        std::size_t minEnvelopeSamples = 4;
+        // Fraction of an even share of the upstreams' slots that the bound never falls below: a
+        // gateway with few streams at the moment of long pauses has not caused them.
+        double minBoundShare = 0.25;
     };
 
     StreamLimiter() = default;
     explicit StreamLimiter(const Settings &settings)
         : settings_(settings)
         , limit_(settings.initialLimit)
+        , envelope_(settings.envelope)
     {}
 
     // Adds a sample: an event came `pause` after the previous one of the same stream. `gapTarget`
@@ -80,11 +105,24 @@
 
     bool admits(std::uint32_t inFlight) const { return inFlight + 1.0 <= limit_ + 0.5; }
     double limit() const { return limit_; }
+    // Returns the bound of the limit by the longest pauses of late; nullopt if none was too long.
+    std::optional<double> bound() const { return bound_; }
+
+    // Returns the changes since the last call, oldest first.
+    std::vector<LimitChange> takeChanges() { return std::exchange(changes_, {}); }
 
 private:
+    double takePauseRatio();
+    void adaptBound(double pauseRatio, std::uint32_t inFlight, TimePoint now);
+
     Settings settings_;
     double limit_ = Settings().initialLimit;
-    double maxRatio_ = 0.0; // Longest pause of this period, as a ratio of its gap target.
+    double maxRatio_ = 0.0;      // Longest pause of this period, as a ratio of its gap target.
+    std::vector<double> ratios_; // Of the pauses of this period.
+    PauseEnvelope envelope_;
+    std::optional<double> bound_;
+    double evenShare_ = 0.0; // Of the upstreams' slots; zero if unknown.
+    std::vector<LimitChange> changes_;
     bool sampledInPeriod_ = false;
     std::optional<TimePoint> sampledAt_; // Time of the last sample.
     TimePoint adaptedAt_{};
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -310,6 +310,7 @@
     core_.setHallPosition(synchronizer_->hallPosition());
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
+    logStreamLimits();
     synchronizer_->tick();
     if (stopping_) {
         stopIfDrained();
--- a/src/gateway/gatewayservicenotices.cpp
+++ b/src/gateway/gatewayservicenotices.cpp
@@ -1,5 +1,5 @@
 // The part of GatewayService that processes the notices in upstreams' answers (rests, leaving,
-// rate limits), and requests permits to send to upstreams.
+// rate limits), requests permits to send to upstreams, and logs changes of the stream limits.
 #include "base/log.h"
 #include "gateway/gatewayservice.h"
 
@@ -23,6 +23,17 @@
     return "unknown";
 }
 
+std::string_view nameOf(LimitChange::Kind kind)
+{
+    switch (kind) {
+    case LimitChange::Kind::BoundBegun:
+        return "bound begun";
+    case LimitChange::Kind::BoundEnded:
+        return "bound ended";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 // Processes the notices in the head of an answer about the upstream that sent it.
@@ -83,6 +94,20 @@
     metrics_.count("seamarch_limit_changes_total", nameOf(change));
 }
 
+// Logs and counts the changes of what governs the stream limits of groups.
+void GatewayService::logStreamLimits()
+{
+    for (const auto &[group, change] : core_.takeLimitChanges()) {
+        logLine(LogLevel::Info, "streamlimit.changed",
+                {{"group", group.value()},
+                 {"change", nameOf(change.kind)},
+                 {"streams", change.inFlight},
+                 {"streamLimit", change.limit},
+                 {"pauseRatio", change.pauseRatio}});
+        metrics_.count("seamarch_stream_limit_changes_total", nameOf(change.kind));
+    }
+}
+
 // Requests the permits that waiting requests need.
 void GatewayService::requestPermits()
 {
