Bound streams by the last surge of pauses

Change: once a surge is over, only its pauses count; during it, those of the window. All gateways see the same pauses, so a surge that meets the target lets those with queues grow.

--- a/src/decision/gateway/pauseenvelope.cpp
+++ b/src/decision/gateway/pauseenvelope.cpp
@@ -41,28 +41,36 @@
            && std::adjacent_find(surgedAt_.begin(), surgedAt_.end(), isApart) == surgedAt_.end();
 }
 
+// Returns the start of the samples that count: the last surge once it is over, until then the whole
+// window.
+TimePoint PauseEnvelope::countedFrom(TimePoint now) const
+{
+    const bool isOver = now - surgedAt_.back() >= settings_.surgeTime;
+    return isOver ? surgedAt_.back() : now - settings_.window;
+}
+
 std::optional<double> PauseEnvelope::safeStreams(double ratio, TimePoint now) const
 {
+    if (!recurs(now)) {
+        return std::nullopt;
+    }
+    const TimePoint from = countedFrom(now);
     double longest = settings_.fixedShare;
     for (const Sample &sample : samples_) {
-        longest =
-            now - sample.at < settings_.window ? std::max(longest, sample.pauseRatio) : longest;
+        longest = sample.at >= from ? std::max(longest, sample.pauseRatio) : longest;
     }
     const double excess = longest - settings_.fixedShare;
-    if (!recurs(now) || excess <= 0.0) {
-        return std::nullopt;
-    }
     double sum = 0.0;
     int count = 0;
     for (const Sample &sample : samples_) {
         const double sampleExcess = sample.pauseRatio - settings_.fixedShare;
-        if (now - sample.at < settings_.window
+        if (sample.at >= from && sampleExcess > 0.0
             && sampleExcess >= settings_.longestFraction * excess) {
             sum += sample.inFlight * (ratio - settings_.fixedShare) / sampleExcess;
             ++count;
         }
     }
-    return sum / count;
+    return count > 0 ? std::optional(sum / count) : std::nullopt;
 }
 
 void PauseEnvelope::clear()
--- a/src/decision/gateway/pauseenvelope.h
+++ b/src/decision/gateway/pauseenvelope.h
@@ -55,8 +55,11 @@
     // Records the longest pause of a period, as a ratio of its gap target, and the streams in
     // flight during it.
     void onPeriod(double pauseRatio, std::uint32_t inFlight, TimePoint now);
-    // Returns the number of streams with which the longest pauses of the window would not have
-    // exceeded `ratio`; nullopt if pauses do not surge again and again.
+    // Returns the number of streams with which the longest pauses of the last surge, and during a
+    // surge those of the window, would not have exceeded `ratio`; nullopt if pauses do not surge
+    // again and again. Each surge replaces the one before, because streams move between gateways:
+    // all see the same pauses, so those with more callers may have more streams after a surge that
+    // met the target.
     std::optional<double> safeStreams(double ratio, TimePoint now) const;
     // Forgets all pauses.
     void clear();
@@ -71,6 +74,7 @@
 
     void detectSurge(double pauseRatio, TimePoint now);
     bool recurs(TimePoint now) const;
+    TimePoint countedFrom(TimePoint now) const;
 
     Settings settings_;
     std::deque<Sample> samples_;     // Of the window, oldest first.
