Admit streams that end late at a group that is degraded, not full

Cause: with one rank 12 times as slow, every pass takes four to five times the gap target however few streams run.

Change: DegradedMode detects pauses of at least twice the target that last longer than a shift and do not shorten with the number of streams. While it is active, the limit rises until pauses are twice the shortest ones, or what callers bear, and at most to the share of the slots; prompts are not held back; the bound by surges rests. After it, the limit is what the present pauses allow. Changes are logged and counted.

--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -166,8 +166,12 @@
     Request *request = find(number);
     if (request != nullptr && request->upstream != InstanceId()) {
         request->progressAt = now;
-        const Duration gapTarget = request->request.route->gapTarget;
-        trackerOf(*request).onPause(pause, gapTarget, now);
+        const RouteRule &route = *request->request.route;
+        GroupTracker &tracker = trackerOf(*request);
+        // Attempts fail over after a part of the silence that their caller bears.
+        tracker.onCallerTimes(request->request.deadline, fromSeconds(toSeconds(route.silenceTimeout)
+                                                                     * settings_.silenceFraction));
+        tracker.onPause(pause, route.gapTarget, now);
     }
 }
 
--- a/src/decision/gateway/grouptracker.cpp
+++ b/src/decision/gateway/grouptracker.cpp
@@ -17,6 +17,10 @@
 {
     inFlight_ -= inFlight_ > 0 ? 1 : 0;
     producing_ -= hadEvents && producing_ > 0 ? 1 : 0;
+    if (hadEvents) {
+        constexpr double kWeight = 1.0 / 16.0; // Of the last stream.
+        meanPauses_ += kWeight * (std::exchange(pauses_, 0) - meanPauses_);
+    }
 }
 
 void GroupTracker::recordProgress(TimePoint now)
@@ -36,6 +40,7 @@
 {
     gapTarget_ = gapTarget > Duration{} ? gapTarget : gapTarget_;
     recordProgress(now);
+    ++pauses_;
     limiter_.onPause(pause, gapTarget, now);
 }
 
@@ -79,9 +84,20 @@
 void GroupTracker::onTick(std::size_t waiting, TimePoint now)
 {
     stalled_ = stalled_ || exceedsStallTimeout(now);
+    limiter_.setBearable(bearable());
     limiter_.onTick(inFlight_, waiting, now);
 }
 
+DegradedMode::Bearable GroupTracker::bearable() const
+{
+    if (gapTarget_ <= Duration{}) {
+        return {};
+    }
+    const double target = toSeconds(gapTarget_);
+    const double usual = toSeconds(callerTime_) / (1.0 + meanPauses_);
+    return {usual / target, toSeconds(callerSilence_) / target};
+}
+
 bool GroupTracker::isRefusing(TimePoint now) const
 {
     return refusingSince_ && now - *refusingSince_ >= settings_.outageDelay;
--- a/src/decision/gateway/grouptracker.h
+++ b/src/decision/gateway/grouptracker.h
@@ -77,6 +77,13 @@
     // that of its route; zero if it has none.
     void onPause(Duration pause, Duration gapTarget, TimePoint now);
 
+    // Records how long the caller of a stream waits in all, and the longest silence that it bears.
+    void onCallerTimes(Duration total, Duration silence)
+    {
+        callerTime_ = total;
+        callerSilence_ = silence;
+    }
+
     // Records an answer of the group's upstreams other than a refusal for lack of capacity. Returns
     // true if it ends an outage.
     bool onAnswer(TimePoint now);
@@ -115,13 +122,18 @@
 private:
     void recordProgress(TimePoint now);
     bool exceedsStallTimeout(TimePoint now) const;
+    DegradedMode::Bearable bearable() const;
 
     Settings settings_;
     StreamLimiter limiter_;
     std::uint32_t inFlight_ = 0;
     std::uint32_t producing_ = 0; // Streams in flight that have sent events.
     Duration gapTarget_{};        // The last one that was stated.
-    TimePoint progressAt_{};      // Last event, or start of the first stream of an idle group.
+    Duration callerTime_{};
+    Duration callerSilence_{};
+    std::uint32_t pauses_ = 0; // Since the last end of a stream.
+    double meanPauses_ = 0.0;  // Of a stream.
+    TimePoint progressAt_{};   // Last event, or start of the first stream of an idle group.
     bool stalled_ = false;
     bool hasServed_ = false;                  // The group has accepted a request at some time.
     std::optional<TimePoint> refusingSince_;  // Start of the current run of refusals.
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -50,6 +50,35 @@
     return ratio;
 }
 
+// Begins or ends the degraded mode. After it, the limit is at once what the present pauses allow: a
+// limit of late streams would make those that start after the return late as well.
+void StreamLimiter::adaptMode(double pauseRatio, std::uint32_t inFlight, TimePoint now)
+{
+    const DegradedMode::Change change = degraded_.onPeriod(pauseRatio, inFlight, now);
+    if (change == DegradedMode::Change::None) {
+        return;
+    }
+    envelope_.clear();
+    bound_.reset();
+    if (change == DegradedMode::Change::Ended && pauseRatio > settings_.decreaseAbove) {
+        const double fixed = settings_.envelope.fixedShare;
+        const double safe = inFlight * (settings_.decreaseAbove - fixed) / (pauseRatio - fixed);
+        limit_ = std::clamp(safe, settings_.minLimit, limit_);
+    }
+    const auto kind = change == DegradedMode::Change::Begun ? LimitChange::Kind::DegradedBegun
+                                                            : LimitChange::Kind::DegradedEnded;
+    changes_.push_back({kind, limit_, inFlight, pauseRatio});
+}
+
+// Returns the largest limit. The pauses of a degraded group may never grow to the accepted ones,
+// and more streams than its slots would be refused.
+double StreamLimiter::maxLimit() const
+{
+    const bool bySlots = degraded_.isActive() && evenShare_ > 0.0;
+    return bySlots ? std::max(limit_, std::min(evenShare_, settings_.maxLimit))
+                   : settings_.maxLimit;
+}
+
 // Bounds the limit by the longest pauses of late.
 void StreamLimiter::adaptBound(double pauseRatio, std::uint32_t inFlight, TimePoint now)
 {
@@ -72,17 +101,22 @@
         return;
     }
     adaptedAt_ = now;
+    const double pauseRatio = takePauseRatio();
+    adaptMode(pauseRatio, inFlight, now);
+    const double target = degraded_.isActive() ? degraded_.acceptedRatio(bearable_) : 1.0;
     const bool stalled = inFlight > 0 && sampledAt_ && now - *sampledAt_ >= settings_.stallTimeout;
-    if (sampledInPeriod_ && maxRatio_ > settings_.decreaseAbove) {
+    if (sampledInPeriod_ && maxRatio_ > target * settings_.decreaseAbove) {
         const double used = std::min(limit_, static_cast<double>(inFlight));
         limit_ = std::max(settings_.minLimit, used * settings_.decreaseFactor);
     } else if (waiting > 0 && !stalled
-               && (!sampledInPeriod_ || maxRatio_ < settings_.increaseBelow)) {
+               && (!sampledInPeriod_ || maxRatio_ < target * settings_.increaseBelow)) {
         const double step =
             settings_.increaseStep + settings_.increasePerQueued * static_cast<double>(waiting);
-        limit_ = std::min(settings_.maxLimit, limit_ + step);
+        limit_ = std::min(maxLimit(), limit_ + step);
+    }
+    if (!degraded_.isActive()) {
+        adaptBound(pauseRatio, inFlight, now);
     }
-    adaptBound(takePauseRatio(), inFlight, now);
     sampledInPeriod_ = false;
     maxRatio_ = 0.0;
 }
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -8,11 +8,13 @@
 // decrease). So gateways share the engines without communication between them.
 //
 // A PauseEnvelope bounds the limit: where pauses become long for a moment every few seconds, the
-// limit stays at the number of streams with which the next long pauses still meet the target.
+// limit stays at the number of streams with which the next long pauses still meet the target. Where
+// no number of streams meets it, DegradedMode sets a target that can be met.
 //
 // Pure and single-threaded; one object for each group of a service.
 #pragma once
 
+#include "decision/gateway/degradedmode.h"
 #include "decision/gateway/pauseenvelope.h"
 #include "seamarch/units.h"
 
@@ -26,7 +28,7 @@
 // A change of what governs the stream limit of a group.
 struct LimitChange
 {
-    enum class Kind : std::uint8_t { BoundBegun, BoundEnded };
+    enum class Kind : std::uint8_t { BoundBegun, BoundEnded, DegradedBegun, DegradedEnded };
 
     Kind kind = Kind::BoundBegun;
     double limit = 0.0;
@@ -68,6 +70,7 @@
         // the next.
         Duration adaptPeriod = std::chrono::milliseconds(200);
         PauseEnvelope::Settings envelope;
+        DegradedMode::Settings degraded;
         // A long pause bounds the limit if it concerns a quarter of a period's events: a pass is
         // common to all streams, a lost packet delays one. Fewer samples show neither.
         std::size_t minEnvelopeSamples = 4;
@@ -81,6 +84,7 @@
         : settings_(settings)
         , limit_(settings.initialLimit)
         , envelope_(settings.envelope)
+        , degraded_(settings.degraded)
     {}
 
     // Adds a sample: an event came `pause` after the previous one of the same stream. `gapTarget`
@@ -93,14 +97,17 @@
     void resetToMinimum();
     // Returns whether there is any sample; until then the limit is a guess.
     bool hasSamples() const { return sampledAt_.has_value(); }
+    // Sets the pauses that callers bear.
+    void setBearable(const DegradedMode::Bearable &bearable) { bearable_ = bearable; }
     // Adapts the limit. `waiting` is the number of requests that are queued for it.
     void onTick(std::uint32_t inFlight, std::size_t waiting, TimePoint now);
 
     // Returns whether the last pauses were so near the target that another prompt in the engines'
-    // next passes may take them over it.
+    // next passes may take them over it. False while the group is degraded: no pass meets it.
     bool isNearTarget(TimePoint now) const
     {
-        return nearTargetAt_ && now - *nearTargetAt_ < settings_.nearTargetTimeToLive;
+        return !degraded_.isActive() && nearTargetAt_
+               && now - *nearTargetAt_ < settings_.nearTargetTimeToLive;
     }
 
     bool admits(std::uint32_t inFlight) const { return inFlight + 1.0 <= limit_ + 0.5; }
@@ -108,11 +115,15 @@
     // Returns the bound of the limit by the longest pauses of late; nullopt if none was too long.
     std::optional<double> bound() const { return bound_; }
 
+    // Returns whether pauses miss the target however few streams are in flight.
+    bool isDegraded() const { return degraded_.isActive(); }
     // Returns the changes since the last call, oldest first.
     std::vector<LimitChange> takeChanges() { return std::exchange(changes_, {}); }
 
 private:
     double takePauseRatio();
+    double maxLimit() const;
+    void adaptMode(double pauseRatio, std::uint32_t inFlight, TimePoint now);
     void adaptBound(double pauseRatio, std::uint32_t inFlight, TimePoint now);
 
     Settings settings_;
@@ -120,6 +131,8 @@
     double maxRatio_ = 0.0;      // Longest pause of this period, as a ratio of its gap target.
     std::vector<double> ratios_; // Of the pauses of this period.
     PauseEnvelope envelope_;
+    DegradedMode degraded_;
+    DegradedMode::Bearable bearable_;
     std::optional<double> bound_;
     double evenShare_ = 0.0; // Of the upstreams' slots; zero if unknown.
     std::vector<LimitChange> changes_;
--- a/src/gateway/gatewayservicenotices.cpp
+++ b/src/gateway/gatewayservicenotices.cpp
@@ -30,6 +30,10 @@
         return "bound begun";
     case LimitChange::Kind::BoundEnded:
         return "bound ended";
+    case LimitChange::Kind::DegradedBegun:
+        return "degraded begun";
+    case LimitChange::Kind::DegradedEnded:
+        return "degraded ended";
     }
     return "unknown";
 }
--- a/test/decision/gateway/passmodel.h
+++ b/test/decision/gateway/passmodel.h
@@ -26,11 +26,12 @@
     static constexpr double kGapTarget = 120.0;
     static constexpr double kLatencyTarget = 400.0;
     static constexpr double kPatience = 1700.0; // In the queue.
+    static constexpr double kCallerTime = 8000.0;
     static constexpr double kFixed = 34.0;
-    static constexpr double kPerStream = 1.0;
     static constexpr std::size_t kPlaces = 48;
 
     StreamLimiter limiter;
+    double perStreamMillis = 1.0;
     // Factors of the two parts of a pass at a time.
     std::function<double(double)> skew = [](double) { return 1.2; };
     std::function<double(double)> slowness = [](double) { return 1.0; };
@@ -62,7 +63,7 @@
     void pass(double callersPerSecond)
     {
         const auto count = static_cast<double>(streams.size());
-        passMillis = kFixed * slowness(now) + kPerStream * count * skew(now);
+        passMillis = kFixed * slowness(now) + perStreamMillis * count * skew(now);
         for (arrivals += callersPerSecond * passMillis / 1000.0; arrivals >= 1.0; arrivals -= 1.0) {
             addToQueue(now + passMillis);
         }
@@ -122,7 +123,9 @@
                 inTime += stream.late ? 0 : 1;
             }
         }
-        std::erase_if(streams, [](const Stream &stream) { return stream.events == stream.length; });
+        std::erase_if(streams, [this](const Stream &stream) {
+            return stream.events == stream.length || now - stream.arrivedAt > kCallerTime;
+        });
     }
 
     std::map<RequestNumber, double> arrivalOf;
