--- a/src/decision/gateway/gatewaycorereturns.cpp
+++ b/src/decision/gateway/gatewaycorereturns.cpp
@@ -291,7 +291,12 @@
     }
     ++request->events;
     request->progressAt = now;
-    trackerOf(*request).onPause(pause, request->request.route->gapTarget, now);
+    const RouteRule &route = *request->request.route;
+    GroupTracker &tracker = trackerOf(*request);
+    // Attempts fail over after a part of the silence that their caller bears.
+    tracker.onCallerTimes(request->request.deadline,
+                          fromSeconds(toSeconds(route.silenceTimeout) * settings_.silenceFraction));
+    tracker.onPause(pause, route.gapTarget, now);
     ServiceState &service = serviceOf(request->service);
     service.pauseSum += pause;
     ++service.pauseCount;
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -109,6 +109,16 @@
     }
 }
 
+std::vector<std::pair<GroupId, LimitChange>> GatewayCore::takeLimitChanges()
+{
+    std::vector<std::pair<GroupId, LimitChange>> changes;
+    for (auto &[name, service] : services_) {
+        auto taken = service.selector.takeLimitChanges();
+        changes.insert(changes.end(), taken.begin(), taken.end());
+    }
+    return changes;
+}
+
 std::size_t GatewayCore::queuedStreams(const TargetName &service) const
 {
     const auto found = services_.find(service);
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -425,6 +425,7 @@
     }
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
+    logStreamLimits();
     synchronizer_->tick();
     if (stopping_) {
         stopIfDrained();
