--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -71,7 +71,7 @@
                              engines; without it the gateway has no information on groups.
   --demand-exchange MODE     on: gateways tell each other the demand for groups of engines and
                              share their streams by it; off: each gateway keeps to what it
-                             observes (default on).
+                             observes (default off).
   --crash-memory-s N         How long the gateway keeps the record that an upstream ended
                              while it ran a request (default 3600; 0 disables the record).
   --key-life-ms N            Maximum time for which a key is accepted after the store
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -46,7 +46,7 @@
     std::optional<SocketAddress> peerListen; // For other gateways; if empty, each polls the store.
     std::vector<SocketAddress> seeds;        // Some of the other gateways, for discovery.
     std::optional<int> agentPort; // The port of the agents, which run at the engines' addresses.
-    bool demandExchange = true;   // Gateways tell each other the demand for groups of engines.
+    bool demandExchange = false;  // Gateways tell each other the demand for groups of engines.
     std::size_t maxAccountSeries = 300; // The number of accounts with metric series of their own.
     // How long the record is kept that an upstream ended under a request; zero disables it.
     Duration crashRetention = CrashRecord::Settings().retention;
