Judge a degraded group from pauses of 1.5 times the target

Mean pauses of streams that ended with one slow rank were 1.7 to 2.6 times the target, and one period below the least ratio of 2 ends a run of long pauses.

Change: least ratio 1.5, end ratio 1.2, and a fall of streams of a fifth before their response is judged, as the expected response is smaller.

--- a/src/decision/gateway/degradedmode.h
+++ b/src/decision/gateway/degradedmode.h
@@ -30,19 +30,19 @@
     {
         // Ratio of pause to gap target from which on a group may be degraded. Below it, streams
         // that are late in some passes only are worth bringing back into time.
-        double minRatio = 2.0;
+        double minRatio = 1.5;
         // How long pauses must be long before they are judged, and the time in which the shortest
         // one counts: longer than the expert map takes to follow a shift of demand.
         Duration confirmTime = std::chrono::milliseconds(1500);
         Duration shiftTime = std::chrono::milliseconds(1000);
         // Fall of the streams in flight that must show in the pauses of a group that is too full.
-        double minFall = 0.15;
+        double minFall = 0.2;
         // With fewer streams a gateway cannot judge the response; it has the fewest already.
         double fewestStreams = 3.0;
         // Part of a pass that does not depend on the number of streams, as a ratio of the target.
         double fixedShare = 0.3;
         // The mode ends when pauses are below this ratio again.
-        double endRatio = 1.5;
+        double endRatio = 1.2;
         // The mode also ends after this time, and begins anew if the group is still degraded: with
         // the streams that the mode admits, a group that works again may just be too full.
         Duration maxTime = std::chrono::seconds(10);
