A group that does not report itself any more has no share

Cause: the limit kept the last share of a group that had left the reports.

Measured: gateway-unit-tests and gatewaysharing-tests pass; no test of its own.

--- a/src/gateway/demandsharing.cpp
+++ b/src/gateway/demandsharing.cpp
@@ -17,6 +17,17 @@
 void DemandSharing::tick(TimePoint now)
 {
     const DemandTable::Demands demands = core_.demands();
+    // A group that does not report itself any more has no share.
+    const auto known = reported_;
+    for (const auto &[key, share] : known) {
+        const bool isStated = std::any_of(demands.begin(), demands.end(), [&](const auto &demand) {
+            return demand.service == key.first && demand.group == key.second;
+        });
+        if (!isStated) {
+            core_.setShare(key.first, key.second, std::nullopt);
+            report({key.first, key.second}, std::nullopt, now);
+        }
+    }
     exchange_.setOwn(demands, now);
     double shares = 0.0;
     for (const GroupDemand &demand : demands) {
