--- a/src/gateway/demandsharing.cpp
+++ b/src/gateway/demandsharing.cpp
@@ -19,7 +19,8 @@
     const DemandTable::Demands demands = core_.demands();
     // A group that does not report itself any more has no share.
     const auto known = reported_;
-    for (const auto &[key, share] : known) {
+    for (const auto &reported : known) {
+        const Key &key = reported.first;
         const bool isStated = std::any_of(demands.begin(), demands.end(), [&](const auto &demand) {
             return demand.service == key.first && demand.group == key.second;
         });
