--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -361,7 +361,7 @@
     expectedSkew_ = best->skew;
     expectedCopying_ = best->copying;
     shiftedSincePlan_ = false;
-    return std::move(best->map);
+    return best->map;
 }
 
 } // namespace seamarch
--- a/test/decision/gateway/gatewaycorereturns_test.cpp
+++ b/test/decision/gateway/gatewaycorereturns_test.cpp
@@ -181,7 +181,7 @@
 {
     for (int count = 0; count < 30; ++count) {
         begin(count); // Makes 8 s known as the deadline of a first try.
-        core->onCallerGone(static_cast<RequestNumber>(count + 1), actions);
+        core->onCallerGone(static_cast<RequestNumber>(count) + 1, actions);
     }
     serve(100, 100, 20);
     begin(1000);
--- a/test/decision/gateway/streamqueueload_test.cpp
+++ b/test/decision/gateway/streamqueueload_test.cpp
@@ -39,7 +39,7 @@
 
     StreamQueue::Entry add(const char *account, Urgency urgency = kNormal)
     {
-        const StreamQueue::Entry each = entry(account, urgency);
+        StreamQueue::Entry each = entry(account, urgency);
         added.emplace(each.number, each);
         queue.add(each, at(0));
         return each;
