Keep callers that came back in the queue while they have a chance

Cause: a caller that came back is lost if it is rejected; it was rejected by the same cautious rule as a first try. Change: it is queued if its expected wait fits, without the safety factor, and stays while the wait is below twice what it has left.

--- a/src/decision/gateway/gatewaycorereturns.cpp
+++ b/src/decision/gateway/gatewaycorereturns.cpp
@@ -87,7 +87,8 @@
         if (!request.returnPlanned && acceptsNone(service, now)) {
             mayAwaitGroup(request, false, now);
         }
-        const Duration useful = callerTimeLeft(request, now) - service.times.duration(request.request.size);
+        const Duration useful =
+            callerTimeLeft(request, now) - service.times.duration(request.request.size);
         if (useful < settings_.minRetryAfter
             || (request.returnPlanned && request.retryAfterHint == Duration{})) {
             return {};
@@ -216,7 +217,9 @@
     // The next stream of the queue needs only one slot, whatever the rate.
     const Duration wait = expectedWait(service, entry, now);
     const bool isNext = service.queue.countAhead(entry, now) == 0;
-    return checkWait && !isNext && wait > left ? StreamRejection::QueueSlow : StreamRejection::None;
+    const Duration bearable = entry.isRetry ? left * settings_.waitSafetyFactor : left;
+    return checkWait && !isNext && wait > bearable ? StreamRejection::QueueSlow
+                                                   : StreamRejection::None;
 }
 
 // Rejects the queued streams that can no longer be served.
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -37,7 +37,9 @@
     const StreamQueue::Entry entry = queueEntryFor(number, request, service);
     request.queued = true;
     const Duration wait = expectedWait(service, entry, now);
-    if (wait * settings_.waitSafetyFactor > entry.latestStart - now) {
+    // A caller that came back is lost if it is rejected.
+    const int safetyFactor = entry.isRetry ? 1 : settings_.waitSafetyFactor;
+    if (wait * safetyFactor > entry.latestStart - now) {
         request.rejection = StreamRejection::QueueSlow;
         request.retryAfterHint = std::clamp(wait, settings_.minRetryAfter, settings_.maxRetryAfter);
         giveUp(number, FailureCode::NoUpstream, now, actions);
