--- a/test/decision/gateway/gatewaycorereturns_test.cpp
+++ b/test/decision/gateway/gatewaycorereturns_test.cpp
@@ -137,6 +137,24 @@
     CHECK_TRUE(rejections[0].outcome == Outcome::NotRun);
 }
 
+// Seven streams start in a second, then none: the second of the queue would wait for two seconds.
+TEST(GatewayCoreReturnsTest, QueuedStreamsAreRejectedAsStartsSlowDown)
+{
+    for (RequestNumber number = 1; number <= 4; ++number) {
+        begin(0);
+        core->onCallerGone(number, actions);
+    }
+    for (int count = 0; count < 6; ++count) {
+        begin(100);
+    }
+    actions.clear();
+    core->onTick(at(1150), actions);
+    const auto rejections = all<RejectRequest>(actions);
+    LONGS_EQUAL(2, rejections.size());
+    CHECK_TRUE(rejections[0].reason == StreamRejection::QueueSlow);
+    LONGS_EQUAL(4, core->streams(TargetName("service"))); // The next one waited and started.
+}
+
 TEST(GatewayCoreReturnsTest, StreamsThatWaitStartWhenTheOutageEnds)
 {
     serve(0, 100, 20);
