--- a/src/decision/gateway/gatewaycorereturns.cpp
+++ b/src/decision/gateway/gatewaycorereturns.cpp
@@ -218,8 +218,9 @@
     const std::size_t ahead = service.queue.countAhead(entry, now);
     const Duration wait = std::min(expectedWait(service, entry, now),
                                    service.availability.shortestWait(ahead + 1, now));
-    return checkWait && ahead > 0 && wait > left ? StreamRejection::QueueSlow
-                                                 : StreamRejection::None;
+    const Duration bearable = entry.isRetry ? left * settings_.waitSafetyFactor : left;
+    return checkWait && ahead > 0 && wait > bearable ? StreamRejection::QueueSlow
+                                                     : StreamRejection::None;
 }
 
 // Rejects the queued streams whose expected wait has become too long.
