A decider that stood still is replaced sooner and does not take the role back

Cause: at 72 ranks an agent waited for 1.2 s for a decider's query, and 0.3 s more for its turn. The frozen machine's engine answers no other machine either (trial: three calls, each without an answer for 300 ms), so no map can change until it wakes; its agent then took the role back with orders of before the freeze, all were refused, and the map changed 1.2 s after the wake. Change: the timeout is five intervals of queries. An agent that stood still for it continues as a new one and leaves the role to the decider in charge, whatever its rank.

--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/wallclock.h"
 #include "decision/expertmap/collectionplan.h"
+#include "decision/expertmap/deciderrole.h"
 #include "experts/maplognames.h"
 #include "experts/rankwire.h"
 #include "net/rpcpeer.h"
@@ -25,25 +26,6 @@
 // How often an agent that is not the decider polls its own engine for its rank, unless a query from
 // the decider has fetched the report in the meantime. Calls to the own engine have no cost.
 constexpr Duration kOwnPollInterval = std::chrono::milliseconds(200);
-// A decider that has sent no query within this time, plus a time per rank, is considered dead or
-// partitioned. Whatever the size of the group, a live decider sends about five queries in it. The
-// timeout is short because two concurrent deciders are harmless, whereas a group that a dead
-// decider has left held makes no passes.
-constexpr Duration kDeciderTimeout = std::chrono::milliseconds(500);
-constexpr Duration kDeciderTimeoutPerRank = std::chrono::milliseconds(10);
-// While its own engine holds a step, an agent divides the decider timeout by this and takes over
-// without a further delay: the whole group stalls until a dead decider is replaced. A live decider
-// still sends several queries in the shorter time, most of all during a change.
-constexpr int kHeldTimeoutDivisor = 2;
-// Takeover delay added per rank, so that one agent takes over and its first query arrives before
-// the next rank would take over. It covers a query and a tick.
-constexpr Duration kTakeoverDelayPerRank = std::chrono::milliseconds(100);
-// Takeover delay added for every rank but 0, because a new decider needs time to connect to all
-// ranks.
-constexpr Duration kTakeoverBaseDelay = std::chrono::milliseconds(200);
-// How long a new agent waits before it may become the decider; a live decider has sent a query by
-// then.
-constexpr Duration kStartupDelay = std::chrono::milliseconds(600);
 // Fences start at the wall-clock time in these units. A decider raises its fence less often than
 // once per unit, so a later decider normally starts above it.
 constexpr std::chrono::milliseconds kFenceUnit{100};
@@ -289,8 +271,8 @@
 void ExpertAgent::onDeciderQuery(const GroupId &deciderGroup, std::uint32_t deciderRank,
                                  const std::string &deciderHost)
 {
-    if (ownRank_ && deciderGroup == ownGroup_ && deciderRank < *ownRank_) {
-        lowerRankDecider_ = LowerRankDecider{deciderRank, loop_.now(), deciderHost};
+    if (ownRank_ && deciderGroup == ownGroup_ && deciderRank != *ownRank_) {
+        otherDecider_ = QueryingDecider{deciderRank, loop_.now(), deciderHost};
     }
 }
 
@@ -299,7 +281,7 @@
     if (isDecider() && decider_->size() > 0) {
         groupReporter_.publish(groupFacts(), decider_->lastReportAt());
     } else {
-        groupReporter_.referTo(lowerRankDecider_ ? lowerRankDecider_->host : std::string());
+        groupReporter_.referTo(otherDecider_ ? otherDecider_->host : std::string());
     }
 }
 
@@ -324,31 +306,51 @@
     return facts;
 }
 
-bool ExpertAgent::shouldDecide() const
+// Returns the interval between two queries of a decider to one agent.
+Duration ExpertAgent::queryInterval() const
+{
+    CollectionInputs inputs;
+    inputs.ranks = groupSize_;
+    inputs.linkBytesPerSecond = settings_.linkBytesPerSecond;
+    return planCollection(inputs).reportInterval;
+}
+
+// Continues as a new agent if this one stood still for so long that it has been replaced.
+void ExpertAgent::checkStoodStill()
 {
     const TimePoint now = loop_.now();
-    if (!ownRank_ || now - startedAt_ < kStartupDelay) {
+    const TimePoint lastTickAt = std::exchange(lastTickAt_, now);
+    if (!hasStoodStill(lastTickAt, now, queryInterval())) {
+        return;
+    }
+    logLine(LogLevel::Warning, "agent.stood_still",
+            {{"rank", ownRank_.value_or(0)},
+             {"decides", isDecider()},
+             {"millis", toMillis(now - lastTickAt)}});
+    startedAt_ = now;
+}
+
+bool ExpertAgent::shouldDecide() const
+{
+    if (!ownRank_) {
         return false;
     }
-    const Duration fullTimeout =
-        kDeciderTimeout + kDeciderTimeoutPerRank * static_cast<Duration::rep>(groupSize_);
-    const Duration timeout = ownEngineHoldsStep_ ? fullTimeout / kHeldTimeoutDivisor : fullTimeout;
-    const bool lowerRankDecides = lowerRankDecider_ && lowerRankDecider_->rank < *ownRank_
-                                  && now - lowerRankDecider_->lastQueryAt < timeout;
-    if (isDecider() || lowerRankDecides) {
-        return !lowerRankDecides;
+    DeciderRoleInputs inputs;
+    inputs.now = loop_.now();
+    inputs.startedAt = startedAt_;
+    inputs.ownRank = *ownRank_;
+    inputs.queryInterval = queryInterval();
+    inputs.engineHoldsStep = ownEngineHoldsStep_;
+    inputs.isDecider = isDecider();
+    if (otherDecider_) {
+        inputs.other = OtherDecider{otherDecider_->rank, otherDecider_->lastQueryAt};
     }
-    const TimePoint vacantSince =
-        std::max(startedAt_ + kStartupDelay,
-                 lowerRankDecider_ ? lowerRankDecider_->lastQueryAt + timeout : TimePoint{});
-    const bool skipDelay = *ownRank_ == 0 || ownEngineHoldsStep_;
-    const Duration takeoverDelay =
-        skipDelay ? Duration{} : kTakeoverBaseDelay + kTakeoverDelayPerRank * *ownRank_;
-    return now - vacantSince >= takeoverDelay;
+    return seamarch::shouldDecide(inputs);
 }
 
 void ExpertAgent::updateRole()
 {
+    checkStoodStill();
     if (isDecider() && (decider_->ownRank() != *ownRank_ || decider_->group() != ownGroup_)) {
         stepDown(); // The group has re-formed with a new own rank, or the engine changed groups.
     }
@@ -360,10 +362,9 @@
             {{"group", ownGroup_.value()},
              {"rank", ownRank_.value_or(0)},
              {"epoch", epoch_},
-             {"lowerRank", lowerRankDecider_ ? json(lowerRankDecider_->rank) : json()},
-             {"lowerAskedMsAgo", lowerRankDecider_
-                                     ? json(toMillis(loop_.now() - lowerRankDecider_->lastQueryAt))
-                                     : json()}});
+             {"otherRank", otherDecider_ ? json(otherDecider_->rank) : json()},
+             {"otherAskedMsAgo",
+              otherDecider_ ? json(toMillis(loop_.now() - otherDecider_->lastQueryAt)) : json()}});
     if (decides) {
         becomeDecider();
     } else {
@@ -378,8 +379,8 @@
     settings.ownRank = *ownRank_;
     settings.seed = randomNonzeroId();
     settings.fenceFloor = static_cast<std::uint64_t>(wallClockNow() / kFenceUnit);
-    if (lowerRankDecider_) {
-        settings.predecessorLastSeenAt = lowerRankDecider_->lastQueryAt;
+    if (otherDecider_) {
+        settings.predecessorLastSeenAt = otherDecider_->lastQueryAt;
     }
     decider_ = std::make_unique<GroupDecider>(settings);
     RankPeersListener &listener = *this;
@@ -492,7 +493,7 @@
              {"rank", report.rank},
              {"ranks", report.ranks}});
     ownGroup_ = report.group;
-    lowerRankDecider_.reset();
+    otherDecider_.reset();
     epoch_ = 0;
     ownEngine_->resetOrders();
     rankExperts_.clear();
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -3,12 +3,11 @@
 // group's decider, adapts the expert map to current demand. A service may have several groups; each
 // has its own decider, and the groups share no state.
 //
-// The decider polls all other agents several times a second and includes its rank in each query. An
-// agent that has received no query from a lower rank within a timeout becomes the decider, after a
-// delay that grows with its rank, so that one agent takes over before the next one tries. Only the
-// decider connects to the store and to other ranks, so traffic grows linearly with the number of
-// ranks, not quadratically. Two concurrent deciders are harmless; see GroupDecider. Inference
-// requests never pass through an agent: if one crashes or is partitioned, only map changes stop.
+// The decider polls all other agents several times a second and includes its rank in each query; an
+// agent that receives none takes over (see deciderrole.h). Only the decider connects to the store
+// and to other ranks, so traffic grows linearly with the number of ranks, not quadratically. Two
+// concurrent deciders are harmless; see GroupDecider. Inference requests never pass through an
+// agent: if one crashes or is partitioned, only map changes stop.
 #pragma once
 
 #include "decision/expertmap/expertplanner.h"
@@ -70,8 +69,8 @@
 private:
     class Server;
 
-    // The lower-ranked decider that most recently queried this agent.
-    struct LowerRankDecider
+    // The other decider of the group that most recently queried this agent.
+    struct QueryingDecider
     {
         std::uint32_t rank = 0;
         TimePoint lastQueryAt{};
@@ -100,6 +99,8 @@
     void tick();
     void updateRole();
     bool isDecider() const { return decider_ != nullptr; }
+    Duration queryInterval() const;
+    void checkStoodStill();
     bool shouldDecide() const;
     void becomeDecider();
     void stepDown();
@@ -150,10 +151,11 @@
     std::uint32_t groupSize_ = 0;     // Number of ranks, from the own engine's last report.
     Duration gapTarget_{};            // Shortest gap target of the service's routes; zero: unknown.
     bool ownEngineHoldsStep_ = false; // From the own engine's last report.
-    std::optional<LowerRankDecider> lowerRankDecider_;
+    std::optional<QueryingDecider> otherDecider_;
     std::uint64_t ownCountsSnapshotId_ = 0; // Snapshot of the own rank's last counts.
     std::uint64_t epoch_ = 0;
-    TimePoint startedAt_{};
+    TimePoint startedAt_{}; // Also set when the agent continues after it stood still.
+    TimePoint lastTickAt_{};
     TimePoint ownPolledAt_{};  // Last poll of the own engine by this agent.
     TimePoint ownFetchedAt_{}; // Last query of the own engine, by this agent or for a decider.
     bool ownPollPending_ = false;
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -1,9 +1,10 @@
 // Randomized schedules of GroupDecider with a simulated group of engines. Orders and answers are
 // lost, delayed, duplicated or executed seconds late; several agents decide at the same time, pause
-// and restart; machines freeze, mostly right after a hold; and the group re-forms. No pass may run
-// with two different maps, and no group may stay held.
+// and restart, or resume with or without their state; machines freeze, mostly right after a hold;
+// and the group re-forms. No pass may run with two different maps, and no group may stay held.
 #include "decision/expertmap/groupdecider.h"
 
+#include "decision/expertmap/deciderrole.h"
 #include "decision/expertmap/forwardedorders.h"
 #include "decision/expertmap/mapversion.h"
 
@@ -23,6 +24,7 @@
 namespace {
 
 constexpr std::uint32_t kRanks = 4;
+constexpr Duration kQueryInterval = std::chrono::milliseconds(100);
 
 // A fault that is injected to verify that the checks detect it.
 enum class InjectedFault {
@@ -90,6 +92,10 @@
         succession_ = true;
         freezeAtHold_ = length;
     }
+    // From now on, a decider that stood still forgets its state.
+    void resumeDecidersAsNew() { resumesAsNew_ = true; }
+    // From now on, the cost of passes varies, and with it the step that is held.
+    void varyLoad() { loadVaries_ = true; }
     bool mixedMaps() const { return mixedMaps_; }
     Duration longestStall() const { return longestStall_; }
     std::uint64_t freezes() const { return freezes_; }
@@ -123,12 +129,18 @@
     }
 
     void restartAgent(std::uint32_t rank)
+    {
+        restartDecider(rank);
+        agents_[rank] = ForwardedOrders();
+    }
+
+    // The decider forgets everything, while the agent still knows the orders that it has forwarded.
+    void restartDecider(std::uint32_t rank)
     {
         GroupDecider::Settings settings;
         settings.ownRank = rank;
         settings.seed = random_();
         deciders_[rank] = std::make_unique<GroupDecider>(settings);
-        agents_[rank] = ForwardedOrders();
     }
 
     bool frozen(std::uint32_t rank) const
@@ -333,6 +345,11 @@
         const Duration pause = faults_ && chance(0.01) ? randomDelay(1000, 5000) : Duration{};
         schedule(randomDelay(40, 60) + pause,
                  [this, rank] { onMachine(rank, [this, rank] { tick(rank); }); });
+        const TimePoint lastTickAt = std::exchange(lastTickAt_[rank], now_);
+        if (resumesAsNew_ && hasStoodStill(lastTickAt, now_, kQueryInterval)) {
+            restartDecider(rank);
+            return; // Reports and ticks go on with the next tick.
+        }
         if (faults_ && chance(0.005)) {
             restartAgent(rank);
         }
@@ -348,6 +365,11 @@
             return;
         }
         MapOrders orders;
+        if (loadVaries_ && faults_
+            && chance(0.1)) { // The load changes, and with it the step that is held.
+            const Duration gapTarget = randomDelay(0, 200);
+            deciders_[rank]->setPassOutlook({chance(0.5) ? 1.0 : 8.0, 1.1, gapTarget});
+        }
         deciders_[rank]->onTick(now_, orders);
         if (chance(0.2)) {
             deciders_[rank]->propose(ExpertMap(1, RankExperts(kRanks, {0})), now_, orders);
@@ -412,6 +434,9 @@
 
     std::mt19937_64 random_;
     InjectedFault fault_;
+    bool resumesAsNew_ = false; // A decider that stood still forgets its state, as agents do.
+    bool loadVaries_ = false;
+    std::map<std::uint32_t, TimePoint> lastTickAt_;
     std::vector<Engine> engines_;
     std::vector<ForwardedOrders> agents_; // The agents beside the engines, by rank.
     std::map<std::uint32_t, std::unique_ptr<GroupDecider>> deciders_;
@@ -480,6 +505,46 @@
     }
 }
 
+TEST(GroupDeciderTest, AllRanksUseOneMapWhenFrozenDecidersResumeAsNew)
+{
+    for (int seed = 1; seed <= seeds(); ++seed) {
+        GroupSimulation simulation(static_cast<std::uint64_t>(seed), InjectedFault::None);
+        simulation.resumeDecidersAsNew();
+        simulation.run(std::chrono::seconds(60));
+        const std::string text = "one pass used two maps; seed " + std::to_string(seed);
+        CHECK_FALSE_TEXT(simulation.mixedMaps(), text.c_str());
+    }
+}
+
+TEST(GroupDeciderTest, AllRanksUseOneMapWhenCostOfPassesVaries)
+{
+    for (int seed = 1; seed <= seeds(); ++seed) {
+        GroupSimulation simulation(static_cast<std::uint64_t>(seed), InjectedFault::None);
+        simulation.varyLoad();
+        simulation.run(std::chrono::seconds(60));
+        const std::string text = "one pass used two maps; seed " + std::to_string(seed);
+        CHECK_FALSE_TEXT(simulation.mixedMaps(), text.c_str());
+    }
+}
+
+// A decider that resumes as a new one finds the holds and arms that it has left itself.
+TEST(GroupDeciderTest, GroupRecoversWhenFrozenDecidersResumeAsNew)
+{
+    for (int seed = 1; seed <= seeds(); ++seed) {
+        GroupSimulation simulation(static_cast<std::uint64_t>(seed), InjectedFault::None);
+        simulation.resumeDecidersAsNew();
+        simulation.run(std::chrono::seconds(30));
+        simulation.stopFaults();
+        simulation.run(std::chrono::seconds(20)); // Delayed orders may still arrive.
+        const std::uint64_t step = simulation.step();
+        const std::uint64_t accepted = simulation.mapActivations();
+        simulation.run(std::chrono::seconds(20));
+        const std::string text = "group held or map unchanged; seed " + std::to_string(seed);
+        CHECK_TEXT(simulation.step() > step + 50, text.c_str());
+        CHECK_TEXT(simulation.mapActivations() > accepted, text.c_str());
+    }
+}
+
 TEST(GroupDeciderTest, CheckerDetectsInjectedFaults)
 {
     constexpr int kSeeds = 40;
