--- a/src/decision/expertmap/expertplanner.cpp
+++ b/src/decision/expertmap/expertplanner.cpp
@@ -289,6 +289,18 @@
     return copies;
 }
 
+// Returns whether the pace of a rank has changed since the last plan. The history still holds then,
+// and while one slow rank holds up all passes, it can take long until a round has enough choices.
+bool ExpertPlanner::pacesChanged() const
+{
+    const auto changed = [this](double before, double now) {
+        return std::max(before, now) > std::min(before, now) * settings_.paceChangeFactor;
+    };
+    return paces_.size() == plannedPaces_.size()
+           && !std::equal(paces_.begin(), paces_.end(), plannedPaces_.begin(),
+                          [&](double now, double before) { return !changed(before, now); });
+}
+
 // Returns whether passes with `candidate` would be so short that a more balanced map would not help
 // any caller, and the remaining copies can be spared.
 bool ExpertPlanner::isSufficient(const Candidate &candidate) const
@@ -341,11 +353,12 @@
 
 std::optional<ExpertMap> ExpertPlanner::plan(const ExpertMap &current, TimePoint now)
 {
-    if (current.size() != rule_.sets || current.empty() || planned_
+    if (current.size() != rule_.sets || current.empty() || (planned_ && !pacesChanged())
         || sumOf(history_) < settings_.minChoices) {
         return std::nullopt;
     }
     planned_ = true;
+    plannedPaces_ = paces_;
     const double before = skew(current);
     if (isNearTarget(before)) {
         return std::nullopt; // Even the target skew would gain too little; skip the search.
@@ -354,7 +367,7 @@
         return std::nullopt;
     }
     const Duration workloadDuration = expectedWorkloadDuration(now);
-    const auto best = chooseCandidate(current, before, workloadDuration);
+    auto best = chooseCandidate(current, before, workloadDuration);
     if (!best) {
         return std::nullopt;
     }
--- a/src/decision/expertmap/expertplanner.h
+++ b/src/decision/expertmap/expertplanner.h
@@ -88,6 +88,8 @@
         // The placement of a set is not improved beyond this skew.
         double targetSkew = 1.08;
         std::uint32_t maxChanges = 96;
+        // Factor by which the pace of a rank must change for a new plan without a new round.
+        double paceChangeFactor = 1.5;
         // Minimum number of choices in a round or the history; fewer are mostly noise.
         double minChoices = 20'000.0;
     };
@@ -126,7 +128,7 @@
     // also while a change is in progress. `current` is the map in use, if known.
     void endRound(const std::optional<ExpertMap> &current, TimePoint now);
     // Returns a better map than `current`, or nothing if no change is worth its cost. Plans at most
-    // once per evaluated round.
+    // once per evaluated round, and once more if the pace of a rank has changed.
     std::optional<ExpertMap> plan(const ExpertMap &current, TimePoint now);
     // Records that the planned change was activated, `time` after plan() returned it.
     void recordActivation(Duration time);
@@ -174,6 +176,7 @@
     double netBenefit(const Candidate &candidate, double before, Duration workloadDuration) const;
     bool isSufficient(const Candidate &candidate) const;
     bool isNearTarget(double skew) const;
+    bool pacesChanged() const;
     double gainRate(const Candidate &candidate, double before) const;
     std::optional<Candidate> chooseCandidate(const ExpertMap &current, double before,
                                              Duration workloadDuration) const;
@@ -190,6 +193,7 @@
     std::uint32_t expectedAnswers_ = 0; // Ranks polled for a round; zero: unknown.
     TimePoint mergedAt_{};
     std::vector<double> paces_;
+    std::vector<double> plannedPaces_; // The paces at the last plan.
     Duration passTime_{};
     Duration evenPassTime_{};
     Duration gapTarget_{};
--- a/test/decision/expertmap/expertplanner_test.cpp
+++ b/test/decision/expertmap/expertplanner_test.cpp
@@ -490,6 +490,21 @@
     CHECK_TRUE(change.skew < 1.25);
 }
 
+// Passes of a group with one rank 12 times as slow took so long that the rounds were short of
+// choices, and the slow rank kept its experts for another second.
+TEST(ExpertPlannerTest, PlansAgainWhenRankSlowsDownBetweenRounds)
+{
+    feedChoices(planner, std::vector<double>(kExperts, 1.0 / kExperts), 0, 2000);
+    const ExpertMap current{roundRobinPlacement()};
+    std::vector<double> paces(kRanks, 1.0);
+    planner.setPaces(paces);
+    CHECK_FALSE(planner.plan(current, at(2000)).has_value());
+    paces[3] = 12.0;
+    planner.setPaces(paces);
+    CHECK_TRUE(planner.plan(current, at(2050)).has_value());
+    CHECK_FALSE(planner.plan(current, at(2100)).has_value());
+}
+
 // Copies are expensive, and no caller notices a more balanced map then.
 TEST(ExpertPlannerTest, CopiesNoMoreThanGapTargetNeeds)
 {
