Later deciders of an agent keep its fences and unresolved arms; the pass time is that of the map in use

Cause, 1: an agent that leaves the role and takes it again, as it did before, forgot its fences and the arms that it had sent. Change: the fence floor and the epoch of unresolved arms pass on; with unresolved arms, no change is cleared without a silent rank. Cause, 2: the pass time measured before a change was taken for that of the new map, and a second change followed at once. Change: until it is measured, the pass time of the new map is forecast; a measurement during which the cost changed counts with the lower cost.

--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -67,6 +67,11 @@
     fence_ = (highest / kFenceStride + 1) * kFenceStride + fenceSuffix_;
 }
 
+std::uint64_t GroupDecider::nextFenceFloor() const
+{
+    return std::max(settings_.fenceFloor, fence_ / kFenceStride + 1);
+}
+
 std::vector<double> GroupDecider::paces() const
 {
     std::vector<double> paces;
@@ -257,6 +262,14 @@
     foreignSince_.reset();
 }
 
+Duration GroupDecider::currentPassTime() const
+{
+    const Duration measured = passForecast_.lastMeasured();
+    return passMeasuredFrom_ < releasedAt_
+               ? std::min(measured, passForecast_.evenTimeScaledTo(outlook_.costNow))
+               : measured;
+}
+
 // Measures the pass time from the progress of the highest reported step.
 void GroupDecider::measurePasses(TimePoint requestedAt)
 {
@@ -264,6 +277,7 @@
     if (measuredAt_ == TimePoint{} || step < measuredStep_) {
         measuredStep_ = step;
         measuredAt_ = requestedAt;
+        measuredCost_ = outlook_.costNow;
         return;
     }
     if (requestedAt - measuredAt_ < settings_.passWindow) {
@@ -272,10 +286,12 @@
     if (step > measuredStep_) {
         passForecast_.record((requestedAt - measuredAt_)
                                  / static_cast<Duration::rep>(step - measuredStep_),
-                             outlook_.costNow);
+                             std::min(outlook_.costNow, measuredCost_));
+        passMeasuredFrom_ = measuredAt_;
     }
     measuredStep_ = step;
     measuredAt_ = requestedAt;
+    measuredCost_ = outlook_.costNow;
 }
 
 void GroupDecider::onHoldAnswer(MapOrderAnswer answer, TimePoint now)
@@ -377,6 +393,7 @@
         enterPhase(Phase::Holding, now);
     } else if (phase_ == Phase::Arming && allConfirmed()) {
         committed_ = true;
+        settings_.epochOfUnresolvedArms.reset();
         recordArmTime(now - phaseSince_);
         enterPhase(Phase::Releasing, now);
     } else if (phase_ == Phase::Clearing && allConfirmed()) {
@@ -384,6 +401,9 @@
         // agent has not forwarded yet.
         const bool cleared = !excludedRank_ || canClearWithout(*excludedRank_);
         cleared_ += cleared ? 1 : 0;
+        if (!excludedRank_) {
+            settings_.epochOfUnresolvedArms.reset();
+        }
         enterPhase(cleared ? Phase::Releasing : Phase::Idle, now);
     } else if (phase_ == Phase::Releasing && allHoldsReleased()) {
         changes_ += committed_ ? 1 : 0;
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -138,6 +138,9 @@
         // Time of the last contact with the previous decider, if any. `foreignTimeout` for arms and
         // holds that it has left runs from then.
         std::optional<TimePoint> predecessorLastSeenAt;
+        // An earlier decider of this agent has armed ranks in this epoch and did not learn the
+        // outcome.
+        std::optional<std::uint64_t> epochOfUnresolvedArms;
         // A hold is placed at the first step that begins after the lead time, or
         // `defaultMarginPasses` ahead while the pass time is unknown. The hold, the arms and their
         // answers take some ten milliseconds, and more in a large group. A lead that is too short
@@ -235,8 +238,22 @@
     Duration passTime() const { return passForecast_.lastMeasured(); }
     // Returns the pass time expected at the present cost of a pass, or zero if unknown.
     Duration expectedPassTime() const { return passForecast_.expectedAt(outlook_.costNow); }
+    // Returns the pass time with the map in use: the last measured one, or the expected one if that
+    // was measured with the map before. Zero if unknown.
+    Duration currentPassTime() const;
     // Returns the time of a pass whose load is spread evenly, or zero if unknown.
     Duration evenPassTime() const { return passForecast_.evenTimeScaledTo(1.0); }
+    // Returns the fence floor for a later decider of this agent, above all fences of this one.
+    // Orders of this decider may still be executed late; with a higher fence, one that releases a
+    // hold would release that of the later decider.
+    std::uint64_t nextFenceFloor() const;
+    // Returns the epoch in which this decider has sent arms whose outcome it does not know, if any.
+    // A rank that is silent now may be armed with that map, even if it has prepared a later one
+    // since.
+    std::optional<std::uint64_t> epochOfUnresolvedArms() const
+    {
+        return settings_.epochOfUnresolvedArms;
+    }
     std::uint32_t ownRank() const { return settings_.ownRank; }
     const GroupId &group() const { return settings_.group; }
     // Returns the number of ranks in the group, or zero before the first report.
@@ -332,6 +349,8 @@
     std::uint64_t resentOrders_ = 0; // Number of orders of the current change that were resent.
     std::uint64_t measuredStep_ = 0; // Step at which the measurement of the pass time started.
     TimePoint measuredAt_{};
+    double measuredCost_ = 1.0;    // Relative cost of a pass at that time.
+    TimePoint passMeasuredFrom_{}; // When the last completed measurement started.
     PassForecast passForecast_;
     PassOutlook outlook_;
     std::deque<Duration> armTimes_; // From the first arm to the last answer, for the last changes.
--- a/src/decision/expertmap/groupdeciderclearing.cpp
+++ b/src/decision/expertmap/groupdeciderclearing.cpp
@@ -50,11 +50,12 @@
 }
 
 // Returns whether the change in progress can be cleared without the silent rank: that rank is armed
-// last, and this agent has forwarded no arm, so its own confirmation is still missing.
+// last, and this agent has forwarded no arm, so its own confirmation is still missing. An agent
+// that has armed the silent rank itself with an earlier map cannot.
 bool GroupDecider::canClearWithout(std::uint32_t silent) const
 {
     const auto own = ranks_.find(settings_.ownRank);
-    if (own == ranks_.end()) {
+    if (own == ranks_.end() || settings_.epochOfUnresolvedArms == epoch_) {
         return false;
     }
     const std::uint64_t version = own->second.report.unarmedVersion;
--- a/src/decision/expertmap/groupdeciderorders.cpp
+++ b/src/decision/expertmap/groupdeciderorders.cpp
@@ -68,6 +68,7 @@
         if (!rank.confirmed && isResendDue(rank, now) && canArm(number)) {
             resentOrders_ += rank.sentAt == TimePoint{} ? 0 : 1;
             rank.sentAt = now;
+            settings_.epochOfUnresolvedArms = epoch_;
             const OrderRoute route = armsOwnRankLast() ? OrderRoute::AgentOnly : OrderRoute::Any;
             orders.push_back({number, orderFor(MapOrderKind::Arm), route});
         }
--- a/src/decision/expertmap/passforecast.h
+++ b/src/decision/expertmap/passforecast.h
@@ -7,8 +7,8 @@
 //
 // The relative cost of a pass is its time divided by that of a pass whose load is spread evenly
 // over healthy ranks. The time of such an even pass is the smallest that the last measurements
-// imply: a measurement that began before the cost rose implies too little, which leaves the
-// forecast at or above the measured time, and one from before the cost was known implies too much.
+// imply. A measurement during which the cost changed is recorded with the lower cost, because a
+// time that is too large does not affect the smallest one.
 //
 // Performs no I/O; not thread-safe.
 #pragma once
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -378,7 +378,9 @@
     settings.group = ownGroup_;
     settings.ownRank = *ownRank_;
     settings.seed = randomNonzeroId();
-    settings.fenceFloor = static_cast<std::uint64_t>(wallClockNow() / kFenceUnit);
+    settings.fenceFloor =
+        std::max(fenceFloor_, static_cast<std::uint64_t>(wallClockNow() / kFenceUnit));
+    settings.epochOfUnresolvedArms = epochOfUnresolvedArms_;
     if (otherDecider_) {
         settings.predecessorLastSeenAt = otherDecider_->lastQueryAt;
     }
@@ -401,6 +403,8 @@
 // Leaves a change in progress as it is; the new decider clears it.
 void ExpertAgent::stepDown()
 {
+    fenceFloor_ = decider_->nextFenceFloor();
+    epochOfUnresolvedArms_ = decider_->epochOfUnresolvedArms();
     storeWatcher_.reset();
     rankPeers_.reset();
     decider_.reset();
@@ -493,6 +497,7 @@
              {"rank", report.rank},
              {"ranks", report.ranks}});
     ownGroup_ = report.group;
+    epochOfUnresolvedArms_.reset();
     otherDecider_.reset();
     epoch_ = 0;
     ownEngine_->resetOrders();
@@ -622,7 +627,7 @@
 void ExpertAgent::replaceOutdatedChange(MapOrders &orders)
 {
     planner_.setPaces(decider_->paces());
-    planner_.setPassTimes(decider_->passTime(), decider_->evenPassTime(), gapTarget_);
+    planner_.setPassTimes(decider_->currentPassTime(), decider_->evenPassTime(), gapTarget_);
     auto planned = planner_.plan(*currentMap_, loop_.now());
     if (planned && decider_->abandon(loop_.now())) {
         logLine(LogLevel::Info, "map.abandoned",
@@ -645,7 +650,7 @@
     }
     logObstacleChange(kNoObstacleName);
     planner_.setPaces(decider_->paces());
-    planner_.setPassTimes(decider_->passTime(), decider_->evenPassTime(), gapTarget_);
+    planner_.setPassTimes(decider_->currentPassTime(), decider_->evenPassTime(), gapTarget_);
     logLine(LogLevel::Debug, "map.weighed",
             {{"distance", planner_.roundDistance()}, {"skew", planner_.skew(*currentMap_)}});
     if (auto planned = planner_.plan(*currentMap_, loop_.now())) {
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -160,6 +160,10 @@
     TimePoint ownFetchedAt_{}; // Last query of the own engine, by this agent or for a decider.
     bool ownPollPending_ = false;
     std::uint64_t nextInboundId_ = 1;
+    std::uint64_t fenceFloor_ = 0; // Above all fences that this agent has used as the decider.
+    // The epoch in which this agent has sent arms whose outcome it does not know (see
+    // GroupDecider).
+    std::optional<std::uint64_t> epochOfUnresolvedArms_;
     // Decider state; null or unused while another agent decides.
     std::unique_ptr<StoreWatcher> storeWatcher_;
     std::unique_ptr<RankPeers> rankPeers_;
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::uint32_t kRanks = 4;
 constexpr Duration kQueryInterval = std::chrono::milliseconds(100);
+constexpr Duration kFenceUnit = std::chrono::milliseconds(100); // As in ExpertAgent.
 
 // A fault that is injected to verify that the checks detect it.
 enum class InjectedFault {
@@ -130,16 +131,23 @@
 
     void restartAgent(std::uint32_t rank)
     {
-        restartDecider(rank);
+        restartDecider(rank, false);
         agents_[rank] = ForwardedOrders();
     }
 
     // The decider forgets everything, while the agent still knows the orders that it has forwarded.
-    void restartDecider(std::uint32_t rank)
+    void restartDecider(std::uint32_t rank, bool resumed)
     {
         GroupDecider::Settings settings;
         settings.ownRank = rank;
         settings.seed = random_();
+        if (resumesAsNew_) {
+            settings.fenceFloor = static_cast<std::uint64_t>(now_.time_since_epoch() / kFenceUnit);
+        }
+        if (resumed) {
+            settings.fenceFloor = std::max(settings.fenceFloor, deciders_[rank]->nextFenceFloor());
+            settings.epochOfUnresolvedArms = deciders_[rank]->epochOfUnresolvedArms();
+        }
         deciders_[rank] = std::make_unique<GroupDecider>(settings);
     }
 
@@ -347,7 +355,7 @@
                  [this, rank] { onMachine(rank, [this, rank] { tick(rank); }); });
         const TimePoint lastTickAt = std::exchange(lastTickAt_[rank], now_);
         if (resumesAsNew_ && hasStoodStill(lastTickAt, now_, kQueryInterval)) {
-            restartDecider(rank);
+            restartDecider(rank, true);
             return; // Reports and ticks go on with the next tick.
         }
         if (faults_ && chance(0.005)) {
@@ -872,3 +880,44 @@
     LONGS_EQUAL(2, holdMarginAt(1.2, kGapTarget));
     LONGS_EQUAL(1, holdMarginAt(1.2, std::chrono::milliseconds(110)));
 }
+
+// The map that ends a time of long passes looked insufficient by the passes before it, and a second
+// change followed at once.
+TEST(GroupDeciderTest, DoesNotTakePassTimeBeforeChangeForThatOfNewMap)
+{
+    GroupDecider decider(GroupDecider::Settings{});
+    TimePoint now{std::chrono::seconds(10)};
+    std::uint64_t step = 0;
+    const auto measure = [&](Duration pass) {
+        for (int count = 0; count <= kReportsPerMeasurement; ++count) {
+            now += pass;
+            ++step;
+            for (std::uint32_t rank = 0; rank < kTwoRanks; ++rank) {
+                RankReport report;
+                report.rank = rank;
+                report.ranks = kTwoRanks;
+                report.epoch = 1;
+                report.open = true;
+                report.step = step;
+                decider.onReport(report, now, now);
+            }
+        }
+    };
+    measure(kReportInterval);
+    decider.setPassOutlook({4.0, 1.0, kGapTarget});
+    measure(4 * kReportInterval);
+    CHECK_TRUE(decider.currentPassTime() == 4 * kReportInterval);
+    prepareBoth(decider, now, MapOrderAnswer::Copied);
+    for (int phase = 0; phase < 4; ++phase) { // Hold, arms of either rank, go.
+        MapOrders orders;
+        decider.onTick(now, orders);
+        for (const SendMapOrder &order : orders) {
+            decider.onAnswer(order.rank, order.order, MapOrderAnswer::Done, now);
+        }
+    }
+    LONGS_EQUAL(1, decider.changes());
+    decider.setPassOutlook({1.0, 1.0, kGapTarget});
+    DOUBLES_EQUAL(toSeconds(kReportInterval), toSeconds(decider.currentPassTime()), 1e-3);
+    measure(2 * kReportInterval);
+    CHECK_TRUE(decider.currentPassTime() == 2 * kReportInterval);
+}
