Agents vouch for a version only if the one before it was in use

Cause: a rank that still copied the version that names it had accepted the arm of an earlier change by another decider; the successor took it for unarmed, cleared the change without it, and a pass ran with two maps. Change: a prepare is vouched for only if the version before it was in use at the own rank, by the engine's last report.

--- a/src/decision/expertmap/forwardedorders.cpp
+++ b/src/decision/expertmap/forwardedorders.cpp
@@ -10,16 +10,18 @@
     if (epoch > epoch_) {
         epoch_ = epoch;
         highestPrepared_ = 0;
+        mapInUse_ = 0;
         engineReported_ = false;
         unarmedVersion_ = 0;
     }
 }
 
-void ForwardedOrders::recordReport(std::uint64_t epoch, std::uint64_t prepared)
+void ForwardedOrders::recordReport(std::uint64_t epoch, std::uint64_t prepared, std::uint64_t map)
 {
     enterEpoch(epoch);
     if (epoch == epoch_) {
         engineReported_ = true;
+        mapInUse_ = map;
         highestPrepared_ = std::max(highestPrepared_, prepared);
     }
 }
@@ -36,8 +38,9 @@
     }
     // A repeated prepare is ignored, because an arm may have been forwarded in between.
     if (order.kind == MapOrderKind::Prepare && order.version > highestPrepared_) {
+        const bool previousInUse = engineReported_ && highestPrepared_ <= mapInUse_;
         highestPrepared_ = order.version;
-        unarmedVersion_ = engineReported_ ? order.version : 0;
+        unarmedVersion_ = previousInUse ? order.version : 0;
     } else if (order.kind == MapOrderKind::Arm && order.version == unarmedVersion_) {
         unarmedVersion_ = 0;
     }
--- a/src/experts/ownengine.cpp
+++ b/src/experts/ownengine.cpp
@@ -42,7 +42,8 @@
                 return;
             }
             RankFacts facts{engine->report, std::nullopt, std::move(engine->experts)};
-            forwardedOrders_.recordReport(facts.report.epoch, facts.report.prepared);
+            forwardedOrders_.recordReport(facts.report.epoch, facts.report.prepared,
+                                          facts.report.map);
             facts.report.fence = forwardedOrders_.highestFence();
             facts.report.unarmedVersion = forwardedOrders_.unarmedVersion(facts.report.epoch);
             if (!engine->counts.empty()) {
--- a/test/decision/expertmap/forwardedorders_test.cpp
+++ b/test/decision/expertmap/forwardedorders_test.cpp
@@ -26,7 +26,7 @@
 
     void setup() override
     {
-        forwarded.recordReport(kEpoch, 5);
+        forwarded.recordReport(kEpoch, 5, 5);
     }
 };
 
@@ -61,7 +61,7 @@
 TEST(ForwardedOrdersTest, AgentStartedAfterCopyReportsNothing)
 {
     ForwardedOrders restarted;
-    restarted.recordReport(kEpoch, 9);
+    restarted.recordReport(kEpoch, 9, 0);
     restarted.admit(order(MapOrderKind::Prepare, 9));
     LONGS_EQUAL(0, restarted.unarmedVersion(kEpoch));
 }
@@ -85,9 +85,22 @@
 TEST(ForwardedOrdersTest, NewEpochDiscardsEarlierState)
 {
     forwarded.admit(order(MapOrderKind::Prepare, 9));
-    forwarded.recordReport(kEpoch + 1, 0);
+    forwarded.recordReport(kEpoch + 1, 0, 0);
     LONGS_EQUAL(0, forwarded.unarmedVersion(kEpoch));
     LONGS_EQUAL(0, forwarded.unarmedVersion(kEpoch + 1));
     forwarded.admit(order(MapOrderKind::Arm, 9)); // A late order of the previous epoch.
     LONGS_EQUAL(0, forwarded.unarmedVersion(kEpoch + 1));
 }
+
+// A rank that still copies version 9 accepts an arm of version 7, and reports 9 as copied later. A
+// change that was cleared in that belief let it run a pass with another map than its group.
+TEST(ForwardedOrdersTest, VersionAfterOneThatIsNotInUseIsNotReported)
+{
+    forwarded.admit(order(MapOrderKind::Prepare, 7));
+    forwarded.recordReport(kEpoch, 7, 5);
+    forwarded.admit(order(MapOrderKind::Prepare, 9));
+    LONGS_EQUAL(0, forwarded.unarmedVersion(kEpoch));
+    forwarded.recordReport(kEpoch, 9, 9);
+    forwarded.admit(order(MapOrderKind::Prepare, 11));
+    LONGS_EQUAL(11, forwarded.unarmedVersion(kEpoch));
+}
--- a/test/decision/expertmap/groupdecider_test.cpp
+++ b/test/decision/expertmap/groupdecider_test.cpp
@@ -47,18 +47,19 @@
     std::uint64_t fence = 0;
 };
 
-// A group of engines and their agents in simulated time. The agents of ranks 0 and 1 act as
-// deciders.
+// A group of engines and their agents in simulated time. The agents of the lowest ranks, normally
+// two, act as deciders.
 class GroupSimulation
 {
 public:
-    GroupSimulation(std::uint64_t seed, InjectedFault fault)
+    GroupSimulation(std::uint64_t seed, InjectedFault fault, std::uint32_t deciderCount = 2)
         : random_(seed)
         , fault_(fault)
+        , deciderCount_(deciderCount)
         , engines_(kRanks)
         , agents_(kRanks)
     {
-        for (std::uint32_t rank = 0; rank < 2; ++rank) {
+        for (std::uint32_t rank = 0; rank < deciderCount_; ++rank) {
             restartAgent(rank);
         }
         schedulePass();
@@ -341,7 +342,7 @@
 
     void scheduleTicks()
     {
-        for (std::uint32_t rank = 0; rank < 2; ++rank) {
+        for (std::uint32_t rank = 0; rank < deciderCount_; ++rank) {
             schedule(randomDelay(1, 50), [this, rank] { tick(rank); });
         }
     }
@@ -429,7 +430,7 @@
         }
         report.byAgent = !faults_ || !chance(0.05);
         if (report.byAgent) {
-            agents_[of].recordReport(epoch_, engine.prepared);
+            agents_[of].recordReport(epoch_, engine.prepared, engine.map);
         }
         report.unarmedVersion = of == to ? agents_[of].unarmedVersion(epoch_) : 0;
         const TimePoint requestedAt = now_;
@@ -442,7 +443,8 @@
 
     std::mt19937_64 random_;
     InjectedFault fault_;
-    bool resumesAsNew_ = false; // A decider that stood still forgets its state, as agents do.
+    std::uint32_t deciderCount_; // The agents of the lowest ranks act as deciders.
+    bool resumesAsNew_ = false;  // A decider that stood still forgets its state, as agents do.
     bool loadVaries_ = false;
     std::map<std::uint32_t, TimePoint> lastTickAt_;
     std::vector<Engine> engines_;
@@ -524,6 +526,19 @@
     }
 }
 
+TEST(GroupDeciderTest, AllRanksUseOneMapWithThreeDeciders)
+{
+    constexpr std::uint32_t kDeciders = 3;
+    for (int seed = 1; seed <= seeds(); ++seed) {
+        GroupSimulation simulation(static_cast<std::uint64_t>(seed), InjectedFault::None,
+                                   kDeciders);
+        simulation.resumeDecidersAsNew();
+        simulation.run(std::chrono::seconds(60));
+        const std::string text = "one pass used two maps; seed " + std::to_string(seed);
+        CHECK_FALSE_TEXT(simulation.mixedMaps(), text.c_str());
+    }
+}
+
 TEST(GroupDeciderTest, AllRanksUseOneMapWhenCostOfPassesVaries)
 {
     for (int seed = 1; seed <= seeds(); ++seed) {
@@ -559,7 +574,9 @@
     CHECK_TRUE(violations(InjectedFault::EnginesIgnoreFences, kSeeds) > 0);
     CHECK_TRUE(violations(InjectedFault::LostArmsReportedDone, kSeeds) > 0);
     CHECK_TRUE(violations(InjectedFault::EnginesIgnoreHolds, kSeeds) > 0);
-    CHECK_TRUE(violations(InjectedFault::AgentsForgetArms, kSeeds) > 0);
+    // Agents vouch for few versions in these schedules, so the fault shows more rarely.
+    constexpr int kForgetfulAgentsSeeds = 150;
+    CHECK_TRUE(violations(InjectedFault::AgentsForgetArms, kForgetfulAgentsSeeds) > 0);
 }
 
 // All streams of a group stall while a step is held. If the decider's machine froze right after its
