--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -72,6 +72,9 @@
   --demand-exchange MODE     on: gateways tell each other the demand for groups of engines and
                              share their streams by it; off: each gateway keeps to what it
                              observes (default off).
+  --adaptive-room MODE       on: the streams at a group are bounded by recurring surges of pauses,
+                             and at a group that is degraded by what callers can bear; off: by
+                             the last pauses alone (default off).
   --crash-memory-s N         How long the gateway keeps the record that an upstream ended
                              while it ran a request (default 3600; 0 disables the record).
   --key-life-ms N            Maximum time for which a key is accepted after the store
@@ -231,6 +234,7 @@
     }
     settings.demandExchange =
         readSwitch(reader, "demand-exchange", settings.demandExchange, faults);
+    settings.adaptiveRoom = readSwitch(reader, "adaptive-room", settings.adaptiveRoom, faults);
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
     settings.crashRetention = fromSeconds(reader.number(
         "crash-memory-s", 0.0, kMaxCrashRetentionSeconds, toSeconds(settings.crashRetention)));
--- a/src/decision/gateway/gatewaycorereturns.cpp
+++ b/src/decision/gateway/gatewaycorereturns.cpp
@@ -215,12 +215,11 @@
                                                      : StreamRejection::None;
     }
     // The next stream of the queue needs only one slot, whatever the rate.
-    const std::size_t ahead = service.queue.countAhead(entry, now);
-    const Duration wait = std::min(expectedWait(service, entry, now),
-                                   service.availability.shortestWait(ahead + 1, now));
+    const bool isNext = service.queue.countAhead(entry, now) == 0;
+    const Duration wait = expectedWait(service, entry, now);
     const Duration bearable = entry.isRetry ? left * settings_.waitSafetyFactor : left;
-    return checkWait && ahead > 0 && wait > bearable ? StreamRejection::QueueSlow
-                                                     : StreamRejection::None;
+    return checkWait && !isNext && wait > bearable ? StreamRejection::QueueSlow
+                                                   : StreamRejection::None;
 }
 
 // Rejects the queued streams whose expected wait has become too long.
--- a/src/decision/gateway/streamlimiter.cpp
+++ b/src/decision/gateway/streamlimiter.cpp
@@ -108,7 +108,9 @@
     }
     adaptedAt_ = now;
     const double pauseRatio = takePauseRatio();
-    adaptMode(pauseRatio, inFlight, now);
+    if (settings_.adaptsRoom) {
+        adaptMode(pauseRatio, inFlight, now);
+    }
     const double target = degraded_.isActive() ? degraded_.acceptedRatio(bearable_) : 1.0;
     const bool stalled = inFlight > 0 && sampledAt_ && now - *sampledAt_ >= settings_.stallTimeout;
     if (sampledInPeriod_ && maxRatio_ > target * settings_.decreaseAbove) {
@@ -125,7 +127,7 @@
             limit_ = std::min(maxLimit(), limit_ + step);
         }
     }
-    if (!degraded_.isActive()) {
+    if (settings_.adaptsRoom && !degraded_.isActive()) {
         adaptBound(pauseRatio, inFlight, now);
     }
     sampledInPeriod_ = false;
--- a/src/decision/gateway/streamlimiter.h
+++ b/src/decision/gateway/streamlimiter.h
@@ -72,6 +72,9 @@
         // Fraction of the difference between the limit and this gateway's share of the group by
         // which the limit changes at each adaptation: others learn of it half a second later.
         double shareStep = 0.5;
+        // Whether recurring surges of pauses bound the limit, and a group whose pauses miss the
+        // target however few streams are in flight is filled up to what its callers can bear.
+        bool adaptsRoom = true;
         PauseEnvelope::Settings envelope;
         DegradedMode::Settings degraded;
         // A long pause bounds the limit if it concerns a quarter of a period's events: a pass is
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -46,6 +46,7 @@
     core.crashes.retention = settings.crashRetention;
     core.crashes.seed = randomNonzeroId();
     core.limits.firstVersion = randomNonzeroId() | 1U;
+    core.selector.tracker.streamLimiter.adaptsRoom = settings.adaptiveRoom;
     return core;
 }
 
@@ -531,10 +532,13 @@
         || settings.operatorListen != settings_.operatorListen
         || settings.metricsListen != settings_.metricsListen || settings.store != settings_.store
         || settings.peerListen != settings_.peerListen || settings.agentPort != settings_.agentPort
-        || settings.demandExchange != settings_.demandExchange;
+        || settings.demandExchange != settings_.demandExchange
+        || settings.adaptiveRoom != settings_.adaptiveRoom;
     if (fixedChanged) {
-        logLine(LogLevel::Warning, "settings.need_restart",
-                {{"message", "names, addresses and demand-exchange change at the next start"}});
+        logLine(
+            LogLevel::Warning, "settings.need_restart",
+            {{"message", "names, addresses, demand-exchange and adaptive-room change at the next "
+                         "start"}});
     }
     storeView_.setFreshness(settings.timings.freshness);
     settings_.timings = settings.timings;
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -48,6 +48,7 @@
     std::vector<SocketAddress> seeds;        // Some of the other gateways, for discovery.
     std::optional<int> agentPort; // The port of the agents, which run at the engines' addresses.
     bool demandExchange = false;  // Gateways tell each other the demand for groups of engines.
+    bool adaptiveRoom = false;    // Stream limits follow surges of pauses and degraded groups.
     std::size_t maxAccountSeries = 300; // The number of accounts with metric series of their own.
     // How long the record is kept that an upstream ended under a request; zero disables it.
     Duration crashRetention = CrashRecord::Settings().retention;
