--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -105,9 +105,6 @@
         return number;
     }
     if (route.streamed) {
-        if (rejectIfHopeless(number, added, now, actions)) {
-            return number;
-        }
         ServiceState &service = serviceOf(added.service);
         const StreamQueue::Entry entry = queueEntryFor(number, added, service);
         if (service.queue.countAhead(entry, now) > 0) {
@@ -119,7 +116,7 @@
             return number;
         }
         service.queue.chargeDirectStart(entry);
-        service.availability.onStart(now);
+        service.recentStarts.push_back(now);
         startOrAwaitPermit(number, added, group, now, actions);
     } else {
         startOrAwaitPermit(number, added, std::nullopt, now, actions);
@@ -209,8 +206,7 @@
         trackerOf(request).onStreamStart(now);
     }
     actions.push_back(StartAttempt{number, request.attempts + request.connectFailures, upstream,
-                                   request.group, request.failAt - now, mayRepeat(request),
-                                   isReturn(request)});
+                                   request.group, request.failAt - now, mayRepeat(request)});
     return true;
 }
 
@@ -306,7 +302,7 @@
     }
     actions.push_back(CancelAttempt{number, false});
     detachUpstream(*request);
-    if (kind == AnswerKind::Full && requeue(number, *request, now, actions)) {
+    if (kind == AnswerKind::Full && requeue(number, *request, now)) {
         return false;
     }
     if (provesNotRun(kind) || mayRepeat(*request)) {
@@ -332,9 +328,6 @@
     detachUpstream(*request);
     if (end == AttemptEnd::Complete && attemptHasHead) {
         crashes_.onRequestCompleted(request->request.digest, now);
-        if (request->events > 0) {
-            serviceOf(request->service).times.onComplete(request->request.size, request->events);
-        }
         endRequest(number);
         return;
     }
@@ -402,11 +395,22 @@
         const bool regions = failure == FailureCode::NoUpstreamInRegions;
         actions.push_back(RejectRequest{number, regions ? failure : FailureCode::NoUpstream,
                                         Outcome::NotRun, retryAfterFor(request, now),
-                                        request.rejection, isReturn(request), request.displacedBy});
+                                        request.displacedBy});
     }
     endRequest(number);
 }
 
+// Returns the retry delay for a rejected caller. It is no shorter than the time until an upstream
+// ends its rest or permits are available again.
+Duration GatewayCore::retryAfterFor(const Request &request, TimePoint now)
+{
+    const Duration wait =
+        request.retryAfterHint > Duration{} ? request.retryAfterHint : settings_.retryAfter;
+    const TimePoint restsUntil = chooser_.earliestRestEnd(request.service, now).value_or(now);
+    const TimePoint permitsFrom = chooser_.earliestPermitAt(request.service, now).value_or(now);
+    return std::max({wait, restsUntil - now, permitsFrom - now});
+}
+
 void GatewayCore::onCallerGone(RequestNumber number, GatewayActions &actions)
 {
     Request *request = find(number);
@@ -510,46 +514,43 @@
     }
 }
 
-// Fails the requests whose time is over.
-void GatewayCore::failExpired(TimePoint now, GatewayActions &actions)
+void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
 {
+    upstreams_.expire(now);
+    groups_.expire(now);
+    chooser_.expire(now);
+    crashes_.expire(now);
+    limits_.expire(now);
+    permits_.expire(now);
+    permitIssuer_.expire(now);
+    servePermitWaiters(now, actions);
+    giveUpSuspects(now, actions);
     std::vector<RequestNumber> expired;
     for (const auto &[number, request] : requests_) {
-        if (now >= request.failAt) {
+        const bool queueTimedOut =
+            request.queued && now - request.arrivedAt >= maxQueueTime(request);
+        if (now >= request.failAt || queueTimedOut) {
             expired.push_back(number);
         }
     }
     std::sort(expired.begin(), expired.end());
     for (const RequestNumber number : expired) {
         Request &request = requests_.at(number);
+        if (request.queued) {
+            const bool serviceOut = serviceOf(request.service).selector.allRefusing(now);
+            request.retryAfterHint =
+                serviceOut ? maxHonouredRetryAfter(request, now) : settings_.minRetryAfter;
+        }
         // The current attempt may have been written.
         request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
         giveUp(number, FailureCode::UpstreamTimedOut, now, actions);
     }
-}
-
-void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
-{
-    upstreams_.expire(now);
-    groups_.expire(now);
-    chooser_.expire(now);
-    crashes_.expire(now);
-    limits_.expire(now);
-    permits_.expire(now);
-    permitIssuer_.expire(now);
-    servePermitWaiters(now, actions);
-    giveUpSuspects(now, actions);
-    failExpired(now, actions);
-    rejectQueued(false, now, actions);
     failOverSilent(now, actions);
     for (auto &[name, service] : services_) {
         ServiceState &current = serviceOf(name);
         current.selector.onTick(current.queue.size(), groups_, now);
-        current.availability.onState(current.selector, groups_, now);
-        updateTimes(current, now);
         admitQueued(current, now, actions);
     }
-    checkWaits(now, actions); // After the starts, which the expected waits follow from.
 }
 
 } // namespace seamarch
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -41,12 +41,9 @@
 #include "decision/gateway/requestageestimator.h"
 #include "decision/gateway/requestsize.h"
 #include "decision/gateway/residency.h"
-#include "decision/gateway/returnplan.h"
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/sendpermits.h"
-#include "decision/gateway/serviceavailability.h"
 #include "decision/gateway/streamqueue.h"
-#include "decision/gateway/streamtimes.h"
 #include "decision/gateway/upstreamchooser.h"
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamnotice.h"
@@ -60,6 +57,7 @@
 #include "seamarch/units.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -112,15 +110,6 @@
     GroupId group; // The upstream's group; empty if unknown.
     Duration timeLeft{};
     bool mayReuseConnection = false; // Allows an idle connection, which the peer may be closing.
-    bool isReturn = false;           // Its caller was rejected before and came back.
-};
-
-// Why a stream was rejected although its upstreams may work.
-enum class StreamRejection {
-    None,       // Rejected for another reason.
-    NoTimeLeft, // It could not finish, or its first event would come too late, if it started now.
-    QueueSlow,  // It would not start in time at the present start rate.
-    Outage,     // No group of its service accepts requests, and it cannot wait for one.
 };
 
 // Closes the connection of the current attempt.
@@ -137,22 +126,10 @@
     FailureCode failure = FailureCode::NoUpstream;
     Outcome outcome = Outcome::NotRun;
     Duration retryAfter{}; // Zero: not stated to the caller.
-    StreamRejection reason = StreamRejection::None;
-    bool isReturn = false; // Its caller was rejected before and came back.
     // The more urgent stream for which the request was rejected from the queue; zero: none.
     RequestNumber displacedBy = 0;
 };
 
-// Reports that a stream waits for the end of an outage. The core has queued it.
-struct AwaitGroup
-{
-    RequestNumber request = 0;
-    Duration longestWait{};      // It is rejected after that.
-    double endsWithinWait = 0.0; // Estimated probability that the outage ends before.
-    Duration outageAge{};
-    bool isReturn = false; // Its caller was rejected before and came back.
-};
-
 // Aborts an answer whose head was forwarded to the caller. Ends the request.
 struct AbortAnswer
 {
@@ -160,8 +137,7 @@
     FailureCode failure = FailureCode::UpstreamFailed;
 };
 
-using GatewayAction =
-    std::variant<StartAttempt, CancelAttempt, RejectRequest, AbortAnswer, AwaitGroup>;
+using GatewayAction = std::variant<StartAttempt, CancelAttempt, RejectRequest, AbortAnswer>;
 using GatewayActions = std::vector<GatewayAction>;
 
 // Limits on the second attempts that all gateways together send to a service.
@@ -192,8 +168,8 @@
         // How long a request waits for a permit if all upstreams that it could be sent to need
         // one: about the response time of another gateway, and less than a caller's retry delay.
         Duration permitTimeout = std::chrono::milliseconds(200);
-        // A queued stream is rejected at least this long before its caller disconnects: its first
-        // event would come too late.
+        // A queued stream is rejected this long before its caller disconnects: its first event
+        // would come too late.
         Duration queueTimeoutMargin = std::chrono::milliseconds(300);
         // The expected wait is multiplied by this before it is compared with the caller's limit: it
         // is derived from the start rate of the last second, which may fall just as fast.
@@ -206,9 +182,6 @@
         double silenceFraction = 0.5;
         // Callers honour a retry delay of at most their remaining time divided by this.
         int maxRetryAfterDivisor = 3;
-        StreamTimes::Settings streamTimes;
-        OutageHistory::Settings outages;
-        ReturnPlan::Settings returns;
     };
 
     explicit GatewayCore(const Settings &settings);
@@ -302,9 +275,7 @@
         TimePoint attemptStartedAt{}; // Start of the current attempt.
         TimePoint progressAt{};       // Last sign of progress of the current attempt, or its start.
         Duration retryAfterHint{};    // Retry delay for a rejection; zero: the default.
-        bool returnPlanned = false;   // The hint is the return plan's; zero: not to come back.
-        StreamRejection rejection = StreamRejection::None;
-        bool queued = false;           // In the stream queue; no attempt is in progress.
+        bool queued = false;          // In the stream queue; no attempt is in progress.
         RequestNumber displacedBy = 0; // As in RejectRequest.
         TimePoint permitDeadline{};    // End of the wait for a permit; zero: not waiting.
         InstanceId upstream;           // Of the current attempt; empty if there is none.
@@ -312,7 +283,6 @@
         GroupId group;                 // Its group at the start of the attempt.
         bool hasEvents = false;        // The current attempt has sent an event.
         std::set<InstanceId> tried;
-        std::uint32_t events = 0;   // Received, over all attempts.
         std::uint32_t attempts = 0; // Attempts that connected, as far as is known.
         bool refusedBefore = false; // Refused by an upstream and queued again.
         std::uint32_t connectFailures = 0;
@@ -324,23 +294,14 @@
     // The streams of one service: in flight, by group, and queued.
     struct ServiceState
     {
-        explicit ServiceState(const Settings &settings)
-            : selector(settings.selector)
-            , availability(settings.outages)
-            , times(settings.streamTimes)
-            , returns(settings.returns)
+        explicit ServiceState(const GroupSelector::Settings &settings)
+            : selector(settings)
         {}
 
         GroupSelector selector;
-        ServiceAvailability availability;
+        std::deque<TimePoint> recentStarts; // Stream starts within the last second.
         StreamQueue queue;
-        StreamTimes times;
-        Duration pauseSum{}; // Of the pauses since the last sample of `times`.
-        int pauseCount = 0;
-        TimePoint pausesAveragedAt{};
-        TimePoint timesSampledAt{}; // Time of the last sample of `times`.
-        bool timesFresh = false;    // The samples are recent enough to decide by them.
-        ReturnPlan returns;
+        Duration meanTimeToFirstEvent{}; // Moving average, from the attempt's start; zero: unknown.
     };
 
     RetryBudget::Settings budgetShare() const;
@@ -364,33 +325,19 @@
     ServiceState &serviceOf(const TargetName &service);
     void endRequest(RequestNumber number);
     void recordAnswer(Request &request, AnswerKind kind, TimePoint now);
-    StreamQueue::Entry queueEntryFor(RequestNumber number, const Request &request,
-                                     const ServiceState &service) const;
-    static bool isReturn(const Request &request);
-    TimePoint latestStart(const Request &request, const ServiceState &service) const;
-    bool rejectIfHopeless(RequestNumber number, Request &request, TimePoint now,
-                          GatewayActions &actions);
-    bool acceptsNone(const ServiceState &service, TimePoint now) const;
-    bool mayAwaitGroup(Request &request, bool mayWait, TimePoint now);
-    void awaitGroup(RequestNumber number, Request &request, TimePoint now, GatewayActions &actions);
-    bool planInOutage(RequestNumber number, Request &request, TimePoint now,
-                      GatewayActions &actions);
-    bool hasRoomToWait(const ServiceState &service) const;
-    StreamRejection rejectionOf(const StreamQueue::Entry &entry, const Request &request,
-                                ServiceState &service, bool checkWait, TimePoint now);
-    void failExpired(TimePoint now, GatewayActions &actions);
-    static void updateTimes(ServiceState &service, TimePoint now);
-    void checkWaits(TimePoint now, GatewayActions &actions);
-    void rejectQueued(bool checkWait, TimePoint now, GatewayActions &actions);
-    static Duration callerTimeLeft(const Request &request, TimePoint now);
+    static StreamQueue::Entry queueEntryFor(RequestNumber number, const Request &request,
+                                            const ServiceState &service);
+    Duration maxQueueTime(const Request &request) const;
     Duration maxHonouredRetryAfter(const Request &request, TimePoint now) const;
-    Duration retryAfterFor(Request &request, TimePoint now);
+    Duration retryAfterFor(const Request &request, TimePoint now);
     Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
     void queueStream(RequestNumber number, Request &request, TimePoint now,
                      GatewayActions &actions);
+    static Duration shortestWait(const ServiceState &service, TimePoint now);
     void displaceHopeless(ServiceState &service, const StreamQueue::Entry &arrived, TimePoint now,
                           GatewayActions &actions);
-    bool requeue(RequestNumber number, Request &request, TimePoint now, GatewayActions &actions);
+    bool requeue(RequestNumber number, Request &request, TimePoint now);
+    bool mayQueueUntilOpen(ServiceState &service, TimePoint now) const;
     void admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions);
     bool isSilent(const Request &request, TimePoint now) const;
     void failOverSilent(TimePoint now, GatewayActions &actions);
@@ -415,7 +362,6 @@
     std::unordered_map<TargetName, ServiceState> services_;
     std::unordered_map<std::string, RequestAgeEstimator> ageEstimators_; // Keyed by route name.
     std::unordered_map<RequestNumber, Request> requests_;
-    TimePoint waitsCheckedAt_{}; // Last check of the expected waits of queued streams.
     std::size_t gateways_ = 1;
     HallPosition hallPosition_;
     RequestNumber nextNumber_ = 1;
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -1,5 +1,5 @@
-// The part of GatewayCore that admits streams: selects the group for a stream, queues it and starts
-// queued streams.
+// The part of GatewayCore that admits streams: selects the group for a stream, limits its time in
+// the queue and starts queued streams.
 #include "decision/fairness/requestcost.h"
 #include "decision/gateway/gatewaycore.h"
 
@@ -7,9 +7,16 @@
 #include <tuple>
 
 namespace seamarch {
+namespace {
+
+// A request that is younger than this counts as a first try: the deadline that a caller states may
+// be shorter than its configured one by the time that connecting took.
+constexpr Duration kMinRetryAge = std::chrono::milliseconds(200);
+
+} // namespace
 
 StreamQueue::Entry GatewayCore::queueEntryFor(RequestNumber number, const Request &request,
-                                              const ServiceState &service) const
+                                              const ServiceState &service)
 {
     const Duration latencyTarget = request.request.route->latencyTarget;
     StreamQueue::Entry entry;
@@ -18,30 +25,40 @@
     entry.account = request.request.account;
     entry.cost =
         static_cast<double>(requestCost(request.request.size.prompt, request.request.size.answer));
-    entry.isRetry = isReturn(request);
+    entry.isRetry = request.arrivedAt - request.firstSentAt >= kMinRetryAge;
     // Without a latency target a later start is no worse until the request fails.
-    entry.startDeadline = latencyTarget > Duration{} ? request.firstSentAt + latencyTarget
-                                                           - service.times.timeToFirstEvent()
-                                                     : request.failAt;
-    entry.latestStart = latestStart(request, service);
+    entry.startDeadline = latencyTarget > Duration{}
+                              ? request.firstSentAt + latencyTarget - service.meanTimeToFirstEvent
+                              : request.failAt;
     return entry;
 }
 
+// Returns how long a stream may be queued; its caller disconnects shortly after that.
+Duration GatewayCore::maxQueueTime(const Request &request) const
+{
+    return request.request.route->silenceTimeout - settings_.queueTimeoutMargin;
+}
+
+// Returns the longest retry delay that the caller honours.
+Duration GatewayCore::maxHonouredRetryAfter(const Request &request, TimePoint now) const
+{
+    const Duration left = request.arrivedAt + request.request.deadline - now;
+    return std::max(settings_.minRetryAfter, left / settings_.maxRetryAfterDivisor);
+}
+
 // Queues a stream, or rejects it at once if the expected wait is too long.
 void GatewayCore::queueStream(RequestNumber number, Request &request, TimePoint now,
                               GatewayActions &actions)
 {
-    if (planInOutage(number, request, now, actions)) {
-        return;
-    }
     ServiceState &service = serviceOf(request.service);
     const StreamQueue::Entry entry = queueEntryFor(number, request, service);
     request.queued = true;
+    if (mayQueueUntilOpen(service, now)) {
+        service.queue.add(entry, now);
+        return;
+    }
     const Duration wait = expectedWait(service, entry, now);
-    // A caller that came back is lost if it is rejected.
-    const int safetyFactor = entry.isRetry ? 1 : settings_.waitSafetyFactor;
-    if (wait * safetyFactor > entry.latestStart - now) {
-        request.rejection = StreamRejection::QueueSlow;
+    if (wait * settings_.waitSafetyFactor > maxQueueTime(request)) {
         request.retryAfterHint = std::clamp(wait, settings_.minRetryAfter, settings_.maxRetryAfter);
         giveUp(number, FailureCode::NoUpstream, now, actions);
         return;
@@ -58,9 +75,10 @@
     for (auto last = service.queue.last(now); last && arrived.urgency < last->urgency;
          last = service.queue.last(now)) {
         Request &request = requests_.at(last->number);
+        const TimePoint latestStart =
+            std::min(request.arrivedAt + maxQueueTime(request), last->latestStart);
         const Duration wait = expectedWait(service, *last, now);
-        const Duration shortest = service.availability.shortestWait(service.queue.size(), now);
-        if (now + std::min(wait, shortest) <= last->latestStart) {
+        if (now + wait <= latestStart || now + shortestWait(service, now) <= latestStart) {
             return;
         }
         request.displacedBy = arrived.number;
@@ -69,10 +87,41 @@
     }
 }
 
+// Returns whether no group accepts requests but one will soon, and the queue is no longer than the
+// number of streams that can start then.
+bool GatewayCore::mayQueueUntilOpen(ServiceState &service, TimePoint now) const
+{
+    constexpr double kQueuedPerSlot = 2.0; // A slot is free again after a second or two.
+    double slots = 0.0;
+    for (const auto &[group, tracker] : service.selector.all()) {
+        slots += tracker.limiter().limit();
+    }
+    return service.selector.opensSoon(groups_, now)
+           && static_cast<double>(service.queue.size()) < kQueuedPerSlot * slots;
+}
+
+// Queues a stream that an upstream refused because its group does not accept requests yet. Returns
+// false if the stream may not be queued.
+bool GatewayCore::requeue(RequestNumber number, Request &request, TimePoint now)
+{
+    ServiceState &service = serviceOf(request.service);
+    const bool mayRequeue = request.request.route->streamed && !request.headSent
+                            && !request.mayHaveRun && mayBeSent(request, now);
+    if (!mayRequeue || !mayQueueUntilOpen(service, now)) {
+        return false;
+    }
+    request.queued = true;
+    request.refusedBefore = true;
+    request.tried.clear();
+    request.attempts = 0; // No attempt has run.
+    service.queue.add(queueEntryFor(number, request, service), now);
+    return true;
+}
+
 // Returns the state of a service with its groups brought up to date; adds it if there is none.
 GatewayCore::ServiceState &GatewayCore::serviceOf(const TargetName &service)
 {
-    ServiceState &state = services_.try_emplace(service, settings_).first->second;
+    ServiceState &state = services_.try_emplace(service, settings_.selector).first->second;
     state.selector.setGroups(chooser_.groupsOf(service), {gateways_, hallPosition_});
     return state;
 }
@@ -82,6 +131,32 @@
     return serviceOf(request.service).selector.tracker(request.group);
 }
 
+// Returns how long a stream would be queued at the start rate of the last second.
+Duration GatewayCore::expectedWait(ServiceState &service, const StreamQueue::Entry &entry,
+                                   TimePoint now)
+{
+    constexpr Duration kWindow = std::chrono::seconds(1);
+    while (!service.recentStarts.empty() && now - service.recentStarts.front() > kWindow) {
+        service.recentStarts.pop_front();
+    }
+    const auto ahead = static_cast<Duration::rep>(service.queue.countAhead(entry, now));
+    const auto startRate =
+        static_cast<Duration::rep>(std::max<std::size_t>(1, service.recentStarts.size()));
+    return kWindow * (ahead + 1) / startRate;
+}
+
+// Returns how long the last queued stream waits at the start rate since the first start of the last
+// second: after a stall, the rate of the whole second is too low.
+Duration GatewayCore::shortestWait(const ServiceState &service, TimePoint now)
+{
+    if (service.recentStarts.empty()) {
+        return {};
+    }
+    const auto starts = static_cast<Duration::rep>(service.recentStarts.size());
+    const auto queued = static_cast<Duration::rep>(service.queue.size());
+    return (now - service.recentStarts.front()) * queued / starts;
+}
+
 // Starts queued streams while a group admits them.
 void GatewayCore::admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions)
 {
@@ -101,7 +176,7 @@
         service.queue.start(number);
         Request &request = requests_.at(number);
         request.queued = false;
-        service.availability.onStart(now);
+        service.recentStarts.push_back(now);
         const bool allowed = !request.refusedBefore || budgets_.at(request.service).tryAcquire();
         if (allowed) {
             startOrAwaitPermit(number, request, group, now, actions);
@@ -111,6 +186,36 @@
     }
 }
 
+void GatewayCore::onFirstEvent(RequestNumber number, TimePoint now)
+{
+    constexpr int kHistoryWeight = 8; // Weight of the previous average; a new sample has weight 1.
+    Request *request = find(number);
+    if (request == nullptr || request->upstream == InstanceId() || request->hasEvents) {
+        return;
+    }
+    request->hasEvents = true;
+    request->progressAt = now;
+    trackerOf(*request).onFirstEvent(now);
+    Duration &average = serviceOf(request->service).meanTimeToFirstEvent;
+    const Duration time = now - request->attemptStartedAt;
+    average =
+        average == Duration{} ? time : (average * (kHistoryWeight - 1) + time) / kHistoryWeight;
+}
+
+void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
+{
+    Request *request = find(number);
+    if (request != nullptr && request->upstream != InstanceId()) {
+        request->progressAt = now;
+        const RouteRule &route = *request->request.route;
+        GroupTracker &tracker = trackerOf(*request);
+        // Attempts fail over after a part of the silence that their caller bears.
+        tracker.onCallerTimes(request->request.deadline, fromSeconds(toSeconds(route.silenceTimeout)
+                                                                     * settings_.silenceFraction));
+        tracker.onPause(pause, route.gapTarget, now);
+    }
+}
+
 std::vector<std::pair<GroupId, LimitChange>> GatewayCore::takeLimitChanges()
 {
     std::vector<std::pair<GroupId, LimitChange>> changes;
--- a/src/decision/gateway/groupselector.cpp
+++ b/src/decision/gateway/groupselector.cpp
@@ -159,8 +159,7 @@
     if (all.empty()) {
         return GroupId(); // No upstream at all; sending the request will fail.
     }
-    // While no group accepts requests, only probes are sent.
-    const bool opening = opensSoon(table, now) || all.front().fault == Fault::Refusing;
+    const bool opening = opensSoon(table, now);
     if (opening || (all.front().fault == Fault::None && all.back().fault != Fault::None)) {
         auto probe = selectForProbe(all, table, now);
         if (opening || probe) {
--- a/src/decision/gateway/grouptracker.h
+++ b/src/decision/gateway/grouptracker.h
@@ -102,8 +102,6 @@
     bool isStalled() const { return stalled_; }
     // Returns whether the group has refused all requests for at least the outage delay.
     bool isRefusing(TimePoint now) const;
-    // Returns the start of the current run of refusals; nullopt if the last answer was none.
-    std::optional<TimePoint> refusingSince() const { return refusingSince_; }
     bool isUnreachable() const { return connectFailures_ >= settings_.unreachableThreshold; }
     // Returns whether no stream has sent an event within the first-event timeout, or at all.
     bool isQuiet(TimePoint now) const
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -21,21 +21,6 @@
 // The Retry-After of requests refused for lack of memory: some answers are taken within this time.
 constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
-std::string_view nameOf(StreamRejection reason)
-{
-    switch (reason) {
-    case StreamRejection::NoTimeLeft:
-        return "no time left";
-    case StreamRejection::QueueSlow:
-        return "queue too slow";
-    case StreamRejection::Outage:
-        return "outage";
-    case StreamRejection::None:
-        break;
-    }
-    return "other";
-}
-
 GatewayCore::Settings coreSettings(const GatewaySettings &settings)
 {
     GatewayCore::Settings core;
@@ -293,9 +278,6 @@
     if (action.displacedBy != 0) {
         logDisplaced(active, action);
     }
-    if (action.reason != StreamRejection::None) {
-        logRejection(active, action);
-    }
     refuse(active.exchange, active.metadata, action.failure, action.outcome, action.retryAfter);
     endRequest(action.request, toString(action.failure));
 }
@@ -318,39 +300,6 @@
              {"byRoutePriority", urgency.route}});
 }
 
-void GatewayService::logRejection(const ActiveRequest &active, const RejectRequest &action)
-{
-    metrics_.count("seamarch_stream_rejections_total", nameOf(action.reason));
-    if (action.retryAfter > Duration{}) {
-        metrics_.count("seamarch_returns_total", "told");
-    }
-    if (action.isReturn) {
-        metrics_.count("seamarch_returns_total", "rejected again");
-    }
-    logLine(LogLevel::Info, "stream.rejected",
-            {{"id", active.metadata.requestId},
-             {"reason", nameOf(action.reason)},
-             {"waitedMs", toMillis(loop_.now() - active.startedAt)},
-             {"deadlineMs", toMillis(active.admitted.deadline)},
-             {"isReturn", action.isReturn},
-             {"retryAfterMs", toMillis(action.retryAfter)}});
-}
-
-void GatewayService::carryOut(const AwaitGroup &action)
-{
-    const auto found = activeRequests_.find(action.request);
-    if (found == activeRequests_.end()) {
-        return;
-    }
-    metrics_.count("seamarch_outage_waits_total", action.isReturn ? "return" : "first try");
-    logLine(LogLevel::Info, "stream.awaits_group",
-            {{"id", found->second.metadata.requestId},
-             {"longestWaitMs", toMillis(action.longestWait)},
-             {"endsWithinWait", action.endsWithinWait},
-             {"outageAgeMs", toMillis(action.outageAge)},
-             {"isReturn", action.isReturn}});
-}
-
 void GatewayService::carryOut(const AbortAnswer &action)
 {
     const auto found = activeRequests_.find(action.request);
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -101,7 +101,6 @@
         bool headSent = false;
         bool attemptHasEvents = false; // The current attempt has received an event.
         bool resuming = false;         // The current attempt continues an earlier one's stream.
-        bool isReturn = false;         // Its caller was rejected before and came back.
         EventSplitter events;
         TimePoint startedAt{};
         TimePoint firstEventAt{};
@@ -148,8 +147,6 @@
     void carryOut(const RejectRequest &action);
     void logDisplaced(const ActiveRequest &active, const RejectRequest &action);
     void carryOut(const AbortAnswer &action);
-    void carryOut(const AwaitGroup &action);
-    void logRejection(const ActiveRequest &active, const RejectRequest &action);
 
     void onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head);
     void handleNotice(RequestNumber number, const ActiveRequest &active, AnswerKind kind);
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -136,7 +136,6 @@
     active.streams = false;
     active.attemptHasEvents = false;
     active.resuming = active.headSent;
-    active.isReturn = action.isReturn;
     const TargetName &service = action.upstream.service;
     const GroupTracker *tracker = core_.tracker(service, action.group);
     logLine(LogLevel::Info, "attempt.started",
@@ -350,9 +349,6 @@
         core_.onEnd(number, AttemptEnd::Complete, loop_.now(), actions);
         carryOut(actions);
         server_->finish(active.exchange);
-        if (active.isReturn) {
-            metrics_.count("seamarch_returns_total", "served");
-        }
         endRequest(number, "served");
         return;
     }
