Bound uploads before a gateway's first tick

Cause: the limit of held upload bytes reached the HTTP server at the first tick, 25 ms after it listens. Callers that connect before that were read without a bound: SlowCallersTest saw 12 of 12 MB held once, on a machine that was fast enough. Ruled out: pausing itself, which holds in all other runs. Change: the limit is set when the server is created and when settings change. Test: uploads that wait for a gateway that restarts.

--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -85,6 +85,7 @@
         return tl::unexpected(server.error());
     }
     server_ = std::move(*server);
+    updateHeldMemory(); // Uploads are bounded before the first tick.
     auto operators = OperatorServer::create(loop_, settings_.operatorListen, *this, metrics_);
     if (!operators) {
         return tl::unexpected(operators.error());
@@ -498,6 +499,7 @@
     core_.crashes().setRetention(settings_.crashRetention);
     settings_.maxHeldBytes = settings.maxHeldBytes;
     memoryBudget_ = MemoryBudget(settings_.maxHeldBytes);
+    updateHeldMemory();
     core_.upstreams().setLapseGrace(settings_.timings.lapseGrace);
 }
 
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -56,7 +56,7 @@
                             f"platform = {self.store}\nstop-delay-ms = 400\n")
         self.settings.write("".join(f"{name} = {value}\n" for name, value in more.items()))
         self.settings.flush()
-        self.gateway = self.start("seamarchd", "gateway", "--config", self.settings.name)
+        self.start_gateway()
         self.wait_until("the gateway is ready",
                         lambda: call(self.operators, "/readyz", timeout=2)[0] == 200)
 
@@ -72,6 +72,9 @@
         self.processes.append(process)
         return process
 
+    def start_gateway(self):
+        self.gateway = self.start("seamarchd", "gateway", "--config", self.settings.name)
+
     def publish(self, version, keys=(KEY,)):
         control(self.store, {"put": {"op/config": routing(version, keys)}})
 
--- a/test/process/slowcallers_test.py
+++ b/test/process/slowcallers_test.py
@@ -25,7 +25,8 @@
 
     def __init__(self, address, number):
         host, port = address.split(":")
-        self.socket = socket.create_connection((host, int(port)))
+        self.address = host, int(port)
+        self.socket = None
         self.head = (f"POST /status/{number} HTTP/1.1\r\nHost: site.example\r\nSeamarch-Request-Id: up-{number}\r\n"
                      f"Authorization: Token {KEY}\r\nContent-Length: {MEGABYTE}\r\n\r\n").encode()
         self.may_finish = threading.Event()
@@ -33,7 +34,19 @@
         self.thread = threading.Thread(target=self.run, daemon=True)
         self.thread.start()
 
+    def connect(self):
+        """Connects as soon as the gateway listens."""
+        end = time.monotonic() + 10
+        while self.socket is None:
+            try:
+                self.socket = socket.create_connection(self.address)
+            except ConnectionRefusedError:
+                if time.monotonic() > end:
+                    raise
+                time.sleep(0.001)
+
     def run(self):
+        self.connect()
         self.socket.settimeout(30)
         self.socket.sendall(self.head + b"x" * (MEGABYTE - 1))
         self.may_finish.wait(30)
@@ -46,6 +59,8 @@
     def setUp(self):
         self.site = GatewaySite(upstreams=2, **{"memory-mb": 2 * MAX_HELD // MEGABYTE})
         self.addCleanup(self.site.__exit__)
+
+    def start_uploads(self):
         self.uploads = [Upload(self.site.entry, number) for number in range(UPLOADS)]
         self.site.wait_until("uploads are restricted", lambda: "memory.restricted" in self.site.events())
 
@@ -55,7 +70,7 @@
         for upload in self.uploads:
             upload.thread.join(30)
 
-    def test_held_bytes_stay_within_the_limit(self):
+    def assert_held_bytes_stay_within_the_limit(self):
         end = time.monotonic() + 2
         most = 0
         while time.monotonic() < end:
@@ -63,11 +78,25 @@
             time.sleep(0.05)
         self.assertLessEqual(most, MAX_HELD + SLACK, "expected uploads to pause; see memory.restricted in the log")
 
+    def test_held_bytes_stay_within_the_limit(self):
+        self.start_uploads()
+        self.assert_held_bytes_stay_within_the_limit()
+
+    def test_held_bytes_stay_within_the_limit_from_the_first_connection_on(self):
+        self.site.gateway.end()
+        restart = threading.Timer(0.1, self.site.start_gateway)
+        restart.start()
+        self.start_uploads()
+        restart.join()
+        self.assert_held_bytes_stay_within_the_limit()
+
     def test_other_callers_are_served_meanwhile(self):
+        self.start_uploads()
         for _ in range(5):
             self.assertEqual(self.site.ask("/letters/1")[0], 200)
 
     def test_all_uploads_are_served_or_told_that_they_have_not_run(self):
+        self.start_uploads()
         self.finish_all()
         for upload in self.uploads:
             status = upload.answer.split(b" ")[1:2]
