Keep an upstream that another gateway holds as lapsed

Change: a record whose entry is known but whose order was dropped (createdAt set, listedAt zero) is from before a restoration; if a whole list lacks it, it counts as lapsed whoever saw the restoration. Removals by the store itself are applied as before.

Of the three new unit tests the first fails without the change; the other two pin what must not change.

--- a/src/decision/gateway/upstreamtable.cpp
+++ b/src/decision/gateway/upstreamtable.cpp
@@ -16,6 +16,11 @@
     return listed.start > start || listedLater;
 }
 
+bool isFromBeforeRollback(const UpstreamRecord &record)
+{
+    return record.createdAt != 0 && record.listedAt == 0;
+}
+
 void UpstreamTable::put(const UpstreamRecord &record)
 {
     if (!claimAddress(record)) {
@@ -95,7 +100,7 @@
     }
 }
 
-// Returns whether a record that is missing from the list must be erased now. Starts the grace
+// Returns whether a record that the store no longer lists must be erased now. Starts the grace
 // period of a record that may have lapsed.
 bool UpstreamTable::shouldErase(const InstanceId &id, TimePoint now)
 {
@@ -107,12 +112,30 @@
     if (!outage || found->second.record.leaving) {
         return true;
     }
-    if (!found->second.lapsedAt) {
-        found->second.lapsedAt = now;
-    }
+    startGrace(found->second, now);
     return false;
 }
 
+void UpstreamTable::startGrace(Entry &entry, TimePoint now)
+{
+    if (!entry.lapsedAt) {
+        entry.lapsedAt = now;
+    }
+}
+
+// Handles a record that is missing from a whole list. If the store has not listed the record since
+// it was restored from an older copy, the copy may lack it although its upstream is running. This
+// also holds if only the gateway that forwarded the record knows of the restoration.
+void UpstreamTable::handleMissing(const InstanceId &id, TimePoint now)
+{
+    Entry &entry = entries_.at(id);
+    if (isFromBeforeRollback(entry.record) && !entry.record.leaving) {
+        startGrace(entry, now);
+    } else {
+        remove(id, now);
+    }
+}
+
 void UpstreamTable::dropUnreadable(const InstanceId &id, TimePoint now)
 {
     if (shouldErase(id, now)) {
@@ -149,7 +172,7 @@
         }
     }
     for (const InstanceId &id : missing) {
-        remove(id, now);
+        handleMissing(id, now);
     }
 }
 
--- a/src/decision/gateway/upstreamtable.h
+++ b/src/decision/gateway/upstreamtable.h
@@ -46,7 +46,8 @@
     std::uint32_t slots = 1; // Number of requests that it runs concurrently.
     bool leaving = false;
     // Sequence number in the order in which the store accepted the records. Zero: unknown, for
-    // example in records that were forwarded by a gateway of an earlier version.
+    // example in records that were forwarded by a gateway of an earlier version, or without meaning
+    // since the store was restored from an older copy.
     std::uint64_t listedAt = 0;
     // The store's revision at which the entry was created; zero: unknown. Identifies the entry,
     // also in a store restored from an older copy, whose new revisions cannot be ordered against
@@ -66,6 +67,10 @@
 // been set back between the two starts.
 bool isLaterStart(const UpstreamRecord &listed, UpstreamStart start, std::uint64_t listedAt);
 
+// Returns whether the record was read before the store was restored from an older copy and has not
+// been listed since, by this gateway or by the one that forwarded the record.
+bool isFromBeforeRollback(const UpstreamRecord &record);
+
 // Stores the listed upstreams and decides which of them may get new requests.
 class UpstreamTable
 {
@@ -94,7 +99,8 @@
     void dropUnreadable(const InstanceId &id, TimePoint now);
     // Handles that the store no longer lists `id`.
     void remove(const InstanceId &id, TimePoint now);
-    // Replaces the whole list. Upstreams that are not in `records` are treated as by `remove`.
+    // Replaces the whole list. Upstreams that are not in `records` are treated as by `remove`, but
+    // those from before a restoration of the store always count as lapsed.
     void replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now);
     // Replaces the whole list by that of another gateway, without a grace period for missing
     // records, because the other gateway has applied it already.
@@ -142,6 +148,8 @@
     void erase(const InstanceId &id);
     void eraseRemoved(const InstanceId &id);
     bool shouldErase(const InstanceId &id, TimePoint now);
+    static void startGrace(Entry &entry, TimePoint now);
+    void handleMissing(const InstanceId &id, TimePoint now);
 
     Settings settings_;
     std::unordered_map<InstanceId, Entry> entries_;
--- a/test/decision/gateway/upstreamtable_test.cpp
+++ b/test/decision/gateway/upstreamtable_test.cpp
@@ -20,6 +20,13 @@
     return record;
 }
 
+UpstreamRecord fromBeforeRollback(const char *id)
+{
+    UpstreamRecord forwarded = record(id);
+    forwarded.createdAt = 24;
+    return forwarded;
+}
+
 } // namespace
 
 TEST_GROUP(UpstreamTableTest)
@@ -55,6 +62,34 @@
     CHECK_FALSE(table.mayReceive(InstanceId("one")));
 }
 
+// A gateway that starts after the store was restored from an older copy adopts the list of another
+// one, which still holds an upstream that the copy lacks.
+TEST(UpstreamTableTest, ForwardedRecordFromBeforeARollbackIsKeptForTheGracePeriod)
+{
+    table.mirror({fromBeforeRollback("one")});
+    table.replaceAll({}, at(0));
+    table.expire(at(1400));
+    CHECK_TRUE(table.mayReceive(InstanceId("one")));
+    table.expire(at(1500));
+    CHECK_FALSE(table.mayReceive(InstanceId("one")));
+}
+
+TEST(UpstreamTableTest, ForwardedRecordThatTheStoreRemovesGetsNoGracePeriod)
+{
+    table.mirror({fromBeforeRollback("one")});
+    table.remove(InstanceId("one"), at(0));
+    CHECK_FALSE(table.mayReceive(InstanceId("one")));
+}
+
+TEST(UpstreamTableTest, ForwardedRecordThatTheStoreHasListedGetsNoGracePeriod)
+{
+    UpstreamRecord listed = fromBeforeRollback("one");
+    listed.listedAt = listed.createdAt;
+    table.mirror({listed});
+    table.replaceAll({}, at(0));
+    CHECK_FALSE(table.mayReceive(InstanceId("one")));
+}
+
 TEST(UpstreamTableTest, LeavingUpstreamRemovedAroundAnOutageGetsNoGracePeriod)
 {
     table.put(record("one", true));
--- a/test/gateway/storedrill_test.cpp
+++ b/test/gateway/storedrill_test.cpp
@@ -433,8 +433,9 @@
     }
 }
 
-// An upstream writes a new entry after the store was restored from a copy. Then the store is
-// restored from the same copy again, which holds the previous entry.
+// The store is restored from the same copy several times, and the copy lacks an upstream that is
+// running. A gateway that starts meanwhile adopts the upstream's lost entry from another gateway.
+// It must not take the upstream for gone, or the next entry would contradict it.
 TEST(StoreDrillTest, CopyThatComesBackTwiceTakesNothingBack)
 {
     STRCMP_EQUAL("", simulate(30683).removalFailure().c_str());
