Read again from a connection that is kept after a paused call

Cause: a call that the gateway paused for a slow caller could still end with the bytes already read; its connection was kept with reading paused, and the next call on it never got an answer (until its caller's silence time, with the sound upstream counted as failed). Change: a kept connection is read from. The test waits for the second answer; without the change it fails after 10 s.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -240,6 +240,7 @@
     calls_.erase(call);
     connection.call = 0;
     if (keep) {
+        sockets_->pause(socket, false); // The call may have been paused at its last piece.
         connection.idleSince = loop_.now();
         idleSockets.push_back(socket);
     } else {
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -10,11 +10,16 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <functional>
+
 using namespace seamarch;
 
 namespace {
 
 constexpr Duration kTestTimeout = std::chrono::seconds(10);
+// More than the kernel buffers for a connection whose peer does not read.
+constexpr std::size_t kLargeBytes = std::size_t{16} * 1024 * 1024;
 
 // Responds to each request with its body. Some paths select a different behavior.
 class EchoHandler final : public HttpHandler
@@ -42,6 +47,10 @@
             server->abort(exchange);
             return;
         }
+        if (last.path == "/large") {
+            server->respond(exchange, head, std::string(kLargeBytes, 'x'));
+            return;
+        }
         if (last.path == "/short") {
             head.contentLength = 10;
             server->begin(exchange, head);
@@ -138,8 +147,8 @@
         return result;
     }
 
-    // Sends `text` on a new connection and returns all data received until the server closes it.
-    std::string sendRaw(const std::string &text)
+    // Returns a new connection on which `text` has been sent.
+    int connectAndSend(const std::string &text)
     {
         const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in target{};
@@ -148,20 +157,39 @@
         target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         LONGS_EQUAL(0, connect(descriptor, reinterpret_cast<sockaddr *>(&target), sizeof(target)));
         LONGS_EQUAL(text.size(), send(descriptor, text.data(), text.size(), MSG_NOSIGNAL));
+        return descriptor;
+    }
+
+    // Returns all data received on a connection until the server closes it, and closes it.
+    std::string receiveAll(int descriptor)
+    {
         std::string received;
         bool closed = false;
         runUntil([&] {
-            char buffer[4096];
-            const ssize_t size = recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
-            if (size > 0) {
-                received.append(buffer, static_cast<std::size_t>(size));
-            }
-            closed = closed || size == 0;
+            ssize_t size = 0;
+            do {
+                char buffer[65536];
+                size = recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
+                received.append(buffer, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+            } while (size > 0);
+            closed = size == 0;
             return closed;
         });
         close(descriptor);
         return received;
     }
+
+    // Sends `text` on a new connection and returns all data received until the server closes it.
+    std::string sendRaw(const std::string &text)
+    {
+        return receiveAll(connectAndSend(text));
+    }
+
+    void runFor(Duration time)
+    {
+        loop->schedule(time, [this] { loop->stop(); });
+        loop->run();
+    }
 };
 
 TEST(HttpStackTest, TransfersRequestAndResponse)
@@ -198,6 +226,39 @@
     LONGS_EQUAL(2, client->connectionsMade());
 }
 
+// A receiver that cannot keep up pauses its call; the end of the response may have been read by
+// then.
+TEST(HttpStackTest, ReadsFromReusedConnectionAfterPausedCall)
+{
+    class PausingReceiver final : public HttpCallReceiver
+    {
+    public:
+        explicit PausingReceiver(std::function<void(bool)> onEvent)
+            : onEvent_(std::move(onEvent))
+        {}
+        void onHead(HttpHead /*head*/) override {}
+        void onPiece(std::string_view /*piece*/) override { onEvent_(false); }
+        void onEnd(HttpCallEnd /*end*/) override { onEvent_(true); }
+
+    private:
+        std::function<void(bool)> onEvent_;
+    };
+    HttpCallRequest request;
+    request.address = address;
+    request.method = "POST";
+    request.body = "hello";
+    request.reuse = ConnectionReuse::Any;
+    bool ended = false;
+    HttpCallId id = 0;
+    id = client->call(request, std::make_unique<PausingReceiver>([&](bool end) {
+                          client->pause(id, true);
+                          ended = end;
+                      }));
+    runUntil([&ended] { return ended; });
+    STRCMP_EQUAL("hello", call(request).body.c_str());
+    LONGS_EQUAL(1, client->connectionsMade());
+}
+
 TEST(HttpStackTest, ReportsTruncatedResponseAsInterrupted)
 {
     for (const char *const path : {"/broken", "/short"}) {
