Send answers whole to callers that read late

Cause: a connection whose last answer was complete here was closed 1 s later (with Connection: close, thus every one during a planned stop), at once by a planned stop if it was kept, or after the idle time, even if a part of the answer still waited in this process; the caller got it cut short, over HTTP/1.0 without a way to tell. A planned stop ended the process without waiting for that part. A connection that was closed after its upload or read-ahead had been paused was also reset with unread data. Change: while a part is unsent, only the idle time without progress closes the connection; a planned stop waits for unsent parts, until its deadline. Two tests, which fail without the change (16 MB read 1.5 s late, or across a planned stop).

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -68,6 +68,7 @@
     bool headSent = false;
     bool lingering = false; // No further response follows; received data is discarded.
     bool uploadPaused = false;
+    std::size_t unsent = 0; // Response bytes not passed to the kernel, as of the last sweep.
 };
 
 HttpServer::HttpServer(EventLoop &loop, HttpHandler &handler, HttpServerOptions options)
@@ -318,6 +319,7 @@
     if (!connection.persistent) {
         connection.lingering = true;
         connection.readAhead.clear();
+        sockets_->pause(connection.socket, false);
         sockets_->finishWriting(connection.socket);
         return;
     }
@@ -444,8 +446,13 @@
         }
     }
     for (const SocketId socket : idle) {
-        connections_.erase(socket);
-        sockets_->close(socket);
+        if (sockets_->queued(socket) > 0) {
+            connections_.at(socket)->lingering = true;
+            sockets_->finishWriting(socket);
+        } else {
+            connections_.erase(socket);
+            sockets_->close(socket);
+        }
     }
 }
 
@@ -455,6 +462,10 @@
     std::vector<SocketId> expired;
     std::vector<SocketId> timedOut;
     for (const auto &[socket, connection] : connections_) {
+        const std::size_t unsent = sockets_->queued(socket);
+        if (unsent != std::exchange(connection->unsent, unsent)) {
+            connection->lastActive = now; // The caller has taken a part of the response.
+        }
         if (connection->exchange != 0) {
             continue;
         }
@@ -464,7 +475,8 @@
                                   && now - connection->readingSince > options_.headerTimeout;
         if (headTimedOut || (reading && idle > options_.idleTimeout)) {
             timedOut.push_back(socket);
-        } else if (idle > (connection->lingering ? kLingerTime : options_.idleTimeout)) {
+        } else if (idle
+                   > (connection->lingering && unsent == 0 ? kLingerTime : options_.idleTimeout)) {
             expired.push_back(socket);
         }
     }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -121,7 +121,8 @@
     std::size_t openExchanges() const { return exchanges_.size(); }
     // Makes all further responses carry `Connection: close` and closes their connections.
     void announceClose() { closing_ = true; }
-    // Does the same and immediately closes connections without a request in progress.
+    // Does the same and closes connections without a request in progress: at once, or when the
+    // caller has taken the last response.
     void closeIdleConnections();
 
 private:
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -336,6 +336,23 @@
     CHECK_TRUE(received.find("Connection: close") != std::string::npos);
 }
 
+// The rest of the answer waits in this process, because the caller reads late.
+TEST(HttpStackTest, CallerThatReadsLateReceivesWholeAnswerBeforeClose)
+{
+    const int descriptor =
+        connectAndSend("GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    runFor(std::chrono::milliseconds(1500)); // Longer than the server waits for a caller's close.
+    CHECK_TRUE(receiveAll(descriptor).size() > kLargeBytes);
+}
+
+TEST(HttpStackTest, PlannedStopDoesNotCutOffAnswerThatIsReadLate)
+{
+    const int descriptor = connectAndSend("GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    runUntil([this] { return server->bufferedTotal() > 0; });
+    server->closeIdleConnections();
+    CHECK_TRUE(receiveAll(descriptor).size() > kLargeBytes);
+}
+
 TEST_GROUP(EventLoopTest){};
 
 TEST(EventLoopTest, ScheduleAfterShutDownReturnsZero)
