Read a pipelined request once the answer before it is taken

Cause: an exchange ends when its answer is queued, and the next pipelined request ran at once. A caller that sends requests and reads nothing had all their answers (up to 1 MB each) kept here, without limit: requests with a small body are always admitted. Change: the next request is read when the last answer has been passed to the kernel. The test fails without the change: three requests ran instead of one.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -68,7 +68,8 @@
     bool headSent = false;
     bool lingering = false; // No further response follows; received data is discarded.
     bool uploadPaused = false;
-    std::size_t unsent = 0; // Response bytes not passed to the kernel, as of the last sweep.
+    bool awaitsDrain = false; // The next request is not read before the response has been taken.
+    std::size_t unsent = 0;   // Response bytes not passed to the kernel, as of the last sweep.
 };
 
 HttpServer::HttpServer(EventLoop &loop, HttpHandler &handler, HttpServerOptions options)
@@ -134,7 +135,7 @@
     }
     connection->lastActive = loop_.now();
     connection->readAhead.append(bytes);
-    if (connection->exchange != 0) {
+    if (connection->exchange != 0 || connection->awaitsDrain) {
         if (connection->readAhead.size() > kMaxReadAheadBytes) {
             sockets_->pause(socket, true);
         }
@@ -324,16 +325,25 @@
         return;
     }
     connection.reader.reset();
-    if (!connection.readAhead.empty()) {
-        const SocketId socket = connection.socket;
-        sockets_->pause(socket, false);
-        loop_.post([this, socket] {
-            Connection *next = find(socket);
-            if (next != nullptr && next->exchange == 0 && !next->lingering) {
-                read(socket);
-            }
-        });
+    readNext(connection);
+}
+
+// Reads the next request, or waits until the caller has taken the response before it: the responses
+// to a caller that sends requests without reading would fill the memory.
+void HttpServer::readNext(Connection &connection)
+{
+    connection.awaitsDrain = sockets_->queued(connection.socket) > 0;
+    if (connection.awaitsDrain || connection.readAhead.empty()) {
+        return;
     }
+    const SocketId socket = connection.socket;
+    sockets_->pause(socket, false);
+    loop_.post([this, socket] {
+        Connection *next = find(socket);
+        if (next != nullptr && next->exchange == 0 && !next->lingering) {
+            read(socket);
+        }
+    });
 }
 
 void HttpServer::abort(ExchangeId exchange)
@@ -417,7 +427,12 @@
 void HttpServer::onWritten(SocketId socket)
 {
     Connection *connection = find(socket);
-    if (connection != nullptr && connection->exchange != 0 && connection->headSent) {
+    if (connection == nullptr) {
+        return;
+    }
+    if (connection->awaitsDrain) {
+        readNext(*connection);
+    } else if (connection->exchange != 0 && connection->headSent) {
         handler_.onDrained(connection->exchange);
     }
 }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -7,7 +7,7 @@
 //
 // A request that is malformed, too large or too slow is rejected with status 400, 408, 413 or 431
 // and its connection is closed; the handler does not receive it. Pipelined requests wait in a
-// bounded buffer.
+// bounded buffer until the caller has taken the responses before them.
 #pragma once
 
 #include "net/eventloop.h"
@@ -139,6 +139,7 @@
     void rejectWith(Connection &connection, int status, std::string_view code);
     void deliver(Connection &connection);
     void endExchange(Connection &connection);
+    void readNext(Connection &connection);
     void sendHead(Connection &connection, const HttpResponseHead &head, std::string_view body,
                   bool hasFullBody);
     Connection *connectionOf(ExchangeId exchange);
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -353,6 +353,18 @@
     CHECK_TRUE(receiveAll(descriptor).size() > kLargeBytes);
 }
 
+// A caller that sends requests without reading answers would fill the memory.
+TEST(HttpStackTest, NextRequestWaitsUntilAnswerBeforeItIsTaken)
+{
+    const std::string request = "GET /large HTTP/1.1\r\nHost: x\r\n\r\n";
+    const int descriptor = connectAndSend(
+        request + request + "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    runFor(std::chrono::milliseconds(200));
+    LONGS_EQUAL(1, echo.requests);
+    CHECK_TRUE(receiveAll(descriptor).size() > 2 * kLargeBytes);
+    LONGS_EQUAL(3, echo.requests);
+}
+
 TEST_GROUP(EventLoopTest){};
 
 TEST(EventLoopTest, ScheduleAfterShutDownReturnsZero)
