--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -18,6 +18,7 @@
 // Control settings:
 //   {"id": ID}              its instance id; answers 421 to requests for another instance
 //   {"delayMs": N}          time before the answer and between events
+//   {"eventBytes": N}       makes each event this much longer
 //   {"full": true}          refuses requests with 503, marked as not executed
 //   {"rest": TEXT}          seconds to wait (retry-after) that a refusal names; empty: none
 //   {"fail": true}          answers 500
@@ -137,7 +138,8 @@
             server().abort(exchange);
             return;
         }
-        server().write(exchange, fmt::format("id: {0}\ndata: token {0}\n\n", number));
+        server().write(exchange, fmt::format("id: {0}\ndata: token {0}{1}\n\n", number,
+                                             std::string(eventBytes_, ' ')));
         if (number == kEventsPerStream) {
             openExchanges_.erase(exchange);
             server().finish(exchange);
@@ -158,6 +160,7 @@
     {
         id_ = change.value("id", id_);
         delayMs_ = change.value("delayMs", delayMs_);
+        eventBytes_ = change.value("eventBytes", eventBytes_);
         refuse_ = change.value("full", refuse_);
         fail_ = change.value("fail", fail_);
         dropAnswers_ = change.value("dropAnswers", dropAnswers_);
@@ -181,6 +184,7 @@
     std::vector<json> arrivals_;
     std::set<ExchangeId> openExchanges_;
     int delayMs_ = 1;
+    std::size_t eventBytes_ = 0;
     int breakAfter_ = 0;
     int callersGone_ = 0; // Callers that left before the end of their answer.
     bool refuse_ = false;
--- a/test/process/slowcallers_test.py
+++ b/test/process/slowcallers_test.py
@@ -23,12 +23,13 @@
 class Upload:
     """A caller that sends a body of 1 MB in parts, and pauses before the last one until `finish`."""
 
-    def __init__(self, address, number):
+    def __init__(self, address, number, size=MEGABYTE):
+        self.size = size
         host, port = address.split(":")
         self.address = host, int(port)
         self.socket = None
         self.head = (f"POST /status/{number} HTTP/1.1\r\nHost: site.example\r\nSeamarch-Request-Id: up-{number}\r\n"
-                     f"Authorization: Token {KEY}\r\nContent-Length: {MEGABYTE}\r\n\r\n").encode()
+                     f"Authorization: Token {KEY}\r\nContent-Length: {size}\r\n\r\n").encode()
         self.may_finish = threading.Event()
         self.answer = b""
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -48,7 +49,7 @@
     def run(self):
         self.connect()
         self.socket.settimeout(30)
-        self.socket.sendall(self.head + b"x" * (MEGABYTE - 1))
+        self.socket.sendall(self.head + b"x" * (self.size - 1))
         self.may_finish.wait(30)
         self.socket.sendall(b"x")
         self.answer = self.socket.recv(65536)
@@ -104,6 +105,14 @@
             self.assertTrue(status == [b"200"] or refused, upload.answer[:200])
         self.assertTrue(any(upload.answer.startswith(b"HTTP/1.1 200") for upload in self.uploads))
 
+    def test_large_upload_is_served_if_nothing_else_is_held(self):
+        # Three times the body exceeds the limit, but it is held once here and copied once for sending.
+        upload = Upload(self.site.entry, 1, size=MEGABYTE * 3 // 2)
+        self.site.wait_until("the upload is counted", lambda: self.site.status()["heldBytes"] >= upload.size - 1)
+        upload.may_finish.set()
+        upload.thread.join(30)
+        self.assertIn(b"HTTP/1.1 200", upload.answer[:20])
+
 
 if __name__ == "__main__":
     unittest.main()
