Count a finished upload once, and uploads without a walk over all connections

Cause, 1: the admission of a request counted its body twice as copies and once more as the upload of the last tick. A body above a third of the memory limit that took longer than a tick was refused, also with nothing else held, and so was each repetition. Cause, 2: each received part of a large upload walked over all connections three times, also without a memory limit; as each request would have done with the change below. Change: the connections keep the sum of their incomplete requests, admission uses its present value; the limit is looked at again only if it is exceeded, and not for the upload that goes on alone. A connection that is closed no longer holds what it had uploaded. Checked: slowcallers_test, test_large_upload_is_served_if_nothing_else_is_held, failed before (503), passes with the other four; net-tests pass. The cost was not measured.

--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -138,6 +138,7 @@
                kNotReadyRetryAfter);
         return;
     }
+    heldMemory_.uploads = server_->uploadedBytes(); // Without this body, which is complete.
     if (!memoryBudget_.admits(heldMemory_, request.body.size())) {
         logLine(LogLevel::Warning, "request.too_large_now",
                 {{"id", metadata.requestId},
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -30,11 +30,23 @@
 
 struct HttpServer::Connection final : public HttpSink
 {
-    Connection(SocketId id, const HttpReader::Limits &limits, TimePoint now)
+    Connection(SocketId id, const HttpReader::Limits &limits, TimePoint now, std::size_t &total)
         : socket(id)
         , reader(HttpReader::Kind::Request, limits, *this)
         , lastActive(now)
+        , uploadedTotal(total)
     {}
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+    ~Connection() { uploadedTotal -= uploaded; }
+
+    // Counts the received bytes of incomplete requests. Must be called when they have changed.
+    void countUpload()
+    {
+        const std::size_t held = request.body.size() + readAhead.size();
+        uploadedTotal += held - uploaded;
+        uploaded = held;
+    }
 
     void onHead(HttpHead head) override
     {
@@ -61,6 +73,8 @@
     TimePoint readingSince{}; // When the first byte of the current message arrived.
     Framing framing = Framing::Chunked;
     std::uint64_t bytesLeft = 0;
+    std::size_t &uploadedTotal; // Of all connections.
+    std::size_t uploaded = 0;   // The part of this one.
     bool persistent = true;
     bool isHttp10 = false;
     bool wantsContinue = false;
@@ -111,7 +125,8 @@
 SocketListener &HttpServer::onAccepted(SocketId socket)
 {
     const HttpReader::Limits limits{options_.maxHeaderBytes, options_.maxBodyBytes};
-    connections_.emplace(socket, std::make_unique<Connection>(socket, limits, loop_.now()));
+    connections_.emplace(socket,
+                         std::make_unique<Connection>(socket, limits, loop_.now(), uploadedBytes_));
     return *this;
 }
 
@@ -135,6 +150,7 @@
     }
     connection->lastActive = loop_.now();
     connection->readAhead.append(bytes);
+    connection->countUpload();
     if (connection->exchange != 0 || connection->awaitsDrain) {
         if (connection->readAhead.size() > kMaxReadAheadBytes) {
             sockets_->pause(socket, true);
@@ -157,6 +173,7 @@
     }
     const std::size_t used = reader.feed(connection->readAhead);
     connection->readAhead.erase(0, used);
+    connection->countUpload();
     if (reader.fault()) {
         reject(*connection, *reader.fault());
         return;
@@ -167,7 +184,7 @@
     }
     if (reader.done()) {
         deliver(*connection);
-    } else if (isLargeUpload(*connection)) {
+    } else if (isLargeUpload(*connection) && socket != oldestUpload_) {
         restrictUploads();
     }
 }
@@ -180,6 +197,7 @@
     exchanges_.emplace(connection.exchange, connection.socket);
     HttpRequest request = std::move(connection.request);
     connection.request = {};
+    connection.countUpload();
     handler_.onRequest(connection.exchange, std::move(request));
 }
 
@@ -319,7 +337,9 @@
     connection.lastActive = loop_.now();
     if (!connection.persistent) {
         connection.lingering = true;
+        connection.request = {};
         connection.readAhead.clear();
+        connection.countUpload();
         sockets_->pause(connection.socket, false);
         sockets_->finishWriting(connection.socket);
         return;
@@ -374,15 +394,6 @@
     return found == exchanges_.end() ? 0 : sockets_->queued(found->second);
 }
 
-std::size_t HttpServer::uploadedBytes() const
-{
-    std::size_t total = 0;
-    for (const auto &[socket, connection] : connections_) {
-        total += connection->request.body.size() + connection->readAhead.size();
-    }
-    return total;
-}
-
 bool HttpServer::isLargeUpload(const Connection &connection)
 {
     return connection.exchange == 0 && !connection.lingering
@@ -409,8 +420,12 @@
 // Pauses or resumes uploads by the number of bytes that are held.
 void HttpServer::restrictUploads()
 {
-    const std::size_t uploaded = uploadedBytes();
-    uploadsRestricted_ = uploaded > (uploadsRestricted_ ? maxUploadBytes_ / 2 : maxUploadBytes_);
+    const bool wereRestricted = uploadsRestricted_;
+    uploadsRestricted_ = uploadedBytes_ > (wereRestricted ? maxUploadBytes_ / 2 : maxUploadBytes_);
+    oldestUpload_ = 0;
+    if (!uploadsRestricted_ && !wereRestricted) {
+        return; // Called for each part of a large upload; none is paused.
+    }
     Connection *oldest = nullptr;
     for (const auto &[socket, connection] : connections_) {
         if (isLargeUpload(*connection)
@@ -418,6 +433,7 @@
             oldest = connection.get();
         }
     }
+    oldestUpload_ = uploadsRestricted_ && oldest != nullptr ? oldest->socket : 0;
     for (const auto &[socket, connection] : connections_) {
         pauseUpload(*connection,
                     uploadsRestricted_ && isLargeUpload(*connection) && connection.get() != oldest);
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -110,7 +110,7 @@
     // Returns the same for all exchanges.
     std::size_t bufferedTotal() const { return sockets_->queuedTotal(); }
     // Returns the size of the request bodies of which a part has been received.
-    std::size_t uploadedBytes() const;
+    std::size_t uploadedBytes() const { return uploadedBytes_; }
     // Sets how many bytes of incomplete request bodies are held. Beyond that, only the oldest of
     // the bodies that have reached a size of some KB is received, until less than half of it is
     // held. Must be called often, as paused uploads wait for it.
@@ -153,7 +153,9 @@
     HttpHandler &handler_;
     HttpServerOptions options_;
     std::size_t maxUploadBytes_ = std::numeric_limits<std::size_t>::max();
+    std::size_t uploadedBytes_ = 0;
     bool uploadsRestricted_ = false;
+    SocketId oldestUpload_ = 0; // The one that is received while uploads are restricted.
     std::unique_ptr<TcpSockets> sockets_;
     std::unordered_map<SocketId, std::unique_ptr<Connection>> connections_;
     std::unordered_map<ExchangeId, SocketId> exchanges_;
