Split the expert agent: map changes, the store's listing, and the server apart

Change: MapChanger adapts the map while the agent decides (no I/O), GroupListing knows what the store lists of the service, RankServer serves the other agents and gateways through an interface; ExpertAgent keeps the own engine and the role.

--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -10,15 +10,14 @@
 // agent: if one crashes or is partitioned, only map changes stop.
 #pragma once
 
-#include "decision/expertmap/expertplanner.h"
-#include "decision/expertmap/groupdecider.h"
-#include "decision/gateway/upstreamtable.h"
 #include "experts/engineclient.h"
+#include "experts/grouplisting.h"
 #include "experts/groupreporter.h"
+#include "experts/mapchanger.h"
 #include "experts/orderrelay.h"
 #include "experts/ownengine.h"
 #include "experts/rankpeers.h"
-#include "gateway/storewatcher.h"
+#include "experts/rankserver.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
 #include "net/rawtransport.h"
@@ -30,7 +29,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <tl/expected.hpp>
 
 namespace seamarch {
@@ -52,7 +50,7 @@
 
 // Runs the agent of one rank on an event loop. Single-threaded; the constructor's references
 // outlive the object.
-class ExpertAgent final : private StoreListener, private StatusSource, private RankPeersListener
+class ExpertAgent final : private StatusSource, private RankPeersListener, private RankService
 {
 public:
     // Opens the listening sockets and starts the agent.
@@ -67,8 +65,6 @@
     void stop();
 
 private:
-    class Server;
-
     // The other decider of the group that most recently queried this agent.
     struct QueryingDecider
     {
@@ -77,109 +73,71 @@
         std::string host;
     };
 
-    // The most recent map of this epoch that was known to be in use.
-    struct CachedMap
-    {
-        std::uint64_t version = 0;
-        ExpertMap map;
-    };
-
     ExpertAgent(EventLoop &loop, const ExpertAgentSettings &settings, const StoreProtocol &store,
                 const EngineProtocol &engineProtocol);
     tl::expected<void, NetError> open();
 
-    void onStoreListed(const StoreItems &items, TimePoint sentAt) override;
-    void onStoreChanged(const StoreItems &items, TimePoint sentAt) override;
-    void onStoreFailed(std::string_view cause) override;
     bool ready(std::string &reason) const override;
     nlohmann::json status() const override;
 
-    void applyStoreItem(const StoreItem &item);
-    void updatePeers();
+    void onListingChanged();
     void tick();
     void updateRole();
-    bool isDecider() const { return decider_ != nullptr; }
+    bool isDecider() const { return mapChanger_.isDecider(); }
     Duration queryInterval() const;
     void checkStoodStill();
     bool shouldDecide() const;
     void becomeDecider();
     void stepDown();
+    const GroupId &ownGroup() const override { return ownGroup_; }
     void onDeciderQuery(const GroupId &deciderGroup, std::uint32_t deciderRank,
-                        const std::string &deciderHost);
+                        const std::string &deciderHost) override;
     void publishGroupFacts();
-    GroupFacts groupFacts() const;
-    void fetchOwnFacts(RankQuery query, OwnEngine::FactsDone done);
+    void fetchOwnFacts(RankQuery query, OwnEngine::FactsDone done) override;
     void pollOwnEngine(RankQuery query);
     void pollGroup();
     void onPeerFacts(const RankFacts &facts, TimePoint requestedAt) override;
     void onPeerOrderAnswer(std::uint32_t rank, const MapOrder &order,
                            MapOrderAnswer answer) override;
     void updateOwnRank(const RankReport &report);
-    void updateEpoch(const RankReport &report);
-    void endRound();
-    void updatePassOutlook();
     void runDecider();
-    void replaceOutdatedChange(MapOrders &orders);
-    void proposeChange(MapOrders &orders);
-    void propose(ExpertMap planned, MapOrders &orders);
     void send(const MapOrders &orders);
-    void sendToOwnEngine(const MapOrder &order, OwnEngine::OrderDone done);
+    void sendToOwnEngine(const MapOrder &order, OwnEngine::OrderDone done) override;
     void relay(const MapOrder &order, const std::vector<RelayTarget> &targets,
-               const OrderRelay::Done &done);
-    std::optional<ExpertMap> mapInUse();
-    std::optional<ExpertMap> assembleMap(std::uint64_t version) const;
-    void logPhaseChange();
-    void logObstacleChange(std::string_view obstacle);
+               const OrderRelay::Done &done) override;
+    kj::Promise<void> answerGroupQuery(GroupReporter::Context context) override
+    {
+        return groupReporter_.answer(context);
+    }
 
     EventLoop &loop_;
     ExpertAgentSettings settings_;
     const StoreProtocol &store_;
     const EngineProtocol &engineProtocol_;
     Metrics metrics_;
-    UpstreamTable upstreams_;
-    StorePosition storePosition_; // Position of the last full listing.
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<RawTransport> transport_;
     std::unique_ptr<OperatorServer> metricsServer_;
     std::unique_ptr<EngineClient> engineClient_;
     std::unique_ptr<OwnEngine> ownEngine_;
+    std::unique_ptr<GroupListing> listing_;  // Started while this agent is the decider.
     std::unique_ptr<OrderRelay> orderRelay_; // Forwards orders from the decider to other agents.
     GroupReporter groupReporter_;
     std::map<std::uint64_t, std::unique_ptr<RpcPeer>> inboundPeers_;
     GroupId ownGroup_; // Empty until the own engine has first reported.
     std::optional<std::uint32_t> ownRank_;
     std::uint32_t groupSize_ = 0;     // Number of ranks, from the own engine's last report.
-    Duration gapTarget_{};            // Shortest gap target of the service's routes; zero: unknown.
     bool ownEngineHoldsStep_ = false; // From the own engine's last report.
     std::optional<QueryingDecider> otherDecider_;
     std::uint64_t ownCountsSnapshotId_ = 0; // Snapshot of the own rank's last counts.
-    std::uint64_t epoch_ = 0;
     TimePoint startedAt_{}; // Also set when the agent continues after it stood still.
     TimePoint lastTickAt_{};
     TimePoint ownPolledAt_{};  // Last poll of the own engine by this agent.
     TimePoint ownFetchedAt_{}; // Last query of the own engine, by this agent or for a decider.
     bool ownPollPending_ = false;
     std::uint64_t nextInboundId_ = 1;
-    std::uint64_t fenceFloor_ = 0; // Above all fences that this agent has used as the decider.
-    // The epoch in which this agent has sent arms whose outcome it does not know (see
-    // GroupDecider).
-    std::optional<std::uint64_t> epochOfUnresolvedArms_;
-    // Decider state; null or unused while another agent decides.
-    std::unique_ptr<StoreWatcher> storeWatcher_;
-    std::unique_ptr<RankPeers> rankPeers_;
-    std::unique_ptr<GroupDecider> decider_;
-    ExpertPlanner planner_;
-    std::optional<ExpertRule> rule_;
-    std::map<std::uint32_t, ExpertsOfRank> rankExperts_; // By rank.
-    std::optional<CachedMap> cachedMap_;
-    std::optional<ExpertMap> currentMap_; // The map in use, once known for all ranks.
-    ExpertMap proposedMap_;               // The last map that this agent proposed.
-    std::uint64_t proposedVersion_ = 0;   // Version of `proposedMap_`; zero: none in this epoch.
-    TimePoint proposedAt_{};
-    GroupDecider::Phase loggedPhase_ = GroupDecider::Phase::Idle;
-    std::string_view loggedObstacle_;
-    std::uint64_t loggedChanges_ = 0;
-    std::uint64_t loggedCleared_ = 0;
+    MapChanger mapChanger_;
+    std::unique_ptr<RankPeers> rankPeers_; // Null while another agent decides.
     TimePoint countsRequestedAt_{};
     std::unique_ptr<PeriodicTimer> tickTimer_;
 };
