Statements of demand use the generated accessors

Cause: the field was written and read by the position of its pointer, from before the generated code had it. Change: setDemand and getDemand. The messages are the same. Tests: gateway-unit-tests pass (44), the test is unchanged.

--- a/src/gateway/gatewaypeersdemand.cpp
+++ b/src/gateway/gatewaypeersdemand.cpp
@@ -1,12 +1,7 @@
 // The part of GatewayPeers that carries statements of demand (DemandExchange) in polls and answers.
-//
-// A message has the field `demand` only if it carries a statement; without one it is no longer than
-// in earlier software versions. The generated setters would allocate the field in every message.
 #include "gateway/gatewaypeers.h"
 #include "gateway/gatewaywire.h"
 
-#include <capnp/any.h>
-
 namespace seamarch {
 
 wire::GatewayPeer::ExchangeParams::Builder
@@ -29,9 +24,9 @@
     if (demand_ != nullptr) {
         statement = demand_->takeStatement({poller.id, poller.hall}, loop_.now());
     }
-    capnp::AnyStruct::Builder fields(kj::mv(results));
-    auto news = fields.getPointerSection()[0]; // The only field.
-    return initWithDemand<wire::GatewayNews>(news, statement);
+    auto news = results.initNews();
+    writeDemand(news, statement);
+    return news;
 }
 
 void GatewayPeers::applyDemand(const GatewayRecord &from,
--- a/src/gateway/gatewaywire.h
+++ b/src/gateway/gatewaywire.h
@@ -9,7 +9,6 @@
 #include "gateway/gatewaystoreview.h"
 #include "wire/seamarch.capnp.h"
 
-#include <algorithm>
 #include <capnp/any.h>
 #include <cstdint>
 #include <optional>
@@ -43,42 +42,30 @@
 void writeLimit(const LimitReport &report, TimePoint now, wire::UpstreamLimit::Builder to);
 LimitReport readLimit(wire::UpstreamLimit::Reader from, TimePoint writtenAt);
 
-// The position of the field `demand` among the pointers of a message.
-template <typename Message>
-inline constexpr std::uint16_t kDemandPointer = 0;
-template <>
-inline constexpr std::uint16_t kDemandPointer<wire::GatewayPeer::ExchangeParams> = 1;
-template <>
-inline constexpr std::uint16_t kDemandPointer<wire::GatewayNews> = 9;
+// Sets the field `demand` of a message if `statement` is not empty.
+template <typename Builder>
+void writeDemand(Builder &message, const std::vector<std::uint8_t> &statement)
+{
+    if (!statement.empty()) {
+        message.setDemand(kj::arrayPtr(statement.data(), statement.size()));
+    }
+}
 
 // Initializes a message, with the field `demand` only if `statement` is not empty.
 template <typename Message>
 typename Message::Builder initWithDemand(capnp::AnyPointer::Builder to,
                                          const std::vector<std::uint8_t> &statement)
 {
-    using Layout = typename Message::_capnpPrivate;
-    constexpr std::uint16_t kIndex = kDemandPointer<Message>;
-    const std::uint16_t pointers = statement.empty()
-                                       ? Layout::pointerCount
-                                       : std::max<std::uint16_t>(Layout::pointerCount, kIndex + 1);
-    auto message = to.initAsAnyStruct(Layout::dataWordSize, pointers);
-    if (!statement.empty()) {
-        message.getPointerSection()[kIndex].template setAs<capnp::Data>(
-            kj::arrayPtr(statement.data(), statement.size()));
-    }
-    return message.template as<Message>();
+    auto message = to.initAs<Message>();
+    writeDemand(message, statement);
+    return message;
 }
 
 // Returns the field `demand` of a message; empty if it has none.
 template <typename MessageReader>
 std::span<const std::uint8_t> readDemand(const MessageReader &message)
 {
-    const auto pointers = capnp::AnyStruct::Reader(message).getPointerSection();
-    constexpr std::uint16_t kIndex = kDemandPointer<capnp::FromReader<MessageReader>>;
-    if (kIndex >= pointers.size()) {
-        return {};
-    }
-    const auto bytes = pointers[kIndex].template getAs<capnp::Data>();
+    const auto bytes = message.getDemand();
     return {bytes.begin(), bytes.size()};
 }
 
