--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -13,13 +13,6 @@
 
 // The longest time that a poll may wait here for an update.
 constexpr Duration kMaxPollWait = std::chrono::seconds(1);
-// The interval at which the gateway list is requested from any gateway: several requests fit into
-// the time to live of a list entry.
-constexpr Duration kGatewayListInterval = std::chrono::seconds(2);
-// A gateway that has just started requests the list more often: when a site starts, all of its
-// gateways appear within a second.
-constexpr Duration kStartupPeriod = std::chrono::seconds(3);
-constexpr Duration kStartupGatewayListInterval = std::chrono::milliseconds(800);
 // The ordinal of `exchange` in wire::GatewayPeer.
 constexpr std::uint16_t kExchangeMethod = 0;
 // Sent as the own version to request no configuration: no configuration is newer than this one.
@@ -102,11 +95,12 @@
     , directory_(directory)
     , onStateReceived_(std::move(onStateReceived))
     , waitingPolls_(loop)
+    , gatewayList_(loop, directory)
+    , upstreamList_(loop, storeView)
     , lastCrashCursor_(crashes_.cursor())
     , lastLimitsVersion_(limits_.version())
     , initialOwnEventCount_(ownEventCount())
     , announcedEventCount_(ownEventCount())
-    , startedAt_(loop.now())
     , tasks_(*this)
 {}
 
@@ -160,15 +154,6 @@
     return link;
 }
 
-// Returns whether to request the gateway list with the next poll. It is always requested from a
-// gateway whose id is not known, because the list includes the id.
-bool GatewayPeers::isGatewayListDue(const Link &link, TimePoint now) const
-{
-    const bool startingUp = now - startedAt_ < kStartupPeriod;
-    const Duration interval = startingUp ? kStartupGatewayListInterval : kGatewayListInterval;
-    return link.id == InstanceId() || now - gatewayListRequestedAt_ >= interval;
-}
-
 void GatewayPeers::poll(const SocketAddress &address, const InstanceId &id, Duration maxWait,
                         ListRequest list)
 {
@@ -178,8 +163,12 @@
         return;
     }
     link.id = id == InstanceId() ? link.id : id;
-    const bool withGatewayList = list == ListRequest::Always || isGatewayListDue(link, now);
-    gatewayListRequestedAt_ = withGatewayList ? now : gatewayListRequestedAt_;
+    // The list includes the id of the other gateway.
+    const bool withGatewayList =
+        list == ListRequest::Always || link.id == InstanceId() || gatewayList_.isDue();
+    if (withGatewayList) {
+        gatewayList_.onRequested();
+    }
     link.polling = true;
     auto message = link.rpc->capability().typelessRequest(capnp::typeId<wire::GatewayPeer>(),
                                                           kExchangeMethod, nullptr);
@@ -227,7 +216,7 @@
     Link &link = linkTo(address);
     link.polling = false;
     link.notBefore = loop_.now() + detail::kPeerRetryDelay;
-    gatewayListRequestedAt_ = {};
+    gatewayList_.onFailed();
     if (link.id != InstanceId()) {
         if (demand_ != nullptr) {
             demand_->onFailed(link.id);
@@ -246,7 +235,7 @@
     lastAnswerAt_ = now;
     if (news.getGateways().size() > 0) {
         link.id = readGateway(news.getGateways()[0]).id;
-        applyGateways(news, now);
+        gatewayList_.apply(news);
     }
     directory_.onAnswered(link.id, now);
     applyGroups(link, sentAt, news);
@@ -265,35 +254,6 @@
     }
 }
 
-void GatewayPeers::applyGateways(wire::GatewayNews::Reader reader, TimePoint now)
-{
-    GatewayDirectory::GossipUpdate update;
-    update.digest = reader.getGatewaysMark();
-    const auto listed = reader.getGateways();
-    directory_.recordSeen(readGateway(listed[0]), now);
-    for (std::uint32_t index = 1; index < listed.size(); ++index) {
-        const TimePoint lastSeen = now - Duration(listed[index].getHeardMicrosAgo());
-        update.peers.push_back({readGateway(listed[index]), lastSeen});
-    }
-    const auto ages = reader.getGatewayAges();
-    update.ages.assign(ages.begin(), ages.end());
-    directory_.applyGossip(update, now);
-}
-
-void GatewayPeers::writeGateways(wire::GatewayNews::Builder to, std::uint64_t knownDigest) const
-{
-    const TimePoint now = loop_.now();
-    const GatewayDirectory::GossipUpdate update = directory_.gossipFor(knownDigest, now);
-    to.setGatewaysMark(update.digest);
-    auto list = to.initGateways(static_cast<std::uint32_t>(update.peers.size() + 1));
-    writeGateway(directory_.self(), Duration{}, list[0]);
-    for (std::uint32_t index = 0; index < update.peers.size(); ++index) {
-        writeGateway(update.peers[index].record, now - update.peers[index].lastSeen,
-                     list[index + 1]);
-    }
-    to.setGatewayAges(kj::arrayPtr(update.ages.data(), update.ages.size()));
-}
-
 bool GatewayPeers::applyNews(TimePoint sentAt, wire::GatewayNews::Reader news)
 {
     PeerStoreState peerState;
@@ -314,7 +274,7 @@
         peerState.document = std::move(*document);
     }
     if (news.hasUpstreams()) {
-        peerState.upstreams = readUpstreams(news);
+        peerState.upstreams = upstreamList_.read(news);
         peerState.drainedHalls = readDrainedHalls(news);
     }
     const Duration held(news.getHeldMicros());
@@ -368,7 +328,7 @@
                              Duration held)
 {
     if (pollRequest.wantsGateways) {
-        writeGateways(news, pollRequest.gatewaysDigest);
+        gatewayList_.write(news, pollRequest.gatewaysDigest);
     }
     news.setHeldMicros(held.count());
     writeGroups(news, pollRequest.groupsDigest);
@@ -392,67 +352,11 @@
     }
     news.setUpstreamsMark(storeView_.upstreamsDigest());
     if (storeView_.upstreamsDigest() != pollRequest.upstreamsDigest) {
-        writeUpstreams(news, pollRequest);
+        upstreamList_.write(news, pollRequest.takesChanges ? pollRequest.upstreamsDigest : 0);
         writeDrainedHalls(storeView_.upstreams().drainedHalls(), news);
     }
 }
 
-void GatewayPeers::recordUpstreamList()
-{
-    if (storeView_.confirmed()) {
-        history_.recordState(storeView_.upstreamsDigest(), storeView_.upstreams().all());
-    }
-}
-
-// Writes the changes since the list whose digest the poller sent, if that list is in the history,
-// else the full list.
-void GatewayPeers::writeUpstreams(wire::GatewayNews::Builder news, const PollRequest &pollRequest)
-{
-    recordUpstreamList();
-    std::vector<const UpstreamRecord *> records = storeView_.upstreams().all();
-    const auto changed = pollRequest.takesChanges && pollRequest.upstreamsDigest != 0
-                             ? history_.changedSince(pollRequest.upstreamsDigest)
-                             : std::nullopt;
-    if (changed) {
-        std::set<InstanceId> removed = *changed;
-        std::erase_if(records, [&](const UpstreamRecord *record) {
-            removed.erase(record->id);
-            return !changed->contains(record->id);
-        });
-        news.setUpstreamsSince(pollRequest.upstreamsDigest);
-        auto ids = news.initRemovedUpstreams(static_cast<std::uint32_t>(removed.size()));
-        std::uint32_t index = 0;
-        for (const InstanceId &id : removed) {
-            ids.set(index++, id.value());
-        }
-    }
-    auto list = news.initUpstreams(static_cast<std::uint32_t>(records.size()));
-    for (std::uint32_t index = 0; index < records.size(); ++index) {
-        writeUpstream(*records[index], loop_.now(), list[index]);
-    }
-}
-
-// Returns the full list, or nothing if the update has changes to a list that is no longer held.
-std::optional<std::vector<UpstreamRecord>>
-GatewayPeers::readUpstreams(wire::GatewayNews::Reader news) const
-{
-    std::vector<UpstreamRecord> records;
-    for (const auto &upstream : news.getUpstreams()) {
-        records.push_back(readUpstream(upstream, loop_.now()));
-    }
-    if (news.getUpstreamsSince() == 0) {
-        return records;
-    }
-    if (news.getUpstreamsSince() != storeView_.advertisedDigest()) {
-        return std::nullopt;
-    }
-    std::set<InstanceId> removed;
-    for (const auto &id : news.getRemovedUpstreams()) {
-        removed.insert(InstanceId(id.cStr()));
-    }
-    return applyChanges(storeView_.upstreams().all(), records, removed);
-}
-
 void GatewayPeers::tick()
 {
     const TimePoint now = loop_.now();
@@ -460,7 +364,7 @@
     if (storeView_.upstreamsDigest() != lastUpstreamsDigest_ || storeView_.version() != lastVersion_
         || groupsDigest != lastGroupsDigest_ || crashes_.cursor() != lastCrashCursor_
         || limits_.version() != lastLimitsVersion_) {
-        recordUpstreamList();
+        upstreamList_.recordState();
         lastUpstreamsDigest_ = storeView_.upstreamsDigest();
         lastVersion_ = storeView_.version();
         lastGroupsDigest_ = groupsDigest;
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -14,11 +14,12 @@
 // must outlive the object.
 #pragma once
 
-#include "decision/gateway/upstreamhistory.h"
 #include "decision/membership/gatewaydirectory.h"
+#include "gateway/gatewaylistexchange.h"
 #include "gateway/gatewaystoreview.h"
 #include "gateway/gossipstate.h"
 #include "gateway/storeprotocol.h"
+#include "gateway/upstreamlistexchange.h"
 #include "net/changenotifier.h"
 #include "net/eventloop.h"
 #include "net/rawtransport.h"
@@ -117,9 +118,6 @@
     void onNews(const SocketAddress &address, TimePoint sentAt, wire::GatewayNews::Reader news);
     void onFailed(const SocketAddress &address);
     bool applyNews(TimePoint sentAt, wire::GatewayNews::Reader news);
-    bool isGatewayListDue(const Link &link, TimePoint now) const;
-    void applyGateways(wire::GatewayNews::Reader news, TimePoint now);
-    void writeGateways(wire::GatewayNews::Builder news, std::uint64_t knownDigest) const;
     void applyGroups(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
     void applyCrashes(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
     void applyLimits(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
@@ -153,9 +151,6 @@
     };
     bool hasNewsFor(const PollRequest &pollRequest) const;
     void writeNews(wire::GatewayNews::Builder news, const PollRequest &pollRequest, Duration held);
-    void recordUpstreamList();
-    void writeUpstreams(wire::GatewayNews::Builder news, const PollRequest &pollRequest);
-    std::optional<std::vector<UpstreamRecord>> readUpstreams(wire::GatewayNews::Reader news) const;
     void writeGroups(wire::GatewayNews::Builder news, std::uint64_t knownDigest) const;
     void writeCrashes(wire::GatewayNews::Builder news, std::uint64_t cursor) const;
     void writeLimits(wire::GatewayNews::Builder news, const PollRequest &pollRequest) const;
@@ -178,7 +173,8 @@
     std::map<std::pair<std::string, int>, Link> links_; // By address.
     std::vector<std::uint8_t> compressedDocument_;      // The document of `compressedVersion_`.
     ConfigVersion compressedVersion_;
-    UpstreamHistory history_; // Recent changes of the upstream list, to send them instead of all.
+    GatewayListExchange gatewayList_;
+    UpstreamListExchange upstreamList_;
     // The state at the last tick. A difference means that there is an update for waiting polls.
     std::uint64_t lastUpstreamsDigest_ = 0;
     ConfigVersion lastVersion_;
@@ -198,10 +194,8 @@
     std::map<HallId, Announcement> announcements_;
     TimePoint lastUnconfiguredAnswerAt_{};
     TimePoint lastAnswerAt_{};
-    TimePoint startedAt_{};
-    TimePoint gatewayListRequestedAt_{}; // The last time, from any gateway.
-    TimePoint configNotBefore_{};        // No configuration is requested before this time, which
-                                         // bounds the CPU time spent on reading configurations.
+    TimePoint configNotBefore_{}; // No configuration is requested before this time, which bounds
+                                  // the CPU time spent on reading configurations.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     kj::TaskSet tasks_;
 };
