--- a/src/decision/expertmap/groupdecider.cpp
+++ b/src/decision/expertmap/groupdecider.cpp
@@ -8,10 +8,6 @@
 namespace seamarch {
 namespace {
 
-// Each decider draws the low digits of its fences at random, so that no two deciders use the same
-// fence, including an earlier decider at the same rank. With a floor in tenths of a second since
-// 1970, fences stay below 2^53, up to which JSON parsers represent integers exactly.
-constexpr std::uint64_t kFenceStride = 1U << 18U;
 // Maximum random gap between versions. It keeps a restarted agent from reusing, for another map, a
 // version that it drew before the restart. About one in a thousand versions in the gap is available
 // to a given rank (see mapversion.h).
@@ -22,7 +18,8 @@
 GroupDecider::GroupDecider(const Settings &settings)
     : settings_(settings)
     , random_(settings.seed)
-    , fenceSuffix_(random_() % kFenceStride)
+    , fence_(settings.fenceFloor, random_())
+    , passMeter_(settings.passWindow)
 {}
 
 Duration GroupDecider::resendIntervalFor(Phase phase) const
@@ -52,24 +49,14 @@
     }
 }
 
-// Raises the fence above all known fences. If another decider has overtaken it, the increment
-// doubles each time, because the distance to the higher fence is unknown.
+// Raises the fence above all known fences.
 void GroupDecider::raiseFence(bool overtaken)
 {
-    std::uint64_t highest = std::max(fence_, settings_.fenceFloor * kFenceStride);
+    std::uint64_t highest = 0;
     for (const auto &[rank, state] : ranks_) {
         highest = std::max(highest, state.report.fence);
     }
-    if (overtaken) {
-        highest += fenceBackoffStrides_ * kFenceStride;
-        fenceBackoffStrides_ *= 2;
-    }
-    fence_ = (highest / kFenceStride + 1) * kFenceStride + fenceSuffix_;
-}
-
-std::uint64_t GroupDecider::nextFenceFloor() const
-{
-    return std::max(settings_.fenceFloor, fence_ / kFenceStride + 1);
+    fence_.raise(highest, overtaken);
 }
 
 std::vector<double> GroupDecider::paces() const
@@ -157,8 +144,7 @@
     committed_ = false;
     clearing_ = false;
     foreignSince_.reset();
-    measuredAt_ = {};
-    passForecast_.clear();
+    passMeter_.restart();
     enterPhase(Phase::Idle, now);
 }
 
@@ -181,7 +167,7 @@
     rank.hasReported = true;
     rank.requestedAt = requestedAt;
     rank.report = report;
-    measurePasses(requestedAt);
+    passMeter_.record(highestStep(), outlook_.costNow, requestedAt);
     if (phase_ == Phase::Preparing) {
         // A report that was requested before the rank answered may not include its copies yet.
         rank.confirmed =
@@ -262,38 +248,6 @@
     foreignSince_.reset();
 }
 
-Duration GroupDecider::currentPassTime() const
-{
-    const Duration measured = passForecast_.lastMeasured();
-    return passMeasuredFrom_ < releasedAt_
-               ? std::min(measured, passForecast_.evenTimeScaledTo(outlook_.costNow))
-               : measured;
-}
-
-// Measures the pass time from the progress of the highest reported step.
-void GroupDecider::measurePasses(TimePoint requestedAt)
-{
-    const std::uint64_t step = highestStep();
-    if (measuredAt_ == TimePoint{} || step < measuredStep_) {
-        measuredStep_ = step;
-        measuredAt_ = requestedAt;
-        measuredCost_ = outlook_.costNow;
-        return;
-    }
-    if (requestedAt - measuredAt_ < settings_.passWindow) {
-        return;
-    }
-    if (step > measuredStep_) {
-        passForecast_.record((requestedAt - measuredAt_)
-                                 / static_cast<Duration::rep>(step - measuredStep_),
-                             std::min(outlook_.costNow, measuredCost_));
-        passMeasuredFrom_ = measuredAt_;
-    }
-    measuredStep_ = step;
-    measuredAt_ = requestedAt;
-    measuredCost_ = outlook_.costNow;
-}
-
 void GroupDecider::onHoldAnswer(MapOrderAnswer answer, TimePoint now)
 {
     switch (answer) {
@@ -331,7 +285,7 @@
                             TimePoint now)
 {
     const auto found = ranks_.find(number);
-    if (found == ranks_.end() || order.epoch != epoch_ || order.fence != fence_) {
+    if (found == ranks_.end() || order.epoch != epoch_ || order.fence != fence_.value()) {
         return;
     }
     Rank &rank = found->second;
--- a/src/decision/expertmap/groupdecider.h
+++ b/src/decision/expertmap/groupdecider.h
@@ -31,8 +31,9 @@
 // inputs, orders are its outputs. Not thread-safe.
 #pragma once
 
+#include "decision/expertmap/deciderfence.h"
 #include "decision/expertmap/evenplacement.h"
-#include "decision/expertmap/passforecast.h"
+#include "decision/expertmap/passmeter.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
@@ -235,18 +236,18 @@
     void setPassOutlook(const PassOutlook &outlook) { outlook_ = outlook; }
 
     // Returns the last measured pass time, or zero if unknown.
-    Duration passTime() const { return passForecast_.lastMeasured(); }
+    Duration passTime() const { return passMeter_.forecast().lastMeasured(); }
     // Returns the pass time expected at the present cost of a pass, or zero if unknown.
-    Duration expectedPassTime() const { return passForecast_.expectedAt(outlook_.costNow); }
+    Duration expectedPassTime() const { return passMeter_.forecast().expectedAt(outlook_.costNow); }
     // Returns the pass time with the map in use: the last measured one, or the expected one if that
     // was measured with the map before. Zero if unknown.
-    Duration currentPassTime() const;
+    Duration currentPassTime() const { return passMeter_.timeSince(releasedAt_, outlook_.costNow); }
     // Returns the time of a pass whose load is spread evenly, or zero if unknown.
-    Duration evenPassTime() const { return passForecast_.evenTimeScaledTo(1.0); }
+    Duration evenPassTime() const { return passMeter_.forecast().evenTimeScaledTo(1.0); }
     // Returns the fence floor for a later decider of this agent, above all fences of this one.
     // Orders of this decider may still be executed late; with a higher fence, one that releases a
     // hold would release that of the later decider.
-    std::uint64_t nextFenceFloor() const;
+    std::uint64_t nextFenceFloor() const { return fence_.nextFloor(); }
     // Returns the epoch in which this decider has sent arms whose outcome it does not know, if any.
     // A rank that is silent now may be armed with that map, even if it has prepared a later one
     // since.
@@ -316,7 +317,6 @@
     bool isForeign(const RankReport &report) const;
     void startClearing(TimePoint now, std::optional<std::uint32_t> excluded = std::nullopt);
     bool allHoldsReleased() const;
-    void measurePasses(TimePoint requestedAt);
     Duration lead() const;
     Duration toleratedPause(Duration pass) const;
     std::uint64_t margin() const;
@@ -330,13 +330,11 @@
 
     Settings settings_;
     std::mt19937_64 random_;
-    std::uint64_t fenceSuffix_ = 0; // The low digits of this decider's fences.
+    DeciderFence fence_;
+    PassMeter passMeter_;
     std::map<std::uint32_t, Rank> ranks_;
     std::uint32_t size_ = 0;
     std::uint64_t epoch_ = 0;
-    std::uint64_t fence_ = 0;
-    // Strides added to the fence when it was overtaken; doubles each time.
-    std::uint64_t fenceBackoffStrides_ = 1;
     Phase phase_ = Phase::Idle;
     TimePoint phaseSince_{};
     TimePoint releasedAt_{};    // When the last change or clearing ended.
@@ -347,11 +345,6 @@
     bool committed_ = false;    // Every rank has armed `version_`.
     std::shared_ptr<const ExpertMap> experts_;
     std::uint64_t resentOrders_ = 0; // Number of orders of the current change that were resent.
-    std::uint64_t measuredStep_ = 0; // Step at which the measurement of the pass time started.
-    TimePoint measuredAt_{};
-    double measuredCost_ = 1.0;    // Relative cost of a pass at that time.
-    TimePoint passMeasuredFrom_{}; // When the last completed measurement started.
-    PassForecast passForecast_;
     PassOutlook outlook_;
     std::deque<Duration> armTimes_; // From the first arm to the last answer, for the last changes.
     std::optional<TimePoint> foreignSince_;
--- a/src/decision/expertmap/groupdeciderorders.cpp
+++ b/src/decision/expertmap/groupdeciderorders.cpp
@@ -37,7 +37,7 @@
     order.version = version_;
     order.step = step_;
     order.epoch = epoch_;
-    order.fence = fence_;
+    order.fence = fence_.value();
     order.group = settings_.group;
     if (kind == MapOrderKind::Prepare) {
         order.experts = experts_;
@@ -141,7 +141,8 @@
     if (outlook_.gapTarget <= Duration{} || pass <= outlook_.gapTarget) {
         return {};
     }
-    return std::max(Duration{}, pass - passForecast_.evenTimeScaledTo(outlook_.costAfterChange));
+    return std::max(Duration{},
+                    pass - passMeter_.forecast().evenTimeScaledTo(outlook_.costAfterChange));
 }
 
 // Returns the number of passes by which a hold is placed ahead, by the pass time that is expected
