--- a/src/decision/expertmap/mapswitchparticipant.cpp
+++ b/src/decision/expertmap/mapswitchparticipant.cpp
@@ -11,17 +11,15 @@
 
 MapSwitchParticipant::MapSwitchParticipant(const Settings &settings)
     : settings_(settings)
-    , incarnations_(settings.ranks, 0)
-{
-    incarnations_[settings_.rank.value()] = settings_.incarnation;
-}
+    , membership_(settings.rank, settings.ranks, settings.incarnation)
+{}
 
 GroupMessage MapSwitchParticipant::makeMessage(GroupMessage::Kind kind) const
 {
     GroupMessage message;
     message.kind = kind;
     message.from = settings_.rank;
-    message.generation = generation_;
+    message.generation = generation();
     message.step = step_;
     return message;
 }
@@ -55,7 +53,7 @@
         return;
     }
     // Ignore messages of another generation, because their sender may have lost its promises.
-    if (!formed_ || message.generation != generation_) {
+    if (!formed_ || message.generation != generation()) {
         return;
     }
     switch (message.kind) {
@@ -83,25 +81,14 @@
 
 void MapSwitchParticipant::mergeIncarnations(const GroupMessage &message, GroupActions &actions)
 {
-    for (std::size_t rank = 0; rank < incarnations_.size() && rank < message.generation.size();
-         ++rank) {
-        const RankIncarnation incarnation = message.generation[rank];
-        if (rank == settings_.rank.value() && incarnation > settings_.incarnation) {
-            retired_ = true;
-            return;
-        }
-        incarnations_[rank] = std::max(incarnations_[rank], incarnation);
+    retired_ = !membership_.merge(message.generation);
+    if (!retired_ && membership_.hasNewGeneration()) {
+        joinGeneration(actions);
     }
-    joinIfComplete(actions);
 }
 
-void MapSwitchParticipant::joinIfComplete(GroupActions &actions)
+void MapSwitchParticipant::joinGeneration(GroupActions &actions)
 {
-    const bool complete = std::find(incarnations_.begin(), incarnations_.end(), RankIncarnation{0})
-                          == incarnations_.end();
-    if (!complete || incarnations_ == generation_) {
-        return;
-    }
     // No change is decided in the old generation any more. A change that was committed there is
     // announced to the new one, whether or not its boundary has been reached.
     MapFence committed = activeMap_;
@@ -116,9 +103,7 @@
     proposal_.reset();
     formed_ = false;
     mapLoaded_ = false;
-    generation_ = incarnations_;
-    joinsByRank_.clear();
-    joinsByRank_[settings_.rank] = {committed, step_};
+    membership_.join({committed, step_});
     GroupMessage join = makeMessage(GroupMessage::Kind::Join);
     join.fence = committed;
     sendAll(join, actions);
@@ -127,24 +112,19 @@
 
 void MapSwitchParticipant::onJoin(const GroupMessage &message, GroupActions &actions)
 {
-    if (message.generation != generation_) {
-        return;
+    if (membership_.recordJoin(message.from, message.generation, {message.fence, message.step})) {
+        formIfAllJoined(actions);
     }
-    joinsByRank_[message.from] = {message.fence, message.step};
-    formIfAllJoined(actions);
 }
 
 void MapSwitchParticipant::formIfAllJoined(GroupActions &actions)
 {
-    if (formed_ || joinsByRank_.size() != settings_.ranks) {
+    if (formed_ || !membership_.allJoined()) {
         return;
     }
     formed_ = true;
-    MapFence start;
-    for (const auto &[rank, join] : joinsByRank_) {
-        start = std::max(start, join.committed);
-        step_ = std::max(step_, join.step);
-    }
+    const auto [start, step] = membership_.start();
+    step_ = std::max(step_, step);
     fenceFloor_ = std::max(fenceFloor_, start);
     highestBallot_ = std::max(highestBallot_, start.ballot);
     if (start == activeMap_) {
@@ -419,13 +399,13 @@
 void MapSwitchParticipant::resendPending(GroupActions &actions)
 {
     GroupMessage hello = makeMessage(GroupMessage::Kind::Hello);
-    hello.generation = incarnations_;
+    hello.generation = membership_.incarnations();
     sendAll(hello, actions);
-    if (!generation_.empty()) {
+    if (!generation().empty()) {
         // A peer may have missed the join even if the generation has already formed here.
         GroupMessage join = makeMessage(GroupMessage::Kind::Join);
-        join.fence = joinsByRank_.at(settings_.rank).committed;
-        join.step = joinsByRank_.at(settings_.rank).step;
+        join.fence = membership_.ownJoin().committed;
+        join.step = membership_.ownJoin().step;
         sendAll(join, actions);
     }
     if (proposal_) {
--- a/src/decision/expertmap/mapswitchparticipant.h
+++ b/src/decision/expertmap/mapswitchparticipant.h
@@ -22,10 +22,10 @@
 // in its ranks. The class performs no I/O; the time is passed as an argument. Not thread-safe.
 #pragma once
 
+#include "decision/expertmap/generationmembership.h"
 #include "seamarch/ids.h"
 #include "seamarch/units.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -36,23 +36,6 @@
 
 namespace seamarch {
 
-// Identifies a change, and the map that it introduces, and defines the order of changes.
-struct MapFence
-{
-    std::uint64_t configVersion = 0;
-    std::uint64_t ballot = 0;
-    std::uint32_t rank = 0; // Rank of the proposer; makes fences of different proposers distinct.
-
-    friend auto operator<=>(const MapFence &, const MapFence &) = default;
-};
-
-// Identifies one run of a rank's agent. Later incarnations of a rank compare higher; only progress,
-// not consistency, depends on that.
-using RankIncarnation = std::uint64_t;
-
-// The incarnations of all ranks, by rank.
-using Generation = std::vector<RankIncarnation>;
-
 // The state of a change at one rank.
 enum class ChangeState { Refused, Loading, Loaded, Armed, Committed, Aborted };
 
@@ -136,7 +119,7 @@
     void onStepped(GroupActions &actions);
 
     std::uint64_t step() const { return step_; }
-    const Generation &generation() const { return generation_; }
+    const Generation &generation() const { return membership_.present(); }
     const MapFence &activeMap() const { return activeMap_; }
     // Returns whether a newer incarnation of this rank exists, so that this one must stop.
     bool retired() const { return retired_; }
@@ -165,18 +148,12 @@
         TimePoint startedAt{};
     };
 
-    struct JoinState
-    {
-        MapFence committed;
-        std::uint64_t step = 0;
-    };
-
     GroupMessage makeMessage(GroupMessage::Kind kind) const;
     void send(RankIndex to, const GroupMessage &message, GroupActions &actions) const;
     void sendAll(const GroupMessage &message, GroupActions &actions) const;
 
     void mergeIncarnations(const GroupMessage &message, GroupActions &actions);
-    void joinIfComplete(GroupActions &actions);
+    void joinGeneration(GroupActions &actions);
     void onJoin(const GroupMessage &message, GroupActions &actions);
     void formIfAllJoined(GroupActions &actions);
     void onPrepare(const GroupMessage &message, TimePoint now, GroupActions &actions);
@@ -195,9 +172,7 @@
     bool isArmedOrCommitted() const;
 
     Settings settings_;
-    Generation incarnations_;
-    Generation generation_;
-    std::map<RankIndex, JoinState> joinsByRank_;
+    GenerationMembership membership_;
     bool formed_ = false;
     bool mapLoaded_ = false;
     bool retired_ = false;
