--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -38,7 +38,7 @@
     {}
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
-    ~Connection() { uploadedTotal -= uploaded; }
+    ~Connection() override { uploadedTotal -= uploaded; }
 
     // Counts the received bytes of incomplete requests. Must be called when they have changed.
     void countUpload()
