--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -138,6 +138,7 @@
                kNotReadyRetryAfter);
         return;
     }
+    heldMemory_.uploads = server_->uploadedBytes(); // Without this body, which is complete.
     if (!memoryBudget_.admits(heldMemory_, request.body.size())) {
         logLine(LogLevel::Warning, "request.too_large_now",
                 {{"id", metadata.requestId},
@@ -522,7 +523,8 @@
         return;
     }
     server_->closeIdleConnections();
-    const bool drained = activeRequests_.empty() && server_->openExchanges() == 0;
+    const bool drained =
+        activeRequests_.empty() && server_->openExchanges() == 0 && server_->bufferedTotal() == 0;
     if (!drained && since < settings_.timings.stopDeadline) {
         return;
     }
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -30,11 +30,23 @@
 
 struct HttpServer::Connection final : public HttpSink
 {
-    Connection(SocketId id, const HttpReader::Limits &limits, TimePoint now)
+    Connection(SocketId id, const HttpReader::Limits &limits, TimePoint now, std::size_t &total)
         : socket(id)
         , reader(HttpReader::Kind::Request, limits, *this)
         , lastActive(now)
+        , uploadedTotal(total)
     {}
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+    ~Connection() override { uploadedTotal -= uploaded; }
+
+    // Counts the received bytes of incomplete requests. Must be called when they have changed.
+    void countUpload()
+    {
+        const std::size_t held = request.body.size() + readAhead.size();
+        uploadedTotal += held - uploaded;
+        uploaded = held;
+    }
 
     void onHead(HttpHead head) override
     {
@@ -61,6 +73,8 @@
     TimePoint readingSince{}; // When the first byte of the current message arrived.
     Framing framing = Framing::Chunked;
     std::uint64_t bytesLeft = 0;
+    std::size_t &uploadedTotal; // Of all connections.
+    std::size_t uploaded = 0;   // The part of this one.
     bool persistent = true;
     bool isHttp10 = false;
     bool wantsContinue = false;
@@ -68,6 +82,8 @@
     bool headSent = false;
     bool lingering = false; // No further response follows; received data is discarded.
     bool uploadPaused = false;
+    bool awaitsDrain = false; // The next request is not read before the response has been taken.
+    std::size_t unsent = 0;   // Response bytes not passed to the kernel, as of the last sweep.
 };
 
 HttpServer::HttpServer(EventLoop &loop, HttpHandler &handler, HttpServerOptions options)
@@ -109,7 +125,8 @@
 SocketListener &HttpServer::onAccepted(SocketId socket)
 {
     const HttpReader::Limits limits{options_.maxHeaderBytes, options_.maxBodyBytes};
-    connections_.emplace(socket, std::make_unique<Connection>(socket, limits, loop_.now()));
+    connections_.emplace(socket,
+                         std::make_unique<Connection>(socket, limits, loop_.now(), uploadedBytes_));
     return *this;
 }
 
@@ -133,7 +150,8 @@
     }
     connection->lastActive = loop_.now();
     connection->readAhead.append(bytes);
-    if (connection->exchange != 0) {
+    connection->countUpload();
+    if (connection->exchange != 0 || connection->awaitsDrain) {
         if (connection->readAhead.size() > kMaxReadAheadBytes) {
             sockets_->pause(socket, true);
         }
@@ -155,6 +173,7 @@
     }
     const std::size_t used = reader.feed(connection->readAhead);
     connection->readAhead.erase(0, used);
+    connection->countUpload();
     if (reader.fault()) {
         reject(*connection, *reader.fault());
         return;
@@ -165,7 +184,7 @@
     }
     if (reader.done()) {
         deliver(*connection);
-    } else if (isLargeUpload(*connection)) {
+    } else if (isLargeUpload(*connection) && socket != oldestUpload_) {
         restrictUploads();
     }
 }
@@ -178,6 +197,7 @@
     exchanges_.emplace(connection.exchange, connection.socket);
     HttpRequest request = std::move(connection.request);
     connection.request = {};
+    connection.countUpload();
     handler_.onRequest(connection.exchange, std::move(request));
 }
 
@@ -317,21 +337,33 @@
     connection.lastActive = loop_.now();
     if (!connection.persistent) {
         connection.lingering = true;
+        connection.request = {};
         connection.readAhead.clear();
+        connection.countUpload();
+        sockets_->pause(connection.socket, false);
         sockets_->finishWriting(connection.socket);
         return;
     }
     connection.reader.reset();
-    if (!connection.readAhead.empty()) {
-        const SocketId socket = connection.socket;
-        sockets_->pause(socket, false);
-        loop_.post([this, socket] {
-            Connection *next = find(socket);
-            if (next != nullptr && next->exchange == 0 && !next->lingering) {
-                read(socket);
-            }
-        });
+    readNext(connection);
+}
+
+// Reads the next request, or waits until the caller has taken the response before it: the responses
+// to a caller that sends requests without reading would fill the memory.
+void HttpServer::readNext(Connection &connection)
+{
+    connection.awaitsDrain = sockets_->queued(connection.socket) > 0;
+    if (connection.awaitsDrain || connection.readAhead.empty()) {
+        return;
     }
+    const SocketId socket = connection.socket;
+    sockets_->pause(socket, false);
+    loop_.post([this, socket] {
+        Connection *next = find(socket);
+        if (next != nullptr && next->exchange == 0 && !next->lingering) {
+            read(socket);
+        }
+    });
 }
 
 void HttpServer::abort(ExchangeId exchange)
@@ -362,15 +394,6 @@
     return found == exchanges_.end() ? 0 : sockets_->queued(found->second);
 }
 
-std::size_t HttpServer::uploadedBytes() const
-{
-    std::size_t total = 0;
-    for (const auto &[socket, connection] : connections_) {
-        total += connection->request.body.size() + connection->readAhead.size();
-    }
-    return total;
-}
-
 bool HttpServer::isLargeUpload(const Connection &connection)
 {
     return connection.exchange == 0 && !connection.lingering
@@ -397,8 +420,12 @@
 // Pauses or resumes uploads by the number of bytes that are held.
 void HttpServer::restrictUploads()
 {
-    const std::size_t uploaded = uploadedBytes();
-    uploadsRestricted_ = uploaded > (uploadsRestricted_ ? maxUploadBytes_ / 2 : maxUploadBytes_);
+    const bool wereRestricted = uploadsRestricted_;
+    uploadsRestricted_ = uploadedBytes_ > (wereRestricted ? maxUploadBytes_ / 2 : maxUploadBytes_);
+    oldestUpload_ = 0;
+    if (!uploadsRestricted_ && !wereRestricted) {
+        return; // Called for each part of a large upload; none is paused.
+    }
     Connection *oldest = nullptr;
     for (const auto &[socket, connection] : connections_) {
         if (isLargeUpload(*connection)
@@ -406,6 +433,7 @@
             oldest = connection.get();
         }
     }
+    oldestUpload_ = uploadsRestricted_ && oldest != nullptr ? oldest->socket : 0;
     for (const auto &[socket, connection] : connections_) {
         pauseUpload(*connection,
                     uploadsRestricted_ && isLargeUpload(*connection) && connection.get() != oldest);
@@ -415,7 +443,12 @@
 void HttpServer::onWritten(SocketId socket)
 {
     Connection *connection = find(socket);
-    if (connection != nullptr && connection->exchange != 0 && connection->headSent) {
+    if (connection == nullptr) {
+        return;
+    }
+    if (connection->awaitsDrain) {
+        readNext(*connection);
+    } else if (connection->exchange != 0 && connection->headSent) {
         handler_.onDrained(connection->exchange);
     }
 }
@@ -444,8 +477,13 @@
         }
     }
     for (const SocketId socket : idle) {
-        connections_.erase(socket);
-        sockets_->close(socket);
+        if (sockets_->queued(socket) > 0) {
+            connections_.at(socket)->lingering = true;
+            sockets_->finishWriting(socket);
+        } else {
+            connections_.erase(socket);
+            sockets_->close(socket);
+        }
     }
 }
 
@@ -455,6 +493,10 @@
     std::vector<SocketId> expired;
     std::vector<SocketId> timedOut;
     for (const auto &[socket, connection] : connections_) {
+        const std::size_t unsent = sockets_->queued(socket);
+        if (unsent != std::exchange(connection->unsent, unsent)) {
+            connection->lastActive = now; // The caller has taken a part of the response.
+        }
         if (connection->exchange != 0) {
             continue;
         }
@@ -464,7 +506,8 @@
                                   && now - connection->readingSince > options_.headerTimeout;
         if (headTimedOut || (reading && idle > options_.idleTimeout)) {
             timedOut.push_back(socket);
-        } else if (idle > (connection->lingering ? kLingerTime : options_.idleTimeout)) {
+        } else if (idle
+                   > (connection->lingering && unsent == 0 ? kLingerTime : options_.idleTimeout)) {
             expired.push_back(socket);
         }
     }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -7,7 +7,7 @@
 //
 // A request that is malformed, too large or too slow is rejected with status 400, 408, 413 or 431
 // and its connection is closed; the handler does not receive it. Pipelined requests wait in a
-// bounded buffer.
+// bounded buffer until the caller has taken the responses before them.
 #pragma once
 
 #include "net/eventloop.h"
@@ -110,7 +110,7 @@
     // Returns the same for all exchanges.
     std::size_t bufferedTotal() const { return sockets_->queuedTotal(); }
     // Returns the size of the request bodies of which a part has been received.
-    std::size_t uploadedBytes() const;
+    std::size_t uploadedBytes() const { return uploadedBytes_; }
     // Sets how many bytes of incomplete request bodies are held. Beyond that, only the oldest of
     // the bodies that have reached a size of some KB is received, until less than half of it is
     // held. Must be called often, as paused uploads wait for it.
@@ -121,7 +121,8 @@
     std::size_t openExchanges() const { return exchanges_.size(); }
     // Makes all further responses carry `Connection: close` and closes their connections.
     void announceClose() { closing_ = true; }
-    // Does the same and immediately closes connections without a request in progress.
+    // Does the same and closes connections without a request in progress: at once, or when the
+    // caller has taken the last response.
     void closeIdleConnections();
 
 private:
@@ -138,6 +139,7 @@
     void rejectWith(Connection &connection, int status, std::string_view code);
     void deliver(Connection &connection);
     void endExchange(Connection &connection);
+    void readNext(Connection &connection);
     void sendHead(Connection &connection, const HttpResponseHead &head, std::string_view body,
                   bool hasFullBody);
     Connection *connectionOf(ExchangeId exchange);
@@ -151,7 +153,9 @@
     HttpHandler &handler_;
     HttpServerOptions options_;
     std::size_t maxUploadBytes_ = std::numeric_limits<std::size_t>::max();
+    std::size_t uploadedBytes_ = 0;
     bool uploadsRestricted_ = false;
+    SocketId oldestUpload_ = 0; // The one that is received while uploads are restricted.
     std::unique_ptr<TcpSockets> sockets_;
     std::unordered_map<SocketId, std::unique_ptr<Connection>> connections_;
     std::unordered_map<ExchangeId, SocketId> exchanges_;
