An upstream whose answer is not read for a slow caller is not silent

Cause: while a caller takes its answer slowly, the gateway stops reading the upstream's. The core saw no events and took the upstream for silent after half of the route's silence time: the stream ran a second time elsewhere, a sound upstream counted as failed, and its pauses counted against its group's limit. Change: the core is told when reading pauses and resumes; silence counts from then, and the gap is not recorded as a pause of the upstream.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -200,6 +200,7 @@
     request.progressAt = now;
     request.tried.insert(*chosen);
     request.attemptHasHead = false;
+    request.readingPaused = false;
     ++request.attempts;
     chooser_.onSent(upstream, now);
     if (request.request.route->streamed) {
@@ -468,8 +469,8 @@
 bool GatewayCore::isSilent(const Request &request, TimePoint now) const
 {
     const RouteRule &route = *request.request.route;
-    const bool mayFailOver =
-        request.upstream != InstanceId() && (!request.headSent || route.resumable);
+    const bool mayFailOver = request.upstream != InstanceId() && !request.readingPaused
+                             && (!request.headSent || route.resumable);
     const Duration silenceTimeout = std::min(route.silenceTimeout, request.request.deadline);
     return mayFailOver && silenceTimeout > Duration{}
            && toSeconds(now - request.progressAt)
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -236,6 +236,9 @@
     void onFirstEvent(RequestNumber request, TimePoint now);
     // Handles a further event, `pause` after the previous one of the same attempt.
     void onPause(RequestNumber request, Duration pause, TimePoint now);
+    // Handles that the answer of the current attempt is no longer read, or is read again, because
+    // the caller takes it slowly. Meanwhile the upstream does not count as silent.
+    void onReadingPaused(RequestNumber request, bool paused, TimePoint now);
     // Handles a disconnect of the caller. Ends the request.
     void onCallerGone(RequestNumber request, GatewayActions &actions);
     // Expires old state, fails requests that timed out, fails over silent ones and starts queued
@@ -289,6 +292,7 @@
         bool mayHaveRun = false;
         bool headSent = false;
         bool attemptHasHead = false; // The current attempt's head was accepted.
+        bool readingPaused = false;  // The current attempt's answer is not read at present.
     };
 
     // The streams of one service: in flight, by group, and queued.
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -216,6 +216,15 @@
     }
 }
 
+void GatewayCore::onReadingPaused(RequestNumber number, bool paused, TimePoint now)
+{
+    Request *request = find(number);
+    if (request != nullptr && request->upstream != InstanceId()) {
+        request->readingPaused = paused;
+        request->progressAt = now;
+    }
+}
+
 std::vector<std::pair<GroupId, LimitChange>> GatewayCore::takeLimitChanges()
 {
     std::vector<std::pair<GroupId, LimitChange>> changes;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -248,8 +248,8 @@
     const auto found = byExchange_.find(exchange);
     if (found != byExchange_.end()) {
         const auto active = activeRequests_.find(found->second);
-        if (active != activeRequests_.end()) {
-            client_->pause(active->second.call, false);
+        if (active != activeRequests_.end() && active->second.readingPaused) {
+            pauseReading(found->second, active->second, false);
         }
     }
 }
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -101,6 +101,8 @@
         bool headSent = false;
         bool attemptHasEvents = false; // The current attempt has received an event.
         bool resuming = false;         // The current attempt continues an earlier one's stream.
+        bool readingPaused = false;    // The caller takes the current attempt's answer slowly.
+        bool wasReadingPaused = false; // It was since the last event.
         EventSplitter events;
         TimePoint startedAt{};
         TimePoint firstEventAt{};
@@ -162,6 +164,8 @@
     void probeUpstream(RequestNumber number, const ActiveRequest &active);
     void startStream(RequestNumber number, ActiveRequest &active);
     void finishAnswer(RequestNumber number, ActiveRequest &active);
+    void recordEventTime(RequestNumber number, ActiveRequest &active, TimePoint now);
+    void pauseReading(RequestNumber number, ActiveRequest &active, bool paused);
     void relayEvents(RequestNumber number, ActiveRequest &active, std::string_view piece);
     void endRequest(RequestNumber number, std::string_view result);
     // Returns the request if `attempt` is its current attempt and has a call in flight, else null.
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -136,6 +136,8 @@
     active.streams = false;
     active.attemptHasEvents = false;
     active.resuming = active.headSent;
+    active.readingPaused = false;
+    active.wasReadingPaused = false;
     const TargetName &service = action.upstream.service;
     const GroupTracker *tracker = core_.tracker(service, action.group);
     logLine(LogLevel::Info, "attempt.started",
@@ -236,7 +238,7 @@
     if (active->streams) {
         relayEvents(number, *active, piece);
         if (server_->buffered(active->exchange) > memoryBudget_.maxUnsent(activeRequests_.size())) {
-            client_->pause(active->call, true);
+            pauseReading(number, *active, true);
         }
         return;
     }
@@ -248,6 +250,15 @@
     }
 }
 
+// Stops or resumes reading the answer of the current attempt while its caller takes it slowly.
+void GatewayService::pauseReading(RequestNumber number, ActiveRequest &active, bool paused)
+{
+    active.readingPaused = paused;
+    active.wasReadingPaused = true;
+    client_->pause(active.call, paused);
+    core_.onReadingPaused(number, paused, loop_.now());
+}
+
 void GatewayService::relayEvents(RequestNumber number, ActiveRequest &active,
                                  std::string_view piece)
 {
@@ -256,6 +267,16 @@
         return;
     }
     const TimePoint now = loop_.now();
+    // A gap in which the answer was not read is no pause of the upstream.
+    if (!std::exchange(active.wasReadingPaused, active.readingPaused)) {
+        recordEventTime(number, active, now);
+    }
+    active.lastEventAt = now;
+    server_->write(active.exchange, completeEvents);
+}
+
+void GatewayService::recordEventTime(RequestNumber number, ActiveRequest &active, TimePoint now)
+{
     const bool first = active.lastEventAt == TimePoint{};
     metrics_.observe(first ? RequestStage::FirstToken : RequestStage::BetweenTokens,
                      active.admitted.account, active.admitted.route->name,
@@ -272,8 +293,6 @@
     } else {
         core_.onPause(number, now - active.lastEventAt, now);
     }
-    active.lastEventAt = now;
-    server_->write(active.exchange, completeEvents);
 }
 
 void GatewayService::onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end)
--- a/test/decision/gateway/silentupstream_test.cpp
+++ b/test/decision/gateway/silentupstream_test.cpp
@@ -158,6 +158,24 @@
     CHECK_TRUE(cancelledAsSilent(silent));
 }
 
+// A caller takes its answer slowly, so the gateway does not read it for a while.
+TEST(SilentUpstreamTest, StreamThatIsNotReadForItsCallerDoesNotFailOver)
+{
+    const RequestNumber active = begin(0);
+    const RequestNumber unread = begin(0);
+    answer(active, 50);
+    answer(unread, 50);
+    actions.clear();
+    core->onReadingPaused(unread, true, at(100));
+    pass(100, 3000, {active});
+    CHECK_FALSE(cancelledAsSilent(unread));
+    core->onReadingPaused(unread, false, at(3000));
+    pass(3000, 3900, {active});
+    CHECK_FALSE(cancelledAsSilent(unread));
+    pass(3900, 4200, {active});
+    CHECK_TRUE_TEXT(cancelledAsSilent(unread), "expected silence to count once the answer is read");
+}
+
 // Another upstream of the same stalled group would not answer either.
 TEST(SilentUpstreamTest, StreamStaysWhenTheOnlyGroupIsStalled)
 {
