An upload that does not proceed no longer holds up all others

Cause: while memory is short, only the oldest large upload is read. One caller that sends a byte each 0.5 s stopped twelve uploads of 1 MB for as long as it liked (0 of 12 answered after 25 s); they were told nothing. Change: while others wait, the upload that goes on has 3 s, then it is rejected with 408, not run; logged as memory.uploads_ended. Test: HttpStackTest by name.

--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -354,6 +354,12 @@
         heldMemory_.requests += active.request.body.size() + active.body.size();
     }
     server_->limitUploads(memoryBudget_.maxUploads(heldMemory_));
+    if (const auto ended = server_->slowUploadsEnded(); ended != slowUploadsEnded_) {
+        logLine(LogLevel::Warning, "memory.uploads_ended",
+                {{"uploads", ended - std::exchange(slowUploadsEnded_, ended)},
+                 {"uploadBytes", heldMemory_.uploads},
+                 {"limit", memoryBudget_.limit()}});
+    }
     const bool restricted = server_->uploadsRestricted();
     if (restricted != uploadsRestricted_) {
         uploadsRestricted_ = restricted;
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -194,6 +194,7 @@
     MemoryBudget memoryBudget_;
     HeldMemory heldMemory_; // As of the last tick, with the requests that came since.
     bool uploadsRestricted_ = false;
+    std::uint64_t slowUploadsEnded_ = 0; // Those that have been logged.
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
 };
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -19,6 +19,9 @@
 
 // Uploads that have reached this size are paused while memory is short.
 constexpr std::size_t kLargeUploadBytes = std::size_t{16} * 1024;
+// A paused upload's caller waits some seconds for its answer, so the one that goes on must end
+// soon.
+constexpr Duration kMaxUploadTurn = std::chrono::seconds(3);
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
@@ -422,7 +425,7 @@
 {
     const bool wereRestricted = uploadsRestricted_;
     uploadsRestricted_ = uploadedBytes_ > (wereRestricted ? maxUploadBytes_ / 2 : maxUploadBytes_);
-    oldestUpload_ = 0;
+    const SocketId previous = std::exchange(oldestUpload_, 0);
     if (!uploadsRestricted_ && !wereRestricted) {
         return; // Called for each part of a large upload; none is paused.
     }
@@ -434,12 +437,31 @@
         }
     }
     oldestUpload_ = uploadsRestricted_ && oldest != nullptr ? oldest->socket : 0;
+    if (oldestUpload_ != previous) {
+        uploadTurnStartedAt_ = loop_.now();
+    }
+    pausedUploads_ = 0;
     for (const auto &[socket, connection] : connections_) {
-        pauseUpload(*connection,
-                    uploadsRestricted_ && isLargeUpload(*connection) && connection.get() != oldest);
+        const bool pause =
+            uploadsRestricted_ && isLargeUpload(*connection) && connection.get() != oldest;
+        pausedUploads_ += pause ? 1 : 0;
+        pauseUpload(*connection, pause);
     }
 }
 
+// Rejects the upload that goes on alone if it takes so long that the paused ones wait for nothing.
+void HttpServer::endSlowUpload()
+{
+    Connection *slow = find(oldestUpload_);
+    if (slow == nullptr || !isLargeUpload(*slow) || pausedUploads_ == 0
+        || loop_.now() - uploadTurnStartedAt_ <= kMaxUploadTurn) {
+        return;
+    }
+    ++slowUploadsEnded_;
+    rejectWith(*slow, kRequestTimeout, "upload_too_slow");
+    restrictUploads();
+}
+
 void HttpServer::onWritten(SocketId socket)
 {
     Connection *connection = find(socket);
@@ -518,6 +540,7 @@
         connections_.erase(socket);
         sockets_->close(socket);
     }
+    endSlowUpload();
 }
 
 } // namespace seamarch
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -113,10 +113,13 @@
     std::size_t uploadedBytes() const { return uploadedBytes_; }
     // Sets how many bytes of incomplete request bodies are held. Beyond that, only the oldest of
     // the bodies that have reached a size of some KB is received, until less than half of it is
-    // held. Must be called often, as paused uploads wait for it.
+    // held. If others wait for it, it is rejected after some seconds. Must be called often, as
+    // paused uploads wait for it.
     void limitUploads(std::size_t maxBytes);
     // Returns whether uploads are paused.
     bool uploadsRestricted() const { return uploadsRestricted_; }
+    // Returns how many uploads were rejected because others waited for them for too long.
+    std::uint64_t slowUploadsEnded() const { return slowUploadsEnded_; }
     // Returns the number of open exchanges.
     std::size_t openExchanges() const { return exchanges_.size(); }
     // Makes all further responses carry `Connection: close` and closes their connections.
@@ -146,6 +149,7 @@
     static bool isLargeUpload(const Connection &connection);
     void pauseUpload(Connection &connection, bool paused);
     void restrictUploads();
+    void endSlowUpload();
     Connection *find(SocketId socket);
     void sweep();
 
@@ -155,7 +159,10 @@
     std::size_t maxUploadBytes_ = std::numeric_limits<std::size_t>::max();
     std::size_t uploadedBytes_ = 0;
     bool uploadsRestricted_ = false;
-    SocketId oldestUpload_ = 0; // The one that is received while uploads are restricted.
+    SocketId oldestUpload_ = 0;       // The one that is received while uploads are restricted.
+    TimePoint uploadTurnStartedAt_{}; // When it became that one.
+    std::size_t pausedUploads_ = 0;   // Those that wait meanwhile.
+    std::uint64_t slowUploadsEnded_ = 0;
     std::unique_ptr<TcpSockets> sockets_;
     std::unordered_map<SocketId, std::unique_ptr<Connection>> connections_;
     std::unordered_map<ExchangeId, SocketId> exchanges_;
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -365,6 +365,28 @@
     LONGS_EQUAL(3, echo.requests);
 }
 
+// Memory is short, and the oldest upload does not proceed.
+TEST(HttpStackTest, UploadThatDoesNotProceedHoldsUpOthersForSomeSeconds)
+{
+    HttpServerOptions bounds;
+    bounds.maxBodyBytes = kLargeBytes;
+    server->setBounds(bounds);
+    constexpr std::size_t kBody = std::size_t{100} * 1024;
+    const auto upload = [&](std::size_t sent) {
+        return connectAndSend("POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: "
+                              + std::to_string(kBody) + "\r\n\r\n" + std::string(sent, 'x'));
+    };
+    const int stuck = upload(kBody / 2);
+    runUntil([&] { return server->uploadedBytes() >= kBody / 2; });
+    PeriodicTimer tick(*loop, std::chrono::milliseconds(25), [&] { server->limitUploads(1024); });
+    const int other = upload(kBody - 1);
+    const std::string refusal = receiveAll(stuck);
+    STRCMP_CONTAINS("HTTP/1.1 408", refusal.c_str());
+    STRCMP_CONTAINS("Seamarch-Outcome: not-run", refusal.c_str());
+    LONGS_EQUAL(1, send(other, "x", 1, MSG_NOSIGNAL));
+    STRCMP_CONTAINS("HTTP/1.1 200", receiveAll(other).c_str());
+}
+
 TEST_GROUP(EventLoopTest){};
 
 TEST(EventLoopTest, ScheduleAfterShutDownReturnsZero)
