Send fewer requests to slow upstreams of services without streams

Cause: requests that are not streamed are spread by their number in flight alone, so a replica that is five times slower gets its full share.

Change: GatewayCore feeds an UpstreamPace for each service with the times to successful heads and, at each tick, with the waits. UpstreamChooser adds to the score of a slow upstream. While another upstream has none of this gateway's requests, the one to be sent counts by the slowness; once all have some it counts by that divided by the number of gateways, which act alike. Streams and upstreams that are not slow are scored as before. Changes are logged (upstream.pace_changed) and counted.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -172,7 +172,9 @@
 std::optional<InstanceId> GatewayCore::chooseFor(const Request &request,
                                                  const std::optional<GroupId> &group, TimePoint now)
 {
-    return chooser_.choose({request.service, group, request.request.residency}, request.tried, now);
+    return chooser_.choose(
+        {request.service, group, request.request.residency, paceFor(request), gateways_},
+        request.tried, now);
 }
 
 // Sends the request to the best upstream of `group`, or of any group if that has none left. Returns
@@ -277,6 +279,7 @@
     recordAnswer(*request, kind, now);
     if (kind == AnswerKind::Success) {
         chooser_.onSuccess(upstream);
+        recordPace(*request, now);
         request->progressAt = now;
         request->attemptHasHead = true;
         request->headSent = true;
@@ -523,6 +526,7 @@
     limits_.expire(now);
     permits_.expire(now);
     permitIssuer_.expire(now);
+    recordWaits(now);
     servePermitWaiters(now, actions);
     giveUpSuspects(now, actions);
     std::vector<RequestNumber> expired;
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -47,6 +47,7 @@
 #include "decision/gateway/upstreamchooser.h"
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamnotice.h"
+#include "decision/gateway/upstreampace.h"
 #include "decision/gateway/upstreamtable.h"
 #include "decision/gateway/urgency.h"
 #include "decision/gateway/warmuplimits.h"
@@ -180,6 +181,9 @@
         // An attempt may be silent for this fraction of the time after which its caller
         // disconnects.
         double silenceFraction = 0.5;
+        UpstreamPace::Settings pace;
+        // Answer times below this fraction of the route's latency target are taken for equal.
+        double equalAnswerFraction = 0.1;
         // Callers honour a retry delay of at most their remaining time divided by this.
         int maxRetryAfterDivisor = 3;
     };
@@ -217,6 +221,8 @@
                                    TimePoint now);
     // Returns the changes of what governs the stream limits since the last call.
     std::vector<std::pair<GroupId, LimitChange>> takeLimitChanges();
+    // Returns the upstreams that became slow or are taken for normal again since the last call.
+    std::vector<std::pair<TargetName, UpstreamPace::Change>> takePaceChanges(TimePoint now);
     // Returns the permit requests that are due and marks them as sent.
     std::vector<SendPermits::Query> takePermitQueries(TimePoint now)
     {
@@ -310,6 +316,10 @@
     std::optional<InstanceId> chooseFor(const Request &request, const std::optional<GroupId> &group,
                                         TimePoint now);
     TargetName chooseService(const RouteRule &route);
+    const UpstreamPace *paceFor(const Request &request) const;
+    Duration comparableTime(const Request &request, TimePoint now) const;
+    void recordPace(const Request &request, TimePoint now);
+    void recordWaits(TimePoint now);
     GroupTracker &trackerOf(const Request &request);
     bool startAttempt(RequestNumber number, Request &request, const std::optional<GroupId> &group,
                       TimePoint now, GatewayActions &actions);
@@ -360,6 +370,7 @@
     std::uint64_t crashCursor_ = 0; // Cursor of `crashes_` at the last check.
     std::unordered_map<TargetName, RetryBudget> budgets_;
     std::unordered_map<TargetName, ServiceState> services_;
+    std::map<TargetName, UpstreamPace> paces_; // Of services that are not streamed.
     std::unordered_map<std::string, RequestAgeEstimator> ageEstimators_; // Keyed by route name.
     std::unordered_map<RequestNumber, Request> requests_;
     std::size_t gateways_ = 1;
--- a/src/decision/gateway/upstreamchooser.cpp
+++ b/src/decision/gateway/upstreamchooser.cpp
@@ -53,6 +53,35 @@
     return inFlightAt(record.id) + penalty + kPositionWeight * position;
 }
 
+// Returns what is added to the score of each upstream of `candidates` that is slow.
+//
+// Requests at a slow upstream count by its slowness, with the one to be sent. That one counts less
+// once all other upstreams have a request of this gateway: the other gateways act alike, so there
+// are as many requests at those upstreams as gateways, and none at a slow one without any.
+UpstreamChooser::Penalties
+UpstreamChooser::slownessPenalties(const std::vector<const UpstreamRecord *> &candidates,
+                                   const Target &target, TimePoint now) const
+{
+    Penalties penalties;
+    if (target.pace == nullptr) {
+        return penalties;
+    }
+    bool othersInUse = true;
+    for (const UpstreamRecord *record : candidates) {
+        const double slowness = target.pace->slowness(record->id, now);
+        if (slowness > 1.0) {
+            penalties.emplace(record->id, slowness - 1.0);
+        } else {
+            othersInUse = othersInUse && inFlightAt(record->id) > 0;
+        }
+    }
+    const double sent = othersInUse ? 1.0 / static_cast<double>(target.gateways) : 1.0;
+    for (auto &[upstream, penalty] : penalties) {
+        penalty *= inFlightAt(upstream) + sent;
+    }
+    return penalties;
+}
+
 // Returns the relative position of each upstream, from 0 to 1, in this gateway's order of the
 // upstreams of its hall.
 UpstreamChooser::Positions
@@ -154,8 +183,12 @@
     std::optional<InstanceId> best;
     std::pair<bool, double> bestRank;
     std::vector<Ranked> withoutPermit;
+    const Penalties penalties = slownessPenalties(candidates, target, now);
     for (const UpstreamRecord *record : candidates) {
-        const std::pair rank(isLastResort(record), score(*record, positions.at(record->id)));
+        const auto slow = penalties.find(record->id);
+        const double penalty = slow == penalties.end() ? 0.0 : slow->second;
+        const std::pair rank(isLastResort(record),
+                             score(*record, positions.at(record->id)) + penalty);
         if (lacksPermit(*record, now)) {
             withoutPermit.emplace_back(rank, record->id);
         } else if (!best || rank < bestRank) {
--- a/src/decision/gateway/upstreamchooser.h
+++ b/src/decision/gateway/upstreamchooser.h
@@ -1,9 +1,10 @@
 // Selects the upstream of a service, or of one of its groups, to which a gateway sends a request.
 //
 // The upstream with the fewest requests of this gateway in flight is the best; upstreams in other
-// halls get a penalty. Upstreams that have failed, that were unreachable, or that are slow ranks of
-// their group are selected only if there are no others. Full upstreams are never selected, because
-// sending to them again at once only adds to their load.
+// halls get a penalty. Where a pace is given, each request at an upstream, with the one to be sent,
+// counts as often as the upstream is slower than others. Upstreams that have failed, that were
+// unreachable, or that are slow ranks of their group are selected only if there are no others. Full
+// upstreams are never selected, because sending to them again at once only adds to their load.
 //
 // Slow ranks are avoided because a group runs no pass faster than its slowest rank: if a rank that
 // runs at a fifth of the speed processes a prompt or generates a stream, every stream of the group
@@ -29,6 +30,7 @@
 #include "decision/gateway/residency.h"
 #include "decision/gateway/sendpermits.h"
 #include "decision/gateway/upstreamlimits.h"
+#include "decision/gateway/upstreampace.h"
 #include "decision/gateway/upstreamtable.h"
 #include "decision/gateway/warmuplimits.h"
 #include "decision/retry/outlierdetector.h"
@@ -101,6 +103,8 @@
         const TargetName &service;
         const std::optional<GroupId> &group; // nullopt: any group.
         const Residency &residency;
+        const UpstreamPace *pace = nullptr; // nullptr: all upstreams count as equally fast.
+        std::size_t gateways = 1;           // That share the upstreams.
     };
 
     // Returns the best upstream of `target` that is not in `tried`, or nullopt if there is none.
@@ -164,6 +168,7 @@
     };
 
     using Positions = std::unordered_map<InstanceId, double>;
+    using Penalties = std::unordered_map<InstanceId, double>;
 
     Groups buildGroups(const TargetName &service) const;
     bool mayServe(const UpstreamRecord &upstream, const Residency &residency) const;
@@ -175,6 +180,8 @@
     void requestPermits(std::vector<Ranked> upstreams, TimePoint now);
     Positions positionsOf(const std::vector<const UpstreamRecord *> &upstreams) const;
     double score(const UpstreamRecord &record, double position) const;
+    Penalties slownessPenalties(const std::vector<const UpstreamRecord *> &candidates,
+                                const Target &target, TimePoint now) const;
 
     Settings settings_;
     const UpstreamTable &upstreams_;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -377,6 +377,7 @@
     core_.onTick(loop_.now(), actions);
     carryOut(actions);
     logStreamLimits();
+    logPaceChanges();
     synchronizer_->tick();
     if (stopping_) {
         stopIfDrained();
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -154,6 +154,7 @@
                      const UpstreamNotice &notice, AnswerKind kind);
     void requestPermits();
     void logStreamLimits();
+    void logPaceChanges();
     void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
     void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
     // Reports a lost attempt to the core, unless the request has ended or a further attempt
--- a/src/gateway/gatewayservicenotices.cpp
+++ b/src/gateway/gatewayservicenotices.cpp
@@ -1,5 +1,6 @@
 // The part of GatewayService that processes the notices in upstreams' answers (rests, leaving,
-// rate limits), requests permits to send to upstreams, and logs changes of the stream limits.
+// rate limits), requests permits to send to upstreams, and logs changes of the stream limits and of
+// upstreams' pace.
 #include "base/log.h"
 #include "gateway/gatewayservice.h"
 
@@ -112,6 +113,24 @@
     }
 }
 
+// Logs and counts the upstreams that became slow or are taken for normal again.
+void GatewayService::logPaceChanges()
+{
+    for (const auto &[service, change] : core_.takePaceChanges(loop_.now())) {
+        const std::string_view outcome = change.slow ? "slow" : "normal";
+        logLine(LogLevel::Info, "upstream.pace_changed",
+                {{"upstream", change.upstream.value()},
+                 {"service", service.value()},
+                 {"change", outcome},
+                 {"slowness", change.slowness},
+                 {"route", change.route},
+                 {"lastMs", toMillis(change.time)},
+                 {"usualMs", toMillis(change.usualTime)},
+                 {"ageMs", toMillis(change.age)}});
+        metrics_.count("seamarch_upstream_pace_changes_total", outcome);
+    }
+}
+
 // Requests the permits that waiting requests need.
 void GatewayService::requestPermits()
 {
