Judge upstreams by a wait only where it can make one slow

Cause: each waiting request compared all upstreams of its service at each tick.

Change: a wait below the ratio from which an upstream is slow is stored only.

Measured: UpstreamPaceTest and UnevenUpstreamsTest pass.

--- a/src/decision/gateway/upstreampace.cpp
+++ b/src/decision/gateway/upstreampace.cpp
@@ -106,7 +106,9 @@
     observation.waitRatio = ratio;
     observation.waitedAt = now;
     observation.last = {route, time, usual->second.time};
-    updateSlow(now);
+    if (ratio >= settings_.minRatio) {
+        updateSlow(now);
+    }
 }
 
 double UpstreamPace::slowness(const InstanceId &upstream, TimePoint now) const
