Don't report a cancelled fetch as timed out

Change: HttpClient::cancel tells whether the call was still in progress; the timeout reports only if it was.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -314,15 +314,16 @@
     loop_.post([retired] {});
 }
 
-void HttpClient::cancel(HttpCallId call)
+bool HttpClient::cancel(HttpCallId call)
 {
     const auto found = calls_.find(call);
     if (found == calls_.end()) {
-        return;
+        return false;
     }
     const SocketId socket = found->second;
     calls_.erase(found);
     closeConnection(socket);
+    return true;
 }
 
 void HttpClient::pause(HttpCallId call, bool paused)
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -82,8 +82,9 @@
     // Starts a call. `receiver` is told the end of the call, after this function has returned,
     // unless the call is cancelled.
     HttpCallId call(HttpCallRequest request, std::unique_ptr<HttpCallReceiver> receiver);
-    // Cancels the call, closes its connection and destroys the receiver without calling it again.
-    void cancel(HttpCallId call);
+    // Cancels the call, closes its connection and destroys the receiver without calling it again,
+    // at the latest in the next iteration of the loop. Returns false if the call is over already.
+    bool cancel(HttpCallId call);
     // Stops (`paused` is true) or resumes reading the response.
     void pause(HttpCallId call, bool paused);
     // Returns whether any byte of the request may have been passed to the kernel.
--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -21,12 +21,14 @@
     TextReceiver(const TextReceiver &) = delete;
     TextReceiver &operator=(const TextReceiver &) = delete;
 
-    // Cancels the call after `timeout`.
+    // Cancels the call after `timeout`. If the process stood still, the timer may fire after the
+    // call was cancelled and before this receiver is destroyed; whoever called may be gone by then.
     void startTimeout(HttpClient &client, HttpCallId call, Duration timeout)
     {
         timer_ = loop_.schedule(timeout, [&client, call, done = done_] {
-            client.cancel(call); // Destroys this receiver.
-            done(HttpTextResponse());
+            if (client.cancel(call)) {
+                done(HttpTextResponse());
+            }
         });
     }
 
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -1,11 +1,13 @@
 // Tests the HTTP server and client with each other and with raw sockets, over loopback.
 #include "freeport.h"
 #include "net/httpclient.h"
+#include "net/httpfetch.h"
 #include "net/httpserver.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -232,6 +234,22 @@
     CHECK_FALSE(result.end.has_value());
 }
 
+// The process stands still until the timeout of a call is due together with what cancels the call.
+TEST(HttpStackTest, CancelledFetchIsNotReportedAsTimedOut)
+{
+    HttpCallRequest request;
+    request.address = address;
+    request.path = "/hold";
+    bool reported = false;
+    const HttpCallId call = fetchText(*loop, *client, request, std::chrono::milliseconds(10),
+                                      [&](const HttpTextResponse &) { reported = true; });
+    loop->schedule(std::chrono::milliseconds(1), [&] { client->cancel(call); });
+    loop->schedule(std::chrono::milliseconds(100), [&] { loop->stop(); });
+    loop->post([] { std::this_thread::sleep_for(std::chrono::milliseconds(50)); });
+    loop->run();
+    CHECK_FALSE(reported);
+}
+
 TEST(HttpStackTest, ReportsLossOfReusedConnection)
 {
     HttpCallRequest request;
