Soak: note the end of a warm-up before it is written

Cause: the soak noted the end of a warm-up after the store had answered the write. On a loaded machine gateways read the new entry before that, and the check counted what they rightly sent then.

Change: the end is noted first. The bound and the window stay as they were.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -356,8 +356,8 @@
         with self.lock:
             for name in list(self.site.warming):
                 self.site.warming.discard(name)
+                self.warm_ups[-1][2] = time.monotonic()  # Gateways may see the entry before the call returns.
                 self.site.list_upstream(name)
-                self.warm_ups[-1][2] = time.monotonic()
             name = self.limit_random.choice([each for each in self.site.upstreams if each != self.limited])
             self.site.warming.add(name)
             self.site.list_upstream(name)
