Soak: slow callers, bursts and account priorities

Change: by seed, gateways run with and without memory-mb, demand-exchange and adaptive-room. Twelve callers upload 1 MB slowly or leave 512 KB unread, all at one gateway at a time, while gateways stop, pause and restart. Bursts of a second account come among the faults, and one without other faults during which the account priorities change three times while its streams wait; the stream route has a target gap, so that limits fall and requests are displaced. Checked: a request told 'not-run' ran at no upstream (any kind, any time); in the quiet burst small requests of the other account are served and all others served or told 'not-run'; heldBytes stay within half of memory-mb and one read of 64 KB for each slow caller (the slack of slowcallers_test.py). Planted: 'hoards', a gateway that is given more memory than the check knows. The stand-in cuts bodies over 4 KB in its report and pads answers below /large.

No group of engines runs in the soak, so demand-exchange and adaptive-room work here on services without groups only.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -7,7 +7,8 @@
 answers and break streams; gateways are stopped, paused, killed and restarted; configurations change,
 keys are revoked, upstreams leave and restart under the same id, and the store reverts to an older copy.
 One upstream at a time announces a rate limit for all gateways together, and one warms up. A hall is
-drained and then restored. The checks use only what callers and upstreams observed. A seed determines the
+drained and then restored. Some callers are slow, an account sends bursts, and account priorities change
+(hardload.py). The checks use only what callers and upstreams observed. A seed determines the
 faults; the timing between them depends on the machine. The system has no persistent storage and does
 not use the time of day, so the soak injects no disk or clock faults.
 
@@ -20,6 +21,7 @@
 """
 
 import argparse
+import contextlib
 import http.client
 import itertools
 import json
@@ -34,6 +36,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "scripts")]
 from localsite import BIN, Process, call, control, free_address  # noqa: E402
+import hardload  # noqa: E402
 from proxy import Proxy, ProxyLoop  # noqa: E402
 
 NOT_RUN = {408, 421, 429, 503}  # Statuses that guarantee that the request does not run.
@@ -48,7 +51,8 @@
 LIMIT_SLACK = 5                 # Requests allowed beyond 1.5 times the limit.
 WARM_UP_RATE = 1.0              # Requests per second that an upstream accepts while it warms up.
 WARM_UP_MS = 60_000             # Longer than a run.
-PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1, "unbound": 1, "warm": 1, "undrained": 1}  # Seed by fault.
+PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1, "unbound": 1, "warm": 1, "undrained": 1,
+           "hoards": 1}  # Seed by fault.
 STREAM = [f"id: {n}\ndata: token {n}" for n in range(1, 11)]
 LINK_MODES = ("delay", "reset", "silent", "one_way")
 UPSTREAM_TROUBLES = ({"fail": True}, {"full": True}, {"dropAnswers": True}, {"foreignId": True},
@@ -63,6 +67,8 @@
     def __init__(self, args, log):
         self.log, self.processes, self.loop = log, [], ProxyLoop()
         self.version, self.keys = 0, ["key-0"]
+        self.priorities = {"bids": hardload.URGENT, "crowd": hardload.PATIENT}
+        self.hard_random = random.Random(f"hard load of {args.seed}")  # Separate, so that seeds keep their faults.
         self.store = free_address()
         self.start("seamarch-standin", "store", "--listen", self.store)
         self.upstreams, self.links, self.starts = {}, {}, {}
@@ -94,15 +100,20 @@
         self.version += 1
         routes = [{"name": name, "hostname": "site.example", "path-prefix": f"/{name}/",
                    "type": kind, "service": "portal", "timeout-ms": 4000, "max-attempts": 2,
-                   "stream-resume": True}
+                   "stream-resume": True, "target-gap-ms": hardload.GAP_TARGET_MS}
                   for name, kind in (("letters", "unsafe"), ("status", "safe"),
                                      ("stream", "streaming"))]
         document = {"version": self.version, "routes": routes,
-                    "tenants": [{"name": "bids", "api-keys": list(self.keys)}],
+                    "tenants": [{"name": name, "api-keys": keys, "priority": self.priorities[name]}
+                                for name, keys in (("bids", list(self.keys)), ("crowd", ["key-crowd"]))],
                     "services": [{"name": "portal", "max-connections": 200, "warmup-s": 3.0,
                                   "warmup-per-s": WARM_UP_RATE}]}
         control(self.store, {"put": {"op/config": document}})
 
+    def swap_priorities(self):
+        self.priorities = dict(zip(self.priorities, reversed(self.priorities.values())))
+        self.publish()
+
     def list_upstream(self, name, phase="ready"):
         entry = {"service": "portal", "address": self.links[name].address, "zone": self.hall_of(name),
                  "capacity": 6, "phase": phase, "born": self.starts.setdefault(name, 1),
@@ -131,6 +142,8 @@
                           "--operator-listen", self.operators, "--platform", store,
                           "--peer-listen", peer, "--seeds", seeds, "--stop-delay-ms", "600",
                           "--stop-deadline-ms", "5000", "--log-level", "info"]
+        agents = free_address().split(":")[1]
+        self.arguments += hardload.gateway_settings(site.hard_random, agents, site.plant)
         self.process, self.incarnation, self.stopping = None, 0, False
 
     def start(self):
@@ -143,12 +156,36 @@
 
 
 class Request:
-    def __init__(self, number, kind, key, gateway):
-        self.id, self.kind, self.key = number, kind, key
+    def __init__(self, number, kind, key, gateway, account):
+        self.id, self.kind, self.key, self.account = number, kind, key, account
         self.gateway, self.incarnation = gateway.name, gateway.incarnation
         self.sent_at = time.monotonic()
         self.result, self.text, self.headers = None, "", {}
-        self.ended_at, self.kept, self.disconnects = None, False, False
+        self.ended_at, self.kept, self.disconnects, self.slow = None, False, False, False
+
+    def head(self, size):
+        return {"Host": "site.example", "Seamarch-Request-Id": self.id, "Seamarch-Deadline-Ms": "4000",
+                "Authorization": f"Token {self.key}", "Content-Length": str(size)}
+
+    def read(self, connection):
+        """Reads the answer, and returns whether the connection can be used again."""
+        answer = connection.getresponse()
+        self.headers = dict(answer.getheaders())
+        self.text = answer.read().decode()
+        self.result = answer.status
+        return not answer.will_close
+
+    @contextlib.contextmanager
+    def observed(self):
+        """Records how a request ends that breaks off."""
+        try:
+            yield
+        except http.client.IncompleteRead as error:
+            self.result, self.text = "cut", error.partial.decode(errors="replace")
+        except (OSError, http.client.HTTPException) as error:
+            self.result = f"broken: {type(error).__name__}"
+        finally:
+            self.ended_at = time.monotonic()
 
 
 class Caller(threading.Thread):
@@ -174,26 +211,13 @@
         request = self.soak.new_request(kind, gateway, self.random)
         request.kept = kept
         request.disconnects = self.random.random() < 0.03
-        headers = {"Host": "site.example", "Seamarch-Request-Id": request.id,
-                   "Seamarch-Deadline-Ms": "4000", "Authorization": f"Token {request.key}"}
-        reusable = False
-        try:
-            connection.request("POST", f"/{kind}/1", "body", headers)
+        with request.observed():
+            connection.request("POST", f"/{kind}/1", b"body", request.head(4))
             if request.disconnects:
                 request.result = "left"
                 return False
-            answer = connection.getresponse()
-            request.headers = dict(answer.getheaders())
-            request.text = answer.read().decode()
-            request.result = answer.status
-            reusable = not answer.will_close
-        except http.client.IncompleteRead as error:
-            request.result, request.text = "cut", error.partial.decode(errors="replace")
-        except (OSError, http.client.HTTPException) as error:
-            request.result = f"broken: {type(error).__name__}"
-        finally:
-            request.ended_at = time.monotonic()
-        return reusable
+            return request.read(connection)
+        return False
 
 
 class Soak:
@@ -208,15 +232,17 @@
         self.limited, self.limits = None, []  # The upstream with a rate limit; [name, limit, from, to].
         self.limit_random = random.Random(f"limits of {args.seed}")  # Separate, so that seeds keep their faults.
         self.warm_ups = []  # [name, since, until]
+        self.bursts = []
         self.active_faults = {}  # (end time, undo function) by the name of the affected process.
         self.disturbances = []  # (name, from, to) of faults that may delay a gateway's reaction.
 
-    def new_request(self, kind, gateway, drawn):
+    def new_request(self, kind, gateway, drawn, account="bids"):
         with self.lock:
             old = [key for key in self.revoked if drawn.random() < 0.3]
             key = drawn.choice(old) if old and drawn.random() < 0.1 else self.site.keys[-1]
+            key = key if account == "bids" else f"key-{account}"
             number = f"q-{self.args.seed}-{next(self.numbers)}"
-            request = Request(number, kind, key, gateway)
+            request = Request(number, kind, key, gateway, account)
             self.requests.append(request)
             return request
 
@@ -391,6 +417,24 @@
         time.sleep(RETRY_AFTER_S + 0.5)
         control(address, HEALTHY)
 
+    def burst_without_faults(self):
+        """Changes the account priorities while requests of a burst wait, and no other fault is active."""
+        self.end_faults(everything=True)
+        self.wait_ready()
+        time.sleep(hardload.QUIET_S)  # What faults had begun is over.
+        for address in self.site.upstreams.values():
+            control(address, {"delayMs": hardload.BURST_DELAY_MS})
+        self.bursts.append(hardload.Burst(self))
+        for address in self.site.upstreams.values():
+            threading.Thread(target=self.bursts[-1].watch, args=(address,), daemon=True).start()
+        for _ in range(3):
+            self.bursts[-1].wave()
+            with self.lock:
+                self.site.swap_priorities()
+        self.bursts[-1].join()
+        for address in self.site.upstreams.values():
+            control(address, HEALTHY)
+
     def stop_without_faults(self):
         """Stops a gateway while no other fault is active; check_request() then finds dropped requests."""
         self.end_faults(everything=True)
@@ -413,6 +457,8 @@
             if status is None or incarnation != gateway.incarnation:
                 continue
             held = self.versions.get((gateway.name, incarnation), 0)
+            if hardload.held_too_much(status, self.args.slow_callers):
+                self.fail(f"{gateway.name} holds {status['heldBytes']} bytes; {hardload.MAX_HELD} are allowed")
             if status["configVersion"] < held:
                 self.fail(f"{gateway.name} reverted from configuration version {held}")
             self.versions[gateway.name, incarnation] = max(held, status["configVersion"])
@@ -429,6 +475,7 @@
     def run(self):
         self.wait_ready()
         callers = [Caller(self, number) for number in range(self.args.callers)]
+        callers += [hardload.SlowCaller(self, number) for number in range(self.args.slow_callers)]
         for caller in callers:
             caller.start()
         end = time.monotonic() + self.args.seconds
@@ -440,11 +487,16 @@
             self.end_faults()
             if self.random.random() < 0.08:
                 self.change()
+            if self.site.hard_random.random() < 0.03:
+                hardload.Burst(self).wave()
+                with self.lock:
+                    self.site.swap_priorities()
             self.watch_gateways()
             if time.monotonic() > leave_at:
                 leave_at = end
                 self.check_leaving()
                 self.shed()
+                self.burst_without_faults()
                 self.stop_without_faults()
                 self.drain_hall()
                 self.move_limit()
@@ -454,7 +506,7 @@
         self.wait_ready()
         self.over = True
         for caller in callers:
-            caller.join(10)
+            caller.join(15)
         time.sleep(0.5)  # Lets upstreams record requests that run late.
         self.check()
 
@@ -477,6 +529,8 @@
             self.check_limit(*named, known)
         for warm_up in self.warm_ups:
             self.check_warm_up(*warm_up, known)
+        for burst in self.bursts:
+            burst.check()
         served = sum(request.result == 200 for request in self.requests)
         if served < len(self.requests) / 10:
             self.fail(f"only {served} of {len(self.requests)} requests were served")
@@ -552,10 +606,12 @@
             self.fail(f"{about} ran {len(runs)} times")
         if request.kind == "letters" and request.result in NOT_RUN and runs:
             self.fail(f"{about} ran, but its answer says that it did not")
+        if request.headers.get("Seamarch-Outcome") == "not-run" and runs:
+            self.fail(f"{about} ran, but its outcome is 'not-run'")
         dead_at = self.revoked.get(request.key)
         if dead_at is not None and request.sent_at > dead_at and runs:
             self.fail(f"{about} ran with a key revoked at least {REVOCATION_DEADLINE_S} s earlier")
-        if any(run["key"] or run["account"] != "bids" for run in runs):
+        if any(run["key"] or run["account"] != request.account for run in runs):
             self.fail(f"{about} ran under another account, or its key reached the upstream")
         lost = str(request.result).startswith(("broken", "cut")) and not request.disconnects
         if lost and runs and self.in_planned_stop(request):
@@ -619,6 +675,7 @@
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--upstreams", type=int, default=5)
     parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--slow-callers", type=int, default=12)
     parser.add_argument("--overlap", type=int, default=5, help="faults at one time")
     args = parser.parse_args()
     if args.planted:
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -13,7 +13,7 @@
 namespace names = seamarch::platform;
 
 // An upstream of the platform. Responds with its signature; streams 10 events if the path contains
-// `/stream`.
+// `/stream`, and answers with 512 KB if it contains `/large`.
 //
 // Control settings:
 //   {"id": ID}              its instance id; answers 421 to requests for another instance
@@ -39,6 +39,8 @@
 
 private:
     static constexpr int kEventsPerStream = 10;
+    static constexpr std::size_t kLargeAnswerBytes = std::size_t{512} * 1024;
+    static constexpr std::size_t kMaxReportedBody = 4096; // Longer bodies are cut in the report.
     // Exit code when a request ends the process.
     static constexpr int kExitEndedByRequest = 70;
 
@@ -80,7 +82,7 @@
         runs_.push_back({{"id", requestId},
                          {"account", request.header(names::kAccount)},
                          {"key", request.header(names::kAuthorization)},
-                         {"body", request.body},
+                         {"body", request.body.substr(0, kMaxReportedBody)},
                          {"resumeAfter", request.header(names::kResumeAfter)}});
         head.headers.push_back({std::string(names::kReplicaSignature), "proof-of-" + id_});
         if (foreignId_) {
@@ -94,6 +96,8 @@
         }
         head.status = fail_ ? 500 : 200;
         const bool streams = request.path.find("/stream") != std::string::npos;
+        const bool large = request.path.find("/large") != std::string::npos;
+        const std::size_t padding = large ? kLargeAnswerBytes : 0;
         const int firstEvent = request.header(names::kResumeAfter).empty()
                                    ? 1
                                    : std::stoi(request.header(names::kResumeAfter)) + 1;
@@ -101,16 +105,18 @@
             !exitOnBodyText_.empty() && request.body.find(exitOnBodyText_) != std::string::npos;
         openExchanges_.insert(exchange);
         loop().schedule(std::chrono::milliseconds(delayMs_),
-                        [this, exchange, head, streams, firstEvent, exits] {
+                        [this, exchange, head, streams, firstEvent, padding, exits] {
                             if (exits) {
                                 std::_Exit(kExitEndedByRequest);
                             }
-                            answer(exchange, head, streams, firstEvent);
+                            answer(exchange, head, streams, firstEvent, padding);
                         });
     }
 
-    // Answers a request that has run. A stream begins with event `firstEvent`.
-    void answer(ExchangeId exchange, HttpResponseHead head, bool streams, int firstEvent)
+    // Answers a request that has run. A stream begins with event `firstEvent`; any other answer
+    // ends with `padding` spaces.
+    void answer(ExchangeId exchange, HttpResponseHead head, bool streams, int firstEvent,
+                std::size_t padding)
     {
         if (dropAnswers_) {
             server().abort(exchange);
@@ -118,7 +124,7 @@
         }
         if (!streams) {
             openExchanges_.erase(exchange);
-            server().respond(exchange, head, R"({"served":true})");
+            server().respond(exchange, head, R"({"served":true})" + std::string(padding, ' '));
             return;
         }
         head.contentType = "text/event-stream";
