Soak: excuse warm-ups while the store is silent

Cause: the check of warm-ups excuses disturbances of the store, but the fault of a silent or busy store was never recorded as one.

Change: the fault is recorded. A store that goes back is not, as before. Only the check of warm-ups looks at disturbances of the store.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -302,7 +302,7 @@
             control(self.site.store, {"copy": True})
             return self.go_back
         control(self.site.store, {trouble: True})
-        return lambda: control(self.site.store, {trouble: False})
+        return self.record_disturbance("store", lambda: control(self.site.store, {trouble: False}))
 
     def go_back(self):
         """Reverts the store to its copy; the operator and the upstreams then write their entries again."""
