The next queued stream waits however rarely streams start

Cause: a stream with nobody ahead of it was rejected at its arrival when fewer than two streams had started in the last second: its expected wait, doubled, was longer than its caller stays. It needs a single slot, which may be free at once. Change: it is queued; the others are rejected by the expected wait as before. Measured: QueueWaitTest fails without the change and passes with it, as do all 503 tests of decision-tests.

--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -57,8 +57,10 @@
         service.queue.add(entry, now);
         return;
     }
+    // The next one needs a single slot, however rarely streams start.
+    const bool isNext = service.queue.countAhead(entry, now) == 0;
     const Duration wait = expectedWait(service, entry, now);
-    if (wait * settings_.waitSafetyFactor > maxQueueTime(request)) {
+    if (!isNext && wait * settings_.waitSafetyFactor > maxQueueTime(request)) {
         request.retryAfterHint = std::clamp(wait, settings_.minRetryAfter, settings_.maxRetryAfter);
         giveUp(number, FailureCode::NoUpstream, now, actions);
         return;
