--- a/src/decision/gateway/groupselector.cpp
+++ b/src/decision/gateway/groupselector.cpp
@@ -159,10 +159,11 @@
     if (all.empty()) {
         return GroupId(); // No upstream at all; sending the request will fail.
     }
-    const bool opening = opensSoon(table, now);
-    if (opening || (all.front().fault == Fault::None && all.back().fault != Fault::None)) {
+    // While no group accepts requests, only probes are sent.
+    const bool noneAccepts = acceptsNone(table, now);
+    if (noneAccepts || (all.front().fault == Fault::None && all.back().fault != Fault::None)) {
         auto probe = selectForProbe(all, table, now);
-        if (opening || probe) {
+        if (noneAccepts || probe) {
             return probe;
         }
     }
@@ -246,18 +247,26 @@
     });
 }
 
+bool GroupSelector::acceptsNone(const GroupTable &table, TimePoint now) const
+{
+    return !groups_->empty()
+           && std::all_of(groups_->begin(), groups_->end(), [&](const auto &entry) {
+                  const GroupTracker &tracker = trackers_.at(entry.first);
+                  return tracker.isRefusing(now) || isForming(entry.first, table, now)
+                         || table.isClosed(entry.first, now);
+              });
+}
+
 bool GroupSelector::opensSoon(const GroupTable &table, TimePoint now) const
 {
-    bool soon = false;
-    for (const auto &[id, group] : *groups_) {
-        const GroupTracker &tracker = trackers_.at(id);
-        const bool isForming = tracker.mayBeForming(now) || table.isForming(id, now);
-        if (!isForming && !tracker.isRefusing(now) && !table.isClosed(id, now)) {
-            return false;
-        }
-        soon = soon || isForming;
-    }
-    return soon;
+    return acceptsNone(table, now)
+           && std::any_of(groups_->begin(), groups_->end(),
+                          [&](const auto &entry) { return isForming(entry.first, table, now); });
+}
+
+bool GroupSelector::isForming(const GroupId &group, const GroupTable &table, TimePoint now) const
+{
+    return trackers_.at(group).mayBeForming(now) || table.isForming(group, now);
 }
 
 void GroupSelector::onTick(std::size_t waiting, const GroupTable &table, TimePoint now)
