Queued streams are rejected by the observed time to the first event

Cause: a stream could wait until 300 ms before its caller leaves, however long first events take. Change: the bound is the mean time to the first event of the streams of the last second, at least the margin of before. The mean and not the cautious estimate: at the bound about half are served, and who is rejected can come back once. Times older than a second count for nothing, so a gateway that rejects all tries again. The rejection by the start rate keeps its bound.

--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -27,18 +27,12 @@
         static_cast<double>(requestCost(request.request.size.prompt, request.request.size.answer));
     entry.isRetry = request.arrivedAt - request.firstSentAt >= kMinRetryAge;
     // Without a latency target a later start is no worse until the request fails.
-    entry.startDeadline = latencyTarget > Duration{}
-                              ? request.firstSentAt + latencyTarget - service.meanTimeToFirstEvent
-                              : request.failAt;
+    entry.startDeadline = latencyTarget > Duration{} ? request.firstSentAt + latencyTarget
+                                                           - service.times.timeToFirstEvent()
+                                                     : request.failAt;
     return entry;
 }
 
-// Returns how long a stream may be queued; its caller disconnects shortly after that.
-Duration GatewayCore::maxQueueTime(const Request &request) const
-{
-    return request.request.route->silenceTimeout - settings_.queueTimeoutMargin;
-}
-
 // Returns the longest retry delay that the caller honours.
 Duration GatewayCore::maxHonouredRetryAfter(const Request &request, TimePoint now) const
 {
@@ -60,7 +54,8 @@
     // The next one needs a single slot, however rarely streams start.
     const bool isNext = service.queue.countAhead(entry, now) == 0;
     const Duration wait = expectedWait(service, entry, now);
-    if (!isNext && wait * settings_.waitSafetyFactor > maxQueueTime(request)) {
+    const Duration bearable = request.request.route->silenceTimeout - settings_.queueTimeoutMargin;
+    if (!isNext && wait * settings_.waitSafetyFactor > bearable) {
         request.retryAfterHint = std::clamp(wait, settings_.minRetryAfter, settings_.maxRetryAfter);
         giveUp(number, FailureCode::NoUpstream, now, actions);
         return;
@@ -78,7 +73,7 @@
          last = service.queue.last(now)) {
         Request &request = requests_.at(last->number);
         const TimePoint latestStart =
-            std::min(request.arrivedAt + maxQueueTime(request), last->latestStart);
+            std::min(request.arrivedAt + maxQueueTime(request, now), last->latestStart);
         const Duration wait = expectedWait(service, *last, now);
         if (now + wait <= latestStart || now + shortestWait(service, now) <= latestStart) {
             return;
@@ -176,36 +171,6 @@
     }
 }
 
-void GatewayCore::onFirstEvent(RequestNumber number, TimePoint now)
-{
-    constexpr int kHistoryWeight = 8; // Weight of the previous average; a new sample has weight 1.
-    Request *request = find(number);
-    if (request == nullptr || request->upstream == InstanceId() || request->hasEvents) {
-        return;
-    }
-    request->hasEvents = true;
-    request->progressAt = now;
-    trackerOf(*request).onFirstEvent(now);
-    Duration &average = serviceOf(request->service).meanTimeToFirstEvent;
-    const Duration time = now - request->attemptStartedAt;
-    average =
-        average == Duration{} ? time : (average * (kHistoryWeight - 1) + time) / kHistoryWeight;
-}
-
-void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
-{
-    Request *request = find(number);
-    if (request != nullptr && request->upstream != InstanceId()) {
-        request->progressAt = now;
-        const RouteRule &route = *request->request.route;
-        GroupTracker &tracker = trackerOf(*request);
-        // Attempts fail over after a part of the silence that their caller bears.
-        tracker.onCallerTimes(request->request.deadline, fromSeconds(toSeconds(route.silenceTimeout)
-                                                                     * settings_.silenceFraction));
-        tracker.onPause(pause, route.gapTarget, now);
-    }
-}
-
 std::vector<std::pair<GroupId, LimitChange>> GatewayCore::takeLimitChanges()
 {
     std::vector<std::pair<GroupId, LimitChange>> changes;
--- a/test/decision/gateway/queuewait_test.cpp
+++ b/test/decision/gateway/queuewait_test.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-// One upstream with a limit of four streams.
+// One upstream with a limit of three streams.
 TEST_GROUP(QueueWaitTest)
 {
     std::unique_ptr<GatewayCore> core;
@@ -29,8 +29,8 @@
     {
         GatewayCore::Settings settings;
         settings.hall = HallId("north");
-        settings.selector.tracker.streamLimiter.initialLimit = 4.0;
-        settings.selector.tracker.streamLimiter.maxLimit = 4.0;
+        settings.selector.tracker.streamLimiter.initialLimit = 3.0;
+        settings.selector.tracker.streamLimiter.maxLimit = 3.0;
         core = std::make_unique<GatewayCore>(settings);
         UpstreamRecord upstream;
         upstream.id = InstanceId("one");
@@ -50,6 +50,18 @@
         return core->begin(request, at(now), actions);
     }
 
+    // Three streams start at `start` and have their first events `time` ms later.
+    void startSlowly(int start, int time)
+    {
+        for (RequestNumber stream = 1; stream <= 3; ++stream) {
+            core->onHead(begin(start), AnswerKind::Success, at(start), actions);
+        }
+        for (RequestNumber stream = 1; stream <= 3; ++stream) {
+            core->onFirstEvent(stream, at(start + time));
+        }
+        actions.clear();
+    }
+
     template <typename Action>
     std::size_t count() const
     {
@@ -63,7 +75,7 @@
 // All slots are taken, and no stream has started for more than a second.
 TEST(QueueWaitTest, NextStreamWaitsHoweverRarelyStreamsStart)
 {
-    for (int stream = 0; stream < 4; ++stream) {
+    for (int stream = 0; stream < 3; ++stream) {
         begin(0);
     }
     actions.clear();
@@ -73,3 +85,23 @@
     core->onTick(at(2000), actions);
     LONGS_EQUAL(1, count<StartAttempt>());
 }
+
+// First events come 0.9 s after the start, and a caller leaves after 2 s without one.
+TEST(QueueWaitTest, StreamIsRejectedOnceItsFirstEventWouldComeAfterItsCallerHasLeft)
+{
+    startSlowly(0, 900);
+    begin(700);
+    core->onTick(at(1775), actions);
+    LONGS_EQUAL(0, count<RejectRequest>());
+    core->onTick(at(1825), actions);
+    LONGS_EQUAL(1, count<RejectRequest>());
+}
+
+// Otherwise a gateway whose streams are all rejected would never learn that the pace is back.
+TEST(QueueWaitTest, TimesOfMoreThanASecondAgoRejectNobody)
+{
+    startSlowly(0, 900);
+    begin(1100);
+    core->onTick(at(2250), actions);
+    LONGS_EQUAL(0, count<RejectRequest>());
+}
