--- a/test/decision/gateway/queuewait_test.cpp
+++ b/test/decision/gateway/queuewait_test.cpp
@@ -87,7 +87,7 @@
 TEST(QueueWaitTest, TimesOfMoreThanASecondAgoRejectNobody)
 {
     startSlowly(0, 900);
-    begin(1100);
+    begin(950);
     core->onTick(at(2250), actions);
     LONGS_EQUAL(0, count<RejectRequest>());
 }
