Late streams leave half of the slots when a group opens

Change: in the first second after an outage a stream that is late in any case starts only while half of the slots are free; one that is in time may take any. Measured: GroupSelector, GroupTracker, OutageWaitTest and GatewayCore pass.

--- a/src/decision/gateway/groupselector.cpp
+++ b/src/decision/gateway/groupselector.cpp
@@ -10,6 +10,9 @@
 // the next starts now.
 constexpr Duration kStartSlack = std::chrono::milliseconds(40);
 
+// The part of the slots that late streams may take when a group opens.
+constexpr double kLatePartAtOpening = 0.5;
+
 } // namespace
 
 void GroupSelector::setGroups(const UpstreamChooser::Groups &groups, const GatewayShare &share)
@@ -116,7 +119,9 @@
     return candidates;
 }
 
-// Returns whether a stream may start now. While pauses are near the gap target, each prompt that
+// Returns whether a stream may start now. When a group opens, streams that have waited for it too
+// long to be in time leave a part of the slots to those that come in the next second: each of these
+// would be late behind them. While pauses are near the gap target, each prompt that
 // the engines read delays all streams in flight: a stream that can still start in time later waits
 // for shorter passes, and one that is late already loses nothing by waiting.
 bool GroupSelector::mayStart(const GroupTracker &tracker, const StreamQueue::Entry &entry,
@@ -125,6 +130,10 @@
     if (!tracker.limiter().admits(tracker.inFlight())) {
         return false;
     }
+    const double room = tracker.limiter().limit() * kLatePartAtOpening;
+    if (tracker.hasJustOpened(now) && now > entry.startDeadline && tracker.inFlight() >= room) {
+        return false;
+    }
     const bool fewest = tracker.inFlight() < settings_.tracker.streamLimiter.minLimit;
     if (fewest || !tracker.limiter().isNearTarget(now)) {
         return true;
--- a/src/decision/gateway/grouptracker.cpp
+++ b/src/decision/gateway/grouptracker.cpp
@@ -49,7 +49,11 @@
     connectFailures_ = 0;
     hasServed_ = true;
     const auto since = std::exchange(refusingSince_, std::nullopt);
-    return since && now - *since >= settings_.outageDelay;
+    const bool opens = since && now - *since >= settings_.outageDelay;
+    if (opens) {
+        openedAt_ = now;
+    }
+    return opens;
 }
 
 void GroupTracker::onRefusal(TimePoint sentAt, TimePoint now)
