Revert "Queued streams are rejected by the observed time to the first event"

Change: reverts, with its two tests (their file goes). Measured: OutageWaitTest, GatewayCore, Displacement, GroupSelector and GroupTracker pass.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -528,7 +528,7 @@
     std::vector<RequestNumber> expired;
     for (const auto &[number, request] : requests_) {
         const bool queueTimedOut =
-            request.queued && now - request.arrivedAt >= maxQueueTime(request, now);
+            request.queued && now - request.arrivedAt >= maxQueueTime(request);
         if (now >= request.failAt || queueTimedOut) {
             expired.push_back(number);
         }
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -44,7 +44,6 @@
 #include "decision/gateway/routetable.h"
 #include "decision/gateway/sendpermits.h"
 #include "decision/gateway/streamqueue.h"
-#include "decision/gateway/streamtimes.h"
 #include "decision/gateway/upstreamchooser.h"
 #include "decision/gateway/upstreamlimits.h"
 #include "decision/gateway/upstreamnotice.h"
@@ -178,8 +177,8 @@
         // How long a request waits for a permit if all upstreams that it could be sent to need
         // one: about the response time of another gateway, and less than a caller's retry delay.
         Duration permitTimeout = std::chrono::milliseconds(200);
-        // A queued stream is rejected at least this long before its caller disconnects, or earlier
-        // if first events take longer: its own would come too late.
+        // A queued stream is rejected this long before its caller disconnects: its first event
+        // would come too late.
         Duration queueTimeoutMargin = std::chrono::milliseconds(300);
         // The expected wait is multiplied by this before it is compared with the caller's limit: it
         // is derived from the start rate of the last second, which may fall just as fast.
@@ -312,8 +311,7 @@
         GroupSelector selector;
         std::deque<TimePoint> recentStarts; // Stream starts within the last second.
         StreamQueue queue;
-        StreamTimes times;
-        std::optional<TimePoint> firstEventAt; // Time of the last first event.
+        Duration meanTimeToFirstEvent{}; // Moving average, from the attempt's start; zero: unknown.
     };
 
     RetryBudget::Settings budgetShare() const;
@@ -339,7 +337,7 @@
     void recordAnswer(Request &request, AnswerKind kind, TimePoint now);
     static StreamQueue::Entry queueEntryFor(RequestNumber number, const Request &request,
                                             const ServiceState &service);
-    Duration maxQueueTime(const Request &request, TimePoint now) const;
+    Duration maxQueueTime(const Request &request) const;
     Duration maxHonouredRetryAfter(const Request &request, TimePoint now) const;
     Duration retryAfterFor(const Request &request, TimePoint now);
     Duration expectedWait(ServiceState &service, const StreamQueue::Entry &entry, TimePoint now);
--- a/src/decision/gateway/gatewaycoreoutages.cpp
+++ b/src/decision/gateway/gatewaycoreoutages.cpp
@@ -28,8 +28,8 @@
                                 GatewayActions &actions)
 {
     ServiceState &service = serviceOf(request.service);
-    const bool mayWait = now - request.arrivedAt < maxQueueTime(request, now)
-                         || service.selector.opensSoon(groups_, now);
+    const bool mayWait =
+        now - request.arrivedAt < maxQueueTime(request) || service.selector.opensSoon(groups_, now);
     if (!mayWait || !hasRoomToWait(service)) {
         request.inOutage = true;
         request.retryAfterHint = maxHonouredRetryAfter(request, now);
@@ -37,7 +37,7 @@
         return;
     }
     service.queue.add(entry, now);
-    actions.push_back(AwaitGroup{number, maxQueueTime(request, now)});
+    actions.push_back(AwaitGroup{number, maxQueueTime(request)});
 }
 
 } // namespace seamarch
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -27,12 +27,18 @@
         static_cast<double>(requestCost(request.request.size.prompt, request.request.size.answer));
     entry.isRetry = request.arrivedAt - request.firstSentAt >= kMinRetryAge;
     // Without a latency target a later start is no worse until the request fails.
-    entry.startDeadline = latencyTarget > Duration{} ? request.firstSentAt + latencyTarget
-                                                           - service.times.timeToFirstEvent()
-                                                     : request.failAt;
+    entry.startDeadline = latencyTarget > Duration{}
+                              ? request.firstSentAt + latencyTarget - service.meanTimeToFirstEvent
+                              : request.failAt;
     return entry;
 }
 
+// Returns how long a stream may be queued; its caller disconnects shortly after that.
+Duration GatewayCore::maxQueueTime(const Request &request) const
+{
+    return request.request.route->silenceTimeout - settings_.queueTimeoutMargin;
+}
+
 // Returns the longest retry delay that the caller honours.
 Duration GatewayCore::maxHonouredRetryAfter(const Request &request, TimePoint now) const
 {
@@ -52,8 +58,7 @@
         return;
     }
     const Duration wait = expectedWait(service, entry, now);
-    const Duration bearable = request.request.route->silenceTimeout - settings_.queueTimeoutMargin;
-    if (wait * settings_.waitSafetyFactor > bearable) {
+    if (wait * settings_.waitSafetyFactor > maxQueueTime(request)) {
         request.retryAfterHint = std::clamp(wait, settings_.minRetryAfter, settings_.maxRetryAfter);
         giveUp(number, FailureCode::NoUpstream, now, actions);
         return;
@@ -71,7 +76,7 @@
          last = service.queue.last(now)) {
         Request &request = requests_.at(last->number);
         const TimePoint latestStart =
-            std::min(request.arrivedAt + maxQueueTime(request, now), last->latestStart);
+            std::min(request.arrivedAt + maxQueueTime(request), last->latestStart);
         const Duration wait = expectedWait(service, *last, now);
         if (now + wait <= latestStart || now + shortestWait(service, now) <= latestStart) {
             return;
@@ -169,6 +174,36 @@
     }
 }
 
+void GatewayCore::onFirstEvent(RequestNumber number, TimePoint now)
+{
+    constexpr int kHistoryWeight = 8; // Weight of the previous average; a new sample has weight 1.
+    Request *request = find(number);
+    if (request == nullptr || request->upstream == InstanceId() || request->hasEvents) {
+        return;
+    }
+    request->hasEvents = true;
+    request->progressAt = now;
+    trackerOf(*request).onFirstEvent(now);
+    Duration &average = serviceOf(request->service).meanTimeToFirstEvent;
+    const Duration time = now - request->attemptStartedAt;
+    average =
+        average == Duration{} ? time : (average * (kHistoryWeight - 1) + time) / kHistoryWeight;
+}
+
+void GatewayCore::onPause(RequestNumber number, Duration pause, TimePoint now)
+{
+    Request *request = find(number);
+    if (request != nullptr && request->upstream != InstanceId()) {
+        request->progressAt = now;
+        const RouteRule &route = *request->request.route;
+        GroupTracker &tracker = trackerOf(*request);
+        // Attempts fail over after a part of the silence that their caller bears.
+        tracker.onCallerTimes(request->request.deadline, fromSeconds(toSeconds(route.silenceTimeout)
+                                                                     * settings_.silenceFraction));
+        tracker.onPause(pause, route.gapTarget, now);
+    }
+}
+
 std::vector<std::pair<GroupId, LimitChange>> GatewayCore::takeLimitChanges()
 {
     std::vector<std::pair<GroupId, LimitChange>> changes;
