Revert the waits in outages and the late streams' part at the opening

Measured: decision-tests builds; GatewayCore, GroupTracker and Displacement pass; the others not run.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -395,7 +395,7 @@
         const bool regions = failure == FailureCode::NoUpstreamInRegions;
         actions.push_back(RejectRequest{number, regions ? failure : FailureCode::NoUpstream,
                                         Outcome::NotRun, retryAfterFor(request, now),
-                                        request.displacedBy, request.inOutage});
+                                        request.displacedBy});
     }
     endRequest(number);
 }
@@ -537,9 +537,9 @@
     for (const RequestNumber number : expired) {
         Request &request = requests_.at(number);
         if (request.queued) {
-            request.inOutage = serviceOf(request.service).selector.acceptsNone(groups_, now);
+            const bool serviceOut = serviceOf(request.service).selector.allRefusing(now);
             request.retryAfterHint =
-                request.inOutage ? maxHonouredRetryAfter(request, now) : settings_.minRetryAfter;
+                serviceOut ? maxHonouredRetryAfter(request, now) : settings_.minRetryAfter;
         }
         // The current attempt may have been written.
         request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -128,14 +128,6 @@
     Duration retryAfter{}; // Zero: not stated to the caller.
     // The more urgent stream for which the request was rejected from the queue; zero: none.
     RequestNumber displacedBy = 0;
-    bool inOutage = false; // A stream that no group accepted.
-};
-
-// States that a stream is queued because no group accepts requests.
-struct AwaitGroup
-{
-    RequestNumber request = 0;
-    Duration longestWait{}; // It is rejected after that, from its arrival.
 };
 
 // Aborts an answer whose head was forwarded to the caller. Ends the request.
@@ -145,8 +137,7 @@
     FailureCode failure = FailureCode::UpstreamFailed;
 };
 
-using GatewayAction =
-    std::variant<StartAttempt, CancelAttempt, RejectRequest, AwaitGroup, AbortAnswer>;
+using GatewayAction = std::variant<StartAttempt, CancelAttempt, RejectRequest, AbortAnswer>;
 using GatewayActions = std::vector<GatewayAction>;
 
 // Limits on the second attempts that all gateways together send to a service.
@@ -286,7 +277,6 @@
         Duration retryAfterHint{};    // Retry delay for a rejection; zero: the default.
         bool queued = false;          // In the stream queue; no attempt is in progress.
         RequestNumber displacedBy = 0; // As in RejectRequest.
-        bool inOutage = false;         // As in RejectRequest.
         TimePoint permitDeadline{};    // End of the wait for a permit; zero: not waiting.
         InstanceId upstream;           // Of the current attempt; empty if there is none.
         UpstreamRecord upstreamRecord; // Its record at the start of the attempt.
@@ -347,9 +337,7 @@
     void displaceHopeless(ServiceState &service, const StreamQueue::Entry &arrived, TimePoint now,
                           GatewayActions &actions);
     bool requeue(RequestNumber number, Request &request, TimePoint now);
-    static bool hasRoomToWait(const ServiceState &service);
-    void queueInOutage(RequestNumber number, Request &request, const StreamQueue::Entry &entry,
-                       TimePoint now, GatewayActions &actions);
+    bool mayQueueUntilOpen(ServiceState &service, TimePoint now) const;
     void admitQueued(ServiceState &service, TimePoint now, GatewayActions &actions);
     bool isSilent(const Request &request, TimePoint now) const;
     void failOverSilent(TimePoint now, GatewayActions &actions);
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -53,8 +53,8 @@
     ServiceState &service = serviceOf(request.service);
     const StreamQueue::Entry entry = queueEntryFor(number, request, service);
     request.queued = true;
-    if (service.selector.acceptsNone(groups_, now)) {
-        queueInOutage(number, request, entry, now, actions);
+    if (mayQueueUntilOpen(service, now)) {
+        service.queue.add(entry, now);
         return;
     }
     const Duration wait = expectedWait(service, entry, now);
@@ -87,6 +87,19 @@
     }
 }
 
+// Returns whether no group accepts requests but one will soon, and the queue is no longer than the
+// number of streams that can start then.
+bool GatewayCore::mayQueueUntilOpen(ServiceState &service, TimePoint now) const
+{
+    constexpr double kQueuedPerSlot = 2.0; // A slot is free again after a second or two.
+    double slots = 0.0;
+    for (const auto &[group, tracker] : service.selector.all()) {
+        slots += tracker.limiter().limit();
+    }
+    return service.selector.opensSoon(groups_, now)
+           && static_cast<double>(service.queue.size()) < kQueuedPerSlot * slots;
+}
+
 // Queues a stream that an upstream refused because its group does not accept requests yet. Returns
 // false if the stream may not be queued.
 bool GatewayCore::requeue(RequestNumber number, Request &request, TimePoint now)
@@ -94,8 +107,7 @@
     ServiceState &service = serviceOf(request.service);
     const bool mayRequeue = request.request.route->streamed && !request.headSent
                             && !request.mayHaveRun && mayBeSent(request, now);
-    // In an outage without an expected end, the budget of second attempts would be spent on probes.
-    if (!mayRequeue || !service.selector.opensSoon(groups_, now) || !hasRoomToWait(service)) {
+    if (!mayRequeue || !mayQueueUntilOpen(service, now)) {
         return false;
     }
     request.queued = true;
--- a/src/decision/gateway/groupselector.cpp
+++ b/src/decision/gateway/groupselector.cpp
@@ -10,9 +10,6 @@
 // the next starts now.
 constexpr Duration kStartSlack = std::chrono::milliseconds(40);
 
-// The part of the slots that late streams may take when a group opens.
-constexpr double kLatePartAtOpening = 0.5;
-
 } // namespace
 
 void GroupSelector::setGroups(const UpstreamChooser::Groups &groups, const GatewayShare &share)
@@ -119,9 +116,7 @@
     return candidates;
 }
 
-// Returns whether a stream may start now. When a group opens, streams that have waited for it too
-// long to be in time leave a part of the slots to those that come in the next second: each of these
-// would be late behind them. While pauses are near the gap target, each prompt that
+// Returns whether a stream may start now. While pauses are near the gap target, each prompt that
 // the engines read delays all streams in flight: a stream that can still start in time later waits
 // for shorter passes, and one that is late already loses nothing by waiting.
 bool GroupSelector::mayStart(const GroupTracker &tracker, const StreamQueue::Entry &entry,
@@ -130,10 +125,6 @@
     if (!tracker.limiter().admits(tracker.inFlight())) {
         return false;
     }
-    const double room = tracker.limiter().limit() * kLatePartAtOpening;
-    if (tracker.hasJustOpened(now) && now > entry.startDeadline && tracker.inFlight() >= room) {
-        return false;
-    }
     const bool fewest = tracker.inFlight() < settings_.tracker.streamLimiter.minLimit;
     if (fewest || !tracker.limiter().isNearTarget(now)) {
         return true;
@@ -168,11 +159,10 @@
     if (all.empty()) {
         return GroupId(); // No upstream at all; sending the request will fail.
     }
-    // While no group accepts requests, only probes are sent.
-    const bool noneAccepts = acceptsNone(table, now);
-    if (noneAccepts || (all.front().fault == Fault::None && all.back().fault != Fault::None)) {
+    const bool opening = opensSoon(table, now);
+    if (opening || (all.front().fault == Fault::None && all.back().fault != Fault::None)) {
         auto probe = selectForProbe(all, table, now);
-        if (noneAccepts || probe) {
+        if (opening || probe) {
             return probe;
         }
     }
@@ -256,26 +246,18 @@
     });
 }
 
-bool GroupSelector::acceptsNone(const GroupTable &table, TimePoint now) const
-{
-    return !groups_->empty()
-           && std::all_of(groups_->begin(), groups_->end(), [&](const auto &entry) {
-                  const GroupTracker &tracker = trackers_.at(entry.first);
-                  return tracker.isRefusing(now) || isForming(entry.first, table, now)
-                         || table.isClosed(entry.first, now);
-              });
-}
-
 bool GroupSelector::opensSoon(const GroupTable &table, TimePoint now) const
 {
-    return acceptsNone(table, now)
-           && std::any_of(groups_->begin(), groups_->end(),
-                          [&](const auto &entry) { return isForming(entry.first, table, now); });
-}
-
-bool GroupSelector::isForming(const GroupId &group, const GroupTable &table, TimePoint now) const
-{
-    return trackers_.at(group).mayBeForming(now) || table.isForming(group, now);
+    bool soon = false;
+    for (const auto &[id, group] : *groups_) {
+        const GroupTracker &tracker = trackers_.at(id);
+        const bool isForming = tracker.mayBeForming(now) || table.isForming(id, now);
+        if (!isForming && !tracker.isRefusing(now) && !table.isClosed(id, now)) {
+            return false;
+        }
+        soon = soon || isForming;
+    }
+    return soon;
 }
 
 void GroupSelector::onTick(std::size_t waiting, const GroupTable &table, TimePoint now)
--- a/src/decision/gateway/groupselector.h
+++ b/src/decision/gateway/groupselector.h
@@ -86,9 +86,6 @@
                                  const GroupTable &table) const;
     // Returns whether every group refuses.
     bool allRefusing(TimePoint now) const;
-    // Returns whether there are groups and none accepts requests: each refuses, is forming, or is
-    // reported closed by its agents.
-    bool acceptsNone(const GroupTable &table, TimePoint now) const;
     // Returns whether no group accepts requests but one will soon: it has just started, or its
     // agents report that it is forming. A queued stream is then served sooner than its caller could
     // retry.
@@ -114,7 +111,6 @@
 
     Fault faultOf(const GroupId &group, const GroupTracker &tracker, const GroupTable &table,
                   TimePoint now) const;
-    bool isForming(const GroupId &group, const GroupTable &table, TimePoint now) const;
     std::vector<Candidate> candidates(const GroupTable &table, TimePoint now) const;
     std::optional<GroupId> selectForProbe(const std::vector<Candidate> &candidates,
                                           const GroupTable &table, TimePoint now);
--- a/src/decision/gateway/grouptracker.cpp
+++ b/src/decision/gateway/grouptracker.cpp
@@ -49,11 +49,7 @@
     connectFailures_ = 0;
     hasServed_ = true;
     const auto since = std::exchange(refusingSince_, std::nullopt);
-    const bool opens = since && now - *since >= settings_.outageDelay;
-    if (opens) {
-        openedAt_ = now;
-    }
-    return opens;
+    return since && now - *since >= settings_.outageDelay;
 }
 
 void GroupTracker::onRefusal(TimePoint sentAt, TimePoint now)
--- a/src/decision/gateway/grouptracker.h
+++ b/src/decision/gateway/grouptracker.h
@@ -49,8 +49,6 @@
         // accepted the request and was stalled with its whole group, which refuses all its requests
         // at this moment.
         Duration lateRefusalAge = std::chrono::milliseconds(1000);
-        // Streams that start when a group opens free their slots after this time and more.
-        Duration openingTime = std::chrono::seconds(1);
         // A group is unreachable after this many failures to connect in a row.
         std::uint32_t unreachableThreshold = 2;
         // Interval at which one request is sent to a group that is avoided.
@@ -104,11 +102,6 @@
     bool isStalled() const { return stalled_; }
     // Returns whether the group has refused all requests for at least the outage delay.
     bool isRefusing(TimePoint now) const;
-    // Returns whether an outage of the group has ended within the opening time.
-    bool hasJustOpened(TimePoint now) const
-    {
-        return openedAt_ && now - *openedAt_ < settings_.openingTime;
-    }
     bool isUnreachable() const { return connectFailures_ >= settings_.unreachableThreshold; }
     // Returns whether no stream has sent an event within the first-event timeout, or at all.
     bool isQuiet(TimePoint now) const
@@ -145,7 +138,6 @@
     bool hasServed_ = false;                  // The group has accepted a request at some time.
     std::optional<TimePoint> refusingSince_;  // Start of the current run of refusals.
     std::optional<TimePoint> firstRefusalAt_; // First refusal of all.
-    std::optional<TimePoint> openedAt_;       // End of the last outage.
     std::uint32_t connectFailures_ = 0;       // Consecutive failures to connect.
     TimePoint probedAt_{};
 };
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -279,9 +279,6 @@
     if (action.displacedBy != 0) {
         logDisplaced(active, action);
     }
-    if (action.inOutage) {
-        logRejectedInOutage(active, action);
-    }
     refuse(active.exchange, active.metadata, action.failure, action.outcome, action.retryAfter);
     endRequest(action.request, toString(action.failure));
 }
@@ -304,30 +301,6 @@
              {"byRoutePriority", urgency.route}});
 }
 
-void GatewayService::logRejectedInOutage(const ActiveRequest &active, const RejectRequest &action)
-{
-    metrics_.count("seamarch_outage_rejections_total", active.admitted.route->name);
-    logLine(LogLevel::Info, "stream.rejected_in_outage",
-            {{"id", active.metadata.requestId},
-             {"route", active.admitted.route->name},
-             {"waitedMs", toMillis(loop_.now() - active.startedAt)},
-             {"retryAfterMs", toMillis(action.retryAfter)}});
-}
-
-void GatewayService::carryOut(const AwaitGroup &action)
-{
-    const auto found = activeRequests_.find(action.request);
-    if (found == activeRequests_.end()) {
-        return;
-    }
-    const ActiveRequest &active = found->second;
-    metrics_.count("seamarch_outage_waits_total", active.admitted.route->name);
-    logLine(LogLevel::Info, "stream.awaits_group",
-            {{"id", active.metadata.requestId},
-             {"route", active.admitted.route->name},
-             {"longestWaitMs", toMillis(action.longestWait)}});
-}
-
 void GatewayService::carryOut(const AbortAnswer &action)
 {
     const auto found = activeRequests_.find(action.request);
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -146,8 +146,6 @@
     void carryOut(const CancelAttempt &action);
     void carryOut(const RejectRequest &action);
     void logDisplaced(const ActiveRequest &active, const RejectRequest &action);
-    void logRejectedInOutage(const ActiveRequest &active, const RejectRequest &action);
-    void carryOut(const AwaitGroup &action);
     void carryOut(const AbortAnswer &action);
 
     void onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head);
