The queue's entries carry the latest start that they are judged by

Cause: StreamQueue::Entry::latestStart was read where hopeless streams are displaced, and set by nobody since the estimates that set it are gone. Change: it is set from the time that a caller waits, and displacement uses it alone. Behaviour is the same.

--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -339,8 +339,8 @@
     ServiceState &serviceOf(const TargetName &service);
     void endRequest(RequestNumber number);
     void recordAnswer(Request &request, AnswerKind kind, TimePoint now);
-    static StreamQueue::Entry queueEntryFor(RequestNumber number, const Request &request,
-                                            const ServiceState &service);
+    StreamQueue::Entry queueEntryFor(RequestNumber number, const Request &request,
+                                     const ServiceState &service) const;
     Duration maxQueueTime(const Request &request) const;
     Duration maxHonouredRetryAfter(const Request &request, TimePoint now) const;
     Duration retryAfterFor(const Request &request, TimePoint now);
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 StreamQueue::Entry GatewayCore::queueEntryFor(RequestNumber number, const Request &request,
-                                              const ServiceState &service)
+                                              const ServiceState &service) const
 {
     const Duration latencyTarget = request.request.route->latencyTarget;
     StreamQueue::Entry entry;
@@ -25,6 +25,7 @@
     entry.account = request.request.account;
     entry.cost =
         static_cast<double>(requestCost(request.request.size.prompt, request.request.size.answer));
+    entry.latestStart = request.arrivedAt + maxQueueTime(request);
     entry.isRetry = request.arrivedAt - request.firstSentAt >= kMinRetryAge;
     // Without a latency target a later start is no worse until the request fails.
     entry.startDeadline = latencyTarget > Duration{}
@@ -75,10 +76,8 @@
     for (auto last = service.queue.last(now); last && arrived.urgency < last->urgency;
          last = service.queue.last(now)) {
         Request &request = requests_.at(last->number);
-        const TimePoint latestStart =
-            std::min(request.arrivedAt + maxQueueTime(request), last->latestStart);
         const Duration wait = expectedWait(service, *last, now);
-        if (now + wait <= latestStart || now + shortestWait(service, now) <= latestStart) {
+        if (now + std::min(wait, shortestWait(service, now)) <= last->latestStart) {
             return;
         }
         request.displacedBy = arrived.number;
--- a/src/decision/gateway/streamqueue.h
+++ b/src/decision/gateway/streamqueue.h
@@ -50,8 +50,7 @@
         Urgency urgency;
         bool isRetry = false;      // Its caller was rejected before.
         TimePoint startDeadline{}; // A later start misses the route's latency target.
-        // A later start cannot serve the caller at all: it disconnects before the first event, or
-        // its deadline passes before the last one.
+        // A later start cannot serve the caller at all: it disconnects before the first event.
         TimePoint latestStart = TimePoint::max();
         AccountId account;
         double cost = 1.0; // Expected work, in the unit of requestcost.h.
