Log the shared prompt parts of requests whose upstream crashed

Requests that crash upstreams are identified by the digest of the whole request. When no two are alike the log cannot tell what they have in common. upstream.probed now lists the parts of the prompt that other requests may share, whether the answer had begun and how many events it had. Nothing is decided by them yet.

--- a/src/gateway/callerprotocol.h
+++ b/src/gateway/callerprotocol.h
@@ -13,11 +13,17 @@
 #include "seamarch/outcome.h"
 #include "seamarch/units.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace seamarch {
 
+// The maximum number of shared prompt parts that are read of one request. Bounds the work and the
+// log lines that one caller can cause.
+inline constexpr std::size_t kMaxSharedParts = 64;
+
 // Metadata that a caller sends with its request.
 struct RequestMetadata
 {
@@ -28,6 +34,9 @@
     // Id of the last event that the caller received; empty to start from the beginning.
     std::string resumeAfter;
     RequestSize size;
+    // Ids of the parts of the prompt that other requests may share, without repetitions; at most
+    // `kMaxSharedParts`.
+    std::vector<std::string> sharedPromptParts;
     bool expectsVersion = false; // Upstreams with other weights refuse the request.
 };
 
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -99,10 +99,11 @@
         std::string body;     // Buffers an answer that is sent as a whole.
         bool streams = false; // The current answer is an event stream.
         bool headSent = false;
-        bool attemptHasEvents = false; // The current attempt has received an event.
-        bool resuming = false;         // The current attempt continues an earlier one's stream.
-        bool readingPaused = false;    // The caller takes the current attempt's answer slowly.
-        bool wasReadingPaused = false; // It was since the last event.
+        bool attemptHasEvents = false;  // The current attempt has received an event.
+        std::uint64_t eventsBefore = 0; // The number of events of earlier attempts.
+        bool resuming = false;          // The current attempt continues an earlier one's stream.
+        bool readingPaused = false;     // The caller takes the current attempt's answer slowly.
+        bool wasReadingPaused = false;  // It was since the last event.
         EventSplitter events;
         TimePoint startedAt{};
         TimePoint firstEventAt{};
@@ -118,6 +119,9 @@
         AccountId account;
         InstanceId upstream;
         TimePoint at{};
+        std::vector<std::string> sharedPromptParts;
+        bool streaming = false;   // The head of a stream had been received.
+        std::uint64_t events = 0; // The number of events received after it.
     };
 
     GatewayService(EventLoop &loop, const GatewaySettings &settings, const CallerProtocol &protocol,
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -53,6 +53,18 @@
     return "unknown";
 }
 
+// Returns the part ids as they appear in a log line, bounded in number and length.
+nlohmann::json loggedParts(const std::vector<std::string> &parts)
+{
+    constexpr std::size_t kMaxLoggedParts = 16;
+    constexpr std::size_t kMaxLoggedIdBytes = 32;
+    nlohmann::json logged = nlohmann::json::array();
+    for (std::size_t index = 0; index < std::min(parts.size(), kMaxLoggedParts); ++index) {
+        logged.push_back(parts[index].substr(0, kMaxLoggedIdBytes));
+    }
+    return logged;
+}
+
 bool isEventStream(const HttpHead &head)
 {
     return findHeader(head.headers, "content-type").starts_with("text/event-stream");
@@ -135,6 +147,7 @@
     active.body.clear();
     active.streams = false;
     active.attemptHasEvents = false;
+    active.eventsBefore = active.events.eventCount();
     active.resuming = active.headSent;
     active.readingPaused = false;
     active.wasReadingPaused = false;
@@ -340,8 +353,14 @@
 // take down another one.
 void GatewayService::probeUpstream(RequestNumber number, const ActiveRequest &active)
 {
-    LostAttempt lost{active.metadata.requestId, active.admitted.digest, active.admitted.account,
-                     active.upstream, loop_.now()};
+    LostAttempt lost{active.metadata.requestId,
+                     active.admitted.digest,
+                     active.admitted.account,
+                     active.upstream,
+                     loop_.now(),
+                     active.metadata.sharedPromptParts,
+                     active.streams,
+                     active.events.eventCount() - active.eventsBefore};
     const std::uint32_t attempt = active.attempt;
     probe_->probe(active.address, [this, number, attempt, lost](UpstreamProbeResult state) {
         metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
@@ -350,6 +369,9 @@
                  {"upstream", lost.upstream.value()},
                  {"state", toString(state)},
                  {"digest", toText(lost.digest)},
+                 {"sharedParts", loggedParts(lost.sharedPromptParts)},
+                 {"streaming", lost.streaming},
+                 {"events", lost.events},
                  {"ms", toMillis(loop_.now() - lost.at)}});
         if (state == UpstreamProbeResult::Ended) {
             GatewayActions actions;
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -79,6 +79,36 @@
     LONGS_EQUAL(30, protocol.readRequest(request).size.answer);
 }
 
+TEST(CallerHeadersTest, ReadsSharedPromptPartsWithoutTheLast)
+{
+    request.headers.push_back({"Seamarch-Prefix-Hash", "5C1e07a2:800, 91bd3f06:410,e4402b7d:250"});
+    const std::vector<std::string> expected{"5c1e07a2", "91bd3f06"};
+    CHECK_TRUE(protocol.readRequest(request).sharedPromptParts == expected);
+}
+
+TEST(CallerHeadersTest, SkipsEmptyAndRepeatedPromptParts)
+{
+    request.headers.push_back({"Seamarch-Prefix-Hash", ",:5,aa,aa:7,:,bb:x:y,last"});
+    const std::vector<std::string> expected{"aa", "bb"};
+    CHECK_TRUE(protocol.readRequest(request).sharedPromptParts == expected);
+}
+
+TEST(CallerHeadersTest, SinglePromptPartIsNotShared)
+{
+    request.headers.push_back({"Seamarch-Prefix-Hash", "e4402b7d:250"});
+    CHECK_TRUE(protocol.readRequest(request).sharedPromptParts.empty());
+}
+
+TEST(CallerHeadersTest, LimitsNumberOfPromptParts)
+{
+    std::string list;
+    for (int part = 0; part < 1000; ++part) {
+        list += std::to_string(part) + ":1,";
+    }
+    request.headers.push_back({"Seamarch-Prefix-Hash", list});
+    LONGS_EQUAL(kMaxSharedParts, protocol.readRequest(request).sharedPromptParts.size());
+}
+
 TEST(CallerHeadersTest, LengthHintBeyondTheStatedMaximumIsLimited)
 {
     request.headers.push_back({"Seamarch-Token-Usage", "1460,80"});
