--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -27,6 +27,9 @@
 //   {"foreignId": true}     answers with the id of another request
 //   {"lies": true}          runs every request but marks every third as not executed
 //   {"endsOn": TEXT}        ends the process while it runs a request whose body contains TEXT
+//   {"endsOnPart": TEXT}    ends the process as it begins to answer a request with this prompt
+//   part;
+//                           the head of a stream is sent before
 //   {"leaving": true}       announces in all answers that it is leaving
 //   {"weights": TEXT}       answers 421 to requests that expect another version of its weights
 //   {"limit": TEXT}         announces this rate limit in all answers; empty: none
@@ -104,16 +107,35 @@
                                    : std::stoi(request.header(names::kResumeAfter)) + 1;
         const bool exits =
             !exitOnBodyText_.empty() && request.body.find(exitOnBodyText_) != std::string::npos;
+        const bool exitsOnAnswer =
+            !exitOnPromptPart_.empty()
+            && request.header(names::kPromptParts).find(exitOnPromptPart_) != std::string::npos;
         openExchanges_.insert(exchange);
         loop().schedule(std::chrono::milliseconds(delayMs_),
-                        [this, exchange, head, streams, firstEvent, padding, exits] {
+                        [this, exchange, head, streams, firstEvent, padding, exits, exitsOnAnswer] {
                             if (exits) {
                                 std::_Exit(kExitEndedByRequest);
                             }
+                            if (exitsOnAnswer) {
+                                exitWhileAnswering(exchange, head, streams);
+                                return;
+                            }
                             answer(exchange, head, streams, firstEvent, padding);
                         });
     }
 
+    // Ends the process after the head of a stream, or before any other answer.
+    void exitWhileAnswering(ExchangeId exchange, HttpResponseHead head, bool streams)
+    {
+        constexpr Duration kHeadSendTime = std::chrono::milliseconds(20);
+        if (streams) {
+            head.contentType = "text/event-stream";
+            server().begin(exchange, head);
+        }
+        loop().schedule(streams ? kHeadSendTime : Duration{},
+                        [] { std::_Exit(kExitEndedByRequest); });
+    }
+
     // Answers a request that has run. A stream begins with event `firstEvent`; any other answer
     // ends with `padding` spaces.
     void answer(ExchangeId exchange, HttpResponseHead head, bool streams, int firstEvent,
@@ -174,6 +196,7 @@
         foreignId_ = change.value("foreignId", foreignId_);
         claimNotExecuted_ = change.value("lies", claimNotExecuted_);
         exitOnBodyText_ = change.value("endsOn", exitOnBodyText_);
+        exitOnPromptPart_ = change.value("endsOnPart", exitOnPromptPart_);
         retryAfter_ = change.value("rest", retryAfter_);
         leaving_ = change.value("leaving", leaving_);
         limit_ = change.value("limit", limit_);
@@ -200,6 +223,7 @@
     bool claimNotExecuted_ = false;
     bool leaving_ = false;
     std::string exitOnBodyText_;
+    std::string exitOnPromptPart_;
     std::string retryAfter_;
     std::string limit_;
     std::string weightsVersion_;
--- a/test/process/crashingrequest_test.py
+++ b/test/process/crashingrequest_test.py
@@ -29,6 +29,8 @@
 class UpstreamRestarter:
     """Restarts upstreams at the same address under a new id, as the platform does."""
 
+    settings = {"endsOn": "poison", "delayMs": 5}  # Of the upstreams that are started.
+
     def __init__(self, site, upstreams):
         self.site, self.ends, self.number, self.stopped = site, [], upstreams, False
         self.running = {name: process for name, process in zip(site.upstreams, site.processes[1:])}
@@ -50,7 +52,7 @@
         new, address = f"i-{self.number}", self.site.upstreams.pop(name)
         self.running.pop(name)
         process = self.site.start("seamarch-standin", "replica", "--listen", address)
-        control(address, {"id": new, "endsOn": "poison", "delayMs": 5})
+        control(address, {"id": new, **self.settings})
         self.site.upstreams[new] = address
         self.site.list_upstream(new)
         self.running[new] = process
