Stop requests whose prompt part crashes upstreams

Callers saw: for half a minute an engine crashed every four to five seconds and next to nothing of the model's service was answered. Requests that share one part of their prompts, no two alike, each crashed the engine that began to answer it.

Cause: crashes were remembered by the digest of the whole request. No digest comes twice here, so each crash was the first of its request, at every gateway (19 digests at four crashes, all different; of the requests at each crash exactly one had a begun answer without an event).

Change: the crash record keeps suspects of two kinds, whole requests and the shared parts of prompts at a service. A part is held against a crash only if the answer had begun and had not gone on for 500 ms; an answer that goes on or completes clears it everywhere. A new part is blocked after two separate crashes, one that was answered before after three that no new part or request explains, so the parts that all requests share stay allowed. Gateways that have answered a part say so to those that have not.

--- a/include/seamarch/ids.h
+++ b/include/seamarch/ids.h
@@ -61,6 +61,8 @@
 // A digest of a request's content. Requests that are identical to an upstream have the same digest,
 // but different request ids.
 using RequestDigest = StrongId<struct RequestDigestTag, std::uint64_t>;
+// A hash of the name of a prompt part, such as a system prompt or a document, that requests share.
+using PromptPartId = StrongId<struct PromptPartTag, std::uint64_t>;
 // The start time that an upstream's process reports, in Unix milliseconds by its host's clock; 0 if
 // it reports none. It distinguishes a restarted upstream from an earlier process with the same id.
 using UpstreamStart = StrongId<struct UpstreamStartTag, std::int64_t>;
--- a/src/decision/dispatch/entrycore.cpp
+++ b/src/decision/dispatch/entrycore.cpp
@@ -161,7 +161,7 @@
 
 EntryCore::Choice EntryCore::choose(const Request &request, TimePoint now)
 {
-    if (!crashes_.mayBeSent(request.original.digest, now)) {
+    if (!crashes_.mayBeSent(SuspectKey(request.original.digest), now)) {
         return {std::nullopt, FailureCode::RequestEndsUpstreams, Outcome::NotRun};
     }
     if (request.original.ticket) {
@@ -315,7 +315,7 @@
     }
     // The end of an upstream that is leaving is an intended stop, not a crash.
     if (failure == FailureCode::UpstreamEnded && members_.mayReceive(request->agent, now)) {
-        crashes_.onUpstreamCrashed(request->original.digest, request->original.account,
+        crashes_.onUpstreamCrashed(SuspectKey(request->original.digest), request->original.account,
                                    request->agent, now);
     }
     if (outcome == Outcome::Unknown) {
@@ -473,7 +473,7 @@
         return;
     }
     outliers_.onSuccess(agent);
-    crashes_.onRequestCompleted(request->original.digest, now);
+    crashes_.onRequestCompleted(SuspectKey(request->original.digest), now);
     if (request->attempts == 1) {
         retryBudget_.onSuccess();
     }
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -94,6 +94,9 @@
     added.firstSentAt = added.arrivedAt - ageEstimators_[route.name].estimateAge(request.deadline);
     added.request = std::move(request);
     added.service = chooseService(route);
+    for (const PromptPartId &part : added.request.sharedParts) {
+        added.partKeys.emplace_back(added.service, part);
+    }
     added.failAt = added.arrivedAt + longest - kAnswerMargin;
     budgets_.try_emplace(added.service, budgetShare()).first->second.onSuccess();
     if (!mayBeSent(added, now)) {
@@ -198,6 +201,8 @@
     request.upstreamRecord = upstream;
     request.group = groups_.groupOf(upstream);
     request.hasEvents = false;
+    request.partsAnswered = false;
+    request.succeeds = false;
     request.attemptStartedAt = now;
     request.progressAt = now;
     request.tried.insert(*chosen);
@@ -283,11 +288,12 @@
         recordPace(*request, now);
         request->progressAt = now;
         request->attemptHasHead = true;
+        request->succeeds = true;
         request->headSent = true;
         return true;
     }
     if (kind == AnswerKind::Failure) {
-        crashes_.onRequestCompleted(request->request.digest, now);
+        crashes_.onRequestCompleted(SuspectKey(request->request.digest), now);
     }
     if (kind == AnswerKind::Failure || kind == AnswerKind::Invalid) {
         chooser_.onFailure(upstream, now);
@@ -331,7 +337,10 @@
     const GroupId group = request->group;
     detachUpstream(*request);
     if (end == AttemptEnd::Complete && attemptHasHead) {
-        crashes_.onRequestCompleted(request->request.digest, now);
+        crashes_.onRequestCompleted(SuspectKey(request->request.digest), now);
+        if (request->succeeds) {
+            recordPartsAnswered(*request, now);
+        }
         endRequest(number);
         return;
     }
@@ -390,16 +399,15 @@
     } else if (request.mayHaveRun) {
         const FailureCode reported =
             failure == FailureCode::NoUpstream ? FailureCode::UpstreamFailed : failure;
-        actions.push_back(RejectRequest{number, reported, Outcome::Unknown, {}});
-    } else if (!mayBeSent(request, now)) {
-        // This request has not run, but a retry would be rejected as well: no retry delay.
         actions.push_back(
-            RejectRequest{number, FailureCode::RequestEndsUpstreams, Outcome::NotRun, {}});
+            RejectRequest{number, reported, Outcome::Unknown, {}, 0, std::nullopt, 0});
+    } else if (!mayBeSent(request, now)) {
+        actions.push_back(rejectionOfSuspect(number, request, now));
     } else {
         const bool regions = failure == FailureCode::NoUpstreamInRegions;
         actions.push_back(RejectRequest{number, regions ? failure : FailureCode::NoUpstream,
                                         Outcome::NotRun, retryAfterFor(request, now),
-                                        request.displacedBy});
+                                        request.displacedBy, std::nullopt, 0});
     }
     endRequest(number);
 }
@@ -430,18 +438,66 @@
 
 bool GatewayCore::mayBeSent(const Request &request, TimePoint now) const
 {
-    return crashes_.mayBeSent(request.request.digest, now);
+    return crashes_.mayBeSent(SuspectKey(request.request.digest), now)
+           && std::all_of(request.partKeys.begin(), request.partKeys.end(),
+                          [&](const SuspectKey &part) { return crashes_.mayBeSent(part, now); });
+}
+
+// Returns the rejection of a request that has not run. A retry would be rejected as well, so it
+// states no retry delay.
+RejectRequest GatewayCore::rejectionOfSuspect(RequestNumber number, const Request &request,
+                                              TimePoint now) const
+{
+    RejectRequest rejection{
+        number, FailureCode::RequestEndsUpstreams, Outcome::NotRun, {}, 0, std::nullopt, 0};
+    SuspectKey cause(request.request.digest);
+    for (std::size_t part = 0; part < request.partKeys.size(); ++part) {
+        if (!crashes_.mayBeSent(request.partKeys[part], now)) {
+            rejection.crashingPart = part;
+            cause = request.partKeys[part];
+            break;
+        }
+    }
+    rejection.crashes = crashes_.crashCount(cause);
+    return rejection;
+}
+
+void GatewayCore::recordPartsAnswered(Request &request, TimePoint now)
+{
+    request.partsAnswered = true;
+    for (const SuspectKey &part : request.partKeys) {
+        crashes_.onPartAnswered(part, now);
+    }
+}
+
+std::vector<SuspectKey> GatewayCore::crashSuspects(RequestNumber number) const
+{
+    const auto found = requests_.find(number);
+    if (found == requests_.end()) {
+        return {};
+    }
+    const Request &request = found->second;
+    std::vector<SuspectKey> suspects{SuspectKey(request.request.digest)};
+    // The head of a stream shows that its answer has begun; other answers come as a whole.
+    const bool hasBegun = !request.request.route->streamed || request.attemptHasHead;
+    if (hasBegun && !request.partsAnswered) {
+        suspects.insert(suspects.end(), request.partKeys.begin(), request.partKeys.end());
+    }
+    return suspects;
 }
 
-void GatewayCore::onUpstreamEnded(const RequestDigest &digest, const AccountId &account,
+void GatewayCore::onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
                                   const InstanceId &upstream, TimePoint at, TimePoint now,
                                   GatewayActions &actions)
 {
     // An upstream that is leaving, or that the store no longer lists, ends as planned.
-    if (upstreams_.isActive(upstream)) {
-        crashes_.onUpstreamCrashed(digest, account, upstream, at);
-        giveUpSuspects(now, actions);
+    if (!upstreams_.isActive(upstream)) {
+        return;
+    }
+    for (const SuspectKey &suspect : suspects) {
+        crashes_.onUpstreamCrashed(suspect, account, upstream, at);
     }
+    giveUpSuspects(now, actions);
 }
 
 // Fails requests that must not be sent any more, whether queued or in progress. An upstream that
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -14,8 +14,9 @@
 // timeout). After half of that time a repeatable request fails over to another upstream, in a group
 // that makes progress.
 //
-// A request during which several upstreams have crashed in turn is not sent any more, in any state:
-// new, queued, or about to fail over (CrashRecord).
+// A request during which several upstreams have crashed in turn, or whose prompt has a part that
+// crashes upstreams, is not sent any more, in any state: new, queued, or about to fail over
+// (CrashRecord).
 //
 // Upstreams may set a rate limit for all gateways together (UpstreamLimits), and have a reduced
 // capacity while they warm up (WarmUpLimits). A request is sent to such an upstream only with a
@@ -79,10 +80,11 @@
     AccountId account;
     Urgency urgency;
     RequestSize size;
-    Duration deadline{};  // How long the caller waits, from the request's arrival.
-    Duration age{};       // Time since its arrival.
-    Residency residency;  // The regions that may serve it.
-    RequestDigest digest; // Equal for requests that are identical to an upstream.
+    Duration deadline{};                   // How long the caller waits, from the request's arrival.
+    Duration age{};                        // Time since its arrival.
+    Residency residency;                   // The regions that may serve it.
+    RequestDigest digest;                  // Equal for requests that are identical to an upstream.
+    std::vector<PromptPartId> sharedParts; // The parts of its prompt that other requests may share.
 };
 
 // The meaning of the head of an upstream's answer.
@@ -129,6 +131,10 @@
     Duration retryAfter{}; // Zero: not stated to the caller.
     // The more urgent stream for which the request was rejected from the queue; zero: none.
     RequestNumber displacedBy = 0;
+    // For `RequestEndsUpstreams`: what upstreams crashed under, and how often. The index is that of
+    // the part in `GatewayRequest::sharedParts`, or nullopt if it is the request as a whole.
+    std::optional<std::size_t> crashingPart;
+    std::size_t crashes = 0;
 };
 
 // Aborts an answer whose head was forwarded to the caller. Ends the request.
@@ -165,6 +171,9 @@
         UpstreamChooser::Settings chooser; // Hall and regions are set from the members above.
         GroupSelector::Settings selector;
         CrashRecord::Settings crashes;
+        // A stream that goes on for so long after its first event shows that the upstream has
+        // survived the beginning of its answer.
+        Duration answerProofTime = std::chrono::milliseconds(500);
         UpstreamLimits::Settings limits;
         // How long a request waits for a permit if all upstreams that it could be sent to need
         // one: about the response time of another gateway, and less than a caller's retry delay.
@@ -233,9 +242,13 @@
                    TimePoint now, GatewayActions &actions);
     // Handles the end of the current attempt's connection.
     void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
-    // Handles the end of an upstream at `at` while it ran a request. The request itself may have
-    // ended since.
-    void onUpstreamEnded(const RequestDigest &digest, const AccountId &account,
+    // Returns what may have crashed the upstream of the current attempt, if it has crashed: the
+    // request as a whole, and its prompt parts if the answer had begun but not proved them
+    // harmless. Call it before `onEnd`.
+    std::vector<SuspectKey> crashSuspects(RequestNumber request) const;
+    // Handles the end of an upstream at `at` while it ran a request with these suspects. The
+    // request itself may have ended since.
+    void onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
                          const InstanceId &upstream, TimePoint at, TimePoint now,
                          GatewayActions &actions);
     // Handles the first event of the current attempt.
@@ -285,12 +298,16 @@
         TimePoint progressAt{};       // Last sign of progress of the current attempt, or its start.
         Duration retryAfterHint{};    // Retry delay for a rejection; zero: the default.
         bool queued = false;          // In the stream queue; no attempt is in progress.
-        RequestNumber displacedBy = 0; // As in RejectRequest.
-        TimePoint permitDeadline{};    // End of the wait for a permit; zero: not waiting.
-        InstanceId upstream;           // Of the current attempt; empty if there is none.
-        UpstreamRecord upstreamRecord; // Its record at the start of the attempt.
-        GroupId group;                 // Its group at the start of the attempt.
-        bool hasEvents = false;        // The current attempt has sent an event.
+        RequestNumber displacedBy = 0;    // As in RejectRequest.
+        std::vector<SuspectKey> partKeys; // Of `request.sharedParts`, in the same order.
+        TimePoint permitDeadline{};       // End of the wait for a permit; zero: not waiting.
+        InstanceId upstream;              // Of the current attempt; empty if there is none.
+        UpstreamRecord upstreamRecord;    // Its record at the start of the attempt.
+        GroupId group;                    // Its group at the start of the attempt.
+        bool hasEvents = false;           // The current attempt has sent an event.
+        TimePoint firstEventAt{};         // Of the current attempt, if `hasEvents`.
+        bool partsAnswered = false;       // The current attempt proved its prompt parts harmless.
+        bool succeeds = false;            // The current attempt's head was that of a success.
         std::set<InstanceId> tried;
         std::uint32_t attempts = 0; // Attempts that connected, as far as is known.
         bool refusedBefore = false; // Refused by an upstream and queued again.
@@ -357,6 +374,9 @@
     void failOverSilent(TimePoint now, GatewayActions &actions);
     void failOver(RequestNumber number, TimePoint now, GatewayActions &actions);
     bool mayBeSent(const Request &request, TimePoint now) const;
+    void recordPartsAnswered(Request &request, TimePoint now);
+    RejectRequest rejectionOfSuspect(RequestNumber number, const Request &request,
+                                     TimePoint now) const;
     void giveUpSuspects(TimePoint now, GatewayActions &actions);
     Request *find(RequestNumber number);
 
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -193,6 +193,7 @@
         return;
     }
     request->hasEvents = true;
+    request->firstEventAt = now;
     request->progressAt = now;
     trackerOf(*request).onFirstEvent(now);
     Duration &average = serviceOf(request->service).meanTimeToFirstEvent;
@@ -206,6 +207,9 @@
     Request *request = find(number);
     if (request != nullptr && request->upstream != InstanceId()) {
         request->progressAt = now;
+        if (!request->partsAnswered && now - request->firstEventAt >= settings_.answerProofTime) {
+            recordPartsAnswered(*request, now);
+        }
         const RouteRule &route = *request->request.route;
         GroupTracker &tracker = trackerOf(*request);
         // Attempts fail over after a part of the silence that their caller bears.
--- a/src/decision/retry/crashrecord.cpp
+++ b/src/decision/retry/crashrecord.cpp
@@ -11,8 +11,9 @@
 // Cursors increase by one with each change. Shifting the seed leaves room for that without
 // overflow, and different seeds keep the cursors of two processes apart.
 constexpr unsigned kCursorSpareBits = 16;
-// The maximum number of crashes kept per request; more do not change the decision.
-constexpr std::size_t kMaxCrashes = 4;
+// The maximum number of crashes kept per suspect. It exceeds the thresholds because several of them
+// may be simultaneous.
+constexpr std::size_t kMaxCrashes = 8;
 
 std::uint64_t hashOf(std::string_view text)
 {
@@ -25,6 +26,7 @@
     : settings_(settings)
     , firstCursor_((settings.seed >> kCursorSpareBits) + 1)
     , cursor_(firstCursor_)
+    , answeredParts_(settings.maxAnsweredParts)
 {}
 
 void CrashRecord::setRetention(Duration retention)
@@ -83,26 +85,37 @@
 {
     byChange_.erase(entry.changedAt);
     entry.changedAt = ++cursor_;
-    byChange_.emplace(entry.changedAt, entry.suspect.digest);
+    byChange_.emplace(entry.changedAt, entry.suspect.key);
 }
 
-void CrashRecord::onUpstreamCrashed(const RequestDigest &digest, const AccountId &account,
+void CrashRecord::onUpstreamCrashed(const SuspectKey &key, const AccountId &account,
                                     const InstanceId &upstream, TimePoint at)
 {
     CrashSuspect observed;
-    observed.digest = digest;
+    observed.key = key;
     observed.account = hashOf(account.value());
     observed.crashes.push_back({hashOf(upstream.value()), at});
     merge(observed);
 }
 
-void CrashRecord::onRequestCompleted(const RequestDigest &digest, TimePoint now)
+void CrashRecord::onRequestCompleted(const SuspectKey &request, TimePoint now)
 {
-    const auto found = suspects_.find(digest);
+    clear(request, now);
+}
+
+void CrashRecord::onPartAnswered(const SuspectKey &part, TimePoint now)
+{
+    answeredParts_.record(part, now);
+    clear(part, now);
+}
+
+void CrashRecord::clear(const SuspectKey &key, TimePoint lastCompletedAt)
+{
+    const auto found = suspects_.find(key);
     if (found == suspects_.end() || found->second.suspect.crashes.empty()) {
         return;
     }
-    if (clearCrashes(found->second.suspect, now)) {
+    if (clearCrashes(found->second.suspect, lastCompletedAt)) {
         markChanged(found->second);
     }
 }
@@ -113,11 +126,13 @@
         || (suspect.crashes.empty() && !suspect.lastCompletedAt)) {
         return;
     }
-    const auto [found, isNew] = suspects_.try_emplace(suspect.digest);
+    const auto [found, isNew] = suspects_.try_emplace(suspect.key);
     Entry &entry = found->second;
     if (isNew) {
-        entry.suspect.digest = suspect.digest;
+        entry.suspect.key = suspect.key;
         entry.suspect.account = suspect.account;
+        // Other gateways may not have sent requests with this part before.
+        entry.suspect.lastCompletedAt = answeredParts_.lastAnsweredAt(suspect.key);
     }
     bool changed = isNew;
     if (suspect.lastCompletedAt && clearCrashes(entry.suspect, *suspect.lastCompletedAt)) {
@@ -141,7 +156,7 @@
     std::unordered_map<std::uint64_t, std::size_t> counts;
     std::uint64_t account = 0;
     std::size_t most = 0;
-    for (const auto &[digest, entry] : suspects_) {
+    for (const auto &[key, entry] : suspects_) {
         const std::size_t count = ++counts[entry.suspect.account];
         if (count > most) {
             most = count;
@@ -152,7 +167,7 @@
     const auto rank = [](const Entry &entry) {
         return std::pair(entry.suspect.crashes.size(), entry.changedAt);
     };
-    for (const auto &[digest, entry] : suspects_) {
+    for (const auto &[key, entry] : suspects_) {
         const bool fits = entry.suspect.account == account;
         if (fits && (least == nullptr || rank(entry) < rank(*least))) {
             least = &entry;
@@ -160,7 +175,7 @@
     }
     if (least != nullptr) {
         byChange_.erase(least->changedAt);
-        suspects_.erase(RequestDigest(least->suspect.digest));
+        suspects_.erase(SuspectKey(least->suspect.key));
     }
 }
 
@@ -183,40 +198,99 @@
     }
 }
 
-// Returns whether another request was present at all crashes of this one.
-bool CrashRecord::sharesAllCrashes(const CrashSuspect &suspect) const
+bool CrashRecord::wasPresentAt(const CrashSuspect &suspect, const UpstreamCrash &crash) const
+{
+    return std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                       [&](const UpstreamCrash &other) { return isSameCrash(other, crash); });
+}
+
+// Returns whether another suspect of `kind` was present at all crashes of this one. Parts that were
+// answered before are no alternative to one that was not.
+bool CrashRecord::sharesAllCrashes(const CrashSuspect &suspect, SuspectKind kind) const
 {
     return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &other) {
         const CrashSuspect &candidate = other.second.suspect;
-        const auto wasPresentAt = [&](const UpstreamCrash &crash) {
-            return std::any_of(candidate.crashes.begin(), candidate.crashes.end(),
-                               [&](const UpstreamCrash &candidateCrash) {
-                                   return isSameCrash(candidateCrash, crash);
-                               });
-        };
-        return candidate.digest != suspect.digest
-               && std::all_of(suspect.crashes.begin(), suspect.crashes.end(), wasPresentAt);
+        const bool isAlternative = candidate.key.kind == kind && candidate.key != suspect.key
+                                   && (kind == SuspectKind::Request || !candidate.lastCompletedAt);
+        return isAlternative
+               && std::all_of(
+                   suspect.crashes.begin(), suspect.crashes.end(),
+                   [&](const UpstreamCrash &crash) { return wasPresentAt(candidate, crash); });
     });
 }
 
-bool CrashRecord::mayBeSent(const RequestDigest &digest, TimePoint now) const
+// Returns whether a request or a new part that was present at several crashes explains one of a
+// part that was answered before.
+bool CrashRecord::isExplained(const CrashSuspect &part, const UpstreamCrash &crash) const
+{
+    return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &other) {
+        const CrashSuspect &candidate = other.second.suspect;
+        const bool mayExplain =
+            candidate.key != part.key
+            && (candidate.key.kind == SuspectKind::Request || !candidate.lastCompletedAt);
+        return mayExplain && candidate.crashes.size() >= settings_.suspectThreshold
+               && wasPresentAt(candidate, crash);
+    });
+}
+
+// Returns the number of crashes of a part that nothing else explains. Simultaneous ones count as
+// one.
+std::size_t CrashRecord::countUnexplained(const CrashSuspect &part) const
+{
+    std::size_t count = 0;
+    std::optional<TimePoint> lastAt;
+    for (const UpstreamCrash &crash : part.crashes) {
+        const bool isSimultaneous = lastAt && crash.at - *lastAt <= settings_.simultaneousWindow;
+        if (isSimultaneous || (part.lastCompletedAt && isExplained(part, crash))) {
+            continue;
+        }
+        lastAt = crash.at;
+        ++count;
+    }
+    return count;
+}
+
+bool CrashRecord::isRecent(const CrashSuspect &suspect, TimePoint now) const
+{
+    return now - suspect.crashes.back().at <= settings_.suspicionDuration;
+}
+
+bool CrashRecord::requestMayBeSent(const CrashSuspect &request, TimePoint now) const
+{
+    if (request.crashes.size() >= settings_.blockThreshold) {
+        return false;
+    }
+    return request.crashes.size() < settings_.suspectThreshold || !isRecent(request, now)
+           || sharesAllCrashes(request, SuspectKind::Request);
+}
+
+bool CrashRecord::partMayBeSent(const CrashSuspect &part, TimePoint now) const
 {
-    const auto found = suspects_.find(digest);
+    if (part.crashes.size() < settings_.suspectThreshold) {
+        return true;
+    }
+    const std::size_t count = countUnexplained(part);
+    if (count >= settings_.blockThreshold) {
+        return sharesAllCrashes(part, SuspectKind::Request);
+    }
+    return part.lastCompletedAt || count < settings_.suspectThreshold || !isRecent(part, now)
+           || sharesAllCrashes(part, SuspectKind::PromptPart);
+}
+
+bool CrashRecord::mayBeSent(const SuspectKey &key, TimePoint now) const
+{
+    const auto found = suspects_.find(key);
     if (found == suspects_.end()) {
         return true;
     }
     const CrashSuspect &suspect = found->second.suspect;
-    if (suspect.crashes.size() >= settings_.blockThreshold) {
-        return false;
-    }
-    const bool suspected = suspect.crashes.size() >= settings_.suspectThreshold
-                           && now - suspect.crashes.back().at <= settings_.suspicionDuration;
-    return !suspected || sharesAllCrashes(suspect);
+    return key.kind == SuspectKind::Request ? requestMayBeSent(suspect, now)
+                                            : partMayBeSent(suspect, now);
 }
 
-std::size_t CrashRecord::crashCount(const RequestDigest &digest) const
+std::size_t CrashRecord::crashCount(const SuspectKey &key) const
 {
-    const auto found = suspects_.find(digest);
+    const auto found = suspects_.find(key);
     return found == suspects_.end() ? 0 : found->second.suspect.crashes.size();
 }
 
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -390,7 +390,7 @@
         logLine(LogLevel::Warning, "request.stopped",
                 {{"digest", fmt::format("{:016x}", active.request.digest.value())},
                  {"account", active.request.account.value()},
-                 {"ends", core_.crashes().crashCount(active.request.digest)}});
+                 {"ends", core_.crashes().crashCount(SuspectKey(active.request.digest))}});
     }
     if (active.headSent) {
         abortStream(active, action.failure, action.outcome);
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -197,6 +197,7 @@
     active.metadata = std::move(metadata);
     admitted->age = loop_.now() - arrivedAt;
     admitted->digest = digestOf(active.request, admitted->account);
+    admitted->sharedParts = promptPartIds(active.metadata.sharedPromptParts);
     active.admitted = *admitted;
     active.startedAt = arrivedAt;
     GatewayActions actions;
@@ -270,12 +271,13 @@
     }
     const ActiveRequest &active = found->second;
     if (action.failure == FailureCode::RequestEndsUpstreams) {
-        const RequestDigest &digest = active.admitted.digest;
+        const auto &parts = active.metadata.sharedPromptParts;
         logLine(LogLevel::Warning, "request.stopped",
                 {{"id", active.metadata.requestId},
-                 {"digest", toText(digest)},
+                 {"digest", toText(active.admitted.digest)},
+                 {"part", action.crashingPart ? json(parts.at(*action.crashingPart)) : json()},
                  {"account", active.admitted.account.value()},
-                 {"ends", core_.crashes().crashCount(digest)}});
+                 {"ends", action.crashes}});
     }
     if (action.displacedBy != 0) {
         logDisplaced(active, action);
@@ -408,7 +410,8 @@
     return true;
 }
 
-// Lists the requests under which upstreams have ended, those with the most ends first.
+// Lists the requests and prompt parts under which upstreams have ended, those with the most ends
+// first.
 json GatewayService::suspectsStatus() const
 {
     constexpr std::size_t kMaxSuspectsShown = 20;
@@ -421,10 +424,12 @@
     const TimePoint now = loop_.now();
     json shown = json::array();
     for (const CrashSuspect &suspect : all) {
-        shown.push_back({{"digest", toText(suspect.digest)},
+        const bool isPart = suspect.key.kind == SuspectKind::PromptPart;
+        shown.push_back({{"kind", isPart ? "prompt part" : "request"},
+                         {"digest", toText(RequestDigest(suspect.key.value))},
                          {"ends", suspect.crashes.size()},
                          {"lastMsAgo", toMillis(now - suspect.crashes.back().at)},
-                         {"stopped", !core_.crashes().mayBeSent(suspect.digest, now)}});
+                         {"stopped", !core_.crashes().mayBeSent(suspect.key, now)}});
     }
     return shown;
 }
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -116,6 +116,7 @@
     {
         std::string requestId;
         RequestDigest digest;
+        std::vector<SuspectKey> suspects;
         AccountId account;
         InstanceId upstream;
         TimePoint at{};
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -355,6 +355,7 @@
 {
     LostAttempt lost{active.metadata.requestId,
                      active.admitted.digest,
+                     core_.crashSuspects(number),
                      active.admitted.account,
                      active.upstream,
                      loop_.now(),
@@ -375,7 +376,7 @@
                  {"ms", toMillis(loop_.now() - lost.at)}});
         if (state == UpstreamProbeResult::Ended) {
             GatewayActions actions;
-            core_.onUpstreamEnded(lost.digest, lost.account, lost.upstream, lost.at, loop_.now(),
+            core_.onUpstreamEnded(lost.suspects, lost.account, lost.upstream, lost.at, loop_.now(),
                                   actions);
             carryOut(actions);
         }
--- a/src/gateway/requestdigest.cpp
+++ b/src/gateway/requestdigest.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 namespace seamarch {
 
@@ -12,6 +13,16 @@
         {request.method, request.header("host"), request.target, account.value(), request.body}));
 }
 
+std::vector<PromptPartId> promptPartIds(const std::vector<std::string> &parts)
+{
+    std::vector<PromptPartId> ids;
+    ids.reserve(parts.size());
+    for (const std::string &part : parts) {
+        ids.emplace_back(XXH3_64bits(part.data(), part.size()));
+    }
+    return ids;
+}
+
 std::string toText(const RequestDigest &digest)
 {
     return fmt::format("{:016x}", digest.value());
--- a/src/net/crashwire.cpp
+++ b/src/net/crashwire.cpp
@@ -4,7 +4,8 @@
 
 void writeSuspect(const CrashSuspect &suspect, TimePoint now, wire::CrashSuspect::Builder to)
 {
-    to.setDigest(suspect.digest.value());
+    to.setKind(static_cast<std::uint8_t>(suspect.key.kind));
+    to.setDigest(suspect.key.value);
     to.setAccount(suspect.account);
     auto ends = to.initEnds(static_cast<std::uint32_t>(suspect.crashes.size()));
     for (std::uint32_t index = 0; index < ends.size(); ++index) {
@@ -20,7 +21,7 @@
 CrashSuspect readSuspect(wire::CrashSuspect::Reader from, TimePoint referenceTime)
 {
     CrashSuspect suspect;
-    suspect.digest = RequestDigest(from.getDigest());
+    suspect.key = SuspectKey(static_cast<SuspectKind>(from.getKind()), from.getDigest());
     suspect.account = from.getAccount();
     for (const auto &end : from.getEnds()) {
         suspect.crashes.push_back(
@@ -37,7 +38,9 @@
 {
     const std::uint64_t before = record.cursor();
     for (const auto &suspect : from) {
-        record.merge(readSuspect(suspect, referenceTime));
+        if (suspect.getKind() <= static_cast<std::uint8_t>(SuspectKind::PromptPart)) {
+            record.merge(readSuspect(suspect, referenceTime));
+        }
     }
     return record.cursor() - before;
 }
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -259,13 +259,15 @@
   microsAgo @1 :Int64;       # The age of the crash when the message was sent.
 }
 
-# A request that was running on upstreams when they crashed.
+# A request that was running on upstreams when they crashed, or a prompt part of such requests.
 struct CrashSuspect {
-  digest @0 :UInt64;         # Equal for requests that are identical to an upstream.
+  digest @0 :UInt64;         # Equal for requests that are identical to an upstream, or that have
+                             # this prompt part.
   account @1 :UInt64;        # A hash of the client account's id.
   ends @2 :List(UpstreamEnd);
   survived @3 :Bool;         # An upstream has completed it, successfully or not.
   survivedMicrosAgo @4 :Int64;  # The age of that when the message was sent.
+  kind @5 :UInt8;            # 0: a request, 1: a prompt part. Receivers skip other kinds.
 }
 
 # The request rate that an upstream accepts from all gateways together.
--- a/test/decision/dispatch/entrycrash_test.cpp
+++ b/test/decision/dispatch/entrycrash_test.cpp
@@ -101,13 +101,13 @@
 TEST(EntryCrashTest, CompleteAnswerClearsTheRecord)
 {
     endUpstreamOf(begin(false, 0), 100);
-    LONGS_EQUAL(1, core->crashes().crashCount(kCrashingRequest));
+    LONGS_EQUAL(1, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
     actions.clear();
     const RequestId id = begin(false, 200);
     const InstanceId agent = sentTo();
     CHECK_TRUE(core->onAnswer(id, agent));
     core->onComplete(id, agent, at(300));
-    LONGS_EQUAL(0, core->crashes().crashCount(kCrashingRequest));
+    LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
 }
 
 TEST(EntryCrashTest, EndOfLeavingUpstreamIsNotCounted)
@@ -119,12 +119,12 @@
     list.version = ListVersion(2);
     core->applyList(list);
     endUpstreamOf(id, 100);
-    LONGS_EQUAL(0, core->crashes().crashCount(kCrashingRequest));
+    LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
 }
 
 TEST(EntryCrashTest, LostConnectionIsNotCounted)
 {
     const RequestId id = begin(false, 0);
     core->onConnectionLost(id, at(100), actions);
-    LONGS_EQUAL(0, core->crashes().crashCount(kCrashingRequest));
+    LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
 }
--- a/test/decision/gateway/suspectrequest_test.cpp
+++ b/test/decision/gateway/suspectrequest_test.cpp
@@ -20,6 +20,8 @@
 
 const RequestDigest kPoison(7);
 const RequestDigest kHarmless(8);
+const PromptPartId kPoisonPart(70);
+const PromptPartId kCommonPart(71);
 const AccountId kAccount("bids");
 
 enum class Kind { AtMostOnce, Repeatable, Stream };
@@ -31,6 +33,8 @@
     GatewayCore::Settings settings;
     std::unique_ptr<GatewayCore> core;
     GatewayActions actions;
+    std::vector<PromptPartId> sharedParts;
+    std::uint64_t lastDigest = 1000;
 
     void setup() override
     {
@@ -53,6 +57,15 @@
         return record;
     }
 
+    // Begins a request that differs from all others and whose prompt has these shared parts.
+    RequestNumber beginWithParts(Kind kind, std::vector<PromptPartId> parts, int now = 0)
+    {
+        sharedParts = std::move(parts);
+        const RequestNumber number = begin(kind, RequestDigest(++lastDigest), now);
+        sharedParts.clear();
+        return number;
+    }
+
     RequestNumber begin(Kind kind, RequestDigest digest = kPoison, int now = 0)
     {
         RouteRule route;
@@ -74,6 +87,7 @@
         request.account = kAccount;
         request.deadline = std::chrono::seconds(8);
         request.digest = digest;
+        request.sharedParts = sharedParts;
         return core->begin(request, at(now), actions);
     }
 
@@ -93,14 +107,28 @@
     void crashUnder(RequestNumber number, int now, RequestDigest digest = kPoison)
     {
         const InstanceId upstream = last<StartAttempt>()->upstream.id;
-        core->onUpstreamEnded(digest, kAccount, upstream, at(now), at(now), actions);
+        core->onUpstreamEnded({SuspectKey(digest)}, kAccount, upstream, at(now), at(now), actions);
+        core->onEnd(number, AttemptEnd::Lost, at(now), actions);
+    }
+
+    // Ends the upstream of a request that `crashSuspects` still knows.
+    void crashAt(RequestNumber number, int now)
+    {
+        const InstanceId upstream = last<StartAttempt>()->upstream.id;
+        core->onUpstreamEnded(core->crashSuspects(number), kAccount, upstream, at(now), at(now),
+                              actions);
         core->onEnd(number, AttemptEnd::Lost, at(now), actions);
     }
 
+    bool partAllowed(const PromptPartId &part, int now) const
+    {
+        return core->crashes().mayBeSent(SuspectKey(TargetName("service"), part), at(now));
+    }
+
     void recordCrashes(int count)
     {
         for (int index = 0; index < count; ++index) {
-            core->crashes().onUpstreamCrashed(kPoison, kAccount,
+            core->crashes().onUpstreamCrashed(SuspectKey(kPoison), kAccount,
                                               InstanceId("elsewhere-" + std::to_string(index)),
                                               at(-1000 + index));
         }
@@ -180,7 +208,7 @@
     core->onTick(at(30), actions);
     LONGS_EQUAL(1, core->inFlight());
     core->onEnd(number, AttemptEnd::Complete, at(900), actions);
-    CHECK_TRUE(core->crashes().mayBeSent(kPoison, at(901)));
+    CHECK_TRUE(core->crashes().mayBeSent(SuspectKey(kPoison), at(901)));
 }
 
 TEST(SuspectRequestTest, FailureWithoutACrashClearsTheRequest)
@@ -189,7 +217,7 @@
     const RequestNumber number = begin(Kind::AtMostOnce);
     core->onHead(number, AnswerKind::Failure, at(20), actions);
     core->onEnd(number, AttemptEnd::Complete, at(20), actions);
-    LONGS_EQUAL(0, core->crashes().crashCount(kPoison));
+    LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kPoison)));
 }
 
 TEST(SuspectRequestTest, RefusalDoesNotClearTheRequest)
@@ -197,7 +225,7 @@
     recordCrashes(1);
     const RequestNumber number = begin(Kind::AtMostOnce);
     core->onHead(number, AnswerKind::Full, at(20), actions);
-    LONGS_EQUAL(1, core->crashes().crashCount(kPoison));
+    LONGS_EQUAL(1, core->crashes().crashCount(SuspectKey(kPoison)));
 }
 
 // A planned end is not a crash.
@@ -208,7 +236,7 @@
     leaving.leaving = true;
     core->upstreams().put(leaving);
     crashUnder(number, 50);
-    LONGS_EQUAL(0, core->crashes().crashCount(kPoison));
+    LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kPoison)));
 }
 
 // The gateway learns of the crash after the caller has disconnected.
@@ -217,8 +245,8 @@
     const RequestNumber number = begin(Kind::Repeatable);
     const InstanceId upstream = last<StartAttempt>()->upstream.id;
     core->onCallerGone(number, actions);
-    core->onUpstreamEnded(kPoison, kAccount, upstream, at(50), at(52), actions);
-    LONGS_EQUAL(1, core->crashes().crashCount(kPoison));
+    core->onUpstreamEnded({SuspectKey(kPoison)}, kAccount, upstream, at(50), at(52), actions);
+    LONGS_EQUAL(1, core->crashes().crashCount(SuspectKey(kPoison)));
 }
 
 TEST(SuspectRequestTest, QueuedSuspectIsRejectedOnceCrashesAreReported)
@@ -256,7 +284,8 @@
                     const UpstreamRecord ended = last<StartAttempt>()->upstream;
                     ++ends;
                     actions.clear();
-                    core->onUpstreamEnded(digest, kAccount, ended.id, at(now), at(now), actions);
+                    core->onUpstreamEnded({SuspectKey(digest)}, kAccount, ended.id, at(now),
+                                          at(now), actions);
                     core->upstreams().remove(ended.id, at(now));
                     core->upstreams().put(record(std::to_string(now + ends).c_str()));
                     core->onEnd(number, AttemptEnd::Lost, at(now), actions);
@@ -274,10 +303,95 @@
 TEST(SuspectRequestTest, SuspectIsNotFailedOverFromASilentUpstream)
 {
     begin(Kind::Repeatable);
-    core->crashes().onUpstreamCrashed(kPoison, kAccount, InstanceId("a"), at(100));
-    core->crashes().onUpstreamCrashed(kPoison, kAccount, InstanceId("b"), at(200));
+    core->crashes().onUpstreamCrashed(SuspectKey(kPoison), kAccount, InstanceId("a"), at(100));
+    core->crashes().onUpstreamCrashed(SuspectKey(kPoison), kAccount, InstanceId("b"), at(200));
     actions.clear();
     core->onTick(at(300), actions);
     core->onTick(at(7900), actions);
     LONGS_EQUAL(0, sent());
 }
+
+// No two requests are alike; the part that they share crashes each upstream that begins to answer.
+TEST(SuspectRequestTest, RequestsWithACrashingPartAreRejected)
+{
+    for (const Kind kind : {Kind::AtMostOnce, Kind::Repeatable, Kind::Stream}) {
+        setup();
+        for (const int now : {0, 5000}) {
+            const RequestNumber number = beginWithParts(kind, {kCommonPart, kPoisonPart}, now);
+            if (kind == Kind::Stream) {
+                core->onHead(number, AnswerKind::Success, at(now + 20), actions);
+            }
+            crashAt(number, now + 50);
+            core->onCallerGone(number, actions);
+            const RequestNumber sound = beginWithParts(kind, {kCommonPart}, now + 100);
+            core->onHead(sound, AnswerKind::Success, at(now + 120), actions);
+            core->onEnd(sound, AttemptEnd::Complete, at(now + 200), actions);
+        }
+        actions.clear();
+        beginWithParts(kind, {kCommonPart, kPoisonPart}, 5300);
+        LONGS_EQUAL(0, sent());
+        const auto *rejection = last<RejectRequest>();
+        CHECK_TRUE(rejection != nullptr && rejection->failure == FailureCode::RequestEndsUpstreams);
+        LONGS_EQUAL(1, *rejection->crashingPart);
+        beginWithParts(kind, {kCommonPart}, 5300);
+        LONGS_EQUAL(1, sent());
+    }
+}
+
+TEST(SuspectRequestTest, QueuedRequestIsRejectedOnceItsPartIsKnownToCrash)
+{
+    while (core->queuedStreams(TargetName("service")) == 0) {
+        beginWithParts(Kind::Stream, {kPoisonPart});
+    }
+    for (const int now : {100, 5000}) {
+        core->crashes().onUpstreamCrashed(SuspectKey(TargetName("service"), kPoisonPart), kAccount,
+                                          InstanceId(std::to_string(now)), at(now));
+    }
+    core->onTick(at(5030), actions);
+    LONGS_EQUAL(0, core->inFlight());
+}
+
+TEST(SuspectRequestTest, StreamThatHasNotBegunIsNoSuspectForItsParts)
+{
+    const RequestNumber number = beginWithParts(Kind::Stream, {kPoisonPart});
+    LONGS_EQUAL(1, core->crashSuspects(number).size());
+    core->onHead(number, AnswerKind::Success, at(20), actions);
+    LONGS_EQUAL(2, core->crashSuspects(number).size());
+}
+
+TEST(SuspectRequestTest, StreamThatGoesOnClearsItsParts)
+{
+    const RequestNumber number = beginWithParts(Kind::Stream, {kCommonPart});
+    core->onHead(number, AnswerKind::Success, at(20), actions);
+    core->onFirstEvent(number, at(30));
+    for (const int now : {100, 5000}) {
+        core->crashes().onUpstreamCrashed(SuspectKey(TargetName("service"), kCommonPart), kAccount,
+                                          InstanceId(std::to_string(now)), at(now));
+    }
+    CHECK_FALSE(partAllowed(kCommonPart, 5010));
+    core->onPause(number, std::chrono::milliseconds(4990), at(5020));
+    CHECK_TRUE(partAllowed(kCommonPart, 5020));
+    LONGS_EQUAL(1, core->crashSuspects(number).size());
+}
+
+// The first events may still arrive just before the crash.
+TEST(SuspectRequestTest, StreamThatHasJustBegunDoesNotClearItsParts)
+{
+    const RequestNumber number = beginWithParts(Kind::Stream, {kPoisonPart});
+    core->onHead(number, AnswerKind::Success, at(20), actions);
+    core->onFirstEvent(number, at(30));
+    core->onPause(number, std::chrono::milliseconds(40), at(70));
+    LONGS_EQUAL(2, core->crashSuspects(number).size());
+}
+
+TEST(SuspectRequestTest, FailureOfTheUpstreamDoesNotClearItsParts)
+{
+    const RequestNumber number = beginWithParts(Kind::AtMostOnce, {kPoisonPart});
+    core->onHead(number, AnswerKind::Failure, at(20), actions);
+    core->onEnd(number, AttemptEnd::Complete, at(20), actions);
+    for (const int now : {100, 5000}) {
+        core->crashes().onUpstreamCrashed(SuspectKey(TargetName("service"), kPoisonPart), kAccount,
+                                          InstanceId(std::to_string(now)), at(now));
+    }
+    CHECK_FALSE(partAllowed(kPoisonPart, 5010));
+}
--- a/test/decision/retry/crashrecord_test.cpp
+++ b/test/decision/retry/crashrecord_test.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 using namespace seamarch;
 
@@ -18,9 +19,14 @@
     return TimePoint(fromSeconds(seconds));
 }
 
-RequestDigest request(std::uint64_t number)
+SuspectKey request(std::uint64_t number)
 {
-    return RequestDigest(number);
+    return SuspectKey(RequestDigest(number));
+}
+
+SuspectKey part(std::uint64_t number)
+{
+    return SuspectKey(TargetName("model"), PromptPartId(number));
 }
 
 InstanceId upstream(std::uint64_t number)
@@ -29,6 +35,9 @@
 }
 
 const AccountId kAccount("bids");
+constexpr std::uint64_t kCommon = 1;     // A prompt part that all requests have.
+constexpr std::uint64_t kPoisonPart = 2; // A prompt part that crashes upstreams.
+constexpr std::uint64_t kOther = 3;      // A prompt part that some requests have.
 
 // Merges all entries of `from` into `to`.
 void mergeInto(const CrashRecord &from, CrashRecord &to)
@@ -54,6 +63,19 @@
     {
         return record.mayBeSent(request(digest), at(seconds));
     }
+
+    void crashParts(const std::vector<std::uint64_t> &parts, std::uint64_t upstreamNumber,
+                    double seconds)
+    {
+        for (const std::uint64_t each : parts) {
+            record.onUpstreamCrashed(part(each), kAccount, upstream(upstreamNumber), at(seconds));
+        }
+    }
+
+    bool partAllowed(std::uint64_t number, double seconds)
+    {
+        return record.mayBeSent(part(number), at(seconds));
+    }
 };
 
 TEST(CrashRecordTest, AllowsUnknownRequest)
@@ -231,6 +253,126 @@
     CHECK_FALSE(allowed(1, 21));
 }
 
+// No two of the requests are alike, so only the part they share identifies the cause.
+TEST(CrashRecordTest, BlocksNewPartAfterTwoCrashesOfDifferentRequests)
+{
+    record.onPartAnswered(part(kCommon), at(0));
+    crash(1, 1, 10);
+    crashParts({kCommon, kPoisonPart}, 1, 10);
+    CHECK_TRUE(partAllowed(kPoisonPart, 11));
+    crash(2, 2, 14);
+    crashParts({kCommon, kPoisonPart}, 2, 14);
+    CHECK_FALSE(partAllowed(kPoisonPart, 14.1));
+    CHECK_TRUE(partAllowed(kCommon, 14.1));
+    CHECK_TRUE(allowed(1, 14.1));
+}
+
+TEST(CrashRecordTest, BlocksNewPartForLongAfterThreeCrashes)
+{
+    for (const std::uint64_t number : {1, 2, 3}) {
+        crashParts({kPoisonPart}, number, 4.0 * static_cast<double>(number));
+    }
+    CHECK_FALSE(partAllowed(kPoisonPart, 3600));
+    record.expire(at(3700));
+    CHECK_TRUE(partAllowed(kPoisonPart, 3700));
+}
+
+// The group stops with each crash, so there may be no answer between two of them.
+TEST(CrashRecordTest, PartOfAllRequestsIsAllowedHoweverManyCrashes)
+{
+    record.onPartAnswered(part(kCommon), at(0));
+    for (std::uint64_t number = 1; number <= 20; ++number) {
+        const double seconds = 4.0 * static_cast<double>(number);
+        crashParts({kCommon, kPoisonPart}, 2 * number, seconds);
+        crashParts({kCommon, kPoisonPart}, 2 * number + 1, seconds + 0.03);
+        CHECK_TRUE(partAllowed(kCommon, seconds + 0.1));
+    }
+    CHECK_FALSE(partAllowed(kPoisonPart, 81));
+}
+
+TEST(CrashRecordTest, AnswerClearsPart)
+{
+    crashParts({kCommon}, 1, 0);
+    crashParts({kCommon}, 2, 4);
+    CHECK_FALSE(partAllowed(kCommon, 4.1));
+    record.onPartAnswered(part(kCommon), at(5));
+    CHECK_TRUE(partAllowed(kCommon, 5));
+    LONGS_EQUAL(0, record.crashCount(part(kCommon)));
+}
+
+// An answer before a crash does not clear the part of that crash: the software may have changed.
+TEST(CrashRecordTest, AnsweredPartIsBlockedAfterThreeUnexplainedCrashes)
+{
+    record.onPartAnswered(part(kCommon), at(0));
+    crashParts({kCommon}, 1, 10);
+    crashParts({kCommon}, 2, 14);
+    CHECK_TRUE(partAllowed(kCommon, 14.1));
+    crashParts({kCommon}, 3, 18);
+    CHECK_FALSE(partAllowed(kCommon, 18.1));
+}
+
+TEST(CrashRecordTest, PartIsAllowedIfARequestExplainsAllItsCrashes)
+{
+    for (const std::uint64_t number : {1, 2, 3}) {
+        const double seconds = 4.0 * static_cast<double>(number);
+        crash(1, number, seconds);
+        crashParts({kCommon, kOther}, number, seconds);
+    }
+    CHECK_FALSE(allowed(1, 13));
+    CHECK_TRUE(partAllowed(kCommon, 13));
+    CHECK_TRUE(partAllowed(kOther, 13));
+}
+
+TEST(CrashRecordTest, ThirdCrashDistinguishesNewPartsThatShareTwo)
+{
+    crashParts({kOther, kPoisonPart}, 1, 0);
+    crashParts({kOther, kPoisonPart}, 2, 4);
+    CHECK_TRUE(partAllowed(kOther, 4.1));
+    CHECK_TRUE(partAllowed(kPoisonPart, 4.1));
+    crashParts({kPoisonPart}, 3, 8);
+    CHECK_TRUE(partAllowed(kOther, 8.1));
+    CHECK_FALSE(partAllowed(kPoisonPart, 8.1));
+}
+
+TEST(CrashRecordTest, UpstreamsKilledTogetherCountOnceAgainstAPart)
+{
+    for (std::uint64_t number = 1; number <= 12; ++number) {
+        crashParts({kCommon}, number, 10.0 + 0.01 * static_cast<double>(number));
+    }
+    CHECK_TRUE(partAllowed(kCommon, 10.2));
+}
+
+// The gateway that saw the crash has not sent requests with the part before; another one has.
+TEST(CrashRecordTest, LearnsFromPeersThatAPartWasAnswered)
+{
+    CrashRecord other(settings);
+    other.onPartAnswered(part(kCommon), at(0));
+    crashParts({kCommon}, 1, 10);
+    crashParts({kCommon}, 2, 14);
+    CHECK_FALSE(partAllowed(kCommon, 14.1));
+    mergeInto(record, other);
+    mergeInto(other, record);
+    CHECK_TRUE(partAllowed(kCommon, 14.2));
+}
+
+TEST(CrashRecordTest, PartOfAnotherServiceIsAllowed)
+{
+    for (const std::uint64_t number : {1, 2, 3}) {
+        crashParts({kPoisonPart}, number, 4.0 * static_cast<double>(number));
+    }
+    const SuspectKey elsewhere(TargetName("another model"), PromptPartId(kPoisonPart));
+    CHECK_TRUE(record.mayBeSent(elsewhere, at(13)));
+}
+
+TEST(CrashRecordTest, RequestAndPartWithTheSameHashAreDistinct)
+{
+    const SuspectKey poison = part(kPoisonPart);
+    for (const std::uint64_t number : {1, 2, 3}) {
+        crashParts({kPoisonPart}, number, 4.0 * static_cast<double>(number));
+    }
+    CHECK_TRUE(record.mayBeSent(SuspectKey(RequestDigest(poison.value)), at(13)));
+}
+
 TEST(CrashRecordTest, ZeroRetentionKeepsNothing)
 {
     crash(1, 1, 0);
--- a/test/gateway/gatewaywire_test.cpp
+++ b/test/gateway/gatewaywire_test.cpp
@@ -93,7 +93,7 @@
 TEST(GatewayWireTest, SuspectTimesAreSentAsAges)
 {
     CrashSuspect suspect;
-    suspect.digest = RequestDigest(0xfeed);
+    suspect.key = SuspectKey(RequestDigest(0xfeed));
     suspect.account = 12;
     suspect.crashes = {{1, TimePoint(std::chrono::seconds(3))},
                        {2, TimePoint(std::chrono::seconds(7))}};
@@ -102,9 +102,33 @@
     auto to = message.initRoot<wire::CrashSuspect>();
     writeSuspect(suspect, TimePoint(std::chrono::seconds(10)), to);
     const auto read = readSuspect(to.asReader(), TimePoint(std::chrono::seconds(110)));
-    CHECK_TRUE(read.digest == suspect.digest);
+    CHECK_TRUE(read.key == suspect.key);
     LONGS_EQUAL(12, read.account);
     LONGS_EQUAL(2, read.crashes.size());
     CHECK_TRUE(read.crashes[1].at == TimePoint(std::chrono::seconds(107)));
     CHECK_TRUE(read.lastCompletedAt == TimePoint(std::chrono::seconds(102)));
 }
+
+TEST(GatewayWireTest, PromptPartsStayDistinctFromRequests)
+{
+    CrashSuspect suspect;
+    suspect.key = SuspectKey(TargetName("model"), PromptPartId(7));
+    capnp::MallocMessageBuilder message;
+    auto to = message.initRoot<wire::CrashSuspect>();
+    writeSuspect(suspect, TimePoint(), to);
+    CHECK_TRUE(readSuspect(to.asReader(), TimePoint()).key == suspect.key);
+}
+
+// A later version may know further kinds.
+TEST(GatewayWireTest, SuspectsOfUnknownKindsAreSkipped)
+{
+    capnp::MallocMessageBuilder message;
+    auto news = message.initRoot<wire::GatewayNews>();
+    auto list = news.initCrashes(2);
+    list[0].setKind(200);
+    list[0].initEnds(1);
+    list[1].initEnds(1);
+    CrashRecord record{CrashRecord::Settings()};
+    mergeSuspects(news.asReader().getCrashes(), TimePoint(), record);
+    LONGS_EQUAL(1, record.size());
+}
