Entries: stop calls whose prompt prefix crashes upstreams

The prefix that routing already hashes is now a suspect as well.

Tests (entrycrash_test.cpp) failed before: the third call with the prefix was sent.

--- a/src/decision/dispatch/entrycore.cpp
+++ b/src/decision/dispatch/entrycore.cpp
@@ -92,6 +92,9 @@
     Request &added = requests_[id];
     added.original = request;
     added.deadline = now + request.deadline;
+    if (const auto prefix = prefixKey(request)) {
+        crashes_.onPartRequested(*prefix);
+    }
     const Choice choice = choose(added, now);
     if (!choice.agent) {
         fail(id, choice.failure, choice.outcome, retryAfter(choice), actions);
@@ -159,9 +162,33 @@
     return choice.failure == FailureCode::RequestEndsUpstreams ? Duration{} : kRetryAfterNoUpstream;
 }
 
+std::optional<SuspectKey> prefixKey(const EntryRequest &request)
+{
+    if (request.prefixHash == 0) {
+        return std::nullopt;
+    }
+    return SuspectKey(request.target, PromptPartId(request.prefixHash));
+}
+
+bool EntryCore::mayBeSent(const Request &request, TimePoint now) const
+{
+    const auto prefix = prefixKey(request.original);
+    return crashes_.mayBeSent(SuspectKey(request.original.digest), now)
+           && (!prefix || crashes_.mayBeSent(*prefix, now));
+}
+
+void EntryCore::recordCrash(const Request &request, TimePoint now)
+{
+    const AccountId &account = request.original.account;
+    crashes_.onUpstreamCrashed(SuspectKey(request.original.digest), account, request.agent, now);
+    if (const auto prefix = prefixKey(request.original)) {
+        crashes_.onUpstreamCrashed(*prefix, account, request.agent, now);
+    }
+}
+
 EntryCore::Choice EntryCore::choose(const Request &request, TimePoint now)
 {
-    if (!crashes_.mayBeSent(SuspectKey(request.original.digest), now)) {
+    if (!mayBeSent(request, now)) {
         return {std::nullopt, FailureCode::RequestEndsUpstreams, Outcome::NotRun};
     }
     if (request.original.ticket) {
@@ -315,8 +342,7 @@
     }
     // The end of an upstream that is leaving is an intended stop, not a crash.
     if (failure == FailureCode::UpstreamEnded && members_.mayReceive(request->agent, now)) {
-        crashes_.onUpstreamCrashed(SuspectKey(request->original.digest), request->original.account,
-                                   request->agent, now);
+        recordCrash(*request, now);
     }
     if (outcome == Outcome::Unknown) {
         request->mayHaveRun = true;
@@ -474,6 +500,9 @@
     }
     outliers_.onSuccess(agent);
     crashes_.onRequestCompleted(SuspectKey(request->original.digest), now);
+    if (const auto prefix = prefixKey(request->original)) {
+        crashes_.onPartAnswered(*prefix, now);
+    }
     if (request->attempts == 1) {
         retryBudget_.onSuccess();
     }
--- a/src/decision/dispatch/entrycore.h
+++ b/src/decision/dispatch/entrycore.h
@@ -52,6 +52,10 @@
     RequestDigest digest;  // Equal for requests that are identical to an upstream.
 };
 
+// Returns the key under which crashes are recorded against the prefix of the prompt; nullopt if the
+// request has none.
+std::optional<SuspectKey> prefixKey(const EntryRequest &request);
+
 // Sends the request to the agent.
 struct SendCall
 {
@@ -210,6 +214,8 @@
     void releaseHeld(const InstanceId &agent, TimePoint now, EntryActions &actions);
     void dispatch(RequestId id, Request &request, const InstanceId &agent, TimePoint now,
                   EntryActions &actions);
+    bool mayBeSent(const Request &request, TimePoint now) const;
+    void recordCrash(const Request &request, TimePoint now);
     Choice choose(const Request &request, TimePoint now);
     static Duration retryAfter(const Choice &choice);
     Choice chooseTicketAgent(const Request &request, TimePoint now) const;
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -387,10 +387,12 @@
     metrics_.count("seamarch_failures_total", toString(action.failure));
     metrics_.count("seamarch_outcomes_total", toString(action.outcome));
     if (action.failure == FailureCode::RequestEndsUpstreams) {
+        const auto prefix = prefixKey(active.request);
         logLine(LogLevel::Warning, "request.stopped",
                 {{"digest", fmt::format("{:016x}", active.request.digest.value())},
                  {"account", active.request.account.value()},
-                 {"ends", core_.crashes().crashCount(SuspectKey(active.request.digest))}});
+                 {"ends", core_.crashes().crashCount(SuspectKey(active.request.digest))},
+                 {"prefixEnds", prefix ? core_.crashes().crashCount(*prefix) : 0}});
     }
     if (active.headSent) {
         abortStream(active, action.failure, action.outcome);
--- a/test/decision/dispatch/entrycrash_test.cpp
+++ b/test/decision/dispatch/entrycrash_test.cpp
@@ -23,6 +23,8 @@
     std::unique_ptr<EntryCore> core;
     EntryActions actions;
     InstanceList list;
+    RequestDigest digest = kCrashingRequest;
+    std::uint64_t prefixHash = 0;
 
     void setup() override
     {
@@ -55,7 +57,8 @@
         request.target = kTarget;
         request.repeatable = repeatable;
         request.deadline = std::chrono::seconds(60);
-        request.digest = kCrashingRequest;
+        request.digest = digest;
+        request.prefixHash = prefixHash;
         return core->begin(request, at(now), actions);
     }
 
@@ -128,3 +131,42 @@
     core->onConnectionLost(id, at(100), actions);
     LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
 }
+
+// Guards against crash records that are kept by whole calls when their common prefix is the cause.
+TEST(EntryCrashTest, CallsWithACrashingPromptPrefixAreNotSent)
+{
+    prefixHash = 71;
+    digest = RequestDigest(98);
+    const RequestId sound = begin(false, 0);
+    core->onAnswer(sound, sentTo());
+    core->onComplete(sound, sentTo(), at(10));
+    prefixHash = 70;
+    for (const int now : {100, 700}) {
+        digest = RequestDigest(static_cast<std::uint64_t>(now) + 100);
+        endUpstreamOf(begin(false, now), now + 50);
+    }
+    actions.clear();
+    digest = RequestDigest(99);
+    begin(false, 900);
+    CHECK_TRUE(sentTo() == InstanceId());
+    CHECK_TRUE(failure()->failure == FailureCode::RequestEndsUpstreams);
+    actions.clear();
+    prefixHash = 71;
+    begin(false, 950);
+    CHECK_TRUE(sentTo() != InstanceId());
+}
+
+TEST(EntryCrashTest, CompleteAnswerClearsThePromptPrefix)
+{
+    prefixHash = 70;
+    const SuspectKey prefix(kTarget, PromptPartId(prefixHash));
+    endUpstreamOf(begin(false, 0), 100);
+    LONGS_EQUAL(1, core->crashes().crashCount(prefix));
+    actions.clear();
+    digest = RequestDigest(99);
+    const RequestId id = begin(false, 200);
+    const InstanceId agent = sentTo();
+    CHECK_TRUE(core->onAnswer(id, agent));
+    core->onComplete(id, agent, at(300));
+    LONGS_EQUAL(0, core->crashes().crashCount(prefix));
+}
