Do not announce each answer of a common prompt part

After a crash every gateway cleared the parts that all requests share with its next answer, each at another time, and told all others: with hundreds of gateways each crash cost as many messages a gateway. A part that an answer vouches for already is no suspect, so further answers are not news.

crashrecord_test.cpp: failed before (the cursor rose with the answer).

--- a/src/decision/retry/crashrecord.cpp
+++ b/src/decision/retry/crashrecord.cpp
@@ -112,7 +112,11 @@
 {
     partHistory_.recordAnswer(part, now);
     lastAnswerAt_ = now;
-    clear(part, now);
+    const auto found = suspects_.find(part);
+    // All gateways answer a common part all the time; only the first answer is news to the others.
+    if (found != suspects_.end() && !isTrusted(found->second.suspect)) {
+        clear(part, now);
+    }
 }
 
 void CrashRecord::clear(const SuspectKey &key, TimePoint lastCompletedAt)
--- a/test/decision/retry/crashrecord_test.cpp
+++ b/test/decision/retry/crashrecord_test.cpp
@@ -402,6 +402,17 @@
     CHECK_TRUE(partAllowed(kCommon, 14.2));
 }
 
+// Otherwise each gateway would tell all others of each of its answers.
+TEST(CrashRecordTest, FurtherAnswersOfATrustedPartAreNoChange)
+{
+    record.onPartAnswered(part(kCommon), at(0));
+    crashParts({kCommon}, 1, 10);
+    const std::uint64_t before = record.cursor();
+    record.onPartAnswered(part(kCommon), at(11));
+    LONGS_EQUAL(before, record.cursor());
+    CHECK_TRUE(partAllowed(kCommon, 12));
+}
+
 // The part was new to both gateways at its first crash.
 TEST(CrashRecordTest, LearnsFromPeersThatAPartWasAnsweredSince)
 {
