--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -61,8 +61,9 @@
     FailureText{FailureCode::Cancelled, 499, "cancelled", "The caller cancelled the request."},
     FailureText{
         FailureCode::RequestEndsUpstreams, 503, "request_ends_upstreams",
-        "Upstreams have ended, one after the other, while they ran this very request, so it was "
-        "not sent to another. Do not repeat it; tell the operators."},
+        "Upstreams have ended, one after the other, while they ran this very request or began to "
+        "answer requests with the same part of a prompt, so it was not sent to another. Do not "
+        "repeat it; tell the operators."},
     FailureText{FailureCode::UpstreamEnded, 502, "upstream_ended",
                 "The upstream's process ended while it had the request; it may have run."},
     FailureText{FailureCode::NoUpstreamInRegions, 503, "no_upstream_in_regions",
