--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -109,7 +109,7 @@
         return len(control(self.upstreams[name], {})["runs"])
 
     def set_all(self, **change):
-        for address in self.upstreams.values():
+        for address in list(self.upstreams.values()):  # A test may replace upstreams meanwhile.
             control(address, change)
 
     def events(self):
