--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -161,6 +161,11 @@
         if (!openExchanges_.contains(exchange)) {
             return;
         }
+        if (number > kEventsPerStream) { // Resumed after the last event, whose end was lost.
+            openExchanges_.erase(exchange);
+            server().finish(exchange);
+            return;
+        }
         if (breakAfter_ > 0 && number > breakAfter_) {
             server().write(exchange, fmt::format("id: {}\ndata: to", number));
             server().abort(exchange);
