Log group reports that a gateway drops as outdated

A gateway logged only reports that it stored. Whether the decider's report that a group has opened was dropped, replaced by that of another gateway or never came could not be told from its log. Now `group.outdated` names a report that was dropped with its age and that of the state held, `group.heard` also those of other gateways, and `group.differs` a confirmation of a state other than the one held. `seamarch_closed_groups` and `closedGroups` in /status tell what a gateway takes for closed.

--- a/src/decision/gateway/grouptable.cpp
+++ b/src/decision/gateway/grouptable.cpp
@@ -54,7 +54,7 @@
         return false;
     }
     const bool same = !added && snapshot.facts == facts;
-    snapshot = {facts, asOf};
+    snapshot = {facts, asOf, seamarch::digestOf(facts)};
     indexMembers(snapshot);
     if (!same) {
         updateDigest();
@@ -122,6 +122,23 @@
            && now - found->second.asOf < settings_.closedTimeToLive;
 }
 
+std::vector<GroupId> GroupTable::closedGroups(TimePoint now) const
+{
+    std::vector<GroupId> closed;
+    for (const auto &[group, snapshot] : groups_) {
+        if (isClosed(group, now)) {
+            closed.push_back(group);
+        }
+    }
+    return closed;
+}
+
+std::uint64_t GroupTable::digestOf(const GroupId &group) const
+{
+    const auto found = groups_.find(group);
+    return found == groups_.end() ? 0 : found->second.digest;
+}
+
 bool GroupTable::isForming(const GroupId &group, TimePoint now) const
 {
     const auto found = groups_.find(group);
--- a/src/decision/gateway/grouptable.h
+++ b/src/decision/gateway/grouptable.h
@@ -72,6 +72,7 @@
     {
         GroupFacts facts;
         TimePoint asOf{};
+        std::uint64_t digest = 0; // Of the facts.
     };
 
     GroupTable() = default;
@@ -108,6 +109,10 @@
     bool isIsolated(const GroupId &group, TimePoint now) const;
 
     const std::map<GroupId, Snapshot> &groups() const { return groups_; }
+    // Returns the groups that a recent report says accept no requests.
+    std::vector<GroupId> closedGroups(TimePoint now) const;
+    // Returns the digest of the facts of `group`, or zero if there are none.
+    std::uint64_t digestOf(const GroupId &group) const;
     // Returns a counter that rises with every change of the set of groups or of their members.
     std::uint64_t changes() const { return changes_; }
     // Returns a digest of all facts without their ages; equal for tables with equal facts.
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -282,6 +282,25 @@
     return onStateReceived_(peerState, sentAt + held - age);
 }
 
+// Stores the other gateway's facts about a group, and logs whether a changed state was stored.
+void GatewayPeers::updateGroup(const Link &link, const GroupFacts &facts, TimePoint asOf)
+{
+    const bool differs = groups_.digestOf(facts.group) != digestOf(facts);
+    const bool stored = groups_.update(facts, asOf);
+    if (!differs) {
+        return;
+    }
+    logLine(LogLevel::Info, stored ? "group.heard" : "group.outdated",
+            {{"group", facts.group.value()},
+             {"epoch", facts.epoch},
+             {"open", facts.open},
+             {"forming", facts.forming},
+             {"ranks", facts.members.size()},
+             {"ageMs", toMillis(loop_.now() - asOf)},
+             {"heldAgeMs", toMillis(loop_.now() - groups_.groups().at(facts.group).asOf)},
+             {"from", link.id.value()}});
+}
+
 // Applies the other gateway's facts about groups, each as of its own time. If its digest is the
 // one that the poll named, the members are omitted and the facts are only renewed, provided that
 // those held here still have that digest.
@@ -293,7 +312,7 @@
     for (const auto &group : news.getGroups()) {
         const TimePoint asOf = sentAt + held - Duration(group.getAgeMicros());
         if (!repeated) {
-            groups_.update(readGroup(group), asOf);
+            updateGroup(link, readGroup(group), asOf);
         } else if (matchesOwn) {
             groups_.renew(GroupId(group.getGroup().cStr()), asOf);
         }
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -388,6 +388,8 @@
     logStreamLimits();
     logPaceChanges();
     synchronizer_->tick();
+    metrics_.set("seamarch_closed_groups",
+                 static_cast<double>(core_.groups().closedGroups(loop_.now()).size()));
     if (stopping_) {
         stopIfDrained();
     }
@@ -463,6 +465,10 @@
 {
     std::string reason;
     const bool isReady = ready(reason);
+    json closedGroups = json::array();
+    for (const GroupId &group : core_.groups().closedGroups(loop_.now())) {
+        closedGroups.push_back(group.value());
+    }
     return {{"role", "gateway"},
             {"instance", settings_.instance.value()},
             {"hall", settings_.hall.value()},
@@ -481,6 +487,7 @@
             {"connectionsMade", client_->connectionsMade()},
             {"upstreams", core_.upstreams().all().size()},
             {"groups", core_.groups().groups().size()},
+            {"closedGroups", closedGroups},
             {"restingUpstreams", restingStatus()},
             {"limitedUpstreams", limitedStatus()},
             {"demandShares", demand_ ? demand_->status(loop_.now()) : json()},
--- a/src/gateway/grouppoller.cpp
+++ b/src/gateway/grouppoller.cpp
@@ -141,19 +141,25 @@
     link.digest = reply.getMark();
     const TimePoint asOf = sentAt - Duration(groupNews.getAgeMicros());
     if (unchanged) {
+        if (groups_.digestOf(group) != reply.getMark()) {
+            logLine(
+                LogLevel::Info, "group.differs",
+                {{"group", group.value()}, {"agent", host}, {"agentOpen", groupNews.getOpen()}});
+        }
         groups_.renew(group, asOf);
         return;
     }
     const GroupFacts facts = readGroup(groupNews);
-    if (groups_.update(facts, asOf)) {
-        logLine(LogLevel::Info, "group.heard",
-                {{"group", group.value()},
-                 {"epoch", facts.epoch},
-                 {"open", facts.open},
-                 {"ranks", facts.members.size()},
-                 {"ageMs", toMillis(loop_.now() - asOf)},
-                 {"agent", host}});
-    }
+    const bool stored = groups_.update(facts, asOf);
+    logLine(LogLevel::Info, stored ? "group.heard" : "group.outdated",
+            {{"group", group.value()},
+             {"epoch", facts.epoch},
+             {"open", facts.open},
+             {"forming", facts.forming},
+             {"ranks", facts.members.size()},
+             {"ageMs", toMillis(loop_.now() - asOf)},
+             {"heldAgeMs", toMillis(loop_.now() - groups_.groups().at(group).asOf)},
+             {"agent", host}});
 }
 
 } // namespace seamarch
