Test: a gateway keeps a group closed whose agent reports it open (known red)

The report that a group has opened is dated before the last one that it was closed: the first reports of the new epoch were requested earlier. The gateway drops it as outdated, acknowledges its digest all the same, and from then on renews the old report with each confirmation.

--- a/test/gateway/grouppoller_test.cpp
+++ b/test/gateway/grouppoller_test.cpp
@@ -162,3 +162,21 @@
     runFor(900);
     LONGS_EQUAL(1, groups.groups().size());
 }
+
+// Guards against a group that stays closed at a gateway after it has opened: the report that it has
+// opened seemed older than the one held, was acknowledged all the same, and did not come again.
+TEST(GroupPollerTest, LearnsOfOpeningWhoseReportSeemsOlder)
+{
+    agent->reporter.publish(makeGroupFacts(false), loop->now());
+    runFor(200);
+    CHECK_TRUE(groups.isClosed(GroupId("north"), loop->now()));
+    // The first reports of the new epoch were requested before the last ones of the old epoch.
+    const TimePoint requestedAt = loop->now() - std::chrono::milliseconds(400);
+    agent->reporter.publish(makeGroupFacts(true), requestedAt);
+    runFor(100);
+    agent->reporter.publish(makeGroupFacts(true), loop->now());
+    runFor(1000);
+    CHECK_FALSE_TEXT(groups.isClosed(GroupId("north"), loop->now()),
+                     "the agent has reported for a second that the group is open; expected the "
+                     "gateway to store that");
+}
