Confirm a group's state only if it is the one held

Callers saw 503 for most streams from the start of a site, for as long as the group's decider stayed the same: gateways took an open group for one that is forming, which gets one probe each 250 ms.

The decider's report that the group had opened was dated before the last one that it was closed, and dropped as outdated (in a bad start -9.27 s against about -9.32 s). Its digest was acknowledged all the same, so the agent answered each later poll with "unchanged", and that renewed the old report. Tables with the right state then took over the old one from other gateways, as it looked newer.

Now a poll names the state that the table holds, and a confirmation is bound to that state (GroupTable::confirm). A report that was dropped is sent again with the next poll, 50 ms later, and dated anew; an outdated state is renewed by nobody and expires.

--- a/src/decision/gateway/grouptable.cpp
+++ b/src/decision/gateway/grouptable.cpp
@@ -62,13 +62,17 @@
     return true;
 }
 
-void GroupTable::renew(const GroupId &group, TimePoint asOf)
+bool GroupTable::confirm(const GroupId &group, std::uint64_t digest, TimePoint asOf)
 {
     const auto found = groups_.find(group);
-    if (found != groups_.end() && asOf > found->second.asOf) {
+    if (found == groups_.end() || found->second.digest != digest) {
+        return false;
+    }
+    if (asOf > found->second.asOf) {
         found->second.asOf = asOf;
         indexMembers(found->second);
     }
+    return true;
 }
 
 // Updates the memberships of the engines in `snapshot`. An engine that is missing from a report
--- a/src/decision/gateway/grouptable.h
+++ b/src/decision/gateway/grouptable.h
@@ -83,8 +83,9 @@
     // Stores `facts`, which were true at `asOf`. Returns false, without any change, if the table
     // has facts of this group that are as new or newer.
     bool update(const GroupFacts &facts, TimePoint asOf);
-    // Records that the stored facts of `group` were still true at `asOf`.
-    void renew(const GroupId &group, TimePoint asOf);
+    // Records that the facts of `group` with the digest `digest` were still true at `asOf`. Returns
+    // false, without any change, unless these are the stored facts.
+    bool confirm(const GroupId &group, std::uint64_t digest, TimePoint asOf);
     // Removes the groups that have had no report for longer than their time to live.
     void expire(TimePoint now);
 
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -314,7 +314,8 @@
         if (!repeated) {
             updateGroup(link, readGroup(group), asOf);
         } else if (matchesOwn) {
-            groups_.renew(GroupId(group.getGroup().cStr()), asOf);
+            const GroupId id(group.getGroup().cStr());
+            groups_.confirm(id, groups_.digestOf(id), asOf);
         }
     }
     link.groupsDigest = news.getGroupsMark();
--- a/src/gateway/grouppoller.cpp
+++ b/src/gateway/grouppoller.cpp
@@ -92,7 +92,8 @@
     }
     link.lastUsedAt = now;
     auto request = link.rpc->capability().castAs<wire::RankAgent>().groupRequest();
-    request.setMark(link.digest);
+    const std::uint64_t heldDigest = groups_.digestOf(link.group);
+    request.setMark(heldDigest);
     request.setWaitMicros(kLongPollWait.count());
     // The poll is settled by the reply or by the timeout, whichever comes first.
     const auto settled = std::make_shared<bool>(false);
@@ -102,9 +103,10 @@
         }
     });
     tasks_.add(request.send().then(
-        [this, host, now, settled](capnp::Response<wire::RankAgent::GroupResults> &&reply) {
+        [this, host, now, heldDigest,
+         settled](capnp::Response<wire::RankAgent::GroupResults> &&reply) {
             if (!std::exchange(*settled, true)) {
-                onReply(host, now, reply);
+                onReply(host, now, heldDigest, reply);
             }
         },
         [this, host, settled](kj::Exception && /*exception*/) {
@@ -126,7 +128,8 @@
     planner_.onFailed(host, loop_.now());
 }
 
-void GroupPoller::onReply(const std::string &host, TimePoint sentAt,
+// Stores the state that the agent at `host` reports, or confirms the state that the poll named.
+void GroupPoller::onReply(const std::string &host, TimePoint sentAt, std::uint64_t namedDigest,
                           wire::RankAgent::GroupResults::Reader reply)
 {
     if (!reply.getDecides()) {
@@ -135,18 +138,17 @@
     }
     const GroupId group(reply.getGroup().cStr());
     planner_.onDecider(host, group);
-    Link &link = links_[host];
+    links_[host].group = group;
     const auto groupNews = reply.getNews();
-    const bool unchanged = link.digest == reply.getMark();
-    link.digest = reply.getMark();
     const TimePoint asOf = sentAt - Duration(groupNews.getAgeMicros());
-    if (unchanged) {
-        if (groups_.digestOf(group) != reply.getMark()) {
+    if (reply.getMark() == namedDigest) {
+        // The members are omitted. If the state held here has changed meanwhile, the next poll
+        // names the new one.
+        if (!groups_.confirm(group, namedDigest, asOf)) {
             logLine(
                 LogLevel::Info, "group.differs",
                 {{"group", group.value()}, {"agent", host}, {"agentOpen", groupNews.getOpen()}});
         }
-        groups_.renew(group, asOf);
         return;
     }
     const GroupFacts facts = readGroup(groupNews);
--- a/src/gateway/grouppoller.h
+++ b/src/gateway/grouppoller.h
@@ -4,8 +4,9 @@
 // state from that gateway (see GatewayPeers). Agents read the reports of their own engine at no
 // cost and know their group, whereas a gateway would pay for each report that it requested from an
 // engine. A poll is a long poll at the agent that decides for the group, so changes arrive within
-// the latency of one connection. Without agents no groups are known, and all upstreams of a service
-// count as one group.
+// the latency of one connection. A poll names the state that is held here, not the one that was
+// received last: a report that was dropped as outdated is sent again. Without agents no groups are
+// known, and all upstreams of a service count as one group.
 //
 // GroupPollPlanner selects the agents to poll. Single-threaded; the constructor's arguments must
 // outlive the object.
@@ -47,7 +48,7 @@
     struct Link
     {
         std::unique_ptr<RpcLink> rpc;
-        std::uint64_t digest = 0; // Digest of the group state that the agent sent last.
+        GroupId group; // The group for which the agent last decided; empty if none.
         TimePoint lastUsedAt{};
     };
 
@@ -55,7 +56,7 @@
                 int agentPort);
     void refreshEngines();
     void poll(const std::string &host);
-    void onReply(const std::string &host, TimePoint sentAt,
+    void onReply(const std::string &host, TimePoint sentAt, std::uint64_t namedDigest,
                  wire::RankAgent::GroupResults::Reader reply);
     void onPollFailed(const std::string &host);
     void taskFailed(kj::Exception &&exception) override;
--- a/test/decision/gateway/groupselector_test.cpp
+++ b/test/decision/gateway/groupselector_test.cpp
@@ -149,8 +149,8 @@
         facts.group = group(number);
         table.update(facts, at(0));
     }
-    table.renew(group(0), at(3000));
-    table.renew(group(1), at(3000));
+    CHECK_TRUE(table.confirm(group(0), table.digestOf(group(0)), at(3000)));
+    CHECK_TRUE(table.confirm(group(1), table.digestOf(group(1)), at(3000)));
     for (int count = 0; count < 16; ++count) {
         const auto chosen = send(3100);
         CHECK_TEXT(!chosen || *chosen != group(2),
--- a/test/decision/gateway/grouptable_test.cpp
+++ b/test/decision/gateway/grouptable_test.cpp
@@ -111,16 +111,29 @@
     table.update(closed, at(0));
     CHECK_TRUE(table.isClosed(GroupId("one"), at(1000)));
     CHECK_FALSE(table.isClosed(GroupId("one"), at(3000)));
-    table.renew(GroupId("one"), at(2500));
+    CHECK_TRUE(table.confirm(GroupId("one"), table.digestOf(GroupId("one")), at(2500)));
     CHECK_TRUE(table.isClosed(GroupId("one"), at(3000)));
 }
 
+// Guards against the renewal of an outdated state by a confirmation of the present one.
+TEST(GroupTableTest, ConfirmationOfOtherFactsRenewsNothing)
+{
+    GroupFacts closed = facts("one", {"a"});
+    closed.open = false;
+    table.update(closed, at(0));
+    const GroupFacts open = facts("one", {"a"});
+    CHECK_FALSE(table.confirm(GroupId("one"), digestOf(open), at(1500)));
+    CHECK_FALSE_TEXT(table.isClosed(GroupId("one"), at(3000)),
+                     "the closed state was not confirmed; expected it to expire");
+    CHECK_FALSE(table.confirm(GroupId("two"), digestOf(open), at(1500)));
+}
+
 // When a hall is cut off, reports of its group stop while those of the local hall still arrive.
 TEST(GroupTableTest, GroupThatAloneStopsReportingIsIsolated)
 {
     table.update(facts("near", {"a"}), at(0));
     table.update(facts("far", {"b"}), at(0));
-    table.renew(GroupId("near"), at(2500));
+    CHECK_TRUE(table.confirm(GroupId("near"), table.digestOf(GroupId("near")), at(2500)));
     CHECK_TRUE(table.isIsolated(GroupId("far"), at(2600)));
     CHECK_FALSE(table.isIsolated(GroupId("near"), at(2600)));
 }
@@ -130,7 +143,7 @@
 {
     table.update(facts("near", {"a"}), at(0));
     table.update(facts("far", {"b"}), at(0));
-    table.renew(GroupId("near"), at(2000));
+    CHECK_TRUE(table.confirm(GroupId("near"), table.digestOf(GroupId("near")), at(2000)));
     CHECK_FALSE(table.isIsolated(GroupId("far"), at(2100)));
 }
 
