Date a group report by the time of its reply

A gateway dated the report of a poll that had waited by the start of the poll, up to 400 ms before the report was made, and a decider dated the first state of a new epoch by reports that it had requested before the last ones of the old epoch. Both made the report that a group has opened look older than the last one that it was closed, and gateways dropped it as outdated.

The reply tells for how long the call was held, and a decider's state is never dated before the one that it replaces.

--- a/src/experts/groupreporter.cpp
+++ b/src/experts/groupreporter.cpp
@@ -14,7 +14,9 @@
 
 void GroupReporter::publish(const GroupFacts &facts, TimePoint asOf)
 {
-    asOf_ = asOf;
+    // The reports of a new epoch may have been requested before the last ones of the old epoch, but
+    // gateways must not take the state that is published last for an outdated one.
+    asOf_ = std::max(asOf_, asOf);
     if (facts_ && *facts_ == facts) {
         return;
     }
@@ -40,7 +42,9 @@
         writeResults(context.getResults(), callerDigest);
         return kj::READY_NOW;
     }
-    return waiters_.wait(wait).then([this, context, callerDigest]() mutable {
+    const TimePoint receivedAt = loop_.now();
+    return waiters_.wait(wait).then([this, context, callerDigest, receivedAt]() mutable {
+        context.getResults().setHeldMicros((loop_.now() - receivedAt).count());
         writeResults(context.getResults(), callerDigest);
     });
 }
--- a/src/experts/groupreporter.h
+++ b/src/experts/groupreporter.h
@@ -29,7 +29,8 @@
     GroupReporter(const GroupReporter &) = delete;
     GroupReporter &operator=(const GroupReporter &) = delete;
 
-    // Sets the facts of the group as of `asOf`; this agent is the decider.
+    // Sets the facts of the group as of `asOf`, or as of the previous facts if these are newer.
+    // This agent is the decider.
     void publish(const GroupFacts &facts, TimePoint asOf);
     // Refers callers to the decider at `host`, which is empty if unknown; this agent is not the
     // decider.
--- a/src/gateway/grouppoller.cpp
+++ b/src/gateway/grouppoller.cpp
@@ -140,7 +140,8 @@
     planner_.onDecider(host, group);
     links_[host].group = group;
     const auto groupNews = reply.getNews();
-    const TimePoint asOf = sentAt - Duration(groupNews.getAgeMicros());
+    const TimePoint asOf =
+        sentAt + Duration(reply.getHeldMicros()) - Duration(groupNews.getAgeMicros());
     if (reply.getMark() == namedDigest) {
         // The members are omitted. If the state held here has changed meanwhile, the next poll
         // names the new one.
--- a/src/wire/seamarch.capnp
+++ b/src/wire/seamarch.capnp
@@ -190,9 +190,11 @@
   relay @2 (order :RankOrder, targets :List(RelayTarget)) -> (answers :List(RelayAnswer));
   # Reports the state of the group to a gateway. The deciding agent returns `decides` and `news`, at
   # once if the mark of the group differs from `mark`, otherwise when it changes or after
-  # `waitMicros`. Any other agent returns the host of the deciding agent if it knows it.
+  # `waitMicros`, with the time for which it held the call. Any other agent returns the host of the
+  # deciding agent if it knows it.
   group @3 (mark :UInt64, waitMicros :Int64)
-      -> (decides :Bool, group :Text, deciderHost :Text, mark :UInt64, news :GroupNews);
+      -> (decides :Bool, group :Text, deciderHost :Text, mark :UInt64, news :GroupNews,
+          heldMicros :Int64);
 }
 
 # One rank of a group.
--- a/test/gateway/grouppoller_test.cpp
+++ b/test/gateway/grouppoller_test.cpp
@@ -163,6 +163,50 @@
     LONGS_EQUAL(1, groups.groups().size());
 }
 
+// Guards against an outdated state from another gateway that the agent's confirmations renew.
+TEST(GroupPollerTest, RestoresStateThatAnotherGatewayReplaced)
+{
+    agent->reporter.publish(makeGroupFacts(true), loop->now());
+    runFor(200);
+    CHECK_TRUE(groups.update(makeGroupFacts(false), loop->now()));
+    const auto publishing =
+        std::make_unique<PeriodicTimer>(*loop, std::chrono::milliseconds(50), [this] {
+            agent->reporter.publish(makeGroupFacts(true), loop->now());
+        });
+    runFor(1000);
+    CHECK_FALSE_TEXT(groups.isClosed(GroupId("north"), loop->now()),
+                     "the agent has confirmed for a second that the group is open; expected the "
+                     "gateway to store that");
+}
+
+// Guards against a report that is dated by the start of the poll that waited for it, so that the
+// state before, as another gateway heard it, seems newer.
+TEST(GroupPollerTest, DatesReportByTheTimeOfItsReply)
+{
+    constexpr Duration kReportInterval = std::chrono::milliseconds(100); // Of the ranks.
+    agent->reporter.publish(makeGroupFacts(false), loop->now());
+    runFor(200);
+    const TimePoint openedAt = loop->now() + std::chrono::milliseconds(250);
+    loop->schedule(std::chrono::milliseconds(250),
+                   [this] { agent->reporter.publish(makeGroupFacts(true), loop->now()); });
+    runFor(300);
+    CHECK_FALSE(groups.isClosed(GroupId("north"), loop->now()));
+    CHECK_FALSE_TEXT(groups.update(makeGroupFacts(false), openedAt - kReportInterval),
+                     "expected a report from before the opening to be outdated");
+}
+
+// Guards against an opening that is taken for outdated, which delays it at every gateway.
+TEST(GroupPollerTest, LearnsOfOpeningAtOnce)
+{
+    agent->reporter.publish(makeGroupFacts(false), loop->now());
+    runFor(200);
+    const TimePoint requestedAt = loop->now() - std::chrono::milliseconds(400);
+    agent->reporter.publish(makeGroupFacts(true), requestedAt);
+    runFor(40);
+    CHECK_FALSE_TEXT(groups.isClosed(GroupId("north"), loop->now()),
+                     "expected the gateway to store the first report of the opening");
+}
+
 // Guards against a group that stays closed at a gateway after it has opened: the report that it has
 // opened seemed older than the one held, was acknowledged all the same, and did not come again.
 TEST(GroupPollerTest, LearnsOfOpeningWhoseReportSeemsOlder)
