Request a group's state again that was dropped as outdated

The same cause between gateways: a follower acknowledged the digest of the groups that it had received, also of states that it had dropped as older than its own, and got them no more, however often the other gateway had confirmed them since. It kept a closed group closed until that state expired, and lost the paces of slow ranks after five seconds. Now it requests them again once they are newer than those it holds.

--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -302,23 +302,29 @@
 }
 
 // Applies the other gateway's facts about groups, each as of its own time. If its digest is the
-// one that the poll named, the members are omitted and the facts are only renewed, provided that
-// those held here still have that digest.
+// one that the poll named, the members are omitted and the facts are only confirmed, provided that
+// those held here have that digest. Facts that were dropped as outdated when they were received,
+// but are newer than those held here by now, are requested again.
 void GatewayPeers::applyGroups(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news)
 {
     const Duration held(news.getHeldMicros());
     const bool repeated = link.groupsDigest == news.getGroupsMark();
     const bool matchesOwn = groups_.digest() == news.getGroupsMark();
+    bool hasNewerFacts = false;
     for (const auto &group : news.getGroups()) {
+        const GroupId id(group.getGroup().cStr());
         const TimePoint asOf = sentAt + held - Duration(group.getAgeMicros());
         if (!repeated) {
             updateGroup(link, readGroup(group), asOf);
         } else if (matchesOwn) {
-            const GroupId id(group.getGroup().cStr());
             groups_.confirm(id, groups_.digestOf(id), asOf);
+        } else {
+            const auto own = groups_.groups().find(id);
+            hasNewerFacts =
+                hasNewerFacts || own == groups_.groups().end() || own->second.asOf < asOf;
         }
     }
-    link.groupsDigest = news.getGroupsMark();
+    link.groupsDigest = hasNewerFacts ? 0 : news.getGroupsMark();
 }
 
 bool GatewayPeers::hasNewsFor(const PollRequest &pollRequest) const
--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -101,8 +101,8 @@
         InstanceId id; // Empty until it has answered.
         bool polling = false;
         bool pollAgain = false; // It announced an update during a poll; poll again after it.
-        std::uint64_t groupsDigest = 0;  // Digest of the groups last received from it, or of those
-                                         // known here at the first poll.
+        std::uint64_t groupsDigest = 0;  // Digest of the groups last received from it. Zero: the
+                                         // next poll names those known here.
         std::uint64_t crashCursor = 0;   // Its crash record has been received up to this cursor.
         std::uint64_t limitsVersion = 0; // Version of the limits last received from it.
         TimePoint notBefore{};           // It is not polled before this time.
