Share the storing of group reports between both ways they come

A poll of an agent and one of a gateway stored and logged reports by the same lines; storeGroupReport does it for both, and GatewayPeers' part on groups is a file of its own.

--- a/src/gateway/gatewaypeers.h
+++ b/src/gateway/gatewaypeers.h
@@ -119,7 +119,6 @@
     void onFailed(const SocketAddress &address);
     bool applyNews(TimePoint sentAt, wire::GatewayNews::Reader news);
     void applyGroups(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
-    void updateGroup(const Link &link, const GroupFacts &facts, TimePoint asOf);
     void applyCrashes(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
     void applyLimits(Link &link, TimePoint sentAt, wire::GatewayNews::Reader news);
     wire::GatewayPeer::ExchangeParams::Builder
--- a/src/gateway/grouppoller.cpp
+++ b/src/gateway/grouppoller.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "gateway/gatewaywire.h"
+#include "gateway/groupreport.h"
 
 #include <utility>
 
@@ -152,17 +153,7 @@
         }
         return;
     }
-    const GroupFacts facts = readGroup(groupNews);
-    const bool stored = groups_.update(facts, asOf);
-    logLine(LogLevel::Info, stored ? "group.heard" : "group.outdated",
-            {{"group", group.value()},
-             {"epoch", facts.epoch},
-             {"open", facts.open},
-             {"forming", facts.forming},
-             {"ranks", facts.members.size()},
-             {"ageMs", toMillis(loop_.now() - asOf)},
-             {"heldAgeMs", toMillis(loop_.now() - groups_.groups().at(group).asOf)},
-             {"agent", host}});
+    storeGroupReport(groups_, {readGroup(groupNews), asOf, "agent", host}, loop_.now());
 }
 
 } // namespace seamarch
