Bound the depth of JSON documents from the store

What callers saw: after another writer had put an entry with a field of lists within lists into the store, every gateway and the deciding expert agent ended with SIGSEGV as soon as it read the entry, and again after each start.

Cause: nlohmann::json parses and destroys values iteratively, but copies, compares and writes them recursively. The message about an unreadable slot count wrote the value with dump(), one stack frame for each level.

The same lists in `zone`, `phase`, `address`, `sequence` or an unknown field end no gateway: those are parsed and destroyed, not written. The cause isn't the message alone: op/config with such lists in `tenants`, `services` or `limits` ended the gateway too, as json::value() copies what it returns.

Fix: parseUntrustedJson() rejects text nested deeper than 128 levels before it is parsed, and all readers of platform/ use it. An entry that is nested deeper is set aside like any unreadable one. A depth that is bounded where text comes in holds for whatever recurses later. The message names the type of the value instead of quoting it.

--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -48,6 +48,7 @@
 //
 // Control settings:
 //   {"put": {KEY: VALUE}}   adds or replaces items
+//   {"putText": {KEY: TEXT}}       does the same with values that need not be JSON
 //   {"remove": [KEY]}       removes items
 //   {"busy": true}          refuses requests with 503
 //   {"silent": true}        does not answer requests
@@ -159,6 +160,17 @@
         }
     }
 
+    void put(const std::string &key, const std::string &value)
+    {
+        const auto existing = items_.find(key);
+        const bool isNew = existing == items_.end() || existing->second.contains("removed");
+        const json created = isNew ? json(revision_ + 1) : existing->second.at("created");
+        items_[key] = {{"key-file", key},
+                       {"value", encodeBase64(value)},
+                       {"created", created},
+                       {"revision", ++revision_}};
+    }
+
     json control(const json &change) override
     {
         if (change.value("copy", false)) {
@@ -169,13 +181,11 @@
         }
         const json puts = change.value("put", json::object());
         for (const auto &[key, value] : puts.items()) {
-            const auto existing = items_.find(key);
-            const bool isNew = existing == items_.end() || existing->second.contains("removed");
-            const json created = isNew ? json(revision_ + 1) : existing->second.at("created");
-            items_[key] = {{"key-file", key},
-                           {"value", encodeBase64(value.dump())},
-                           {"created", created},
-                           {"revision", ++revision_}};
+            put(key, value.dump());
+        }
+        const json texts = change.value("putText", json::object());
+        for (const auto &[key, text] : texts.items()) {
+            put(key, text.get<std::string>());
         }
         for (const json &key : change.value("remove", json::array())) {
             const std::string name = key.get<std::string>();
@@ -186,7 +196,9 @@
         if (change.value("forget", false)) {
             compactedRevision_ = ++revision_;
         }
-        while (!pendingWatches_.empty() && (change.contains("put") || change.contains("remove"))) {
+        const bool changed =
+            change.contains("put") || change.contains("putText") || change.contains("remove");
+        while (!pendingWatches_.empty() && changed) {
             answerWatch(pendingWatches_.begin()->first);
         }
         return {{"calls", calls_}, {"revision", revision_}};
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -3,6 +3,9 @@
 #include "enginehttp.h"
 #include "storehttp.h"
 
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace seamarch;
@@ -34,6 +37,16 @@
   "limits":{"max-header-bytes":100,"idle-timeout-ms":15000},
   "tenants":[{"name":"bids","api-keys":["k"],"priority":3}]})";
 
+// Returns the text of `object` with a further field whose arrays are nested 300,000 deep.
+std::string withNestedField(const nlohmann::json &object, const char *field)
+{
+    constexpr std::size_t kDepth = 300'000;
+    std::string text = object.dump();
+    text.pop_back();
+    return fmt::format("{}, \"{}\": {}{}}}", text, field, std::string(kDepth, '['),
+                       std::string(kDepth, ']'));
+}
+
 } // namespace
 
 TEST_GROUP(CallerHeadersTest)
@@ -313,6 +326,47 @@
     }
 }
 
+// Guards against a stack overflow: the message about an invalid field was written recursively.
+TEST(StoreHttpTest, RejectsDeeplyNestedUpstreamEntries)
+{
+    for (const char *field : {"capacity", "service", "phase", "other"}) {
+        nlohmann::json entry = {{"service", "one"},
+                                {"address", "10.0.0.1:80"},
+                                {"zone", "h"},
+                                {"capacity", 4},
+                                {"phase", "ready"}};
+        entry.erase(field);
+        const auto record = readUpstream("i-1", withNestedField(entry, field));
+        CHECK_FALSE(record.has_value());
+        STRCMP_CONTAINS("nested", record.error().c_str());
+    }
+}
+
+// Guards against a stack overflow: parts of the document were copied recursively.
+TEST(StoreHttpTest, RejectsDeeplyNestedRoutingDocuments)
+{
+    for (const char *field : {"routes", "tenants", "services", "limits", "other"}) {
+        nlohmann::json document = nlohmann::json::parse(kRouting);
+        document.erase(field);
+        const auto routing = readRouting(withNestedField(document, field));
+        CHECK_FALSE(routing.has_value());
+        STRCMP_CONTAINS("nested", routing.error().c_str());
+    }
+}
+
+// The message goes into a log line, and a text may be as long as the entry.
+TEST(StoreHttpTest, NamesTheTypeOfSlotsThatAreNoNumber)
+{
+    nlohmann::json entry = {
+        {"service", "one"}, {"address", "10.0.0.1:80"}, {"zone", "h"}, {"phase", "ready"}};
+    entry["capacity"] = std::string(100'000, 'x');
+    STRCMP_EQUAL("'capacity': expected a whole number from 1 to 1000000, found string",
+                 readUpstream("i-1", entry.dump()).error().c_str());
+    entry["capacity"] = 0;
+    STRCMP_EQUAL("'capacity': expected a whole number from 1 to 1000000, found 0",
+                 readUpstream("i-1", entry.dump()).error().c_str());
+}
+
 TEST(StoreHttpTest, ReadsEra)
 {
     LONGS_EQUAL(7, store.readEra({{"store-era", "7"}}));
