Reject requests with deeply nested bodies at entries

What callers saw: one request of any client account, with `messages` or `prompt` nested some 100,000 levels deep, ended the entry that took it (SIGSEGV) with all its requests.

The prompt's length and prefix are taken from its text, which dump() writes by recursion.

Fix: entries parse bodies with parseUntrustedJson() and answer 400 with the reason. What it says of text that is not JSON is cut to 200 bytes, as the parser may quote a string of any length.

The test of nestedjson for entries failed before (connection closed without an answer) and passes now.

--- a/src/base/untrustedjson.cpp
+++ b/src/base/untrustedjson.cpp
@@ -8,6 +8,8 @@
 
 using nlohmann::json;
 
+constexpr std::size_t kMaxMessageBytes = 200;
+
 // Returns the position after the string whose opening quote is at `start`.
 std::size_t endOfString(std::string_view text, std::size_t start)
 {
@@ -63,7 +65,8 @@
     try {
         return json::parse(text);
     } catch (const json::exception &error) {
-        return tl::unexpected(fmt::format("not JSON: {}", error.what()));
+        const std::string_view message = error.what(); // May quote a string of any length.
+        return tl::unexpected(fmt::format("not JSON: {}", message.substr(0, kMaxMessageBytes)));
     }
 }
 
--- a/src/base/untrustedjson.h
+++ b/src/base/untrustedjson.h
@@ -19,7 +19,8 @@
 // The number of levels of arrays and objects up to which a document is accepted. A scalar has none.
 inline constexpr std::size_t kMaxJsonDepth = 128;
 
-// Parses `text`. Returns what is wrong with it if it is not JSON or is nested too deeply.
+// Parses `text`. Returns what is wrong with it if it is not JSON or is nested too deeply; this
+// message is short, and may quote bytes that are not UTF-8.
 tl::expected<nlohmann::json, std::string> parseUntrustedJson(std::string_view text);
 
 // Returns whether `value` is nested deeper than kMaxJsonDepth, for values that were assembled from
--- a/src/entry/callerfilters.cpp
+++ b/src/entry/callerfilters.cpp
@@ -1,6 +1,7 @@
 #include "entry/callerfilters.h"
 
 #include "base/digest.h"
+#include "base/untrustedjson.h"
 
 #include <algorithm>
 #include <charconv>
@@ -130,7 +131,11 @@
 
     std::optional<FilterFailure> readCompletion(CallerContext &context) const
     {
-        const json body = json::parse(context.http.body, nullptr, false);
+        const auto parsed = parseUntrustedJson(context.http.body);
+        if (!parsed) {
+            return badRequest(fmt::format("the body: {}", parsed.error()));
+        }
+        const json &body = *parsed;
         if (!body.is_object()) {
             return badRequest("expected a JSON object as the body");
         }
@@ -240,7 +245,11 @@
 
     std::optional<FilterFailure> readTicketRequest(CallerContext &context) const
     {
-        const json body = json::parse(context.http.body, nullptr, false);
+        const auto parsed = parseUntrustedJson(context.http.body);
+        if (!parsed) {
+            return badRequest(fmt::format("the body: {}", parsed.error()));
+        }
+        const json &body = *parsed;
         const auto target = body.is_object() ? body.find("target") : body.end();
         if (!body.is_object() || target == body.end() || !target->is_string()) {
             return badRequest("expected a JSON object with the string 'target'");
--- a/test/base/untrustedjson_test.cpp
+++ b/test/base/untrustedjson_test.cpp
@@ -78,6 +78,13 @@
     }
 }
 
+TEST(UntrustedJsonTest, QuotesNoLongText)
+{
+    const auto value = parseUntrustedJson("[\"" + std::string(1'000'000, 'x'));
+    CHECK_FALSE(value.has_value());
+    CHECK(value.error().size() < 300);
+}
+
 TEST(UntrustedJsonTest, ChecksTheDepthOfValues)
 {
     json value = 1;
--- a/test/process/nestedjson_test.py
+++ b/test/process/nestedjson_test.py
@@ -13,7 +13,8 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from gateway_test import GatewaySite, routing  # noqa: E402
-from localsite import control, free_address  # noqa: E402
+from localsite import api_key_of, call, control, free_address  # noqa: E402
+from process_test import make_site  # noqa: E402
 
 DEPTH = 300_000
 NESTED = "[" * DEPTH + "]" * DEPTH
@@ -99,6 +100,18 @@
                                    with_nested_field(routing(version), field))
             self.assertEqual(site.ask("/letters/1")[0], 200)
 
+    def test_request_does_not_end_an_entry(self):
+        with make_site() as site:
+            entry = site.entries["entry-1"]
+            headers = {"Authorization": f"Bearer {api_key_of('bids')}", "Content-Type": "application/json"}
+            for path, text in (("/v1/chat/completions", f'{{"model":"bid","messages":{NESTED}}}'),
+                               ("/v1/completions", f'{{"model":"bid","prompt":{NESTED}}}'),
+                               ("/v1/tickets", f'{{"target":{NESTED}}}')):
+                status, _, answer = call(entry, path, text, headers)
+                self.assertEqual(status, 400, answer)
+                self.assertIn("nested", answer)
+            self.assertIsNone(site.processes["entry-1"].popen.poll())
+
 
 if __name__ == "__main__":
     unittest.main()
