Replace bytes that are not UTF-8 in the errors of entries

What callers saw: one request with such a byte in its path, in Seamarch-Priority or in Seamarch-Deadline-Ms ended the entry that took it (SIGABRT) with all its requests. For the path no key is needed.

Cause: the error quotes the text, and json::dump() throws on bytes that are not UTF-8; nothing catches it.

Fix: errors of entries are written with such bytes replaced, as log lines are; likewise the operators' status, which holds names from other processes.

The test failed before (no answer, exit code -6) and passes now.

--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -38,17 +38,20 @@
     return std::to_string(std::max<std::int64_t>(1, (millis + 999) / 1000));
 }
 
-json errorBody(FailureCode code, Outcome outcome, const std::string &detail)
+// Returns the text of an error. `detail` may quote bytes of the request that are not UTF-8; they
+// are replaced.
+std::string errorBody(FailureCode code, Outcome outcome, const std::string &detail)
 {
     std::string message(advice(code));
     if (!detail.empty()) {
         message = detail + ". " + message;
     }
-    return {{"error",
-             {{"code", toString(code)},
-              {"type", "seamarch_error"},
-              {"message", message},
-              {"outcome", toString(outcome)}}}};
+    const json body = {{"error",
+                        {{"code", toString(code)},
+                         {"type", "seamarch_error"},
+                         {"message", message},
+                         {"outcome", toString(outcome)}}}};
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string_view asStringView(capnp::Data::Reader data)
@@ -411,14 +414,13 @@
     if (retryAfter > Duration{}) {
         head.headers.push_back({"retry-after", retryAfterSeconds(retryAfter)});
     }
-    server_->respond(exchange, head, errorBody(code, outcome, detail).dump());
+    server_->respond(exchange, head, errorBody(code, outcome, detail));
 }
 
 void EntryService::abortStream(const ActiveRequest &active, FailureCode code, Outcome outcome)
 {
     if (active.streamed) {
-        const json body = errorBody(code, outcome, {});
-        server_->write(active.exchange, fmt::format("data: {}\n\n", body.dump()));
+        server_->write(active.exchange, fmt::format("data: {}\n\n", errorBody(code, outcome, {})));
     }
     // The missing final chunk shows the caller's HTTP library that the answer is incomplete.
     server_->abort(active.exchange);
--- a/src/observe/operatorserver.cpp
+++ b/src/observe/operatorserver.cpp
@@ -38,7 +38,9 @@
         body = metrics_.text();
     } else if (request.path == "/status") {
         head.contentType = "application/json";
-        body = source_.status().dump() + "\n";
+        // Names from other processes may not be UTF-8.
+        body = source_.status().dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        body += "\n";
     } else {
         head.status = kNotFound;
         body = "expected /healthz, /readyz, /metrics or /status\n";
--- a/test/process/nestedjson_test.py
+++ b/test/process/nestedjson_test.py
@@ -48,6 +48,7 @@
                 pass
 
         self.server = http.server.ThreadingHTTPServer((host, int(port)), Handler)
+        self.server.handle_error = lambda *_: None  # The agent may end while it asks.
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def close(self):
--- a/test/process/process_test.py
+++ b/test/process/process_test.py
@@ -297,6 +297,23 @@
                 self.assertEqual((answer[0], code_of(answer[2])), (status, code), body[:60])
                 self.assertEqual(answer[1]["Seamarch-Outcome"], "not-run")
 
+    # Guards against the end of an entry: the library refuses to write text that is not UTF-8.
+    def test_bytes_that_are_not_utf8_are_rejected_and_end_no_entry(self):
+        with make_site(engines=1, entries=1) as site:
+            host, port = site.entries["entry-1"].split(":")
+            for path, header in (("/nowhere/\xff", ""), ("/services/\xff", ""),
+                                 ("/v1/chat/completions", "Seamarch-Priority: \xff\r\n"),
+                                 ("/v1/chat/completions", "Seamarch-Deadline-Ms: \xff\r\n")):
+                body = chat(1, False)
+                with socket.create_connection((host, int(port)), 10) as connection:
+                    connection.sendall((f"POST {path} HTTP/1.1\r\nHost: x\r\n{header}"
+                                        f"Authorization: {AUTH['Authorization']}\r\n"
+                                        f"Content-Length: {len(body)}\r\n\r\n{body}").encode("latin-1"))
+                    answer = connection.recv(4096)
+                self.assertRegex(answer, rb"^HTTP/1.1 40[04] ", path + header)
+                self.assertIn(b"not-run", answer)
+            self.assertIsNone(site.processes["entry-1"].popen.poll())
+
     def test_openai_package_works_unchanged(self):
         root = os.path.join(os.path.dirname(__file__), "..", "..")
         clients = os.path.join(root, "build", "clients")
