Bound the depth of configuration documents and of peers' updates

What an operator or a peer could cause: a configuration or an instance list with a field nested some 100,000 levels deep ended every entry, agent and tool that read it (SIGSEGV); so did a peer's update with such a payload.

ObjectReader quoted a mistyped whole number with dump(); VersionedDocument copies, compares and writes documents.

Fix: parseJson() and VersionedDocument parse with parseUntrustedJson(). A patch could still nest a document step by step, so one is applied only if it holds nothing but the operations of json::diff(), and the result is checked. The message about a mistyped whole number names the type.

The tests failed before: ParseTest RejectsDeeplyNestedDocuments and VersionedDocumentTest RejectsDeeplyNestedUpdates by SIGSEGV, the two for patches because the patch was applied.

--- a/src/config/objectreader.cpp
+++ b/src/config/objectreader.cpp
@@ -103,7 +103,7 @@
     }
     if (!found->is_number_unsigned()) {
         fault(name, fmt::format("expected a whole number from {} to {}, found {}", low, high,
-                                found->dump()));
+                                found->is_number() ? found->dump() : found->type_name()));
         return fallback;
     }
     const auto value = found->get<std::uint64_t>();
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -1,5 +1,7 @@
 #include "config/parse.h"
 
+#include "base/untrustedjson.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -294,11 +296,9 @@
         return tl::unexpected(ConfigFaults{{"", fmt::format("expected at most {} bytes, found {}",
                                                             kMaxDocumentBytes, text.size())}});
     }
-    try {
-        return json::parse(text);
-    } catch (const json::exception &error) {
-        return tl::unexpected(ConfigFaults{{"", fmt::format("not JSON: {}", error.what())}});
-    }
+    return parseUntrustedJson(text).map_error([](std::string message) {
+        return ConfigFaults{{"", std::move(message)}};
+    });
 }
 
 tl::expected<ConfigDocument, ConfigFaults> readConfig(const json &value)
--- a/src/config/versioneddocument.cpp
+++ b/src/config/versioneddocument.cpp
@@ -1,5 +1,7 @@
 #include "config/versioneddocument.h"
 
+#include "base/untrustedjson.h"
+
 #include <algorithm>
 #include <utility>
 #include <xxhash.h>
@@ -26,19 +28,28 @@
     return found->get<std::uint64_t>();
 }
 
-std::optional<json> parse(const std::string &text)
+// Returns whether `patch` holds only operations that json::diff() produces. Others can copy a part
+// of the document into itself, and so nest it deeply within one patch.
+bool isDiff(const json &patch)
 {
-    json value = json::parse(text, nullptr, false);
-    if (value.is_discarded()) {
-        return std::nullopt;
-    }
-    return value;
+    return patch.is_array() && std::all_of(patch.begin(), patch.end(), [](const json &step) {
+               const auto operation = step.is_object() ? step.find("op") : step.end();
+               return step.is_object() && operation != step.end()
+                      && (*operation == "add" || *operation == "remove" || *operation == "replace");
+           });
 }
 
 std::optional<json> applyPatch(const json &document, const json &patch)
 {
+    if (!isDiff(patch)) {
+        return std::nullopt;
+    }
     try {
-        return document.patch(patch);
+        json patched = document.patch(patch);
+        if (exceedsMaxJsonDepth(patched)) {
+            return std::nullopt;
+        }
+        return patched;
     } catch (const json::exception &) {
         return std::nullopt;
     }
@@ -97,11 +108,12 @@
     if (update.from != 0 && update.from != version_) {
         return UpdateResult::Gap;
     }
-    auto payload = parse(update.payload);
+    auto payload = parseUntrustedJson(update.payload);
     if (!payload) {
         return UpdateResult::Corrupt;
     }
-    auto document = update.from == 0 ? std::move(payload) : applyPatch(document_, *payload);
+    auto document =
+        update.from == 0 ? std::optional(std::move(*payload)) : applyPatch(document_, *payload);
     if (!document) {
         return UpdateResult::Corrupt;
     }
--- a/test/config/parse_test.cpp
+++ b/test/config/parse_test.cpp
@@ -88,3 +88,15 @@
 
     STRCMP_EQUAL("instances[0].address", list.error().front().path.c_str());
 }
+
+// Guards against a stack overflow: the message about an invalid field was written recursively.
+TEST(ParseTest, RejectsDeeplyNestedDocuments)
+{
+    constexpr std::size_t kDepth = 300'000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    for (const char *field : {"version", "accounts", "objective"}) {
+        const auto parsed = parseConfig(fmt::format(R"({{"{}": {}}})", field, nested));
+        CHECK_FALSE(parsed.has_value());
+        STRCMP_CONTAINS("nested deeper", describe(parsed.error()).c_str());
+    }
+}
--- a/test/config/versioneddocument_test.cpp
+++ b/test/config/versioneddocument_test.cpp
@@ -185,3 +185,43 @@
     CHECK(document.accept(other) == UpdateResult::Conflict);
     CHECK(document.document() == documentAt(3));
 }
+
+// Guards against a stack overflow: documents are copied, compared and written recursively.
+TEST(VersionedDocumentTest, RejectsDeeplyNestedUpdates)
+{
+    constexpr std::size_t kDepth = 300'000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const auto result = document.apply({0, 1, 7, R"({"version":1,"accounts":)" + nested + "}"});
+    CHECK(result == UpdateResult::Corrupt);
+    LONGS_EQUAL(0, document.version());
+}
+
+// The patch adds a nested value inside another one.
+TEST(VersionedDocumentTest, RejectsPatchesThatNestTheDocumentTooDeeply)
+{
+    constexpr std::size_t kDepth = 100;
+    document.accept(documentAt(1));
+    json nested = json::array();
+    std::string path = "/a";
+    for (std::size_t level = 1; level < kDepth; ++level) {
+        nested = json::array({std::move(nested)});
+        path += "/0";
+    }
+    const json patch = {{{"op", "replace"}, {"path", "/version"}, {"value", 2}},
+                        {{"op", "add"}, {"path", "/a"}, {"value", nested}},
+                        {{"op", "add"}, {"path", path + "/-"}, {"value", nested}}};
+    const json patched = document.document().patch(patch);
+    const auto result = document.apply({1, 2, documentDigest(patched), patch.dump()});
+    CHECK(result == UpdateResult::Corrupt);
+    LONGS_EQUAL(1, document.version());
+}
+
+TEST(VersionedDocumentTest, RejectsPatchesWithOperationsThatNoDifferenceHolds)
+{
+    document.accept(documentAt(1));
+    const json patch = {{{"op", "replace"}, {"path", "/version"}, {"value", 2}},
+                        {{"op", "copy"}, {"from", ""}, {"path", "/a"}}};
+    const json patched = document.document().patch(patch);
+    const auto result = document.apply({1, 2, documentDigest(patched), patch.dump()});
+    CHECK(result == UpdateResult::Corrupt);
+}
