Accept answers of engines whose fields have another type

What callers saw: an engine's answer with a token count that is no whole number, or its state with a mistyped fence, ended the agent beside it (SIGABRT) with all its requests.

Cause: json::value() throws if the field has another type, and nothing catches it. Found while looking for other ends by a foreign document.

Fix: the agent passes such an answer on without counting its tokens, and sets such a state aside with a line in the log. Both are parsed with parseUntrustedJson(); a nested answer ended no agent before either, since it was only parsed.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "base/log.h"
+#include "base/untrustedjson.h"
 #include "base/wallclock.h"
 #include "net/retryafter.h"
 #include "net/wireconvert.h"
@@ -431,10 +432,17 @@
 
 void AgentService::countUsageTokens(RequestId id, const ActiveRequest &active)
 {
-    const json answer = json::parse(active.pending, nullptr, false);
-    const auto usage = answer.is_object() ? answer.find("usage") : answer.end();
-    if (answer.is_object() && usage != answer.end() && usage->is_object()) {
-        core_.onTokens(id, usage->value("completion_tokens", 0U));
+    const auto answer = parseUntrustedJson(active.pending);
+    if (!answer || !answer->is_object()) {
+        return;
+    }
+    const auto usage = answer->find("usage");
+    if (usage == answer->end() || !usage->is_object()) {
+        return;
+    }
+    const auto tokens = usage->find("completion_tokens");
+    if (tokens != usage->end() && tokens->is_number_unsigned()) {
+        core_.onTokens(id, tokens->get<Tokens>());
     }
 }
 
--- a/src/agent/enginereloader.cpp
+++ b/src/agent/enginereloader.cpp
@@ -1,7 +1,10 @@
 #include "agent/enginereloader.h"
 
 #include "base/log.h"
+#include "base/untrustedjson.h"
+#include "config/objectreader.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -18,14 +21,25 @@
 
 std::optional<EngineState> parseEngineState(const std::string &body)
 {
-    const json value = json::parse(body, nullptr, false);
-    if (!value.is_object() || !value.contains("version") || !value["version"].is_string()) {
+    const auto value = parseUntrustedJson(body);
+    if (!value || !value->is_object()) {
         return std::nullopt;
     }
+    const auto version = value->find("version");
+    if (version == value->end() || !version->is_string()) {
+        return std::nullopt;
+    }
+    ConfigFaults faults;
+    ObjectReader reader(*value, "", faults);
     EngineState state;
-    state.version = value["version"].get<std::string>();
-    state.fence = value.value("fence", 0ULL);
-    state.loading = value.value("loading", false);
+    state.version = version->get<std::string>(); // Empty if no version is loaded.
+    state.fence =
+        reader.integer("fence", Presence::Optional, 0, std::numeric_limits<std::uint64_t>::max());
+    state.loading = reader.boolean("loading", Presence::Optional);
+    if (!faults.empty()) {
+        logLine(LogLevel::Warning, "engine.state_unreadable", {{"faults", describe(faults)}});
+        return std::nullopt;
+    }
     return state;
 }
 
