Bound the depth of documents that the tool reads

`seamarch explain` ended with SIGSEGV on a log with a deeply nested field, since it prints the field's value; `status` printed an instance's status as it came. The stand-ins do the same with the bodies of requests.

tool_test.sh failed before (exit code 139 of `explain`).

--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -2,6 +2,7 @@
 // configuration.
 #include "base/digest.h"
 #include "base/settings.h"
+#include "base/untrustedjson.h"
 #include "config/configplan.h"
 #include "config/parse.h"
 #include "config/versioneddocument.h"
@@ -307,7 +308,7 @@
             return failWith(kExitUsage, fmt::format("expected IP:PORT, found '{}'", addressText));
         }
         const auto text = fetch({address->host, address->port}, "/status");
-        const json status = text ? json::parse(*text, nullptr, false) : json();
+        const json status = text ? parseUntrustedJson(*text).value_or(json()) : json();
         if (!status.is_object()) {
             ++unreachable;
             processes.push_back({{"address", addressText}, {"reachable", false}});
--- a/src/tool/requesttimeline.cpp
+++ b/src/tool/requesttimeline.cpp
@@ -1,5 +1,7 @@
 #include "tool/requesttimeline.h"
 
+#include "base/untrustedjson.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <map>
@@ -136,9 +138,9 @@
             unreadableLines += line.empty() ? 0 : 1;
             continue;
         }
-        json value = json::parse(line.substr(brace), nullptr, false);
-        if (value.is_object() && value.contains("event")) {
-            lines.push_back(std::move(value));
+        auto value = parseUntrustedJson(line.substr(brace));
+        if (value && value->is_object() && value->contains("event")) {
+            lines.push_back(std::move(*value));
         } else {
             ++unreadableLines;
         }
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -1,3 +1,4 @@
+#include "base/untrustedjson.h"
 #include "standin.h"
 
 #include <fmt/format.h>
@@ -75,7 +76,7 @@
 
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
-        const json body = json::parse(request.body, nullptr, false);
+        const json body = parseUntrustedJson(request.body).value_or(nullptr);
         if (request.path == "/v1/orders") {
             serveOrder(exchange, request, body);
             return;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "base/settings.h"
+#include "base/untrustedjson.h"
 #include "standin.h"
 
 #include <csignal>
@@ -27,7 +28,7 @@
         serve(exchange, request);
         return;
     }
-    const nlohmann::json change = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json change = parseUntrustedJson(request.body).value_or(nullptr);
     respondJson(exchange, 200, control(change.is_object() ? change : nlohmann::json::object()));
 }
 
--- a/test/process/tool_test.sh
+++ b/test/process/tool_test.sh
@@ -34,6 +34,14 @@
 expect 0 "$tool" explain r-1 "$work/g.log" --json
 expect 1 "$tool" explain r-2 "$work/g.log"
 expect 1 "$tool" explain r-1 "$work/none.log"
+# Nested too deeply for the stack, if written recursively.
+nested="$(head -c 200000 /dev/zero | tr '\0' '[')$(head -c 200000 /dev/zero | tr '\0' ']')"
+echo "{\"version\": $nested}" >"$work/nested.json"
+expect 1 "$tool" validate "$work/nested.json"
+expect 1 "$tool" diff "$work/base.json" "$work/nested.json"
+expect 1 "$tool" plan share a 3 --base="$work/nested.json"
+echo "{\"event\":\"request.refused\",\"id\":\"r-1\",\"code\":$nested}" >"$work/nested.log"
+expect 0 "$tool" explain r-1 "$work/g.log" "$work/nested.log"
 expect 0 "$tool" plan drain-hall north --base="$work/base.json"
 expect 2 "$tool" plan
 expect 2 "$tool" plan share a much --base="$work/base.json"
