Report the end of a call whose response is malformed

What callers saw: a request whose upstream sent something other than a response, such as a head without an end, waited for its whole deadline and got 504, though its end was known at once; it was neither repeated elsewhere nor counted against the upstream.

Cause: HttpClient::read() closed the connection before endCall(), which then found no connection to take the receiver from and told nobody. `unreadable` ends of attempts were never logged for the same reason.

Fix: endCall() alone; it closes the connection itself.

The three tests of EndlessResponseTest failed before (no end within 20 s).

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -212,7 +212,6 @@
             return;
         }
         if (connection.reader.fault()) {
-            closeConnection(socket);
             endCall(call, HttpCallEnd::MalformedResponse);
             return;
         }
