Give up responses that go on without a body or an end

What callers saw: an upstream that sent a chunk's extension, a trailer or informational responses without an end held a request until its deadline, and the gateway read and dropped some 100 MB of it meanwhile.

Cause: the size of a head is limited, but not that of what the parser drops between parts of a body, after it or before the final head.

Fix: HttpReader counts the bytes since the last part of the body and applies the limit of heads to them, for requests too (431); HttpClient accepts 16 informational responses before the final one.

The three new tests of EndlessResponseTest failed before: the call ended as interrupted, once the server had sent 256 MB.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kMaxIdlePerAddress = 16;
 constexpr std::size_t kMaxResponseHeadBytes = std::size_t{64} * 1024;
 constexpr int kFirstFinalStatus = 200;
+// Informational responses that may precede the final one.
+constexpr int kMaxInformationalResponses = 16;
 
 // Returns how long a connection may stay idle after a response with these headers.
 Duration keepAliveTime(const HttpHeaders &headers)
@@ -78,6 +80,7 @@
     TimePoint connectDeadline{};
     Duration keepAlive{};
     int status = 0;
+    int informationalResponses = 0;
     bool connected = false;
     bool persistent = false;
     bool reusedConnection = false;
@@ -118,6 +121,7 @@
     connection.call = id;
     connection.reusedConnection = reused;
     connection.receivedBytes = false;
+    connection.informationalResponses = 0;
     connection.connectDeadline = loop_.now() + request.connectTimeout;
     connection.request = std::move(request);
     connection.receiver = std::move(receiver);
@@ -211,7 +215,8 @@
         if (calls_.find(call) == calls_.end()) {
             return;
         }
-        if (connection.reader.fault()) {
+        if (connection.reader.fault()
+            || connection.informationalResponses > kMaxInformationalResponses) {
             endCall(call, HttpCallEnd::MalformedResponse);
             return;
         }
@@ -219,6 +224,7 @@
             return;
         }
         if (connection.status < kFirstFinalStatus) {
+            ++connection.informationalResponses;
             connection.reader.reset();
             continue;
         }
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -164,6 +164,7 @@
     done_ = false;
     noBody_ = false;
     bodySize_ = 0;
+    bytesSinceBody_ = 0;
     fault_.reset();
 }
 
@@ -266,6 +267,19 @@
     return skipped + used;
 }
 
+// Parses a part of the body. Chunk extensions and trailers are dropped, so that only their size
+// shows that they have no end.
+std::size_t HttpReader::feedBody(std::string_view bytes)
+{
+    const std::uint64_t previousSize = bodySize_;
+    const std::size_t used = execute(bytes);
+    bytesSinceBody_ = bodySize_ == previousSize ? bytesSinceBody_ + used : 0;
+    if (bytesSinceBody_ > limits_.headBytes && !done_ && !fault_) {
+        setFault(HttpFault::HeadTooLarge);
+    }
+    return used;
+}
+
 std::size_t HttpReader::feed(std::string_view bytes)
 {
     std::size_t used = 0;
@@ -276,7 +290,7 @@
     if (!headDone_ || done_ || fault_ || bytes.empty()) {
         return used;
     }
-    return used + execute(bytes);
+    return used + feedBody(bytes);
 }
 
 bool HttpReader::finishOnConnectionEnd()
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -60,7 +60,8 @@
 public:
     enum class Kind { Request, Response };
 
-    // Sizes above which a message is rejected; `bodyBytes` applies to requests only.
+    // Sizes above which a message is rejected. `headBytes` also limits what may come between parts
+    // of a chunked body and after it; `bodyBytes` applies to requests only.
     struct Limits
     {
         std::size_t headBytes = std::size_t{16} * 1024;
@@ -93,6 +94,7 @@
     std::size_t feedHead(std::string_view bytes);
     void parseHead();
     void setFault(HttpFault fault) { fault_ = fault; }
+    std::size_t feedBody(std::string_view bytes);
     std::size_t execute(std::string_view bytes);
     int onHeadersComplete();
     int onBodyPiece(std::string_view piece);
@@ -111,6 +113,7 @@
     bool done_ = false;
     bool noBody_ = false;
     std::uint64_t bodySize_ = 0;
+    std::size_t bytesSinceBody_ = 0; // Chunk sizes with extensions, and the trailer.
     std::optional<HttpFault> fault_;
 };
 
--- a/test/net/endlessresponse_test.cpp
+++ b/test/net/endlessresponse_test.cpp
@@ -158,3 +158,18 @@
 {
     checkGivenUp("HTTP/1.1 200 OK\r\n", "A: b\r\n");
 }
+
+TEST(EndlessResponseTest, GivesUpInformationalResponses)
+{
+    checkGivenUp("", "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+TEST(EndlessResponseTest, GivesUpChunkExtension)
+{
+    checkGivenUp("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x");
+}
+
+TEST(EndlessResponseTest, GivesUpTrailer)
+{
+    checkGivenUp("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n");
+}
--- a/test/net/httpreader_test.cpp
+++ b/test/net/httpreader_test.cpp
@@ -153,3 +153,28 @@
     STRCMP_EQUAL("X-End", forwarded[0].name.c_str());
     STRCMP_EQUAL("Host", forwarded[1].name.c_str());
 }
+
+TEST(HttpReaderTest, LimitsChunkExtensionsAndTrailersOfRequests)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &text :
+         {head + "5;" + std::string(300, 'x'), head + "0\r\nA: " + std::string(300, 'x')}) {
+        Message message;
+        HttpReader reader(HttpReader::Kind::Request, kLimits, message);
+        feedByteByByte(reader, text);
+        CHECK(reader.fault() == HttpFault::HeadTooLarge);
+    }
+}
+
+TEST(HttpReaderTest, AcceptsManyChunksWithShortExtensions)
+{
+    Message message;
+    HttpReader reader(HttpReader::Kind::Request, kLimits, message);
+    std::string text = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int chunk = 0; chunk < 60; ++chunk) {
+        text += "1;note=twelve\r\na\r\n";
+    }
+    feedByteByByte(reader, text + "0\r\n\r\n");
+    CHECK_TRUE(reader.done());
+    LONGS_EQUAL(60, message.body.size());
+}
