Close the connection of a fetched body that is too large

A body without an end from an engine was read and dropped until the call's time-out, up to 16 MiB of it kept: hundreds of such calls of one agent exceed its memory. The agent of a plain deployment kept all of its engine's state, without a time-out, and a document of the platform was read on for ever.

Fix: fetchText() cancels the call at its limit. Engines' answers are limited to 256 KiB each, and the state of a plain engine is fetched the same way, with 64 KiB and 10 s.

--- a/src/agent/enginereloader.cpp
+++ b/src/agent/enginereloader.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/untrustedjson.h"
 #include "config/objectreader.h"
+#include "net/httpfetch.h"
 
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -16,6 +17,9 @@
 constexpr int kStatusOk = 200;
 // If not all permits are collected within this time, they are released and collected anew.
 constexpr Duration kPermitCollectTimeout = std::chrono::seconds(30);
+// An engine answers at once, as it loads weights in the background.
+constexpr Duration kEngineCallTimeout = std::chrono::seconds(10);
+constexpr std::size_t kMaxStateBytes = std::size_t{64} * 1024;
 constexpr int kStatusNotFound = 404;
 constexpr const char *kOrdersPath = "/v1/orders";
 
@@ -45,30 +49,6 @@
 
 } // namespace
 
-// Receives the engine's answer to a query or an order, which is its state in both cases.
-class EngineReloader::Receiver final : public HttpCallReceiver
-{
-public:
-    explicit Receiver(EngineReloader &reloader)
-        : reloader_(reloader)
-    {}
-
-    void onHead(HttpHead head) override { status_ = head.status; }
-    void onPiece(std::string_view piece) override { body_ += piece; }
-    void onEnd(HttpCallEnd end) override
-    {
-        reloader_.inFlight_ = false;
-        reloader_.ordersUnsupported_ = status_ == kStatusNotFound;
-        const bool succeeded = end == HttpCallEnd::Complete && status_ == kStatusOk;
-        reloader_.onEngineState(succeeded ? parseEngineState(body_) : std::nullopt);
-    }
-
-private:
-    EngineReloader &reloader_;
-    int status_ = 0;
-    std::string body_;
-};
-
 EngineReloader::EngineReloader(EventLoop &loop, HttpClient &client, EngineReloaderHost &host,
                                InstanceId self, SocketAddress engine)
     : loop_(loop)
@@ -84,25 +64,38 @@
     configVersion_ = config;
 }
 
-void EngineReloader::queryState()
+// Sends a query or an order. The engine answers both with its state.
+void EngineReloader::fetchState(HttpCallRequest request)
 {
     inFlight_ = true;
+    fetchText(
+        loop_, client_, std::move(request), kEngineCallTimeout,
+        [this](const HttpTextResponse &text) {
+            inFlight_ = false;
+            ordersUnsupported_ = text.status == kStatusNotFound;
+            const bool succeeded = text.complete && text.status == kStatusOk;
+            onEngineState(succeeded ? parseEngineState(text.body) : std::nullopt);
+        },
+        kMaxStateBytes);
+}
+
+void EngineReloader::queryState()
+{
     HttpCallRequest request;
     request.address = engineAddress_;
     request.path = kOrdersPath;
-    client_.call(std::move(request), std::make_unique<Receiver>(*this));
+    fetchState(std::move(request));
 }
 
 void EngineReloader::sendOrder()
 {
-    inFlight_ = true;
     HttpCallRequest request;
     request.address = engineAddress_;
     request.method = "POST";
     request.path = kOrdersPath;
     request.contentType = "application/json";
     request.body = json{{"fence", configVersion_.value()}, {"version", targetVersion_}}.dump();
-    client_.call(std::move(request), std::make_unique<Receiver>(*this));
+    fetchState(std::move(request));
     logLine(LogLevel::Info, "order.given",
             {{"version", targetVersion_}, {"fence", configVersion_.value()}});
 }
--- a/src/agent/enginereloader.h
+++ b/src/agent/enginereloader.h
@@ -73,8 +73,7 @@
     // order.
     enum class Step { Idle, Collecting, Draining, Ordering, Loading };
 
-    class Receiver;
-
+    void fetchState(HttpCallRequest request);
     void queryState();
     void sendOrder();
     void onEngineState(const std::optional<EngineState> &state);
--- a/src/experts/engineclient.cpp
+++ b/src/experts/engineclient.cpp
@@ -12,6 +12,8 @@
 // A healthy engine answers these calls immediately; one that does not is dead, partitioned or
 // losing responses.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(300);
+// Far above the counts of any group. An agent may have calls to hundreds of engines in progress.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{256} * 1024;
 constexpr int kOk = 200;
 
 } // namespace
@@ -44,7 +46,8 @@
             }
             pending->facts.report = *report;
             fetchCounts(pending);
-        });
+        },
+        kMaxAnswerBytes);
 }
 
 void EngineClient::fetchCounts(const std::shared_ptr<PendingQuery> &pending)
@@ -53,14 +56,16 @@
         fetchExperts(pending);
         return;
     }
-    fetchText(loop_, client_, protocol_.countsCall(pending->engine), kCallTimeout,
-              [this, pending](const HttpTextResponse &text) {
-                  auto counts = protocol_.readCounts(text.body);
-                  if (text.complete && text.status == kOk && counts) {
-                      pending->facts.counts = std::move(*counts);
-                  }
-                  fetchExperts(pending);
-              });
+    fetchText(
+        loop_, client_, protocol_.countsCall(pending->engine), kCallTimeout,
+        [this, pending](const HttpTextResponse &text) {
+            auto counts = protocol_.readCounts(text.body);
+            if (text.complete && text.status == kOk && counts) {
+                pending->facts.counts = std::move(*counts);
+            }
+            fetchExperts(pending);
+        },
+        kMaxAnswerBytes);
 }
 
 void EngineClient::fetchExperts(const std::shared_ptr<PendingQuery> &pending)
@@ -69,24 +74,27 @@
         pending->done(std::move(pending->facts));
         return;
     }
-    fetchText(loop_, client_, protocol_.expertsCall(pending->engine), kCallTimeout,
-              [this, pending](const HttpTextResponse &text) {
-                  auto experts = protocol_.readExperts(text.body);
-                  if (text.complete && text.status == kOk && experts) {
-                      pending->facts.experts = std::move(*experts);
-                  }
-                  pending->done(std::move(pending->facts));
-              });
+    fetchText(
+        loop_, client_, protocol_.expertsCall(pending->engine), kCallTimeout,
+        [this, pending](const HttpTextResponse &text) {
+            auto experts = protocol_.readExperts(text.body);
+            if (text.complete && text.status == kOk && experts) {
+                pending->facts.experts = std::move(*experts);
+            }
+            pending->done(std::move(pending->facts));
+        },
+        kMaxAnswerBytes);
 }
 
 void EngineClient::sendOrder(const SocketAddress &engine, const MapOrder &order,
                              std::function<void(MapOrderAnswer)> done)
 {
-    fetchText(loop_, client_, protocol_.orderCall(engine, order), kCallTimeout,
-              [this, done = std::move(done)](const HttpTextResponse &text) {
-                  done(text.complete ? protocol_.readOrderAnswer(text.status)
-                                     : MapOrderAnswer::Lost);
-              });
+    fetchText(
+        loop_, client_, protocol_.orderCall(engine, order), kCallTimeout,
+        [this, done = std::move(done)](const HttpTextResponse &text) {
+            done(text.complete ? protocol_.readOrderAnswer(text.status) : MapOrderAnswer::Lost);
+        },
+        kMaxAnswerBytes);
 }
 
 } // namespace seamarch
--- a/src/knowledge/platformwatcher.cpp
+++ b/src/knowledge/platformwatcher.cpp
@@ -30,15 +30,15 @@
     {
         if (body_.size() + piece.size() <= kMaxDocumentBytes) {
             body_ += piece;
-        } else {
-            exceedsLimit_ = true;
+        } else if (poller_.client_.cancel(std::exchange(poller_.call_, 0))) {
+            poller_.onFailure();
         }
     }
 
     void onEnd(HttpCallEnd end) override
     {
         poller_.call_ = 0;
-        if (end == HttpCallEnd::Complete && !exceedsLimit_) {
+        if (end == HttpCallEnd::Complete) {
             poller_.onAnswer(status_, body_);
         } else {
             poller_.onFailure();
@@ -48,7 +48,6 @@
 private:
     DocumentPoller &poller_;
     int status_ = 0;
-    bool exceedsLimit_ = false;
     std::string body_;
 };
 
--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -7,14 +7,15 @@
 namespace seamarch {
 namespace {
 
-constexpr std::size_t kMaxBodyBytes = std::size_t{16} * 1024 * 1024;
-
 // Collects one response. Its destructor cancels the timeout, however the call ends.
 class TextReceiver final : public HttpCallReceiver
 {
 public:
-    TextReceiver(EventLoop &loop, std::function<void(HttpTextResponse)> done)
+    TextReceiver(EventLoop &loop, HttpClient &client, std::size_t maxBytes,
+                 std::function<void(HttpTextResponse)> done)
         : loop_(loop)
+        , client_(client)
+        , maxBytes_(maxBytes)
         , done_(std::move(done))
     {}
     ~TextReceiver() override { loop_.cancel(timer_); }
@@ -23,9 +24,10 @@
 
     // Cancels the call after `timeout`. If the process stood still, the timer may fire after the
     // call was cancelled and before this receiver is destroyed; whoever called may be gone by then.
-    void startTimeout(HttpClient &client, HttpCallId call, Duration timeout)
+    void start(HttpCallId call, Duration timeout)
     {
-        timer_ = loop_.schedule(timeout, [&client, call, done = done_] {
+        call_ = call;
+        timer_ = loop_.schedule(timeout, [&client = client_, call, done = done_] {
             if (client.cancel(call)) {
                 done(HttpTextResponse());
             }
@@ -39,36 +41,40 @@
     }
     void onPiece(std::string_view piece) override
     {
-        tooLarge_ = tooLarge_ || response_.body.size() + piece.size() > kMaxBodyBytes;
-        if (!tooLarge_) {
+        if (response_.body.size() + piece.size() <= maxBytes_) {
             response_.body.append(piece);
+        } else if (client_.cancel(call_)) {
+            const auto done = std::move(done_);
+            done(HttpTextResponse());
         }
     }
     void onEnd(HttpCallEnd end) override
     {
-        response_.complete = end == HttpCallEnd::Complete && !tooLarge_;
+        response_.complete = end == HttpCallEnd::Complete;
         const auto done = std::move(done_);
         done(std::move(response_));
     }
 
 private:
     EventLoop &loop_;
+    HttpClient &client_;
+    std::size_t maxBytes_;
     std::function<void(HttpTextResponse)> done_;
     HttpTextResponse response_;
+    HttpCallId call_ = 0;
     TimerId timer_ = 0;
-    bool tooLarge_ = false;
 };
 
 } // namespace
 
 HttpCallId fetchText(EventLoop &loop, HttpClient &client, HttpCallRequest request, Duration timeout,
-                     std::function<void(HttpTextResponse)> done)
+                     std::function<void(HttpTextResponse)> done, std::size_t maxBytes)
 {
     request.connectTimeout = std::min(request.connectTimeout, timeout);
-    auto receiver = std::make_unique<TextReceiver>(loop, std::move(done));
+    auto receiver = std::make_unique<TextReceiver>(loop, client, maxBytes, std::move(done));
     TextReceiver &textReceiver = *receiver;
     const HttpCallId call = client.call(std::move(request), std::move(receiver));
-    textReceiver.startTimeout(client, call, timeout);
+    textReceiver.start(call, timeout);
     return call;
 }
 
--- a/src/net/httpfetch.h
+++ b/src/net/httpfetch.h
@@ -4,6 +4,7 @@
 #include "net/eventloop.h"
 #include "net/httpclient.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -18,10 +19,15 @@
     std::string body;
 };
 
+// The default limit of a body: that of a long list of the platform's store.
+inline constexpr std::size_t kMaxFetchedBytes = std::size_t{16} * 1024 * 1024;
+
 // Makes a call and passes its response to `done`, after this function has returned. The response is
-// incomplete if the call fails, takes longer than `timeout` (it is then cancelled), or has a body
-// of more than 16 MiB. Returns the id of the call; if it is cancelled, `done` is not called.
+// incomplete if the call fails, takes longer than `timeout` or has a body of more than `maxBytes`;
+// in the last two cases its connection is closed. Returns the id of the call; if it is cancelled,
+// `done` is not called.
 HttpCallId fetchText(EventLoop &loop, HttpClient &client, HttpCallRequest request, Duration timeout,
-                     std::function<void(HttpTextResponse)> done);
+                     std::function<void(HttpTextResponse)> done,
+                     std::size_t maxBytes = kMaxFetchedBytes);
 
 } // namespace seamarch
--- a/test/net/endlessresponse_test.cpp
+++ b/test/net/endlessresponse_test.cpp
@@ -1,6 +1,7 @@
 // Tests that responses without an end are given up and their connections closed, over loopback.
 #include "freeport.h"
 #include "net/httpclient.h"
+#include "net/httpfetch.h"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -173,3 +174,22 @@
 {
     checkGivenUp("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n");
 }
+
+// Guards against reading on until the time-out.
+TEST(EndlessResponseTest, FetchClosesConnectionOfTooLargeBody)
+{
+    std::optional<HttpTextResponse> response;
+    EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x");
+    HttpCallRequest request;
+    request.address = server.address();
+    fetchText(*loop, *client, std::move(request), std::chrono::minutes(10),
+              [&](HttpTextResponse text) {
+                  response = std::move(text);
+                  loop->stop();
+              });
+    loop->schedule(kTestTimeout, [this] { loop->stop(); });
+    loop->run();
+    CHECK_TEXT(response.has_value(), "expected the fetch to end");
+    CHECK_FALSE(response->complete);
+    checkClosed(server);
+}
