Give up streams whose event never ends

What callers saw: with three upstreams that sent an event without an end, the gateway stood at one core and took memory for every byte; other callers timed out.

Cause: EventSplitter kept a partial event without a limit, searched all of it anew with each piece, and the memory budget didn't count it.

Fix: an event of more than 64 KiB ends the attempt as unreadable: its connection is closed, the request is resumed elsewhere where its route allows that, and otherwise its answer is cut off, which shows that it is incomplete. Each byte is searched once. Partial events count in the memory budget. A line in the log tells when a whole answer was given up for its size (`attempt.too_large`).

--- a/src/decision/gateway/eventsplitter.cpp
+++ b/src/decision/gateway/eventsplitter.cpp
@@ -1,44 +1,36 @@
 #include "decision/gateway/eventsplitter.h"
 
 namespace seamarch {
-namespace {
 
-// Returns the size of the first complete event of `text`, including its empty line; zero if there
-// is none.
-std::size_t firstEventSize(std::string_view text)
+std::string EventSplitter::feed(std::string_view bytes)
 {
-    std::size_t at = 0;
+    std::size_t searchStart = partial_.size();
+    partial_.append(bytes);
+    const std::string_view text(partial_);
+    std::size_t eventStart = 0;
     for (;;) {
-        const std::size_t end = text.find('\n', at);
+        const std::size_t end = text.find('\n', searchStart);
         if (end == std::string_view::npos) {
-            return 0;
+            break;
         }
-        const std::string_view line = text.substr(at, end - at);
-        at = end + 1;
+        const std::string_view line = text.substr(lineStart_, end - lineStart_);
+        lineStart_ = end + 1;
+        searchStart = lineStart_;
         if (line.empty() || line == "\r") {
-            return at;
+            parseEvent(text.substr(eventStart, lineStart_ - eventStart));
+            eventStart = lineStart_;
         }
     }
+    std::string whole = partial_.substr(0, eventStart);
+    partial_.erase(0, eventStart);
+    lineStart_ -= eventStart;
+    return whole;
 }
 
-} // namespace
-
-std::string EventSplitter::feed(std::string_view bytes)
+void EventSplitter::discardPartial()
 {
-    partial_.append(bytes);
-    std::size_t consumed = 0;
-    const std::string_view text(partial_);
-    for (;;) {
-        const std::size_t size = firstEventSize(text.substr(consumed));
-        if (size == 0) {
-            break;
-        }
-        parseEvent(text.substr(consumed, size));
-        consumed += size;
-    }
-    std::string whole = partial_.substr(0, consumed);
-    partial_.erase(0, consumed);
-    return whole;
+    partial_.clear();
+    lineStart_ = 0;
 }
 
 void EventSplitter::parseEvent(std::string_view event)
--- a/src/decision/gateway/eventsplitter.h
+++ b/src/decision/gateway/eventsplitter.h
@@ -5,9 +5,13 @@
 // repetition or a partial event. Events without an id are forwarded, but a stream cannot be resumed
 // from them.
 //
+// An event that is larger than kMaxEventBytes is not forwarded either: what an upstream sends
+// without an end is no event. The time that feed() takes is linear in the size of its input.
+//
 // Pure and single-threaded; one object for each answer.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -17,21 +21,27 @@
 class EventSplitter
 {
 public:
+    static constexpr std::size_t kMaxEventBytes = std::size_t{64} * 1024;
+
     // Appends `bytes` and returns the events that are now complete, byte for byte.
     std::string feed(std::string_view bytes);
     // Discards a partial event, after the upstream disconnected.
-    void discardPartial() { partial_.clear(); }
+    void discardPartial();
 
     // Returns the last id that a complete event had; empty if there was none.
     const std::string &lastId() const { return lastId_; }
     // Returns the number of complete events.
     std::uint64_t eventCount() const { return eventCount_; }
     bool hasPartial() const { return !partial_.empty(); }
+    std::size_t partialBytes() const { return partial_.size(); }
+    // Returns whether the partial event is larger than any event may be.
+    bool isPartialTooLarge() const { return partial_.size() > kMaxEventBytes; }
 
 private:
     void parseEvent(std::string_view event);
 
     std::string partial_;
+    std::size_t lineStart_ = 0; // Of the incomplete line at the end of partial_.
     std::string lastId_;
     std::uint64_t eventCount_ = 0;
 };
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -353,7 +353,8 @@
     }
     heldMemory_ = {server_->uploadedBytes(), 0, server_->bufferedTotal() + client_->unsentBytes()};
     for (const auto &[number, active] : activeRequests_) {
-        heldMemory_.requests += active.request.body.size() + active.body.size();
+        heldMemory_.requests +=
+            active.request.body.size() + active.body.size() + active.events.partialBytes();
     }
     server_->limitUploads(memoryBudget_.maxUploads(heldMemory_));
     if (const auto ended = server_->slowUploadsEnded(); ended != slowUploadsEnded_) {
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -250,6 +250,11 @@
     }
     if (active->streams) {
         relayEvents(number, *active, piece);
+        if (active->events.isPartialTooLarge()) {
+            client_->cancel(std::exchange(active->call, 0));
+            loseAttempt(number, *active, HttpCallEnd::MalformedResponse);
+            return;
+        }
         if (server_->buffered(active->exchange) > memoryBudget_.maxUnsent(activeRequests_.size())) {
             pauseReading(number, *active, true);
         }
@@ -257,6 +262,12 @@
     }
     active->body.append(piece);
     if (active->body.size() > kMaxBufferedAnswerBytes) {
+        logLine(LogLevel::Info, "attempt.too_large",
+                {{"id", active->metadata.requestId},
+                 {"attempt", attempt},
+                 {"upstream", active->upstream.value()},
+                 {"bytes", active->body.size()},
+                 {"ms", toMillis(loop_.now() - active->startedAt)}});
         GatewayActions actions;
         core_.onHead(number, AnswerKind::Invalid, loop_.now(), actions);
         carryOut(actions);
@@ -319,20 +330,27 @@
         finishAnswer(number, *active);
         return;
     }
+    loseAttempt(number, *active, end);
+}
+
+// Handles the end of an attempt without a complete answer; its call is over.
+void GatewayService::loseAttempt(RequestNumber number, ActiveRequest &active, HttpCallEnd end)
+{
     logLine(LogLevel::Info, "attempt.lost",
-            {{"id", active->metadata.requestId},
-             {"attempt", attempt},
-             {"upstream", active->upstream.value()},
+            {{"id", active.metadata.requestId},
+             {"attempt", active.attempt},
+             {"upstream", active.upstream.value()},
              {"end", nameOf(end)},
-             {"headSent", active->headSent},
-             {"events", active->events.eventCount()},
-             {"ms", toMillis(loop_.now() - active->startedAt)}});
-    active->events.discardPartial();
+             {"headSent", active.headSent},
+             {"events", active.events.eventCount()},
+             {"partialEventBytes", active.events.partialBytes()},
+             {"ms", toMillis(loop_.now() - active.startedAt)}});
+    active.events.discardPartial();
     if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::ReusedConnectionLost) {
-        probeUpstream(number, *active);
+        probeUpstream(number, active);
         return;
     }
-    onAttemptLost(number, attempt,
+    onAttemptLost(number, active.attempt,
                   end == HttpCallEnd::NotSent ? AttemptEnd::NotSent : AttemptEnd::Lost);
 }
 
--- a/test/decision/gateway/eventsplitter_test.cpp
+++ b/test/decision/gateway/eventsplitter_test.cpp
@@ -42,3 +42,49 @@
     STRCMP_EQUAL("7", splitter.lastId().c_str());
     LONGS_EQUAL(2, splitter.eventCount());
 }
+
+// Guards against memory and time that grow with the answer of an upstream that ends no event.
+TEST(EventSplitterTest, ReportsPartialEventThatIsTooLarge)
+{
+    for (const std::string &piece : {std::string(1000, 'x'), std::string(500, '\r') + "a\n"}) {
+        EventSplitter endless;
+        endless.feed("data: a\n\n");
+        while (endless.partialBytes() + piece.size() <= EventSplitter::kMaxEventBytes) {
+            endless.feed(piece);
+        }
+        CHECK_FALSE(endless.isPartialTooLarge());
+        endless.feed(piece);
+        CHECK_TRUE(endless.isPartialTooLarge());
+        LONGS_EQUAL(1, endless.eventCount());
+    }
+}
+
+TEST(EventSplitterTest, PassesAnEventOfTheMaximumSize)
+{
+    const std::string event =
+        "data: " + std::string(EventSplitter::kMaxEventBytes - 8, 'x') + "\n\n";
+    splitter.feed(std::string_view(event).substr(0, event.size() - 1));
+    CHECK_FALSE(splitter.isPartialTooLarge());
+    STRCMP_EQUAL("\n", splitter.feed("\n").substr(event.size() - 1).c_str());
+    CHECK_FALSE(splitter.hasPartial());
+}
+
+TEST(EventSplitterTest, SplitsAlikeAtEveryPosition)
+{
+    const std::string text = "id: 1\r\ndata: a\r\n\r\n\n\nid: 2\ndata: b\n\r\nid: 3\n";
+    for (std::size_t position = 0; position <= text.size(); ++position) {
+        EventSplitter parts;
+        std::string passed = parts.feed(std::string_view(text).substr(0, position));
+        passed += parts.feed(std::string_view(text).substr(position));
+        STRCMP_EQUAL(text.substr(0, text.size() - 6).c_str(), passed.c_str());
+        STRCMP_EQUAL("2", parts.lastId().c_str());
+        LONGS_EQUAL(4, parts.eventCount());
+    }
+}
+
+TEST(EventSplitterTest, StartsAnewAfterDiscardedLines)
+{
+    splitter.feed("id: 1\ndata: long line\nda");
+    splitter.discardPartial();
+    STRCMP_EQUAL("id: 2\n\n", splitter.feed("id: 2\n\n").c_str());
+}
