Limit partial events by the memory budget

Fix: a partial event may take an even share of the quarter of the budget that answers may use, from 64 KiB to 8 MiB. The sum stays within the budget up to the least share, and a large event passes where there is room.

--- a/src/decision/admission/memorybudget.cpp
+++ b/src/decision/admission/memorybudget.cpp
@@ -12,6 +12,9 @@
 // Some dozen events: fewer would stop and resume the upstream at every event.
 constexpr std::size_t kMinUnsent = std::size_t{8} * 1024;
 constexpr std::size_t kMaxUnsent = std::size_t{256} * 1024;
+// An event holds some tokens; one with a large result is let through if there is room for it.
+constexpr std::size_t kMinPartialEvent = std::size_t{64} * 1024;
+constexpr std::size_t kMaxPartialEvent = std::size_t{8} * 1024 * 1024;
 
 } // namespace
 
@@ -35,8 +38,20 @@
     if (limit_ == 0) {
         return kMaxUnsent;
     }
-    const std::size_t share = limit_ / 4 / std::max<std::size_t>(1, answers);
-    return std::clamp(share, kMinUnsent, kMaxUnsent);
+    return std::clamp(shareOfAnswer(answers), kMinUnsent, kMaxUnsent);
+}
+
+std::size_t MemoryBudget::maxPartialEvent(std::size_t answers) const
+{
+    if (limit_ == 0) {
+        return kMaxPartialEvent;
+    }
+    return std::clamp(shareOfAnswer(answers), kMinPartialEvent, kMaxPartialEvent);
+}
+
+std::size_t MemoryBudget::shareOfAnswer(std::size_t answers) const
+{
+    return limit_ / 4 / std::max<std::size_t>(1, answers);
 }
 
 } // namespace seamarch
--- a/src/decision/admission/memorybudget.h
+++ b/src/decision/admission/memorybudget.h
@@ -21,7 +21,7 @@
 struct HeldMemory
 {
     std::size_t uploads = 0;  // Parts of request bodies that are not complete yet.
-    std::size_t requests = 0; // Bodies of requests in progress.
+    std::size_t requests = 0; // Bodies of requests in progress, and incomplete parts of answers.
     std::size_t unsent = 0;   // Answers and requests that the other side has not taken yet.
 
     std::size_t sum() const { return uploads + requests + unsent; }
@@ -44,8 +44,14 @@
     // Returns how many bytes of one answer may be unsent before it is no longer read from its
     // upstream, while `answers` of them are in progress.
     std::size_t maxUnsent(std::size_t answers) const;
+    // Returns how many bytes of an event that is not complete may be kept, while `answers` answers
+    // are in progress. An upstream that sends more is taken for one that never ends its event.
+    std::size_t maxPartialEvent(std::size_t answers) const;
 
 private:
+    // Returns an even share of the quarter of the limit that answers may use.
+    std::size_t shareOfAnswer(std::size_t answers) const;
+
     std::size_t limit_;
 };
 
--- a/src/decision/gateway/eventsplitter.h
+++ b/src/decision/gateway/eventsplitter.h
@@ -5,8 +5,8 @@
 // repetition or a partial event. Events without an id are forwarded, but a stream cannot be resumed
 // from them.
 //
-// An event that is larger than kMaxEventBytes is not forwarded either: what an upstream sends
-// without an end is no event. The time that feed() takes is linear in the size of its input.
+// The caller bounds the size of a partial event, as an upstream may never end one. The time that
+// feed() takes is linear in the size of its input and of what it returns.
 //
 // Pure and single-threaded; one object for each answer.
 #pragma once
@@ -21,8 +21,6 @@
 class EventSplitter
 {
 public:
-    static constexpr std::size_t kMaxEventBytes = std::size_t{64} * 1024;
-
     // Appends `bytes` and returns the events that are now complete, byte for byte.
     std::string feed(std::string_view bytes);
     // Discards a partial event, after the upstream disconnected.
@@ -34,8 +32,6 @@
     std::uint64_t eventCount() const { return eventCount_; }
     bool hasPartial() const { return !partial_.empty(); }
     std::size_t partialBytes() const { return partial_.size(); }
-    // Returns whether the partial event is larger than any event may be.
-    bool isPartialTooLarge() const { return partial_.size() > kMaxEventBytes; }
 
 private:
     void parseEvent(std::string_view event);
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -250,7 +250,7 @@
     }
     if (active->streams) {
         relayEvents(number, *active, piece);
-        if (active->events.isPartialTooLarge()) {
+        if (active->events.partialBytes() > memoryBudget_.maxPartialEvent(activeRequests_.size())) {
             client_->cancel(std::exchange(active->call, 0));
             loseAttempt(number, *active, HttpCallEnd::MalformedResponse);
             return;
--- a/test/decision/admission/memorybudget_test.cpp
+++ b/test/decision/admission/memorybudget_test.cpp
@@ -40,10 +40,22 @@
     }
 }
 
+// Guards against a process killed for the memory of events that never end.
+TEST(MemoryBudgetTest, PartialEventsShareAQuarterOfTheLimit)
+{
+    const MemoryBudget large{128 * kMegabyte};
+    for (const std::size_t answers : {std::size_t{4}, std::size_t{100}, std::size_t{512}}) {
+        CHECK_TRUE(answers * large.maxPartialEvent(answers) <= 32 * kMegabyte);
+    }
+    LONGS_EQUAL(8 * kMegabyte, large.maxPartialEvent(1));
+    LONGS_EQUAL(64 * 1024, large.maxPartialEvent(10'000));
+}
+
 TEST(MemoryBudgetTest, WithoutALimitNothingIsRestricted)
 {
     const MemoryBudget none;
     CHECK_TRUE(none.admits({kMegabyte, kMegabyte, kMegabyte}, 100 * kMegabyte));
     CHECK_TRUE(none.maxUploads({kMegabyte, kMegabyte, kMegabyte}) > 1000 * kMegabyte);
     LONGS_EQUAL(256 * 1024, none.maxUnsent(10'000));
+    LONGS_EQUAL(8 * kMegabyte, none.maxPartialEvent(10'000));
 }
