--- a/soak/soak.py
+++ b/soak/soak.py
@@ -51,6 +51,10 @@
 LIMIT_SLACK = 5                 # Requests allowed beyond 1.5 times the limit.
 WARM_UP_RATE = 1.0              # Requests per second that an upstream accepts while it warms up.
 WARM_UP_MS = 60_000             # Longer than a run.
+MAX_ATTEMPTS = 2                # Upstreams that one request may run on, as the routes state.
+RETRY_RATIO = 0.2               # Retries that each request adds to the budget of all gateways together.
+RETRY_SLACK = 12.0              # Retries allowed in addition in each window.
+RETRY_WINDOW_S = 10.0           # Window in which the check counts retries.
 PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1, "unbound": 1, "warm": 1, "undrained": 1,
            "hoards": 1}  # Seed by fault.
 STREAM = [f"id: {n}\ndata: token {n}" for n in range(1, 11)]
@@ -99,7 +103,7 @@
     def publish(self):
         self.version += 1
         routes = [{"name": name, "hostname": "site.example", "path-prefix": f"/{name}/",
-                   "type": kind, "service": "portal", "timeout-ms": 4000, "max-attempts": 2,
+                   "type": kind, "service": "portal", "timeout-ms": 4000, "max-attempts": MAX_ATTEMPTS,
                    "stream-resume": True, "target-gap-ms": hardload.GAP_TARGET_MS}
                   for name, kind in (("letters", "unsafe"), ("status", "safe"),
                                      ("stream", "streaming"))]
@@ -141,7 +145,8 @@
         self.arguments = ["gateway", "--instance", name, "--hall", hall, "--listen", self.entry,
                           "--operator-listen", self.operators, "--platform", store,
                           "--peer-listen", peer, "--seeds", seeds, "--stop-delay-ms", "600",
-                          "--stop-deadline-ms", "5000", "--log-level", "info"]
+                          "--stop-deadline-ms", "5000", "--log-level", "info",
+                          "--retry-ratio", str(RETRY_RATIO), "--retry-slack", str(RETRY_SLACK)]
         agents = free_address().split(":")[1]
         self.arguments += hardload.gateway_settings(site.hard_random, agents, site.plant)
         self.process, self.incarnation, self.stopping = None, 0, False
@@ -527,6 +532,7 @@
             self.check_request(request, runs.get(request.id, []))
         for name in self.site.upstreams:
             self.check_retry_after(name, known)
+        self.check_retries()
         for named in self.limits:
             self.check_limit(*named, known)
         for warm_up in self.warm_ups:
@@ -558,6 +564,32 @@
                 if len(late) > MAX_LATE_REQUESTS and not excused:
                     self.fail(f"{name} sent {gateway} a Retry-After of {rest} s and got {len(late)} requests")
 
+    def check_retries(self):
+        """Checks that the retries of all gateways together stay within the budget in every window. A retry is
+        an arrival of a request that has arrived at an upstream before, whether it is refused or not."""
+        arrivals = []
+        for address in self.site.upstreams.values():
+            state = control(address, {})
+            offset = time.monotonic() - state["nowMs"] / 1000
+            arrivals += [(arrival["ms"] / 1000 + offset, arrival["id"]) for arrival in state["arrivals"]]
+        seen, retries = set(), []
+        for at, number in sorted(arrivals):
+            retries += [at] if number in seen else []
+            seen.add(number)
+        sent = [request.sent_at for request in self.requests]
+
+        def sent_between(begin, end):
+            return sum(begin < at <= end for at in sent)
+
+        for end in retries:
+            found = sum(end - RETRY_WINDOW_S < at <= end for at in retries)
+            most = max(sent_between(end - back - RETRY_WINDOW_S, end - back)
+                       for back in (0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S))
+            if found > RETRY_RATIO * most + RETRY_SLACK:
+                self.fail(f"upstreams got {found} retries in {RETRY_WINDOW_S:.0f} s, in which {most} requests were "
+                          f"sent; {RETRY_RATIO * most + RETRY_SLACK:.0f} are allowed")
+                return
+
     def check_limit(self, name, limit, since, until, known):
         """Checks that the gateways which received the rate limit of upstream `name` together stay within it,
         except during disturbances."""
@@ -606,6 +638,8 @@
         about = f"{request.id} ({request.kind} at {request.gateway}, {request.result})"
         if request.kind == "letters" and len(runs) > 1:
             self.fail(f"{about} ran {len(runs)} times")
+        if len(runs) > MAX_ATTEMPTS:
+            self.fail(f"{about} ran on {len(runs)} upstreams; its route allows {MAX_ATTEMPTS}")
         if request.kind == "letters" and request.result in NOT_RUN and runs:
             self.fail(f"{about} ran, but its answer says that it did not")
         if request.headers.get("Seamarch-Outcome") == "not-run" and runs:
