Test: crashes of upstreams whose port stays open

What callers see: a request that crashes every upstream that runs it is sent on for as long as its caller repeats it.

A process may close its connections before its listening socket, a parent process may hold the port, or a proxy may stand before the upstream.

--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <fmt/format.h>
 #include <set>
+#include <thread>
+#include <utility>
 #include <vector>
 
 namespace seamarch::standin {
@@ -30,6 +32,8 @@
 //   {"endsOnPart": TEXT}    ends the process as it begins to answer a request with this prompt
 //   part;
 //                           the head of a stream is sent before
+//   {"lingerMs": N}         a process that ends closes its connections N ms before its listening
+//                           socket, and answers nothing in between
 //   {"leaving": true}       announces in all answers that it is leaving
 //   {"weights": TEXT}       answers 421 to requests that expect another version of its weights
 //   {"limit": TEXT}         announces this rate limit in all answers; empty: none
@@ -114,7 +118,8 @@
         loop().schedule(std::chrono::milliseconds(delayMs_),
                         [this, exchange, head, streams, firstEvent, padding, exits, exitsOnAnswer] {
                             if (exits) {
-                                std::_Exit(kExitEndedByRequest);
+                                exit();
+                                return;
                             }
                             if (exitsOnAnswer) {
                                 exitWhileAnswering(exchange, head, streams);
@@ -132,8 +137,25 @@
             head.contentType = "text/event-stream";
             server().begin(exchange, head);
         }
-        loop().schedule(streams ? kHeadSendTime : Duration{},
-                        [] { std::_Exit(kExitEndedByRequest); });
+        loop().schedule(streams ? kHeadSendTime : Duration{}, [this] { exit(); });
+    }
+
+    // Ends the process. If it lingers, it closes its connections first, and the kernel still
+    // accepts new ones for the time.
+    void exit()
+    {
+        constexpr Duration kCloseTime = std::chrono::milliseconds(5);
+        if (lingerMs_ == 0) {
+            std::_Exit(kExitEndedByRequest);
+        }
+        for (const ExchangeId exchange : std::exchange(openExchanges_, {})) {
+            server().abort(exchange);
+        }
+        server().closeIdleConnections();
+        loop().schedule(kCloseTime, [this] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(lingerMs_));
+            std::_Exit(kExitEndedByRequest);
+        });
     }
 
     // Answers a request that has run. A stream begins with event `firstEvent`; any other answer
@@ -203,6 +225,7 @@
         exitOnBodyText_ = change.value("endsOn", exitOnBodyText_);
         exitOnPromptPart_ = change.value("endsOnPart", exitOnPromptPart_);
         retryAfter_ = change.value("rest", retryAfter_);
+        lingerMs_ = change.value("lingerMs", lingerMs_);
         leaving_ = change.value("leaving", leaving_);
         limit_ = change.value("limit", limit_);
         weightsVersion_ = change.value("weights", weightsVersion_);
@@ -218,6 +241,7 @@
     std::vector<json> arrivals_;
     std::set<ExchangeId> openExchanges_;
     int delayMs_ = 1;
+    int lingerMs_ = 0;
     std::size_t eventBytes_ = 0;
     int breakAfter_ = 0;
     int callersGone_ = 0; // Callers that left before the end of their answer.
--- a/test/process/crashingrequest_test.py
+++ b/test/process/crashingrequest_test.py
@@ -62,10 +62,14 @@
         self.thread.join()
 
 
-class CrashingRequestTest(unittest.TestCase):
+class CrashingRequestCase(unittest.TestCase):
+    """Four gateways in two halls, and four upstreams that crash on one request."""
+
+    site_type = GatewaySite
+
     def setUp(self):
         self.seed = free_address()
-        self.site = GatewaySite(upstreams=4, **{"peer-listen": self.seed, "seeds": self.seed})
+        self.site = self.site_type(upstreams=4, **{"peer-listen": self.seed, "seeds": self.seed})
         self.addCleanup(self.site.__exit__)
         self.site.set_all(endsOn="poison", delayMs=5)
         self.restarter = UpstreamRestarter(self.site, 4)
@@ -95,6 +99,8 @@
             time.sleep(0.15)
         return answer
 
+
+class CrashingRequestTest(CrashingRequestCase):
     def check_stopped(self, path):
         started = time.monotonic()
         while len(self.restarter.ends) < 3 and time.monotonic() - started < 8:
