Take an upstream for alive only if it answers

Cause: after a broken connection the gateway connected to the upstream and took an accepted connection for a sign of life. The kernel accepts connections while a process ends, while a parent process holds the port, and a proxy accepts them while nothing runs behind it, so these crashes were counted by nobody.

Change: the probe asks a question that a running process answers at once, names the expected instance, and reconnects when a connection breaks before the answer. No answer within 400 ms counts as an end unless the upstream goes on answering other requests. Agents before upstreams had the same fault and use the same probe. The deadlines of the probe are judged after what has arrived is read.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kFreeSlotNotices = 4; // The number of entries told of a free slot.
 // The pending answer size of one request above which reading from the upstream is paused.
 constexpr std::size_t kPendingHighWaterBytes = 64 * 1024;
+// Engines serve it without running anything; those that do not know it answer 404.
+constexpr std::string_view kHealthPath = "/health";
 constexpr std::string_view kEventPrefix = "data: ";
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
@@ -480,12 +482,12 @@
 // crash the next one as well, so the entry must be able to tell.
 void AgentService::probeUpstream(RequestId id)
 {
-    probe_->probe(settings_.upstream, [this, id](UpstreamProbeResult state) {
+    const UpstreamQuestion question{std::string(kHealthPath), {}};
+    probe_->probe(settings_.upstream, question, [this, id](UpstreamProbeResult state) {
         metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
         logLine(LogLevel::Info, "upstream.probed",
                 {{"request", id.counter}, {"entry", id.entry.value()}, {"state", toString(state)}});
-        const bool ended = state == UpstreamProbeResult::Ended;
-        sendFailure(id, ended ? FailureCode::UpstreamEnded : FailureCode::UpstreamFailed,
+        sendFailure(id, isEnd(state) ? FailureCode::UpstreamEnded : FailureCode::UpstreamFailed,
                     Outcome::Unknown, {});
     });
 }
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -282,6 +282,9 @@
         return false;
     }
     const InstanceId upstream = request->upstream;
+    if (kind != AnswerKind::WrongInstance) {
+        chooser_.onAnswered(upstream, now);
+    }
     recordAnswer(*request, kind, now);
     if (kind == AnswerKind::Success) {
         chooser_.onSuccess(upstream);
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -280,6 +280,11 @@
     std::uint64_t secondAttempts() const { return secondAttempts_; }
     // Returns the upstreams that asked for a rest, with the end of the rest.
     std::map<InstanceId, TimePoint> resting(TimePoint now) const { return chooser_.resting(now); }
+    // Returns whether an upstream has answered a request since its connections broke at `time`.
+    bool answeredSince(const InstanceId &upstream, TimePoint time) const
+    {
+        return chooser_.answeredSince(upstream, time);
+    }
     // Returns this gateway's requests in flight at an upstream.
     std::uint32_t inFlightAt(const InstanceId &upstream) const
     {
--- a/src/decision/gateway/gatewaycorestreams.cpp
+++ b/src/decision/gateway/gatewaycorestreams.cpp
@@ -195,6 +195,7 @@
     request->hasEvents = true;
     request->firstEventAt = now;
     request->progressAt = now;
+    chooser_.onAnswered(request->upstream, now);
     trackerOf(*request).onFirstEvent(now);
     Duration &average = serviceOf(request->service).meanTimeToFirstEvent;
     const Duration time = now - request->attemptStartedAt;
@@ -207,6 +208,7 @@
     Request *request = find(number);
     if (request != nullptr && request->upstream != InstanceId()) {
         request->progressAt = now;
+        chooser_.onAnswered(request->upstream, now);
         if (!request->partsAnswered && now - request->firstEventAt >= settings_.answerProofTime) {
             recordPartsAnswered(*request, now);
         }
--- a/src/decision/gateway/upstreamchooser.cpp
+++ b/src/decision/gateway/upstreamchooser.cpp
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace seamarch {
+namespace {
+
+// What an upstream sent before its connections broke may be read after the first of them is closed.
+constexpr Duration kUnreadTime = std::chrono::milliseconds(100);
+// How long the time of an answer is kept: longer than it takes to find out whether an upstream that
+// lost a request has ended.
+constexpr Duration kAnswerMemory = std::chrono::seconds(1);
+
+} // namespace
 
 UpstreamChooser::UpstreamChooser(const Settings &settings, const UpstreamTable &upstreams,
                                  const GroupTable &groups, const UpstreamLimits &limits,
@@ -232,6 +241,17 @@
     }
 }
 
+void UpstreamChooser::onAnswered(const InstanceId &upstream, TimePoint now)
+{
+    states_[upstream].answeredAt = now;
+}
+
+bool UpstreamChooser::answeredSince(const InstanceId &upstream, TimePoint time) const
+{
+    const auto found = states_.find(upstream);
+    return found != states_.end() && found->second.answeredAt > time + kUnreadTime;
+}
+
 void UpstreamChooser::onFull(const InstanceId &upstream, TimePoint now)
 {
     states_[upstream].fullUntil = now + settings_.fullCooldown;
@@ -301,7 +321,7 @@
     std::erase_if(states_, [now](const auto &entry) {
         const State &state = entry.second;
         return state.inFlight == 0 && state.deprioritizedUntil <= now && state.fullUntil <= now
-               && state.restUntil <= now;
+               && state.restUntil <= now && state.answeredAt + kAnswerMemory <= now;
     });
 }
 
--- a/src/decision/gateway/upstreamchooser.h
+++ b/src/decision/gateway/upstreamchooser.h
@@ -119,6 +119,10 @@
     void onSent(const UpstreamRecord &upstream, TimePoint now);
     // Ends one request in flight at `upstream`, whatever its result.
     void onFinished(const InstanceId &upstream);
+    // Records that `upstream` sent an answer or a part of one.
+    void onAnswered(const InstanceId &upstream, TimePoint now);
+    // Returns whether `upstream` has answered since its connections broke at `time`.
+    bool answeredSince(const InstanceId &upstream, TimePoint time) const;
     void onFull(const InstanceId &upstream, TimePoint now);
     // Sends nothing to `upstream` before `until`.
     void onRestRequested(const InstanceId &upstream, TimePoint until);
@@ -155,8 +159,9 @@
     {
         std::uint32_t inFlight = 0;
         TimePoint deprioritizedUntil{};
-        TimePoint fullUntil{}; // Estimated by this gateway.
-        TimePoint restUntil{}; // Requested by the upstream.
+        TimePoint fullUntil{};  // Estimated by this gateway.
+        TimePoint restUntil{};  // Requested by the upstream.
+        TimePoint answeredAt{}; // Last answer or part of one.
     };
 
     // The groups of a service, with the change counters of the tables that they were built from.
--- a/src/gateway/callerprotocol.h
+++ b/src/gateway/callerprotocol.h
@@ -9,6 +9,7 @@
 #include "net/httpreader.h"
 #include "net/httpserver.h"
 #include "net/httptypes.h"
+#include "net/upstreamprobe.h"
 #include "seamarch/ids.h"
 #include "seamarch/outcome.h"
 #include "seamarch/units.h"
@@ -65,6 +66,8 @@
     // Extracts the notices about the upstream itself from the head of its answer. The notice is
     // empty if another instance answered at the upstream's address.
     virtual UpstreamNotice readNotice(const HttpHead &head) const = 0;
+    // Returns the question that tells whether the process of an instance is running.
+    virtual UpstreamQuestion livenessQuestion(const InstanceId &instance) const = 0;
     // Returns the headers of a refusal by the gateway itself.
     virtual HttpHeaders refusalHeaders(const std::string &requestId, Outcome outcome,
                                        Duration retryAfter) const = 0;
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -367,8 +367,11 @@
 }
 
 // Probes whether the upstream that lost the request has ended. The request waits for the result,
-// which takes some round trips at most: retried at once, a request that crashes upstreams might
-// take down another one.
+// which takes some round trips unless the upstream does not answer: retried at once, a request that
+// crashes upstreams might take down another one.
+//
+// An upstream that resets new connections because it has too many does not answer the probe, but
+// goes on answering other requests.
 void GatewayService::probeUpstream(RequestNumber number, const ActiveRequest &active)
 {
     LostAttempt lost{active.metadata.requestId,
@@ -381,25 +384,30 @@
                      active.streams,
                      active.events.eventCount() - active.eventsBefore};
     const std::uint32_t attempt = active.attempt;
-    probe_->probe(active.address, [this, number, attempt, lost](UpstreamProbeResult state) {
-        metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
-        logLine(LogLevel::Info, "upstream.probed",
-                {{"id", lost.requestId},
-                 {"upstream", lost.upstream.value()},
-                 {"state", toString(state)},
-                 {"digest", toText(lost.digest)},
-                 {"sharedParts", loggedParts(lost.sharedPromptParts)},
-                 {"streaming", lost.streaming},
-                 {"events", lost.events},
-                 {"ms", toMillis(loop_.now() - lost.at)}});
-        if (state == UpstreamProbeResult::Ended) {
-            GatewayActions actions;
-            core_.onUpstreamEnded(lost.suspects, lost.account, lost.upstream, lost.at, loop_.now(),
-                                  actions);
-            carryOut(actions);
-        }
-        onAttemptLost(number, attempt, AttemptEnd::Lost);
-    });
+    const UpstreamQuestion question = protocol_.livenessQuestion(active.upstream);
+    probe_->probe(
+        active.address, question, [this, number, attempt, lost](UpstreamProbeResult state) {
+            metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
+            logLine(LogLevel::Info, "upstream.probed",
+                    {{"id", lost.requestId},
+                     {"upstream", lost.upstream.value()},
+                     {"state", toString(state)},
+                     {"answeredOthers", core_.answeredSince(lost.upstream, lost.at)},
+                     {"digest", toText(lost.digest)},
+                     {"sharedParts", loggedParts(lost.sharedPromptParts)},
+                     {"streaming", lost.streaming},
+                     {"events", lost.events},
+                     {"ms", toMillis(loop_.now() - lost.at)}});
+            const bool answered = state == UpstreamProbeResult::Unresponsive
+                                  && core_.answeredSince(lost.upstream, lost.at);
+            if (isEnd(state) && !answered) {
+                GatewayActions actions;
+                core_.onUpstreamEnded(lost.suspects, lost.account, lost.upstream, lost.at,
+                                      loop_.now(), actions);
+                carryOut(actions);
+            }
+            onAttemptLost(number, attempt, AttemptEnd::Lost);
+        });
 }
 
 void GatewayService::finishAnswer(RequestNumber number, ActiveRequest &active)
--- a/src/net/upstreamprobe.cpp
+++ b/src/net/upstreamprobe.cpp
@@ -1,16 +1,36 @@
 #include "net/upstreamprobe.h"
 
+#include <fmt/format.h>
+#include <iterator>
 #include <utility>
 
 namespace seamarch {
 namespace {
 
-// How long a host may take to respond: many round trips between the halls of a region, but less
-// than a caller notices, because the requests of the broken connection wait for the result.
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(150);
-// How long an accepted connection must stay open. A process that ends closes its sockets within
-// some milliseconds of each other, or some scheduling periods of a busy host.
-constexpr Duration kSettleTime = std::chrono::milliseconds(20);
+// How long a host may take to accept a connection: many round trips between the halls of a region,
+// but less than a caller notices, because the requests of the broken connection wait for the
+// result.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
+// How long an upstream that accepts connections may take to answer, all connections together.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
+// The pause after a connection that broke. A process that ends closes its sockets within some
+// milliseconds of each other, or some scheduling periods of a busy host.
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(20);
+// The loop runs expired timers before it reads sockets. What has arrived by the deadline is read
+// within this time.
+constexpr Duration kReadTime = std::chrono::milliseconds(1);
+// The status line of an instance at the address that is not the expected one.
+constexpr std::string_view kOtherInstance = "HTTP/1.1 421";
+
+std::string toRequest(const SocketAddress &address, const UpstreamQuestion &question)
+{
+    std::string text = fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\nConnection: close\r\n",
+                                   question.path, address.host, address.port);
+    for (const HttpHeader &header : question.headers) {
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", header.name, header.value);
+    }
+    return text + "\r\n";
+}
 
 } // namespace
 
@@ -21,20 +41,28 @@
         return "lives";
     case UpstreamProbeResult::Ended:
         return "ended";
+    case UpstreamProbeResult::Unresponsive:
+        return "unresponsive";
     case UpstreamProbeResult::Unknown:
         return "unknown";
     }
     return "unknown";
 }
 
+bool isEnd(UpstreamProbeResult result)
+{
+    return result == UpstreamProbeResult::Ended || result == UpstreamProbeResult::Unresponsive;
+}
+
 UpstreamProbe::UpstreamProbe(EventLoop &loop)
     : loop_(loop)
 {}
 
 UpstreamProbe::~UpstreamProbe()
 {
-    for (const auto &[socket, pending] : pending_) {
-        loop_.cancel(pending.timer);
+    for (const auto &[address, pending] : pending_) {
+        loop_.cancel(pending.deadline);
+        loop_.cancel(pending.nextConnection);
     }
 }
 
@@ -49,68 +77,107 @@
     return probe;
 }
 
-void UpstreamProbe::probe(const SocketAddress &address, Callback callback)
+void UpstreamProbe::probe(const SocketAddress &address, const UpstreamQuestion &question,
+                          Callback callback)
 {
-    const auto existing = socketByAddress_.find(address);
-    if (existing != socketByAddress_.end()) {
-        pending_.at(existing->second).callbacks.push_back(std::move(callback));
+    const auto [found, isNew] = pending_.try_emplace(address);
+    PendingProbe &pending = found->second;
+    pending.callbacks.push_back(std::move(callback));
+    if (!isNew) {
         return;
     }
-    PendingProbe pending;
     pending.address = address;
-    pending.callbacks.push_back(std::move(callback));
-    connect(std::move(pending));
+    pending.request = toRequest(address, question);
+    setDeadline(pending, kConnectTimeout);
+    connect(address);
 }
 
-void UpstreamProbe::connect(PendingProbe pending)
+UpstreamProbe::PendingProbe *UpstreamProbe::findBySocket(SocketId socket)
 {
-    const SocketId socket = sockets_->connect(pending.address, *this);
-    pending.accepted = false;
-    pending.timer = loop_.schedule(
-        kProbeTimeout, [this, socket] { finish(socket, UpstreamProbeResult::Unknown); });
-    socketByAddress_[pending.address] = socket;
-    pending_.emplace(socket, std::move(pending));
+    const auto found = addressBySocket_.find(socket);
+    return found == addressBySocket_.end() ? nullptr : &pending_.at(found->second);
 }
 
-void UpstreamProbe::onConnected(SocketId socket)
+void UpstreamProbe::connect(const SocketAddress &address)
 {
-    PendingProbe &pending = pending_.at(socket);
-    loop_.cancel(pending.timer);
-    pending.accepted = true;
-    pending.timer =
-        loop_.schedule(kSettleTime, [this, socket] { finish(socket, UpstreamProbeResult::Alive); });
+    PendingProbe &pending = pending_.at(address);
+    pending.nextConnection = 0;
+    pending.answer.clear();
+    pending.socket = sockets_->connect(address, *this);
+    addressBySocket_[pending.socket] = address;
 }
 
-void UpstreamProbe::onEnd(SocketId socket, SocketEnd end)
+void UpstreamProbe::setDeadline(PendingProbe &pending, Duration delay)
 {
-    const auto found = pending_.find(socket);
-    if (found->second.accepted && !found->second.repeated) {
-        PendingProbe pending = std::move(found->second);
-        pending_.erase(found);
-        loop_.cancel(pending.timer);
-        pending.repeated = true;
-        connect(std::move(pending));
+    loop_.cancel(pending.deadline);
+    pending.deadline = loop_.schedule(delay, [this, address = pending.address] {
+        PendingProbe &due = pending_.at(address);
+        due.deadline = loop_.schedule(kReadTime, [this, address] { onDeadline(address); });
+    });
+}
+
+void UpstreamProbe::onDeadline(const SocketAddress &address)
+{
+    finish(address, pending_.at(address).everAccepted ? UpstreamProbeResult::Unresponsive
+                                                      : UpstreamProbeResult::Unknown);
+}
+
+void UpstreamProbe::onConnected(SocketId socket)
+{
+    PendingProbe *pending = findBySocket(socket);
+    if (pending == nullptr) {
         return;
     }
-    if (found->second.accepted) {
-        finish(socket, UpstreamProbeResult::Alive); // It accepted a second connection.
+    if (!std::exchange(pending->everAccepted, true)) {
+        setDeadline(*pending, kAnswerTimeout);
+    }
+    sockets_->send(socket, pending->request);
+}
+
+void UpstreamProbe::onBytes(SocketId socket, std::string_view bytes)
+{
+    PendingProbe *pending = findBySocket(socket);
+    if (pending == nullptr) {
         return;
     }
-    finish(socket,
-           end == SocketEnd::Refused ? UpstreamProbeResult::Ended : UpstreamProbeResult::Unknown);
+    pending->answer += bytes.substr(0, kOtherInstance.size());
+    if (pending->answer.size() >= kOtherInstance.size()) {
+        finish(SocketAddress(pending->address), pending->answer.starts_with(kOtherInstance)
+                                                    ? UpstreamProbeResult::Ended
+                                                    : UpstreamProbeResult::Alive);
+    }
 }
 
-void UpstreamProbe::finish(SocketId socket, UpstreamProbeResult result)
+void UpstreamProbe::onEnd(SocketId socket, SocketEnd end)
 {
-    const auto found = pending_.find(socket);
-    if (found == pending_.end()) {
+    PendingProbe *pending = findBySocket(socket);
+    if (pending == nullptr) {
         return;
     }
+    addressBySocket_.erase(socket);
+    pending->socket = 0;
+    const SocketAddress address = pending->address;
+    if (end == SocketEnd::Refused) {
+        finish(address, UpstreamProbeResult::Ended);
+    } else if (end == SocketEnd::Unreachable && !pending->everAccepted) {
+        finish(address, UpstreamProbeResult::Unknown);
+    } else {
+        pending->nextConnection =
+            loop_.schedule(kReconnectDelay, [this, address] { connect(address); });
+    }
+}
+
+void UpstreamProbe::finish(const SocketAddress &address, UpstreamProbeResult result)
+{
+    const auto found = pending_.find(address);
     const PendingProbe pending = std::move(found->second);
     pending_.erase(found);
-    socketByAddress_.erase(pending.address);
-    loop_.cancel(pending.timer);
-    sockets_->close(socket);
+    loop_.cancel(pending.deadline);
+    loop_.cancel(pending.nextConnection);
+    if (pending.socket != 0) {
+        addressBySocket_.erase(pending.socket);
+        sockets_->close(pending.socket);
+    }
     for (const Callback &callback : pending.callbacks) {
         callback(result);
     }
--- a/src/net/upstreamprobe.h
+++ b/src/net/upstreamprobe.h
@@ -1,24 +1,30 @@
 // Determines whether the process of an upstream has ended after a connection to it broke.
 //
 // A connection breaks for several reasons: the upstream's process ended, its group stalled and
-// aborted its requests, it refuses further connections, or the network failed. Its host refuses
-// a new connection at once only if its process has ended. A running upstream accepts it, and a host
-// that lost power or is disconnected does not respond. The probe therefore makes one connection to
-// an upstream that lost requests, however many it lost at that time.
+// aborted its requests, it refuses further connections, or the network failed. The probe connects
+// to the upstream and sends it a question:
+//   - A host that refuses the connection has no process that listens there.
+//   - Only a running process answers. An accepted connection alone proves nothing: the kernel
+//     accepts connections while a process ends, while a parent process holds the port for the next
+//     worker, and a proxy accepts them while nothing runs behind it.
+//   - A host that lost power or is disconnected does not even accept the connection.
+// A connection that breaks before the answer is followed by another one, until the probe's time is
+// over: the listening socket may have closed after the connection, or the upstream may have too
+// many connections at present.
 //
-// A process that ends closes its connections and its listening socket one after the other, so a
-// connection may still be accepted in between; it is reset when the listening socket closes. The
-// probe therefore keeps the connection for 20 ms, and makes a second one if it breaks.
+// The probe sends one question at a time to an upstream, however many requests that lost.
 //
 // Single-threaded. The loop must outlive the object.
 #pragma once
 
 #include "net/eventloop.h"
+#include "net/httptypes.h"
 #include "net/tcpsockets.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <tl/expected.hpp>
 #include <vector>
@@ -27,15 +33,26 @@
 
 // What a probe found out about an upstream.
 enum class UpstreamProbeResult {
-    Alive,   // It accepts connections.
-    Ended,   // Its host refuses connections to its address.
-    Unknown, // Its host did not respond in time, or connecting failed otherwise.
+    Alive,        // It answered.
+    Ended,        // Its host refuses connections, or another instance answered at its address.
+    Unresponsive, // Its address accepts connections, but no process answers.
+    Unknown,      // Its host did not respond in time, or connecting failed otherwise.
 };
 
 // Returns the name of a result as it is logged.
 std::string_view toString(UpstreamProbeResult result);
 
-// Probes upstreams by connecting to them.
+// Returns whether a result means that the process of the upstream has ended.
+bool isEnd(UpstreamProbeResult result);
+
+// A GET request to which any running upstream responds promptly and without running anything.
+struct UpstreamQuestion
+{
+    std::string path;
+    HttpHeaders headers;
+};
+
+// Probes upstreams.
 class UpstreamProbe final : private SocketListener
 {
 public:
@@ -46,31 +63,38 @@
     UpstreamProbe(const UpstreamProbe &) = delete;
     UpstreamProbe &operator=(const UpstreamProbe &) = delete;
 
-    // Probes `address` and passes the result to `callback` within 340 ms, after this function has
-    // returned. Concurrent calls for the same address share one probe.
-    void probe(const SocketAddress &address, Callback callback);
+    // Probes `address` and passes the result to `callback`, after this function has returned and
+    // within 0.6 s if the loop is not held up. Concurrent calls for the same address share one
+    // probe.
+    void probe(const SocketAddress &address, const UpstreamQuestion &question, Callback callback);
 
 private:
     struct PendingProbe
     {
         SocketAddress address;
+        std::string request; // The question as sent.
         std::vector<Callback> callbacks;
-        TimerId timer = 0;
-        bool accepted = false; // The present connection.
-        bool repeated = false; // It is the second one.
+        TimerId deadline = 0;
+        TimerId nextConnection = 0;
+        SocketId socket = 0;       // 0 between two connections.
+        bool everAccepted = false; // One of its connections.
+        std::string answer;        // What has been received on the present connection.
     };
 
     explicit UpstreamProbe(EventLoop &loop);
-    void connect(PendingProbe pending);
+    PendingProbe *findBySocket(SocketId socket);
+    void connect(const SocketAddress &address);
+    void setDeadline(PendingProbe &pending, Duration delay);
+    void onDeadline(const SocketAddress &address);
     void onConnected(SocketId socket) override;
-    void onBytes(SocketId /*socket*/, std::string_view /*bytes*/) override {}
+    void onBytes(SocketId socket, std::string_view bytes) override;
     void onEnd(SocketId socket, SocketEnd end) override;
-    void finish(SocketId socket, UpstreamProbeResult result);
+    void finish(const SocketAddress &address, UpstreamProbeResult result);
 
     EventLoop &loop_;
     std::unique_ptr<TcpSockets> sockets_;
-    std::map<SocketId, PendingProbe> pending_;
-    std::map<SocketAddress, SocketId> socketByAddress_;
+    std::map<SocketAddress, PendingProbe> pending_;
+    std::map<SocketId, SocketAddress> addressBySocket_;
 };
 
 } // namespace seamarch
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -54,6 +54,9 @@
 
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
+        if (exiting_) {
+            return;
+        }
         const std::string requestId = request.header(names::kRequestId);
         HttpResponseHead head;
         head.headers.push_back({std::string(names::kRequestId), requestId});
@@ -68,6 +71,12 @@
             server().respond(exchange, head, "{}");
             return;
         }
+        if (requestId.empty()) {
+            head.status = 400;
+            head.headers.push_back({std::string(names::kNotExecuted), "1"});
+            server().respond(exchange, head, "{}");
+            return;
+        }
         const std::string expected = request.header(names::kExpectedVersion);
         if (!expected.empty() && expected != weightsVersion_) {
             head.status = 421;
@@ -148,6 +157,7 @@
         if (lingerMs_ == 0) {
             std::_Exit(kExitEndedByRequest);
         }
+        exiting_ = true;
         for (const ExchangeId exchange : std::exchange(openExchanges_, {})) {
             server().abort(exchange);
         }
@@ -242,6 +252,7 @@
     std::set<ExchangeId> openExchanges_;
     int delayMs_ = 1;
     int lingerMs_ = 0;
+    bool exiting_ = false; // Closes its connections and answers nothing any more.
     std::size_t eventBytes_ = 0;
     int breakAfter_ = 0;
     int callersGone_ = 0; // Callers that left before the end of their answer.
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -26,6 +26,10 @@
 private:
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
+        if (request.path == "/health") {
+            respondJson(exchange, 200, json::object());
+            return;
+        }
         if (!retryAfter_.empty()) {
             refusedMs_.push_back(toMillis(loop().now().time_since_epoch()));
             HttpResponseHead head;
--- a/test/net/upstreamprobe_test.cpp
+++ b/test/net/upstreamprobe_test.cpp
@@ -6,8 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <stdexcept>
+#include <string_view>
+#include <thread>
 #include <utility>
 
 #include <CppUTest/TestHarness.h>
@@ -17,13 +20,16 @@
 namespace {
 
 constexpr Duration kTestTimeout = std::chrono::seconds(10);
+constexpr Duration kServeDelay = std::chrono::milliseconds(10);
+
+const UpstreamQuestion kQuestion{"/report", {}};
 
 // A listening socket whose connections are never accepted.
 class Listener
 {
 public:
     explicit Listener(int port, int backlog)
-        : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        : descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address = at(port);
         if (bind(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
@@ -48,8 +54,25 @@
             close(std::exchange(descriptor_, -1));
         }
     }
-    // Closes a connection that it has received.
-    void closeConnection() { close(accept(descriptor_, nullptr, nullptr)); }
+    // Accepts a connection, sends `answer` on it and closes it.
+    void serve(std::string_view answer)
+    {
+        const int connection = accept(descriptor_, nullptr, nullptr);
+        std::array<char, 1024> request{};
+        CHECK_TRUE(connection >= 0);
+        CHECK_TRUE(recv(connection, request.data(), request.size(), 0) > 0);
+        CHECK_TRUE(send(connection, answer.data(), answer.size(), MSG_NOSIGNAL)
+                   == static_cast<ssize_t>(answer.size()));
+        close(connection);
+    }
+    // Closes a connection that it has received, if there is one.
+    void closeConnection()
+    {
+        const int connection = accept(descriptor_, nullptr, nullptr);
+        if (connection >= 0) {
+            close(connection);
+        }
+    }
 
     // Fills the backlog, so that the kernel ignores further connections like a host without power.
     void fill(int port)
@@ -105,7 +128,7 @@
     void runProbes(int port, std::size_t times = 1)
     {
         for (std::size_t count = 0; count < times; ++count) {
-            probe->probe({"127.0.0.1", port}, [this, times](UpstreamProbeResult result) {
+            probe->probe({"127.0.0.1", port}, kQuestion, [this, times](UpstreamProbeResult result) {
                 results.push_back(result);
                 if (results.size() == times) {
                     loop->stop();
@@ -118,10 +141,12 @@
     }
 };
 
-TEST(UpstreamProbeTest, ReportsAliveWhenConnectionIsAccepted)
+TEST(UpstreamProbeTest, ReportsAliveWhenUpstreamAnswers)
 {
     const int port = freePort();
-    const Listener listener(port, 4);
+    Listener listener(port, 4);
+    loop->schedule(kServeDelay,
+                   [&listener] { listener.serve("HTTP/1.1 400 Bad Request\r\n\r\n"); });
     runProbes(port);
     CHECK_TRUE(results.front() == UpstreamProbeResult::Alive);
 }
@@ -138,16 +163,49 @@
 {
     const int port = freePort();
     Listener listener(port, 4);
-    loop->schedule(std::chrono::milliseconds(5), [&listener] { listener.stop(); });
+    loop->schedule(std::chrono::milliseconds(60), [&listener] { listener.stop(); });
+    runProbes(port);
+    CHECK_TRUE(results.front() == UpstreamProbeResult::Ended);
+}
+
+// Guards against a crash that is not counted because a parent process holds the port.
+TEST(UpstreamProbeTest, ReportsUnresponsiveWhenAcceptedConnectionGetsNoAnswer)
+{
+    const int port = freePort();
+    const Listener listener(port, 4);
+    runProbes(port);
+    CHECK_TRUE(results.front() == UpstreamProbeResult::Unresponsive);
+}
+
+// Guards against a crash that is not counted because a proxy accepts connections and closes them.
+TEST(UpstreamProbeTest, ReportsUnresponsiveWhenEachConnectionIsClosed)
+{
+    const int port = freePort();
+    Listener listener(port, 4);
+    const PeriodicTimer closer(*loop, std::chrono::milliseconds(5),
+                               [&listener] { listener.closeConnection(); });
+    runProbes(port);
+    CHECK_TRUE(results.front() == UpstreamProbeResult::Unresponsive);
+}
+
+// Guards against a crash that is not counted because the next instance at the address answers.
+TEST(UpstreamProbeTest, ReportsEndedWhenAnotherInstanceAnswers)
+{
+    const int port = freePort();
+    Listener listener(port, 4);
+    loop->schedule(kServeDelay,
+                   [&listener] { listener.serve("HTTP/1.1 421 Misdirected Request\r\n\r\n"); });
     runProbes(port);
     CHECK_TRUE(results.front() == UpstreamProbeResult::Ended);
 }
 
-TEST(UpstreamProbeTest, ReportsAliveWhenConnectionIsClosedButAnotherOneAccepted)
+TEST(UpstreamProbeTest, ReportsAliveWhenConnectionIsClosedButAnotherOneAnswered)
 {
     const int port = freePort();
     Listener listener(port, 4);
     loop->schedule(std::chrono::milliseconds(5), [&listener] { listener.closeConnection(); });
+    loop->schedule(std::chrono::milliseconds(60),
+                   [&listener] { listener.serve("HTTP/1.1 200 OK\r\n\r\n"); });
     runProbes(port);
     CHECK_TRUE(results.front() == UpstreamProbeResult::Alive);
 }
@@ -161,10 +219,25 @@
     CHECK_TRUE(results.front() == UpstreamProbeResult::Unknown);
 }
 
+// Guards against an upstream that is taken for ended although its answer has arrived: expired
+// timers run before sockets are read, so the deadline of a process that was held up runs first.
+TEST(UpstreamProbeTest, ReportsAliveWhenLoopStandsStillPastTheDeadline)
+{
+    const int port = freePort();
+    Listener listener(port, 4);
+    loop->schedule(kServeDelay, [&listener] {
+        listener.serve("HTTP/1.1 200 OK\r\n\r\n");
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    });
+    runProbes(port);
+    CHECK_TRUE(results.front() == UpstreamProbeResult::Alive);
+}
+
 TEST(UpstreamProbeTest, SharesOneProbeAmongConcurrentCallers)
 {
     const int port = freePort();
-    const Listener listener(port, 4);
+    Listener listener(port, 4);
+    loop->schedule(kServeDelay, [&listener] { listener.serve("HTTP/1.1 200 OK\r\n\r\n"); });
     runProbes(port, 3);
     for (const UpstreamProbeResult result : results) {
         CHECK_TRUE(result == UpstreamProbeResult::Alive);
--- a/test/process/unframedanswer_test.py
+++ b/test/process/unframedanswer_test.py
@@ -45,8 +45,11 @@
     def serve(self, connection):
         with connection, connection.makefile("rb") as reader:
             if not reader.readline():
-                return  # A probe whether the process lives.
+                return
             headers = http.client.parse_headers(reader)
+            if "Seamarch-Request-Id" not in headers:  # The gateway asks whether the process runs.
+                connection.sendall(b"HTTP/1.1 400 Bad Request\r\nSeamarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                return
             reader.read(int(headers.get("Content-Length") or 0))
             self.runs.append(headers)
             kind = "text/event-stream" if self.behave.__name__.startswith("stream") else "application/json"
