Share the retry budget by all gateways, not by those in reach

What callers and upstreams saw: gateways that cannot reach each other retry more than all of them together may (BUDGET).

Cause: each gateway divided the additional allowance by the gateways in its directory, which forgets one that was unseen for 10 s. A cut thus raises the share on each side, while the limit counts the retries of all gateways.

Change: a census remembers the gateways that were seen for an hour. Until a gateway of each hall of the settings and one of the named gateways was seen there may be any number of them, and the own part of the allowance is one retry. The part earned by own requests is as before. attempt.started logs the permits that are left, /status the number of gateways that share the budget.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -41,14 +41,17 @@
 }
 
 // Returns this gateway's share of the retry limits. The gateways do not count together, so each
-// stays well below an even share: it may know of too few others, and their traffic differs.
+// stays well below an even share, because their traffic differs. If their number is not known, its
+// part of the burst is one retry.
 RetryBudget::Settings GatewayCore::budgetShare() const
 {
     constexpr double kPerRequestFraction = 0.75;
     constexpr double kBurstFraction = 0.35;
     constexpr double kInitialTokens = 2.0;
-    const double burst = settings_.retries.burst * kBurstFraction / static_cast<double>(gateways_);
-    const bool disabled = settings_.retries.perRequest <= 0.0 && burst <= 0.0;
+    const double burst = retryGateways_ ? settings_.retries.burst * kBurstFraction
+                                              / static_cast<double>(*retryGateways_)
+                                        : 0.0;
+    const bool disabled = settings_.retries.perRequest <= 0.0 && settings_.retries.burst <= 0.0;
     const double maxTokens = disabled ? 0.0 : std::max(1.0, burst);
     return {settings_.retries.perRequest * kPerRequestFraction, maxTokens,
             std::min(maxTokens, kInitialTokens)};
@@ -56,13 +59,23 @@
 
 void GatewayCore::setGatewayCount(std::size_t count)
 {
-    const std::size_t gateways = std::max<std::size_t>(1, count);
-    if (gateways != gateways_) {
-        gateways_ = gateways;
+    gateways_ = std::max<std::size_t>(1, count);
+}
+
+void GatewayCore::setRetryGateways(std::optional<std::size_t> count)
+{
+    if (count != retryGateways_) {
+        retryGateways_ = count;
         setRetryLimits(settings_.retries);
     }
 }
 
+double GatewayCore::retryPermits(const TargetName &service) const
+{
+    const auto found = budgets_.find(service);
+    return found == budgets_.end() ? 0.0 : found->second.permits();
+}
+
 void GatewayCore::setHallPosition(const HallPosition &position)
 {
     hallPosition_ = position;
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -201,6 +201,9 @@
 
     // Sets the number of gateways that share the upstreams, including this one.
     void setGatewayCount(std::size_t count);
+    // Sets the number of gateways that share the retry limits, including this one and those that it
+    // cannot reach; nullopt if it may be any number.
+    void setRetryGateways(std::optional<std::size_t> count);
     // Sets the position of this gateway among those of its hall.
     void setHallPosition(const HallPosition &position);
     void setRetryLimits(const RetryLimits &limits);
@@ -278,6 +281,8 @@
     // Sets this gateway's share of a group; nullopt if it is not known.
     void setShare(const TargetName &service, const GroupId &group, std::optional<double> share);
     std::uint64_t secondAttempts() const { return secondAttempts_; }
+    // Returns the retries of a service that this gateway may make at present.
+    double retryPermits(const TargetName &service) const;
     // Returns the upstreams that asked for a rest, with the end of the rest.
     std::map<InstanceId, TimePoint> resting(TimePoint now) const { return chooser_.resting(now); }
     // Returns whether an upstream has answered a request since its connections broke at `time`.
@@ -403,6 +408,7 @@
     std::unordered_map<std::string, RequestAgeEstimator> ageEstimators_; // Keyed by route name.
     std::unordered_map<RequestNumber, Request> requests_;
     std::size_t gateways_ = 1;
+    std::optional<std::size_t> retryGateways_ = 1;
     HallPosition hallPosition_;
     RequestNumber nextNumber_ = 1;
     std::uint64_t secondAttempts_ = 0;
--- a/src/decision/retry/retrybudget.h
+++ b/src/decision/retry/retrybudget.h
@@ -34,6 +34,7 @@
     }
     // Records that a first attempt succeeded.
     void onSuccess();
+    double permits() const { return permits_; }
     bool hasPermit() const { return permits_ >= 1.0; }
     // Consumes one permit. Returns false if none is available.
     bool tryAcquire();
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -35,6 +35,15 @@
     return core;
 }
 
+std::set<HallId> hallsOf(const HallRegions &regions)
+{
+    std::set<HallId> halls;
+    for (const auto &[hall, region] : regions) {
+        halls.insert(hall);
+    }
+    return halls;
+}
+
 } // namespace
 
 GatewayService::GatewayService(EventLoop &loop, const GatewaySettings &settings,
@@ -107,7 +116,7 @@
         {core_.groups(), core_.crashes(), core_.limits(), core_.permitIssuer(), core_.warmUps(),
          demand_ ? &demand_->exchange() : nullptr},
         {settings_.instance, settings_.hall, settings_.peerListen, settings_.seeds,
-         settings_.agentPort, settings_.timings.storeCoalesceDelay});
+         settings_.agentPort, settings_.timings.storeCoalesceDelay, hallsOf(settings_.regions)});
     if (!synchronizer) {
         return tl::unexpected(synchronizer.error());
     }
@@ -380,6 +389,7 @@
     processStartupQueue();
     GatewayActions actions;
     core_.setGatewayCount(synchronizer_->gateways() + 1);
+    core_.setRetryGateways(synchronizer_->census().count());
     core_.setHallPosition(synchronizer_->hallPosition());
     if (demand_) {
         demand_->tick(loop_.now());
@@ -470,6 +480,7 @@
     for (const GroupId &group : core_.groups().closedGroups(loop_.now())) {
         closedGroups.push_back(group.value());
     }
+    const auto retryGateways = synchronizer_->census().count();
     return {{"role", "gateway"},
             {"instance", settings_.instance.value()},
             {"hall", settings_.hall.value()},
@@ -485,6 +496,7 @@
             {"heldBytes", heldMemory_.sum()},
             {"maxHeldBytes", memoryBudget_.limit()},
             {"secondAttempts", core_.secondAttempts()},
+            {"retryGateways", retryGateways ? json(*retryGateways) : json()},
             {"connectionsMade", client_->connectionsMade()},
             {"upstreams", core_.upstreams().all().size()},
             {"groups", core_.groups().groups().size()},
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -161,6 +161,7 @@
              {"streams", tracker == nullptr ? 0 : tracker->inFlight()},
              {"streamLimit", tracker == nullptr ? 0.0 : tracker->limiter().limit()},
              {"waiting", core_.queuedStreams(service)},
+             {"retryPermits", core_.retryPermits(service)},
              {"upstream", action.upstream.id.value()},
              {"hall", action.upstream.hall.value()},
              {"inFlightThere", core_.inFlightAt(action.upstream.id)},
--- a/src/gateway/statesynchronizer.cpp
+++ b/src/gateway/statesynchronizer.cpp
@@ -40,6 +40,19 @@
 // within two more.
 constexpr Duration kDiscoveryPeriod = std::chrono::seconds(3);
 
+// Interval at which the gateways of the directory are counted; it forgets them more slowly.
+constexpr Duration kCensusInterval = std::chrono::seconds(1);
+
+GatewayCensus::Settings censusSettings(const StateSynchronizer::Settings &settings)
+{
+    GatewayCensus::Settings census;
+    census.halls = settings.halls;
+    census.expectsPeers =
+        std::any_of(settings.seeds.begin(), settings.seeds.end(),
+                    [&](const SocketAddress &seed) { return seed != settings.peerListen; });
+    return census;
+}
+
 GatewayRecord makeRecord(const StateSynchronizer::Settings &settings)
 {
     const SocketAddress address = settings.peerListen.value_or(SocketAddress{});
@@ -58,6 +71,7 @@
     , gossip_(gossip)
     , settings_(settings)
     , directory_(makeRecord(settings), GatewayDirectory::Settings())
+    , census_(censusSettings(settings), settings.hall)
     , startedAt_(loop.now())
     , nextSeed_(randomNonzeroId())
 {}
@@ -163,6 +177,18 @@
            != settings_.seeds.end();
 }
 
+void StateSynchronizer::takeCensus(TimePoint now)
+{
+    if (now - censusTakenAt_ < kCensusInterval) {
+        return;
+    }
+    censusTakenAt_ = now;
+    for (const GatewayDirectory::KnownPeer &peer : directory_.knownPeers()) {
+        census_.recordSeen(peer.record.id, peer.record.hall, now);
+    }
+    census_.expire(now);
+}
+
 // Returns whether this gateway is so new that it may not know the other gateways of its hall.
 bool StateSynchronizer::isDiscovering(TimePoint now) const
 {
@@ -225,6 +251,7 @@
         return;
     }
     directory_.expire(now);
+    takeCensus(now);
     const InstanceId followed = directory_.localStoreFollower(now);
     const bool followsSelf = followed == settings_.instance;
     // While a site starts, no gateway knows the first of its hall yet. All gateways poll the seeds
--- a/src/gateway/statesynchronizer.h
+++ b/src/gateway/statesynchronizer.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "decision/gateway/sendpermits.h"
+#include "decision/membership/gatewaycensus.h"
 #include "decision/membership/gatewaydirectory.h"
 #include "decision/membership/storepollschedule.h"
 #include "gateway/gatewaypeers.h"
@@ -23,6 +24,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <tl/expected.hpp>
 #include <vector>
 
@@ -43,6 +45,7 @@
         std::optional<int> agentPort;
         // Delay after a change of the store, in which further changes are coalesced.
         Duration storeCoalesceDelay{};
+        std::set<HallId> halls; // Of the site; empty if not known.
     };
 
     static tl::expected<std::unique_ptr<StateSynchronizer>, NetError>
@@ -63,6 +66,7 @@
     std::uint64_t storeCalls() const;
     bool followsStore() const { return watcher_ != nullptr; }
     std::size_t gateways() const { return directory_.size(); }
+    const GatewayCensus &census() const { return census_; }
     // Returns the position of this gateway among the gateways of its hall.
     HallPosition hallPosition() const { return directory_.hallPosition(); }
 
@@ -74,6 +78,7 @@
 
     bool onPeerState(const PeerStoreState &peerState, TimePoint confirmedAt);
     bool isSeed() const;
+    void takeCensus(TimePoint now);
     bool isDiscovering(TimePoint now) const;
     bool waitsForPeers(TimePoint now) const;
     StorePollSchedule pollSchedule() const;
@@ -97,6 +102,8 @@
     GossipState gossip_;
     Settings settings_;
     GatewayDirectory directory_;
+    GatewayCensus census_;
+    TimePoint censusTakenAt_{};
     std::unique_ptr<GatewayPeers> peers_;
     std::unique_ptr<GroupPoller> groupPoller_;
     TimePoint groupsPolledAt_{};
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -327,11 +327,11 @@
 // All gateways of a service share the retry burst of one.
 TEST(GatewayCoreTest, GatewaysShareTheBurstOfSecondAttempts)
 {
-    const auto secondAttempts = [this](std::size_t gateways) {
+    const auto secondAttempts = [this](std::optional<std::size_t> gateways) {
         core = std::make_unique<GatewayCore>(settings);
         core->upstreams().put(upstream("one"));
         core->upstreams().put(upstream("two"));
-        core->setGatewayCount(gateways);
+        core->setRetryGateways(gateways);
         for (int count = 0; count < 200; ++count) { // Requests without a retry fill the budget.
             const RequestNumber number = begin(Kind::Repeatable);
             core->onHead(number, AnswerKind::Success, at(0), actions);
@@ -346,6 +346,8 @@
     const std::uint64_t one = secondAttempts(64);
     CHECK_TEXT(one + 15 < alone, "the burst must shrink with the number of gateways");
     CHECK_TEXT(one <= 10, "expected what sixty requests add to the budget, and one more");
+    const std::uint64_t ofUnknownNumber = secondAttempts(std::nullopt);
+    LONGS_EQUAL(one, ofUnknownNumber);
 }
 
 TEST(GatewayCoreTest, QueuedStreamStartsByItsDeadlineWhilePausesAreNearGapTarget)
