Do not send a request once its connect timeout is over

What upstreams saw: a request could reach an upstream 0.65 s after it had been chosen, more than the half second that requests under way have after it asked for a rest (BUDGET).

Cause: the connect timeout of 0.4 s was checked every 0.25 s only, and a connection that was made later, or after the process was held up, was used all the same.

Change: the timeout is checked when the connection is made. HttpStackTest.DoesNotSendRequestOnceConnectTimeoutIsOver failed before.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -185,10 +185,16 @@
 void HttpClient::onConnected(SocketId socket)
 {
     const auto found = connections_.find(socket);
-    if (found != connections_.end()) {
-        found->second->connected = true;
-        sendRequest(*found->second);
+    if (found == connections_.end()) {
+        return;
+    }
+    Connection &connection = *found->second;
+    if (loop_.now() >= connection.connectDeadline) {
+        endCall(connection.call, HttpCallEnd::NotSent);
+        return;
     }
+    connection.connected = true;
+    sendRequest(connection);
 }
 
 void HttpClient::onBytes(SocketId socket, std::string_view bytes)
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -45,7 +45,7 @@
     HttpHeaders headers = {}; // A Host header is added if there is none.
     std::string body = {};
     ConnectionReuse reuse = ConnectionReuse::Never;
-    Duration connectTimeout = std::chrono::seconds(5);
+    Duration connectTimeout = std::chrono::seconds(5); // Nothing is sent after it.
 };
 
 // How a call ended.
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -282,6 +282,22 @@
     CHECK_TRUE(result.end == HttpCallEnd::NotSent);
 }
 
+// Guards against a request that is sent so long after its upstream was chosen that the upstream has
+// since asked for a rest.
+TEST(HttpStackTest, DoesNotSendRequestOnceConnectTimeoutIsOver)
+{
+    HttpCallRequest request;
+    Result result;
+    request.address = address;
+    request.connectTimeout = std::chrono::milliseconds(20);
+    client->call(request, std::make_unique<Receiver>(*loop, result));
+    std::this_thread::sleep_for(2 * request.connectTimeout); // The loop is held up.
+    runUntil([&result] { return result.end.has_value(); });
+    CHECK_TRUE(result.end == HttpCallEnd::NotSent);
+    runFor(std::chrono::milliseconds(50));
+    LONGS_EQUAL(0, echo.requests);
+}
+
 TEST(HttpStackTest, CancelClosesTheConnection)
 {
     HttpCallRequest request;
