Soak: check the memory that gateways hold all the time

Cause: soak-planted missed the planted fault 'hoards' once. Traced with a second thread that samples /status: the check ran between faults only, some three times a second and gateway, and not at all in the second half of a run, while slow callers fill a gateway for a fraction of a second at a time.

Change: a thread checks all gateways that no fault holds up, all the time, with the same bound.

--- a/soak/hardload.py
+++ b/soak/hardload.py
@@ -120,5 +120,19 @@
                                f"{request.result} during a burst")
 
 
-def held_too_much(status, callers):
-    return status["maxHeldBytes"] > 0 and status["heldBytes"] > MAX_HELD + callers * READ_BYTES
+class HeldMemoryWatch(threading.Thread):
+    """Checks all the time that no gateway holds more than its `memory-mb` permits. Slow callers fill a gateway
+    only for a fraction of a second at a time."""
+
+    def __init__(self, soak):
+        super().__init__(daemon=True)
+        self.soak = soak
+
+    def run(self):
+        allowed = MAX_HELD + self.soak.args.slow_callers * READ_BYTES
+        while not self.soak.over:
+            for gateway in self.soak.site.gateways.values():
+                status = None if gateway.name in self.soak.active_faults else gateway.status()
+                if status and status["maxHeldBytes"] > 0 and status["heldBytes"] > allowed:
+                    self.soak.fail(f"{gateway.name} holds {status['heldBytes']} bytes; {MAX_HELD} are allowed")
+            time.sleep(0.02)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -464,8 +464,6 @@
             if status is None or incarnation != gateway.incarnation:
                 continue
             held = self.versions.get((gateway.name, incarnation), 0)
-            if hardload.held_too_much(status, self.args.slow_callers):
-                self.fail(f"{gateway.name} holds {status['heldBytes']} bytes; {hardload.MAX_HELD} are allowed")
             if status["configVersion"] < held:
                 self.fail(f"{gateway.name} reverted from configuration version {held}")
             self.versions[gateway.name, incarnation] = max(held, status["configVersion"])
@@ -483,8 +481,8 @@
         self.wait_ready()
         callers = [Caller(self, number) for number in range(self.args.callers)]
         callers += [hardload.SlowCaller(self, number) for number in range(self.args.slow_callers)]
-        for caller in callers:
-            caller.start()
+        for thread in callers + [hardload.HeldMemoryWatch(self)]:
+            thread.start()
         end = time.monotonic() + self.args.seconds
         leave_at = time.monotonic() + self.args.seconds / 2
         self.move_limit()
