--- a/test/process/crashingpart_test.py
+++ b/test/process/crashingpart_test.py
@@ -32,10 +32,14 @@
     settings = {"endsOnPart": CRASHING, "delayMs": 5}
 
 
-class CrashingPartTest(unittest.TestCase):
+class CrashingPartCase(unittest.TestCase):
+    """Four gateways in two halls, and four upstreams that crash on one prompt part."""
+
+    site_type = GatewaySite
+
     def setUp(self):
         self.seed = free_address()
-        self.site = GatewaySite(upstreams=4, **{"peer-listen": self.seed, "seeds": self.seed})
+        self.site = self.site_type(upstreams=4, **{"peer-listen": self.seed, "seeds": self.seed})
         self.addCleanup(self.site.__exit__)
         self.site.set_all(**PartRestarter.settings)
         self.restarter = PartRestarter(self.site, 4)
@@ -110,6 +114,8 @@
         self.assertEqual([status for at, status in self.poison if at > since and status != 503], [],
                          "expected requests with the crashing part to be rejected with 503")
 
+
+class CrashingPartTest(CrashingPartCase):
     # Guards against crash records that are kept by whole requests when one prompt part is the cause.
     def test_streams_with_the_part_are_stopped(self):
         self.check_stopped("/stream/1")
--- a/test/process/openport_test.py
+++ b/test/process/openport_test.py
@@ -16,6 +16,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "..", "soak")]
+from crashingpart_test import CrashingPartCase  # noqa: E402
 from crashingrequest_test import PROPAGATION_S, CrashingRequestCase  # noqa: E402
 from gateway_test import GatewaySite  # noqa: E402
 from localsite import free_address  # noqa: E402
@@ -98,6 +99,14 @@
         self.check_stopped()
 
 
+class HeldPortPartTest(CrashingPartCase):
+    site_type = HeldPortSite
+
+    # Guards against crashes on a prompt part that are not counted because a parent process holds the port.
+    def test_streams_with_the_part_are_stopped(self):
+        self.check_stopped("/stream/1")
+
+
 class ProxiedUpstreamTest(OpenPortCase):
     site_type = FrontedSite
 
