Test: crashes and rests whose caller has left

What callers see: a request that crashes every upstream that runs it is sent on for as long as callers repeat it, if each of them leaves before the crash. An upstream that asked for rest gets requests all the same.

A gateway closes the connection of an attempt at once when its caller leaves, and learns nothing of what follows.

--- a/scripts/localsite.py
+++ b/scripts/localsite.py
@@ -58,6 +58,15 @@
         return 0, {}, str(error)
 
 
+def leave(address, path, body, headers, after=0.0):
+    """Sends a POST request and closes the connection `after` seconds later, whether answered or not."""
+    host, port = address.split(":")
+    lines = [f"POST {path} HTTP/1.1", f"Content-Length: {len(body)}", *(f"{name}: {headers[name]}" for name in headers)]
+    with socket.create_connection((host, int(port)), timeout=2) as caller:
+        caller.sendall("\r\n".join([*lines, "", body]).encode())
+        time.sleep(after)
+
+
 def control(address, change):
     """Changes the behaviour of a stand-in and returns its report. Makes up to 200 attempts."""
     for _ in range(200):
