Gateway: answers and crashes after the caller has left count

What callers saw: a request that crashes every upstream that runs it was sent on for as long as callers repeated it and left before the crash; upstreams that asked for rest got requests all the same.

Cause: when an attempt was cancelled, its connection was closed at once, so a Retry-After or a crash that followed was learned by nobody. Class: evidence about an upstream bound to the life of a request. The same held for attempts that ran out of time, failed over from a silent upstream, or were given up as suspects.

Change: a cancelled attempt without an answer yet is closed in the sending direction only, which its upstream sees as before, and is read for 0.4 s more. Its answer's notices count as any other's. If the upstream ends the connection without an answer and answers no other request within 0.1 s, it is probed, and a crash counts for the request.

The unit tests pass the attempt where they passed the number of its request; their checks are unchanged.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -273,17 +273,46 @@
     }
 }
 
-void GatewayCore::onNotice(RequestNumber number, const UpstreamNotice &notice, TimePoint now)
+std::optional<AttemptRecord> GatewayCore::attemptOf(RequestNumber number) const
 {
-    const Request *request = find(number);
-    if (request == nullptr || request->upstream == InstanceId()) {
-        return;
+    const auto found = requests_.find(number);
+    if (found == requests_.end() || found->second.upstream == InstanceId()) {
+        return std::nullopt;
     }
+    const Request &request = found->second;
+    return AttemptRecord{request.upstreamRecord, request.attemptStartedAt, crashSuspects(number)};
+}
+
+CancelAttempt GatewayCore::cancellation(RequestNumber number, bool silent) const
+{
+    return {number, silent, attemptOf(number).value_or(AttemptRecord())};
+}
+
+void GatewayCore::onNotice(const AttemptRecord &attempt, const UpstreamNotice &notice,
+                           TimePoint now)
+{
     if (notice.rest) {
-        chooser_.onRestRequested(request->upstream, now + *notice.rest);
+        chooser_.onRestRequested(attempt.upstream.id, now + *notice.rest);
     }
     if (notice.leaving) {
-        upstreams_.markLeaving(request->upstreamRecord);
+        upstreams_.markLeaving(attempt.upstream);
+    }
+}
+
+void GatewayCore::onAbandonedHead(const AttemptRecord &attempt, AnswerKind kind, TimePoint now)
+{
+    if (kind != AnswerKind::WrongInstance) {
+        chooser_.onAnswered(attempt.upstream.id, now);
+    }
+    recordRefusal(attempt.upstream.id, kind, now);
+}
+
+void GatewayCore::recordRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now)
+{
+    if (kind == AnswerKind::Full) {
+        chooser_.onFull(upstream, now);
+    } else if (kind == AnswerKind::WrongInstance) {
+        chooser_.onWrongInstance(upstream, now);
     }
 }
 
@@ -321,12 +350,8 @@
             return true;
         }
     }
-    if (kind == AnswerKind::Full) {
-        chooser_.onFull(upstream, now);
-    } else if (kind == AnswerKind::WrongInstance) {
-        chooser_.onWrongInstance(upstream, now);
-    }
-    actions.push_back(CancelAttempt{number, false});
+    recordRefusal(upstream, kind, now);
+    actions.push_back(cancellation(number));
     detachUpstream(*request);
     if (kind == AnswerKind::Full && requeue(number, *request, now)) {
         return false;
@@ -407,7 +432,7 @@
     }
     Request &request = found->second;
     if (request.upstream != InstanceId()) {
-        actions.push_back(CancelAttempt{number, false});
+        actions.push_back(cancellation(number));
         detachUpstream(request);
     }
     if (request.headSent) {
@@ -446,7 +471,7 @@
         return;
     }
     if (request->upstream != InstanceId()) {
-        actions.push_back(CancelAttempt{number, false});
+        actions.push_back(cancellation(number));
         detachUpstream(*request);
     }
     endRequest(number);
@@ -582,7 +607,7 @@
     }
     chooser_.onFailure(request.upstream, now);
     request.mayHaveRun = true;
-    actions.push_back(CancelAttempt{number, true});
+    actions.push_back(cancellation(number, true));
     detachUpstream(request);
     ++secondAttempts_;
     if (!startAttempt(number, request, group, now, actions)) {
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -104,6 +104,16 @@
     Lost,     // The connection broke, and the request may have run.
 };
 
+// An attempt as its upstream sees it. The upstream's answer counts also if the request has ended
+// since.
+struct AttemptRecord
+{
+    UpstreamRecord upstream; // As of the start of the attempt.
+    TimePoint startedAt{};
+    // What has crashed the upstream if it crashes now; see GatewayCore::crashSuspects().
+    std::vector<SuspectKey> suspects;
+};
+
 // Sends the request to an upstream.
 struct StartAttempt
 {
@@ -115,11 +125,12 @@
     bool mayReuseConnection = false; // Allows an idle connection, which the peer may be closing.
 };
 
-// Closes the connection of the current attempt.
+// Abandons the current attempt. Until its upstream notices, it may still answer or crash.
 struct CancelAttempt
 {
     RequestNumber request = 0;
     bool silent = false; // Its upstream was silent for too long; the request fails over.
+    AttemptRecord attempt;
 };
 
 // Reports to the caller that the request failed. Ends the request.
@@ -224,12 +235,13 @@
     // Handles the head of an answer. Returns true if the answer is to be forwarded to the caller;
     // for a stream that resumes, if its events are to be appended to those already forwarded.
     bool onHead(RequestNumber request, AnswerKind kind, TimePoint now, GatewayActions &actions);
-    // Handles a notice that the upstream of the current attempt sends about itself. Call it before
-    // `onHead`, so that requests that `onHead` sends again avoid this upstream.
-    void onNotice(RequestNumber request, const UpstreamNotice &notice, TimePoint now);
-    // Handles the limit for all gateways together that an answer to the current attempt states;
-    // nullopt if it states none.
-    UpstreamLimits::Change onLimit(RequestNumber request, std::optional<RequestRate> limit,
+    // Returns the current attempt of a request; nullopt if it has none.
+    std::optional<AttemptRecord> attemptOf(RequestNumber request) const;
+    // Handles a notice that an upstream sends about itself in an answer. Call it before `onHead`,
+    // so that requests that `onHead` sends again avoid this upstream.
+    void onNotice(const AttemptRecord &attempt, const UpstreamNotice &notice, TimePoint now);
+    // Handles the limit for all gateways together that an answer states; nullopt if it states none.
+    UpstreamLimits::Change onLimit(const AttemptRecord &attempt, std::optional<RequestRate> limit,
                                    TimePoint now);
     // Returns the changes of what governs the stream limits since the last call.
     std::vector<std::pair<GroupId, LimitChange>> takeLimitChanges();
@@ -243,6 +255,8 @@
     // Handles the answer to the permit request for `upstream` that was sent at `queriedAt`.
     void onPermits(const InstanceId &upstream, const PermitGrant &answer, TimePoint queriedAt,
                    TimePoint now, GatewayActions &actions);
+    // Handles the head of an answer to an attempt that has been cancelled.
+    void onAbandonedHead(const AttemptRecord &attempt, AnswerKind kind, TimePoint now);
     // Handles the end of the current attempt's connection.
     void onEnd(RequestNumber request, AttemptEnd end, TimePoint now, GatewayActions &actions);
     // Returns what may have crashed the upstream of the current attempt, if it has crashed: the
@@ -363,6 +377,10 @@
                        GatewayActions &actions);
     void giveUp(RequestNumber number, FailureCode failure, TimePoint now, GatewayActions &actions);
     void detachUpstream(Request &request);
+    // Returns the action that cancels the current attempt. Call it before `detachUpstream`.
+    CancelAttempt cancellation(RequestNumber number, bool silent = false) const;
+    // Marks an upstream that refused a request.
+    void recordRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
     ServiceState &serviceOf(const TargetName &service);
     void endRequest(RequestNumber number);
     void recordAnswer(Request &request, AnswerKind kind, TimePoint now);
--- a/src/decision/gateway/gatewaycorepermits.cpp
+++ b/src/decision/gateway/gatewaycorepermits.cpp
@@ -43,14 +43,10 @@
     }
 }
 
-UpstreamLimits::Change GatewayCore::onLimit(RequestNumber number, std::optional<RequestRate> limit,
-                                            TimePoint now)
+UpstreamLimits::Change GatewayCore::onLimit(const AttemptRecord &attempt,
+                                            std::optional<RequestRate> limit, TimePoint now)
 {
-    const Request *request = find(number);
-    if (request == nullptr || request->upstream == InstanceId()) {
-        return UpstreamLimits::Change::None;
-    }
-    return limits_.onAnswer(request->upstreamRecord, limit, request->attemptStartedAt, now);
+    return limits_.onAnswer(attempt.upstream, limit, attempt.startedAt, now);
 }
 
 void GatewayCore::onPermits(const InstanceId &upstream, const PermitGrant &answer,
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -398,6 +398,7 @@
     carryOut(actions);
     logStreamLimits();
     logPaceChanges();
+    probeUnansweredUpstreams();
     synchronizer_->tick();
     metrics_.set("seamarch_closed_groups",
                  static_cast<double>(core_.groups().closedGroups(loop_.now()).size()));
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -26,6 +26,8 @@
 #include "observe/metrics.h"
 #include "observe/operatorserver.h"
 
+#include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -82,6 +84,7 @@
 
 private:
     class Receiver;
+    class AbandonedReceiver;
 
     // An admitted request that has not ended, with the state of its current attempt.
     struct ActiveRequest
@@ -111,10 +114,21 @@
         Duration longestPause{}; // The longest gap between two events sent to the caller.
     };
 
+    // The head of an answer with the attempt that it answers.
+    struct AnsweredAttempt
+    {
+        AttemptRecord record;
+        std::string requestId;
+        std::uint32_t attempt = 0;
+        const HttpHead &head;
+        AnswerKind kind = AnswerKind::Success;
+    };
+
     // An attempt whose connection to the upstream broke.
     struct LostAttempt
     {
         std::string requestId;
+        SocketAddress address;
         RequestDigest digest;
         std::vector<SuspectKey> suspects;
         AccountId account;
@@ -125,6 +139,15 @@
         std::uint64_t events = 0; // The number of events received after it.
     };
 
+    // A cancelled attempt whose upstream may still answer or crash.
+    struct AbandonedCall
+    {
+        AttemptRecord record;
+        RequestMetadata metadata;
+        std::uint32_t attempt = 0;
+        LostAttempt lost; // As if the connection broke.
+    };
+
     GatewayService(EventLoop &loop, const GatewaySettings &settings, const CallerProtocol &protocol,
                    const StoreProtocol &store);
     tl::expected<void, NetError> open();
@@ -156,9 +179,8 @@
     void carryOut(const AbortAnswer &action);
 
     void onAnswerHead(RequestNumber number, std::uint32_t attempt, HttpHead head);
-    void handleNotice(RequestNumber number, const ActiveRequest &active, AnswerKind kind);
-    void handleLimit(RequestNumber number, const ActiveRequest &active,
-                     const UpstreamNotice &notice, AnswerKind kind);
+    void handleNotice(const AnsweredAttempt &answered);
+    void handleLimit(const AnsweredAttempt &answered, const UpstreamNotice &notice);
     void requestPermits();
     void logStreamLimits();
     void logPaceChanges();
@@ -168,7 +190,15 @@
     // Reports a lost attempt to the core, unless the request has ended or a further attempt
     // started.
     void onAttemptLost(RequestNumber number, std::uint32_t attempt, AttemptEnd end);
-    void probeUpstream(RequestNumber number, const ActiveRequest &active);
+    // Cancels the call of the current attempt, and learns from what its upstream still sends.
+    void abandonCall(ActiveRequest &active, const AttemptRecord &record);
+    LostAttempt toLostAttempt(const ActiveRequest &active, std::vector<SuspectKey> suspects) const;
+    // Calls `onResult` once the upstream has been probed.
+    void probeUpstream(const LostAttempt &lost, std::function<void()> onResult);
+    void onAbandonedHead(HttpCallId call, const AbandonedCall &abandoned, const HttpHead &head);
+    void onAbandonedEnd(const AbandonedCall &abandoned, HttpCallEnd end);
+    // Probes the upstreams that closed abandoned attempts and have answered nothing since.
+    void probeUnansweredUpstreams();
     void startStream(RequestNumber number, ActiveRequest &active);
     void finishAnswer(RequestNumber number, ActiveRequest &active);
     void recordEventTime(RequestNumber number, ActiveRequest &active, TimePoint now);
@@ -197,6 +227,7 @@
     StartupRequestQueue startupQueue_;
     std::unordered_map<RequestNumber, ActiveRequest> activeRequests_;
     std::unordered_map<ExchangeId, RequestNumber> byExchange_;
+    std::deque<LostAttempt> unansweredAttempts_; // Abandoned ones, in the order of their ends.
     std::unique_ptr<PeriodicTimer> tickTimer_;
     MemoryBudget memoryBudget_;
     HeldMemory heldMemory_; // As of the last tick, with the requests that came since.
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -1,8 +1,8 @@
 // The part of GatewayService that calls upstreams: it starts and cancels attempts and forwards
 // their answers to callers.
 #include "base/log.h"
+#include "gateway/attemptlognames.h"
 #include "gateway/gatewayservice.h"
-#include "gateway/requestdigest.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -17,54 +17,6 @@
 constexpr std::size_t kMaxBufferedAnswerBytes = std::size_t{1024} * 1024;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 
-std::string_view nameOf(HttpCallEnd end)
-{
-    switch (end) {
-    case HttpCallEnd::Complete:
-        return "complete";
-    case HttpCallEnd::NotSent:
-        return "not sent";
-    case HttpCallEnd::ReusedConnectionLost:
-        return "kept connection lost";
-    case HttpCallEnd::Interrupted:
-        return "interrupted";
-    case HttpCallEnd::MalformedResponse:
-        return "unreadable";
-    }
-    return "unknown";
-}
-
-std::string_view nameOf(AnswerKind kind)
-{
-    switch (kind) {
-    case AnswerKind::Success:
-        return "success";
-    case AnswerKind::Failure:
-        return "failure";
-    case AnswerKind::Full:
-        return "full";
-    case AnswerKind::WrongInstance:
-        return "wrong instance";
-    case AnswerKind::Refused:
-        return "refused";
-    case AnswerKind::Invalid:
-        return "invalid";
-    }
-    return "unknown";
-}
-
-// Returns the part ids as they appear in a log line, bounded in number and length.
-nlohmann::json loggedParts(const std::vector<std::string> &parts)
-{
-    constexpr std::size_t kMaxLoggedParts = 16;
-    constexpr std::size_t kMaxLoggedIdBytes = 32;
-    nlohmann::json logged = nlohmann::json::array();
-    for (std::size_t index = 0; index < std::min(parts.size(), kMaxLoggedParts); ++index) {
-        logged.push_back(parts[index].substr(0, kMaxLoggedIdBytes));
-    }
-    return logged;
-}
-
 bool isEventStream(const HttpHead &head)
 {
     return findHeader(head.headers, "content-type").starts_with("text/event-stream");
@@ -179,7 +131,7 @@
         return;
     }
     ActiveRequest &active = found->second;
-    client_->cancel(std::exchange(active.call, 0));
+    abandonCall(active, action.attempt);
     if (action.silent) {
         active.events.discardPartial();
         logLine(LogLevel::Info, "attempt.silent",
@@ -200,7 +152,9 @@
     }
     const AnswerKind kind = protocol_.classifyAnswer(head, active->metadata);
     active->head = std::move(head);
-    handleNotice(number, *active, kind);
+    if (const auto record = core_.attemptOf(number)) {
+        handleNotice({*record, active->metadata.requestId, attempt, active->head, kind});
+    }
     const bool events = kind == AnswerKind::Success && active->admitted.route->streamed
                         && isEventStream(active->head);
     if (active->resuming && kind == AnswerKind::Success && !events) {
@@ -221,7 +175,7 @@
              {"attempt", attempt},
              {"upstream", active->upstream.value()},
              {"status", active->head.status},
-             {"kind", nameOf(kind)},
+             {"kind", logName(kind)},
              {"ms", toMillis(loop_.now() - active->startedAt)}});
     GatewayActions actions;
     core_.onHead(number, kind, loop_.now(), actions);
@@ -341,14 +295,19 @@
             {{"id", active.metadata.requestId},
              {"attempt", active.attempt},
              {"upstream", active.upstream.value()},
-             {"end", nameOf(end)},
+             {"end", logName(end)},
              {"headSent", active.headSent},
              {"events", active.events.eventCount()},
              {"partialEventBytes", active.events.partialBytes()},
              {"ms", toMillis(loop_.now() - active.startedAt)}});
     active.events.discardPartial();
     if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::ReusedConnectionLost) {
-        probeUpstream(number, active);
+        // The request waits for the result, which takes some round trips unless the upstream does
+        // not answer: retried at once, a request that crashes upstreams might take down another.
+        probeUpstream(toLostAttempt(active, core_.crashSuspects(number)),
+                      [this, number, attempt = active.attempt] {
+                          onAttemptLost(number, attempt, AttemptEnd::Lost);
+                      });
         return;
     }
     onAttemptLost(number, active.attempt,
@@ -367,50 +326,6 @@
     carryOut(actions);
 }
 
-// Probes whether the upstream that lost the request has ended. The request waits for the result,
-// which takes some round trips unless the upstream does not answer: retried at once, a request that
-// crashes upstreams might take down another one.
-//
-// An upstream that resets new connections because it has too many does not answer the probe, but
-// goes on answering other requests.
-void GatewayService::probeUpstream(RequestNumber number, const ActiveRequest &active)
-{
-    LostAttempt lost{active.metadata.requestId,
-                     active.admitted.digest,
-                     core_.crashSuspects(number),
-                     active.admitted.account,
-                     active.upstream,
-                     loop_.now(),
-                     active.metadata.sharedPromptParts,
-                     active.streams,
-                     active.events.eventCount() - active.eventsBefore};
-    const std::uint32_t attempt = active.attempt;
-    const UpstreamQuestion question = protocol_.livenessQuestion(active.upstream);
-    probe_->probe(
-        active.address, question, [this, number, attempt, lost](UpstreamProbeResult state) {
-            metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
-            logLine(LogLevel::Info, "upstream.probed",
-                    {{"id", lost.requestId},
-                     {"upstream", lost.upstream.value()},
-                     {"state", toString(state)},
-                     {"answeredOthers", core_.answeredSince(lost.upstream, lost.at)},
-                     {"digest", toText(lost.digest)},
-                     {"sharedParts", loggedParts(lost.sharedPromptParts)},
-                     {"streaming", lost.streaming},
-                     {"events", lost.events},
-                     {"ms", toMillis(loop_.now() - lost.at)}});
-            const bool answered = state == UpstreamProbeResult::Unresponsive
-                                  && core_.answeredSince(lost.upstream, lost.at);
-            if (isEnd(state) && !answered) {
-                GatewayActions actions;
-                core_.onUpstreamEnded(lost.suspects, lost.account, lost.upstream, lost.at,
-                                      loop_.now(), actions);
-                carryOut(actions);
-            }
-            onAttemptLost(number, attempt, AttemptEnd::Lost);
-        });
-}
-
 void GatewayService::finishAnswer(RequestNumber number, ActiveRequest &active)
 {
     GatewayActions actions;
--- a/src/gateway/gatewayservicenotices.cpp
+++ b/src/gateway/gatewayservicenotices.cpp
@@ -42,19 +42,18 @@
 } // namespace
 
 // Processes the notices in the head of an answer about the upstream that sent it.
-void GatewayService::handleNotice(RequestNumber number, const ActiveRequest &active,
-                                  AnswerKind kind)
+void GatewayService::handleNotice(const AnsweredAttempt &answered)
 {
-    const UpstreamNotice notice = protocol_.readNotice(active.head);
-    handleLimit(number, active, notice, kind);
+    const UpstreamNotice notice = protocol_.readNotice(answered.head);
+    handleLimit(answered, notice);
     if (notice.empty()) {
         return;
     }
     logLine(LogLevel::Info, "upstream.notice",
-            {{"id", active.metadata.requestId},
-             {"attempt", active.attempt},
-             {"upstream", active.upstream.value()},
-             {"status", active.head.status},
+            {{"id", answered.requestId},
+             {"attempt", answered.attempt},
+             {"upstream", answered.record.upstream.id.value()},
+             {"status", answered.head.status},
              {"restMs", notice.rest ? nlohmann::json(toMillis(*notice.rest)) : nlohmann::json()},
              {"restUnreadable", notice.restUnreadable},
              {"leaving", notice.leaving},
@@ -71,28 +70,28 @@
         metrics_.count("seamarch_upstream_notices_total",
                        notice.limit ? "limit" : "limit unreadable");
     }
-    core_.onNotice(number, notice, loop_.now());
+    core_.onNotice(answered.record, notice, loop_.now());
 }
 
 // Applies the limit that an answer names, or ends the upstream's limit if the answer names none. An
 // answer that is refused or invalid, or that another instance may have sent, does not end a limit.
-void GatewayService::handleLimit(RequestNumber number, const ActiveRequest &active,
-                                 const UpstreamNotice &notice, AnswerKind kind)
+void GatewayService::handleLimit(const AnsweredAttempt &answered, const UpstreamNotice &notice)
 {
-    const bool isConclusive =
-        kind == AnswerKind::Success || kind == AnswerKind::Failure || kind == AnswerKind::Full;
+    const bool isConclusive = answered.kind == AnswerKind::Success
+                              || answered.kind == AnswerKind::Failure
+                              || answered.kind == AnswerKind::Full;
     if (!notice.limit && (notice.limitUnreadable || !isConclusive)) {
         return;
     }
-    const auto change = core_.onLimit(number, notice.limit, loop_.now());
+    const auto change = core_.onLimit(answered.record, notice.limit, loop_.now());
     if (change == UpstreamLimits::Change::None) {
         return;
     }
     logLine(
         LogLevel::Info, "limit.changed",
-        {{"id", active.metadata.requestId},
-         {"attempt", active.attempt},
-         {"upstream", active.upstream.value()},
+        {{"id", answered.requestId},
+         {"attempt", answered.attempt},
+         {"upstream", answered.record.upstream.id.value()},
          {"change", nameOf(change)},
          {"perSecond", notice.limit ? nlohmann::json(notice.limit->perSecond()) : nlohmann::json()},
          {"gateways", synchronizer_->gateways()}});
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -40,6 +40,10 @@
 
 using TimerId = std::uint64_t;
 
+// The loop runs expired timers before it reads sockets. A deadline is applied so much later: by
+// then, what had arrived by the deadline has been read, also if the process was held up meanwhile.
+constexpr Duration kReadTime = std::chrono::milliseconds(1);
+
 // Runs the libwebsockets context, the kj loop and the timers, all of which it owns.
 // Single-threaded.
 class EventLoop
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -85,6 +85,7 @@
     bool persistent = false;
     bool reusedConnection = false;
     bool receivedBytes = false; // Whether any byte of the response has arrived.
+    bool abandoned = false;
 };
 
 HttpClient::HttpClient(EventLoop &loop)
@@ -244,7 +245,8 @@
     const HttpCallId call = connection.call;
     const SocketId socket = connection.socket;
     std::vector<SocketId> &idleSockets = idleConnections_[connection.address];
-    const bool keep = connection.persistent && !hasExtraBytes && sockets_->queued(socket) == 0
+    const bool keep = connection.persistent && !connection.abandoned && !hasExtraBytes
+                      && sockets_->queued(socket) == 0
                       && connection.request.reuse != ConnectionReuse::Never
                       && idleSockets.size() < kMaxIdlePerAddress;
     const std::unique_ptr<HttpCallReceiver> receiver = std::move(connection.receiver);
@@ -338,6 +340,33 @@
     return true;
 }
 
+bool HttpClient::abandon(HttpCallId call, Duration timeout,
+                         std::unique_ptr<HttpCallReceiver> receiver)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return false;
+    }
+    Connection &connection = *connections_.at(found->second);
+    if (!connection.connected || connection.receivedBytes
+        || sockets_->queued(connection.socket) > 0) {
+        cancel(call);
+        return false;
+    }
+    connection.abandoned = true;
+    connection.request.body = {};
+    connection.receiver = std::move(receiver);
+    sockets_->pause(connection.socket, false);
+    sockets_->finishWriting(connection.socket);
+    const auto expire = [this, call, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) {
+            cancel(call);
+        }
+    };
+    loop_.schedule(timeout, [&loop = loop_, expire] { loop.schedule(kReadTime, expire); });
+    return true;
+}
+
 void HttpClient::pause(HttpCallId call, bool paused)
 {
     const auto found = calls_.find(call);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -85,6 +85,11 @@
     // Cancels the call, closes its connection and destroys the receiver without calling it again,
     // at the latest in the next iteration of the loop. Returns false if the call is over already.
     bool cancel(HttpCallId call);
+    // Ends the sending side of a call whose request has been sent, as a close would, but goes on
+    // reading its connection: what the peer was about to send goes to `receiver`, which replaces
+    // the call's own. The call is cancelled after `timeout`. If the request has not been sent
+    // completely or the response has begun, the call is cancelled at once; returns false.
+    bool abandon(HttpCallId call, Duration timeout, std::unique_ptr<HttpCallReceiver> receiver);
     // Stops (`paused` is true) or resumes reading the response.
     void pause(HttpCallId call, bool paused);
     // Returns whether any byte of the request may have been passed to the kernel.
@@ -120,6 +125,7 @@
     std::unique_ptr<PeriodicTimer> sweepTimer_;
     HttpCallId nextCall_ = 1;
     std::uint64_t connectionsMade_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); // Checked by timers.
 };
 
 } // namespace seamarch
--- a/src/net/upstreamprobe.cpp
+++ b/src/net/upstreamprobe.cpp
@@ -16,9 +16,6 @@
 // The pause after a connection that broke. A process that ends closes its sockets within some
 // milliseconds of each other, or some scheduling periods of a busy host.
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(20);
-// The loop runs expired timers before it reads sockets. What has arrived by the deadline is read
-// within this time.
-constexpr Duration kReadTime = std::chrono::milliseconds(1);
 // The status line of an instance at the address that is not the expected one.
 constexpr std::string_view kOtherInstance = "HTTP/1.1 421";
 
--- a/test/decision/gateway/limitedupstream_test.cpp
+++ b/test/decision/gateway/limitedupstream_test.cpp
@@ -107,7 +107,8 @@
 {
     start(1, {"one"});
     const RequestNumber first = begin(Kind::Repeatable, 0);
-    CHECK_TRUE(core->onLimit(first, kLimit, at(5)) == UpstreamLimits::Change::Begun);
+    CHECK_TRUE(core->onLimit(core->attemptOf(first).value(), kLimit, at(5))
+               == UpstreamLimits::Change::Begun);
     core->onHead(first, AnswerKind::Success, at(5), actions);
     begin(Kind::Repeatable, 6);
     CHECK_TRUE(last<StartAttempt>() == nullptr);
@@ -245,7 +246,7 @@
                 if (chosen != attempts.end()) {
                     const RequestNumber number = chosen->first;
                     const auto limit = draw(3) == 0 ? std::nullopt : std::optional(kLimit);
-                    core->onLimit(number, limit, at(now));
+                    core->onLimit(core->attemptOf(number).value(), limit, at(now));
                     const std::array kinds{AnswerKind::Full, AnswerKind::Failure,
                                            AnswerKind::Invalid, AnswerKind::Success};
                     core->onHead(number, kinds[static_cast<std::size_t>(draw(4))], at(now),
--- a/test/decision/gateway/restingupstream_test.cpp
+++ b/test/decision/gateway/restingupstream_test.cpp
@@ -94,7 +94,7 @@
     {
         const RequestNumber number = begin(kind, now);
         InstanceId upstream = last<StartAttempt>()->upstream.id;
-        core->onNotice(number, kRest, at(now));
+        core->onNotice(core->attemptOf(number).value(), kRest, at(now));
         core->onHead(number, AnswerKind::Full, at(now), actions);
         core->onCallerGone(number, actions);
         return upstream;
@@ -179,8 +179,9 @@
 {
     const RequestNumber first = begin(Kind::Repeatable, 0);
     const InstanceId upstream = last<StartAttempt>()->upstream.id;
-    core->onNotice(first, kRest, at(0));
-    core->onNotice(first, {std::chrono::milliseconds(100), false, false}, at(10));
+    core->onNotice(core->attemptOf(first).value(), kRest, at(0));
+    core->onNotice(core->attemptOf(first).value(), {std::chrono::milliseconds(100), false, false},
+                   at(10));
     LONGS_EQUAL(0, sentTo(upstream, kRestMs - 10));
 }
 
@@ -188,9 +189,10 @@
 {
     start(1, {"one", "two"});
     const RequestNumber number = begin(Kind::Repeatable, 0);
-    core->onNotice(number, kRest, at(0));
+    core->onNotice(core->attemptOf(number).value(), kRest, at(0));
     core->onHead(number, AnswerKind::Full, at(0), actions);
-    core->onNotice(number, kRest, at(200)); // The retry, at the other upstream.
+    core->onNotice(core->attemptOf(number).value(), kRest,
+                   at(200)); // The retry, at the other upstream.
     core->onHead(number, AnswerKind::Full, at(200), actions);
     CHECK_TRUE(last<RejectRequest>()->retryAfter == Duration(std::chrono::milliseconds(2800)));
     actions.clear();
@@ -200,6 +202,26 @@
     CHECK_TRUE(last<RejectRequest>()->retryAfter == Duration(std::chrono::milliseconds(2000)));
 }
 
+TEST(RestingUpstreamTest, RestToldToACallerWhoHasLeftIsObserved)
+{
+    const RequestNumber number = begin(Kind::Repeatable, 0);
+    core->onCallerGone(number, actions);
+    const AttemptRecord abandoned = last<CancelAttempt>()->attempt;
+    core->onNotice(abandoned, kRest, at(10));
+    core->onAbandonedHead(abandoned, AnswerKind::Full, at(10));
+    LONGS_EQUAL(0, sentTo(abandoned.upstream.id, 1000));
+}
+
+TEST(RestingUpstreamTest, RefusalOfAnAbandonedAttemptMarksItsUpstreamAsFull)
+{
+    const RequestNumber number = begin(Kind::Repeatable, 0);
+    core->onCallerGone(number, actions);
+    const AttemptRecord abandoned = last<CancelAttempt>()->attempt;
+    core->onAbandonedHead(abandoned, AnswerKind::Full, at(10));
+    LONGS_EQUAL(0, sentTo(abandoned.upstream.id, 20));
+    CHECK_TRUE(sentTo(abandoned.upstream.id, 200) > 0);
+}
+
 TEST(RestingUpstreamTest, FullUpstreamWithoutARestIsRetriedSoon)
 {
     const RequestNumber number = begin(Kind::Repeatable, 0);
@@ -213,7 +235,7 @@
     const RequestNumber number = begin(Kind::Stream, 0);
     const InstanceId leaving = last<StartAttempt>()->upstream.id;
     actions.clear();
-    core->onNotice(number, kLeaving, at(10));
+    core->onNotice(core->attemptOf(number).value(), kLeaving, at(10));
     CHECK_TRUE(core->onHead(number, AnswerKind::Success, at(10), actions));
     LONGS_EQUAL(0, sentTo(leaving, 20));
     actions.clear();
@@ -257,10 +279,11 @@
                         const Duration rest = std::chrono::milliseconds(draw(2000));
                         restUntil[chosen->second] =
                             std::max(restUntil[chosen->second], at(now) + rest);
-                        core->onNotice(number, {rest, false, false}, at(now));
+                        core->onNotice(core->attemptOf(number).value(), {rest, false, false},
+                                       at(now));
                     } else if (draw(10) == 0) {
                         leaving.insert(chosen->second);
-                        core->onNotice(number, kLeaving, at(now));
+                        core->onNotice(core->attemptOf(number).value(), kLeaving, at(now));
                     }
                     const std::array kinds{AnswerKind::Full, AnswerKind::Failure,
                                            AnswerKind::Invalid, AnswerKind::Success};
--- a/test/decision/gateway/suspectrequest_test.cpp
+++ b/test/decision/gateway/suspectrequest_test.cpp
@@ -187,6 +187,20 @@
     CHECK_TRUE(httpStatus(last<RejectRequest>()->failure) != 503);
 }
 
+TEST(SuspectRequestTest, CrashAfterTheCallerHasLeftCounts)
+{
+    recordCrashes(1);
+    const RequestNumber number = begin(Kind::AtMostOnce);
+    core->onCallerGone(number, actions);
+    const AttemptRecord abandoned = last<CancelAttempt>()->attempt;
+    CHECK_TRUE(abandoned.suspects == std::vector<SuspectKey>{SuspectKey(kPoison)});
+    core->onUpstreamEnded(abandoned.suspects, kAccount, abandoned.upstream.id, at(20), at(20),
+                          actions);
+    actions.clear();
+    begin(Kind::AtMostOnce, kPoison, 30);
+    LONGS_EQUAL(0, sent());
+}
+
 TEST(SuspectRequestTest, StartedStreamOfASuspectIsAbortedNotResumed)
 {
     recordCrashes(1);
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -33,9 +33,16 @@
         last = std::move(request);
         lastExchange = exchange;
         HttpResponseHead head;
+        if (beforeAnswer) {
+            beforeAnswer();
+        }
         if (last.path == "/hold") {
             return;
         }
+        if (last.path == "/begun") {
+            server->begin(exchange, head);
+            return;
+        }
         if (last.path == "/pieces") {
             server->begin(exchange, head);
             server->write(exchange, "one ");
@@ -66,6 +73,7 @@
     void onDrained(ExchangeId /*exchange*/) override {}
 
     HttpServer *server = nullptr;
+    std::function<void()> beforeAnswer;
     HttpRequest last;
     ExchangeId lastExchange = 0;
     int requests = 0;
@@ -311,6 +319,93 @@
     CHECK_FALSE(result.end.has_value());
 }
 
+TEST(HttpStackTest, AbandonedCallReceivesAnswerThatWasUnderWay)
+{
+    HttpCallRequest request;
+    Result own;
+    Result late;
+    request.address = address;
+    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    echo.beforeAnswer = [&] {
+        CHECK_TRUE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
+    };
+    runUntil([&late] { return late.end.has_value(); });
+    LONGS_EQUAL(200, late.status);
+    CHECK_TRUE(late.end == HttpCallEnd::Complete);
+    CHECK_FALSE(own.end.has_value());
+}
+
+TEST(HttpStackTest, PeerSeesAbandonedCallAsClosed)
+{
+    HttpCallRequest request;
+    Result own;
+    Result late;
+    request.address = address;
+    request.path = "/hold";
+    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    runUntil([this] { return echo.requests == 1; });
+    CHECK_TRUE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
+    runUntil([this] { return echo.callersGone == 1; });
+    runUntil([&late] { return late.end.has_value(); });
+    CHECK_TRUE(late.end == HttpCallEnd::Interrupted);
+    CHECK_FALSE(own.end.has_value());
+}
+
+TEST(HttpStackTest, AbandonedCallIsCancelledAfterItsTimeout)
+{
+    const int listening = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(freePort()));
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    LONGS_EQUAL(0, bind(listening, reinterpret_cast<const sockaddr *>(&target), sizeof(target)));
+    LONGS_EQUAL(0, listen(listening, 1));
+    HttpCallRequest request;
+    Result own;
+    Result late;
+    request.address = {"127.0.0.1", ntohs(target.sin_port)};
+    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    runUntil([&] { return client->wroteAny(id); });
+    CHECK_TRUE(client->abandon(id, std::chrono::milliseconds(20),
+                               std::make_unique<Receiver>(*loop, late)));
+    runFor(std::chrono::milliseconds(10));
+    CHECK_TRUE(client->wroteAny(id));
+    runFor(std::chrono::milliseconds(50));
+    CHECK_FALSE(client->cancel(id));
+    CHECK_FALSE(late.end.has_value());
+    ::close(listening);
+}
+
+// The process is held up from before the answer arrives until after the timeout.
+TEST(HttpStackTest, AbandonedCallReceivesAnswerThatArrivedInTime)
+{
+    HttpCallRequest request;
+    Result own;
+    Result late;
+    request.address = address;
+    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    echo.beforeAnswer = [&] {
+        client->abandon(id, std::chrono::milliseconds(20), std::make_unique<Receiver>(*loop, late));
+        loop->post([] { std::this_thread::sleep_for(std::chrono::milliseconds(50)); });
+    };
+    runUntil([&late] { return late.end.has_value(); });
+    LONGS_EQUAL(200, late.status);
+}
+
+TEST(HttpStackTest, AbandonClosesConnectionOnceResponseHasBegun)
+{
+    HttpCallRequest request;
+    Result own;
+    Result late;
+    request.address = address;
+    request.path = "/begun";
+    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    runUntil([&own] { return own.status == 200; });
+    CHECK_FALSE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
+    runUntil([this] { return echo.callersGone == 1; });
+    CHECK_FALSE(late.end.has_value());
+}
+
 // The process stands still until the timeout of a call is due together with what cancels the call.
 TEST(HttpStackTest, CancelledFetchIsNotReportedAsTimedOut)
 {
