--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -11,7 +11,7 @@
 // A plain service that records the body of each request that it runs.
 //
 // Control settings:
-//   {"delayMs": N}          time before the answer
+//   {"delayMs": N}          time before the answer or the end of the process
 //   {"dropAnswers": true}   runs requests, then aborts the connection
 //   {"endsOn": TEXT}        ends the process when it runs a request whose body contains TEXT
 //   {"rest": TEXT}          refuses all requests with 503 and asks the caller to wait for that many
@@ -39,17 +39,20 @@
             return;
         }
         runs_.push_back(request.body);
-        if (!exitOnBodyText_.empty() && request.body.find(exitOnBodyText_) != std::string::npos) {
-            std::_Exit(kExitEndedByRequest);
-        }
+        const bool exits =
+            !exitOnBodyText_.empty() && request.body.find(exitOnBodyText_) != std::string::npos;
         const json answer = {{"echo", request.body}, {"run", runs_.size()}};
-        loop().schedule(std::chrono::milliseconds(std::max(1, delayMs_)), [this, exchange, answer] {
-            if (dropAnswers_) {
-                server().abort(exchange);
-                return;
-            }
-            respondJson(exchange, 200, answer);
-        });
+        loop().schedule(std::chrono::milliseconds(std::max(1, delayMs_)),
+                        [this, exchange, answer, exits] {
+                            if (exits) {
+                                std::_Exit(kExitEndedByRequest);
+                            }
+                            if (dropAnswers_) {
+                                server().abort(exchange);
+                                return;
+                            }
+                            respondJson(exchange, 200, answer);
+                        });
     }
 
     json control(const json &change) override
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -157,6 +157,14 @@
         return result;
     }
 
+    HttpCallId startCall(Result & result, const std::string &path = "/")
+    {
+        HttpCallRequest request;
+        request.address = address;
+        request.path = path;
+        return client->call(request, std::make_unique<Receiver>(*loop, result));
+    }
+
     // Returns a new connection on which `text` has been sent.
     int connectAndSend(const std::string &text)
     {
@@ -308,11 +316,8 @@
 
 TEST(HttpStackTest, CancelClosesTheConnection)
 {
-    HttpCallRequest request;
     Result result;
-    request.address = address;
-    request.path = "/hold";
-    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, result));
+    const HttpCallId id = startCall(result, "/hold");
     runUntil([this] { return echo.requests == 1; });
     client->cancel(id);
     runUntil([this] { return echo.callersGone == 1; });
@@ -321,11 +326,9 @@
 
 TEST(HttpStackTest, AbandonedCallReceivesAnswerThatWasUnderWay)
 {
-    HttpCallRequest request;
     Result own;
     Result late;
-    request.address = address;
-    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    const HttpCallId id = startCall(own);
     echo.beforeAnswer = [&] {
         CHECK_TRUE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
     };
@@ -337,12 +340,9 @@
 
 TEST(HttpStackTest, PeerSeesAbandonedCallAsClosed)
 {
-    HttpCallRequest request;
     Result own;
     Result late;
-    request.address = address;
-    request.path = "/hold";
-    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    const HttpCallId id = startCall(own, "/hold");
     runUntil([this] { return echo.requests == 1; });
     CHECK_TRUE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
     runUntil([this] { return echo.callersGone == 1; });
@@ -360,11 +360,10 @@
     target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     LONGS_EQUAL(0, bind(listening, reinterpret_cast<const sockaddr *>(&target), sizeof(target)));
     LONGS_EQUAL(0, listen(listening, 1));
-    HttpCallRequest request;
+    address.port = ntohs(target.sin_port);
     Result own;
     Result late;
-    request.address = {"127.0.0.1", ntohs(target.sin_port)};
-    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    const HttpCallId id = startCall(own);
     runUntil([&] { return client->wroteAny(id); });
     CHECK_TRUE(client->abandon(id, std::chrono::milliseconds(20),
                                std::make_unique<Receiver>(*loop, late)));
@@ -379,11 +378,9 @@
 // The process is held up from before the answer arrives until after the timeout.
 TEST(HttpStackTest, AbandonedCallReceivesAnswerThatArrivedInTime)
 {
-    HttpCallRequest request;
     Result own;
     Result late;
-    request.address = address;
-    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    const HttpCallId id = startCall(own);
     echo.beforeAnswer = [&] {
         client->abandon(id, std::chrono::milliseconds(20), std::make_unique<Receiver>(*loop, late));
         loop->post([] { std::this_thread::sleep_for(std::chrono::milliseconds(50)); });
@@ -394,12 +391,9 @@
 
 TEST(HttpStackTest, AbandonClosesConnectionOnceResponseHasBegun)
 {
-    HttpCallRequest request;
     Result own;
     Result late;
-    request.address = address;
-    request.path = "/begun";
-    const HttpCallId id = client->call(request, std::make_unique<Receiver>(*loop, own));
+    const HttpCallId id = startCall(own, "/begun");
     runUntil([&own] { return own.status == 200; });
     CHECK_FALSE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
     runUntil([this] { return echo.callersGone == 1; });
--- a/test/process/crashingcall_test.py
+++ b/test/process/crashingcall_test.py
@@ -20,7 +20,11 @@
 PROPAGATION_S = 3.0    # Time in which connected entries learn of the request.
 
 
-class CrashingCallTest(unittest.TestCase):
+class CrashingCallCase(unittest.TestCase):
+    """Three entries in two halls, and four upstreams that crash on one call."""
+
+    upstream_settings = {"endsOn": "poison"}
+
     def setUp(self):
         self.site = Site("crashing", halls=("north", "south"), entry_options=QUICK_ENTRY,
                          agent_options=QUICK_AGENT, log_path=os.environ.get("SEAMARCH_TEST_LOG"))
@@ -34,7 +38,7 @@
         self.site.publish_and_wait()
         self.ends, self.stopped = [], False
         for name, address in self.site.upstreams.items():
-            control(address, {"endsOn": "poison"})
+            control(address, self.upstream_settings)
         self.restarter = threading.Thread(target=self.restart_ended_upstreams)
         self.restarter.start()
         self.addCleanup(self.stop)
@@ -51,12 +55,14 @@
                     self.ends.append(time.monotonic())
                     time.sleep(0.3)
                     self.site.restart(f"{name}.upstream")
-                    control(address, {"endsOn": "poison"})
+                    control(address, self.upstream_settings)
             time.sleep(0.01)
 
     def ask(self, path, body, entry):
         return call(entry, f"/services/portal/{path}", body, AUTH, 6)
 
+
+class CrashingCallTest(CrashingCallCase):
     def check_stopped(self, path):
         entries = list(self.site.entries.values())
         started = time.monotonic()
--- a/test/process/crashingrequest_test.py
+++ b/test/process/crashingrequest_test.py
@@ -22,6 +22,8 @@
 from localsite import call, control, free_address  # noqa: E402
 
 ENDED_BY_REQUEST = 70  # The stand-in's exit code when a request makes it exit.
+IDENTIFYING_CRASHES = 3
+MAX_LATE_CRASHES = 3   # Later than PROPAGATION_S after the crash that identifies the request.
 PROPAGATION_S = 3.0    # Time in which connected gateways learn of the request.
 RESTART_DELAY_S = 0.4  # Time until an upstream that ended is restarted.
 
@@ -99,6 +101,17 @@
             time.sleep(0.15)
         return answer
 
+    def check_few_late_crashes(self):
+        """Checks how many upstreams crashed although the request was known."""
+        crashes = list(self.restarter.ends)
+        self.assertGreater(len(crashes), 0, "no upstream crashed; the test is inconclusive")
+        if len(crashes) >= IDENTIFYING_CRASHES:
+            known = crashes[IDENTIFYING_CRASHES - 1] + PROPAGATION_S
+            late = [crash for crash in crashes if crash > known]
+            self.assertLessEqual(len(late), MAX_LATE_CRASHES, f"{len(crashes)} upstreams crashed, {len(late)} of them "
+                                 f"later than {PROPAGATION_S} s after the third; expected {MAX_LATE_CRASHES} at most; "
+                                 "see `upstream.probed`")
+
 
 class CrashingRequestTest(CrashingRequestCase):
     def check_stopped(self, path):
--- a/test/process/leavingcallers_test.py
+++ b/test/process/leavingcallers_test.py
@@ -16,15 +16,13 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from crashingrequest_test import PROPAGATION_S, CrashingRequestCase  # noqa: E402
+from crashingrequest_test import CrashingRequestCase  # noqa: E402
 from gateway_test import KEY, GatewaySite  # noqa: E402
 from localsite import control, leave  # noqa: E402
 from restingupstream_test import (IN_FLIGHT_S, MAX_LATE_REQUESTS, RETRY_AFTER_S,  # noqa: E402
                                   max_arrivals_in_retry_after)
 
 HEADERS = {"Host": "site.example", "Authorization": f"Token {KEY}", "Seamarch-Deadline-Ms": "4000"}
-IDENTIFYING_CRASHES = 3
-MAX_LATE_CRASHES = 3  # Later than PROPAGATION_S after the third.
 
 
 class CrashTest(CrashingRequestCase):
@@ -42,14 +40,7 @@
             leave(self.entries[self.asked % len(self.entries)], path, "poison",
                   {**HEADERS, "Seamarch-Request-Id": f"leaving-{self.asked}"}, after=self.PATIENCE_S)
             time.sleep(self.PAUSE_S)
-        crashes = list(self.restarter.ends)
-        self.assertGreater(len(crashes), 0, "no upstream crashed; the test is inconclusive")
-        if len(crashes) >= IDENTIFYING_CRASHES:
-            known = crashes[IDENTIFYING_CRASHES - 1] + PROPAGATION_S
-            late = [crash for crash in crashes if crash > known]
-            self.assertLessEqual(len(late), MAX_LATE_CRASHES, f"{len(crashes)} upstreams crashed, {len(late)} of them "
-                                 f"later than {PROPAGATION_S} s after the third; expected {MAX_LATE_CRASHES} at most; "
-                                 "see `attempt.abandoned`")
+        self.check_few_late_crashes()
 
     # Guards against crashes that are not counted because the request's caller has left.
     def test_repeatable_request_is_stopped(self):
--- a/test/process/openport_test.py
+++ b/test/process/openport_test.py
@@ -17,13 +17,11 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "..", "soak")]
 from crashingpart_test import CrashingPartCase  # noqa: E402
-from crashingrequest_test import PROPAGATION_S, CrashingRequestCase  # noqa: E402
+from crashingrequest_test import CrashingRequestCase  # noqa: E402
 from gateway_test import GatewaySite  # noqa: E402
 from localsite import free_address  # noqa: E402
 from proxy import Proxy, ProxyLoop  # noqa: E402
 
-IDENTIFYING_CRASHES = 3
-MAX_LATE_ARRIVALS = 3  # Of the request, later than PROPAGATION_S after the third crash.
 LINGER_MS = 60
 
 
@@ -74,13 +72,7 @@
             caller.start()
         for caller in callers:
             caller.join()
-        crashes = list(self.restarter.ends)
-        self.assertGreater(len(crashes), 0, "no upstream crashed, so the test shows nothing")
-        if len(crashes) >= IDENTIFYING_CRASHES:
-            known = crashes[IDENTIFYING_CRASHES - 1] + PROPAGATION_S
-            late = [crash for crash in crashes if crash > known]
-            self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, f"{len(crashes)} upstreams crashed, {len(late)} of them "
-                                 f"later than {PROPAGATION_S} s after the third; expected {MAX_LATE_ARRIVALS} at most")
+        self.check_few_late_crashes()
 
 
 class LingeringProcessTest(OpenPortCase):
