Entry, agent: crashes after the caller has left count

What callers saw: in plain deployments a call that crashes every upstream was sent on for as long as callers repeated it and left before the crash.

Cause: as at gateways. The entry forgot the call, and the agent closed its connection to the upstream, so neither learned of the crash, or of a Retry-After.

Change: the agent abandons the call as a gateway does, and probes its upstream if that ends the connection without an answer. The entry keeps the last 1,024 calls of callers who left and counts a reported crash for the call. No message changed.

The first try probed at once and changed nothing: the upstream dropped the connection and crashed 15 ms later. Agents now wait 0.1 s, as gateways do.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -178,6 +178,31 @@
     RequestId id_;
 };
 
+// Receives what the upstream still sends for a call that the entry has cancelled.
+class AgentService::AbandonedReceiver final : public HttpCallReceiver
+{
+public:
+    AbandonedReceiver(AgentService &service, RequestId id, ConnectionId connection)
+        : service_(service)
+        , id_(id)
+        , connection_(connection)
+    {}
+
+    void onHead(HttpHead head) override { service_.applyRetryAfter(head); }
+    void onPiece(std::string_view /*piece*/) override {}
+    void onEnd(HttpCallEnd end) override
+    {
+        if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::ReusedConnectionLost) {
+            service_.probeAfterAbandonedCall(id_, connection_);
+        }
+    }
+
+private:
+    AgentService &service_;
+    RequestId id_;
+    ConnectionId connection_;
+};
+
 AgentService::AgentService(EventLoop &loop, AgentSettings settings)
     : loop_(loop)
     , settings_(std::move(settings))
@@ -349,7 +374,9 @@
 {
     const auto found = activeRequests_.find(action.id);
     if (found != activeRequests_.end() && found->second.httpCall != 0) {
-        client_->cancel(found->second.httpCall);
+        client_->abandon(
+            found->second.httpCall, kAbandonedReadTime,
+            std::make_unique<AbandonedReceiver>(*this, action.id, found->second.connection));
     }
 }
 
@@ -482,16 +509,39 @@
 // crash the next one as well, so the entry must be able to tell.
 void AgentService::probeUpstream(RequestId id)
 {
-    const UpstreamQuestion question{std::string(kHealthPath), {}};
-    probe_->probe(settings_.upstream, question, [this, id](UpstreamProbeResult state) {
-        metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
-        logLine(LogLevel::Info, "upstream.probed",
-                {{"request", id.counter}, {"entry", id.entry.value()}, {"state", toString(state)}});
-        sendFailure(id, isEnd(state) ? FailureCode::UpstreamEnded : FailureCode::UpstreamFailed,
+    probeUpstream(id, [this, id](bool hasEnded) {
+        sendFailure(id, hasEnded ? FailureCode::UpstreamEnded : FailureCode::UpstreamFailed,
                     Outcome::Unknown, {});
     });
 }
 
+// Probes the upstream after it closed a cancelled call without an answer, and reports its end to
+// the entry: the call may have crashed it.
+void AgentService::probeAfterAbandonedCall(RequestId id, ConnectionId connection)
+{
+    loop_.schedule(kAbandonedProbeDelay, [this, id, connection] {
+        probeUpstream(id, [this, id, connection](bool hasEnded) {
+            if (hasEnded) {
+                sendFailure(connection, id, FailureCode::UpstreamEnded, Outcome::Unknown, {});
+            }
+        });
+    });
+}
+
+void AgentService::probeUpstream(RequestId id, std::function<void(bool)> onResult)
+{
+    const UpstreamQuestion question{std::string(kHealthPath), {}};
+    probe_->probe(
+        settings_.upstream, question,
+        [this, id, onResult = std::move(onResult)](UpstreamProbeResult state) {
+            metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
+            logLine(
+                LogLevel::Info, "upstream.probed",
+                {{"request", id.counter}, {"entry", id.entry.value()}, {"state", toString(state)}});
+            onResult(isEnd(state));
+        });
+}
+
 void AgentService::sendFailure(RequestId id, FailureCode failure, Outcome outcome,
                                Duration retryAfter)
 {
@@ -499,8 +549,15 @@
     if (found == activeRequests_.end()) {
         return;
     }
-    const auto connection = connections_.find(found->second.connection);
+    const ConnectionId connection = found->second.connection;
     activeRequests_.erase(found);
+    sendFailure(connection, id, failure, outcome, retryAfter);
+}
+
+void AgentService::sendFailure(ConnectionId entry, RequestId id, FailureCode failure,
+                               Outcome outcome, Duration retryAfter)
+{
+    const auto connection = connections_.find(entry);
     if (connection == connections_.end()) {
         return;
     }
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -21,6 +21,7 @@
 #include "observe/operatorserver.h"
 #include "wire/seamarch.capnp.h"
 
+#include <functional>
 #include <kj/async.h>
 #include <map>
 #include <memory>
@@ -98,6 +99,7 @@
 
     class AgentRpcServer;
     class UpstreamReceiver;
+    class AbandonedReceiver;
 
     AgentService(EventLoop &loop, AgentSettings settings);
     tl::expected<void, NetError> open();
@@ -114,6 +116,9 @@
     void onUpstreamPiece(RequestId id, std::string_view piece);
     void onUpstreamEnd(RequestId id, HttpCallEnd end);
     void probeUpstream(RequestId id);
+    void probeAfterAbandonedCall(RequestId id, ConnectionId connection);
+    // Passes whether the process of the upstream has ended to `onResult`.
+    void probeUpstream(RequestId id, std::function<void(bool)> onResult);
 
     void carryOut(const AgentActions &actions);
     void carryOut(const StartUpstream &action);
@@ -121,6 +126,8 @@
     void carryOut(const ReportNotRun &action);
     void carryOut(const AnnounceFreeSlot &action);
     void sendFailure(RequestId id, FailureCode failure, Outcome outcome, Duration retryAfter);
+    void sendFailure(ConnectionId entry, RequestId id, FailureCode failure, Outcome outcome,
+                     Duration retryAfter);
     void scheduleFlush(RequestId id);
     void flush(RequestId id);
     void onPartAcknowledged(RequestId id);
--- a/src/decision/dispatch/entrycore.cpp
+++ b/src/decision/dispatch/entrycore.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kRetryAfterNoUpstream = std::chrono::seconds(1);
+// Agents report the crash of an abandoned call within a second.
+constexpr std::size_t kMaxAbandonedCalls = 1024;
 
 double expectedCost(const EntryRequest &request)
 {
@@ -177,12 +179,35 @@
            && (!prefix || crashes_.mayBeSent(*prefix, now));
 }
 
-void EntryCore::recordCrash(const Request &request, TimePoint now)
+EntryCore::RunningCall EntryCore::runningCall(RequestId id, const Request &request)
 {
-    const AccountId &account = request.original.account;
-    crashes_.onUpstreamCrashed(SuspectKey(request.original.digest), account, request.agent, now);
+    RunningCall call{
+        id, request.agent, request.original.account, {SuspectKey(request.original.digest)}};
     if (const auto prefix = prefixKey(request.original)) {
-        crashes_.onUpstreamCrashed(*prefix, account, request.agent, now);
+        call.suspects.push_back(*prefix);
+    }
+    return call;
+}
+
+void EntryCore::recordCrash(const RunningCall &call, TimePoint now)
+{
+    // The end of an upstream that is leaving is an intended stop, not a crash.
+    if (!members_.mayReceive(call.agent, now)) {
+        return;
+    }
+    for (const SuspectKey &suspect : call.suspects) {
+        crashes_.onUpstreamCrashed(suspect, call.account, call.agent, now);
+    }
+}
+
+void EntryCore::onAbandonedCallCrashed(RequestId id, const InstanceId &agent, TimePoint now)
+{
+    const auto call =
+        std::find_if(abandonedCalls_.begin(), abandonedCalls_.end(),
+                     [&](const RunningCall &each) { return each.id == id && each.agent == agent; });
+    if (call != abandonedCalls_.end()) {
+        recordCrash(*call, now);
+        abandonedCalls_.erase(call);
     }
 }
 
@@ -340,9 +365,8 @@
     if (failure == FailureCode::UpstreamUnreachable || failure == FailureCode::UpstreamEnded) {
         outliers_.onFailure(request->agent, now);
     }
-    // The end of an upstream that is leaving is an intended stop, not a crash.
-    if (failure == FailureCode::UpstreamEnded && members_.mayReceive(request->agent, now)) {
-        recordCrash(*request, now);
+    if (failure == FailureCode::UpstreamEnded) {
+        recordCrash(runningCall(id, *request), now);
     }
     if (outcome == Outcome::Unknown) {
         request->mayHaveRun = true;
@@ -518,6 +542,10 @@
     }
     if (request->phase != RequestPhase::AwaitingReport) {
         actions.emplace_back(SendCancel{id, request->agent, request->agentIncarnation});
+        abandonedCalls_.push_back(runningCall(id, *request));
+        if (abandonedCalls_.size() > kMaxAbandonedCalls) {
+            abandonedCalls_.pop_front();
+        }
     }
     removeFromAgentLoad(id, *request);
     requests_.erase(id);
--- a/src/decision/dispatch/entrycore.h
+++ b/src/decision/dispatch/entrycore.h
@@ -26,6 +26,7 @@
 #include "seamarch/outcome.h"
 #include "seamarch/units.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -162,6 +163,9 @@
     void onComplete(RequestId id, const InstanceId &agent, TimePoint now);
     // Cancels and finishes a request whose caller has disconnected.
     void onCallerGone(RequestId id, EntryActions &actions);
+    // Handles the end of the upstream of `agent` while it ran a request whose caller has
+    // disconnected.
+    void onAbandonedCallCrashed(RequestId id, const InstanceId &agent, TimePoint now);
     // Fails held and resolving requests that have timed out. Called periodically.
     void onTick(TimePoint now, EntryActions &actions);
 
@@ -215,7 +219,17 @@
     void dispatch(RequestId id, Request &request, const InstanceId &agent, TimePoint now,
                   EntryActions &actions);
     bool mayBeSent(const Request &request, TimePoint now) const;
-    void recordCrash(const Request &request, TimePoint now);
+    // A call that an agent may be running, with what has crashed the upstream if it crashes.
+    struct RunningCall
+    {
+        RequestId id;
+        InstanceId agent;
+        AccountId account;
+        std::vector<SuspectKey> suspects;
+    };
+
+    static RunningCall runningCall(RequestId id, const Request &request);
+    void recordCrash(const RunningCall &call, TimePoint now);
     Choice choose(const Request &request, TimePoint now);
     static Duration retryAfter(const Choice &choice);
     Choice chooseTicketAgent(const Request &request, TimePoint now) const;
@@ -243,6 +257,7 @@
     RetryBudget retryBudget_;
     OutlierDetector outliers_;
     CrashRecord crashes_;
+    std::deque<RunningCall> abandonedCalls_; // Of callers who left, oldest first.
     PrefixIndex prefixes_;
     std::unordered_map<InstanceId, LoadEstimate> loads_;
     std::unordered_map<HallId, Duration> hallDistances_;
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -537,13 +537,17 @@
 {
     const auto found = activeRequests_.find(id);
     if (part.getFailed()) {
+        const auto failure = static_cast<FailureCode>(part.getFailure());
+        if (found == activeRequests_.end() && failure == FailureCode::UpstreamEnded) {
+            core_.onAbandonedCallCrashed(id, agent, loop_.now());
+        }
         if (found == activeRequests_.end() || found->second.agent != agent) {
             return kj::READY_NOW;
         }
         EntryActions actions;
         const Outcome outcome = part.getNotRun() ? Outcome::NotRun : Outcome::Unknown;
-        core_.onRefused(id, static_cast<FailureCode>(part.getFailure()), outcome,
-                        Duration(part.getRetryAfterMicros()), loop_.now(), actions);
+        core_.onRefused(id, failure, outcome, Duration(part.getRetryAfterMicros()), loop_.now(),
+                        actions);
         carryOut(actions);
         return kj::READY_NOW;
     }
--- a/src/gateway/gatewayserviceabandoned.cpp
+++ b/src/gateway/gatewayserviceabandoned.cpp
@@ -13,12 +13,6 @@
 namespace seamarch {
 namespace {
 
-// Upstreams must stop work half a second after a caller has left. One that notices only when it
-// writes does so once the connection is closed completely.
-constexpr Duration kAbandonedReadTime = std::chrono::milliseconds(400);
-// An upstream that answers any request within this time after it closed an abandoned attempt has
-// not crashed, and needs no probe.
-constexpr Duration kOtherAnswerTime = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxUnansweredAttempts = 1024;
 
 // Returns the part ids as they appear in a log line, bounded in number and length.
@@ -116,9 +110,10 @@
 void GatewayService::probeUnansweredUpstreams()
 {
     while (!unansweredAttempts_.empty()
-           && loop_.now() - unansweredAttempts_.front().at >= kOtherAnswerTime) {
+           && loop_.now() - unansweredAttempts_.front().at >= kAbandonedProbeDelay) {
         const LostAttempt lost = std::move(unansweredAttempts_.front());
         unansweredAttempts_.pop_front();
+        // An upstream that has answered another request since then has not crashed.
         if (!core_.answeredSince(lost.upstream, lost.at)) {
             probeUpstream(lost, [] {});
         }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -28,6 +28,14 @@
 
 using HttpCallId = std::uint64_t;
 
+// How long an abandoned call to an upstream is read on. Upstreams must stop work half a second
+// after a caller has left; one that notices only when it writes does so once the connection is
+// closed completely.
+constexpr Duration kAbandonedReadTime = std::chrono::milliseconds(400);
+// An upstream may drop the connection of an abandoned call before it crashes on the request, so it
+// is probed this long after the end of the connection.
+constexpr Duration kAbandonedProbeDelay = std::chrono::milliseconds(100);
+
 // The idle connections that a call may reuse. The peer may be closing an idle connection at the
 // same time, in which case it is not known whether the peer read the request.
 enum class ConnectionReuse {
--- a/test/decision/dispatch/entrycrash_test.cpp
+++ b/test/decision/dispatch/entrycrash_test.cpp
@@ -113,6 +113,18 @@
     LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
 }
 
+TEST(EntryCrashTest, CrashAfterTheCallerHasLeftCounts)
+{
+    const RequestId id = begin(false, 0);
+    const InstanceId agent = sentTo();
+    core->onCallerGone(id, actions);
+    core->onAbandonedCallCrashed(id, InstanceId("other"), at(100));
+    LONGS_EQUAL(0, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
+    core->onAbandonedCallCrashed(id, agent, at(100));
+    core->onAbandonedCallCrashed(id, agent, at(200)); // Counts once.
+    LONGS_EQUAL(1, core->crashes().crashCount(SuspectKey(kCrashingRequest)));
+}
+
 TEST(EntryCrashTest, EndOfLeavingUpstreamIsNotCounted)
 {
     const RequestId id = begin(false, 0);
