Agent: an abandoned call ends at the head of its answer

The agent read the answer of an abandoned call for up to 0.4 s, although only its head matters. An upstream that notices a caller's leaving only when it writes was kept at work for so long. The connection is now closed at the head, as gateways do. leavingcall_test.py passes.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -182,13 +182,18 @@
 class AgentService::AbandonedReceiver final : public HttpCallReceiver
 {
 public:
-    AbandonedReceiver(AgentService &service, RequestId id, ConnectionId connection)
+    AbandonedReceiver(AgentService &service, HttpCallId call, RequestId id, ConnectionId connection)
         : service_(service)
+        , call_(call)
         , id_(id)
         , connection_(connection)
     {}
 
-    void onHead(HttpHead head) override { service_.applyRetryAfter(head); }
+    void onHead(HttpHead head) override
+    {
+        service_.applyRetryAfter(head);
+        service_.client_->cancel(call_);
+    }
     void onPiece(std::string_view /*piece*/) override {}
     void onEnd(HttpCallEnd end) override
     {
@@ -199,6 +204,7 @@
 
 private:
     AgentService &service_;
+    HttpCallId call_;
     RequestId id_;
     ConnectionId connection_;
 };
@@ -374,9 +380,10 @@
 {
     const auto found = activeRequests_.find(action.id);
     if (found != activeRequests_.end() && found->second.httpCall != 0) {
+        const HttpCallId call = found->second.httpCall;
         client_->abandon(
-            found->second.httpCall, kAbandonedReadTime,
-            std::make_unique<AbandonedReceiver>(*this, action.id, found->second.connection));
+            call, kAbandonedReadTime,
+            std::make_unique<AbandonedReceiver>(*this, call, action.id, found->second.connection));
     }
 }
 
