Test: a gateway holds more bodies than its memory budget permits

Requests are admitted by what is held at the moment, but uploads are limited by what was held at the last tick, up to 25 ms before. Uploads that arrive in between use the same memory again, and the one that goes on alone brings the rest of its body beside them.

The case starts ten uploads of 2 MB as two requests of 1 MB are admitted, eight times.

--- /dev/null
+++ b/test/process/heldbodies_test.py
@@ -0,0 +1,68 @@
+"""Checks that the bodies a gateway holds stay within its memory budget while requests are admitted.
+
+The failure: uploads go on in the memory that was given to a request a moment before, and the process exceeds
+the memory of its machine.
+"""
+
+import os
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from gateway_test import GatewaySite  # noqa: E402
+from slowcallers_test import MAX_HELD, MEGABYTE, SLACK, UPLOADS, Upload  # noqa: E402
+
+
+class HeldBytes(threading.Thread):
+    """Watches how many bytes the gateway holds, until `end`."""
+
+    def __init__(self, site):
+        super().__init__(daemon=True)
+        self.site, self.most, self.over = site, 0, False
+        self.start()
+
+    def run(self):
+        while not self.over:
+            self.most = max(self.most, self.site.status()["heldBytes"])
+            time.sleep(0.005)
+
+    def end(self):
+        """Returns the largest number seen."""
+        self.over = True
+        self.join(10)
+        return self.most
+
+
+class HeldBodiesTest(unittest.TestCase):
+    def setUp(self):
+        self.site = GatewaySite(upstreams=2, **{"memory-mb": 2 * MAX_HELD // MEGABYTE})
+        self.addCleanup(self.site.__exit__)
+
+    # Guards against uploads that use the memory of requests admitted since they were last limited.
+    def test_held_bytes_stay_within_the_limit_while_requests_are_admitted(self):
+        self.site.set_all(delayMs=1000)
+        watch = HeldBytes(self.site)
+        size = MEGABYTE - 1024  # Two such uploads fit, and two requests.
+        for turn in range(8):
+            first = [Upload(self.site.entry, f"{turn}-{number}", size) for number in range(2)]
+            self.site.wait_until("both uploads wait for their last part",
+                                 lambda: self.site.status()["heldBytes"] >= 2 * (size - 1))
+            others_start = threading.Event()
+            others = [Upload(self.site.entry, f"{turn}-{number}", 2 * size, others_start)
+                      for number in range(2, UPLOADS)]
+            for upload in first:
+                upload.may_finish.set()
+            others_start.set()
+            time.sleep(0.5)
+            for upload in others:
+                upload.may_finish.set()
+            for upload in first + others:
+                upload.thread.join(30)
+            self.site.wait_until("nothing is held", lambda: self.site.status()["heldBytes"] == 0)
+        self.assertLessEqual(watch.end(), MAX_HELD + SLACK, "expected uploads to pause at once; see memory.restricted")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/process/slowcallers_test.py
+++ b/test/process/slowcallers_test.py
@@ -21,10 +21,11 @@
 
 
 class Upload:
-    """A caller that sends a body of 1 MB in parts, and pauses before the last one until `finish`."""
+    """A caller that sends a body of 1 MB in parts, and pauses before the last one until `may_finish` is set. It
+    sends nothing before `may_start` is set."""
 
-    def __init__(self, address, number, size=MEGABYTE):
-        self.size = size
+    def __init__(self, address, number, size=MEGABYTE, may_start=None):
+        self.size, self.may_start = size, may_start
         host, port = address.split(":")
         self.address = host, int(port)
         self.socket = None
@@ -49,6 +50,8 @@
     def run(self):
         self.connect()
         self.socket.settimeout(30)
+        if self.may_start:
+            self.may_start.wait(30)
         self.socket.sendall(self.head + b"x" * (self.size - 1))
         self.may_finish.wait(30)
         self.socket.sendall(b"x")
