Gateway: bodies stay within the memory budget

Cause: requests were admitted by what is held now, and uploads were limited by what was held at the last tick, so both could use the same memory for up to 25 ms; the upload that goes on alone was not asked whether its rest fits; and a body counted once was held by the request, by the connection that had sent it, by the capacity of the socket's queue and by that of the string that collected it.

Change: uploads are limited anew when a request is admitted and when it ends. The oldest upload waits while the rest of it does not fit, and is refused after some seconds as not run. Requests share their body with the calls that send it (SharedText, SendQueue), and a body grows no larger than its stated length. The budget counts one copy of it, and the share that answers may use.

--- a/bench/loadgenerator.cpp
+++ b/bench/loadgenerator.cpp
@@ -166,14 +166,14 @@
     }
     if (sent.service) {
         request.path = "/services/" + options_.service;
-        request.body = sent.prompt;
+        request.body = SharedText(sent.prompt);
     } else {
         request.path = "/v1/chat/completions";
         const json body = {{"model", options_.model},
                            {"max_tokens", options_.answerTokens},
                            {"stream", options_.streamed},
                            {"messages", {{{"role", "user"}, {"content", sent.prompt}}}}};
-        request.body = body.dump();
+        request.body = SharedText(body.dump());
     }
     ++statistics_.requests;
     client_.call(std::move(request), std::make_unique<Receiver>(*this, sent));
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -330,7 +330,8 @@
     active.call.path = toString(call.getPath());
     active.call.contentType = toString(call.getContentType());
     const auto body = call.getBody();
-    active.call.body.assign(reinterpret_cast<const char *>(body.begin()), body.size());
+    active.call.body =
+        SharedText(std::string(reinterpret_cast<const char *>(body.begin()), body.size()));
     carryOut(actions);
     return result;
 }
--- a/src/agent/enginereloader.cpp
+++ b/src/agent/enginereloader.cpp
@@ -94,7 +94,8 @@
     request.method = "POST";
     request.path = kOrdersPath;
     request.contentType = "application/json";
-    request.body = json{{"fence", configVersion_.value()}, {"version", targetVersion_}}.dump();
+    request.body =
+        SharedText(json{{"fence", configVersion_.value()}, {"version", targetVersion_}}.dump());
     fetchState(std::move(request));
     logLine(LogLevel::Info, "order.given",
             {{"version", targetVersion_}, {"fence", configVersion_.value()}});
--- a/src/decision/admission/memorybudget.cpp
+++ b/src/decision/admission/memorybudget.cpp
@@ -6,8 +6,6 @@
 namespace seamarch {
 namespace {
 
-// A body is held by the request and by the call that sends it.
-constexpr std::size_t kCopiesPerBody = 2;
 constexpr std::size_t kSmallBody = std::size_t{16} * 1024;
 // Some dozen events: fewer would stop and resume the upstream at every event.
 constexpr std::size_t kMinUnsent = std::size_t{8} * 1024;
@@ -20,17 +18,19 @@
 
 bool MemoryBudget::admits(const HeldMemory &held, std::size_t bodyBytes) const
 {
+    const std::size_t answers = std::max(held.answers, maxAnswers());
     return limit_ == 0 || bodyBytes <= kSmallBody
-           || held.sum() + kCopiesPerBody * bodyBytes <= limit_;
+           || held.uploads + held.requests + answers + bodyBytes <= limit_;
 }
 
-std::size_t MemoryBudget::maxUploads(const HeldMemory &held) const
+UploadBudget MemoryBudget::uploads(const HeldMemory &held) const
 {
     if (limit_ == 0) {
-        return std::numeric_limits<std::size_t>::max();
+        constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
+        return {kUnlimited, kUnlimited};
     }
-    const std::size_t others = held.requests + held.unsent;
-    return limit_ / 2 - std::min(limit_ / 2, others);
+    const std::size_t others = held.requests + held.answers;
+    return {limit_ / 2 - std::min(limit_ / 2, others), limit_ - std::min(limit_, others)};
 }
 
 std::size_t MemoryBudget::maxUnsent(std::size_t answers) const
@@ -51,7 +51,7 @@
 
 std::size_t MemoryBudget::shareOfAnswer(std::size_t answers) const
 {
-    return limit_ / 4 / std::max<std::size_t>(1, answers);
+    return maxAnswers() / std::max<std::size_t>(1, answers);
 }
 
 } // namespace seamarch
--- a/src/decision/admission/memorybudget.h
+++ b/src/decision/admission/memorybudget.h
@@ -7,8 +7,9 @@
 // upload continues, so that one of them completes. Last, requests with a body that would not fit
 // are rejected before they run; requests with a small one are always admitted.
 //
-// The thresholds leave half of the limit to requests that have been admitted: each may be kept for
-// a second attempt, and is copied once for sending.
+// A body is held once, also while it is sent and kept for a second attempt. The budget bounds what
+// the process will hold, not only what it holds: the rest of an upload that goes on, and the share
+// of the limit that answers may use.
 //
 // Pure and single-threaded.
 #pragma once
@@ -21,10 +22,17 @@
 struct HeldMemory
 {
     std::size_t uploads = 0;  // Parts of request bodies that are not complete yet.
-    std::size_t requests = 0; // Bodies of requests in progress, and incomplete parts of answers.
-    std::size_t unsent = 0;   // Answers and requests that the other side has not taken yet.
+    std::size_t requests = 0; // Bodies of requests in progress.
+    std::size_t answers = 0;  // Parts of answers that are incomplete or not taken yet.
 
-    std::size_t sum() const { return uploads + requests + unsent; }
+    std::size_t sum() const { return uploads + requests + answers; }
+};
+
+// How much incomplete request bodies may use beside everything else.
+struct UploadBudget
+{
+    std::size_t maxBytes = 0;           // Beyond it, only the oldest upload continues.
+    std::size_t maxBytesWithOldest = 0; // It continues only if all of it fits into this.
 };
 
 class MemoryBudget
@@ -38,9 +46,7 @@
     std::size_t limit() const { return limit_; }
     // Returns whether a request with a body of this size may be admitted.
     bool admits(const HeldMemory &held, std::size_t bodyBytes) const;
-    // Returns how many bytes of incomplete request bodies may be held beside everything else.
-    // Beyond that, only the oldest upload continues.
-    std::size_t maxUploads(const HeldMemory &held) const;
+    UploadBudget uploads(const HeldMemory &held) const;
     // Returns how many bytes of one answer may be unsent before it is no longer read from its
     // upstream, while `answers` of them are in progress.
     std::size_t maxUnsent(std::size_t answers) const;
@@ -49,7 +55,9 @@
     std::size_t maxPartialEvent(std::size_t answers) const;
 
 private:
-    // Returns an even share of the quarter of the limit that answers may use.
+    // Returns how much answers may use.
+    std::size_t maxAnswers() const { return limit_ / 4; }
+    // Returns an even share of it.
     std::size_t shareOfAnswer(std::size_t answers) const;
 
     std::size_t limit_;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -158,6 +158,7 @@
         return;
     }
     heldMemory_.requests += request.body.size();
+    limitUploads();
     const bool awaitsConfiguration =
         (!storeView_.hasConfiguration() || startupQueue_.size() > 0) && !stopping_;
     if (awaitsConfiguration
@@ -207,6 +208,7 @@
     admitted->age = loop_.now() - arrivedAt;
     admitted->digest = digestOf(active.request, admitted->account);
     admitted->sharedParts = promptPartIds(active.metadata.sharedPromptParts);
+    active.requestBody = SharedText(std::exchange(active.request.body, {}));
     active.admitted = *admitted;
     active.startedAt = arrivedAt;
     GatewayActions actions;
@@ -351,24 +353,23 @@
                                   : json(toMillis(active.firstEventAt - active.startedAt))},
              {"longestPauseMs", toMillis(active.longestPause)},
              {"ms", toMillis(now - active.startedAt)}});
+    heldMemory_.requests -= std::min(heldMemory_.requests, active.requestBody.size());
     byExchange_.erase(active.exchange);
     activeRequests_.erase(found);
+    limitUploads();
 }
 
 void GatewayService::updateHeldMemory()
 {
-    if (memoryBudget_.limit() == 0) {
-        return;
-    }
-    heldMemory_ = {server_->uploadedBytes(), 0, server_->bufferedTotal() + client_->unsentBytes()};
+    heldMemory_ = {0, startupQueue_.bytes(), server_->bufferedTotal() + client_->unsentBytes()};
     for (const auto &[number, active] : activeRequests_) {
-        heldMemory_.requests +=
-            active.request.body.size() + active.body.size() + active.events.partialBytes();
+        heldMemory_.requests += active.requestBody.size();
+        heldMemory_.answers += active.body.size() + active.events.partialBytes();
     }
-    server_->limitUploads(memoryBudget_.maxUploads(heldMemory_));
-    if (const auto ended = server_->slowUploadsEnded(); ended != slowUploadsEnded_) {
+    limitUploads();
+    if (const auto ended = server_->uploadsEnded(); ended != uploadsEnded_) {
         logLine(LogLevel::Warning, "memory.uploads_ended",
-                {{"uploads", ended - std::exchange(slowUploadsEnded_, ended)},
+                {{"uploads", ended - std::exchange(uploadsEnded_, ended)},
                  {"uploadBytes", heldMemory_.uploads},
                  {"limit", memoryBudget_.limit()}});
     }
@@ -378,11 +379,18 @@
         logLine(LogLevel::Warning, restricted ? "memory.restricted" : "memory.released",
                 {{"uploadBytes", heldMemory_.uploads},
                  {"requestBytes", heldMemory_.requests},
-                 {"unsentBytes", heldMemory_.unsent},
+                 {"answerBytes", heldMemory_.answers},
                  {"limit", memoryBudget_.limit()}});
     }
 }
 
+void GatewayService::limitUploads()
+{
+    heldMemory_.uploads = server_->uploadedBytes();
+    const UploadBudget budget = memoryBudget_.uploads(heldMemory_);
+    server_->limitUploads({budget.maxBytes, budget.maxBytesWithOldest});
+}
+
 void GatewayService::tick()
 {
     updateHeldMemory();
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -90,7 +90,8 @@
     struct ActiveRequest
     {
         ExchangeId exchange = 0;
-        HttpRequest request;
+        HttpRequest request;    // Without its body.
+        SharedText requestBody; // Kept for a second attempt, shared with the call that sends it.
         RequestMetadata metadata;
         GatewayRequest admitted;
         HttpCallId call = 0;
@@ -168,6 +169,8 @@
     void processStartupQueue();
     // Updates the record of held memory and restricts uploads accordingly.
     void updateHeldMemory();
+    // Restricts uploads by the record. Must be called when it has changed.
+    void limitUploads();
     void refuse(ExchangeId exchange, const RequestMetadata &metadata, FailureCode code,
                 Outcome outcome, Duration retryAfter);
 
@@ -230,9 +233,9 @@
     std::deque<LostAttempt> unansweredAttempts_; // Abandoned ones, in the order of their ends.
     std::unique_ptr<PeriodicTimer> tickTimer_;
     MemoryBudget memoryBudget_;
-    HeldMemory heldMemory_; // As of the last tick, with the requests that came since.
+    HeldMemory heldMemory_; // As of the last tick, with the requests that came and ended since.
     bool uploadsRestricted_ = false;
-    std::uint64_t slowUploadsEnded_ = 0; // Those that have been logged.
+    std::uint64_t uploadsEnded_ = 0; // Those that have been logged.
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
 };
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -89,7 +89,7 @@
     call.method = active.request.method;
     call.path = active.request.target;
     call.headers = protocol_.upstreamHeaders(active.request, metadata);
-    call.body = active.request.body;
+    call.body = active.requestBody;
     call.reuse = action.mayReuseConnection ? ConnectionReuse::Any : ConnectionReuse::RecentlyUsed;
     call.connectTimeout = kConnectTimeout;
     active.attempt = action.attempt;
--- a/src/gateway/startuprequestqueue.h
+++ b/src/gateway/startuprequestqueue.h
@@ -57,6 +57,8 @@
     // Removes and returns the requests whose time in the queue has expired.
     std::vector<QueuedRequest> popExpired(TimePoint now);
     std::size_t size() const { return queued_.size(); }
+    // Returns the size of the queued requests' bodies.
+    std::size_t bytes() const { return bytes_; }
 
 private:
     struct Entry
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -22,6 +22,8 @@
 // Idle connections that are kept for one address; further ones are closed.
 constexpr std::size_t kMaxIdlePerAddress = 16;
 constexpr std::size_t kMaxResponseHeadBytes = std::size_t{64} * 1024;
+// Bodies up to this size are sent in one piece with their head.
+constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
 constexpr int kFirstFinalStatus = 200;
 // Informational responses that may precede the final one.
 constexpr int kMaxInformationalResponses = 16;
@@ -176,11 +178,17 @@
         text += "Connection: close\r\n";
     }
     text += "\r\n";
-    text += request.body;
     if (request.method == "HEAD") {
         connection.reader.expectNoBody();
     }
-    sockets_->send(connection.socket, text);
+    // The connection does not keep the body once it is sent; it may stay open for long.
+    const SharedText body = std::exchange(connection.request.body, {});
+    if (body.size() <= kMaxCopiedBodyBytes) {
+        text += body.view();
+        sockets_->send(connection.socket, text);
+    } else {
+        sockets_->send(connection.socket, text, body);
+    }
 }
 
 void HttpClient::onConnected(SocketId socket)
@@ -354,7 +362,6 @@
         return false;
     }
     connection.abandoned = true;
-    connection.request.body = {};
     connection.receiver = std::move(receiver);
     sockets_->pause(connection.socket, false);
     sockets_->finishWriting(connection.socket);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -13,6 +13,7 @@
 #include "net/httpreader.h"
 #include "net/httptypes.h"
 #include "net/neterror.h"
+#include "net/sharedtext.h"
 #include "net/tcpsockets.h"
 
 #include <cstdint>
@@ -51,7 +52,7 @@
     std::string path = "/"; // The request target, including the query.
     std::string contentType = {};
     HttpHeaders headers = {}; // A Host header is added if there is none.
-    std::string body = {};
+    SharedText body = {};
     ConnectionReuse reuse = ConnectionReuse::Never;
     Duration connectTimeout = std::chrono::seconds(5); // Nothing is sent after it.
 };
@@ -105,7 +106,8 @@
     // Closes the idle connections to `address`, for an address that another peer has taken over.
     void closeIdleConnections(const SocketAddress &address);
 
-    // Returns the number of bytes of requests that have not been passed to the kernel yet.
+    // Returns how many bytes of requests the client has copied and not passed to the kernel yet.
+    // Large bodies are not copied.
     std::size_t unsentBytes() const { return sockets_->queuedTotal(); }
     std::uint64_t connectionsMade() const { return connectionsMade_; }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "net/httpstatus.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <iterator>
 #include <utility>
@@ -26,17 +27,32 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
+constexpr int kServiceUnavailable = 503;
+constexpr std::string_view kReject = "The request was refused before it was read whole. Correct it "
+                                     "before trying again.";
+constexpr std::string_view kRejectForNow = "The request was refused before it was read whole, for "
+                                           "lack of memory. Try again later.";
 
 enum class Framing { Length, Chunked, UntilClose };
 
 } // namespace
 
+// A response to a request that has not been read whole.
+struct HttpServer::Rejection
+{
+    int status = 0;
+    std::string_view code;
+    std::string_view message = kReject;
+    HttpHeaders headers = {};
+};
+
 struct HttpServer::Connection final : public HttpSink
 {
     Connection(SocketId id, const HttpReader::Limits &limits, TimePoint now, std::size_t &total)
         : socket(id)
         , reader(HttpReader::Kind::Request, limits, *this)
         , lastActive(now)
+        , maxBodyBytes(limits.bodyBytes)
         , uploadedTotal(total)
     {}
     Connection(const Connection &) = delete;
@@ -46,7 +62,8 @@
     // Counts the received bytes of incomplete requests. Must be called when they have changed.
     void countUpload()
     {
-        const std::size_t held = request.body.size() + readAhead.size();
+        const std::size_t held =
+            (request.body.empty() ? 0 : request.body.capacity()) + readAhead.size();
         uploadedTotal += held - uploaded;
         uploaded = held;
     }
@@ -63,9 +80,25 @@
         persistent = head.persistent;
         isHttp10 = head.isHttp10;
         wantsContinue = equalsIgnoreCase(request.header("expect"), "100-continue");
+        bodyBound = static_cast<std::size_t>(head.contentLength.value_or(maxBodyBytes));
+    }
+
+    void onBody(std::string_view piece) override
+    {
+        std::string &body = request.body;
+        const std::size_t needed = body.size() + piece.size();
+        if (needed > body.capacity()) {
+            // A string that grows by itself ends with up to twice the capacity that it needs.
+            std::string larger;
+            larger.reserve(std::max(needed, std::min(2 * body.capacity(), bodyBound)));
+            larger.append(body);
+            body = std::move(larger);
+        }
+        body.append(piece);
     }
 
-    void onBody(std::string_view piece) override { request.body.append(piece); }
+    // Returns how many bytes the upload will hold beside those counted.
+    std::size_t uploadRest() const { return bodyBound - std::min(bodyBound, uploaded); }
 
     SocketId socket;
     HttpReader reader;
@@ -76,6 +109,8 @@
     TimePoint readingSince{}; // When the first byte of the current message arrived.
     Framing framing = Framing::Chunked;
     std::uint64_t bytesLeft = 0;
+    std::size_t maxBodyBytes;
+    std::size_t bodyBound = 0;  // The size of the request's body, or the most that it may have.
     std::size_t &uploadedTotal; // Of all connections.
     std::size_t uploaded = 0;   // The part of this one.
     bool persistent = true;
@@ -201,6 +236,7 @@
     HttpRequest request = std::move(connection.request);
     connection.request = {};
     connection.countUpload();
+    request.body.shrink_to_fit();
     handler_.onRequest(connection.exchange, std::move(request));
 }
 
@@ -208,30 +244,29 @@
 {
     switch (fault) {
     case HttpFault::Malformed:
-        rejectWith(connection, kBadRequest, "bad_request");
+        rejectWith(connection, {kBadRequest, "bad_request"});
         return;
     case HttpFault::HeadTooLarge:
-        rejectWith(connection, kHeadTooLarge, "head_too_large");
+        rejectWith(connection, {kHeadTooLarge, "head_too_large"});
         return;
     case HttpFault::BodyTooLarge:
-        rejectWith(connection, kPayloadTooLarge, "payload_too_large");
+        rejectWith(connection, {kPayloadTooLarge, "payload_too_large"});
         return;
     }
 }
 
-void HttpServer::rejectWith(Connection &connection, int status, std::string_view code)
+void HttpServer::rejectWith(Connection &connection, const Rejection &rejection)
 {
     connection.exchange = nextExchange_++;
     connection.persistent = false;
     exchanges_.emplace(connection.exchange, connection.socket);
     HttpResponseHead head;
-    head.status = status;
+    head.status = rejection.status;
+    head.headers = rejection.headers;
     head.headers.push_back({"Seamarch-Outcome", "not-run"});
-    respond(
-        connection.exchange, head,
-        fmt::format(R"({{"error":{{"code":"{}","message":"The request was refused before it was )"
-                    R"(read whole. Correct it before trying again."}}}})",
-                    code));
+    respond(connection.exchange, head,
+            fmt::format(R"({{"error":{{"code":"{}","message":"{}"}}}})", rejection.code,
+                        rejection.message));
 }
 
 void HttpServer::sendHead(Connection &connection, const HttpResponseHead &head,
@@ -414,9 +449,9 @@
     }
 }
 
-void HttpServer::limitUploads(std::size_t maxBytes)
+void HttpServer::limitUploads(const UploadLimits &limits)
 {
-    maxUploadBytes_ = maxBytes;
+    uploadLimits_ = limits;
     restrictUploads();
 }
 
@@ -424,7 +459,8 @@
 void HttpServer::restrictUploads()
 {
     const bool wereRestricted = uploadsRestricted_;
-    uploadsRestricted_ = uploadedBytes_ > (wereRestricted ? maxUploadBytes_ / 2 : maxUploadBytes_);
+    const std::size_t maxBytes = uploadLimits_.maxBytes;
+    uploadsRestricted_ = uploadedBytes_ > (wereRestricted ? maxBytes / 2 : maxBytes);
     const SocketId previous = std::exchange(oldestUpload_, 0);
     if (!uploadsRestricted_ && !wereRestricted) {
         return; // Called for each part of a large upload; none is paused.
@@ -440,25 +476,34 @@
     if (oldestUpload_ != previous) {
         uploadTurnStartedAt_ = loop_.now();
     }
+    oldestUploadWaits_ =
+        oldestUpload_ != 0
+        && uploadedBytes_ + oldest->uploadRest() > uploadLimits_.maxBytesWithOldest;
     pausedUploads_ = 0;
     for (const auto &[socket, connection] : connections_) {
-        const bool pause =
-            uploadsRestricted_ && isLargeUpload(*connection) && connection.get() != oldest;
+        const bool pause = uploadsRestricted_ && isLargeUpload(*connection)
+                           && (socket != oldestUpload_ || oldestUploadWaits_);
         pausedUploads_ += pause ? 1 : 0;
         pauseUpload(*connection, pause);
     }
 }
 
-// Rejects the upload that goes on alone if it takes so long that the paused ones wait for nothing.
-void HttpServer::endSlowUpload()
+// Rejects the oldest upload after some seconds if it still does not fit, or if paused ones wait for
+// it.
+void HttpServer::endOldestUpload()
 {
-    Connection *slow = find(oldestUpload_);
-    if (slow == nullptr || !isLargeUpload(*slow) || pausedUploads_ == 0
+    Connection *oldest = find(oldestUpload_);
+    if (oldest == nullptr || !isLargeUpload(*oldest) || pausedUploads_ == 0
         || loop_.now() - uploadTurnStartedAt_ <= kMaxUploadTurn) {
         return;
     }
-    ++slowUploadsEnded_;
-    rejectWith(*slow, kRequestTimeout, "upload_too_slow");
+    ++uploadsEnded_;
+    if (oldestUploadWaits_) {
+        rejectWith(*oldest,
+                   {kServiceUnavailable, "memory_full", kRejectForNow, {{"Retry-After", "1"}}});
+    } else {
+        rejectWith(*oldest, {kRequestTimeout, "upload_too_slow"});
+    }
     restrictUploads();
 }
 
@@ -534,13 +579,13 @@
         }
     }
     for (const SocketId socket : timedOut) {
-        rejectWith(*connections_.at(socket), kRequestTimeout, "request_timeout");
+        rejectWith(*connections_.at(socket), {kRequestTimeout, "request_timeout"});
     }
     for (const SocketId socket : expired) {
         connections_.erase(socket);
         sockets_->close(socket);
     }
-    endSlowUpload();
+    endOldestUpload();
 }
 
 } // namespace seamarch
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -80,6 +80,16 @@
     virtual void onDrained(ExchangeId exchange) = 0;
 };
 
+// How much memory incomplete request bodies may use.
+struct UploadLimits
+{
+    // Beyond this number of bytes, only the oldest of the bodies that have reached a size of some
+    // KB is received, until less than half of it is held.
+    std::size_t maxBytes = std::numeric_limits<std::size_t>::max();
+    // The oldest one waits, too, while all of it would not fit into this number of bytes.
+    std::size_t maxBytesWithOldest = std::numeric_limits<std::size_t>::max();
+};
+
 // Serves HTTP at one address. The handler and the loop must outlive the server.
 class HttpServer final : private SocketListener
 {
@@ -109,17 +119,16 @@
     std::size_t buffered(ExchangeId exchange) const;
     // Returns the same for all exchanges.
     std::size_t bufferedTotal() const { return sockets_->queuedTotal(); }
-    // Returns the size of the request bodies of which a part has been received.
+    // Returns how many bytes are held of request bodies of which a part has been received.
     std::size_t uploadedBytes() const { return uploadedBytes_; }
-    // Sets how many bytes of incomplete request bodies are held. Beyond that, only the oldest of
-    // the bodies that have reached a size of some KB is received, until less than half of it is
-    // held. If others wait for it, it is rejected after some seconds. Must be called often, as
-    // paused uploads wait for it.
-    void limitUploads(std::size_t maxBytes);
+    // Sets how much memory uploads may use. The oldest of them is rejected if it makes others wait
+    // or waits itself for some seconds. Must be called whenever the limits change: uploads that are
+    // paused wait for it.
+    void limitUploads(const UploadLimits &limits);
     // Returns whether uploads are paused.
     bool uploadsRestricted() const { return uploadsRestricted_; }
-    // Returns how many uploads were rejected because others waited for them for too long.
-    std::uint64_t slowUploadsEnded() const { return slowUploadsEnded_; }
+    // Returns how many uploads were rejected because they or others waited for too long.
+    std::uint64_t uploadsEnded() const { return uploadsEnded_; }
     // Returns the number of open exchanges.
     std::size_t openExchanges() const { return exchanges_.size(); }
     // Makes all further responses carry `Connection: close` and closes their connections.
@@ -130,6 +139,7 @@
 
 private:
     struct Connection;
+    struct Rejection;
 
     HttpServer(EventLoop &loop, HttpHandler &handler, HttpServerOptions options);
     SocketListener &onAccepted(SocketId socket);
@@ -139,7 +149,7 @@
 
     void read(SocketId socket);
     void reject(Connection &connection, HttpFault fault);
-    void rejectWith(Connection &connection, int status, std::string_view code);
+    void rejectWith(Connection &connection, const Rejection &rejection);
     void deliver(Connection &connection);
     void endExchange(Connection &connection);
     void readNext(Connection &connection);
@@ -149,20 +159,21 @@
     static bool isLargeUpload(const Connection &connection);
     void pauseUpload(Connection &connection, bool paused);
     void restrictUploads();
-    void endSlowUpload();
+    void endOldestUpload();
     Connection *find(SocketId socket);
     void sweep();
 
     EventLoop &loop_;
     HttpHandler &handler_;
     HttpServerOptions options_;
-    std::size_t maxUploadBytes_ = std::numeric_limits<std::size_t>::max();
+    UploadLimits uploadLimits_;
     std::size_t uploadedBytes_ = 0;
     bool uploadsRestricted_ = false;
-    SocketId oldestUpload_ = 0;       // The one that is received while uploads are restricted.
+    SocketId oldestUpload_ = 0;       // The one that goes first while uploads are restricted.
     TimePoint uploadTurnStartedAt_{}; // When it became that one.
+    bool oldestUploadWaits_ = false;  // It does not fit either.
     std::size_t pausedUploads_ = 0;   // Those that wait meanwhile.
-    std::uint64_t slowUploadsEnded_ = 0;
+    std::uint64_t uploadsEnded_ = 0;
     std::unique_ptr<TcpSockets> sockets_;
     std::unordered_map<SocketId, std::unique_ptr<Connection>> connections_;
     std::unordered_map<ExchangeId, SocketId> exchanges_;
--- a/src/net/tcpsockets.cpp
+++ b/src/net/tcpsockets.cpp
@@ -207,6 +207,11 @@
 }
 
 void TcpSockets::send(SocketId socket, std::string_view bytes)
+{
+    send(socket, bytes, {});
+}
+
+void TcpSockets::send(SocketId socket, std::string_view bytes, SharedText text)
 {
     Entry *entry = find(socket);
     if (entry == nullptr) {
@@ -214,6 +219,7 @@
     }
     const bool idle = entry->queue.empty() && !entry->connecting;
     entry->queue.append(bytes);
+    entry->queue.append(std::move(text));
     if (idle) {
         flush(socket, *entry);
     }
@@ -221,12 +227,14 @@
 
 void TcpSockets::flush(SocketId id, Entry &entry)
 {
-    std::size_t sent = 0;
-    while (sent < entry.queue.size()) {
-        const ssize_t size = ::send(entry.descriptor, entry.queue.data() + sent,
-                                    entry.queue.size() - sent, MSG_NOSIGNAL);
+    while (!entry.queue.empty()) {
+        const std::string_view next = entry.queue.front();
+        const int more =
+            entry.queue.hasMore() ? MSG_MORE : 0; // A head shares packets with its body.
+        const ssize_t size =
+            ::send(entry.descriptor, next.data(), next.size(), MSG_NOSIGNAL | more);
         if (size > 0) {
-            sent += static_cast<std::size_t>(size);
+            entry.queue.removeFront(static_cast<std::size_t>(size));
             entry.wroteAny = true;
             continue;
         }
@@ -240,7 +248,6 @@
         }
         break;
     }
-    entry.queue.erase(0, sent);
     if (!entry.queue.empty()) {
         requestWriteable(id);
     } else if (entry.shutdownPending) {
@@ -297,7 +304,7 @@
 {
     std::size_t total = 0;
     for (const auto &[socket, entry] : entries_) {
-        total += entry->queue.size();
+        total += entry->queue.copiedSize();
     }
     return total;
 }
--- a/src/net/tcpsockets.h
+++ b/src/net/tcpsockets.h
@@ -10,6 +10,7 @@
 
 #include "net/eventloop.h"
 #include "net/neterror.h"
+#include "net/sendqueue.h"
 
 #include <cstdint>
 #include <functional>
@@ -66,9 +67,11 @@
 
     // Sends as much as the kernel accepts and queues the remaining bytes.
     void send(SocketId socket, std::string_view bytes);
+    // Sends `bytes` and then `text`, of which no copy is made.
+    void send(SocketId socket, std::string_view bytes, SharedText text);
     // Returns the number of queued bytes.
     std::size_t queued(SocketId socket) const;
-    // Returns the number of queued bytes of all sockets.
+    // Returns how many bytes the queues of all sockets hold, without shared texts.
     std::size_t queuedTotal() const;
     // Returns whether any byte has been passed to the kernel.
     bool wroteAny(SocketId socket) const;
@@ -88,7 +91,7 @@
         int descriptor = -1;
         lws *wsi = nullptr;
         SocketListener *listener = nullptr;
-        std::string queue;
+        SendQueue queue;
         bool connecting = false;
         bool shutdownPending = false; // Close the sending direction when the queue is empty.
         bool wroteAny = false;
