Test: memory of requests that have ended is free at once

Cause: the record of held bodies was computed at each tick alone, so requests that ended still counted for up to 25 ms. Uploads that came at that moment were paused and their callers refused.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -28,10 +28,10 @@
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr int kServiceUnavailable = 503;
-constexpr std::string_view kReject = "The request was refused before it was read whole. Correct it "
-                                     "before trying again.";
-constexpr std::string_view kRejectForNow = "The request was refused before it was read whole, for "
-                                           "lack of memory. Try again later.";
+constexpr std::string_view kRejectionMessage =
+    "The request was refused before it was read whole. Correct it before trying again.";
+constexpr std::string_view kMemoryFullMessage =
+    "The request was refused before it was read whole, for lack of memory. Try again later.";
 
 enum class Framing { Length, Chunked, UntilClose };
 
@@ -42,7 +42,7 @@
 {
     int status = 0;
     std::string_view code;
-    std::string_view message = kReject;
+    std::string_view message = kRejectionMessage;
     HttpHeaders headers = {};
 };
 
@@ -499,8 +499,9 @@
     }
     ++uploadsEnded_;
     if (oldestUploadWaits_) {
-        rejectWith(*oldest,
-                   {kServiceUnavailable, "memory_full", kRejectForNow, {{"Retry-After", "1"}}});
+        rejectWith(
+            *oldest,
+            {kServiceUnavailable, "memory_full", kMemoryFullMessage, {{"Retry-After", "1"}}});
     } else {
         rejectWith(*oldest, {kRequestTimeout, "upload_too_slow"});
     }
--- a/test/process/heldbodies_test.py
+++ b/test/process/heldbodies_test.py
@@ -63,6 +63,23 @@
             self.site.wait_until("nothing is held", lambda: self.site.status()["heldBytes"] == 0)
         self.assertLessEqual(watch.end(), MAX_HELD + SLACK, "expected uploads to pause at once; see memory.restricted")
 
+    # Guards against uploads and requests that lack the memory of a request that has ended.
+    def test_uploads_go_on_once_a_request_has_ended(self):
+        sizes = MAX_HELD * 9 // 32, MAX_HELD // 8  # Both fit, but the first alone takes more than half of the room.
+        for turn in range(8):
+            may_start = threading.Event()
+            uploads = [Upload(self.site.entry, f"{turn}-{number}", size, may_start)
+                       for number, size in enumerate(sizes)]
+            self.assertEqual(self.site.ask(f"/letters/{turn}", "x" * (MAX_HELD * 7 // 16))[0], 200)
+            may_start.set()
+            self.site.wait_until("both uploads wait for their last part",
+                                 lambda: self.site.status()["heldBytes"] >= sum(sizes) - 2, seconds=3)
+            for upload in uploads:
+                upload.may_finish.set()
+            for upload in uploads:
+                upload.thread.join(30)
+                self.assertIn(b"HTTP/1.1 200", upload.answer[:20])
+
 
 if __name__ == "__main__":
     unittest.main()
