Gateway: bodies that can never be admitted are rejected by their head

Cause: a body larger than the memory budget can ever admit was received whole and refused as "memory full" with a Retry-After, so callers repeated in vain.

Change: the server's limit of bodies is the smaller of max-body-bytes and what the budget admits with nothing else held; larger ones get 413 before they are sent. A warning names settings in which the two differ.

--- a/src/decision/admission/memorybudget.cpp
+++ b/src/decision/admission/memorybudget.cpp
@@ -16,6 +16,12 @@
 
 } // namespace
 
+std::size_t MemoryBudget::maxBody() const
+{
+    return limit_ == 0 ? std::numeric_limits<std::size_t>::max()
+                       : std::max(kSmallBody, limit_ - maxAnswers());
+}
+
 bool MemoryBudget::admits(const HeldMemory &held, std::size_t bodyBytes) const
 {
     const std::size_t answers = std::max(held.answers, maxAnswers());
--- a/src/decision/admission/memorybudget.h
+++ b/src/decision/admission/memorybudget.h
@@ -44,6 +44,8 @@
     {}
 
     std::size_t limit() const { return limit_; }
+    // Returns the size of the largest body that can ever be admitted.
+    std::size_t maxBody() const;
     // Returns whether a request with a body of this size may be admitted.
     bool admits(const HeldMemory &held, std::size_t bodyBytes) const;
     UploadBudget uploads(const HeldMemory &held) const;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -89,6 +89,7 @@
     probe_ = std::move(*probe);
     HttpServerOptions options;
     options.address = settings_.listen;
+    options.maxBodyBytes = std::min(options.maxBodyBytes, memoryBudget_.maxBody());
     auto server = HttpServer::create(loop_, *this, options);
     if (!server) {
         return tl::unexpected(server.error());
@@ -129,13 +130,24 @@
 void GatewayService::applyConfiguration(const RouteTable &table)
 {
     core_.warmUps().setServices(table.services());
-    const CallerBounds &bounds = table.bounds();
+    callerBounds_ = table.bounds();
+    applyCallerBounds();
+}
+
+void GatewayService::applyCallerBounds()
+{
     HttpServerOptions options;
-    options.maxHeaderBytes = bounds.maxHeaderBytes;
-    options.maxBodyBytes = bounds.maxBodyBytes;
-    options.headerTimeout = bounds.headerTimeout;
-    options.idleTimeout = bounds.idleTimeout;
+    options.maxHeaderBytes = callerBounds_.maxHeaderBytes;
+    options.maxBodyBytes = std::min(callerBounds_.maxBodyBytes, memoryBudget_.maxBody());
+    options.headerTimeout = callerBounds_.headerTimeout;
+    options.idleTimeout = callerBounds_.idleTimeout;
     server_->setBounds(options);
+    if (options.maxBodyBytes < callerBounds_.maxBodyBytes) {
+        logLine(LogLevel::Warning, "memory.below_max_body",
+                {{"limit", memoryBudget_.limit()},
+                 {"maxBodyBytes", callerBounds_.maxBodyBytes},
+                 {"acceptedBodyBytes", options.maxBodyBytes}});
+    }
 }
 
 void GatewayService::onRequest(ExchangeId exchange, HttpRequest request)
@@ -541,6 +553,7 @@
     core_.crashes().setRetention(settings_.crashRetention);
     settings_.maxHeldBytes = settings.maxHeldBytes;
     memoryBudget_ = MemoryBudget(settings_.maxHeldBytes);
+    applyCallerBounds();
     updateHeldMemory();
     core_.upstreams().setLapseGrace(settings_.timings.lapseGrace);
 }
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -164,6 +164,8 @@
     nlohmann::json limitedStatus() const;
 
     void applyConfiguration(const RouteTable &table);
+    // Sets the bounds of callers. Bodies that can never be admitted are rejected by their head.
+    void applyCallerBounds();
     // Starts the request if it is admitted, else refuses it. Its times count from `arrivedAt`.
     void admitRequest(ExchangeId exchange, HttpRequest request, TimePoint arrivedAt);
     void processStartupQueue();
@@ -233,6 +235,7 @@
     std::deque<LostAttempt> unansweredAttempts_; // Abandoned ones, in the order of their ends.
     std::unique_ptr<PeriodicTimer> tickTimer_;
     MemoryBudget memoryBudget_;
+    CallerBounds callerBounds_; // As configured.
     HeldMemory heldMemory_; // As of the last tick, with the requests that came and ended since.
     bool uploadsRestricted_ = false;
     std::uint64_t uploadsEnded_ = 0; // Those that have been logged.
--- a/test/decision/admission/memorybudget_test.cpp
+++ b/test/decision/admission/memorybudget_test.cpp
@@ -24,6 +24,13 @@
     CHECK_FALSE(budget.admits({0, 0, 5 * kMegabyte}, 4 * kMegabyte));
 }
 
+TEST(MemoryBudgetTest, LargestBodyIsAdmittedIfNothingElseIsHeld)
+{
+    CHECK_TRUE(budget.admits({0, 0, 0}, budget.maxBody()));
+    CHECK_FALSE(budget.admits({0, 0, 0}, budget.maxBody() + 1));
+    CHECK_TRUE(MemoryBudget().admits({0, 0, 0}, MemoryBudget().maxBody()));
+}
+
 // Guards against answers that exceed the limit beside bodies that were admitted before they came.
 TEST(MemoryBudgetTest, RequestsLeaveAnswersTheirShare)
 {
--- a/test/process/heldbodies_test.py
+++ b/test/process/heldbodies_test.py
@@ -5,13 +5,14 @@
 """
 
 import os
+import socket
 import sys
 import threading
 import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from gateway_test import GatewaySite  # noqa: E402
+from gateway_test import KEY, GatewaySite  # noqa: E402
 from slowcallers_test import MAX_HELD, MEGABYTE, SLACK, UPLOADS, Upload  # noqa: E402
 
 
@@ -80,6 +81,17 @@
                 upload.thread.join(30)
                 self.assertIn(b"HTTP/1.1 200", upload.answer[:20])
 
+    # Guards against bodies that are received although they can never be admitted.
+    def test_body_that_can_never_be_admitted_is_rejected_by_its_head(self):
+        host, port = self.site.entry.split(":")
+        head = (f"POST /letters/1 HTTP/1.1\r\nHost: site.example\r\nAuthorization: Token {KEY}\r\n"
+                f"Content-Length: {MAX_HELD}\r\n\r\n")
+        with socket.create_connection((host, int(port)), timeout=5) as connection:
+            connection.sendall(head.encode())
+            answer = connection.recv(65536)
+        self.assertIn(b"HTTP/1.1 413", answer[:20])
+        self.assertIn(b"Seamarch-Outcome: not-run", answer)
+
 
 if __name__ == "__main__":
     unittest.main()
