--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -236,7 +236,7 @@
     std::unique_ptr<PeriodicTimer> tickTimer_;
     MemoryBudget memoryBudget_;
     CallerBounds callerBounds_; // As configured.
-    HeldMemory heldMemory_; // As of the last tick, with the requests that came and ended since.
+    HeldMemory heldMemory_;     // As of the last tick, with the requests that came and ended since.
     bool uploadsRestricted_ = false;
     std::uint64_t uploadsEnded_ = 0; // Those that have been logged.
     bool stopping_ = false;
