Log answers that end with their connection

An answer without a length is completed by the end of its connection, which also ends when the upstream's process crashes.

--- a/bench/loadgenerator.cpp
+++ b/bench/loadgenerator.cpp
@@ -199,7 +199,7 @@
 void LoadGenerator::onAnswer(const SentRequest &sent, int status, const std::string &outcome,
                              const std::string &body, HttpCallEnd end)
 {
-    if (status == kStatusOk && end == HttpCallEnd::Complete) {
+    if (status == kStatusOk && isComplete(end)) {
         ++statistics_.answered;
         statistics_.wrongAnswers += isCorrect(sent, body) ? 0 : 1;
         statistics_.latenciesMs.push_back(toSeconds(loop_.now() - sent.sentAt) * 1000.0);
--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -496,12 +496,12 @@
         carryOut(actions);
         return;
     }
-    if (end == HttpCallEnd::Complete && !active.streamed) {
+    if (isComplete(end) && !active.streamed) {
         countUsageTokens(id, active);
     }
     core_.onEnded(id, loop_.now(), actions);
     ++finished_;
-    if (end == HttpCallEnd::Complete && active.headReceived) {
+    if (isComplete(end) && active.headReceived) {
         active.ended = true;
         scheduleFlush(id);
     } else if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::ReusedConnectionLost) {
--- a/src/gateway/attemptlognames.cpp
+++ b/src/gateway/attemptlognames.cpp
@@ -7,6 +7,8 @@
     switch (end) {
     case HttpCallEnd::Complete:
         return "complete";
+    case HttpCallEnd::ClosedByPeer:
+        return "closed by peer";
     case HttpCallEnd::NotSent:
         return "not sent";
     case HttpCallEnd::ReusedConnectionLost:
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -191,6 +191,7 @@
     void logPaceChanges();
     void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
     void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
+    void logClosedByPeer(const ActiveRequest &active);
     void loseAttempt(RequestNumber number, ActiveRequest &active, HttpCallEnd end);
     // Reports a lost attempt to the core, unless the request has ended or a further attempt
     // started.
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -274,6 +274,21 @@
     }
 }
 
+// Logs an answer that ended with its connection. Its upstream may have ended it or have crashed.
+void GatewayService::logClosedByPeer(const ActiveRequest &active)
+{
+    metrics_.count("seamarch_answers_closed_by_peer_total", active.streams ? "stream" : "whole");
+    logLine(LogLevel::Info, "attempt.closed_by_peer",
+            {{"id", active.metadata.requestId},
+             {"attempt", active.attempt},
+             {"upstream", active.upstream.value()},
+             {"status", active.head.status},
+             {"bytes", active.body.size()},
+             {"events", active.events.eventCount() - active.eventsBefore},
+             {"partialEventBytes", active.events.partialBytes()},
+             {"ms", toMillis(loop_.now() - active.startedAt)}});
+}
+
 void GatewayService::onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end)
 {
     ActiveRequest *active = findActiveRequest(number, attempt);
@@ -281,7 +296,10 @@
         return;
     }
     active->call = 0;
-    if (end == HttpCallEnd::Complete && !(active->streams && active->events.hasPartial())) {
+    if (end == HttpCallEnd::ClosedByPeer) {
+        logClosedByPeer(*active);
+    }
+    if (isComplete(end) && !(active->streams && active->events.hasPartial())) {
         finishAnswer(number, *active);
         return;
     }
--- a/src/knowledge/platformwatcher.cpp
+++ b/src/knowledge/platformwatcher.cpp
@@ -38,7 +38,7 @@
     void onEnd(HttpCallEnd end) override
     {
         poller_.call_ = 0;
-        if (end == HttpCallEnd::Complete) {
+        if (isComplete(end)) {
             poller_.onAnswer(status_, body_);
         } else {
             poller_.onFailure();
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -286,7 +286,7 @@
     if (end == SocketEnd::Unreachable || end == SocketEnd::Refused) {
         callEnd = HttpCallEnd::NotSent;
     } else if (end == SocketEnd::Finished && connection.reader.finishOnConnectionEnd()) {
-        callEnd = HttpCallEnd::Complete;
+        callEnd = HttpCallEnd::ClosedByPeer;
     } else if (connection.reusedConnection && !connection.receivedBytes) {
         callEnd = HttpCallEnd::ReusedConnectionLost;
     }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -60,12 +60,20 @@
 // How a call ended.
 enum class HttpCallEnd {
     Complete,             // The complete response arrived.
+    ClosedByPeer,         // The peer closed the connection, which ends a response without a length.
     NotSent,              // No connection was established; nothing was written.
     ReusedConnectionLost, // A reused connection broke before any byte of the response.
     Interrupted,          // The connection broke; the request may have been written.
     MalformedResponse,    // The peer sent something other than an HTTP response.
 };
 
+// Returns whether the response is complete. The kernel also closes the connections of a process
+// that crashes, so only a stated length or chunks prove that a response is.
+constexpr bool isComplete(HttpCallEnd end)
+{
+    return end == HttpCallEnd::Complete || end == HttpCallEnd::ClosedByPeer;
+}
+
 // Receives the response to one call, on the loop's thread.
 class HttpCallReceiver
 {
--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -50,7 +50,7 @@
     }
     void onEnd(HttpCallEnd end) override
     {
-        response_.complete = end == HttpCallEnd::Complete;
+        response_.complete = isComplete(end);
         const auto done = std::move(done_);
         done(std::move(response_));
     }
--- a/src/tool/fetch.cpp
+++ b/src/tool/fetch.cpp
@@ -32,7 +32,7 @@
     void onPiece(std::string_view piece) override { response_.body += piece; }
     void onEnd(HttpCallEnd end) override
     {
-        response_.complete = end == HttpCallEnd::Complete;
+        response_.complete = isComplete(end);
         loop_.stop();
     }
 
