--- a/test/process/crashingpart_test.py
+++ b/test/process/crashingpart_test.py
@@ -36,13 +36,14 @@
     """Four gateways in two halls, and four upstreams that crash on one prompt part."""
 
     site_type = GatewaySite
+    restarter_type = PartRestarter
 
     def setUp(self):
         self.seed = free_address()
         self.site = self.site_type(upstreams=4, **{"peer-listen": self.seed, "seeds": self.seed})
         self.addCleanup(self.site.__exit__)
         self.site.set_all(**PartRestarter.settings)
-        self.restarter = PartRestarter(self.site, 4)
+        self.restarter = self.restarter_type(self.site, 4)
         self.addCleanup(self.restarter.stop)
         others = [OtherGateway(self.site, f"gateway-{number}", self.site.store, self.seed, hall)
                   for number, hall in ((2, "north"), (3, "south"), (4, "south"))]
