Gateway: an answer that ends with its connection counts only if its upstream runs

Callers saw: requests that crash upstreams were sent on for as long as they came (BUDGET), sound ones found no upstream (LOST), and broken answers looked whole. Cause: an answer without a length is completed by the end of its connection, and the kernel ends the connections of a crashed process in the same way. So the request counted as completed, which also cleared what it or its prompt parts were suspected of; a stream that ended inside an event was retried without a probe.

The upstream is probed before the answer counts as complete: only its process can say that it lives.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -409,6 +409,13 @@
     }
 }
 
+void GatewayCore::onAnswerReceived(RequestNumber number, TimePoint now)
+{
+    if (Request *request = find(number)) {
+        request->progressAt = now;
+    }
+}
+
 void GatewayCore::retryOrGiveUp(RequestNumber number, FailureCode failure, TimePoint now,
                                 GatewayActions &actions)
 {
@@ -527,18 +534,18 @@
     return suspects;
 }
 
-void GatewayCore::onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
+bool GatewayCore::onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
                                   const InstanceId &upstream, TimePoint at, TimePoint now,
                                   GatewayActions &actions)
 {
-    // An upstream that is leaving, or that the store no longer lists, ends as planned.
     if (!upstreams_.isActive(upstream)) {
-        return;
+        return false;
     }
     for (const SuspectKey &suspect : suspects) {
         crashes_.onUpstreamCrashed(suspect, account, upstream, at);
     }
     giveUpSuspects(now, actions);
+    return true;
 }
 
 // Fails requests that must not be sent any more, whether queued or in progress. An upstream that
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -264,14 +264,18 @@
     // harmless. Call it before `onEnd`.
     std::vector<SuspectKey> crashSuspects(RequestNumber request) const;
     // Handles the end of an upstream at `at` while it ran a request with these suspects. The
-    // request itself may have ended since.
-    void onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
+    // request itself may have ended since. Returns whether that was a crash: an upstream that is
+    // leaving, or that the store no longer lists, ends as planned.
+    bool onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
                          const InstanceId &upstream, TimePoint at, TimePoint now,
                          GatewayActions &actions);
     // Handles the first event of the current attempt.
     void onFirstEvent(RequestNumber request, TimePoint now);
     // Handles a further event, `pause` after the previous one of the same attempt.
     void onPause(RequestNumber request, Duration pause, TimePoint now);
+    // Handles that all of the current attempt's answer has arrived, which is to be confirmed before
+    // `onHead` or `onEnd`. Meanwhile the upstream does not count as silent.
+    void onAnswerReceived(RequestNumber request, TimePoint now);
     // Handles that the answer of the current attempt is no longer read, or is read again, because
     // the caller takes it slowly. Meanwhile the upstream does not count as silent.
     void onReadingPaused(RequestNumber request, bool paused, TimePoint now);
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -112,6 +112,7 @@
         TimePoint startedAt{};
         TimePoint firstEventAt{};
         TimePoint lastEventAt{};
+        TimePoint answerDueAt{}; // When the time that the current attempt was given is over.
         Duration longestPause{}; // The longest gap between two events sent to the caller.
     };
 
@@ -192,6 +193,9 @@
     void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
     void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
     void logClosedByPeer(const ActiveRequest &active);
+    // Completes an answer that ended with its connection, unless its upstream has crashed.
+    void confirmAnswer(RequestNumber number, ActiveRequest &active);
+    void finishConfirmedAnswer(RequestNumber number, std::uint32_t attempt);
     void loseAttempt(RequestNumber number, ActiveRequest &active, HttpCallEnd end);
     // Reports a lost attempt to the core, unless the request has ended or a further attempt
     // started.
@@ -199,8 +203,8 @@
     // Cancels the call of the current attempt, and learns from what its upstream still sends.
     void abandonCall(ActiveRequest &active, const AttemptRecord &record);
     LostAttempt toLostAttempt(const ActiveRequest &active, std::vector<SuspectKey> suspects) const;
-    // Calls `onResult` once the upstream has been probed.
-    void probeUpstream(const LostAttempt &lost, std::function<void()> onResult);
+    // Calls `onResult` once the upstream has been probed, with whether its process has crashed.
+    void probeUpstream(const LostAttempt &lost, std::function<void(bool)> onResult);
     void onAbandonedHead(HttpCallId call, const AbandonedCall &abandoned, const HttpHead &head);
     void onAbandonedEnd(const AbandonedCall &abandoned, HttpCallEnd end);
     // Probes the upstreams that closed abandoned attempts and have answered nothing since.
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -101,6 +101,7 @@
     active.attemptHasEvents = false;
     active.eventsBefore = active.events.eventCount();
     active.resuming = active.headSent;
+    active.answerDueAt = loop_.now() + action.timeLeft;
     active.readingPaused = false;
     active.wasReadingPaused = false;
     const TargetName &service = action.upstream.service;
@@ -296,14 +297,45 @@
         return;
     }
     active->call = 0;
-    if (end == HttpCallEnd::ClosedByPeer) {
+    const bool closedByPeer = end == HttpCallEnd::ClosedByPeer;
+    if (closedByPeer) {
         logClosedByPeer(*active);
     }
-    if (isComplete(end) && !(active->streams && active->events.hasPartial())) {
+    if (!isComplete(end) || (active->streams && active->events.hasPartial())) {
+        loseAttempt(number, *active, closedByPeer ? HttpCallEnd::Interrupted : end);
+    } else if (closedByPeer) {
+        confirmAnswer(number, *active);
+    } else {
         finishAnswer(number, *active);
+    }
+}
+
+// The kernel closes the connections of a crashed process in the same order as the upstream would,
+// so the answer is complete only if the upstream still runs.
+void GatewayService::confirmAnswer(RequestNumber number, ActiveRequest &active)
+{
+    core_.onAnswerReceived(number, loop_.now());
+    if (loop_.now() + kMaxProbeTime >= active.answerDueAt) {
+        finishAnswer(number, active); // The request would fail before the result is known.
         return;
     }
-    loseAttempt(number, *active, end);
+    probeUpstream(toLostAttempt(active, core_.crashSuspects(number)),
+                  [this, number, attempt = active.attempt](bool crashed) {
+                      if (crashed) {
+                          onAttemptLost(number, attempt, AttemptEnd::Lost);
+                      } else {
+                          finishConfirmedAnswer(number, attempt);
+                      }
+                  });
+}
+
+void GatewayService::finishConfirmedAnswer(RequestNumber number, std::uint32_t attempt)
+{
+    const auto found = activeRequests_.find(number);
+    if (found != activeRequests_.end() && found->second.attempt == attempt
+        && found->second.call == 0) {
+        finishAnswer(number, found->second);
+    }
 }
 
 // Handles the end of an attempt without a complete answer; its call is over.
@@ -323,7 +355,7 @@
         // The request waits for the result, which takes some round trips unless the upstream does
         // not answer: retried at once, a request that crashes upstreams might take down another.
         probeUpstream(toLostAttempt(active, core_.crashSuspects(number)),
-                      [this, number, attempt = active.attempt] {
+                      [this, number, attempt = active.attempt](bool /*crashed*/) {
                           onAttemptLost(number, attempt, AttemptEnd::Lost);
                       });
         return;
--- a/src/net/upstreamprobe.h
+++ b/src/net/upstreamprobe.h
@@ -39,6 +39,9 @@
     Unknown,      // Its host did not respond in time, or connecting failed otherwise.
 };
 
+// A probe has a result after this time, if the loop is not held up.
+constexpr Duration kMaxProbeTime = std::chrono::milliseconds(600);
+
 // Returns the name of a result as it is logged.
 std::string_view toString(UpstreamProbeResult result);
 
@@ -64,7 +67,7 @@
     UpstreamProbe &operator=(const UpstreamProbe &) = delete;
 
     // Probes `address` and passes the result to `callback`, after this function has returned and
-    // within 0.6 s if the loop is not held up. Concurrent calls for the same address share one
+    // within `kMaxProbeTime`. Concurrent calls for the same address share one
     // probe.
     void probe(const SocketAddress &address, const UpstreamQuestion &question, Callback callback);
 
