Gateway: prompt parts are suspected before the head of the answer

Callers saw: streams with one prompt part crashed upstreams for as long as they came, if those crash before they send the head (BUDGET); sound ones found no upstream (LOST). Cause: a part was suspected only if the head of the answer had been seen, but when the head is sent is the upstream's choice.

All parts that no answer has proved harmless are suspects.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -526,9 +526,8 @@
     }
     const Request &request = found->second;
     std::vector<SuspectKey> suspects{SuspectKey(request.request.digest)};
-    // The head of a stream shows that its answer has begun; other answers come as a whole.
-    const bool hasBegun = !request.request.route->streamed || request.attemptHasHead;
-    if (hasBegun && !request.partsAnswered) {
+    // Whether the answer has begun is not known: an upstream may crash before it sends the head.
+    if (!request.partsAnswered) {
         suspects.insert(suspects.end(), request.partKeys.begin(), request.partKeys.end());
     }
     return suspects;
