Gateway: a stopping gateway takes requests for 2.8 s, not 3.2 s

Cause: the time until which new requests are taken was made for the balancer alone, which needs little more than 2 s.

--- a/src/gateway/gatewaybounds.cpp
+++ b/src/gateway/gatewaybounds.cpp
@@ -12,8 +12,10 @@
 constexpr Duration kDenyMargin = std::chrono::milliseconds(100);
 // Reserved for sending the last bytes and ending the process.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
-// The platform's balancer checks readiness every second and removes an instance after two failures.
-constexpr Duration kBalancerDetectionDelay = std::chrono::milliseconds(3200);
+// The platform's balancer checks readiness every second and removes an instance after two failures,
+// so new connections come for little more than 2 s. What callers send later than 3 s after the
+// signal may not be cut off, and arrives somewhat later than it was sent.
+constexpr Duration kMaxStopDelay = std::chrono::milliseconds(2800);
 // The time for the removal of an upstream to propagate from the store through the gateways.
 constexpr Duration kPropagationDelay = std::chrono::milliseconds(500);
 // Engines register again within about this time after the store is back. The figure is the
@@ -32,7 +34,7 @@
     timings.freshness.deny = std::max(kMinTiming, bounds.configPropagationLimit - kDenyMargin);
     timings.stopDeadline = std::max(kMinTiming, bounds.stopLimit - kStopMargin);
     // Requests that arrive at the end of the delay need the remaining time to finish.
-    timings.stopDelay = std::min(kBalancerDetectionDelay, timings.stopDeadline / 2);
+    timings.stopDelay = std::min(kMaxStopDelay, timings.stopDeadline / 2);
     timings.lapseGrace = std::clamp(bounds.leavingLimit - kPropagationDelay, Duration(kMinTiming),
                                     Duration(kReregistrationDelay));
     timings.storeCoalesceDelay =
--- a/test/gateway/gatewaybounds_test.cpp
+++ b/test/gateway/gatewaybounds_test.cpp
@@ -41,11 +41,12 @@
     CHECK_TRUE(timings.stopDelay * 2 <= timings.stopDeadline);
 }
 
+// Requests sent later than 3 s after the signal may not be cut off.
 TEST(GatewayBoundsTest, LongStopLimitDoesNotExtendTheStopDelay)
 {
     GatewayBounds bounds;
     bounds.stopLimit = std::chrono::seconds(60);
-    CHECK_TRUE(deriveTimings(bounds).stopDelay < millis(4000));
+    CHECK_TRUE(deriveTimings(bounds).stopDelay < millis(3000));
 }
 
 TEST(GatewayBoundsTest, BoundsBelowTheMarginsGivePositiveTimings)
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -34,6 +34,8 @@
 class GatewaySite:
     """Runs a store, upstreams and one gateway on loopback."""
 
+    stop_settings = "stop-delay-ms = 400\n"  # Of the gateway; empty: those of a deployment.
+
     def __init__(self, upstreams=2, **more):
         """`more` holds further gateway settings by name."""
         self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
@@ -53,7 +55,7 @@
         self.settings = tempfile.NamedTemporaryFile("w+", suffix=".conf")
         self.settings.write("instance = gateway-1\nhall = north\nlog-level = info\n"
                             f"listen = {self.entry}\noperator-listen = {self.operators}\n"
-                            f"platform = {self.store}\nstop-delay-ms = 400\n")
+                            f"platform = {self.store}\n{self.stop_settings}")
         self.settings.write("".join(f"{name} = {value}\n" for name, value in more.items()))
         self.settings.flush()
         self.start_gateway()
