Daemon: install the signal handlers first

Cause: the handlers were installed after the service had been created.

A signal that comes before the loop runs is kept and acted on when it does.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -48,9 +48,8 @@
     }
 }
 
-void installSignalHandlers(EventLoop &loop)
+void installSignalHandlers()
 {
-    signalledLoop = &loop;
     std::signal(SIGTERM, onStopSignal);
     std::signal(SIGINT, onStopSignal);
     std::signal(SIGHUP, onReloadSignal);
@@ -129,7 +128,6 @@
         logLine(LogLevel::Error, "start.failed", {{"message", service.error().message}});
         return kExitStart;
     }
-    installSignalHandlers(**loop);
     SettingsReloader reloader(
         **loop, options, [&](const DaemonOptions &newOptions) { apply(**service, newOptions); });
     (*loop)->setInterruptHandler([&] {
@@ -141,6 +139,10 @@
             reloader.reload(true);
         }
     });
+    signalledLoop = loop->get();
+    if (stopRequested != 0 || reloadRequested != 0) {
+        (*loop)->interrupt(); // They came before the loop could be told.
+    }
     logLine(LogLevel::Info, "process.started", {{"version", SEAMARCH_VERSION}});
     (*loop)->run();
     signalledLoop = nullptr;
@@ -216,5 +218,6 @@
 
 int main(int argc, char **argv)
 {
+    seamarch::installSignalHandlers(); // Before anything that a signal must not interrupt.
     return seamarch::run(seamarch::readDaemonOptions({argv + 1, argv + argc}));
 }
