HTTP reader: responses without a body end with their head, whatever length they state

Callers saw: a 304 with a Content-Length got 504 after the whole time of the request. Cause: the reader waited for a body that RFC 9110 section 6.4.1 rules out.

--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -184,6 +184,7 @@
     constexpr int kSkipBody = 1;
     constexpr int kAbort = -1;
     http_parser &parser = parser_->state;
+    bool hasBody = !noBody_;
     parser.upgrade = 0; // Upgrades are not supported; the message is read as HTTP.
     const bool hasLength = parser.content_length != std::numeric_limits<std::uint64_t>::max();
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
@@ -201,7 +202,8 @@
         }
     } else {
         head_.status = static_cast<int>(parser.status_code);
-        head_.framed = noBody_ || hasLength || chunked || statusHasNoBody(head_.status);
+        hasBody = hasBody && !statusHasNoBody(head_.status); // Whatever length it states.
+        head_.framed = !hasBody || hasLength || chunked;
     }
     head_.isHttp10 = parser.http_major == 1 && parser.http_minor == 0;
     head_.persistent = http_should_keep_alive(&parser) != 0;
@@ -210,7 +212,7 @@
     }
     headDone_ = true;
     sink_.onHead(std::move(head_));
-    return noBody_ ? kSkipBody : 0;
+    return hasBody ? 0 : kSkipBody;
 }
 
 int HttpReader::onBodyPiece(std::string_view piece)
--- a/test/net/httpreader_test.cpp
+++ b/test/net/httpreader_test.cpp
@@ -52,6 +52,17 @@
     CHECK_TRUE(message.head.persistent);
 }
 
+// RFC 9110 section 6.4.1: such a response has no body, whatever length it states.
+TEST(HttpReaderTest, ReadsNoBodyOfResponsesThatHaveNone)
+{
+    for (const char *status : {"204 No Content", "304 Not Modified"}) {
+        Message message;
+        HttpReader reader(HttpReader::Kind::Response, kLimits, message);
+        reader.feed(std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 5\r\n\r\n");
+        CHECK_TRUE_TEXT(reader.done(), status);
+    }
+}
+
 TEST(HttpReaderTest, DecodesChunkedBodyAndDropsTrailer)
 {
     Message message;
