Sockets: keep descriptors for the connections on which requests are passed on

Callers saw: a gateway whose idle callers hold all descriptors refused every request, although upstreams had free places, and used a whole core. Cause: connections were accepted until no descriptor was left, none remained for upstreams and other gateways, and a connection that cannot be accepted stays readable.

Three quarters of the descriptors are for accepted connections; further ones wait in the kernel.

--- a/src/net/tcpsockets.cpp
+++ b/src/net/tcpsockets.cpp
@@ -1,11 +1,14 @@
 #include "net/tcpsockets.h"
 
+#include "base/log.h"
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -21,6 +24,11 @@
 // does not respond, and the kernel's default limit is many minutes. Connections of callers have no
 // such limit, because it also ends connections whose peer is alive but does not read.
 constexpr unsigned int kUserTimeoutMillis = 3000;
+// The part of the process's descriptors that accepted connections may use. The others are for the
+// connections on which requests are passed on, to other processes and to upstreams.
+constexpr double kMaxAcceptedShare = 0.75;
+// How long no connections are accepted for lack of descriptors, until the next try.
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 // TCP keep-alive detects callers that are gone: three probes 2 s apart after 5 s without traffic.
 constexpr int kKeepAliveIdleSeconds = 5;
 constexpr int kKeepAliveIntervalSeconds = 2;
@@ -101,7 +109,12 @@
     return sockets;
 }
 
-TcpSockets::~TcpSockets() = default;
+TcpSockets::~TcpSockets()
+{
+    for (const auto &[id, listening] : listening_) {
+        loop_.cancel(listening.resumption);
+    }
+}
 
 lws *TcpSockets::adopt(int descriptor, SocketId id)
 {
@@ -137,19 +150,63 @@
         return tl::unexpected(error);
     }
     const SocketId id = nextId_++;
-    listening_.emplace(id, std::pair{descriptor, std::move(handler)});
-    if (adopt(descriptor, id) == nullptr) {
+    Listening &added = listening_[id];
+    added.descriptor = descriptor;
+    added.handler = std::move(handler);
+    added.wsi = adopt(descriptor, id);
+    if (added.wsi == nullptr) {
         listening_.erase(id);
         return tl::unexpected(listenError(address));
     }
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    maxAccepted_ =
+        static_cast<std::size_t>(static_cast<double>(limit.rlim_cur) * kMaxAcceptedShare);
     return {};
 }
 
-void TcpSockets::acceptAll(int listening, const AcceptHandler &handler)
+bool TcpSockets::mayAccept() const
+{
+    return entries_.size() < maxAccepted_;
+}
+
+// Connections that are not accepted stay readable, so that polling them would never wait.
+void TcpSockets::pauseAccepting(Listening &listening)
+{
+    if (listening.resumption != 0) {
+        return;
+    }
+    logLine(LogLevel::Warning, "accept.paused",
+            {{"sockets", entries_.size()}, {"limit", maxAccepted_}});
+    lws_rx_flow_control(listening.wsi, 0);
+    scheduleResumption(listening);
+}
+
+void TcpSockets::scheduleResumption(Listening &listening)
+{
+    listening.resumption = loop_.schedule(kAcceptRetryDelay, [this, &listening] {
+        if (!mayAccept()) {
+            scheduleResumption(listening);
+            return;
+        }
+        listening.resumption = 0;
+        lws_rx_flow_control(listening.wsi, 1);
+    });
+}
+
+void TcpSockets::acceptAll(Listening &listening)
 {
     for (;;) {
-        const int descriptor = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (!mayAccept()) {
+            pauseAccepting(listening);
+            return;
+        }
+        const int descriptor =
+            accept4(listening.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
+            if (errno == EMFILE || errno == ENFILE) {
+                pauseAccepting(listening);
+            }
             return;
         }
         setCommonOptions(descriptor);
@@ -162,7 +219,7 @@
             entries_.erase(id);
             continue;
         }
-        added.listener = &handler(id);
+        added.listener = &listening.handler(id);
     }
 }
 
@@ -494,7 +551,7 @@
     case LWS_CALLBACK_RAW_RX_FILE: {
         const auto listening = sockets->listening_.find(id);
         if (listening != sockets->listening_.end()) {
-            sockets->acceptAll(listening->second.first, listening->second.second);
+            sockets->acceptAll(listening->second);
             return 0;
         }
         return sockets->onReadable(id);
--- a/src/net/tcpsockets.h
+++ b/src/net/tcpsockets.h
@@ -104,13 +104,24 @@
         bool peerFinished = false;   // The peer sends nothing more; the socket is open for sending.
     };
 
+    struct Listening
+    {
+        int descriptor = -1;
+        lws *wsi = nullptr;
+        AcceptHandler handler;
+        TimerId resumption = 0; // Set while no connections are accepted.
+    };
+
     explicit TcpSockets(EventLoop &loop)
         : loop_(loop)
     {}
     static int callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t size);
     Entry *find(SocketId socket);
     lws *adopt(int descriptor, SocketId id);
-    void acceptAll(int listening, const AcceptHandler &handler);
+    void acceptAll(Listening &listening);
+    bool mayAccept() const;
+    void pauseAccepting(Listening &listening);
+    void scheduleResumption(Listening &listening);
     int onReadable(SocketId id);
     int onPeerFinished(SocketId id, Entry &entry);
     int onWriteable(SocketId id);
@@ -124,7 +135,8 @@
     EventLoop &loop_;
     lws_vhost *vhost_ = nullptr;
     std::unordered_map<SocketId, std::unique_ptr<Entry>> entries_;
-    std::unordered_map<SocketId, std::pair<int, AcceptHandler>> listening_;
+    std::unordered_map<SocketId, Listening> listening_;
+    std::size_t maxAccepted_ = 0; // The number of sockets from which on none is accepted.
     std::vector<char> buffer_;
     SocketId nextId_ = 1;
 };
