Agent: an answer that ends with its connection counts only if its upstream runs

Callers saw: behind agents a call whose upstream crashes inside an answer without a length was sent on for as long as it came (BUDGET). Cause: the same as at gateways: the end of the connection is the kernel's word.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -192,13 +192,14 @@
     void onHead(HttpHead head) override
     {
         service_.applyRetryAfter(head);
+        service_.probeAfterAbandonedCall(id_,
+                                         connection_); // It may crash on the rest of the answer.
         service_.client_->cancel(call_);
     }
     void onPiece(std::string_view /*piece*/) override {}
     void onEnd(HttpCallEnd end) override
     {
         if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::ReusedConnectionLost) {
-            service_.probeAfterAbandonedCall(id_, connection_);
         }
     }
 
@@ -501,9 +502,10 @@
     }
     core_.onEnded(id, loop_.now(), actions);
     ++finished_;
-    if (isComplete(end) && active.headReceived) {
-        active.ended = true;
-        scheduleFlush(id);
+    if (end == HttpCallEnd::Complete && active.headReceived) {
+        finishAnswer(id);
+    } else if (end == HttpCallEnd::ClosedByPeer && active.headReceived) {
+        confirmAnswer(id);
     } else if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::ReusedConnectionLost) {
         probeUpstream(id);
     } else {
@@ -512,6 +514,28 @@
     carryOut(actions);
 }
 
+void AgentService::finishAnswer(RequestId id)
+{
+    const auto found = activeRequests_.find(id);
+    if (found != activeRequests_.end()) {
+        found->second.ended = true;
+        scheduleFlush(id);
+    }
+}
+
+// Finishes an answer that ended with its connection, unless the upstream has crashed: the kernel
+// closes the connections of a crashed process in the same order as the upstream would.
+void AgentService::confirmAnswer(RequestId id)
+{
+    probeUpstream(id, [this, id](bool hasEnded) {
+        if (hasEnded) {
+            sendFailure(id, FailureCode::UpstreamEnded, Outcome::Unknown, {});
+        } else {
+            finishAnswer(id);
+        }
+    });
+}
+
 // Probes the upstream after a connection broke, and reports to the entry whether the upstream only
 // interrupted this request or its process has ended. A request that crashed this upstream would
 // crash the next one as well, so the entry must be able to tell.
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -115,6 +115,8 @@
     void applyRetryAfter(const HttpHead &head);
     void onUpstreamPiece(RequestId id, std::string_view piece);
     void onUpstreamEnd(RequestId id, HttpCallEnd end);
+    void finishAnswer(RequestId id);
+    void confirmAnswer(RequestId id);
     void probeUpstream(RequestId id);
     void probeAfterAbandonedCall(RequestId id, ConnectionId connection);
     // Passes whether the process of the upstream has ended to `onResult`.
--- a/test/process/crashingcall_test.py
+++ b/test/process/crashingcall_test.py
@@ -38,7 +38,7 @@
         self.site.publish_and_wait()
         self.ends, self.stopped = [], False
         for name, address in self.site.upstreams.items():
-            control(address, self.upstream_settings)
+            self.configure(address)
         self.restarter = threading.Thread(target=self.restart_ended_upstreams)
         self.restarter.start()
         self.addCleanup(self.stop)
@@ -55,9 +55,12 @@
                     self.ends.append(time.monotonic())
                     time.sleep(0.3)
                     self.site.restart(f"{name}.upstream")
-                    control(address, self.upstream_settings)
+                    self.configure(address)
             time.sleep(0.01)
 
+    def configure(self, address):
+        control(address, self.upstream_settings)
+
     def ask(self, path, body, entry):
         return call(entry, f"/services/portal/{path}", body, AUTH, 6)
 
--- a/test/process/crashingupstream.py
+++ b/test/process/crashingupstream.py
@@ -7,6 +7,7 @@
     "point": POINT       when it crashes: "request" (before the head of the answer), "head" (after it), "event"
                          (after the first event of a stream, inside any other body) or "partial" (inside an event
                          or a body)
+    "plain": true        it is asked by agents, whose requests have no headers of the platform
     "unframed": true     its answers have neither a length nor chunks and end with their connection
 
 It is a process of its own, so that the kernel ends its connections when it crashes.
@@ -50,7 +51,7 @@
 class Upstream:
     def __init__(self, instance, settings):
         self.instance, self.point = instance, settings.get("point", "head")
-        self.unframed = settings.get("unframed", False)
+        self.unframed, self.plain = settings.get("unframed", False), settings.get("plain", False)
         self.part, self.text = settings.get("endsOnPart", ""), settings.get("endsOn", "")
 
     def serve(self, connection):
@@ -70,9 +71,12 @@
         headers = http.client.parse_headers(reader)
         body = reader.read(int(headers.get("Content-Length") or 0)).decode()
         request_id = headers.get("Seamarch-Request-Id", "")
+        if self.plain and line[0] == b"GET":
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
         if headers.get("Seamarch-Expect-Instance") not in (None, self.instance):
             return self.refuse(connection, 421, request_id)
-        if not request_id:
+        if not request_id and not self.plain:
             return self.refuse(connection, 400, request_id)
         poison = self.part and self.part in headers.get("Seamarch-Prefix-Hash", "") or self.text and self.text in body
         self.answer(connection, line[1].decode(), headers, poison)
@@ -92,7 +96,7 @@
         time.sleep(DELAY_S)
         self.crash(poison, "request")
         streams = "/stream" in path
-        answer = Answer(connection, headers["Seamarch-Request-Id"], self.instance, streams, self.unframed)
+        answer = Answer(connection, headers.get("Seamarch-Request-Id", ""), self.instance, streams, self.unframed)
         self.crash(poison, "head")
         if streams:
             self.stream(answer, int(headers.get("Last-Event-Id") or 0), poison)
