Gateway: crashes after the head of a stream whose caller has left count

Cause: once the head had come, a caller who left took the connection along, and with it the crash some milliseconds later; the head of an answer that nobody waited for any more ended the attempt in the same way.

The upstream is probed after 0.1 s unless it answers others, or the answer had gone on for long enough to show that it crashes nothing.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -280,7 +280,8 @@
         return std::nullopt;
     }
     const Request &request = found->second;
-    return AttemptRecord{request.upstreamRecord, request.attemptStartedAt, crashSuspects(number)};
+    return AttemptRecord{request.upstreamRecord, request.attemptStartedAt, crashSuspects(number),
+                         request.partsAnswered};
 }
 
 CancelAttempt GatewayCore::cancellation(RequestNumber number, bool silent) const
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -112,6 +112,7 @@
     TimePoint startedAt{};
     // What has crashed the upstream if it crashes now; see GatewayCore::crashSuspects().
     std::vector<SuspectKey> suspects;
+    bool goesOn = false; // The answer had gone on for long enough to show that it crashes nothing.
 };
 
 // Sends the request to an upstream.
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -208,7 +208,9 @@
     void probeUpstream(const LostAttempt &lost, std::function<void(bool)> onResult);
     void onAbandonedHead(HttpCallId call, const AbandonedCall &abandoned, const HttpHead &head);
     void onAbandonedEnd(const AbandonedCall &abandoned, HttpCallEnd end);
-    // Probes the upstreams that closed abandoned attempts and have answered nothing since.
+    // Has the upstream probed soon unless it answers other requests.
+    void awaitOtherAnswers(LostAttempt lost);
+    // Probes the upstreams of abandoned attempts that have answered nothing since.
     void probeUnansweredUpstreams();
     void startStream(RequestNumber number, ActiveRequest &active);
     void finishAnswer(RequestNumber number, ActiveRequest &active);
--- a/src/gateway/gatewayserviceabandoned.cpp
+++ b/src/gateway/gatewayserviceabandoned.cpp
@@ -67,11 +67,14 @@
 void GatewayService::abandonCall(ActiveRequest &active, const AttemptRecord &record)
 {
     const HttpCallId call = std::exchange(active.call, 0);
+    LostAttempt lost = toLostAttempt(active, record.suspects);
     client_->abandon(
         call, kAbandonedReadTime,
-        std::make_unique<AbandonedReceiver>(*this, call,
-                                            AbandonedCall{record, active.metadata, active.attempt,
-                                                          toLostAttempt(active, record.suspects)}));
+        std::make_unique<AbandonedReceiver>(
+            *this, call, AbandonedCall{record, active.metadata, active.attempt, lost}));
+    if (active.streams && !record.goesOn) {
+        awaitOtherAnswers(std::move(lost)); // The stream has just begun and may still crash it.
+    }
 }
 
 void GatewayService::onAbandonedHead(HttpCallId call, const AbandonedCall &abandoned,
@@ -88,6 +91,9 @@
              {"ms", toMillis(loop_.now() - abandoned.record.startedAt)}});
     handleNotice({abandoned.record, abandoned.metadata.requestId, abandoned.attempt, head, kind});
     core_.onAbandonedHead(abandoned.record, kind, loop_.now());
+    if (kind == AnswerKind::Success) {
+        awaitOtherAnswers(abandoned.lost);
+    }
     client_->cancel(call);
 }
 
@@ -99,12 +105,17 @@
              {"upstream", abandoned.record.upstream.id.value()},
              {"outcome", logName(end)},
              {"ms", toMillis(loop_.now() - abandoned.record.startedAt)}});
+    awaitOtherAnswers(abandoned.lost);
+}
+
+void GatewayService::awaitOtherAnswers(LostAttempt lost)
+{
     if (unansweredAttempts_.size() >= kMaxUnansweredAttempts) {
         metrics_.count("seamarch_upstreams_that_lost_requests_total", "not probed");
         return;
     }
-    unansweredAttempts_.push_back(abandoned.lost);
-    unansweredAttempts_.back().at = loop_.now();
+    lost.at = loop_.now();
+    unansweredAttempts_.push_back(std::move(lost));
 }
 
 void GatewayService::probeUnansweredUpstreams()
--- a/test/process/crashingsite.py
+++ b/test/process/crashingsite.py
@@ -37,6 +37,11 @@
         """The upstreams have no control interface: their settings are those of the class."""
 
 
+def crashing_site(**behaviour):
+    """Returns a type of site whose upstreams have these settings."""
+    return type("SiteOfCrashes", (CrashingSite,), {"behaviour": behaviour})
+
+
 class CrashingSiteRestarter:
     """Restarts upstreams that have crashed, and records when they did."""
 
--- a/test/process/earlycrash_test.py
+++ b/test/process/earlycrash_test.py
@@ -13,16 +13,12 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from crashingpart_test import CRASHING, CrashingPartCase  # noqa: E402
-from crashingsite import CrashingSite, CrashingSiteRestarter  # noqa: E402
-
-
-class EarlyCrashSite(CrashingSite):
-    behaviour = {"endsOnPart": CRASHING, "point": "request"}
+from crashingsite import CrashingSiteRestarter, crashing_site  # noqa: E402
 
 
 class EarlyCrashTest(CrashingPartCase):
     restarter_type = CrashingSiteRestarter
-    site_type = EarlyCrashSite
+    site_type = crashing_site(endsOnPart=CRASHING, point="request")
 
     # Guards against crashes on a prompt part that are held against no part because no head was sent.
     def test_streams_with_the_part_are_stopped(self):
--- a/test/process/leavingcallers_test.py
+++ b/test/process/leavingcallers_test.py
@@ -17,6 +17,7 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 from crashingrequest_test import CrashingRequestCase  # noqa: E402
+from crashingsite import CrashingSiteRestarter, crashing_site  # noqa: E402
 from gateway_test import KEY, GatewaySite  # noqa: E402
 from localsite import control, leave  # noqa: E402
 from restingupstream_test import (IN_FLIGHT_S, MAX_LATE_REQUESTS, RETRY_AFTER_S,  # noqa: E402
@@ -55,6 +56,39 @@
         self.check_stopped("/letters/1")
 
 
+class LeavingStreamCase(CrashingRequestCase):
+    restarter_type = CrashingSiteRestarter
+    PATIENCE_S = (0.008, 0.018)  # The head of an answer is sent after 5 ms, the crash comes 20 ms later.
+    REPEAT_S = 10
+    PAUSE_S = 0.1
+
+    def check_stopped(self):
+        until = time.monotonic() + self.REPEAT_S
+        while time.monotonic() < until:
+            self.asked += 1
+            leave(self.entries[self.asked % len(self.entries)], "/stream/1", "poison",
+                  {**HEADERS, "Seamarch-Request-Id": f"leaving-{self.asked}"},
+                  after=self.PATIENCE_S[self.asked % len(self.PATIENCE_S)])
+            time.sleep(self.PAUSE_S)
+        self.check_few_late_crashes()
+
+
+class CrashAfterHeadTest(LeavingStreamCase):
+    site_type = crashing_site(endsOn="poison", point="head")
+
+    # Guards against crashes after the head of a stream that are not counted because its caller has left.
+    def test_stream_is_stopped(self):
+        self.check_stopped()
+
+
+class CrashAfterEventTest(LeavingStreamCase):
+    site_type = crashing_site(endsOn="poison", point="event")
+
+    # Guards against crashes after the first event that are not counted because the stream's caller has left.
+    def test_stream_is_stopped(self):
+        self.check_stopped()
+
+
 class RestTest(unittest.TestCase):
     CALLERS = 12
     ANSWER_DELAY_S = 0.05  # The upstream does not run for so long after a request has been sent to it.
--- a/test/process/unframedcrash_test.py
+++ b/test/process/unframedcrash_test.py
@@ -16,13 +16,13 @@
 sys.path.insert(0, os.path.dirname(__file__))
 from crashingpart_test import CRASHING, CrashingPartCase  # noqa: E402
 from crashingrequest_test import CrashingRequestCase  # noqa: E402
-from crashingsite import CrashingSite, CrashingSiteRestarter  # noqa: E402
+from crashingsite import CrashingSiteRestarter, crashing_site  # noqa: E402
 
 REPEAT_S = 10
 
 
-def unframed_site(**settings):
-    return type("UnframedSite", (CrashingSite,), {"behaviour": {"unframed": True, **settings}})
+def unframed_site(**behaviour):
+    return crashing_site(unframed=True, **behaviour)
 
 
 class UnframedPartCase(CrashingPartCase):
