Gateway: the time of a request counts from its first byte

Upstreams saw: more time than the caller had left, by the time of the upload (BUDGET, time handed on), so that answers came too late.

--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -175,14 +175,15 @@
         (!storeView_.hasConfiguration() || startupQueue_.size() > 0) && !stopping_;
     if (awaitsConfiguration
         && startupQueue_.push(exchange, request, metadata.deadline.value_or(Duration{}),
-                              loop_.now())) {
+                              request.startedAt)) {
         logLine(LogLevel::Info, "request.held",
                 {{"id", metadata.requestId},
                  {"reason", "no configuration"},
                  {"held", startupQueue_.size()}});
         return;
     }
-    admitRequest(exchange, std::move(request), loop_.now());
+    const TimePoint startedAt = request.startedAt;
+    admitRequest(exchange, std::move(request), startedAt);
 }
 
 // Processes requests that arrived before the first configuration, once there is one. Until then,
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -244,6 +244,7 @@
     connection.request = {};
     connection.countUpload();
     request.body.shrink_to_fit();
+    request.startedAt = connection.readingSince;
     handler_.onRequest(connection.exchange, std::move(request));
 }
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -38,6 +38,7 @@
     std::string query;  // Without the question mark.
     HttpHeaders headers;
     std::string body;
+    TimePoint startedAt{}; // When its first byte was read.
 
     // Returns the value of the header `name`, or an empty string.
     const std::string &header(std::string_view name) const { return findHeader(headers, name); }
