--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -192,14 +192,13 @@
     void onHead(HttpHead head) override
     {
         service_.applyRetryAfter(head);
-        service_.probeAfterAbandonedCall(id_,
-                                         connection_); // It may crash on the rest of the answer.
         service_.client_->cancel(call_);
     }
     void onPiece(std::string_view /*piece*/) override {}
     void onEnd(HttpCallEnd end) override
     {
         if (end == HttpCallEnd::Interrupted || end == HttpCallEnd::ReusedConnectionLost) {
+            service_.probeAfterAbandonedCall(id_, connection_);
         }
     }
 
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -112,7 +112,7 @@
     TimePoint startedAt{};
     // What has crashed the upstream if it crashes now; see GatewayCore::crashSuspects().
     std::vector<SuspectKey> suspects;
-    bool goesOn = false; // The answer had gone on for long enough to show that it crashes nothing.
+    bool provedHarmless = false; // The answer went on for long enough to crash nothing any more.
 };
 
 // Sends the request to an upstream.
--- a/src/gateway/gatewayserviceabandoned.cpp
+++ b/src/gateway/gatewayserviceabandoned.cpp
@@ -72,7 +72,7 @@
         call, kAbandonedReadTime,
         std::make_unique<AbandonedReceiver>(
             *this, call, AbandonedCall{record, active.metadata, active.attempt, lost}));
-    if (active.streams && !record.goesOn) {
+    if (active.streams && !record.provedHarmless) {
         awaitOtherAnswers(std::move(lost)); // The stream has just begun and may still crash it.
     }
 }
--- a/src/net/upstreamprobe.h
+++ b/src/net/upstreamprobe.h
@@ -67,8 +67,7 @@
     UpstreamProbe &operator=(const UpstreamProbe &) = delete;
 
     // Probes `address` and passes the result to `callback`, after this function has returned and
-    // within `kMaxProbeTime`. Concurrent calls for the same address share one
-    // probe.
+    // within `kMaxProbeTime`. Concurrent calls for the same address share one probe.
     void probe(const SocketAddress &address, const UpstreamQuestion &question, Callback callback);
 
 private:
