HTTP server: log input that is dropped when a connection closes

Requests that a caller has sent behind the one that is answered (pipelining) are dropped when the answer announces the end of the connection. No line said so.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "net/httpserver.h"
 
+#include "base/log.h"
 #include "net/httpstatus.h"
 
 #include <algorithm>
@@ -396,6 +397,12 @@
 // Closes a connection on which no further response follows.
 void HttpServer::closeAfterResponse(Connection &connection)
 {
+    if (!connection.readAhead.empty()) {
+        logLine(LogLevel::Info, "connection.input_dropped",
+                {{"bytes", connection.readAhead.size()},
+                 {"stopping", closing_},
+                 {"callerFinished", connection.inputEnded}});
+    }
     connection.lingering = true;
     connection.request = {};
     connection.readAhead.clear();
