HTTP server: a planned stop answers pipelined requests

Callers saw: requests that they had sent on one connection behind another (pipelining) got no answer when the gateway was told to stop: 12 of 18, although they were received 0.2 s before SIGTERM.

Cause: from the announcement of the end on, each response carried `Connection: close`, and the connection was closed behind it with what had been received. A program could also end, or close a connection as idle, between two requests of one connection.

Fix: the end is announced with the last response for which a request is at hand, and a program is drained only when no received request is left.

--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -680,7 +680,7 @@
         return;
     }
     server_->closeIdleConnections();
-    const bool drained = activeRequests_.empty() && server_->openExchanges() == 0;
+    const bool drained = activeRequests_.empty() && server_->isDrained();
     if (!drained && since < settings_.stopDeadline) {
         return;
     }
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -593,8 +593,7 @@
         return;
     }
     server_->closeIdleConnections();
-    const bool drained =
-        activeRequests_.empty() && server_->openExchanges() == 0 && server_->bufferedTotal() == 0;
+    const bool drained = activeRequests_.empty() && server_->isDrained();
     if (!drained && since < settings_.timings.stopDeadline) {
         return;
     }
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -281,7 +281,8 @@
 void HttpServer::sendHead(Connection &connection, const HttpResponseHead &head,
                           std::string_view body, bool hasFullBody)
 {
-    if (closing_ || (connection.inputEnded && connection.readAhead.empty())) {
+    // Requests that were received behind this one are answered first.
+    if ((closing_ || connection.inputEnded) && connection.readAhead.empty()) {
         connection.persistent = false;
     }
     const bool withoutBody = statusHasNoBody(head.status);
@@ -598,12 +599,26 @@
     }
 }
 
+// Returns whether no request of the connection waits for its answer or for being parsed.
+bool HttpServer::awaitsRequest(const Connection &connection)
+{
+    return connection.exchange == 0 && !connection.lingering && connection.readAhead.empty();
+}
+
+bool HttpServer::isDrained() const
+{
+    return exchanges_.empty() && bufferedTotal() == 0
+           && std::all_of(connections_.begin(), connections_.end(), [](const auto &entry) {
+                  return entry.second->lingering || awaitsRequest(*entry.second);
+              });
+}
+
 void HttpServer::closeIdleConnections()
 {
     closing_ = true;
     std::vector<SocketId> idle;
     for (const auto &[socket, connection] : connections_) {
-        if (connection->exchange == 0 && !connection->lingering && !connection->reader.started()) {
+        if (awaitsRequest(*connection) && !connection->reader.started()) {
             idle.push_back(socket);
         }
     }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -135,9 +135,11 @@
     bool uploadsRestricted() const { return uploadsRestricted_; }
     // Returns how many uploads were rejected because they or others waited for too long.
     std::uint64_t uploadsEnded() const { return uploadsEnded_; }
-    // Returns the number of open exchanges.
-    std::size_t openExchanges() const { return exchanges_.size(); }
-    // Makes all further responses carry `Connection: close` and closes their connections.
+    // Returns whether all requests that have been received completely are answered and the
+    // responses have been passed to the kernel.
+    bool isDrained() const;
+    // Makes the last response of each connection carry `Connection: close` and then closes the
+    // connection. Requests that were received behind the one that is answered are answered too.
     void announceClose() { closing_ = true; }
     // Does the same and closes connections without a request in progress: at once, or when the
     // caller has taken the last response.
@@ -165,6 +167,7 @@
     void sendHead(Connection &connection, const HttpResponseHead &head, std::string_view body,
                   bool hasFullBody);
     Connection *connectionOf(ExchangeId exchange);
+    static bool awaitsRequest(const Connection &connection);
     static bool isLargeUpload(const Connection &connection);
     void pauseUpload(Connection &connection, bool paused);
     void restrictUploads();
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -484,6 +484,24 @@
     STRCMP_EQUAL("2", received.substr(received.size() - 1).c_str());
 }
 
+// Guards against pipelined requests that are dropped when the server announces its end.
+TEST(HttpStackTest, PlannedStopAnswersPipelinedRequests)
+{
+    const int caller = connectAndSend(
+        "GET /hold HTTP/1.1\r\nHost: h\r\n\r\nGET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil([this] { return echo.requests == 1; });
+    server->announceClose();
+    server->respond(echo.lastExchange, {}, "first");
+    server->closeIdleConnections();
+    CHECK_FALSE(server->isDrained());
+    runUntil([this] { return echo.requests == 2; });
+    server->respond(echo.lastExchange, {}, "second");
+    const std::string response = receiveAll(caller);
+    CHECK_TRUE(response.find("first") < response.find("Connection: close"));
+    CHECK_TRUE(response.ends_with("second"));
+    CHECK_TRUE(server->isDrained());
+}
+
 TEST(HttpStackTest, RejectsInvalidRequestsWithoutCallingHandler)
 {
     STRNCMP_EQUAL("HTTP/1.1 400", sendRaw("GET / HTTP/1.1\r\nHost : x\r\n\r\n").c_str(), 12);
