Gateway: answer all requests before a stop ends

Callers saw: requests that were not served when the time of a stop was over lost their connection without an answer, also those that waited for a place at an upstream.

Cause: the program ended its loop with requests in progress. Fix: at the deadline, requests that may have run are answered 504 (unknown), others 503 (not run); answers that have begun are broken off as before.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -622,6 +622,27 @@
     }
 }
 
+// Fails a request whose time is over.
+void GatewayCore::giveUpWaiting(RequestNumber number, TimePoint now, GatewayActions &actions)
+{
+    Request &request = requests_.at(number);
+    // The current attempt may have been written.
+    request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
+    giveUp(number, FailureCode::UpstreamTimedOut, now, actions);
+}
+
+void GatewayCore::endAll(TimePoint now, GatewayActions &actions)
+{
+    std::vector<RequestNumber> numbers;
+    for (const auto &[number, request] : requests_) {
+        numbers.push_back(number);
+    }
+    std::sort(numbers.begin(), numbers.end());
+    for (const RequestNumber number : numbers) {
+        giveUpWaiting(number, now, actions);
+    }
+}
+
 void GatewayCore::onTick(TimePoint now, GatewayActions &actions)
 {
     upstreams_.expire(now);
@@ -650,9 +671,7 @@
             request.retryAfterHint =
                 serviceOut ? maxHonouredRetryAfter(request, now) : settings_.minRetryAfter;
         }
-        // The current attempt may have been written.
-        request.mayHaveRun = request.mayHaveRun || request.upstream != InstanceId();
-        giveUp(number, FailureCode::UpstreamTimedOut, now, actions);
+        giveUpWaiting(number, now, actions);
     }
     failOverSilent(now, actions);
     for (auto &[name, service] : services_) {
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -285,6 +285,8 @@
     // Expires old state, fails requests that timed out, fails over silent ones and starts queued
     // streams. Call it periodically.
     void onTick(TimePoint now, GatewayActions &actions);
+    // Ends all requests, before the process ends: those without an answer are rejected.
+    void endAll(TimePoint now, GatewayActions &actions);
 
     std::size_t inFlight() const { return requests_.size(); }
     // Returns the number of queued streams of a service.
@@ -381,6 +383,7 @@
     void retryOrGiveUp(RequestNumber number, FailureCode failure, TimePoint now,
                        GatewayActions &actions);
     void giveUp(RequestNumber number, FailureCode failure, TimePoint now, GatewayActions &actions);
+    void giveUpWaiting(RequestNumber number, TimePoint now, GatewayActions &actions);
     void detachUpstream(Request &request);
     // Returns the action that cancels the current attempt. Call it before `detachUpstream`.
     CancelAttempt cancellation(RequestNumber number, bool silent = false) const;
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -18,6 +18,8 @@
 // The Retry-After of requests refused because this gateway has no recent configuration or is
 // stopping.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
+// How long a stop takes beyond its deadline to refuse requests that wait behind the last answers.
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(100);
 // The Retry-After of requests refused for lack of memory: some answers are taken within this time.
 constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
@@ -585,6 +587,20 @@
     logLine(LogLevel::Info, "gateway.stopping", {{"inFlight", activeRequests_.size()}});
 }
 
+// Answers the requests that were not served before the deadline of the stop.
+void GatewayService::endAllRequests()
+{
+    requestsEnded_ = activeRequests_.size() + startupQueue_.size();
+    for (StartupRequestQueue::QueuedRequest &queued :
+         startupQueue_.popFront(startupQueue_.size())) {
+        refuse(queued.exchange, protocol_.readRequest(queued.request), FailureCode::EntryStopping,
+               Outcome::NotRun, kNotReadyRetryAfter);
+    }
+    GatewayActions actions;
+    core_.endAll(loop_.now(), actions);
+    carryOut(actions);
+}
+
 void GatewayService::stopIfDrained()
 {
     const Duration since = loop_.now() - stopStartedAt_;
@@ -597,7 +613,14 @@
     if (!drained && since < settings_.timings.stopDeadline) {
         return;
     }
-    logLine(LogLevel::Info, "gateway.stopped", {{"cutOff", activeRequests_.size()}});
+    if (!drained && !requestsEnded_) {
+        endAllRequests();
+        return;
+    }
+    if (!drained && since < settings_.timings.stopDeadline + kLastAnswersTime) {
+        return;
+    }
+    logLine(LogLevel::Info, "gateway.stopped", {{"cutOff", requestsEnded_.value_or(0)}});
     synchronizer_->stop();
     loop_.stop();
 }
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -221,6 +221,7 @@
     // Returns the request if `attempt` is its current attempt and has a call in flight, else null.
     ActiveRequest *findActiveRequest(RequestNumber number, std::uint32_t attempt);
     void tick();
+    void endAllRequests();
     void stopIfDrained();
 
     EventLoop &loop_;
@@ -249,6 +250,7 @@
     std::uint64_t uploadsEnded_ = 0; // Those that have been logged.
     bool stopping_ = false;
     TimePoint stopStartedAt_{};
+    std::optional<std::size_t> requestsEnded_; // Requests that the deadline of the stop ended.
 };
 
 } // namespace seamarch
--- a/test/decision/gateway/gatewaycore_test.cpp
+++ b/test/decision/gateway/gatewaycore_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+
 using namespace seamarch;
 
 namespace {
@@ -242,6 +244,30 @@
     LONGS_EQUAL(504, httpStatus(rejected().failure));
 }
 
+// Guards against callers without an answer when the process ends.
+TEST(GatewayCoreTest, EndOfAllRequestsRejectsThoseWithoutAnswer)
+{
+    const RequestNumber answered = begin(Kind::Stream);
+    core->onHead(answered, AnswerKind::Success, at(10), actions);
+    const RequestNumber sent = begin(Kind::AtMostOnce);
+    RequestNumber queued = 0;
+    for (int count = 0; count < 13; ++count) {
+        queued = begin(Kind::Stream);
+    }
+    actions.clear();
+    core->endAll(at(20), actions);
+    std::map<RequestNumber, Outcome> rejections;
+    for (const GatewayAction &action : actions) {
+        if (const auto *rejection = std::get_if<RejectRequest>(&action)) {
+            rejections.emplace(rejection->request, rejection->outcome);
+        }
+    }
+    CHECK_TRUE(rejections.at(sent) == Outcome::Unknown);
+    CHECK_TRUE(rejections.at(queued) == Outcome::NotRun);
+    LONGS_EQUAL(answered, first<AbortAnswer>(actions)->request);
+    LONGS_EQUAL(0, core->inFlight());
+}
+
 TEST(GatewayCoreTest, CallerDisconnectCancelsTheAttempt)
 {
     const RequestNumber number = begin(Kind::Stream);
