HTTP client: await answers under way before an abandoned call stops sending

Upstreams saw: one that rests gets 8 requests of callers who left (2 are allowed), if a relay or a server between it and the gateway has no half-closed connections.

Cause: an abandoned attempt closed its sending direction at once; the peer took that for a disconnect and dropped the refusal that was under way. Since callers who have left are recognised by a reset, more of their requests have been sent by then.

Fix: the sending direction stays open for 0.1 s; the connection is still closed completely after 0.4 s.

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -383,7 +383,7 @@
     if (found != activeRequests_.end() && found->second.httpCall != 0) {
         const HttpCallId call = found->second.httpCall;
         client_->abandon(
-            call, kAbandonedReadTime,
+            call, kAbandonTimes,
             std::make_unique<AbandonedReceiver>(*this, call, action.id, found->second.connection));
     }
 }
--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -286,7 +286,7 @@
 
 CancelAttempt GatewayCore::cancellation(RequestNumber number, bool silent) const
 {
-    return {number, silent, attemptOf(number).value_or(AttemptRecord())};
+    return {number, silent, attemptOf(number).value_or(AttemptRecord()), false};
 }
 
 void GatewayCore::onNotice(const AttemptRecord &attempt, const UpstreamNotice &notice,
@@ -440,7 +440,9 @@
     }
     Request &request = found->second;
     if (request.upstream != InstanceId()) {
-        actions.push_back(cancellation(number));
+        CancelAttempt cancel = cancellation(number);
+        cancel.mayCrashUpstream = !mayBeSent(request, now);
+        actions.push_back(std::move(cancel));
         detachUpstream(request);
     }
     if (request.headSent) {
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -132,6 +132,7 @@
     RequestNumber request = 0;
     bool silent = false; // Its upstream was silent for too long; the request fails over.
     AttemptRecord attempt;
+    bool mayCrashUpstream = false; // It must not be started any more.
 };
 
 // Reports to the caller that the request failed. Ends the request.
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -202,7 +202,7 @@
     // started.
     void onAttemptLost(RequestNumber number, std::uint32_t attempt, AttemptEnd end);
     // Cancels the call of the current attempt, and learns from what its upstream still sends.
-    void abandonCall(ActiveRequest &active, const AttemptRecord &record);
+    void abandonCall(ActiveRequest &active, const CancelAttempt &action);
     LostAttempt toLostAttempt(const ActiveRequest &active, std::vector<SuspectKey> suspects) const;
     // Calls `onResult` once the upstream has been probed, with whether its process has crashed.
     void probeUpstream(const LostAttempt &lost, std::function<void(bool)> onResult);
--- a/src/gateway/gatewayserviceabandoned.cpp
+++ b/src/gateway/gatewayserviceabandoned.cpp
@@ -64,12 +64,13 @@
             active.events.eventCount() - active.eventsBefore};
 }
 
-void GatewayService::abandonCall(ActiveRequest &active, const AttemptRecord &record)
+void GatewayService::abandonCall(ActiveRequest &active, const CancelAttempt &action)
 {
+    const AttemptRecord &record = action.attempt;
     const HttpCallId call = std::exchange(active.call, 0);
     LostAttempt lost = toLostAttempt(active, record.suspects);
     client_->abandon(
-        call, kAbandonedReadTime,
+        call, action.mayCrashUpstream ? kStopAtOnceTimes : kAbandonTimes,
         std::make_unique<AbandonedReceiver>(
             *this, call, AbandonedCall{record, active.metadata, active.attempt, lost}));
     if (active.streams && !record.provedHarmless) {
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -132,7 +132,7 @@
         return;
     }
     ActiveRequest &active = found->second;
-    abandonCall(active, action.attempt);
+    abandonCall(active, action);
     if (action.silent) {
         active.events.discardPartial();
         logLine(LogLevel::Info, "attempt.silent",
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -348,7 +348,7 @@
     return true;
 }
 
-bool HttpClient::abandon(HttpCallId call, Duration timeout,
+bool HttpClient::abandon(HttpCallId call, const AbandonTimes &times,
                          std::unique_ptr<HttpCallReceiver> receiver)
 {
     const auto found = calls_.find(call);
@@ -364,14 +364,32 @@
     connection.abandoned = true;
     connection.receiver = std::move(receiver);
     sockets_->pause(connection.socket, false);
-    sockets_->finishWriting(connection.socket);
-    const auto expire = [this, call, alive = std::weak_ptr(alive_)] {
+    if (times.sending > Duration{}) {
+        scheduleForCall(times.sending, call, &HttpClient::finishSending);
+    } else {
+        finishSending(call);
+    }
+    scheduleForCall(times.reading, call, &HttpClient::expireAbandoned);
+    return true;
+}
+
+// Runs `action` after `delay`, once what has arrived until then is read.
+void HttpClient::scheduleForCall(Duration delay, HttpCallId call,
+                                 void (HttpClient::*action)(HttpCallId))
+{
+    const auto run = [this, call, action, alive = std::weak_ptr(alive_)] {
         if (!alive.expired()) {
-            cancel(call);
+            (this->*action)(call);
         }
     };
-    loop_.schedule(timeout, [&loop = loop_, expire] { loop.schedule(kReadTime, expire); });
-    return true;
+    loop_.schedule(delay, [&loop = loop_, run] { loop.schedule(kReadTime, run); });
+}
+
+void HttpClient::finishSending(HttpCallId call)
+{
+    if (const auto found = calls_.find(call); found != calls_.end()) {
+        sockets_->finishWriting(found->second);
+    }
 }
 
 void HttpClient::pause(HttpCallId call, bool paused)
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -29,10 +29,20 @@
 
 using HttpCallId = std::uint64_t;
 
-// How long an abandoned call to an upstream is read on. Upstreams must stop work half a second
-// after a caller has left; one that notices only when it writes does so once the connection is
-// closed completely.
-constexpr Duration kAbandonedReadTime = std::chrono::milliseconds(400);
+// When the connection of an abandoned call is closed, counted from when the call is abandoned.
+struct AbandonTimes
+{
+    Duration sending; // Until the sending direction is closed.
+    Duration reading; // Until the connection is closed completely.
+};
+
+// Relays and some servers close a connection completely when the sending direction is closed, so an
+// answer that is under way is awaited first. Upstreams must stop work half a second after a caller
+// has left; one that notices only when it writes does so once the connection is closed completely.
+constexpr AbandonTimes kAbandonTimes{std::chrono::milliseconds(100),
+                                     std::chrono::milliseconds(400)};
+// For a request that the upstream must not start any more.
+constexpr AbandonTimes kStopAtOnceTimes{Duration{}, kAbandonTimes.reading};
 // An upstream may drop the connection of an abandoned call before it crashes on the request, so it
 // is probed this long after the end of the connection.
 constexpr Duration kAbandonedProbeDelay = std::chrono::milliseconds(100);
@@ -102,11 +112,12 @@
     // Cancels the call, closes its connection and destroys the receiver without calling it again,
     // at the latest in the next iteration of the loop. Returns false if the call is over already.
     bool cancel(HttpCallId call);
-    // Ends the sending side of a call whose request has been sent, as a close would, but goes on
-    // reading its connection: what the peer was about to send goes to `receiver`, which replaces
-    // the call's own. The call is cancelled after `timeout`. If the request has not been sent
-    // completely or the response has begun, the call is cancelled at once; returns false.
-    bool abandon(HttpCallId call, Duration timeout, std::unique_ptr<HttpCallReceiver> receiver);
+    // Ends a call whose request has been sent in two steps: closes the sending direction, as a
+    // close would, and then cancels the call. Until then what the peer sends goes to `receiver`,
+    // which replaces the call's own. If the request has not been sent completely or the response
+    // has begun, the call is cancelled at once; returns false.
+    bool abandon(HttpCallId call, const AbandonTimes &times,
+                 std::unique_ptr<HttpCallReceiver> receiver);
     // Stops (`paused` is true) or resumes reading the response.
     void pause(HttpCallId call, bool paused);
     // Returns whether any byte of the request may have been passed to the kernel.
@@ -133,6 +144,9 @@
     void onResponseComplete(Connection &connection, bool hasExtraBytes);
     void endCall(HttpCallId id, HttpCallEnd callEnd);
     void closeConnection(SocketId socket);
+    void finishSending(HttpCallId call);
+    void scheduleForCall(Duration delay, HttpCallId call, void (HttpClient::*action)(HttpCallId));
+    void expireAbandoned(HttpCallId call) { cancel(call); }
     void sweep();
 
     EventLoop &loop_;
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr Duration kTestTimeout = std::chrono::seconds(10);
+constexpr AbandonTimes kTestTimes{Duration{}, kTestTimeout};
 // More than the kernel buffers for a connection whose peer does not read.
 constexpr std::size_t kLargeBytes = std::size_t{16} * 1024 * 1024;
 
@@ -376,7 +377,7 @@
     Result late;
     const HttpCallId id = startCall(own);
     echo.beforeAnswer = [&] {
-        CHECK_TRUE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
+        CHECK_TRUE(client->abandon(id, kTestTimes, std::make_unique<Receiver>(*loop, late)));
     };
     runUntil([&late] { return late.end.has_value(); });
     LONGS_EQUAL(200, late.status);
@@ -394,13 +395,32 @@
     Result late;
     const HttpCallId id = startCall(own, "/hold");
     runUntil([this] { return echo.requests == 1; });
-    CHECK_TRUE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
+    CHECK_TRUE(client->abandon(id, kTestTimes, std::make_unique<Receiver>(*loop, late)));
     runUntil([this] { return echo.callersGone == 1; });
     runUntil([&late] { return late.end.has_value(); });
     CHECK_TRUE(late.end == HttpCallEnd::Interrupted);
     CHECK_FALSE(own.end.has_value());
 }
 
+// Guards against answers that are lost because a peer takes the end of the data for a disconnect.
+TEST(HttpStackTest, SendingDirectionOfAbandonedCallStaysOpenForTheAnswer)
+{
+    HttpServerOptions bounds;
+    bounds.answersFinishedCallers = false;
+    server->setBounds(bounds);
+    Result own;
+    Result late;
+    const HttpCallId id = startCall(own, "/hold");
+    runUntil([this] { return echo.requests == 1; });
+    CHECK_TRUE(client->abandon(id, {std::chrono::milliseconds(60), kTestTimeout},
+                               std::make_unique<Receiver>(*loop, late)));
+    runFor(std::chrono::milliseconds(20));
+    server->respond(echo.lastExchange, {}, "late");
+    runUntil([&late] { return late.end.has_value(); });
+    LONGS_EQUAL(200, late.status);
+    LONGS_EQUAL(0, echo.callersGone);
+}
+
 TEST(HttpStackTest, AbandonedCallIsCancelledAfterItsTimeout)
 {
     const int listening = replaceServerWithSilentPeer();
@@ -408,7 +428,7 @@
     Result late;
     const HttpCallId id = startCall(own);
     runUntil([&] { return client->wroteAny(id); });
-    CHECK_TRUE(client->abandon(id, std::chrono::milliseconds(20),
+    CHECK_TRUE(client->abandon(id, {Duration{}, std::chrono::milliseconds(20)},
                                std::make_unique<Receiver>(*loop, late)));
     runFor(std::chrono::milliseconds(10));
     CHECK_TRUE(client->wroteAny(id));
@@ -425,7 +445,8 @@
     Result late;
     const HttpCallId id = startCall(own);
     echo.beforeAnswer = [&] {
-        client->abandon(id, std::chrono::milliseconds(20), std::make_unique<Receiver>(*loop, late));
+        client->abandon(id, {Duration{}, std::chrono::milliseconds(20)},
+                        std::make_unique<Receiver>(*loop, late));
         loop->post([] { std::this_thread::sleep_for(std::chrono::milliseconds(50)); });
     };
     runUntil([&late] { return late.end.has_value(); });
@@ -438,7 +459,7 @@
     Result late;
     const HttpCallId id = startCall(own, "/begun");
     runUntil([&own] { return own.status == 200; });
-    CHECK_FALSE(client->abandon(id, kTestTimeout, std::make_unique<Receiver>(*loop, late)));
+    CHECK_FALSE(client->abandon(id, kTestTimes, std::make_unique<Receiver>(*loop, late)));
     runUntil([this] { return echo.callersGone == 1; });
     CHECK_FALSE(late.end.has_value());
 }
