HTTP server: a planned stop leaves new connections open for their first request

Callers saw: while a stopping gateway served its last requests, new connections were accepted and closed before their request arrived. Now the request is refused with 503, not run, which tells the caller that it may go elsewhere.

Cause: connections without a request were closed in each tick, also those that were milliseconds old. LateConnectionsTest failed before (connections closed).

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -19,6 +19,9 @@
 // reset it, and the caller could lose the response.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
+// How long a planned stop leaves a new connection open for its first request.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(100);
+
 // Uploads that have reached this size are paused while memory is short.
 constexpr std::size_t kLargeUploadBytes = std::size_t{16} * 1024;
 // A paused upload's caller waits some seconds for its answer, so the one that goes on must end
@@ -116,6 +119,7 @@
     std::size_t bodyBound = 0;  // The size of the request's body, or the most that it may have.
     std::size_t &uploadedTotal; // Of all connections.
     std::size_t uploaded = 0;   // The part of this one.
+    bool hadRequest = false;
     bool persistent = true;
     bool isHttp10 = false;
     bool wantsContinue = false;
@@ -238,6 +242,7 @@
 void HttpServer::deliver(Connection &connection)
 {
     connection.exchange = nextExchange_++;
+    connection.hadRequest = true;
     connection.headSent = false;
     connection.headRequest = connection.request.method == "HEAD";
     exchanges_.emplace(connection.exchange, connection.socket);
@@ -616,9 +621,11 @@
 void HttpServer::closeIdleConnections()
 {
     closing_ = true;
+    const TimePoint newSince = loop_.now() - kFirstRequestTime;
     std::vector<SocketId> idle;
     for (const auto &[socket, connection] : connections_) {
-        if (awaitsRequest(*connection) && !connection->reader.started()) {
+        const bool isNew = !connection->hadRequest && connection->lastActive > newSince;
+        if (awaitsRequest(*connection) && !connection->reader.started() && !isNew) {
             idle.push_back(socket);
         }
     }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -142,7 +142,8 @@
     // connection. Requests that were received behind the one that is answered are answered too.
     void announceClose() { closing_ = true; }
     // Does the same and closes connections without a request in progress: at once, or when the
-    // caller has taken the last response.
+    // caller has taken the last response. Leaves new connections open for their first request; call
+    // it periodically.
     void closeIdleConnections();
 
 private:
--- a/test/process/pipelinedstop_test.py
+++ b/test/process/pipelinedstop_test.py
@@ -97,5 +97,33 @@
                          "`cutOff` of `gateway.stopped`")
 
 
+class LateConnectionsTest(StoppingCase):
+    ANSWER_DELAY_MS = 500   # Between the events of a stream.
+    REFUSING_S = 3.2        # Time after SIGTERM from which requests are refused.
+    CONNECTIONS = 20
+    REQUEST_DELAY_S = 0.03  # Between a connection and its request.
+
+    # Guards against new connections that are closed without an answer while the gateway serves its last requests.
+    def test_requests_of_new_connections_are_refused(self):
+        self.site.set_all(delayMs=self.ANSWER_DELAY_MS)
+        last = self.connect()
+        self.site.gateway.send(signal.SIGTERM)
+        time.sleep(self.REFUSING_S / 2)
+        last.sendall(request("/stream/1", "last").replace(b"4000", b"6000"))
+        time.sleep(self.REFUSING_S / 2)
+        answers = []
+        for number in range(self.CONNECTIONS):
+            connection = self.connect()
+            time.sleep(self.REQUEST_DELAY_S)
+            try:
+                connection.sendall(request("/status/1", f"late-{number}"))
+                answers.append(receive_all(connection))
+            except OSError:
+                answers.append(b"")
+        refused = [answer for answer in answers if answer.startswith(b"HTTP/1.1 503") and b"not-run" in answer]
+        self.assertEqual(len(refused), self.CONNECTIONS, "expected a refusal of each request, found "
+                         f"{[answer[:30] for answer in answers]}")
+
+
 if __name__ == "__main__":
     unittest.main()
