Gateway: crashes inside a body whose caller has left count

Upstreams saw: a request that crashes them after the head of its answer, sent by callers who leave in the meantime, crashed 25 in 10 s, 15 of them later than 3 s after the third (3 are allowed; safe requests and those that may run once alike).

Cause: what follows after the end of an attempt whose answer had begun was awaited for streams only. An attempt that the caller ends inside the body of any other answer left no evidence.

Fix: each attempt that ends without its upstream's complete answer is looked after, by whether the upstream answers other requests or a question. Attempts that end because of their answer are not. The reason of a cancellation is an enumeration now. The two new tests of leavingcallers_test.py failed before: 25 crashes, 15 late, each.

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -284,9 +284,9 @@
                          request.partsAnswered};
 }
 
-CancelAttempt GatewayCore::cancellation(RequestNumber number, bool silent) const
+CancelAttempt GatewayCore::cancellation(RequestNumber number, CancelReason reason) const
 {
-    return {number, silent, attemptOf(number).value_or(AttemptRecord()), false};
+    return {number, reason, attemptOf(number).value_or(AttemptRecord())};
 }
 
 void GatewayCore::onNotice(const AttemptRecord &attempt, const UpstreamNotice &notice,
@@ -352,7 +352,7 @@
         }
     }
     recordRefusal(upstream, kind, now);
-    actions.push_back(cancellation(number));
+    actions.push_back(cancellation(number, CancelReason::Answered));
     detachUpstream(*request);
     if (kind == AnswerKind::Full && requeue(number, *request, now)) {
         return false;
@@ -440,9 +440,9 @@
     }
     Request &request = found->second;
     if (request.upstream != InstanceId()) {
-        CancelAttempt cancel = cancellation(number);
-        cancel.mayCrashUpstream = !mayBeSent(request, now);
-        actions.push_back(std::move(cancel));
+        actions.push_back(cancellation(number, mayBeSent(request, now)
+                                                   ? CancelReason::Ended
+                                                   : CancelReason::MayCrashUpstream));
         detachUpstream(request);
     }
     if (request.headSent) {
@@ -481,7 +481,7 @@
         return;
     }
     if (request->upstream != InstanceId()) {
-        actions.push_back(cancellation(number));
+        actions.push_back(cancellation(number, CancelReason::Ended));
         detachUpstream(*request);
     }
     endRequest(number);
@@ -616,7 +616,7 @@
     }
     chooser_.onFailure(request.upstream, now);
     request.mayHaveRun = true;
-    actions.push_back(cancellation(number, true));
+    actions.push_back(cancellation(number, CancelReason::Silent));
     detachUpstream(request);
     ++secondAttempts_;
     if (!startAttempt(number, request, group, now, actions)) {
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -126,13 +126,20 @@
     bool mayReuseConnection = false; // Allows an idle connection, which the peer may be closing.
 };
 
-// Abandons the current attempt. Until its upstream notices, it may still answer or crash.
+enum class CancelReason {
+    Ended,            // The caller has left, or the time of the request is over.
+    Answered,         // The answer is of no use; the upstream does no more work for it.
+    Silent,           // The upstream was silent for too long; the request fails over.
+    MayCrashUpstream, // The upstream must not start the request any more.
+};
+
+// Abandons the current attempt. Until its upstream notices, it may still answer or crash, unless it
+// has answered.
 struct CancelAttempt
 {
     RequestNumber request = 0;
-    bool silent = false; // Its upstream was silent for too long; the request fails over.
+    CancelReason reason = CancelReason::Ended;
     AttemptRecord attempt;
-    bool mayCrashUpstream = false; // It must not be started any more.
 };
 
 // Reports to the caller that the request failed. Ends the request.
@@ -387,7 +394,7 @@
     void giveUpWaiting(RequestNumber number, TimePoint now, GatewayActions &actions);
     void detachUpstream(Request &request);
     // Returns the action that cancels the current attempt. Call it before `detachUpstream`.
-    CancelAttempt cancellation(RequestNumber number, bool silent = false) const;
+    CancelAttempt cancellation(RequestNumber number, CancelReason reason) const;
     // Marks an upstream that refused a request.
     void recordRefusal(const InstanceId &upstream, AnswerKind kind, TimePoint now);
     ServiceState &serviceOf(const TargetName &service);
--- a/src/gateway/gatewayserviceabandoned.cpp
+++ b/src/gateway/gatewayserviceabandoned.cpp
@@ -69,12 +69,14 @@
     const AttemptRecord &record = action.attempt;
     const HttpCallId call = std::exchange(active.call, 0);
     LostAttempt lost = toLostAttempt(active, record.suspects);
-    client_->abandon(
-        call, action.mayCrashUpstream ? kStopAtOnceTimes : kAbandonTimes,
+    const bool mayHaveRun = client_->wroteAny(call);
+    const bool isRead = client_->abandon(
+        call, action.reason == CancelReason::MayCrashUpstream ? kStopAtOnceTimes : kAbandonTimes,
         std::make_unique<AbandonedReceiver>(
             *this, call, AbandonedCall{record, active.metadata, active.attempt, lost}));
-    if (active.streams && !record.provedHarmless) {
-        awaitOtherAnswers(std::move(lost)); // The stream has just begun and may still crash it.
+    const bool mayStillCrash = action.reason != CancelReason::Answered && !record.provedHarmless;
+    if (!isRead && mayHaveRun && mayStillCrash) {
+        awaitOtherAnswers(std::move(lost)); // Nothing of the answer is read any more.
     }
 }
 
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -133,7 +133,7 @@
     }
     ActiveRequest &active = found->second;
     abandonCall(active, action);
-    if (action.silent) {
+    if (action.reason == CancelReason::Silent) {
         active.events.discardPartial();
         logLine(LogLevel::Info, "attempt.silent",
                 {{"id", active.metadata.requestId},
--- a/test/decision/gateway/silentupstream_test.cpp
+++ b/test/decision/gateway/silentupstream_test.cpp
@@ -118,7 +118,8 @@
     {
         for (const GatewayAction &action : actions) {
             const auto *cancel = std::get_if<CancelAttempt>(&action);
-            if (cancel != nullptr && cancel->request == number && cancel->silent) {
+            if (cancel != nullptr && cancel->request == number
+                && cancel->reason == CancelReason::Silent) {
                 return true;
             }
         }
--- a/test/process/leavingcallers_test.py
+++ b/test/process/leavingcallers_test.py
@@ -56,32 +56,36 @@
         self.check_stopped("/letters/1")
 
 
-class LeavingStreamCase(CrashingRequestCase):
+class LeavingDuringAnswerCase(CrashingRequestCase):
     restarter_type = CrashingSiteRestarter
     PATIENCE_S = (0.008, 0.018)  # The head of an answer is sent after 5 ms, the crash comes 20 ms later.
     REPEAT_S = 10
     PAUSE_S = 0.1
 
-    def check_stopped(self):
+    def check_stopped(self, path="/stream/1"):
         until = time.monotonic() + self.REPEAT_S
         while time.monotonic() < until:
             self.asked += 1
-            leave(self.entries[self.asked % len(self.entries)], "/stream/1", "poison",
+            leave(self.entries[self.asked % len(self.entries)], path, "poison",
                   {**HEADERS, "Seamarch-Request-Id": f"leaving-{self.asked}"},
                   after=self.PATIENCE_S[self.asked % len(self.PATIENCE_S)])
             time.sleep(self.PAUSE_S)
         self.check_few_late_crashes()
 
 
-class CrashAfterHeadTest(LeavingStreamCase):
+class CrashAfterHeadTest(LeavingDuringAnswerCase):
     site_type = crashing_site(endsOn="poison", point="head")
 
     # Guards against crashes after the head of a stream that are not counted because its caller has left.
     def test_stream_is_stopped(self):
         self.check_stopped()
 
+    # Guards against crashes after the head of a body that are not counted because its caller has left.
+    def test_repeatable_request_is_stopped(self):
+        self.check_stopped("/status/1")
 
-class CrashAfterEventTest(LeavingStreamCase):
+
+class CrashAfterEventTest(LeavingDuringAnswerCase):
     site_type = crashing_site(endsOn="poison", point="event")
 
     # Guards against crashes after the first event that are not counted because the stream's caller has left.
@@ -89,6 +93,14 @@
         self.check_stopped()
 
 
+class CrashInBodyTest(LeavingDuringAnswerCase):
+    site_type = crashing_site(endsOn="poison", point="partial")
+
+    # Guards against crashes inside a body that are not counted because its caller has left.
+    def test_request_that_may_run_once_is_stopped(self):
+        self.check_stopped("/letters/1")
+
+
 class RestTest(unittest.TestCase):
     CALLERS = 12
     ANSWER_DELAY_S = 0.05  # The upstream does not run for so long after a request has been sent to it.
