Soak: callers that pipeline requests and finish sending, and stops among them

A planned stop without other faults must answer each request that was received 0.2 s before its connection ends.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -8,7 +8,7 @@
 keys are revoked, upstreams leave and restart under the same id, and the store reverts to an older copy.
 One upstream at a time announces a rate limit for all gateways together, and one warms up. A hall is
 drained and then restored. Some callers are slow, an account sends bursts, and account priorities change
-(hardload.py). The checks use only what callers and upstreams observed. A seed determines the
+(hardload.py). Some callers send several requests at once and close their sending direction (pipelines.py). The checks use only what callers and upstreams observed. A seed determines the
 faults; the timing between them depends on the machine. The system has no persistent storage and does
 not use the time of day, so the soak injects no disk or clock faults.
 
@@ -37,6 +37,7 @@
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "scripts")]
 from localsite import BIN, Process, call, control, free_address  # noqa: E402
 import hardload  # noqa: E402
+import pipelines  # noqa: E402
 from proxy import Proxy, ProxyLoop  # noqa: E402
 
 NOT_RUN = {408, 421, 429, 503}  # Statuses that guarantee that the request does not run.
@@ -167,6 +168,7 @@
         self.sent_at = time.monotonic()
         self.result, self.text, self.headers = None, "", {}
         self.ended_at, self.kept, self.disconnects, self.slow = None, False, False, False
+        self.pipelined = False
 
     def head(self, size):
         return {"Host": "site.example", "Seamarch-Request-Id": self.id, "Seamarch-Deadline-Ms": "4000",
@@ -233,7 +235,7 @@
         self.requests, self.numbers = [], itertools.count(1)
         self.revoked = {}  # Key to the time after which it must be rejected.
         self.failures, self.versions = [], {}
-        self.planned = []  # (gateway, incarnation, time) of each planned stop without other faults.
+        self.planned = []  # (gateway, incarnation, from, to) of each planned stop without other faults.
         self.limited, self.limits = None, []  # The upstream with a rate limit; [name, limit, from, to].
         self.limit_random = random.Random(f"limits of {args.seed}")  # Separate, so that seeds keep their faults.
         self.warm_ups = []  # [name, since, until]
@@ -448,8 +450,10 @@
         self.wait_ready()
         gateway = self.random.choice(list(self.site.gateways.values()))
         time.sleep(1.0)  # What faults had begun is over.
-        self.planned.append((gateway.name, gateway.incarnation, time.monotonic()))
-        self.fault_stop(gateway.name)()
+        pipelines.start_wave(self, gateway)
+        name, incarnation, begin = gateway.name, gateway.incarnation, time.monotonic()
+        self.fault_stop(name)()
+        self.planned.append((name, incarnation, begin, time.monotonic()))
 
     def watch_gateways(self):
         """Checks that no incarnation's configuration version decreases and no process exits by itself."""
@@ -481,6 +485,7 @@
         self.wait_ready()
         callers = [Caller(self, number) for number in range(self.args.callers)]
         callers += [hardload.SlowCaller(self, number) for number in range(self.args.slow_callers)]
+        callers += [pipelines.PipeliningCaller(self, number) for number in range(self.args.pipelining_callers)]
         for thread in callers + [hardload.HeldMemoryWatch(self)]:
             thread.start()
         end = time.monotonic() + self.args.seconds
@@ -650,6 +655,8 @@
         lost = str(request.result).startswith(("broken", "cut")) and not request.disconnects
         if lost and runs and self.in_planned_stop(request):
             self.fail(f"{about} was forwarded and then dropped by a planned stop")
+        if request.pipelined:
+            pipelines.check_stop(self, request, bool(runs))
         if request.result == 200:
             self.check_success(request, about)
         elif request.result == "cut" and request.kind == "stream":
@@ -659,7 +666,7 @@
 
     def in_planned_stop(self, request):
         return any((request.gateway, request.incarnation) == (name, incarnation) and request.sent_at > at
-                   for name, incarnation, at in self.planned)
+                   for name, incarnation, at, _ in self.planned)
 
     def check_success(self, request, about):
         if not request.headers.get("Seamarch-Replica-Signature", "").startswith("proof-of-"):
@@ -710,6 +717,7 @@
     parser.add_argument("--upstreams", type=int, default=5)
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--slow-callers", type=int, default=12)
+    parser.add_argument("--pipelining-callers", type=int, default=4)
     parser.add_argument("--overlap", type=int, default=5, help="faults at one time")
     args = parser.parse_args()
     if args.planted:
