--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -315,7 +315,7 @@
 void GatewayService::confirmAnswer(RequestNumber number, ActiveRequest &active)
 {
     core_.onAnswerReceived(number, loop_.now());
-    LostAttempt lost = toLostAttempt(active, core_.crashSuspects(number));
+    const LostAttempt lost = toLostAttempt(active, core_.crashSuspects(number));
     if (loop_.now() + kMaxProbeTime >= active.answerDueAt) {
         // The request would fail before the result is known.
         finishAnswer(number, active, AttemptEnd::Unconfirmed);
