--- a/review/site2.py
+++ b/review/site2.py
@@ -105,15 +105,13 @@
 class Site:
     """Starts processes, and ends exactly those that it started."""
 
-    def __init__(self, doors=0):
-        """The store listens at `doors` further addresses, self.doors."""
+    def __init__(self):
         self.folder = tempfile.mkdtemp(prefix="seamarch-review-")
         self.processes = []
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/bin/seamarchd is missing: run the build of deploy/system.toml")
         self.store = free_address()
-        self.doors = [free_address() for _ in range(doors)]
-        self.start([sys.executable, os.path.abspath(__file__), "store", self.store, *self.doors], "store")
+        self.start([sys.executable, os.path.abspath(__file__), "store", self.store], "store")
         wait_until("the store answers", lambda: get(self.store, "/control", "{}")[0] == 200)
 
     def start(self, command, name, **more):
@@ -139,12 +137,12 @@
     def gateway_addresses(self):
         return {name: free_address() for name in ("frontend", "readiness", "control-plane", "metrics")}
 
-    def gateway(self, name, addresses, seeds, zone="ebene-hall", store=None, **more):
+    def gateway(self, name, addresses, seeds, zone="ebene-hall", **more):
         """Starts a gateway with the settings of deploy/gateway.conf, filled as for a small site."""
         settings = {"instance": name, "hall": zone,
                     "hall-regions": "ebene-hall:mu-central,reduit-hall:mu-central,phoenix-hall:mu-central",
                     "listen": addresses["frontend"], "operator-listen": addresses["readiness"],
-                    "metrics-listen": addresses["metrics"], "platform": store or self.store,
+                    "metrics-listen": addresses["metrics"], "platform": self.store,
                     "peer-listen": addresses["control-plane"], "seeds": ",".join(seeds),
                     "agent-port": free_address().rsplit(":", 1)[1], "key-life-ms": 5000, "config-spread-ms": 2000,
                     "leaving-limit-ms": 2000, "stop-limit-s": 8, "retry-ratio": 0.2, "retry-slack": 90,
@@ -225,27 +223,11 @@
 
 
 class Store(Server):
-    """The platform's store: /kv-range and /kv-watch. /control puts and removes items, as the operator.
+    """The platform's store: /kv-range and /kv-watch. /control puts and removes items, as the operator."""
 
-    It listens at several addresses, so that each machine can have one. {"refuse": {ADDRESS: true}} answers
-    503 to new calls at that address: the store turns this machine away.
-    """
-
-    def __init__(self, addresses):
-        super().__init__(addresses[0])
-        self.items, self.revision, self.refused = {}, 1, {}
-        self.others = [socket.create_server(split(address), backlog=512) for address in addresses[1:]]
-
-    def run(self):
-        for listener in self.others:
-            threading.Thread(target=self.accept, args=(listener,), daemon=True).start()
-        super().run()
-
-    def accept(self, listener):
-        while True:
-            connection, _ = listener.accept()
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            threading.Thread(target=self.serve_connection, args=(connection,), daemon=True).start()
+    def __init__(self, address):
+        super().__init__(address)
+        self.items, self.revision = {}, 1
 
     def put(self, key, value):
         self.revision += 1
@@ -261,15 +243,11 @@
                 change = json.loads(body)
                 for key, value in change.get("put", {}).items():
                     self.put(key, value)
-                self.refused.update(change.get("refuse", {}))
                 for key in change.get("remove", []):
                     self.revision += 1
                     self.items[key] = {"key-file": key, "revision": self.revision, "removed": True}
                 self.lock.notify_all()
                 return self.answer(connection, 200, {}, {"revision": self.revision})
-            host, port = connection.getsockname()
-            if self.refused.get(f"{host}:{port}"):
-                return self.answer(connection, 503, {}, {})
             prefix = wanted.get("path-prefix", "")
             fitting = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
             if path == "/kv-range":
@@ -344,5 +322,5 @@
 
 
 if __name__ == "__main__":
-    server = Store(sys.argv[2:]) if sys.argv[1] == "store" else Replica(sys.argv[2], sys.argv[3])
+    server = Store(sys.argv[2]) if sys.argv[1] == "store" else Replica(sys.argv[2], sys.argv[3])
     server.run()
