Gateway: the queue of the start takes no request once there is a configuration

Cause: a request joined the queue of the start whenever the queue was not empty, also after the configuration had arrived, and one request left it every 25 ms. Above 40 requests a second the queue never emptied. Requests whose time in it was over left it only while there was no configuration.

Change: requests are queued only while there is no configuration. Requests whose time is over leave it in both states. `request.released` tells how long a request waited, and under which version.

--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -173,9 +173,7 @@
     }
     heldMemory_.requests += request.body.size();
     limitUploads();
-    const bool awaitsConfiguration =
-        (!storeView_.hasConfiguration() || startupQueue_.size() > 0) && !stopping_;
-    if (awaitsConfiguration
+    if (!storeView_.hasConfiguration() && !stopping_
         && startupQueue_.push(exchange, request, metadata.deadline.value_or(Duration{}),
                               request.startedAt)) {
         logLine(LogLevel::Info, "request.held",
@@ -188,18 +186,24 @@
     admitRequest(exchange, std::move(request), startedAt);
 }
 
-// Processes requests that arrived before the first configuration, once there is one. Until then,
-// passes on those that have waited too long, which are refused for the lack of a configuration.
+// Admits queued requests that have waited too long, which are refused if there is no configuration
+// yet, and the next batch of the others once there is one.
 void GatewayService::processStartupQueue()
 {
-    constexpr std::size_t kMaxPerTick = 1;
+    admitQueued(startupQueue_.popExpired(loop_.now()));
     if (storeView_.hasConfiguration()) {
-        for (StartupRequestQueue::QueuedRequest &queued : startupQueue_.popFront(kMaxPerTick)) {
-            admitRequest(queued.exchange, std::move(queued.request), queued.arrivedAt);
-        }
-        return;
+        admitQueued(startupQueue_.popBatch());
     }
-    for (StartupRequestQueue::QueuedRequest &queued : startupQueue_.popExpired(loop_.now())) {
+}
+
+void GatewayService::admitQueued(std::vector<StartupRequestQueue::QueuedRequest> requests)
+{
+    for (StartupRequestQueue::QueuedRequest &queued : requests) {
+        logLine(LogLevel::Info, "request.released",
+                {{"id", protocol_.readRequest(queued.request).requestId},
+                 {"waitedMs", toMillis(loop_.now() - queued.arrivedAt)},
+                 {"configVersion", storeView_.version().value()},
+                 {"held", startupQueue_.size()}});
         admitRequest(queued.exchange, std::move(queued.request), queued.arrivedAt);
     }
 }
@@ -591,8 +595,7 @@
 void GatewayService::endAllRequests()
 {
     requestsEnded_ = activeRequests_.size() + startupQueue_.size();
-    for (StartupRequestQueue::QueuedRequest &queued :
-         startupQueue_.popFront(startupQueue_.size())) {
+    for (StartupRequestQueue::QueuedRequest &queued : startupQueue_.popAll()) {
         refuse(queued.exchange, protocol_.readRequest(queued.request), FailureCode::EntryStopping,
                Outcome::NotRun, kNotReadyRetryAfter);
     }
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -171,6 +171,7 @@
     // Starts the request if it is admitted, else refuses it. Its times count from `arrivedAt`.
     void admitRequest(ExchangeId exchange, HttpRequest request, TimePoint arrivedAt);
     void processStartupQueue();
+    void admitQueued(std::vector<StartupRequestQueue::QueuedRequest> requests);
     // Updates the record of held memory and restricts uploads accordingly.
     void updateHeldMemory();
     // Restricts uploads by the record. Must be called when it has changed.
--- a/src/gateway/startuprequestqueue.cpp
+++ b/src/gateway/startuprequestqueue.cpp
@@ -50,6 +50,18 @@
     return first;
 }
 
+std::vector<StartupRequestQueue::QueuedRequest> StartupRequestQueue::popBatch()
+{
+    std::vector<QueuedRequest> batch = popFront(batchSize_);
+    batchSize_ = std::min(2 * batchSize_, settings_.maxRequests);
+    return batch;
+}
+
+std::vector<StartupRequestQueue::QueuedRequest> StartupRequestQueue::popAll()
+{
+    return popFront(queued_.size());
+}
+
 std::vector<StartupRequestQueue::QueuedRequest> StartupRequestQueue::popExpired(TimePoint now)
 {
     std::vector<QueuedRequest> expired;
--- a/src/gateway/startuprequestqueue.h
+++ b/src/gateway/startuprequestqueue.h
@@ -6,6 +6,12 @@
 // Requests are therefore queued for a short time, with limits on time, count and memory, and
 // rejected if the configuration does not arrive.
 //
+// Once the configuration has arrived, no further request may be queued, and the queue is drained in
+// batches that double in size. After the loss of all instances the engines refuse requests until
+// their groups have formed, and what the first requests learn saves the others a failed attempt.
+// The doubling bounds the number of batches, however many requests wait and at whatever rate others
+// arrive.
+//
 // Single-threaded.
 #pragma once
 
@@ -50,10 +56,11 @@
     bool push(ExchangeId exchange, HttpRequest &request, Duration deadline, TimePoint now);
     // Removes the request of a caller that has disconnected. Returns false if it is not queued.
     bool remove(ExchangeId exchange);
-    // Removes and returns up to `count` requests, in order of arrival. Callers drain the queue in
-    // small steps: after the loss of all instances the engines refuse requests until their groups
-    // have formed, and what the first requests learn saves the others a failed attempt.
-    std::vector<QueuedRequest> popFront(std::size_t count);
+    // Removes and returns the next batch, in order of arrival: one request, then twice as many each
+    // time.
+    std::vector<QueuedRequest> popBatch();
+    // Removes and returns all requests, in order of arrival.
+    std::vector<QueuedRequest> popAll();
     // Removes and returns the requests whose time in the queue has expired.
     std::vector<QueuedRequest> popExpired(TimePoint now);
     std::size_t size() const { return queued_.size(); }
@@ -69,10 +76,12 @@
     };
 
     QueuedRequest extract(std::map<ExchangeId, Entry>::iterator entry);
+    std::vector<QueuedRequest> popFront(std::size_t count);
 
     Settings settings_;
     std::map<ExchangeId, Entry> queued_; // Ordered by arrival, because exchange ids increase.
     std::size_t bytes_ = 0;
+    std::size_t batchSize_ = 1; // Of the next batch.
 };
 
 } // namespace seamarch
--- a/test/gateway/startuprequestqueue_test.cpp
+++ b/test/gateway/startuprequestqueue_test.cpp
@@ -31,7 +31,7 @@
     StartupRequestQueue queue(settings);
     push(queue, 7, std::chrono::seconds(8), 0);
     push(queue, 9, std::chrono::seconds(8), 10);
-    const auto first = queue.popFront(1);
+    const auto first = queue.popBatch();
     LONGS_EQUAL(1, first.size());
     LONGS_EQUAL(7, first.front().exchange);
     CHECK_TRUE(first.front().arrivedAt == at(0));
@@ -83,3 +83,19 @@
     CHECK_FALSE(queue.remove(1));
     LONGS_EQUAL(0, queue.size());
 }
+
+// Guards against a queue that is drained more slowly than a busy gateway's requests arrive.
+TEST(StartupRequestQueueTest, FullQueueIsDrainedInTenBatches)
+{
+    StartupRequestQueue queue(settings);
+    for (ExchangeId exchange = 1; exchange <= settings.maxRequests; ++exchange) {
+        CHECK_TRUE(push(queue, exchange, Duration{}, 0));
+    }
+    LONGS_EQUAL(1, queue.popBatch().size());
+    LONGS_EQUAL(2, queue.popBatch().size());
+    LONGS_EQUAL(4, queue.popBatch().size());
+    for (int batch = 4; batch <= 10; ++batch) {
+        queue.popBatch();
+    }
+    LONGS_EQUAL(0, queue.size());
+}
