Sockets: a connection that was reset during an upload did not end in order

Cause: the write that fails takes the error from the socket (SO_ERROR), so that the next read returns 0, as if the peer had closed the connection in order. TcpSockets told its listeners so, and the end of the connection ends a response without a length. The probe that follows finds the upstream alive.

Evidence: with real processes both tests of invalidanswer_test.py fail before, each time they were run; so does ResponseThatIsResetDuringTheUploadIsInterrupted, without a gateway.

Change: after a failed write the end of the data is reported as a reset. All users of TcpSockets are served by it: calls to upstreams, engines, the store and the probe, and callers whose connection broke while an answer was written to them. An answer without a length that its upstream ends in order while it still refuses the upload may be lost by this; it can't be told from a reset.

Tests, red before: the three named above. They pass with the fix.

--- a/src/net/tcpsockets.cpp
+++ b/src/net/tcpsockets.cpp
@@ -480,6 +480,12 @@
     if (entry.peerFinished) {
         return 0;
     }
+    if (entry.failurePending) {
+        // The failed write has taken the socket's error, so that a connection that was reset reads
+        // like one that the peer has closed in order.
+        end(id, SocketEnd::Reset);
+        return -1;
+    }
     // The end of the data would be reported again and again. The failure of a connection is
     // reported although reading is paused.
     pause(id, true);
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -689,3 +689,38 @@
     LONGS_EQUAL(0, timer);
     loop->cancel(timer);
 }
+
+// Guards against the part of a response that came before a reset, taken for the whole response
+// because a write had failed before the end of the connection was read.
+TEST(HttpStackTest, ResponseThatIsResetDuringTheUploadIsInterrupted)
+{
+    const SocketAddress peerAddress{"127.0.0.1", freePort()};
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(static_cast<std::uint16_t>(peerAddress.port));
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int listening = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    LONGS_EQUAL(0, bind(listening, reinterpret_cast<sockaddr *>(&local), sizeof(local)));
+    LONGS_EQUAL(0, listen(listening, 1));
+
+    HttpCallRequest request;
+    request.address = peerAddress;
+    request.method = "POST";
+    request.body = SharedText(std::string(kLargeBytes, 'x'));
+    Result result;
+    client->call(std::move(request), std::make_unique<Receiver>(*loop, result));
+    int peer = -1;
+    runUntil([&] {
+        peer = peer < 0 ? accept(listening, nullptr, nullptr) : peer;
+        return peer >= 0;
+    });
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\npart";
+    LONGS_EQUAL(part.size(), send(peer, part.data(), part.size(), MSG_NOSIGNAL));
+    runUntil([&result] { return result.body == "part"; });
+    const linger resetOnClose{1, 0};
+    setsockopt(peer, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
+    close(peer);
+    close(listening);
+    runUntil([&result] { return result.end.has_value(); });
+    CHECK_TRUE(result.end == HttpCallEnd::Interrupted);
+}
--- /dev/null
+++ b/test/process/invalidanswer_test.py
@@ -0,0 +1,116 @@
+"""Checks that answers that are no HTTP, or that a reset cut off, never reach callers as answers.
+
+Every upstream here answers like that, so a caller must get a failure of the gateway, or an answer of an upstream that is
+sound.
+"""
+
+import http.client
+import os
+import socket
+import struct
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from gateway_test import KEY, GatewaySite  # noqa: E402
+from localsite import call, free_address  # noqa: E402
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+UPLOAD = "x" * 4_000_000  # More than the kernel buffers for a connection whose peer does not read.
+
+
+class RawUpstream:
+    """An upstream that sends bytes of its own. `answer` gets the connection, the head's proof and the run's number."""
+
+    def __init__(self, answer, runs):
+        self.address, self.answer, self.runs = free_address(), answer, runs
+        host, port = self.address.rsplit(":", 1)
+        self.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb", 0) as reader:
+            if not reader.readline():
+                return
+            headers = http.client.parse_headers(reader)
+            number = headers.get("Seamarch-Request-Id")
+            if number is None:  # The gateway asks whether the process runs.
+                connection.sendall(b"HTTP/1.1 400 Bad Request\r\nSeamarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                return
+            self.runs.append(headers)
+            proof = f"Seamarch-Request-Id: {number}\r\nSeamarch-Replica-Signature: proof\r\n"
+            try:
+                self.answer(connection, proof, len(self.runs))
+            except OSError:
+                pass  # The gateway has closed the connection.
+
+    def close(self):
+        self.listener.close()
+
+
+def sound(connection, proof):
+    connection.sendall(f"HTTP/1.1 200 OK\r\n{proof}Connection: close\r\nContent-Length: 4\r\n\r\ngood".encode())
+
+
+class InvalidAnswerTest(unittest.TestCase):
+    def start(self, answer, upstreams=1):
+        self.site = GatewaySite(upstreams=0)
+        self.addCleanup(self.site.__exit__)
+        self.runs = []
+        for number in range(upstreams):
+            upstream = RawUpstream(answer, self.runs)
+            self.addCleanup(upstream.close)
+            self.site.upstreams[f"u-{number}"] = upstream.address
+            self.site.list_upstream(f"u-{number}")
+        self.site.wait_until("the gateway lists the upstreams",
+                             lambda: self.site.status()["upstreams"] == upstreams)
+
+    def ask(self, path, body="x"):
+        headers = {"Host": "site.example", "Seamarch-Request-Id": "u-1", "Authorization": f"Token {KEY}",
+                   "Seamarch-Deadline-Ms": "5000"}
+        return call(self.site.entry, path, body, headers, 8, "POST")
+
+    # Guards against the part of an answer that came before a reset during the upload, taken for a whole answer.
+    def test_answer_that_is_reset_during_the_upload_is_incomplete(self):
+        def answer(connection, proof, run):
+            if run % 2 == 0:
+                while connection.recv(65536).count(b"x") == 65536:
+                    pass
+                sound(connection, proof)
+                return
+            connection.sendall(f"HTTP/1.1 200 OK\r\n{proof}\r\npart".encode())
+            time.sleep(0.1)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+        self.start(answer)
+        for _ in range(5):
+            self.runs.clear()
+            status, headers, text = self.ask("/letters/1", UPLOAD)
+            self.assertEqual((status, headers.get("Seamarch-Outcome")), (502, "unknown"), text)
+            self.assertEqual(len(self.runs), 1)
+
+    # Guards against a stream that looks complete though a reset during the upload cut it off.
+    def test_stream_that_is_reset_during_the_upload_is_incomplete(self):
+        def answer(connection, proof, _run):
+            connection.sendall(f"HTTP/1.1 200 OK\r\n{proof}Content-Type: text/event-stream\r\n\r\n"
+                               "id: 1\ndata: one\n\n".encode())
+            time.sleep(0.1)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+        self.start(answer)
+        status, _, text = self.ask("/stream/1", UPLOAD)
+        self.assertEqual(status, 0, f"expected the caller's connection to break, got: {text}")
+
+
+if __name__ == "__main__":
+    unittest.main()
