HTTP: a response with a status that HTTP does not have is rejected

Here it was skipped like an interim response, so that the bytes after it could pass for the answer: "HTTP/1.1 000 None", an empty line and another 200 gave the caller the second one's body. A status with a leading zero or blank ("0200", " 200") was read as 200.

Cause: the client treats every status below 200 as interim, and http_parser reads any number up to 999, with leading zeros and blanks.

Change: the reader accepts a status line only as RFC 9110 section 15 and RFC 9112 section 4 have it: three digits, 100 to 599. It also rejects 101, which no request asks for and after which the connection is not HTTP. A rejected response ends its call as malformed, as other malformed heads do.

--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view kHeadTerminator = "\r\n\r\n";
+constexpr int kSwitchingProtocols = 101;
 
 bool isTokenChar(char character)
 {
@@ -36,6 +37,20 @@
            && std::all_of(line.begin(), line.end(), isFieldChar);
 }
 
+// Returns whether `line` states one of HTTP's versions 1.x and a status of HTTP (RFC 9110 section
+// 15). http_parser reads other numbers, too, and numbers with leading zeros or blanks.
+bool isWellFormedStatusLine(std::string_view line)
+{
+    constexpr std::string_view kVersionPrefix = "HTTP/1.";
+    constexpr std::size_t kStatusStart = kVersionPrefix.size() + 2;
+    constexpr std::size_t kStatusEnd = kStatusStart + 3;
+    const auto isDigit = [&line](std::size_t at) { return line[at] >= '0' && line[at] <= '9'; };
+    return line.starts_with(kVersionPrefix) && line.size() >= kStatusEnd
+           && line[kStatusStart - 1] == ' ' && line[kStatusStart] >= '1'
+           && line[kStatusStart] <= '5' && isDigit(kStatusStart + 1) && isDigit(kStatusStart + 2)
+           && (line.size() == kStatusEnd || line[kStatusEnd] == ' ');
+}
+
 // Returns whether every line of a head ends in CRLF and, after the first, is an unambiguous field.
 bool isWellFormedHead(std::string_view head)
 {
@@ -202,6 +217,9 @@
         }
     } else {
         head_.status = static_cast<int>(parser.status_code);
+        if (head_.status == kSwitchingProtocols) {
+            return kAbort; // No request asks for it, and what follows is not HTTP.
+        }
         hasBody = hasBody && !statusHasNoBody(head_.status); // Whatever length it states.
         head_.framed = !hasBody || hasLength || chunked;
     }
@@ -228,7 +246,10 @@
 
 void HttpReader::parseHead()
 {
-    if (!isWellFormedHead(headText_)) {
+    const std::string_view firstLine =
+        std::string_view(headText_).substr(0, headText_.find("\r\n"));
+    if (!isWellFormedHead(headText_)
+        || (kind_ == Kind::Response && !isWellFormedStatusLine(firstLine))) {
         setFault(HttpFault::Malformed);
         return;
     }
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -2,12 +2,14 @@
 //
 // http_parser does the parsing. This reader rejects constructs that http_parser accepts but that
 // implementations are known to interpret differently: folded header lines, bare line feeds, spaces
-// before a colon, more than one Host header. A rejected message is never passed on, which prevents
-// request smuggling.
+// before a colon, more than one Host header, malformed chunks and trailers, transfer codings other
+// than chunks, and statuses that HTTP does not have. A rejected message is never passed on, which
+// prevents request smuggling and keeps malformed responses from callers.
 //
 // One reader parses one direction of one connection, message after message. Single-threaded.
 #pragma once
 
+#include "net/chunkedframing.h"
 #include "net/httptypes.h"
 
 #include <cstdint>
@@ -113,7 +115,8 @@
     bool done_ = false;
     bool noBody_ = false;
     std::uint64_t bodySize_ = 0;
-    std::size_t bytesSinceBody_ = 0; // Chunk sizes with extensions, and the trailer.
+    std::size_t bytesSinceBody_ = 0;        // Chunk sizes with extensions, and the trailer.
+    std::optional<ChunkedFraming> framing_; // Set while a chunked body is read.
     std::optional<HttpFault> fault_;
 };
 
--- a/test/net/httpreader_test.cpp
+++ b/test/net/httpreader_test.cpp
@@ -36,6 +36,19 @@
     return reader.fault().value_or(HttpFault::Malformed);
 }
 
+// Returns whether a response with `text` is rejected, whole and byte by byte, and never complete.
+bool rejectsResponse(std::string_view text)
+{
+    Message whole;
+    HttpReader reader(HttpReader::Kind::Response, kLimits, whole);
+    reader.feed(text);
+    Message parts;
+    HttpReader slowReader(HttpReader::Kind::Response, kLimits, parts);
+    feedByteByByte(slowReader, text);
+    return reader.fault() == HttpFault::Malformed && !reader.done()
+           && slowReader.fault() == HttpFault::Malformed && !slowReader.done();
+}
+
 } // namespace
 
 TEST_GROUP(HttpReaderTest){};
@@ -189,3 +202,18 @@
     CHECK_TRUE(reader.done());
     LONGS_EQUAL(60, message.body.size());
 }
+
+// Guards against a response whose status is no status, taken for an answer or an interim response.
+TEST(HttpReaderTest, RejectsStatusesThatHttpDoesNotHave)
+{
+    for (const char *const status :
+         {"000 X", "099 X", "600 X", "999 X", "20 X", "0200 OK", " 200 OK", "200OK", "-20 X", ""}) {
+        CHECK_TRUE_TEXT(rejectsResponse(std::string("HTTP/1.1 ") + status + "\r\n\r\n"), status);
+    }
+}
+
+// Guards against the switch to a protocol that no request asks for, taken for an interim response.
+TEST(HttpReaderTest, RejectsSwitchOfProtocols)
+{
+    CHECK_TRUE(rejectsResponse("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"));
+}
--- a/test/process/invalidanswer_test.py
+++ b/test/process/invalidanswer_test.py
@@ -80,6 +80,23 @@
                    "Seamarch-Deadline-Ms": "5000"}
         return call(self.site.entry, path, body, headers, 8, "POST")
 
+    def check_invalid(self, text):
+        """Checks that the answer `text`, with the proof for %s, is neither passed on nor taken for the request's."""
+        def answer(connection, proof, run):
+            if run == 1:
+                connection.sendall((text % proof).encode("latin-1"))
+                time.sleep(0.2)
+            else:
+                sound(connection, proof)
+
+        with self.subTest(answer=text):
+            self.start(answer, upstreams=2)
+            self.assertEqual(self.ask("/status/1")[::2], (200, "good"))
+            self.runs.clear()
+            status, headers, _ = self.ask("/letters/1")
+            self.assertEqual((status, headers.get("Seamarch-Outcome")), (502, "unknown"))
+            self.assertNotIn("Seamarch-Replica-Signature", headers)
+
     # Guards against the part of an answer that came before a reset during the upload, taken for a whole answer.
     def test_answer_that_is_reset_during_the_upload_is_incomplete(self):
         def answer(connection, proof, run):
@@ -111,6 +128,15 @@
         status, _, text = self.ask("/stream/1", UPLOAD)
         self.assertEqual(status, 0, f"expected the caller's connection to break, got: {text}")
 
+    # Guards against a status that HTTP does not have, passed on or skipped like an interim response.
+    def test_status_that_http_does_not_have_is_no_answer(self):
+        for status in ("000 None", "099 Low", "600 High", "0200 OK", " 200 OK", "20 OK"):
+            self.check_invalid(f"HTTP/1.1 {status}\r\n%sContent-Length: 0\r\n\r\n")
+
+    # Guards against a response that follows a malformed one on the connection, taken for the request's.
+    def test_answer_after_status_000_is_not_the_requests(self):
+        self.check_invalid("HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nother")
+
 
 if __name__ == "__main__":
     unittest.main()
