HTTP: malformed chunks and trailers are rejected

Heads were checked here already, of final and of interim responses: nine such lines and a 103 are rejected before this change, too, and now have tests. The same check was missing after the head: a chunked body with a blank in the name of a trailer, a folded one, or one that ended in a bare line feed was a whole answer, as was one with "XX" in place of the line end after a chunk, a byte other than a line feed after a size, or a control byte in an extension.

Cause: after the head only http_parser looked at the bytes, and Debian builds it without its strict checks.

Change: ChunkedFraming follows the grammar of RFC 9112 section 7.1 byte by byte, and the reader hands http_parser only what it accepts.

Tests, red before: test_malformed_trailer_is_no_answer, test_malformed_chunks_are_no_answer, HttpReaderTest RejectsMalformedChunksAndTrailers. Green before: test_field_whose_name_is_no_token_is_no_answer, test_malformed_interim_response_is_no_answer, RejectsFieldNamesThatAreNoTokens.

--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -1,9 +1,9 @@
 #include "net/httpreader.h"
 
 #include "net/httpstatus.h"
+#include "net/httpsyntax.h"
 
 #include <algorithm>
-#include <cctype>
 #include <http_parser.h>
 #include <limits>
 
@@ -13,20 +13,6 @@
 constexpr std::string_view kHeadTerminator = "\r\n\r\n";
 constexpr int kSwitchingProtocols = 101;
 
-bool isTokenChar(char character)
-{
-    constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
-    return std::isalnum(static_cast<unsigned char>(character)) != 0
-           || kTokenPunctuation.find(character) != std::string_view::npos;
-}
-
-bool isFieldChar(char character)
-{
-    constexpr unsigned char kDelete = 0x7f;
-    const auto code = static_cast<unsigned char>(character);
-    return character == '\t' || (code >= ' ' && code != kDelete);
-}
-
 bool isWellFormedField(std::string_view line)
 {
     const std::size_t colon = line.find(':');
@@ -180,6 +166,7 @@
     noBody_ = false;
     bodySize_ = 0;
     bytesSinceBody_ = 0;
+    framing_.reset();
     fault_.reset();
 }
 
@@ -203,6 +190,7 @@
     parser.upgrade = 0; // Upgrades are not supported; the message is read as HTTP.
     const bool hasLength = parser.content_length != std::numeric_limits<std::uint64_t>::max();
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
+    head_.isHttp10 = parser.http_major == 1 && parser.http_minor == 0;
     if (parser.http_major != 1) {
         return kAbort;
     }
@@ -223,11 +211,13 @@
         hasBody = hasBody && !statusHasNoBody(head_.status); // Whatever length it states.
         head_.framed = !hasBody || hasLength || chunked;
     }
-    head_.isHttp10 = parser.http_major == 1 && parser.http_minor == 0;
     head_.persistent = http_should_keep_alive(&parser) != 0;
     if (hasLength) {
         head_.contentLength = parser.content_length;
     }
+    if (hasBody && chunked) {
+        framing_.emplace();
+    }
     headDone_ = true;
     sink_.onHead(std::move(head_));
     return hasBody ? 0 : kSkipBody;
@@ -295,7 +285,12 @@
 std::size_t HttpReader::feedBody(std::string_view bytes)
 {
     const std::uint64_t previousSize = bodySize_;
-    const std::size_t used = execute(bytes);
+    const std::size_t valid = framing_ ? framing_->feed(bytes) : bytes.size();
+    // http_parser takes an empty part for the end of the connection.
+    const std::size_t used = valid == 0 ? 0 : execute(bytes.substr(0, valid));
+    if (framing_ && framing_->malformed() && !fault_) {
+        setFault(HttpFault::Malformed);
+    }
     bytesSinceBody_ = bodySize_ == previousSize ? bytesSinceBody_ + used : 0;
     if (bytesSinceBody_ > limits_.headBytes && !done_ && !fault_) {
         setFault(HttpFault::HeadTooLarge);
--- a/test/net/httpreader_test.cpp
+++ b/test/net/httpreader_test.cpp
@@ -217,3 +217,27 @@
 {
     CHECK_TRUE(rejectsResponse("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"));
 }
+
+// Guards against names of fields that are no tokens, in final and in interim responses.
+TEST(HttpReaderTest, RejectsFieldNamesThatAreNoTokens)
+{
+    for (const char *const name : {"A B", "A ", "A\tB", "A\x01", "A\x7f", "A\xe9", " A", ""}) {
+        const std::string field = std::string(name) + ": x\r\n\r\n";
+        CHECK_TRUE_TEXT(rejectsResponse("HTTP/1.1 200 OK\r\n" + field), name);
+        CHECK_TRUE_TEXT(rejectsResponse("HTTP/1.1 103 Early Hints\r\n" + field), name);
+    }
+}
+
+// Guards against chunks and trailers that other implementations read differently.
+TEST(HttpReaderTest, RejectsMalformedChunksAndTrailers)
+{
+    for (const char *const body :
+         {"2\rXhi\r\n0\r\n\r\n", "2\r\nhiXX0\r\n\r\n", "2;a\x01\r\nhi\r\n0\r\n\r\n",
+          "2\r\nhi\r\n0\r\n\n", "0\r\nA B: x\r\n\r\n", "0\r\nA : x\r\n\r\n", "0\r\nA: x\n\r\n",
+          "0\r\nA: x\r\n y\r\n\r\n"}) {
+        CHECK_TRUE_TEXT(
+            rejectsResponse(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                            + body),
+            body);
+    }
+}
--- a/test/process/invalidanswer_test.py
+++ b/test/process/invalidanswer_test.py
@@ -137,6 +137,28 @@
     def test_answer_after_status_000_is_not_the_requests(self):
         self.check_invalid("HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nother")
 
+    # Guards against a head in which the name of a field is no token.
+    def test_field_whose_name_is_no_token_is_no_answer(self):
+        for line in ("Some Name: x", "Some\tName: x", "Some\x01Name: x", "Content-Length : 9", "Some\x7fName: x",
+                     "Some\x00Name: x", " Folded: x", "No colon", ": x"):
+            self.check_invalid(f"HTTP/1.1 200 OK\r\n%s{line}\r\nContent-Length: 2\r\n\r\nhi")
+
+    # Guards against an interim response with a malformed field before a sound answer.
+    def test_malformed_interim_response_is_no_answer(self):
+        self.check_invalid("HTTP/1.1 103 Early Hints\r\nSome Name: x\r\n\r\n"
+                           "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nhi")
+
+    # Guards against a chunked body whose trailer is malformed.
+    def test_malformed_trailer_is_no_answer(self):
+        for trailer in ("Some Name: x\r\n", "Name : x\r\n", "Some\x01Name: x\r\n", "Name: x\r\n folded\r\n", "Name: x\n"):
+            self.check_invalid(f"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n{trailer}\r\n")
+
+    # Guards against a body whose chunks are malformed.
+    def test_malformed_chunks_are_no_answer(self):
+        head = "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+        for body in ("2\rXhi\r\n0\r\n\r\n", "2\r\nhiXX0\r\n\r\n", "2;a\x01=b\r\nhi\r\n0\r\n\r\n", "2\r\nhi\r\n0\r\n\n"):
+            self.check_invalid(head + body)
+
 
 if __name__ == "__main__":
     unittest.main()
