HTTP: a body in an unknown transfer coding is rejected

A response with "Transfer-Encoding: gzip, chunked" was decoded from its chunks and passed on without the field, so that its caller got bytes in a coding that nothing named. "chunked" twice was decoded once.

Cause: http_parser looks for "chunked" as the last coding and leaves the others to its user, who did not look.

Change: the reader accepts one field with the one coding "chunked", and none in HTTP/1.0 (RFC 9112 section 6.1). Requests are held to the same: their bodies went to upstreams without the field as well.

Tests, red before: two codings of three in test_malformed_chunks_are_no_answer, HttpReaderTest RejectsTransferCodingsOtherThanChunks.

--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -58,6 +58,15 @@
     return true;
 }
 
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view kBlanks = " \t";
+    const std::size_t first = text.find_first_not_of(kBlanks);
+    const std::size_t last = text.find_last_not_of(kBlanks);
+    return first == std::string_view::npos ? std::string_view()
+                                           : text.substr(first, last - first + 1);
+}
+
 std::size_t countHeaders(const HttpHeaders &headers, std::string_view name)
 {
     return static_cast<std::size_t>(
@@ -66,6 +75,17 @@
         }));
 }
 
+// Returns whether the body is coded in a way that this reader decodes: not at all, or in chunks. A
+// Transfer-Encoding field in a message of HTTP/1.0 shows that its sender does not mean chunks (RFC
+// 9112 section 6.1).
+bool hasKnownCoding(const HttpHeaders &headers, bool isHttp10)
+{
+    const std::size_t fields = countHeaders(headers, "transfer-encoding");
+    return fields == 0
+           || (fields == 1 && !isHttp10
+               && equalsIgnoreCase(trimmed(findHeader(headers, "transfer-encoding")), "chunked"));
+}
+
 } // namespace
 
 struct detail::ParserState
@@ -191,7 +211,7 @@
     const bool hasLength = parser.content_length != std::numeric_limits<std::uint64_t>::max();
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
     head_.isHttp10 = parser.http_major == 1 && parser.http_minor == 0;
-    if (parser.http_major != 1) {
+    if (parser.http_major != 1 || !hasKnownCoding(head_.headers, head_.isHttp10)) {
         return kAbort;
     }
     if (kind_ == Kind::Request) {
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -2,8 +2,8 @@
 //
 // http_parser does the parsing. This reader rejects constructs that http_parser accepts but that
 // implementations are known to interpret differently: folded header lines, bare line feeds, spaces
-// before a colon, more than one Host header, malformed chunks and trailers and
-// statuses that HTTP does not have. A rejected message is never passed on, which
+// before a colon, more than one Host header, malformed chunks and trailers, transfer codings other
+// than chunks, and statuses that HTTP does not have. A rejected message is never passed on, which
 // prevents request smuggling and keeps malformed responses from callers.
 //
 // One reader parses one direction of one connection, message after message. Single-threaded.
--- a/test/net/httpreader_test.cpp
+++ b/test/net/httpreader_test.cpp
@@ -241,3 +241,15 @@
             body);
     }
 }
+
+// Guards against a body that is passed on although it is coded in an unknown way.
+TEST(HttpReaderTest, RejectsTransferCodingsOtherThanChunks)
+{
+    for (const char *const coding :
+         {"gzip", "gzip, chunked", "identity", "chunked\r\nTransfer-Encoding: chunked"}) {
+        CHECK_TRUE_TEXT(rejectsResponse(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ")
+                                        + coding + "\r\n\r\n"),
+                        coding);
+    }
+    CHECK_TRUE(rejectsResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+}
--- a/test/process/invalidanswer_test.py
+++ b/test/process/invalidanswer_test.py
@@ -153,11 +153,13 @@
         for trailer in ("Some Name: x\r\n", "Name : x\r\n", "Some\x01Name: x\r\n", "Name: x\r\n folded\r\n", "Name: x\n"):
             self.check_invalid(f"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n{trailer}\r\n")
 
-    # Guards against a body whose chunks are malformed.
+    # Guards against a body whose chunks are malformed, or coded in another way as well.
     def test_malformed_chunks_are_no_answer(self):
         head = "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
         for body in ("2\rXhi\r\n0\r\n\r\n", "2\r\nhiXX0\r\n\r\n", "2;a\x01=b\r\nhi\r\n0\r\n\r\n", "2\r\nhi\r\n0\r\n\n"):
             self.check_invalid(head + body)
+        for coding in ("gzip, chunked", "gzip", "chunked\r\nTransfer-Encoding: chunked"):
+            self.check_invalid(f"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: {coding}\r\n\r\n2\r\nhi\r\n0\r\n\r\n")
 
 
 if __name__ == "__main__":
