Daemon: the reason of a failed start is written to the log

Cause: `start.failed` was queued and the process ended without writing the queue, so that a process that could not open an address left an empty log.

Change: the log is flushed.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -121,11 +121,13 @@
     auto loop = EventLoop::create();
     if (!loop) {
         logLine(LogLevel::Error, "start.failed", {{"message", loop.error().message}});
+        flushLog();
         return kExitStart;
     }
     auto service = create(**loop);
     if (!service) {
         logLine(LogLevel::Error, "start.failed", {{"message", service.error().message}});
+        flushLog();
         return kExitStart;
     }
     SettingsReloader reloader(
