Metrics: an address in use does not stop a process

Cause: every address had to be open for a start. The crash: a start that failed destroyed the service before the loop; the loop's end then told the sockets of parts that were gone.

Change: the address for metrics is opened once it is free, tried each second; `listen.postponed` and `listen.opened` say so. A service that can't open an address shuts the loop down before its parts are destroyed.

Test, red before: test_process_runs_without_its_metrics_address_until_that_is_free (gateway: 3, expert agent: -11).

--- a/src/agent/agentservice.cpp
+++ b/src/agent/agentservice.cpp
@@ -231,6 +231,7 @@
 {
     std::unique_ptr<AgentService> service(new AgentService(loop, std::move(settings)));
     if (auto opened = service->open(); !opened) {
+        loop.shutDown(); // Its sockets refer to parts of the service.
         return tl::unexpected(opened.error());
     }
     return service;
--- a/src/agent/agentservice.h
+++ b/src/agent/agentservice.h
@@ -54,7 +54,8 @@
                            private kj::TaskSet::ErrorHandler
 {
 public:
-    // Opens all addresses and starts serving. Fails if one of them cannot be opened.
+    // Opens all addresses and starts serving. If one of them cannot be opened, fails and shuts the
+    // loop down.
     static tl::expected<std::unique_ptr<AgentService>, NetError> create(EventLoop &loop,
                                                                         AgentSettings settings);
     ~AgentService() noexcept override;
--- a/src/entry/entryservice.cpp
+++ b/src/entry/entryservice.cpp
@@ -102,6 +102,7 @@
 {
     std::unique_ptr<EntryService> service(new EntryService(loop, std::move(settings)));
     if (auto opened = service->open(); !opened) {
+        loop.shutDown(); // Its sockets refer to parts of the service.
         return tl::unexpected(opened.error());
     }
     return service;
--- a/src/entry/entryservice.h
+++ b/src/entry/entryservice.h
@@ -54,7 +54,8 @@
                            private StatusSource
 {
 public:
-    // Opens all addresses and starts serving. Fails if one of them cannot be opened.
+    // Opens all addresses and starts serving. If one of them cannot be opened, fails and shuts the
+    // loop down.
     static tl::expected<std::unique_ptr<EntryService>, NetError> create(EventLoop &loop,
                                                                         EntrySettings settings);
     ~EntryService() override;
--- a/src/experts/expertagent.cpp
+++ b/src/experts/expertagent.cpp
@@ -48,6 +48,7 @@
 {
     std::unique_ptr<ExpertAgent> agent(new ExpertAgent(loop, settings, store, engineProtocol));
     if (auto opened = agent->open(); !opened) {
+        loop.shutDown(); // Its sockets refer to parts of the agent.
         return tl::unexpected(opened.error());
     }
     return agent;
@@ -76,7 +77,8 @@
         return listening;
     }
     if (settings_.metricsListen) {
-        auto server = OperatorServer::create(loop_, *settings_.metricsListen, *this, metrics_);
+        auto server = OperatorServer::create(loop_, *settings_.metricsListen, *this, metrics_,
+                                             AddressNeed::Optional);
         if (!server) {
             return tl::unexpected(server.error());
         }
--- a/src/experts/expertagent.h
+++ b/src/experts/expertagent.h
@@ -53,7 +53,8 @@
 class ExpertAgent final : private StatusSource, private RankPeersListener, private RankService
 {
 public:
-    // Opens the listening sockets and starts the agent.
+    // Opens the listening sockets and starts the agent. If the address for other agents cannot be
+    // opened, fails and shuts the loop down; the one for metrics is opened once it is free.
     static tl::expected<std::unique_ptr<ExpertAgent>, NetError>
     create(EventLoop &loop, const ExpertAgentSettings &settings, const StoreProtocol &store,
            const EngineProtocol &engineProtocol);
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -72,6 +72,7 @@
 {
     std::unique_ptr<GatewayService> service(new GatewayService(loop, settings, protocol, store));
     if (auto opened = service->open(); !opened) {
+        loop.shutDown(); // Its sockets refer to parts of the service.
         return tl::unexpected(opened.error());
     }
     return service;
@@ -104,7 +105,8 @@
     }
     operators_ = std::move(*operators);
     if (settings_.metricsListen) {
-        auto metrics = OperatorServer::create(loop_, *settings_.metricsListen, *this, metrics_);
+        auto metrics = OperatorServer::create(loop_, *settings_.metricsListen, *this, metrics_,
+                                              AddressNeed::Optional);
         if (!metrics) {
             return tl::unexpected(metrics.error());
         }
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -65,7 +65,8 @@
 class GatewayService final : private HttpHandler, private StatusSource
 {
 public:
-    // Opens all addresses and starts serving. Fails if one of them cannot be opened. The loop, the
+    // Opens all addresses and starts serving. If one of them cannot be opened, fails and shuts the
+    // loop down; the address for metrics is opened once it is free. The loop, the
     // protocol and the store must outlive the service.
     static tl::expected<std::unique_ptr<GatewayService>, NetError>
     create(EventLoop &loop, const GatewaySettings &settings, const CallerProtocol &protocol,
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -155,7 +155,10 @@
     const auto accept = [self](SocketId socket) -> SocketListener & {
         return self->onAccepted(socket);
     };
-    if (auto listening = self->sockets_->listen(self->options_.address, accept); !listening) {
+    if (self->options_.addressNeed == AddressNeed::Optional) {
+        self->sockets_->listenWhenFree(self->options_.address, accept);
+    } else if (auto listening = self->sockets_->listen(self->options_.address, accept);
+               !listening) {
         return tl::unexpected(listening.error());
     }
     self->sweepTimer_ =
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -55,9 +55,16 @@
     std::optional<std::uint64_t> contentLength = std::nullopt;
 };
 
+// What a server does if its address is in use.
+enum class AddressNeed {
+    Required, // It is not created.
+    Optional, // It opens the address once that is free.
+};
+
 struct HttpServerOptions
 {
     SocketAddress address;
+    AddressNeed addressNeed = AddressNeed::Required;
     std::size_t maxHeaderBytes = 16U * 1024U;
     std::size_t maxBodyBytes = 8U * 1024U * 1024U;
     // From the first byte of a request to the end of its head.
--- a/src/net/tcpsockets.cpp
+++ b/src/net/tcpsockets.cpp
@@ -29,6 +29,8 @@
 constexpr double kMaxAcceptedShare = 0.75;
 // How long no connections are accepted for lack of descriptors, until the next try.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+// How often listenWhenFree() tries an address that is in use.
+constexpr Duration kListenRetryDelay = std::chrono::seconds(1);
 // TCP keep-alive detects callers that are gone: three probes 2 s apart after 5 s without traffic.
 constexpr int kKeepAliveIdleSeconds = 5;
 constexpr int kKeepAliveIntervalSeconds = 2;
@@ -114,6 +116,9 @@
     for (const auto &[id, listening] : listening_) {
         loop_.cancel(listening.resumption);
     }
+    for (const TimerId retry : listenRetries_) {
+        loop_.cancel(retry);
+    }
 }
 
 lws *TcpSockets::adopt(int descriptor, SocketId id)
@@ -165,6 +170,31 @@
     return {};
 }
 
+void TcpSockets::listenWhenFree(const SocketAddress &address, AcceptHandler handler)
+{
+    const auto listening = listen(address, handler);
+    if (!listening) {
+        logLine(LogLevel::Warning, "listen.postponed", {{"message", listening.error().message}});
+        retryListening(address, std::move(handler));
+    }
+}
+
+void TcpSockets::retryListening(const SocketAddress &address, AcceptHandler handler)
+{
+    auto retry = std::make_shared<TimerId>(0);
+    *retry = loop_.schedule(kListenRetryDelay,
+                            [this, address, handler = std::move(handler), retry]() mutable {
+                                listenRetries_.erase(*retry);
+                                if (listen(address, handler)) {
+                                    logLine(LogLevel::Info, "listen.opened",
+                                            {{"host", address.host}, {"port", address.port}});
+                                    return;
+                                }
+                                retryListening(address, std::move(handler));
+                            });
+    listenRetries_.insert(*retry);
+}
+
 bool TcpSockets::mayAccept() const
 {
     return entries_.size() < maxAccepted_;
--- a/src/net/tcpsockets.h
+++ b/src/net/tcpsockets.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -65,6 +66,8 @@
 
     // Listens at `address` and calls `handler` for each accepted connection.
     tl::expected<void, NetError> listen(const SocketAddress &address, AcceptHandler handler);
+    // Does the same as soon as the address is free, and logs while it is not.
+    void listenWhenFree(const SocketAddress &address, AcceptHandler handler);
     // Starts to connect. Calls onConnected() or onEnd() of `listener` after this function has
     // returned.
     SocketId connect(const SocketAddress &address, SocketListener &listener);
@@ -118,6 +121,7 @@
     static int callback(lws *wsi, lws_callback_reasons reason, void *user, void *in, size_t size);
     Entry *find(SocketId socket);
     lws *adopt(int descriptor, SocketId id);
+    void retryListening(const SocketAddress &address, AcceptHandler handler);
     void acceptAll(Listening &listening);
     bool mayAccept() const;
     void pauseAccepting(Listening &listening);
@@ -138,6 +142,7 @@
     std::unordered_map<SocketId, Listening> listening_;
     std::size_t maxAccepted_ = 0; // The number of sockets from which on none is accepted.
     std::vector<char> buffer_;
+    std::set<TimerId> listenRetries_; // Of listenWhenFree().
     SocketId nextId_ = 1;
 };
 
--- a/src/observe/operatorserver.cpp
+++ b/src/observe/operatorserver.cpp
@@ -6,11 +6,12 @@
 
 tl::expected<std::unique_ptr<OperatorServer>, NetError>
 OperatorServer::create(EventLoop &loop, const SocketAddress &address, const StatusSource &source,
-                       const Metrics &metrics)
+                       const Metrics &metrics, AddressNeed need)
 {
     std::unique_ptr<OperatorServer> server(new OperatorServer(source, metrics));
     HttpServerOptions options;
     options.address = address;
+    options.addressNeed = need;
     auto http = HttpServer::create(loop, *server, std::move(options));
     if (!http) {
         return tl::unexpected(http.error());
--- a/src/observe/operatorserver.h
+++ b/src/observe/operatorserver.h
@@ -28,10 +28,10 @@
 class OperatorServer final : private HttpHandler
 {
 public:
-    // Opens the server. Fails if it cannot listen on `address`.
+    // Opens the server. Fails if it needs `address` and cannot listen there.
     static tl::expected<std::unique_ptr<OperatorServer>, NetError>
     create(EventLoop &loop, const SocketAddress &address, const StatusSource &source,
-           const Metrics &metrics);
+           const Metrics &metrics, AddressNeed need = AddressNeed::Required);
 
 private:
     OperatorServer(const StatusSource &source, const Metrics &metrics)
--- /dev/null
+++ b/test/process/start_test.py
@@ -0,0 +1,88 @@
+"""Checks that gateways and expert agents start although something is not as it should be yet.
+
+The failure: a process ended itself at its start when an address was in use, also the one for metrics, or when it read
+its settings while they were written. The reason was not in its log.
+"""
+
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "scripts"))
+from localsite import BIN, Process, call, free_address  # noqa: E402
+
+ROLES = {"gateway": ("listen", "operator-listen", "peer-listen"), "expertagent": ("listen",)}
+
+
+def occupy(address):
+    host, port = address.rsplit(":", 1)
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((host, int(port)))
+    holder.listen()
+    return holder
+
+
+class StartTest(unittest.TestCase):
+    def setUp(self):
+        self.file = tempfile.NamedTemporaryFile("w+", suffix=".conf")
+
+    def settings(self, role, **more):
+        values = {"instance": "i-1", "hall": "north", "platform": free_address(), "metrics-listen": free_address(),
+                  "listen": free_address()}
+        if role == "gateway":
+            values |= {"operator-listen": free_address(), "peer-listen": free_address()}
+        else:
+            values |= {"service": "portal", "upstream": free_address()}
+        return values | more
+
+    def write(self, values):
+        self.file.seek(0)
+        self.file.truncate()
+        self.file.write("".join(f"{name} = {value}\n" for name, value in values.items()))
+        self.file.flush()
+
+    def start(self, role):
+        self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
+        process = Process([os.path.join(BIN, "seamarchd"), role, "--config", self.file.name], self.log)
+        self.addCleanup(process.end)
+        return process
+
+    def lines(self):
+        with open(self.log.name, encoding="utf-8") as file:
+            return [json.loads(line) for line in file if line.startswith("{")]
+
+    def wait_until(self, condition, check, process=None, seconds=20):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if check():
+                return
+            if process is not None:
+                self.assertIsNone(process.popen.poll(), f"the process ended while this was awaited: {condition}")
+            time.sleep(0.02)
+        self.fail(f"timed out after {seconds} s waiting for: {condition}")
+
+    def started(self):
+        return any(line["event"] == "process.started" for line in self.lines())
+
+    # Guards against a process that ends because the address for metrics is in use, which no caller needs.
+    def test_process_runs_without_its_metrics_address_until_that_is_free(self):
+        for role in ROLES:
+            with self.subTest(role=role):
+                values = self.settings(role)
+                self.write(values)
+                with occupy(values["metrics-listen"]):
+                    process = self.start(role)
+                    self.wait_until("the process has started", self.started, process)
+                self.wait_until("metrics are served",
+                                lambda: call(values["metrics-listen"], "/metrics", timeout=2)[0] == 200, process)
+                process.end()
+
+
+if __name__ == "__main__":
+    unittest.main()
