Daemon: a start waits for addresses that are in use

Cause: one failed bind() ended the process.

Change: the start is tried again each 0.1 s for 30 s, with a loop of its own each time, until a stop is requested. `start.postponed` names the address. After that it fails as before.

Tests, red before: test_process_waits_for_an_address_that_is_in_use (three addresses of a gateway, one of an expert agent), test_process_that_waits_for_an_address_can_be_stopped.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -16,6 +16,10 @@
 #include <fmt/format.h>
 #include <functional>
 #include <memory>
+#include <string>
+#include <thread>
+#include <type_traits>
+#include <utility>
 
 namespace seamarch {
 namespace {
@@ -24,6 +28,11 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitStart = 3;
 
+// How long a start waits for addresses that are in use: at least until an instance that the
+// platform replaces has stopped.
+constexpr Duration kAddressTimeout = std::chrono::seconds(30);
+constexpr Duration kAddressRetryDelay = std::chrono::milliseconds(100);
+
 // How often the settings file is checked for changes, because it may change without a signal.
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(1);
 
@@ -113,42 +122,84 @@
     PeriodicTimer timer_;
 };
 
-// Runs a service until it has stopped, and returns the exit code. `create` constructs the service
-// on the given loop; `apply` passes reloaded settings to it.
-template <typename Create, typename ApplySettings>
-int serve(const DaemonOptions &options, Create create, ApplySettings apply)
+// A service with the loop that it runs on. Destroyed in the order in which a service needs it.
+template <typename Service>
+struct RunningService
+{
+    std::unique_ptr<EventLoop> loop;
+    std::unique_ptr<Service> service;
+};
+
+template <typename Create>
+using ServiceOf = typename std::invoke_result_t<Create, EventLoop &>::value_type::element_type;
+
+template <typename Create>
+tl::expected<RunningService<ServiceOf<Create>>, NetError> createOnLoop(Create create)
 {
     auto loop = EventLoop::create();
     if (!loop) {
-        logLine(LogLevel::Error, "start.failed", {{"message", loop.error().message}});
-        flushLog();
-        return kExitStart;
+        return tl::unexpected(loop.error());
     }
     auto service = create(**loop);
     if (!service) {
-        logLine(LogLevel::Error, "start.failed", {{"message", service.error().message}});
+        return tl::unexpected(service.error());
+    }
+    return RunningService<ServiceOf<Create>>{std::move(*loop), std::move(*service)};
+}
+
+// Starts a service. While one of its addresses is in use, tries again until kAddressTimeout is over
+// or a stop is requested: the address of an instance that was killed a moment ago may still be
+// held, by the instance or by an outgoing connection.
+template <typename Create>
+tl::expected<RunningService<ServiceOf<Create>>, NetError> start(Create create)
+{
+    std::string lastMessage;
+    for (Duration waited{};; waited += kAddressRetryDelay) {
+        auto running = createOnLoop(create);
+        if (running || running.error().kind != NetError::Kind::ListenFailed || stopRequested != 0
+            || waited >= kAddressTimeout) {
+            return running;
+        }
+        if (running.error().message != std::exchange(lastMessage, running.error().message)) {
+            logLine(LogLevel::Warning, "start.postponed", {{"message", lastMessage}});
+            flushLog();
+        }
+        std::this_thread::sleep_for(kAddressRetryDelay);
+    }
+}
+
+// Runs a service until it has stopped, and returns the exit code. `create` constructs the service
+// on the given loop; `apply` passes reloaded settings to it.
+template <typename Create, typename ApplySettings>
+int serve(const DaemonOptions &options, Create create, ApplySettings apply)
+{
+    auto running = start(create);
+    if (!running) {
+        logLine(LogLevel::Error, "start.failed", {{"message", running.error().message}});
         flushLog();
-        return kExitStart;
+        return stopRequested != 0 ? kExitOk : kExitStart;
     }
+    auto &loop = running->loop;
+    auto &service = running->service;
     SettingsReloader reloader(
-        **loop, options, [&](const DaemonOptions &newOptions) { apply(**service, newOptions); });
-    (*loop)->setInterruptHandler([&] {
+        *loop, options, [&](const DaemonOptions &newOptions) { apply(*service, newOptions); });
+    loop->setInterruptHandler([&] {
         if (stopRequested != 0) {
-            (*service)->stop();
+            service->stop();
         }
         if (reloadRequested != 0) {
             reloadRequested = 0;
             reloader.reload(true);
         }
     });
-    signalledLoop = loop->get();
+    signalledLoop = loop.get();
     if (stopRequested != 0 || reloadRequested != 0) {
-        (*loop)->interrupt(); // They came before the loop could be told.
+        loop->interrupt(); // They came before the loop could be told.
     }
     logLine(LogLevel::Info, "process.started", {{"version", SEAMARCH_VERSION}});
-    (*loop)->run();
+    loop->run();
     signalledLoop = nullptr;
-    (*loop)->shutDown();
+    loop->shutDown();
     logLine(LogLevel::Info, "process.ended");
     flushLog();
     return kExitOk;
--- a/test/process/start_test.py
+++ b/test/process/start_test.py
@@ -83,6 +83,35 @@
                                 lambda: call(values["metrics-listen"], "/metrics", timeout=2)[0] == 200, process)
                 process.end()
 
+    # Guards against a process that ends because another one holds its address for a moment longer.
+    def test_process_waits_for_an_address_that_is_in_use(self):
+        for role, names in ROLES.items():
+            for name in names:
+                with self.subTest(role=role, address=name):
+                    values = self.settings(role)
+                    self.write(values)
+                    with occupy(values[name]):
+                        process = self.start(role)
+                        self.wait_until("the process says what it waits for", lambda: any(
+                            line["event"] == "start.postponed" and values[name] in line["message"]
+                            for line in self.lines()), process)
+                    self.wait_until("the process has started", self.started, process)
+                    process.end()
+    
+    # Guards against a process that ignores a stop while it waits, or that crashes as it gives up.
+    def test_process_that_waits_for_an_address_can_be_stopped(self):
+        for role in ROLES:
+            with self.subTest(role=role):
+                values = self.settings(role)
+                self.write(values)
+                with occupy(values["listen"]):
+                    process = self.start(role)
+                    self.wait_until("the process waits", lambda: any(
+                        line["event"] == "start.postponed" for line in self.lines()), process)
+                    process.send(signal.SIGTERM)
+                    self.assertEqual(process.wait(10), 0)
+                self.assertIn(values["listen"], self.lines()[-1]["message"])
+
 
 if __name__ == "__main__":
     unittest.main()
