Daemon: a start rereads settings that have faults

A running process keeps the settings in force.

Cause: the file was read once.

Change: settings with faults are read again each 50 ms for a second; then the faults are printed as before. A file that is cut off at the end of a line and lacks nothing that a start needs can't be told from a whole one; the changes that a reload applies follow within a second, the others need a restart.

Test, red before: test_process_starts_although_its_settings_are_still_being_written (both roles: 2).

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -33,6 +33,10 @@
 constexpr Duration kAddressTimeout = std::chrono::seconds(30);
 constexpr Duration kAddressRetryDelay = std::chrono::milliseconds(100);
 
+// How long a start rereads settings that have faults: the platform may be writing the file.
+constexpr Duration kSettingsTimeout = std::chrono::seconds(1);
+constexpr Duration kSettingsRetryDelay = std::chrono::milliseconds(50);
+
 // How often the settings file is checked for changes, because it may change without a signal.
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(1);
 
@@ -65,6 +69,19 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+// Reads the settings for a start.
+DaemonOptions readOptions(const std::vector<std::string> &arguments)
+{
+    DaemonOptions options = readDaemonOptions(arguments);
+    for (Duration waited{}; !options.faults.empty() && !options.checkOnly
+                            && !options.settingsFile.empty() && waited < kSettingsTimeout;
+         waited += kSettingsRetryDelay) {
+        std::this_thread::sleep_for(kSettingsRetryDelay);
+        options = readDaemonOptions(arguments);
+    }
+    return options;
+}
+
 // Prints all faults on standard error and returns the exit code to end with.
 int printSettingFaults(const std::vector<SettingFault> &faults)
 {
@@ -272,5 +289,5 @@
 int main(int argc, char **argv)
 {
     seamarch::installSignalHandlers(); // Before anything that a signal must not interrupt.
-    return seamarch::run(seamarch::readDaemonOptions({argv + 1, argv + argc}));
+    return seamarch::run(seamarch::readOptions({argv + 1, argv + argc}));
 }
--- a/test/process/start_test.py
+++ b/test/process/start_test.py
@@ -112,6 +112,18 @@
                     self.assertEqual(process.wait(10), 0)
                 self.assertIn(values["listen"], self.lines()[-1]["message"])
 
+    # Guards against a process that ends because it reads its settings while they are written.
+    def test_process_starts_although_its_settings_are_still_being_written(self):
+        for role in ROLES:
+            with self.subTest(role=role):
+                values = self.settings(role)
+                self.write({})
+                process = self.start(role)
+                time.sleep(0.2)
+                self.write(values)
+                self.wait_until("the process has started", self.started, process)
+                process.end()
+
 
 if __name__ == "__main__":
     unittest.main()
