Settings: times and memory may be fractions

Change: times in milliseconds and memory-mb are read as numbers within the same ranges.

Test, red before: test_process_starts_with_fractions_in_its_settings.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -204,7 +204,9 @@
 Duration SettingsReader::milliseconds(std::string_view name, std::uint64_t low, std::uint64_t high,
                                       std::uint64_t fallback)
 {
-    return std::chrono::milliseconds(integer(name, low, high, fallback));
+    using Millis = std::chrono::duration<double, std::milli>;
+    return std::chrono::duration_cast<Duration>(Millis(number(
+        name, static_cast<double>(low), static_cast<double>(high), static_cast<double>(fallback))));
 }
 
 } // namespace seamarch
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -76,7 +76,7 @@
                           std::uint64_t fallback);
     // Reads a floating-point number in the range [low, high].
     double number(std::string_view name, double low, double high, double fallback);
-    // Reads a duration in whole milliseconds in the range [low, high].
+    // Reads a duration in milliseconds, which may have a fraction, in the range [low, high].
     Duration milliseconds(std::string_view name, std::uint64_t low, std::uint64_t high,
                           std::uint64_t fallback);
 
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -147,10 +147,10 @@
 
 // Returns the bytes that a process with this memory may hold for others. The other half is for the
 // process itself.
-std::size_t maxHeldBytes(std::uint64_t memoryMegabytes)
+std::size_t maxHeldBytes(double memoryMegabytes)
 {
-    constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
-    return static_cast<std::size_t>(memoryMegabytes) * kBytesPerMegabyte / 2;
+    constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
+    return static_cast<std::size_t>(memoryMegabytes * kBytesPerMegabyte / 2);
 }
 
 GatewayBounds readBounds(SettingsReader &reader)
@@ -205,7 +205,7 @@
 GatewaySettings readGateway(SettingsReader &reader, std::vector<SettingFault> &faults)
 {
     constexpr double kMaxCrashRetentionSeconds = 24.0 * 3600;
-    constexpr std::uint64_t kMaxMemoryMegabytes = 1'000'000;
+    constexpr double kMaxMemoryMegabytes = 1e6;
     GatewaySettings settings;
     settings.instance = InstanceId(reader.text("instance"));
     settings.hall = HallId(reader.text("hall"));
@@ -238,7 +238,7 @@
     settings.maxAccountSeries = reader.integer("max-account-series", 0, 100'000, 300);
     settings.crashRetention = fromSeconds(reader.number(
         "crash-memory-s", 0.0, kMaxCrashRetentionSeconds, toSeconds(settings.crashRetention)));
-    settings.maxHeldBytes = maxHeldBytes(reader.integer("memory-mb", 0, kMaxMemoryMegabytes, 0));
+    settings.maxHeldBytes = maxHeldBytes(reader.number("memory-mb", 0.0, kMaxMemoryMegabytes, 0.0));
     settings.bounds = readBounds(reader);
     settings.timings = readTimings(reader, deriveTimings(settings.bounds));
     return settings;
--- a/test/process/start_test.py
+++ b/test/process/start_test.py
@@ -124,6 +124,13 @@
                 self.wait_until("the process has started", self.started, process)
                 process.end()
 
+    # Guards against a process that takes only whole numbers for times and sizes.
+    def test_process_starts_with_fractions_in_its_settings(self):
+        self.write(self.settings("gateway") | {"key-life-ms": "5000.0", "config-spread-ms": "1999.5",
+                                               "memory-mb": "259.5"})
+        process = self.start("gateway")
+        self.wait_until("the process has started", self.started, process)
+
 
 if __name__ == "__main__":
     unittest.main()
