Sockets: a fast sender leaves other sockets their turn

The gateway answers nobody any more, also after the callers of the stream have left, and ignores SIGTERM.

Cause: TcpSockets read a socket until it was empty. A sender that refills the receive buffer faster than its data is handled keeps that loop going, and the event loop never runs.

What is left in the buffer of a connection that has failed is still read to its end.

Test, red before: test_stream_of_blank_lines_leaves_others_their_turn. The two other roles and the store's connections use the same class.

--- a/src/net/tcpsockets.cpp
+++ b/src/net/tcpsockets.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <cstring>
 #include <fmt/format.h>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/resource.h>
@@ -364,7 +365,7 @@
     }
     entry->failurePending = true;
     loop_.post([this, id] {
-        onReadable(id);
+        onReadable(id, std::numeric_limits<int>::max()); // No more data arrives.
         end(id, SocketEnd::Reset);
     });
 }
@@ -465,9 +466,9 @@
     }
 }
 
-int TcpSockets::onReadable(SocketId id)
+int TcpSockets::onReadable(SocketId id, int maxReads)
 {
-    for (;;) {
+    for (int reads = 0; reads < maxReads;) {
         Entry *entry = find(id);
         if (entry == nullptr || entry->descriptor < 0) {
             return entry == nullptr ? -1 : 0;
@@ -481,6 +482,7 @@
         }
         const ssize_t size = ::recv(entry->descriptor, buffer_.data(), buffer_.size(), 0);
         if (size > 0) {
+            ++reads;
             entry->listener->onBytes(id, {buffer_.data(), static_cast<std::size_t>(size)});
             entry = find(id);
             if (entry == nullptr) {
@@ -503,6 +505,7 @@
         end(id, SocketEnd::Reset);
         return -1;
     }
+    return 0; // Polling reports the socket again while it has data.
 }
 
 int TcpSockets::onPeerFinished(SocketId id, Entry &entry)
--- a/src/net/tcpsockets.h
+++ b/src/net/tcpsockets.h
@@ -115,6 +115,9 @@
         TimerId resumption = 0; // Set while no connections are accepted.
     };
 
+    // A peer may send faster than its data is handled; the other sockets have their turn meanwhile.
+    static constexpr int kMaxReadsPerTurn = 4;
+
     explicit TcpSockets(EventLoop &loop)
         : loop_(loop)
     {}
@@ -126,7 +129,8 @@
     bool mayAccept() const;
     void pauseAccepting(Listening &listening);
     void scheduleResumption(Listening &listening);
-    int onReadable(SocketId id);
+    // Reads a socket until it has no more data, at most `maxReads` times.
+    int onReadable(SocketId id, int maxReads = kMaxReadsPerTurn);
     int onPeerFinished(SocketId id, Entry &entry);
     int onWriteable(SocketId id);
     void flush(SocketId id, Entry &entry);
--- a/test/process/endlessanswer_test.py
+++ b/test/process/endlessanswer_test.py
@@ -6,6 +6,7 @@
 
 import http.client
 import os
+import signal
 import socket
 import sys
 import threading
@@ -59,10 +60,13 @@
 
 
 class EndlessUpstream:
-    """Answers every request with bytes that never end, until the peer closes the connection."""
+    """Answers every request with bytes that never end, until the peer closes the connection.
 
-    def __init__(self, answer):
-        self.answer = answer
+    Sends `block` bytes or more at a time.
+    """
+
+    def __init__(self, answer, block=65536):
+        self.answer, self.block = answer, block
         self.address, self.requests, self.closed = free_address(), [], 0
         host, port = self.address.rsplit(":", 1)
         self.listener = socket.create_server((host, int(port)), backlog=64)
@@ -86,7 +90,7 @@
             self.requests.append(number)
             start, first, repeated = self.answer
             common = f"Seamarch-Request-Id: {number}\r\nSeamarch-Replica-Signature: proof\r\n" if start else ""
-            repeated *= -(-65536 // len(repeated))
+            repeated *= -(-self.block // len(repeated))
             sent = 0
             try:
                 connection.sendall(start + common.encode() + first)
@@ -107,11 +111,11 @@
 
 
 class EndlessAnswerTest(unittest.TestCase):
-    def start(self, answer, sound=0):
+    def start(self, answer, sound=0, **more):
         """Starts a gateway before `sound` upstreams and one that answers with `answer`."""
         self.site = GatewaySite(upstreams=sound, **{"memory-mb": MEMORY_MB})
         self.addCleanup(self.site.__exit__)
-        self.upstream = EndlessUpstream(answer)
+        self.upstream = EndlessUpstream(answer, **more)
         self.addCleanup(self.upstream.close)
         self.site.upstreams["i-endless"] = self.upstream.address
         self.site.list_upstream("i-endless")
@@ -161,6 +165,31 @@
                 self.check_gateway()
                 self.assertLess(time.monotonic() - started, GIVEN_UP_SECONDS)
 
+    def read_stream(self, number):
+        """Reads a stream as fast as it comes, until the gateway closes it."""
+        host, port = self.site.entry.rsplit(":", 1)
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall((f"POST /stream/1 HTTP/1.1\r\nHost: site.example\r\nSeamarch-Request-Id: {number}\r\n"
+                            f"Authorization: Token {KEY}\r\nSeamarch-Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n")
+                           .encode())
+            try:
+                while caller.recv(1 << 20):
+                    pass
+            except OSError:
+                pass
+
+    # Guards against a loop that reads a socket for as long as its peer sends faster than the data is handled.
+    def test_stream_of_blank_lines_leaves_others_their_turn(self):
+        self.start((b"HTTP/1.1 200 OK\r\n" + STREAM_HEAD, b"\r\n" + EVENT, b"\n"), block=1 << 20)
+        for number in range(4):
+            threading.Thread(target=self.read_stream, args=(f"e-{number}",), daemon=True).start()
+        self.site.wait_until("the upstream gets the streams", lambda: len(self.upstream.requests) == 4)
+        time.sleep(1)
+        for _ in range(5):
+            self.assertEqual(call(self.site.operators, "/readyz", timeout=5)[0], 200)
+        self.site.gateway.send(signal.SIGTERM)
+        self.assertEqual(self.site.gateway.wait(15), 0, "the gateway ignores the signal to stop")
+
     def test_refusal_with_a_body_without_end_is_not_run(self):
         self.start((b"HTTP/1.1 503 Full\r\nSeamarch-Not-Executed: 1\r\n", b"\r\n", b"x"))
         status, headers, _ = self.ask("/letters/1", "e-1", 1500)
