Gateway: the planned end of an upstream does not complete its answers

Cause: the probe finds the process ended, but the end of an upstream that is leaving is not counted as a crash, and the same result decided whether the answer was whole.

Change: an answer that ended with its connection is complete only if the process still runs; whether its end counts as a crash is decided apart. A stream that may be resumed goes on elsewhere, a repeatable request is sent again, and another answer is incomplete. An upstream that ends within milliseconds of a whole answer without a length now loses it: nothing tells that answer from a cut one.

Test, red before: test_stream_whose_upstream_leaves_and_ends_is_resumed (3 of 10 events, complete).

--- a/src/decision/gateway/gatewaycore.cpp
+++ b/src/decision/gateway/gatewaycore.cpp
@@ -536,18 +536,17 @@
     return suspects;
 }
 
-bool GatewayCore::onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
+void GatewayCore::onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
                                   const InstanceId &upstream, TimePoint at, TimePoint now,
                                   GatewayActions &actions)
 {
     if (!upstreams_.isActive(upstream)) {
-        return false;
+        return;
     }
     for (const SuspectKey &suspect : suspects) {
         crashes_.onUpstreamCrashed(suspect, account, upstream, at);
     }
     giveUpSuspects(now, actions);
-    return true;
 }
 
 // Fails requests that must not be sent any more, whether queued or in progress. An upstream that
--- a/src/decision/gateway/gatewaycore.h
+++ b/src/decision/gateway/gatewaycore.h
@@ -273,9 +273,9 @@
     // harmless. Call it before `onEnd`.
     std::vector<SuspectKey> crashSuspects(RequestNumber request) const;
     // Handles the end of an upstream at `at` while it ran a request with these suspects. The
-    // request itself may have ended since. Returns whether that was a crash: an upstream that is
-    // leaving, or that the store no longer lists, ends as planned.
-    bool onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
+    // request itself may have ended since. An upstream that is leaving, or that the store no longer
+    // lists, ends as planned, so that its end does not count as a crash.
+    void onUpstreamEnded(const std::vector<SuspectKey> &suspects, const AccountId &account,
                          const InstanceId &upstream, TimePoint at, TimePoint now,
                          GatewayActions &actions);
     // Handles the first event of the current attempt.
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -195,7 +195,7 @@
     void onAnswerPiece(RequestNumber number, std::uint32_t attempt, std::string_view piece);
     void onAnswerEnd(RequestNumber number, std::uint32_t attempt, HttpCallEnd end);
     void logClosedByPeer(const ActiveRequest &active);
-    // Completes an answer that ended with its connection, unless its upstream has crashed.
+    // Completes an answer that ended with its connection, unless its upstream has ended.
     void confirmAnswer(RequestNumber number, ActiveRequest &active);
     void finishConfirmedAnswer(RequestNumber number, std::uint32_t attempt);
     void loseAttempt(RequestNumber number, ActiveRequest &active, HttpCallEnd end);
@@ -205,7 +205,7 @@
     // Cancels the call of the current attempt, and learns from what its upstream still sends.
     void abandonCall(ActiveRequest &active, const CancelAttempt &action);
     LostAttempt toLostAttempt(const ActiveRequest &active, std::vector<SuspectKey> suspects) const;
-    // Calls `onResult` once the upstream has been probed, with whether its process has crashed.
+    // Calls `onResult` once the upstream has been probed, with whether its process has ended.
     void probeUpstream(const LostAttempt &lost, std::function<void(bool)> onResult);
     void onAbandonedHead(HttpCallId call, const AbandonedCall &abandoned, const HttpHead &head);
     void onAbandonedEnd(const AbandonedCall &abandoned, HttpCallEnd end);
--- a/src/gateway/gatewayserviceabandoned.cpp
+++ b/src/gateway/gatewayserviceabandoned.cpp
@@ -129,7 +129,7 @@
         unansweredAttempts_.pop_front();
         // An upstream that has answered another request since then has not crashed.
         if (!core_.answeredSince(lost.upstream, lost.at)) {
-            probeUpstream(lost, [](bool /*crashed*/) {});
+            probeUpstream(lost, [](bool /*ended*/) {});
         }
     }
 }
@@ -138,31 +138,31 @@
 // goes on answering other requests.
 void GatewayService::probeUpstream(const LostAttempt &lost, std::function<void(bool)> onResult)
 {
-    probe_->probe(
-        lost.address, protocol_.livenessQuestion(lost.upstream),
-        [this, lost, onResult = std::move(onResult)](UpstreamProbeResult state) {
-            metrics_.count("seamarch_upstreams_that_lost_requests_total", toString(state));
-            logLine(LogLevel::Info, "upstream.probed",
-                    {{"id", lost.requestId},
-                     {"upstream", lost.upstream.value()},
-                     {"state", toString(state)},
-                     {"answeredOthers", core_.answeredSince(lost.upstream, lost.at)},
-                     {"digest", toText(lost.digest)},
-                     {"sharedParts", loggedParts(lost.sharedPromptParts)},
-                     {"streaming", lost.streaming},
-                     {"events", lost.events},
-                     {"ms", toMillis(loop_.now() - lost.at)}});
-            const bool answered = state == UpstreamProbeResult::Unresponsive
-                                  && core_.answeredSince(lost.upstream, lost.at);
-            bool crashed = false;
-            if (isEnd(state) && !answered) {
-                GatewayActions actions;
-                crashed = core_.onUpstreamEnded(lost.suspects, lost.account, lost.upstream, lost.at,
+    probe_->probe(lost.address, protocol_.livenessQuestion(lost.upstream),
+                  [this, lost, onResult = std::move(onResult)](UpstreamProbeResult state) {
+                      metrics_.count("seamarch_upstreams_that_lost_requests_total",
+                                     toString(state));
+                      logLine(LogLevel::Info, "upstream.probed",
+                              {{"id", lost.requestId},
+                               {"upstream", lost.upstream.value()},
+                               {"state", toString(state)},
+                               {"answeredOthers", core_.answeredSince(lost.upstream, lost.at)},
+                               {"digest", toText(lost.digest)},
+                               {"sharedParts", loggedParts(lost.sharedPromptParts)},
+                               {"streaming", lost.streaming},
+                               {"events", lost.events},
+                               {"ms", toMillis(loop_.now() - lost.at)}});
+                      const bool answered = state == UpstreamProbeResult::Unresponsive
+                                            && core_.answeredSince(lost.upstream, lost.at);
+                      const bool ended = isEnd(state) && !answered;
+                      if (ended) {
+                          GatewayActions actions;
+                          core_.onUpstreamEnded(lost.suspects, lost.account, lost.upstream, lost.at,
                                                 loop_.now(), actions);
-                carryOut(actions);
-            }
-            onResult(crashed);
-        });
+                          carryOut(actions);
+                      }
+                      onResult(ended);
+                  });
 }
 
 } // namespace seamarch
--- a/src/gateway/gatewayserviceattempts.cpp
+++ b/src/gateway/gatewayserviceattempts.cpp
@@ -309,15 +309,15 @@
     }
 }
 
-// The kernel closes the connections of a crashed process in the same order as the upstream would,
-// so the answer is complete only if the upstream still runs. If its deadline comes first, the
-// request fails.
+// The kernel closes the connections of a process that ends in the same order as the upstream would,
+// whether it crashed or left as planned, so the answer is complete only if the upstream still runs.
+// If its deadline comes first, the request fails.
 void GatewayService::confirmAnswer(RequestNumber number, ActiveRequest &active)
 {
     core_.onAnswerReceived(number, loop_.now());
     const LostAttempt lost = toLostAttempt(active, core_.crashSuspects(number));
-    probeUpstream(lost, [this, number, attempt = active.attempt](bool crashed) {
-        if (crashed) {
+    probeUpstream(lost, [this, number, attempt = active.attempt](bool ended) {
+        if (ended) {
             onAttemptLost(number, attempt, AttemptEnd::Lost);
         } else {
             finishConfirmedAnswer(number, attempt);
@@ -351,7 +351,7 @@
         // The request waits for the result, which takes some round trips unless the upstream does
         // not answer: retried at once, a request that crashes upstreams might take down another.
         probeUpstream(toLostAttempt(active, core_.crashSuspects(number)),
-                      [this, number, attempt = active.attempt](bool /*crashed*/) {
+                      [this, number, attempt = active.attempt](bool /*ended*/) {
                           onAttemptLost(number, attempt, AttemptEnd::Lost);
                       });
         return;
--- a/test/process/unframedanswer_test.py
+++ b/test/process/unframedanswer_test.py
@@ -157,6 +157,24 @@
         status, _, text = self.ask("/stream/1")
         self.assertEqual((status, text), (200, "".join(event(n).decode() for n in range(1, EVENTS + 1))))
 
+    # Guards against the planned end of an upstream that makes a stream look complete.
+    def test_stream_whose_upstream_leaves_and_ends_is_resumed(self):
+        def stream_and_leave(connection, first, run):
+            for number in range(first, EVENTS + 1):
+                if run == 1 and number == 4:
+                    port = connection.getsockname()[1]
+                    index = next(index for index, each in enumerate(self.upstreams) if each.address.endswith(f":{port}"))
+                    self.site.list_upstream(f"u-{index}", phase="draining")
+                    time.sleep(0.5)
+                    self.upstreams[index].close()
+                    return
+                connection.sendall(event(number))
+
+        self.start(stream_and_leave, upstreams=2)
+        status, _, text = self.ask("/stream/1")
+        self.assertEqual((status, text), (200, "".join(event(n).decode() for n in range(1, EVENTS + 1))))
+        self.assertEqual([run.get("Last-Event-Id") for run in self.runs], [None, "3"])
+
     def test_stream_that_ends_inside_an_event_is_resumed(self):
         self.start(stream_broken_once, upstreams=2)
         status, _, text = self.ask("/stream/1")
