Daemon: an exception that ends the process is written to the log

Cause: nothing caught or logged an exception that left the event loop, and up to 50 ms of log lines were lost with the process.

Change: `process.failed` with the exception's message, the queued lines, then abort as before. No exception is swallowed.

Test, red before: test_process_that_runs_out_of_memory_says_so (a gateway without memory-mb in 200 MB of address space, uploads of 8 MB).

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -13,6 +13,8 @@
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
+#include <cstdlib>
+#include <exception>
 #include <fmt/format.h>
 #include <functional>
 #include <memory>
@@ -61,6 +63,24 @@
     }
 }
 
+// Writes to the log why an exception ends the process, with the lines that are still queued.
+[[noreturn]] void onUncaughtException()
+{
+    std::string message = "no exception";
+    try {
+        if (const std::exception_ptr current = std::current_exception()) {
+            std::rethrow_exception(current);
+        }
+    } catch (const std::exception &exception) {
+        message = exception.what();
+    } catch (...) {
+        message = "an exception of another type";
+    }
+    logLine(LogLevel::Error, "process.failed", {{"message", message}});
+    flushLog();
+    std::abort();
+}
+
 void installSignalHandlers()
 {
     std::signal(SIGTERM, onStopSignal);
@@ -288,6 +308,7 @@
 
 int main(int argc, char **argv)
 {
+    std::set_terminate(seamarch::onUncaughtException);
     seamarch::installSignalHandlers(); // Before anything that a signal must not interrupt.
     return seamarch::run(seamarch::readOptions({argv + 1, argv + argc}));
 }
--- a/test/process/start_test.py
+++ b/test/process/start_test.py
@@ -1,11 +1,12 @@
 """Checks that gateways and expert agents start although something is not as it should be yet.
 
 The failure: a process ended itself at its start when an address was in use, also the one for metrics, or when it read
-its settings while they were written. The reason was not in its log.
+its settings while they were written. The reason was not in its log, nor that of an exception that ended it.
 """
 
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -16,6 +17,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "scripts"))
 from localsite import BIN, Process, call, free_address  # noqa: E402
 
+ADDRESS_SPACE_BYTES = 200 << 20
 ROLES = {"gateway": ("listen", "operator-listen", "peer-listen"), "expertagent": ("listen",)}
 
 
@@ -131,6 +133,26 @@
         process = self.start("gateway")
         self.wait_until("the process has started", self.started, process)
 
+    # Guards against a process that ends by itself and leaves no reason in its log.
+    def test_process_that_runs_out_of_memory_says_so(self):
+        values = self.settings("gateway")
+        self.write(values)
+        process = self.start("gateway")
+        self.wait_until("the process has started", self.started, process)
+        resource.prlimit(process.popen.pid, resource.RLIMIT_AS, (ADDRESS_SPACE_BYTES, ADDRESS_SPACE_BYTES))
+        host, port = values["listen"].rsplit(":", 1)
+        callers = []
+        while process.popen.poll() is None and len(callers) < 100:
+            try:
+                callers.append(socket.create_connection((host, int(port)), timeout=2))
+                callers[-1].sendall(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 8000000\r\n\r\n" + b"x" * 7_900_000)
+            except OSError:
+                break
+        self.assertEqual(process.wait(10), -signal.SIGABRT)
+        for caller in callers:
+            caller.close()
+        self.assertEqual((self.lines()[-1]["event"], self.lines()[-1]["message"]), ("process.failed", "std::bad_alloc"))
+
 
 if __name__ == "__main__":
     unittest.main()
