Gateway: a seed hears other gateways before it asks the store

Cause: a new gateway asks only other gateways at first, but a seed was excepted, as somebody has to ask the store when a whole site starts.

Hypothesis: the others find a seed that starts again within 0.1 s, so that a short wait suffices.

A gateway whose peers answer later than 0.3 s after its start can still do it.

--- a/src/gateway/statesynchronizer.cpp
+++ b/src/gateway/statesynchronizer.cpp
@@ -23,6 +23,9 @@
 // starts.
 constexpr Duration kPeerBootstrapWait = std::chrono::milliseconds(700);
 constexpr Duration kMaxPeerBootstrapWait = std::chrono::seconds(5);
+// How long a new gateway that is named as a seed does the same. When a whole site starts, the
+// others get their configuration from the seeds.
+constexpr Duration kSeedBootstrapWait = std::chrono::milliseconds(300);
 // Interval at which a gateway that follows the store exchanges gateway lists with the first gateway
 // of each other hall and with one arbitrary gateway. This keeps the lists consistent: every gateway
 // is reported to all halls well within the time after which it would be forgotten, and two gateways
@@ -198,9 +201,12 @@
 // Returns whether this gateway is new and may still receive the configuration from others.
 bool StateSynchronizer::waitsForPeers(TimePoint now) const
 {
-    if (peers_ == nullptr || settings_.seeds.empty() || isSeed() || storeView_.hasConfiguration()) {
+    if (peers_ == nullptr || settings_.seeds.empty() || storeView_.hasConfiguration()) {
         return false;
     }
+    if (isSeed()) {
+        return now - startedAt_ < kSeedBootstrapWait;
+    }
     const bool peersLackConfiguration =
         now - peers_->lastUnconfiguredAnswerAt() < kPeerBootstrapWait;
     return now - startedAt_ < (peersLackConfiguration ? kMaxPeerBootstrapWait : kPeerBootstrapWait);
--- a/test/process/storewentback_test.py
+++ b/test/process/storewentback_test.py
@@ -96,6 +96,25 @@
         self.assertEqual(other.ask(KEY), 401)
         self.assertEqual(other.ask("new"), 200)
 
+    # Guards against a seed that takes the older copy of the store for confirmed before it has heard of the others.
+    def test_seed_that_starts_meanwhile_takes_the_higher_version_of_another(self):
+        other = OtherGateway(self.site, "gateway-2", self.site.store, self.seed)
+        self.site.wait_until("the other gateway is ready", other.ready)
+        self.store(copy=True)
+        self.site.publish(2, ("new",))
+        self.site.wait_until("version 2 at both gateways",
+                             lambda: self.version() == 2 and other.status()["configVersion"] == 2)
+        self.go_back()
+        self.site.gateway.end()
+        self.store(busy=False)
+        self.site.start_gateway()
+        statuses = set()
+        until = time.monotonic() + 2
+        while time.monotonic() < until:
+            statuses.add(self.site.ask("/letters/1")[0])
+        self.assertIn(401, statuses)
+        self.assertNotIn(200, statuses, "a request with the revoked key has run")
+
     def check_gets_nothing(self, name):
         before = self.arrivals(name)
         self.assertEqual(set(self.ask_many()), {200})
