Gateway: readiness and the progress of lists are logged

The record of the incident shows gateways that are not ready, and no line tells why, since when, or how far the list of the store has come: store.lost is written only once the store was reached, and a list that goes on or fails before its end left no trace. So the hypotheses of docs/incidents/list-of-several-pages.md could not be told apart by logs.

New: gateway.ready and gateway.not_ready with reason, inputs and the time that the state before lasted; store.list_started, store.list_continues, store.list_ended and store.call_failed, by doublings, from gateways and expert agents; gauge seamarch_ready.

--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -58,6 +58,7 @@
     , core_(coreSettings(settings))
     , storeView_(loop, core_.upstreams(), metrics_, settings.timings.freshness,
                  [this](const RouteTable &table) { applyConfiguration(table); })
+    , readinessLog_(metrics_)
 {
     core_.warmUps().setBounds(settings.bounds.warmUp);
     core_.upstreams().setLapseGrace(settings.timings.lapseGrace);
@@ -444,6 +445,7 @@
     logPaceChanges();
     probeUnansweredUpstreams();
     synchronizer_->tick();
+    logReadiness();
     metrics_.set("seamarch_closed_groups",
                  static_cast<double>(core_.groups().closedGroups(loop_.now()).size()));
     if (stopping_) {
@@ -468,6 +470,21 @@
     return true;
 }
 
+void GatewayService::logReadiness()
+{
+    Readiness readiness;
+    readiness.ready = ready(readiness.reason);
+    readinessLog_.update(
+        readiness,
+        {{"configVersion", storeView_.version().value()},
+         {"knowledgeAgeMs", storeView_.confirmed() ? toMillis(storeView_.age()) : -1},
+         {"storeReachable", storeView_.storeReachable()},
+         {"followsStore", synchronizer_->followsStore()},
+         {"storeCalls", synchronizer_->storeCalls()},
+         {"gateways", synchronizer_->gateways()}},
+        loop_.now());
+}
+
 // Lists the requests and prompt parts under which upstreams have ended, those with the most ends
 // first.
 json GatewayService::suspectsStatus() const
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -16,6 +16,7 @@
 #include "gateway/demandsharing.h"
 #include "gateway/gatewaybounds.h"
 #include "gateway/gatewaystoreview.h"
+#include "gateway/readinesslog.h"
 #include "gateway/startuprequestqueue.h"
 #include "gateway/statesynchronizer.h"
 #include "gateway/storeprotocol.h"
@@ -160,6 +161,7 @@
     void onDrained(ExchangeId exchange) override;
 
     bool ready(std::string &reason) const override;
+    void logReadiness();
     nlohmann::json status() const override;
     nlohmann::json suspectsStatus() const;
     nlohmann::json restingStatus() const;
@@ -232,6 +234,7 @@
     Metrics metrics_;
     GatewayCore core_;
     GatewayStoreView storeView_;
+    ReadinessLog readinessLog_;
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<UpstreamProbe> probe_;
     std::unique_ptr<HttpServer> server_;
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -1,8 +1,10 @@
 #include "gateway/storewatcher.h"
 
+#include "base/log.h"
 #include "gateway/configreaddelay.h"
 
 #include <algorithm>
+#include <bit>
 #include <iterator>
 #include <utility>
 
@@ -65,6 +67,7 @@
     if (page.empty()) {
         listed_ = {};
         listStartedAt_ = loop_.now();
+        logListStart();
     }
     makeCall(store_.listCall(page), settings_.answerTimeout);
 }
@@ -128,18 +131,72 @@
     std::move(items.items.begin(), items.items.end(), std::back_inserter(listed_.items));
     std::move(items.faults.begin(), items.faults.end(), std::back_inserter(listed_.faults));
     listed_.routingUnreadable = listed_.routingUnreadable || items.routingUnreadable;
+    ++progress_.pages;
     if (!items.nextPage.empty()) {
+        logPage();
         list(items.nextPage);
         return;
     }
+    logListEnd();
+    progress_.failures = 0;
     position_ = listed_.position;
     const StoreItems snapshot = std::exchange(listed_, {});
     listener_.onStoreListed(snapshot, listStartedAt_);
     watch();
 }
 
+// Logs the first list since the last success, and further ones each time that their number has
+// doubled, so that a store that fails again and again does not fill the log.
+void StoreWatcher::logListStart()
+{
+    progress_.pages = 0;
+    ++progress_.lists;
+    if (std::has_single_bit(progress_.lists)) {
+        logLine(
+            LogLevel::Info, "store.list_started",
+            {{"lists", progress_.lists}, {"era", position_.era}, {"revision", position_.revision}});
+    }
+}
+
+// Logs each time that the number of pages has doubled.
+void StoreWatcher::logPage() const
+{
+    if (std::has_single_bit(progress_.lists) && std::has_single_bit(progress_.pages)) {
+        logLine(LogLevel::Info, "store.list_continues",
+                {{"pages", progress_.pages},
+                 {"items", listed_.items.size()},
+                 {"revision", listed_.position.revision},
+                 {"ms", toMillis(loop_.now() - listStartedAt_)}});
+    }
+}
+
+void StoreWatcher::logListEnd() const
+{
+    logLine(LogLevel::Info, "store.list_ended",
+            {{"pages", progress_.pages},
+             {"items", listed_.items.size()},
+             {"revision", listed_.position.revision},
+             {"failures", progress_.failures},
+             {"ms", toMillis(loop_.now() - listStartedAt_)}});
+}
+
+// Logs the first failure since the last success, and each time that their number has doubled.
+void StoreWatcher::logFailure(std::string_view cause)
+{
+    ++progress_.failures;
+    if (std::has_single_bit(progress_.failures)) {
+        logLine(LogLevel::Info, "store.call_failed",
+                {{"call", step_ == Step::List ? "list" : "watch"},
+                 {"cause", cause},
+                 {"failures", progress_.failures},
+                 {"pages", progress_.pages},
+                 {"ms", toMillis(loop_.now() - sentAt_)}});
+    }
+}
+
 void StoreWatcher::onChanged(const StoreItems &items)
 {
+    progress_ = {};
     position_ = std::max(position_, items.position);
     listener_.onStoreChanged(items, sentAt_);
     const bool changed = !items.items.empty() || !items.faults.empty();
@@ -172,6 +229,7 @@
     constexpr int kMaxDoublings = 3;
     reachable_ = false;
     const int doublings = std::min(failures_++, kMaxDoublings);
+    logFailure(cause);
     const Duration backoff =
         std::min(settings_.initialBackoff * (1 << doublings), settings_.maxBackoff);
     std::uniform_real_distribution<double> jitter(0.5, 1.5);
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -71,12 +71,25 @@
 private:
     enum class Step { List, Watch };
 
+    // What has happened since the last success, for the log. A watch that is answered is a success;
+    // the end of a list is one for failures.
+    struct Progress
+    {
+        std::uint64_t lists = 0; // Lists begun.
+        std::uint64_t pages = 0; // Pages of the current list.
+        std::uint64_t failures = 0;
+    };
+
     void list(const std::string &page);
     void watch();
     void makeCall(HttpCallRequest request, Duration timeout);
     void onAnswer(const HttpTextResponse &text);
     bool acceptEra(const HttpTextResponse &text);
     void onListed(StoreItems items);
+    void logListStart();
+    void logPage() const;
+    void logListEnd() const;
+    void logFailure(std::string_view cause);
     void onChanged(const StoreItems &items);
     void onError(StoreError error);
     void onFailure(std::string_view cause);
@@ -90,6 +103,7 @@
     std::mt19937_64 random_;
     Step step_ = Step::List;
     StoreItems listed_; // Merged from the pages received so far.
+    Progress progress_;
     TimePoint sentAt_{};
     TimePoint listStartedAt_{};
     HttpCallId call_ = 0;
