Stand-in of the store: lists have pages, queries are decoded

No stand-in ever answered that a list has more pages, nor decoded a query, so no test of ours could meet a fault in either. Pages have at most 500 items or 1 MB, as the protocol says, or fewer as a test asks; each Nth list call can be refused, left without an answer, cut off or answered unreadably.

--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <map>
 #include <openssl/evp.h>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -13,7 +14,30 @@
 using nlohmann::json;
 namespace names = seamarch::platform;
 
-// Returns a parameter of a query string, or an empty string if there is none.
+// Decodes a percent-encoded component of a query, in which a plus stands for a space. A percent
+// sign that no two hexadecimal digits follow stands for itself.
+std::string decodeComponent(std::string_view encoded)
+{
+    constexpr std::size_t kDigits = 2;
+    constexpr int kHexadecimal = 16;
+    std::string text;
+    for (std::size_t at = 0; at < encoded.size(); ++at) {
+        unsigned char byte = 0;
+        const std::string_view digits = encoded.substr(at + 1, kDigits);
+        const char *end = digits.data() + digits.size();
+        const bool escaped = encoded[at] == '%' && digits.size() == kDigits
+                             && std::from_chars(digits.data(), end, byte, kHexadecimal).ptr == end;
+        if (escaped) {
+            text += static_cast<char>(byte);
+            at += kDigits;
+        } else {
+            text += encoded[at] == '+' ? ' ' : encoded[at];
+        }
+    }
+    return text;
+}
+
+// Returns a decoded parameter of a query string, or an empty string if there is none.
 std::string queryParameter(const std::string &query, const std::string &name)
 {
     const std::size_t at = ("&" + query).find("&" + name + "=");
@@ -21,7 +45,7 @@
         return {};
     }
     const std::string rest = query.substr(at + name.size() + 1);
-    return rest.substr(0, rest.find('&'));
+    return decodeComponent(std::string_view(rest).substr(0, rest.find('&')));
 }
 
 // Returns the number that `text` begins with, or 0.
@@ -44,7 +68,16 @@
     return encoded;
 }
 
-// The platform's store: a revisioned key-value store with long-poll watches.
+// What happens to the calls that fail.
+enum class Failure { Refused, Unanswered, CutOff, Unreadable };
+
+NLOHMANN_JSON_SERIALIZE_ENUM(Failure, {{Failure::Refused, "refused"},
+                                       {Failure::Unanswered, "unanswered"},
+                                       {Failure::CutOff, "cut off"},
+                                       {Failure::Unreadable, "unreadable"}})
+
+// The platform's store: a revisioned key-value store with long-poll watches. A list is answered in
+// pages of at most 500 items or about 1 MB; the next page begins after the last key of a page.
 //
 // Control settings:
 //   {"put": {KEY: VALUE}}   adds or replaces items
@@ -52,6 +85,9 @@
 //   {"remove": [KEY]}       removes items
 //   {"busy": true}          refuses requests with 503
 //   {"silent": true}        does not answer requests
+//   {"pageItems": N}        makes the pages of lists that short
+//   {"failEvery": N, "failure": KIND}       fails each Nth list call; KIND: refused, unanswered,
+//                           cut off, unreadable
 //   {"forget": true}        drops the history; watches from an earlier revision get 410
 //   {"copy": true}          makes a backup of all items
 //   {"restoreBackup": true}        restores the backup: the revision continues from the backup's,
@@ -78,7 +114,7 @@
         if (busy_) {
             reply(exchange, 503, {{"error", "busy"}});
         } else if (request.path == names::kListPath) {
-            reply(exchange, 200, list());
+            serveList(exchange, request.query);
         } else if (request.path == names::kWatchPath) {
             watch(exchange, request.query);
         } else {
@@ -94,15 +130,49 @@
         server().respond(exchange, head, body.dump());
     }
 
-    json list() const
+    void serveList(ExchangeId exchange, const std::string &query)
+    {
+        ++listCalls_;
+        const json page =
+            list(queryParameter(query, "path-prefix"), queryParameter(query, "since-rev"));
+        if (failEvery_ == 0 || listCalls_ % failEvery_ != 0) {
+            reply(exchange, 200, page);
+            return;
+        }
+        switch (failure_) {
+        case Failure::Refused:
+            reply(exchange, 503, {{"error", "busy"}});
+            return;
+        case Failure::Unanswered:
+            return;
+        case Failure::CutOff:
+            server().abort(exchange);
+            return;
+        case Failure::Unreadable:
+            reply(exchange, 200, {{"error", "no list"}});
+            return;
+        }
+    }
+
+    // Returns the page that begins after the key `after`.
+    json list(const std::string &prefix, const std::string &after) const
     {
+        constexpr std::size_t kMaxPageBytes = 1'000'000;
         json items = json::array();
-        for (const auto &[key, item] : items_) {
-            if (!item.contains("removed")) {
+        std::size_t bytes = 0;
+        bool more = false;
+        for (auto next = items_.upper_bound(after); next != items_.end() && !more; ++next) {
+            const auto &[key, item] = *next;
+            if (item.contains("removed") || !key.starts_with(prefix)) {
+                continue;
+            }
+            bytes += item.at("value").get_ref<const std::string &>().size();
+            more = items.size() >= pageItems_ || (!items.empty() && bytes > kMaxPageBytes);
+            if (!more) {
                 items.push_back(item);
             }
         }
-        return {{"items", items}, {"more-pages", false}, {"current-rev", revision_}};
+        return {{"items", items}, {"more-pages", more}, {"current-rev", revision_}};
     }
 
     // Returns the items that were put or removed after `revision`.
@@ -191,6 +261,9 @@
             const std::string name = key.get<std::string>();
             items_[name] = {{"key-file", name}, {"revision", ++revision_}, {"removed", true}};
         }
+        pageItems_ = change.value("pageItems", pageItems_);
+        failEvery_ = change.value("failEvery", failEvery_);
+        failure_ = change.value("failure", failure_);
         busy_ = change.value("busy", busy_);
         unresponsive_ = change.value("silent", unresponsive_);
         if (change.value("forget", false)) {
@@ -201,7 +274,7 @@
         while (!pendingWatches_.empty() && changed) {
             answerWatch(pendingWatches_.begin()->first);
         }
-        return {{"calls", calls_}, {"revision", revision_}};
+        return {{"calls", calls_}, {"listCalls", listCalls_}, {"revision", revision_}};
     }
 
     std::map<std::string, json> items_; // By key; removed items stay, marked as removed.
@@ -210,6 +283,10 @@
     std::uint64_t revision_ = 1;
     std::uint64_t compactedRevision_ = 0; // The history before this revision is gone.
     std::uint64_t calls_ = 0;
+    std::uint64_t listCalls_ = 0;
+    std::size_t pageItems_ = 500;
+    std::uint64_t failEvery_ = 0; // Zero: no call fails.
+    Failure failure_ = Failure::Refused;
     std::uint64_t era_ = 1;
     bool busy_ = false;
     bool unresponsive_ = false;
