Tests: a gateway is ready whatever key ends a page of a list (red)

The store answers lists in pages of one item, and a key of another writer ends the first. Six of twelve keys, among them a00%25, a02&b= and a03+, keep the restarted gateway from being ready for 12 s (recovery-s of the deployment): 'no configuration'.

--- /dev/null
+++ b/test/process/pagedlist_test.py
@@ -0,0 +1,53 @@
+"""Checks that gateways become ready whatever the store's list of items looks like.
+
+The store answers a list in pages and names a key as the end of each page; keys and values of other writers
+are in the same list. Gateways are started again while nobody else can tell them the configuration.
+"""
+
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.dirname(__file__))
+from gateway_test import GatewaySite  # noqa: E402
+from localsite import call, control, free_address  # noqa: E402
+
+# Keys with characters that have another meaning in the query of a URL, in a request line, or in both.
+KEYS = ("a00%25", "a01%00", "a02&b=", "a03+", "a04%C3%A9", "a05 b", "a06\u00e9", "a07#b", "a08?since-rev=b",
+        "a09\r\nX: y", "a10\"\\b", "a11/../b")
+READY_S = 12.0  # Time within which gateways must serve after all machines have come back.
+
+
+class PagedListTest(unittest.TestCase):
+    def setUp(self):
+        self.seed = free_address()
+        self.site = GatewaySite(**{"peer-listen": self.seed, "seeds": self.seed})
+        self.addCleanup(self.site.__exit__)
+
+    def store(self, **change):
+        return control(self.site.store, change)
+
+    def restart(self):
+        """Returns whether the gateway is ready and serves within the time allowed."""
+        self.site.gateway.end()
+        self.site.start_gateway()
+        try:
+            self.site.wait_until("the gateway is ready",
+                                 lambda: call(self.site.operators, "/readyz", timeout=2)[0] == 200, READY_S)
+        except RuntimeError:
+            return False
+        return self.site.ask("/letters/1")[0] == 200
+
+    # Guards against a list that never ends because the key at the end of a page is not encoded.
+    def test_gateway_is_ready_whatever_key_ends_a_page(self):
+        self.store(pageItems=1)
+        for key in KEYS:
+            with self.subTest(key=key):
+                self.store(putText={key: "x"})
+                ready = self.restart()
+                self.store(remove=[key])
+                self.assertTrue(ready, f"not ready {READY_S} s after its start")
+
+
+if __name__ == "__main__":
+    unittest.main()
