Store: the key that ends a page is encoded in the query

After a kill of all machines no gateway became ready: callers were refused for as long as the keys stood in the store.

Cause: a list of several pages continues from the last key of the page, which went into the URL as it was. A store decodes its query and so continues from another key: for a00%25, a02&b= or a03+ from one before it, and the same page comes again without an end; for one that decodes to a later key, it would skip the items between. Class: text from outside written into a protocol without the encoding of its place.

Why it works: every byte that is not an unreserved character or a slash is percent-encoded, so the store reads the key that it named. Plain keys are sent as before.

--- a/src/net/httpsyntax.cpp
+++ b/src/net/httpsyntax.cpp
@@ -1,7 +1,8 @@
 #include "net/httpsyntax.h"
 
 #include <cctype>
-#include <string_view>
+#include <fmt/format.h>
+#include <iterator>
 
 namespace seamarch {
 
@@ -19,4 +20,20 @@
     return character == '\t' || (code >= ' ' && code != kDelete);
 }
 
+std::string encodeQueryValue(std::string_view text)
+{
+    constexpr std::string_view kPlainPunctuation = "-._~/";
+    std::string encoded;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0
+            || kPlainPunctuation.find(character) != std::string_view::npos) {
+            encoded += character;
+        } else {
+            fmt::format_to(std::back_inserter(encoded), "%{:02X}", byte);
+        }
+    }
+    return encoded;
+}
+
 } // namespace seamarch
--- a/src/net/httpsyntax.h
+++ b/src/net/httpsyntax.h
@@ -1,6 +1,9 @@
-// The characters of HTTP's grammar (RFC 9110 section 5).
+// The grammar of HTTP messages (RFC 9110 section 5) and of the URLs in them (RFC 3986).
 #pragma once
 
+#include <string>
+#include <string_view>
+
 namespace seamarch {
 
 // Returns whether `character` may occur in a token, such as the name of a field.
@@ -8,4 +11,8 @@
 // Returns whether `character` may occur in the value of a field or in a reason phrase.
 bool isFieldChar(char character);
 
+// Returns `text`, which may hold any bytes, as the value of a parameter in the query of a URL
+// (RFC 3986 section 3.4): all bytes except unreserved characters and slashes are percent-encoded.
+std::string encodeQueryValue(std::string_view text);
+
 } // namespace seamarch
--- /dev/null
+++ b/test/net/httpsyntax_test.cpp
@@ -0,0 +1,37 @@
+#include "net/httpsyntax.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace seamarch;
+
+TEST_GROUP(HttpSyntaxTest){};
+
+TEST(HttpSyntaxTest, UnreservedCharactersStayAsTheyAre)
+{
+    STRCMP_EQUAL("azAZ09-._~", encodeQueryValue("azAZ09-._~").c_str());
+}
+
+// Every byte but those of the unreserved characters and the slash has three characters.
+TEST(HttpSyntaxTest, EncodesEveryOtherByte)
+{
+    constexpr int kBytes = 256;
+    constexpr int kPlainBytes = 26 + 26 + 10 + 5;
+    std::string all;
+    for (int byte = 0; byte < kBytes; ++byte) {
+        all += static_cast<char>(byte);
+    }
+    const std::string encoded = encodeQueryValue(all);
+    LONGS_EQUAL(kPlainBytes + 3 * (kBytes - kPlainBytes), encoded.size());
+    STRCMP_EQUAL("%00%01", encoded.substr(0, 6).c_str());
+    STRCMP_EQUAL("%FE%FF", encoded.substr(encoded.size() - 6).c_str());
+}
+
+TEST(HttpSyntaxTest, ControlBytesAreNoFieldChars)
+{
+    for (const char character : {'\r', '\n', '\0', '\x7f', '\x1f'}) {
+        CHECK_FALSE(isFieldChar(character));
+    }
+    for (const char character : {' ', '\t', 'a', '~', '\xc3'}) {
+        CHECK_TRUE(isFieldChar(character));
+    }
+}
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -498,6 +498,14 @@
     LONGS_EQUAL(4, std::get<UpstreamRecord>(items->items.front()).listedAt);
 }
 
+TEST(StoreHttpTest, EncodesTheCursorInTheQuery)
+{
+    STRCMP_EQUAL("/kv-range?path-prefix=&since-rev=servers/i-1",
+                 store.listCall("servers/i-1").path.c_str());
+    STRCMP_EQUAL("/kv-range?path-prefix=&since-rev=a%2500%26b%3D%2B%20%C3%A9%23%3F%0D%0A",
+                 store.listCall("a%00&b=+ \u00e9#?\r\n").path.c_str());
+}
+
 TEST(StoreHttpTest, NextPageCursorIsLastKey)
 {
     const auto items = store.readList(
