Store: a list goes on at the page whose call failed

A store that refuses, drops, cuts off or garbles each fifth call kept a restarted gateway from being ready for as long as the list had more pages than calls succeed in a row; callers were refused all the while.

Cause: each failed page began the list anew and dropped what was listed. Class: work of unbounded length that only an unbroken run of successes completes.

Why it works: the pages that were read stay, and the call that failed is made again after the usual backoff. The watch that follows the list starts at the revision of the first page, so what changes meanwhile is not missed; a later era still begins the list anew, and the list counts as confirmed when its first call was sent, however long it takes.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -61,15 +61,18 @@
                       });
 }
 
-void StoreWatcher::list(const std::string &page)
+void StoreWatcher::list()
 {
     step_ = Step::List;
-    if (page.empty()) {
-        listed_ = {};
-        listStartedAt_ = loop_.now();
-        logListStart();
-    }
-    makeCall(store_.listCall(page), settings_.answerTimeout);
+    listed_ = {};
+    listStartedAt_ = loop_.now();
+    logListStart();
+    fetchPage();
+}
+
+void StoreWatcher::fetchPage()
+{
+    makeCall(store_.listCall(listed_.nextPage), settings_.answerTimeout);
 }
 
 void StoreWatcher::watch()
@@ -98,7 +101,7 @@
     if (firstEra || restartsList) {
         return true;
     }
-    list({});
+    list();
     return false;
 }
 
@@ -131,10 +134,11 @@
     std::move(items.items.begin(), items.items.end(), std::back_inserter(listed_.items));
     std::move(items.faults.begin(), items.faults.end(), std::back_inserter(listed_.faults));
     listed_.routingUnreadable = listed_.routingUnreadable || items.routingUnreadable;
+    listed_.nextPage = std::move(items.nextPage);
     ++progress_.pages;
-    if (!items.nextPage.empty()) {
+    if (!listed_.nextPage.empty()) {
         logPage();
-        list(items.nextPage);
+        fetchPage();
         return;
     }
     logListEnd();
@@ -213,7 +217,7 @@
 {
     switch (error) {
     case StoreError::HistoryCompacted:
-        list({});
+        list();
         return;
     case StoreError::Unavailable:
         onFailure("refused");
@@ -235,8 +239,10 @@
     std::uniform_real_distribution<double> jitter(0.5, 1.5);
     listener_.onStoreFailed(cause);
     timer_ = loop_.schedule(fromSeconds(toSeconds(backoff) * jitter(random_)), [this] {
-        if (position_.revision == 0) {
-            list({});
+        if (step_ == Step::List) {
+            fetchPage();
+        } else if (position_.revision == 0) {
+            list(); // No revision of the store's present era is known.
         } else {
             watch();
         }
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -6,6 +6,9 @@
 // after an exponential backoff with jitter, so that a recovering store does not receive calls from
 // all gateways at once.
 //
+// A list of several pages continues at the page whose call failed, so that it ends however many of
+// its calls fail.
+//
 // A store that is restored from an older copy issues revisions again, and a watch from the known
 // revision would skip what was written below it. The first answer of a later era, whatever its
 // content, therefore starts a new list at once. An answer without an era counts as one of the
@@ -64,7 +67,7 @@
     StoreWatcher(const StoreWatcher &) = delete;
     StoreWatcher &operator=(const StoreWatcher &) = delete;
 
-    void start() { list({}); }
+    void start() { list(); }
     bool reachable() const { return reachable_; }
     std::uint64_t calls() const { return calls_; }
 
@@ -80,7 +83,10 @@
         std::uint64_t failures = 0;
     };
 
-    void list(const std::string &page);
+    // Starts a list at its first page.
+    void list();
+    // Requests the next page of the current list.
+    void fetchPage();
     void watch();
     void makeCall(HttpCallRequest request, Duration timeout);
     void onAnswer(const HttpTextResponse &text);
@@ -102,7 +108,7 @@
     Settings settings_;
     std::mt19937_64 random_;
     Step step_ = Step::List;
-    StoreItems listed_; // Merged from the pages received so far.
+    StoreItems listed_; // Merged from the pages received so far, with the cursor of the next one.
     Progress progress_;
     TimePoint sentAt_{};
     TimePoint listStartedAt_{};
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <map>
 #include <openssl/evp.h>
+#include <set>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -86,6 +87,7 @@
 //   {"busy": true}          refuses requests with 503
 //   {"silent": true}        does not answer requests
 //   {"pageItems": N}        makes the pages of lists that short
+//   {"listDelayMs": N}      answers lists that much later
 //   {"failEvery": N, "failure": KIND}       fails each Nth list call; KIND: refused, unanswered,
 //                           cut off, unreadable
 //   {"forget": true}        drops the history; watches from an earlier revision get 410
@@ -133,10 +135,10 @@
     void serveList(ExchangeId exchange, const std::string &query)
     {
         ++listCalls_;
-        const json page =
-            list(queryParameter(query, "path-prefix"), queryParameter(query, "since-rev"));
         if (failEvery_ == 0 || listCalls_ % failEvery_ != 0) {
-            reply(exchange, 200, page);
+            pendingLists_.insert(exchange);
+            loop().schedule(std::chrono::milliseconds(listDelayMillis_),
+                            [this, exchange, query] { answerList(exchange, query); });
             return;
         }
         switch (failure_) {
@@ -154,6 +156,14 @@
         }
     }
 
+    void answerList(ExchangeId exchange, const std::string &query)
+    {
+        if (pendingLists_.erase(exchange) != 0) {
+            reply(exchange, 200,
+                  list(queryParameter(query, "path-prefix"), queryParameter(query, "since-rev")));
+        }
+    }
+
     // Returns the page that begins after the key `after`.
     json list(const std::string &prefix, const std::string &after) const
     {
@@ -218,7 +228,11 @@
         }
     }
 
-    void onCallerGone(ExchangeId exchange) override { pendingWatches_.erase(exchange); }
+    void onCallerGone(ExchangeId exchange) override
+    {
+        pendingWatches_.erase(exchange);
+        pendingLists_.erase(exchange);
+    }
 
     void restoreBackup()
     {
@@ -262,6 +276,7 @@
             items_[name] = {{"key-file", name}, {"revision", ++revision_}, {"removed", true}};
         }
         pageItems_ = change.value("pageItems", pageItems_);
+        listDelayMillis_ = change.value("listDelayMs", listDelayMillis_);
         failEvery_ = change.value("failEvery", failEvery_);
         failure_ = change.value("failure", failure_);
         busy_ = change.value("busy", busy_);
@@ -280,11 +295,13 @@
     std::map<std::string, json> items_; // By key; removed items stay, marked as removed.
     std::pair<std::map<std::string, json>, std::uint64_t> backup_;
     std::map<ExchangeId, Watch> pendingWatches_;
+    std::set<ExchangeId> pendingLists_;
     std::uint64_t revision_ = 1;
     std::uint64_t compactedRevision_ = 0; // The history before this revision is gone.
     std::uint64_t calls_ = 0;
     std::uint64_t listCalls_ = 0;
     std::size_t pageItems_ = 500;
+    int listDelayMillis_ = 0;
     std::uint64_t failEvery_ = 0; // Zero: no call fails.
     Failure failure_ = Failure::Refused;
     std::uint64_t era_ = 1;
--- a/test/process/pagedlist_test.py
+++ b/test/process/pagedlist_test.py
@@ -48,6 +48,28 @@
                 self.store(remove=[key])
                 self.assertTrue(ready, f"not ready {READY_S} s after its start")
 
+    # Guards against a list that begins anew after each failure and so never ends.
+    def test_list_of_many_pages_ends_though_calls_fail(self):
+        self.store(pageItems=1, failEvery=5, putText={f"a{number:02}": "x" for number in range(9)})
+        for failure in ("refused", "unanswered", "cut off", "unreadable"):
+            with self.subTest(failure=failure):
+                self.store(failure=failure)
+                self.assertTrue(self.restart(), f"not ready {READY_S} s after its start")
+
+    # Guards against a list that joins pages from before and after the store went back to an older copy.
+    def test_list_begins_anew_when_the_store_goes_back_meanwhile(self):
+        self.store(copy=True)
+        self.site.publish(2, ("new",))
+        self.store(pageItems=1, listDelayMs=200, failEvery=3)
+        self.site.gateway.end()
+        self.site.start_gateway()
+        before = self.store()["listCalls"]
+        self.site.wait_until("some pages have been listed", lambda: self.store()["listCalls"] > before + 2)
+        self.store(goBack=True)
+        self.site.publish(3, ("newer",))
+        self.site.wait_until("version 3", lambda: self.site.status()["configVersion"] == 3, READY_S)
+        self.assertEqual([self.site.ask("/letters/1", key=key)[0] for key in ("newer", "new")], [200, 401])
+
 
 if __name__ == "__main__":
     unittest.main()
