Store: a list whose pages repeat is given up

While a list made no progress, one gateway called the store 21,600 times a second on loopback; the stores of the deployments bear 2,000 from all machines together and refuse the rest, so one such list takes the store away from everybody, and no line in the log said so.

Cause: the watcher asked for the next page at once and without a bound. Class: a loop whose end depends on another system.

Why it works: the cursors of a list are remembered. Cursors are compared for equality only, so nothing is assumed of the order of keys.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -65,6 +65,7 @@
 {
     step_ = Step::List;
     listed_ = {};
+    cursors_.clear();
     listStartedAt_ = loop_.now();
     logListStart();
     fetchPage();
@@ -138,7 +139,12 @@
     ++progress_.pages;
     if (!listed_.nextPage.empty()) {
         logPage();
-        fetchPage();
+        if (cursors_.insert(listed_.nextPage).second) {
+            fetchPage();
+        } else {
+            reportFailure("list repeats a page");
+            listAgain();
+        }
         return;
     }
     logListEnd();
@@ -230,15 +236,8 @@
 
 void StoreWatcher::onFailure(std::string_view cause)
 {
-    constexpr int kMaxDoublings = 3;
-    reachable_ = false;
-    const int doublings = std::min(failures_++, kMaxDoublings);
-    logFailure(cause);
-    const Duration backoff =
-        std::min(settings_.initialBackoff * (1 << doublings), settings_.maxBackoff);
-    std::uniform_real_distribution<double> jitter(0.5, 1.5);
-    listener_.onStoreFailed(cause);
-    timer_ = loop_.schedule(fromSeconds(toSeconds(backoff) * jitter(random_)), [this] {
+    reportFailure(cause);
+    timer_ = loop_.schedule(backoffAfter(failures_++), [this] {
         if (step_ == Step::List) {
             fetchPage();
         } else if (position_.revision == 0) {
@@ -249,4 +248,33 @@
     });
 }
 
+void StoreWatcher::reportFailure(std::string_view cause)
+{
+    reachable_ = false;
+    logFailure(cause);
+    listener_.onStoreFailed(cause);
+}
+
+// Starts another list: at once if it is the first repetition since the last success, else after a
+// backoff.
+void StoreWatcher::listAgain()
+{
+    if (progress_.lists < 2) {
+        list();
+    } else {
+        timer_ = loop_.schedule(backoffAfter(progress_.lists - 2), [this] { list(); });
+    }
+}
+
+// Returns the delay of a repetition that `repetitions` others preceded.
+Duration StoreWatcher::backoffAfter(std::uint64_t repetitions)
+{
+    constexpr std::uint64_t kMaxDoublings = 3;
+    const auto doublings = std::min(repetitions, kMaxDoublings);
+    const Duration backoff =
+        std::min(settings_.initialBackoff * (1 << doublings), settings_.maxBackoff);
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    return fromSeconds(toSeconds(backoff) * jitter(random_));
+}
+
 } // namespace seamarch
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -7,7 +7,7 @@
 // all gateways at once.
 //
 // A list of several pages continues at the page whose call failed, so that it ends however many of
-// its calls fail.
+// its calls fail. A list whose pages repeat is given up and begun anew after a backoff.
 //
 // A store that is restored from an older copy issues revisions again, and a watch from the known
 // revision would skip what was written below it. The first answer of a later era, whatever its
@@ -23,6 +23,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace seamarch {
@@ -85,6 +86,7 @@
 
     // Starts a list at its first page.
     void list();
+    void listAgain();
     // Requests the next page of the current list.
     void fetchPage();
     void watch();
@@ -98,7 +100,10 @@
     void logFailure(std::string_view cause);
     void onChanged(const StoreItems &items);
     void onError(StoreError error);
+    // Repeats the call that failed after a backoff.
     void onFailure(std::string_view cause);
+    void reportFailure(std::string_view cause);
+    Duration backoffAfter(std::uint64_t repetitions);
     void endCall();
 
     EventLoop &loop_;
@@ -110,13 +115,14 @@
     Step step_ = Step::List;
     StoreItems listed_; // Merged from the pages received so far, with the cursor of the next one.
     Progress progress_;
+    std::set<std::string> cursors_; // Of the pages of the current list.
     TimePoint sentAt_{};
     TimePoint listStartedAt_{};
     HttpCallId call_ = 0;
     TimerId timer_ = 0;
     StorePosition position_;
     std::uint64_t calls_ = 0;
-    int failures_ = 0;
+    std::uint64_t failures_ = 0; // In a row.
     bool reachable_ = false;
 };
 
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -90,6 +90,8 @@
 //   {"listDelayMs": N}      answers lists that much later
 //   {"failEvery": N, "failure": KIND}       fails each Nth list call; KIND: refused, unanswered,
 //                           cut off, unreadable
+//   {"repeatPage": true}    answers the first page of a list whatever page is asked for
+//   {"noHistory": true}     answers each watch that the history is gone
 //   {"forget": true}        drops the history; watches from an earlier revision get 410
 //   {"copy": true}          makes a backup of all items
 //   {"restoreBackup": true}        restores the backup: the revision continues from the backup's,
@@ -171,7 +173,8 @@
         json items = json::array();
         std::size_t bytes = 0;
         bool more = false;
-        for (auto next = items_.upper_bound(after); next != items_.end() && !more; ++next) {
+        for (auto next = items_.upper_bound(repeatsPage_ ? "" : after);
+             next != items_.end() && !more; ++next) {
             const auto &[key, item] = *next;
             if (item.contains("removed") || !key.starts_with(prefix)) {
                 continue;
@@ -200,7 +203,7 @@
     void watch(ExchangeId exchange, const std::string &query)
     {
         const std::uint64_t after = parseNumber(queryParameter(query, "since-rev"));
-        if (after < compactedRevision_ || after > revision_) {
+        if (lacksHistory_ || after < compactedRevision_ || after > revision_) {
             reply(exchange, 410, {{"error", "history gone"}});
             return;
         }
@@ -276,6 +279,8 @@
             items_[name] = {{"key-file", name}, {"revision", ++revision_}, {"removed", true}};
         }
         pageItems_ = change.value("pageItems", pageItems_);
+        repeatsPage_ = change.value("repeatPage", repeatsPage_);
+        lacksHistory_ = change.value("noHistory", lacksHistory_);
         listDelayMillis_ = change.value("listDelayMs", listDelayMillis_);
         failEvery_ = change.value("failEvery", failEvery_);
         failure_ = change.value("failure", failure_);
@@ -305,6 +310,8 @@
     std::uint64_t failEvery_ = 0; // Zero: no call fails.
     Failure failure_ = Failure::Refused;
     std::uint64_t era_ = 1;
+    bool repeatsPage_ = false;
+    bool lacksHistory_ = false;
     bool busy_ = false;
     bool unresponsive_ = false;
 };
--- a/test/process/gateway_test.py
+++ b/test/process/gateway_test.py
@@ -114,10 +114,13 @@
         for address in list(self.upstreams.values()):  # A test may replace upstreams meanwhile.
             control(address, change)
 
-    def events(self):
+    def log_text(self):
         self.log.flush()
         with open(self.log.name, encoding="utf-8") as file:
-            return [json.loads(line)["event"] for line in file if line.startswith("{")]
+            return file.read()
+
+    def events(self):
+        return [json.loads(line)["event"] for line in self.log_text().splitlines() if line.startswith("{")]
 
 
 class GatewayTest(unittest.TestCase):
--- a/test/process/pagedlist_test.py
+++ b/test/process/pagedlist_test.py
@@ -6,6 +6,7 @@
 
 import os
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
@@ -16,6 +17,7 @@
 KEYS = ("a00%25", "a01%00", "a02&b=", "a03+", "a04%C3%A9", "a05 b", "a06\u00e9", "a07#b", "a08?since-rev=b",
         "a09\r\nX: y", "a10\"\\b", "a11/../b")
 READY_S = 12.0  # Time within which gateways must serve after all machines have come back.
+CALLS_PER_S = 2000 / 18  # Reading calls that the store of a site bears, for each of its machines.
 
 
 class PagedListTest(unittest.TestCase):
@@ -70,6 +72,23 @@
         self.site.wait_until("version 3", lambda: self.site.status()["configVersion"] == 3, READY_S)
         self.assertEqual([self.site.ask("/letters/1", key=key)[0] for key in ("newer", "new")], [200, 401])
 
+    def calls_per_second(self, seconds=3.0):
+        before = self.store()["calls"]
+        time.sleep(seconds)
+        return (self.store()["calls"] - before) / seconds
+
+    # Guards against a gateway that overloads a store whose pages make no progress.
+    def test_store_that_repeats_a_page_is_not_called_without_a_pause(self):
+        self.store(pageItems=1, repeatPage=True)
+        self.site.gateway.end()
+        self.site.start_gateway()
+        time.sleep(1.0)
+        self.assertLessEqual(self.calls_per_second(), CALLS_PER_S)
+        self.assertIn("list repeats a page", self.site.log_text())
+        self.store(repeatPage=False)
+        self.site.wait_until("the gateway is ready",
+                             lambda: call(self.site.operators, "/readyz", timeout=2)[0] == 200, READY_S)
+
 
 if __name__ == "__main__":
     unittest.main()
