Store: lists cover only what gateways read

A start read every item of every writer of the store before its gateway was ready, so other writers decided how long callers are refused after a kill of all machines.

Change: lists go by prefix, the operators' items first and the upstreams' entries after them; the cursor names the part and the key.

Evidence: test_items_of_other_writers_are_not_listed, 40 items of others and pages of one item, fails before (43 list calls, 3 allowed) and passes now. Tests of keys write them in both places, as others' keys are no longer read.

--- a/src/gateway/storeprotocol.h
+++ b/src/gateway/storeprotocol.h
@@ -10,7 +10,10 @@
 #include "net/httpclient.h"
 #include "seamarch/units.h"
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -36,15 +39,24 @@
 // One item of the store, or its removal. Irrelevant items are omitted.
 using StoreItem = std::variant<RoutingDocument, UpstreamRecord, UpstreamRemoval, HallDrain>;
 
+// A position in a list of the store, which covers several parts of it one after the other.
+struct ListCursor
+{
+    std::size_t part = 0;
+    std::string after; // The key after which the page begins; empty: at the begin of the part.
+
+    friend auto operator<=>(const ListCursor &, const ListCursor &) = default;
+};
+
 // The result of a list or watch call.
 struct StoreItems
 {
     // The decoder sets the revision; the caller adds the era.
     StorePosition position;
     std::vector<StoreItem> items;
-    std::string nextPage;            // Cursor of the next page; empty on the last page.
-    std::vector<std::string> faults; // Descriptions of invalid items, for the log.
-    bool routingUnreadable = false;  // The routing document is among the invalid items.
+    std::optional<ListCursor> nextPage; // Not set on the last page of a list.
+    std::vector<std::string> faults;    // Descriptions of invalid items, for the log.
+    bool routingUnreadable = false;     // The routing document is among the invalid items.
 };
 
 enum class StoreError {
@@ -59,11 +71,12 @@
 public:
     virtual ~StoreProtocol() = default;
 
-    // Returns a call that lists all items, or those from the cursor `page` on.
-    virtual HttpCallRequest listCall(const std::string &page) const = 0;
+    // Returns the call for one page of a list of all relevant items.
+    virtual HttpCallRequest listCall(const ListCursor &page) const = 0;
     // Returns a call that waits up to `maxWait` for changes after `revision`.
     virtual HttpCallRequest watchCall(std::uint64_t revision, Duration maxWait) const = 0;
-    virtual tl::expected<StoreItems, StoreError> readList(int status,
+    // Reads the answer to `listCall(page)`.
+    virtual tl::expected<StoreItems, StoreError> readList(const ListCursor &page, int status,
                                                           std::string_view body) const = 0;
     virtual tl::expected<StoreItems, StoreError> readWatch(int status,
                                                            std::string_view body) const = 0;
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -65,6 +65,7 @@
 {
     step_ = Step::List;
     listed_ = {};
+    page_ = {};
     cursors_.clear();
     listStartedAt_ = loop_.now();
     logListStart();
@@ -73,7 +74,7 @@
 
 void StoreWatcher::fetchPage()
 {
-    makeCall(store_.listCall(listed_.nextPage), settings_.answerTimeout);
+    makeCall(store_.listCall(page_), settings_.answerTimeout);
 }
 
 void StoreWatcher::watch()
@@ -111,7 +112,7 @@
     if (!acceptEra(text)) {
         return;
     }
-    auto items = step_ == Step::List ? store_.readList(text.status, text.body)
+    auto items = step_ == Step::List ? store_.readList(page_, text.status, text.body)
                                      : store_.readWatch(text.status, text.body);
     if (!items) {
         onError(items.error());
@@ -135,11 +136,11 @@
     std::move(items.items.begin(), items.items.end(), std::back_inserter(listed_.items));
     std::move(items.faults.begin(), items.faults.end(), std::back_inserter(listed_.faults));
     listed_.routingUnreadable = listed_.routingUnreadable || items.routingUnreadable;
-    listed_.nextPage = std::move(items.nextPage);
     ++progress_.pages;
-    if (!listed_.nextPage.empty()) {
+    if (items.nextPage) {
         logPage();
-        if (cursors_.insert(listed_.nextPage).second) {
+        page_ = std::move(*items.nextPage);
+        if (cursors_.insert(page_).second) {
             fetchPage();
         } else {
             reportFailure("list repeats a page");
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -113,9 +113,10 @@
     Settings settings_;
     std::mt19937_64 random_;
     Step step_ = Step::List;
-    StoreItems listed_; // Merged from the pages received so far, with the cursor of the next one.
+    StoreItems listed_; // Merged from the pages received so far.
+    ListCursor page_;   // The page that is requested.
     Progress progress_;
-    std::set<std::string> cursors_; // Of the pages of the current list.
+    std::set<ListCursor> cursors_; // Of the pages of the current list.
     TimePoint sentAt_{};
     TimePoint listStartedAt_{};
     HttpCallId call_ = 0;
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -500,18 +500,35 @@
 
 TEST(StoreHttpTest, EncodesTheCursorInTheQuery)
 {
-    STRCMP_EQUAL("/kv-range?path-prefix=&since-rev=servers/i-1",
-                 store.listCall("servers/i-1").path.c_str());
-    STRCMP_EQUAL("/kv-range?path-prefix=&since-rev=a%2500%26b%3D%2B%20%C3%A9%23%3F%0D%0A",
-                 store.listCall("a%00&b=+ \u00e9#?\r\n").path.c_str());
+    STRCMP_EQUAL("/kv-range?path-prefix=servers/&since-rev=servers/i-1",
+                 store.listCall({1, "servers/i-1"}).path.c_str());
+    STRCMP_EQUAL("/kv-range?path-prefix=op/&since-rev=a%2500%26b%3D%2B%20%C3%A9%23%3F%0D%0A",
+                 store.listCall({0, "a%00&b=+ \u00e9#?\r\n"}).path.c_str());
 }
 
-TEST(StoreHttpTest, NextPageCursorIsLastKey)
+TEST(StoreHttpTest, ListsOnlyPartsThatHoldRelevantItems)
+{
+    STRCMP_EQUAL("/kv-range?path-prefix=op/", store.listCall({}).path.c_str());
+    STRCMP_EQUAL("/kv-range?path-prefix=servers/", store.listCall({1, {}}).path.c_str());
+}
+
+TEST(StoreHttpTest, NextPageBeginsAfterLastKey)
 {
     const auto items = store.readList(
-        200, R"({"items":[{"key-file":"a","value":"","revision":1}],"more-pages":true,)"
-             R"("current-rev":3})");
-    STRCMP_EQUAL("a", items->nextPage.c_str());
+        {}, 200,
+        R"({"items":[{"key-file":"op/a","value":"","revision":1}],"more-pages":true,)"
+        R"("current-rev":3})");
+    const ListCursor expected{0, "op/a"};
+    CHECK_TRUE(items->nextPage == expected);
+}
+
+TEST(StoreHttpTest, NextPartFollowsLastPageOfAPart)
+{
+    const char *const lastPage = R"({"items":[],"more-pages":false,"current-rev":3})";
+    const ListCursor lastOfFirst{0, "op/a"};
+    const ListCursor firstOfSecond{1, ""};
+    CHECK_TRUE(store.readList(lastOfFirst, 200, lastPage)->nextPage == firstOfSecond);
+    CHECK_FALSE(store.readList(firstOfSecond, 200, lastPage)->nextPage.has_value());
 }
 
 TEST_GROUP(EngineHttpTest)
--- a/test/process/pagedlist_test.py
+++ b/test/process/pagedlist_test.py
@@ -45,14 +45,15 @@
         self.store(pageItems=1)
         for key in KEYS:
             with self.subTest(key=key):
-                self.store(putText={key: "x"})
+                places = [key, f"op/{key}"]
+                self.store(putText={place: "x" for place in places})
                 ready = self.restart()
-                self.store(remove=[key])
+                self.store(remove=places)
                 self.assertTrue(ready, f"not ready {READY_S} s after its start")
 
     # Guards against a list that begins anew after each failure and so never ends.
     def test_list_of_many_pages_ends_though_calls_fail(self):
-        self.store(pageItems=1, failEvery=5, putText={f"a{number:02}": "x" for number in range(9)})
+        self.store(pageItems=1, failEvery=5, putText={f"op/a{number:02}": "x" for number in range(9)})
         for failure in ("refused", "unanswered", "cut off", "unreadable"):
             with self.subTest(failure=failure):
                 self.store(failure=failure)
@@ -62,7 +63,7 @@
     def test_list_begins_anew_when_the_store_goes_back_meanwhile(self):
         self.store(copy=True)
         self.site.publish(2, ("new",))
-        self.store(pageItems=1, listDelayMs=200, failEvery=3)
+        self.store(pageItems=1, listDelayMs=200, failEvery=3, putText={"op/a": "x", "op/b": "x"})
         self.site.gateway.end()
         self.site.start_gateway()
         before = self.store()["listCalls"]
@@ -72,6 +73,15 @@
         self.site.wait_until("version 3", lambda: self.site.status()["configVersion"] == 3, READY_S)
         self.assertEqual([self.site.ask("/letters/1", key=key)[0] for key in ("newer", "new")], [200, 401])
 
+    # Guards against a start that takes as long as others like, because it reads all that they keep in the store.
+    def test_items_of_other_writers_are_not_listed(self):
+        others = {f"a{number:02}": "x" for number in range(20)} | {f"q/{number}": "x" for number in range(20)}
+        self.store(pageItems=1, putText=others)
+        before = self.store()["listCalls"]
+        self.assertTrue(self.restart(), f"not ready {READY_S} s after its start")
+        own = 1 + len(self.site.upstreams)  # The configuration and the entries of the upstreams.
+        self.assertLessEqual(self.store()["listCalls"] - before, own)
+
     def calls_per_second(self, seconds=3.0):
         before = self.store()["calls"]
         time.sleep(seconds)
--- a/test/process/restartedsite_test.py
+++ b/test/process/restartedsite_test.py
@@ -55,7 +55,8 @@
                          for hall in HALLS for number, peer in enumerate(peers[hall])]
         self.wait_until_ready()
         time.sleep(DISCOVERY_S)
-        control(self.site.store, {"pageItems": 1, "putText": {key: "x" for key in FOREIGN_KEYS}})
+        places = [place + key for key in FOREIGN_KEYS for place in ("", "op/")]
+        control(self.site.store, {"pageItems": 1, "putText": {place: "x" for place in places}})
 
     def wait_until_ready(self):
         for gateway in self.gateways:
