Store: an empty page that is not the last is unreadable

A page without items that says that more follow ended the list, so upstreams on the pages after it would have counted as removed.

--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -522,6 +522,13 @@
     CHECK_TRUE(items->nextPage == expected);
 }
 
+// Guards against a list that ends early and so drops upstreams that the store still lists.
+TEST(StoreHttpTest, EmptyPageBeforeTheLastIsUnreadable)
+{
+    const auto items = store.readList({}, 200, R"({"items":[],"more-pages":true,"current-rev":3})");
+    CHECK_TRUE(!items.has_value() && items.error() == StoreError::Unreadable);
+}
+
 TEST(StoreHttpTest, NextPartFollowsLastPageOfAPart)
 {
     const char *const lastPage = R"({"items":[],"more-pages":false,"current-rev":3})";
