--- a/src/net/httpsyntax.cpp
+++ b/src/net/httpsyntax.cpp
@@ -1,5 +1,6 @@
 #include "net/httpsyntax.h"
 
+#include <algorithm>
 #include <cctype>
 #include <fmt/format.h>
 #include <iterator>
@@ -20,6 +21,13 @@
     return character == '\t' || (code >= ' ' && code != kDelete);
 }
 
+bool isFieldValue(std::string_view text)
+{
+    const auto isBlank = [](char character) { return character == ' ' || character == '\t'; };
+    return std::all_of(text.begin(), text.end(), isFieldChar)
+           && (text.empty() || !(isBlank(text.front()) || isBlank(text.back())));
+}
+
 std::string encodeQueryValue(std::string_view text)
 {
     constexpr std::string_view kPlainPunctuation = "-._~/";
--- a/src/net/httpsyntax.h
+++ b/src/net/httpsyntax.h
@@ -10,6 +10,9 @@
 bool isTokenChar(char character);
 // Returns whether `character` may occur in the value of a field or in a reason phrase.
 bool isFieldChar(char character);
+// Returns whether `text` can be the value of a field as it is: it holds no other characters, and
+// readers strip nothing from its ends.
+bool isFieldValue(std::string_view text);
 
 // Returns `text`, which may hold any bytes, as the value of a parameter in the query of a URL
 // (RFC 3986 section 3.4): all bytes except unreserved characters and slashes are percent-encoded.
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -52,6 +52,15 @@
     // Exit code when a request ends the process.
     static constexpr int kExitEndedByRequest = 70;
 
+    static json headerNames(const HttpRequest &request)
+    {
+        json list = json::array();
+        for (const HttpHeader &header : request.headers) {
+            list.push_back(header.name);
+        }
+        return list;
+    }
+
     void serve(ExchangeId exchange, const HttpRequest &request) override
     {
         if (exiting_) {
@@ -100,7 +109,8 @@
                          {"account", request.header(names::kAccount)},
                          {"key", request.header(names::kAuthorization)},
                          {"body", request.body.substr(0, kMaxReportedBody)},
-                         {"resumeAfter", request.header(names::kResumeAfter)}});
+                         {"resumeAfter", request.header(names::kResumeAfter)},
+                         {"headers", headerNames(request)}});
         head.headers.push_back({std::string(names::kReplicaSignature), "proof-of-" + id_});
         if (foreignId_) {
             head.headers.front().value = "another";
--- a/test/net/httpsyntax_test.cpp
+++ b/test/net/httpsyntax_test.cpp
@@ -35,3 +35,14 @@
         CHECK_TRUE(isFieldChar(character));
     }
 }
+
+TEST(HttpSyntaxTest, FieldValuesAreReadAsTheyWereWritten)
+{
+    for (const char *const text : {"", "a b", "a\tb", "\xc3\xa9", "\"a\", b/c"}) {
+        CHECK_TEXT(isFieldValue(text), text);
+    }
+    for (const char *const text : {" ", "a ", "\ta", "a\r\nb: c", "a\n", "\x7f", "\x1b"}) {
+        CHECK_FALSE_TEXT(isFieldValue(text), text);
+    }
+    CHECK_FALSE(isFieldValue(std::string_view("a\0b", 3)));
+}
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -413,6 +413,20 @@
     }
 }
 
+// Guards against requests with headers that the id of an upstream adds, and against an empty id.
+TEST(StoreHttpTest, UpstreamWhoseIdCannotStandInAHeaderIsSetAside)
+{
+    constexpr const char *kEntry =
+        R"({"service":"s","address":"1.2.3.4:5","zone":"n","capacity":6,"phase":"ready"})";
+    for (const char *const id : {"", "a\r\nb: c", "a\n", "\x1f", "a\x7f", " a", "a\t"}) {
+        CHECK_TEXT(!readUpstream(id, kEntry).has_value(), id);
+    }
+    CHECK_FALSE(readUpstream(std::string("a\0", 2), kEntry).has_value());
+    for (const char *const id : {"a b", "a\tb", "\xc3\xa9", "\"a\"", "a/b"}) {
+        CHECK_TEXT(readUpstream(id, kEntry).has_value(), id);
+    }
+}
+
 TEST(StoreHttpTest, ReadsWarmUpOfServices)
 {
     const auto document = readRouting(
