Store: an account whose name can't stand in a header is refused alone

What callers saw: with a client account named "i-2 CR LF X-Added: 1" its requests reached upstreams with the added header; names with control bytes gave its callers 504, and an empty name let them run under no account.

Cause: the name goes from the operators' document into a header as it is. Class: text from outside written into a protocol without the check of its place.

Change: the account stays in the configuration without its keys, and a fault names it in store.item_unreadable. Its callers get 401; other accounts and routes hold. Left out completely, a document with this account alone would need no key; with the whole document unreadable, all callers would lose the gateways some seconds later.

Why it works: requests run only under names that readers of headers take unchanged.

--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -427,6 +427,34 @@
     }
 }
 
+// Guards against requests with headers that an account's name adds, and under no account's name.
+TEST(StoreHttpTest, AccountWhoseNameCannotStandInAHeaderHasNoKeys)
+{
+    for (const char *const name : {"", "a\\r\\nb: c", "a\\u0000", "a\\u007f", " a", "a\\t"}) {
+        const auto document = readRouting(
+            fmt::format(R"({{"version":1,"routes":[],"tenants":[{{"name":"{}","api-keys":["k"]}},)"
+                        R"({{"name":"bids","api-keys":["l"]}}]}})",
+                        name));
+        CHECK_TEXT(document.has_value(), name);
+        const RouteTable table(*document);
+        POINTERS_EQUAL(nullptr, table.accountOf("k"));
+        STRCMP_EQUAL("bids", table.accountOf("l")->id.value().c_str());
+        CHECK_TRUE(table.hasAccounts());
+    }
+}
+
+// The value is {"version":1,"routes":[],"tenants":[{"name":"","api-keys":["k"]}]}.
+TEST(StoreHttpTest, AccountWhoseNameCannotStandInAHeaderIsReported)
+{
+    const auto items = store.readWatch(
+        200,
+        R"({"events":[{"key-file":"op/config","value":"eyJ2ZXJzaW9uIjoxLCJyb3V0ZXMiOltdLCJ0ZW5hbnRzIjpbeyJuYW1lIjoiIiwiYXBpLWtleXMiOlsiayJdfV19",)"
+        R"("revision":4}],"current-rev":4})");
+    UNSIGNED_LONGS_EQUAL(1, items->items.size());
+    UNSIGNED_LONGS_EQUAL(1, items->faults.size());
+    CHECK_FALSE(items->routingUnreadable);
+}
+
 TEST(StoreHttpTest, ReadsWarmUpOfServices)
 {
     const auto document = readRouting(
--- a/test/process/foreignnames_test.py
+++ b/test/process/foreignnames_test.py
@@ -1,6 +1,6 @@
 """Checks that names from the store change nothing but the value of the header that they stand in.
 
-The failure: the id of an upstream is written into requests as it is, so that
+The failure: the id of an upstream or the name of a client account is written into requests as it is, so that
 a line break in it adds headers, and an id that readers of headers change never matches.
 """
 
@@ -9,7 +9,7 @@
 import unittest
 
 sys.path.insert(0, os.path.dirname(__file__))
-from gateway_test import GatewaySite  # noqa: E402
+from gateway_test import KEY, GatewaySite, routing  # noqa: E402
 from localsite import control  # noqa: E402
 
 # Names that can't be the value of a header, or that its readers change.
@@ -21,6 +21,7 @@
     def setUp(self):
         self.site = GatewaySite()
         self.addCleanup(self.site.__exit__)
+        self.version = 1
 
     def put_upstream(self, name):
         """Lists i-2 under `name` and returns once the gateway has read the entry."""
@@ -32,8 +33,14 @@
         control(self.site.store, {"put": {f"servers/{name}": entry}})
         self.site.wait_until("the entry is read", lambda: read() > before)
 
-    def statuses(self, times=8):
-        return {self.site.ask("/letters/1")[0] for _ in range(times)}
+    def publish(self, accounts):
+        self.version += 1
+        control(self.site.store, {"put": {"op/config": {**routing(self.version), "tenants": accounts}}})
+        self.site.wait_until("the configuration is in force",
+                             lambda: self.site.status()["configVersion"] == self.version, 5)
+
+    def statuses(self, times=8, key=KEY):
+        return {self.site.ask("/letters/1", key=key)[0] for _ in range(times)}
 
     def added_headers(self):
         return sum("X-Added" in run["headers"] for run in self.site.runs())
@@ -59,6 +66,20 @@
                 self.assertEqual(self.statuses(times=1), {200})
                 control(self.site.store, {"remove": [f"servers/{name}"]})
 
+    # Guards against a name that adds a header to requests, and against requests that run under no account's name.
+    def test_only_the_account_whose_name_cannot_stand_in_a_header_is_refused(self):
+        good = {"name": "bids", "api-keys": [KEY]}
+        for name in BAD:
+            with self.subTest(name=name):
+                bad = {"name": name, "api-keys": ["other"]}
+                self.publish([bad, good])
+                self.assertEqual((self.statuses(1, "other"), self.statuses(1)), ({401}, {200}))
+                self.publish([bad])
+                self.assertEqual((self.statuses(1, "other"), self.statuses(1, "")), ({401}, {401}))
+        self.assertEqual({run["account"] for run in self.site.runs()}, {"bids"})
+        self.assertEqual(self.added_headers(), 0)
+        self.assertIn("store.item_unreadable", self.site.events())
+
 
 if __name__ == "__main__":
     unittest.main()
