HTTP: requests whose target holds a tab are refused

By reading, in the same class: http_parser takes a tab for a part of the target, so a gateway forwarded "GET /a TAB b HTTP/1.1" as it came. Servers that take any blank for the end of the target then run another request than the one that was routed and whose key was checked.

Evidence: RejectsTargetsWithTabs fails before and passes now. Why it works: what is forwarded has one reading (RFC 9112 section 3); callers get 400.

--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -258,8 +258,11 @@
 {
     const std::string_view firstLine =
         std::string_view(headText_).substr(0, headText_.find("\r\n"));
-    if (!isWellFormedHead(headText_)
-        || (kind_ == Kind::Response && !isWellFormedStatusLine(firstLine))) {
+    // http_parser takes a tab for a part of the target.
+    const bool validFirstLine = kind_ == Kind::Response
+                                    ? isWellFormedStatusLine(firstLine)
+                                    : firstLine.find('\t') == std::string_view::npos;
+    if (!isWellFormedHead(headText_) || !validFirstLine) {
         setFault(HttpFault::Malformed);
         return;
     }
--- a/test/net/httpreader_test.cpp
+++ b/test/net/httpreader_test.cpp
@@ -1,5 +1,6 @@
 #include "net/httpreader.h"
 
+#include <fmt/format.h>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -116,6 +117,17 @@
     }
 }
 
+// Guards against a target that is forwarded and that an upstream reads only up to a tab, as some
+// servers take any blank for the end of the target.
+TEST(HttpReaderTest, RejectsTargetsWithTabs)
+{
+    for (const char *const target : {"/a\tb", "/\tHTTP/1.1", "\t/", "/?\t"}) {
+        CHECK_TEXT(faultOf(fmt::format("GET {} HTTP/1.1\r\nHost: x\r\n\r\n", target))
+                       == HttpFault::Malformed,
+                   target);
+    }
+}
+
 TEST(HttpReaderTest, RejectsInvalidChunkSize)
 {
     Message message;
