HTTP: requests that would be read as others are not sent

Cause: the client and the probe wrote targets and headers as they were, so each place that takes text from outside had to check it, and one that forgot let the text add headers, or a second request.

Change: findUnwritable() names the target or header that can't be written. Such a call ends as NotSent without a byte on the connection, such a probe as unknown, and call.unwritable names the field, without its value.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "net/httpclient.h"
 
+#include "base/log.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -43,6 +45,19 @@
     return std::chrono::seconds(seconds) - kKeepAliveMargin;
 }
 
+// Returns whether the request can be written, and logs what of it cannot. Values are not logged, as
+// they may be secret.
+bool isWritable(const HttpCallRequest &request)
+{
+    const auto field = findUnwritable(request.path, request.headers);
+    if (field) {
+        logLine(
+            LogLevel::Warning, "call.unwritable",
+            {{"field", *field}, {"host", request.address.host}, {"port", request.address.port}});
+    }
+    return !field;
+}
+
 } // namespace
 
 struct HttpClient::Connection final : public HttpSink
@@ -83,6 +98,7 @@
     Duration keepAlive{};
     int status = 0;
     int informationalResponses = 0;
+    bool writable = true; // Otherwise the call ends instead of being sent.
     bool connected = false;
     bool persistent = false;
     bool reusedConnection = false;
@@ -113,7 +129,8 @@
 HttpCallId HttpClient::call(HttpCallRequest request, std::unique_ptr<HttpCallReceiver> receiver)
 {
     const HttpCallId id = nextCall_++;
-    SocketId socket = takeIdleConnection(request);
+    const bool writable = isWritable(request);
+    SocketId socket = writable ? takeIdleConnection(request) : 0;
     const bool reused = socket != 0;
     if (!reused) {
         socket = sockets_->connect(request.address, *this);
@@ -122,6 +139,7 @@
     }
     Connection &connection = *connections_.at(socket);
     connection.call = id;
+    connection.writable = writable;
     connection.reusedConnection = reused;
     connection.receivedBytes = false;
     connection.informationalResponses = 0;
@@ -198,7 +216,7 @@
         return;
     }
     Connection &connection = *found->second;
-    if (loop_.now() >= connection.connectDeadline) {
+    if (!connection.writable || loop_.now() >= connection.connectDeadline) {
         endCall(connection.call, HttpCallEnd::NotSent);
         return;
     }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -71,7 +71,7 @@
 enum class HttpCallEnd {
     Complete,             // The complete response arrived.
     ClosedByPeer,         // The peer closed the connection, which ends a response without a length.
-    NotSent,              // No connection was established; nothing was written.
+    NotSent,              // No connection was established, or the request cannot be written.
     ReusedConnectionLost, // A reused connection broke before any byte of the response.
     Interrupted,          // The connection broke; the request may have been written.
     MalformedResponse,    // The peer sent something other than an HTTP response.
--- a/src/net/httpsyntax.cpp
+++ b/src/net/httpsyntax.cpp
@@ -28,6 +28,13 @@
            && (text.empty() || !(isBlank(text.front()) || isBlank(text.back())));
 }
 
+bool isRequestTarget(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) {
+        return isFieldChar(character) && character != ' ' && character != '\t';
+    });
+}
+
 std::string encodeQueryValue(std::string_view text)
 {
     constexpr std::string_view kPlainPunctuation = "-._~/";
--- a/src/net/httptypes.cpp
+++ b/src/net/httptypes.cpp
@@ -1,5 +1,7 @@
 #include "net/httptypes.h"
 
+#include "net/httpsyntax.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -32,6 +34,19 @@
 
 } // namespace
 
+std::optional<std::string> findUnwritable(std::string_view target, const HttpHeaders &headers)
+{
+    if (!isRequestTarget(target)) {
+        return "target";
+    }
+    const auto found = std::find_if(headers.begin(), headers.end(), [](const HttpHeader &header) {
+        return header.name.empty()
+               || !std::all_of(header.name.begin(), header.name.end(), isTokenChar)
+               || !std::all_of(header.value.begin(), header.value.end(), isFieldChar);
+    });
+    return found == headers.end() ? std::nullopt : std::optional(found->name);
+}
+
 bool equalsIgnoreCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size()
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -1,6 +1,7 @@
 // Header types and functions that the HTTP server and the HTTP client share.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,10 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+// Returns what of a request cannot be written, since it would be read as something else: "target",
+// or the name of a header.
+std::optional<std::string> findUnwritable(std::string_view target, const HttpHeaders &headers);
+
 // Compares two header names or tokens case-insensitively, in ASCII.
 bool equalsIgnoreCase(std::string_view left, std::string_view right);
 
--- a/src/net/upstreamprobe.cpp
+++ b/src/net/upstreamprobe.cpp
@@ -1,5 +1,7 @@
 #include "net/upstreamprobe.h"
 
+#include "base/log.h"
+
 #include <fmt/format.h>
 #include <iterator>
 #include <utility>
@@ -84,6 +86,13 @@
         return;
     }
     pending.address = address;
+    if (const auto field = findUnwritable(question.path, question.headers)) {
+        logLine(LogLevel::Warning, "call.unwritable",
+                {{"field", *field}, {"host", address.host}, {"port", address.port}});
+        pending.deadline = loop_.schedule(
+            Duration{}, [this, address] { finish(address, UpstreamProbeResult::Unknown); });
+        return;
+    }
     pending.request = toRequest(address, question);
     setDeadline(pending, kConnectTimeout);
     connect(address);
--- a/src/net/upstreamprobe.h
+++ b/src/net/upstreamprobe.h
@@ -36,7 +36,8 @@
     Alive,        // It answered.
     Ended,        // Its host refuses connections, or another instance answered at its address.
     Unresponsive, // Its address accepts connections, but no process answers.
-    Unknown,      // Its host did not respond in time, or connecting failed otherwise.
+    Unknown,      // Its host did not respond in time, connecting failed otherwise, or the question
+                  // cannot be written.
 };
 
 // A probe has a result after this time, if the loop is not held up.
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -347,6 +347,32 @@
     LONGS_EQUAL(0, echo.requests);
 }
 
+// Guards against text from outside that adds headers or a whole request, also on a connection that
+// is open already.
+TEST(HttpStackTest, DoesNotSendRequestsThatWouldBeReadAsOthers)
+{
+    HttpCallRequest plain;
+    plain.reuse = ConnectionReuse::Any;
+    LONGS_EQUAL(200, call(plain).status);
+    for (const char *const path : {"", "/ HTTP/1.1\r\nA: b", "/a b", "/\t"}) {
+        HttpCallRequest request = plain;
+        request.path = path;
+        CHECK_TEXT(call(request).end == HttpCallEnd::NotSent, path);
+    }
+    for (const HttpHeader &header : HttpHeaders{{"A", "b\r\nC: d"},
+                                                {"A", "\n"},
+                                                {"A\r\nC", "d"},
+                                                {"A", std::string(1, '\0')},
+                                                {"A", "\x7f"},
+                                                {"", "b"}}) {
+        HttpCallRequest request = plain;
+        request.headers = {header};
+        CHECK_TEXT(call(request).end == HttpCallEnd::NotSent, header.value.c_str());
+    }
+    LONGS_EQUAL(1, echo.requests);
+    LONGS_EQUAL(200, call(plain).status);
+}
+
 TEST(HttpStackTest, CancelClosesTheConnection)
 {
     Result result;
--- a/test/net/httpsyntax_test.cpp
+++ b/test/net/httpsyntax_test.cpp
@@ -36,6 +36,16 @@
     }
 }
 
+TEST(HttpSyntaxTest, TargetsHaveNoBlanksAndNoControlBytes)
+{
+    for (const char *const text : {"/", "/a?b=%20", "*", "/\xc3\xa9"}) {
+        CHECK_TEXT(isRequestTarget(text), text);
+    }
+    for (const char *const text : {"", "/a b", "/a\tb", "/\r\nb: c", "/\x7f"}) {
+        CHECK_FALSE_TEXT(isRequestTarget(text), text);
+    }
+}
+
 TEST(HttpSyntaxTest, FieldValuesAreReadAsTheyWereWritten)
 {
     for (const char *const text : {"", "a b", "a\tb", "\xc3\xa9", "\"a\", b/c"}) {
--- a/test/net/upstreamprobe_test.cpp
+++ b/test/net/upstreamprobe_test.cpp
@@ -151,6 +151,23 @@
     CHECK_TRUE(results.front() == UpstreamProbeResult::Alive);
 }
 
+// Guards against an id that adds a header to the question, or makes an upstream seem dead.
+TEST(UpstreamProbeTest, SendsNoQuestionThatWouldBeReadAsAnother)
+{
+    const int port = freePort();
+    Listener listener(port, 4);
+    for (const char *const value : {"a\r\nB: c", "a\n", "\x7f"}) {
+        bool isUnknown = false;
+        probe->probe({"127.0.0.1", port}, {"/report", {{"A", value}}},
+                     [&](UpstreamProbeResult result) {
+                         isUnknown = result == UpstreamProbeResult::Unknown;
+                         loop->stop();
+                     });
+        loop->run();
+        CHECK_TEXT(isUnknown, value);
+    }
+}
+
 TEST(UpstreamProbeTest, ReportsEndedWhenConnectionIsRefused)
 {
     runProbes(freePort());
