Gateway: ids of events with control bytes resume no stream

The id of an event, which an upstream writes, becomes a header of the request that resumes its stream. An id with a carriage return, which ends a line of an event stream, or with another control byte went there as it was; since such requests are not sent, it would have made the other upstreams seem unreachable.

Change: a carriage return ends the line of an id, and ids with control bytes are ignored, as the standard does with the byte zero. A stream that breaks after such an id resumes after the one before it.

Evidence: CarriageReturnEndsTheLineOfAnId and IdsWithControlBytesAreIgnored fail before and pass now; no whole process was run for this one. Why it works: what is left can stand in a header.

--- a/src/decision/gateway/eventsplitter.cpp
+++ b/src/decision/gateway/eventsplitter.cpp
@@ -1,6 +1,21 @@
 #include "decision/gateway/eventsplitter.h"
 
+#include <algorithm>
+
 namespace seamarch {
+namespace {
+
+// Returns whether `text` holds a byte that the header which resumes a stream can't hold.
+bool hasControlBytes(std::string_view text)
+{
+    constexpr unsigned char kDelete = 0x7f;
+    return std::any_of(text.begin(), text.end(), [](char character) {
+        const auto code = static_cast<unsigned char>(character);
+        return character != '\t' && (code < ' ' || code == kDelete);
+    });
+}
+
+} // namespace
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
@@ -38,7 +53,7 @@
     constexpr std::string_view kId = "id:";
     ++eventCount_;
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
+        const std::size_t end = event.find_first_of("\r\n");
         std::string_view line = event.substr(0, end);
         event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
         if (!line.starts_with(kId)) {
@@ -48,10 +63,9 @@
         while (!line.empty() && line.front() == ' ') {
             line.remove_prefix(1);
         }
-        while (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
+        if (!hasControlBytes(line)) {
+            lastId_ = std::string(line);
         }
-        lastId_ = std::string(line);
     }
 }
 
--- a/src/decision/gateway/eventsplitter.h
+++ b/src/decision/gateway/eventsplitter.h
@@ -26,7 +26,8 @@
     // Discards a partial event, after the upstream disconnected.
     void discardPartial();
 
-    // Returns the last id that a complete event had; empty if there was none.
+    // Returns the last id that a complete event had; empty if there was none. Ids with control
+    // bytes are ignored.
     const std::string &lastId() const { return lastId_; }
     // Returns the number of complete events.
     std::uint64_t eventCount() const { return eventCount_; }
--- a/test/decision/gateway/eventsplitter_test.cpp
+++ b/test/decision/gateway/eventsplitter_test.cpp
@@ -43,6 +43,24 @@
     LONGS_EQUAL(2, splitter.eventCount());
 }
 
+// Guards against an id with which the request that resumes the stream can't be written.
+TEST(EventSplitterTest, CarriageReturnEndsTheLineOfAnId)
+{
+    splitter.feed("id: 5\rAdded: 1\n\n");
+    STRCMP_EQUAL("5", splitter.lastId().c_str());
+    splitter.feed("data: x\rid: 6\r\n\r\n");
+    STRCMP_EQUAL("6", splitter.lastId().c_str());
+}
+
+// Guards against the same, as the standard does with the byte zero.
+TEST(EventSplitterTest, IdsWithControlBytesAreIgnored)
+{
+    for (const char byte : {'\0', '\x01', '\x1f', '\x7f'}) {
+        splitter.feed("id: a\tb\n\nid: 5" + std::string(1, byte) + "\n\n");
+        STRCMP_EQUAL("a\tb", splitter.lastId().c_str());
+    }
+}
+
 TEST(EventSplitterTest, CountsThePartialEvent)
 {
     for (const std::string &piece : {std::string(1000, 'x'), std::string(500, '\r') + "a\n"}) {
