Tool: words that are not UTF-8 are refused

What operators saw: "seamarch plan model MODEL VERSION" and "plan share ACCOUNT SHARE" with a byte that is not UTF-8 ended with SIGABRT (status 134) and the message of an exception.

Cause: the JSON library throws on such text when it writes it, and nothing catches that. Class: text from outside written without the check of its place.

Evidence: tool_test.sh fails before (expected exit 2, found 134) and passes now. Replacing the bytes, as logs do, would have planned another name than the one given.

--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -193,8 +193,23 @@
     return faults.empty() ? kExitOk : kExitRefused;
 }
 
+// Returns whether `text` is UTF-8, as all texts of JSON documents are.
+bool isUtf8(const std::string &text)
+{
+    const auto written = [value = json(text)](json::error_handler_t handler) {
+        return value.dump(-1, ' ', false, handler);
+    };
+    return written(json::error_handler_t::replace) == written(json::error_handler_t::ignore);
+}
+
 tl::expected<ConfigIntent, ReadError> readIntent(const Arguments &arguments)
 {
+    for (const char *name : {"ACCOUNT", "HALL", "AGENT", "MODEL", "VERSION"}) {
+        if (const auto text = optionText(arguments, name); text && !isUtf8(*text)) {
+            return tl::unexpected(ReadError{
+                kExitUsage, fmt::format("expected UTF-8 as {}, found other bytes", name)});
+        }
+    }
     const bool undo = isSet(arguments, "--undo");
     if (isSet(arguments, "share")) {
         const std::string text = arguments.at("SHARE").asString();
--- a/test/process/tool_test.sh
+++ b/test/process/tool_test.sh
@@ -43,6 +43,10 @@
 echo "{\"event\":\"request.refused\",\"id\":\"r-1\",\"code\":$nested}" >"$work/nested.log"
 expect 0 "$tool" explain r-1 "$work/g.log" "$work/nested.log"
 expect 0 "$tool" plan drain-hall north --base="$work/base.json"
+# Words that no JSON document can hold.
+echo '{"version": 1, "models": [{"name": "m", "version": "1"}]}' >"$work/model.json"
+expect 2 "$tool" plan share "$(printf 'a\377')" 3 --base="$work/base.json"
+expect 2 "$tool" plan model m "$(printf '\377')" --base="$work/model.json"
 expect 2 "$tool" plan
 expect 2 "$tool" plan share a much --base="$work/base.json"
 expect 3 "$tool" status --operators=127.0.0.1:1 --json
