HTTP: methods and content types that would be read otherwise are not sent

The same line of defence for what agents get from entries over RPC: method and content type of a call. Both come from checked requests today.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include "base/log.h"
+#include "net/httpsyntax.h"
 
 #include <algorithm>
 #include <charconv>
@@ -45,11 +46,23 @@
     return std::chrono::seconds(seconds) - kKeepAliveMargin;
 }
 
+std::optional<std::string> findUnwritable(const HttpCallRequest &request)
+{
+    if (request.method.empty()
+        || !std::all_of(request.method.begin(), request.method.end(), isTokenChar)) {
+        return "method";
+    }
+    if (!std::all_of(request.contentType.begin(), request.contentType.end(), isFieldChar)) {
+        return "Content-Type";
+    }
+    return findUnwritable(request.path, request.headers);
+}
+
 // Returns whether the request can be written, and logs what of it cannot. Values are not logged, as
 // they may be secret.
 bool isWritable(const HttpCallRequest &request)
 {
-    const auto field = findUnwritable(request.path, request.headers);
+    const auto field = findUnwritable(request);
     if (field) {
         logLine(
             LogLevel::Warning, "call.unwritable",
--- a/test/net/httpstack_test.cpp
+++ b/test/net/httpstack_test.cpp
@@ -369,6 +369,12 @@
         request.headers = {header};
         CHECK_TEXT(call(request).end == HttpCallEnd::NotSent, header.value.c_str());
     }
+    HttpCallRequest otherMethod = plain;
+    otherMethod.method = "GET /b";
+    CHECK_TRUE(call(otherMethod).end == HttpCallEnd::NotSent);
+    HttpCallRequest otherType = plain;
+    otherType.contentType = "a\r\nB: c";
+    CHECK_TRUE(call(otherType).end == HttpCallEnd::NotSent);
     LONGS_EQUAL(1, echo.requests);
     LONGS_EQUAL(200, call(plain).status);
 }
