--- a/test/net/httpsyntax_test.cpp
+++ b/test/net/httpsyntax_test.cpp
@@ -35,3 +35,24 @@
         CHECK_TRUE(isFieldChar(character));
     }
 }
+
+TEST(HttpSyntaxTest, TargetsHaveNoBlanksAndNoControlBytes)
+{
+    for (const char *const text : {"/", "/a?b=%20", "*", "/\xc3\xa9"}) {
+        CHECK_TEXT(isRequestTarget(text), text);
+    }
+    for (const char *const text : {"", "/a b", "/a\tb", "/\r\nb: c", "/\x7f"}) {
+        CHECK_FALSE_TEXT(isRequestTarget(text), text);
+    }
+}
+
+TEST(HttpSyntaxTest, FieldValuesAreReadAsTheyWereWritten)
+{
+    for (const char *const text : {"", "a b", "a\tb", "\xc3\xa9", "\"a\", b/c"}) {
+        CHECK_TEXT(isFieldValue(text), text);
+    }
+    for (const char *const text : {" ", "a ", "\ta", "a\r\nb: c", "a\n", "\x7f", "\x1b"}) {
+        CHECK_FALSE_TEXT(isFieldValue(text), text);
+    }
+    CHECK_FALSE(isFieldValue(std::string_view("a\0b", 3)));
+}
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -413,6 +413,48 @@
     }
 }
 
+// Guards against requests with headers that the id of an upstream adds, and against an empty id.
+TEST(StoreHttpTest, UpstreamWhoseIdCannotStandInAHeaderIsSetAside)
+{
+    constexpr const char *kEntry =
+        R"({"service":"s","address":"1.2.3.4:5","zone":"n","capacity":6,"phase":"ready"})";
+    for (const char *const id : {"", "a\r\nb: c", "a\n", "\x1f", "a\x7f", " a", "a\t"}) {
+        CHECK_TEXT(!readUpstream(id, kEntry).has_value(), id);
+    }
+    CHECK_FALSE(readUpstream(std::string("a\0", 2), kEntry).has_value());
+    for (const char *const id : {"a b", "a\tb", "\xc3\xa9", "\"a\"", "a/b"}) {
+        CHECK_TEXT(readUpstream(id, kEntry).has_value(), id);
+    }
+}
+
+// Guards against requests with headers that an account's name adds, and under no account's name.
+TEST(StoreHttpTest, AccountWhoseNameCannotStandInAHeaderHasNoKeys)
+{
+    for (const char *const name : {"", "a\\r\\nb: c", "a\\u0000", "a\\u007f", " a", "a\\t"}) {
+        const auto document = readRouting(
+            fmt::format(R"({{"version":1,"routes":[],"tenants":[{{"name":"{}","api-keys":["k"]}},)"
+                        R"({{"name":"bids","api-keys":["l"]}}]}})",
+                        name));
+        CHECK_TEXT(document.has_value(), name);
+        const RouteTable table(*document);
+        POINTERS_EQUAL(nullptr, table.accountOf("k"));
+        STRCMP_EQUAL("bids", table.accountOf("l")->id.value().c_str());
+        CHECK_TRUE(table.hasAccounts());
+    }
+}
+
+// The value is {"version":1,"routes":[],"tenants":[{"name":"","api-keys":["k"]}]}.
+TEST(StoreHttpTest, AccountWhoseNameCannotStandInAHeaderIsReported)
+{
+    const auto items = store.readWatch(
+        200,
+        R"({"events":[{"key-file":"op/config","value":"eyJ2ZXJzaW9uIjoxLCJyb3V0ZXMiOltdLCJ0ZW5hbnRzIjpbeyJuYW1lIjoiIiwiYXBpLWtleXMiOlsiayJdfV19",)"
+        R"("revision":4}],"current-rev":4})");
+    UNSIGNED_LONGS_EQUAL(1, items->items.size());
+    UNSIGNED_LONGS_EQUAL(1, items->faults.size());
+    CHECK_FALSE(items->routingUnreadable);
+}
+
 TEST(StoreHttpTest, ReadsWarmUpOfServices)
 {
     const auto document = readRouting(
