Store: a watch that cannot succeed gives way to a list

A gateway that runs loses its readiness about five seconds after other writers have put more than 12 items of 1 MiB into the store during an outage, and callers are refused until the store drops its history. A key of theirs that is no JSON text does the same, and so does a store that cuts each watch.

Cause: the watch covers the whole store, and a failed one was repeated from the same revision for ever; its answer is then always above 16 MiB or unreadable. Class: a retry that repeats what made the call fail.

Two tests in pagedlist_test.py fail before (503 from readyz within 8 s; on "cut off" was run by itself and fails as well) and pass now; all 8 of the file pass.

Why it works: the answer to a list leaves out what others write, and the watch after it begins at the list's revision, behind those items. An unreadable or incomplete answer to a watch leads to a list at once, a watch without any answer the third time in a row; refusals are repeated as before. Lists that follow each other wait for the backoff. fetchText now tells the status of an answer that did not arrive whole.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -11,6 +11,9 @@
 namespace seamarch {
 namespace {
 
+// A store may cut each watch that waits; a list then confirms the known state in their place.
+constexpr std::uint64_t kMaxUnansweredWatches = 3;
+
 // Returns the delay before the next watch call that reading `items` requires.
 Duration delayAfter(const StoreItems &items)
 {
@@ -55,8 +58,10 @@
                       [this](const HttpTextResponse &text) {
                           if (text.complete) {
                               onAnswer(text);
+                          } else if (text.status != 0) {
+                              onUnusableAnswer("answer is too long or was cut off");
                           } else {
-                              onFailure("no whole answer in time");
+                              onNoAnswer();
                           }
                       });
 }
@@ -208,6 +213,7 @@
 void StoreWatcher::onChanged(const StoreItems &items)
 {
     progress_ = {};
+    unansweredWatches_ = 0;
     position_ = std::max(position_, items.position);
     listener_.onStoreChanged(items, sentAt_);
     const bool changed = !items.items.empty() || !items.faults.empty();
@@ -230,11 +236,34 @@
         onFailure("refused");
         return;
     case StoreError::Unreadable:
-        onFailure("unreadable answer");
+        onUnusableAnswer("unreadable answer");
         return;
     }
 }
 
+void StoreWatcher::onNoAnswer()
+{
+    constexpr std::string_view kCause = "no answer in time";
+    if (step_ == Step::Watch && ++unansweredWatches_ >= kMaxUnansweredWatches) {
+        onUnusableAnswer(kCause);
+    } else {
+        onFailure(kCause);
+    }
+}
+
+// Lists the store anew if the answer is that of a watch: the same watch would be answered with the
+// same items for as long as the store keeps its history.
+void StoreWatcher::onUnusableAnswer(std::string_view cause)
+{
+    if (step_ == Step::List) {
+        onFailure(cause);
+        return;
+    }
+    unansweredWatches_ = 0;
+    reportFailure(cause);
+    listAgain();
+}
+
 void StoreWatcher::onFailure(std::string_view cause)
 {
     reportFailure(cause);
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -7,7 +7,9 @@
 // all gateways at once.
 //
 // A list of several pages continues at the page whose call failed, so that it ends however many of
-// its calls fail. A list whose pages repeat is given up and begun anew after a backoff.
+// its calls fail. A list whose pages repeat is given up and begun anew after a backoff. A watch
+// covers the items of other writers as well; if they make its answer too long or unreadable, or
+// several watches are not answered, a list, which leaves those items out, takes its place.
 //
 // A store that is restored from an older copy issues revisions again, and a watch from the known
 // revision would skip what was written below it. The first answer of a later era, whatever its
@@ -100,6 +102,8 @@
     void logFailure(std::string_view cause);
     void onChanged(const StoreItems &items);
     void onError(StoreError error);
+    void onNoAnswer();
+    void onUnusableAnswer(std::string_view cause);
     // Repeats the call that failed after a backoff.
     void onFailure(std::string_view cause);
     void reportFailure(std::string_view cause);
@@ -123,7 +127,8 @@
     TimerId timer_ = 0;
     StorePosition position_;
     std::uint64_t calls_ = 0;
-    std::uint64_t failures_ = 0; // In a row.
+    std::uint64_t failures_ = 0;          // In a row.
+    std::uint64_t unansweredWatches_ = 0; // Since the last success or list.
     bool reachable_ = false;
 };
 
--- a/src/net/httpfetch.cpp
+++ b/src/net/httpfetch.cpp
@@ -27,9 +27,10 @@
     void start(HttpCallId call, Duration timeout)
     {
         call_ = call;
-        timer_ = loop_.schedule(timeout, [&client = client_, call, done = done_] {
+        timer_ = loop_.schedule(timeout, [this, &client = client_, call, done = done_] {
+            const HttpTextResponse response = incomplete();
             if (client.cancel(call)) {
-                done(HttpTextResponse());
+                done(response);
             }
         });
     }
@@ -43,9 +44,12 @@
     {
         if (response_.body.size() + piece.size() <= maxBytes_) {
             response_.body.append(piece);
-        } else if (client_.cancel(call_)) {
-            const auto done = std::move(done_);
-            done(HttpTextResponse());
+            return;
+        }
+        const HttpTextResponse response = incomplete();
+        const auto done = done_;
+        if (client_.cancel(call_)) {
+            done(response);
         }
     }
     void onEnd(HttpCallEnd end) override
@@ -56,6 +60,13 @@
     }
 
 private:
+    HttpTextResponse incomplete() const
+    {
+        HttpTextResponse response;
+        response.status = response_.status;
+        return response;
+    }
+
     EventLoop &loop_;
     HttpClient &client_;
     std::size_t maxBytes_;
--- a/src/net/httpfetch.h
+++ b/src/net/httpfetch.h
@@ -13,8 +13,8 @@
 // A response with its body, or a notice that no complete response arrived in time.
 struct HttpTextResponse
 {
-    bool complete = false; // If false, the other fields are undefined.
-    int status = 0;
+    bool complete = false; // If false, the headers and the body are undefined.
+    int status = 0;        // Zero if no head arrived.
     HttpHeaders headers;
     std::string body;
 };
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -90,6 +90,7 @@
 //   {"listDelayMs": N}      answers lists that much later
 //   {"failEvery": N, "failure": KIND}       fails each Nth list call; KIND: refused, unanswered,
 //                           cut off, unreadable
+//   {"failWatches": true}   fails each watch that has changes to tell in the same way
 //   {"repeatPage": true}    answers the first page of a list whatever page is asked for
 //   {"noHistory": true}     answers each watch that the history is gone
 //   {"forget": true}        drops the history; watches from an earlier revision get 410
@@ -143,6 +144,11 @@
                             [this, exchange, query] { answerList(exchange, query); });
             return;
         }
+        fail(exchange);
+    }
+
+    void fail(ExchangeId exchange)
+    {
         switch (failure_) {
         case Failure::Refused:
             reply(exchange, 503, {{"error", "busy"}});
@@ -153,7 +159,7 @@
             server().abort(exchange);
             return;
         case Failure::Unreadable:
-            reply(exchange, 200, {{"error", "no list"}});
+            reply(exchange, 200, {{"error", "no items"}});
             return;
         }
     }
@@ -208,7 +214,7 @@
             return;
         }
         if (after < revision_) {
-            reply(exchange, 200, changesAfter(after));
+            tellChanges(exchange, after);
             return;
         }
         pendingWatches_[exchange] = {after};
@@ -227,6 +233,15 @@
         const std::uint64_t after = found->second.after;
         pendingWatches_.erase(found);
         if (!unresponsive_) {
+            tellChanges(exchange, after);
+        }
+    }
+
+    void tellChanges(ExchangeId exchange, std::uint64_t after)
+    {
+        if (failsWatches_ && after < revision_) {
+            fail(exchange);
+        } else {
             reply(exchange, 200, changesAfter(after));
         }
     }
@@ -280,6 +295,7 @@
         }
         pageItems_ = change.value("pageItems", pageItems_);
         repeatsPage_ = change.value("repeatPage", repeatsPage_);
+        failsWatches_ = change.value("failWatches", failsWatches_);
         lacksHistory_ = change.value("noHistory", lacksHistory_);
         listDelayMillis_ = change.value("listDelayMs", listDelayMillis_);
         failEvery_ = change.value("failEvery", failEvery_);
@@ -311,6 +327,7 @@
     Failure failure_ = Failure::Refused;
     std::uint64_t era_ = 1;
     bool repeatsPage_ = false;
+    bool failsWatches_ = false;
     bool lacksHistory_ = false;
     bool busy_ = false;
     bool unresponsive_ = false;
--- a/test/process/pagedlist_test.py
+++ b/test/process/pagedlist_test.py
@@ -17,6 +17,8 @@
 KEYS = ("a00%25", "a01%00", "a02&b=", "a03+", "a04%C3%A9", "a05 b", "a06\u00e9", "a07#b", "a08?since-rev=b",
         "a09\r\nX: y", "a10\"\\b", "a11/../b")
 READY_S = 12.0  # Time within which gateways must serve after all machines have come back.
+CONFIRMED_S = 8.0  # Longer than the time for which a confirmation by the store lasts.
+MAX_VALUE_BYTES = 1_048_576  # Of one item of a deployment's store.
 CALLS_PER_S = 2000 / 18  # Reading calls that the store of a site bears, for each of its machines.
 
 
@@ -108,6 +110,31 @@
         self.site.wait_until("version 2", lambda: self.site.status()["configVersion"] == 2, 2.0)
         self.assertEqual(self.site.ask("/letters/1", key="new")[0], 200)
 
+    def assert_stays_ready(self):
+        end = time.monotonic() + CONFIRMED_S
+        while time.monotonic() < end:
+            self.assertEqual(call(self.site.operators, "/readyz", timeout=2)[0], 200)
+            time.sleep(0.2)
+
+    # Guards against a gateway that loses its readiness because it repeats a watch whose answer, with items of
+    # other writers, is always too long.
+    def test_gateway_stays_ready_though_others_have_written_more_than_one_answer_may_hold(self):
+        self.store(busy=True)
+        for number in range(13):
+            self.store(putText={f"z{number:02}": "x" * MAX_VALUE_BYTES})
+        self.store(busy=False)
+        self.assert_stays_ready()
+
+    # Guards against the same with an answer that cannot be read, or never arrives whole.
+    def test_gateway_stays_ready_though_a_watch_is_never_answered_well(self):
+        for number, failure in enumerate(("unreadable", "cut off"), 2):
+            with self.subTest(failure=failure):
+                self.store(failWatches=True, failure=failure, putText={"z": failure})
+                self.assert_stays_ready()
+                self.assertLessEqual(self.calls_per_second(), CALLS_PER_S)
+                self.site.publish(number, (failure,))
+                self.site.wait_until("the version", lambda: self.site.status()["configVersion"] == number, 2.0)
+
 
 if __name__ == "__main__":
     unittest.main()
