Gateway: a readable document ends the doubt about an unreadable one

After the store had held a routing document that could not be read, a gateway stayed not ready for life unless a higher version followed, also when the store held the document in force again, or an older copy of it after a restore; callers were refused, while a restarted gateway would have been ready.

Cause: the doubt was ended only where a document of a higher version is put in force. Class: a state that is left on one of the paths out of it only.

ReadableDocumentOfAnyVersionEndsTheDoubtAboutAnUnreadableOne fails before. Whether a store of the users ever holds such a document is not known: it is said to accept valid ones only.

Why it works: the store holds one document, so each readable one from it takes the place of the one that could not be read. The version in force still never decreases.

--- a/src/gateway/gatewaystoreview.cpp
+++ b/src/gateway/gatewaystoreview.cpp
@@ -221,6 +221,7 @@
 void GatewayStoreView::applyItem(const StoreItem &item)
 {
     if (const auto *document = std::get_if<RoutingDocument>(&item)) {
+        routingUnreadable_ = false; // The store holds one document only.
         applyRouting(*document);
     } else if (const auto *record = std::get_if<UpstreamRecord>(&item)) {
         upstreams_.put(withWarmUpEnd(*record));
--- a/test/gateway/gatewaystoreview_test.cpp
+++ b/test/gateway/gatewaystoreview_test.cpp
@@ -125,6 +125,28 @@
     CHECK_TRUE(upstreams.mayReceive(InstanceId("i-2"))); // It may be alive and register again.
 }
 
+// Guards against a gateway that is never ready again after the store has held an unreadable
+// document.
+TEST(GatewayStoreViewTest, ReadableDocumentOfAnyVersionEndsTheDoubtAboutAnUnreadableOne)
+{
+    StoreItems items;
+    items.position = {1, 20};
+    items.items.emplace_back(document(4));
+    view.onStoreListed(items, loop->now() - std::chrono::seconds(9));
+    StoreItems unreadable;
+    unreadable.position = {1, 21};
+    unreadable.routingUnreadable = true;
+    for (const std::uint64_t version : {4, 3}) {
+        const auto age = std::chrono::seconds(version);
+        view.onStoreChanged(unreadable, loop->now());
+        CHECK_TRUE(view.age() > age);
+        items.items = {document(version)};
+        view.onStoreChanged(items, loop->now() - age);
+        CHECK_TRUE(view.age() < age + std::chrono::seconds(1));
+        LONGS_EQUAL(4, view.version().value());
+    }
+}
+
 TEST(GatewayStoreViewTest, WarmUpIsCountedFromReadingTheEntry)
 {
     StoreItems listed;
