Store: an item without a value does not hide the others

One entry of an upstream whose value is missing, null or no text made the whole page unreadable: after a kill of all gateways no list ended, and gateways that ran lost their readiness.

Cause: all faults of an entry are set aside with the entry but this one, which ended the reading of the answer. Class: one item decides about all.

ItemWithoutAValueDoesNotHideOthers fails before for the missing value, at which it ends.

--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -295,6 +295,23 @@
     STRCMP_EQUAL("i-2", std::get<UpstreamRemoval>(items->items[1]).id.value().c_str());
 }
 
+// Guards against a list that is unreadable as a whole, and so never ends, because of one item.
+TEST(StoreHttpTest, ItemWithoutAValueDoesNotHideOthers)
+{
+    for (const char *const field : {"", R"("value":null,)", R"("value":7,)"}) {
+        const std::string item = fmt::format(
+            R"({{"items":[{{"key-file":"servers/i-1",{}"revision":4}},)"
+            R"({{"key-file":"op/evacuate/north","value":"e30=","revision":5}}],"current-rev":6}})",
+            field);
+        const auto items = store.readList({1, ""}, 200, item);
+        CHECK_TEXT(items.has_value(), field);
+        LONGS_EQUAL(2, items->items.size());
+        LONGS_EQUAL(1, items->faults.size());
+        CHECK_TRUE(std::get<UpstreamRemoval>(items->items[0]).unreadable);
+        CHECK_TRUE(std::get<HallDrain>(items->items[1]).hall == HallId("north"));
+    }
+}
+
 // Entries may come from another writer, so incomplete ones are rejected.
 TEST(StoreHttpTest, RejectsIncompleteUpstreamEntries)
 {
