Store: the age of a list begins with the call that succeeded

A gateway that starts while the store is away for longer than keys stay confirmed had its configuration when the store was back, but took it for outdated until its first watch was answered, and refused callers for up to a second more.

Cause: the time at which a list began was kept while its first call failed and was repeated, so the outage counted as age of the list.

Why it works: the store's reads are linearizable, so the list is as recent as the first call that it answered. Cursors of a list are dropped at its end.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -72,13 +72,15 @@
     listed_ = {};
     page_ = {};
     cursors_.clear();
-    listStartedAt_ = loop_.now();
     logListStart();
     fetchPage();
 }
 
 void StoreWatcher::fetchPage()
 {
+    if (page_ == ListCursor()) {
+        listStartedAt_ = loop_.now(); // Calls that failed before confirm nothing, and age nothing.
+    }
     makeCall(store_.listCall(page_), settings_.answerTimeout);
 }
 
@@ -154,6 +156,7 @@
         return;
     }
     logListEnd();
+    cursors_.clear();
     progress_.failures = 0;
     position_ = listed_.position;
     const StoreItems snapshot = std::exchange(listed_, {});
--- a/test/process/pagedlist_test.py
+++ b/test/process/pagedlist_test.py
@@ -75,6 +75,32 @@
         self.site.wait_until("version 3", lambda: self.site.status()["configVersion"] == 3, READY_S)
         self.assertEqual([self.site.ask("/letters/1", key=key)[0] for key in ("newer", "new")], [200, 401])
 
+    # Guards against the same, with a store whose calls succeed and whose revision has passed that of the first page.
+    def test_pages_of_two_eras_are_not_joined(self):
+        self.store(copy=True)
+        self.site.publish(2, ("new",))
+        self.store(pageItems=1, listDelayMs=200, putText={f"op/x{number}": "x" for number in range(4)})
+        self.site.gateway.end()
+        before = self.store()["listCalls"]
+        self.site.start_gateway()
+        self.site.wait_until("the configuration has been listed", lambda: self.store()["listCalls"] > before + 2)
+        self.store(goBack=True)
+        self.site.publish(3, ("newer",))
+        self.store(putText={f"op/y{number}": "x" for number in range(9)})
+        self.site.wait_until("version 3", lambda: self.site.status()["configVersion"] == 3, READY_S)
+
+    # Guards against a gateway that counts the time in which it did not reach the store as the age of its list.
+    def test_first_list_after_an_outage_is_recent(self):
+        self.store(busy=True)
+        self.site.gateway.end()
+        earlier = len(self.site.log_text())
+        self.site.start_gateway()
+        time.sleep(CONFIRMED_S)
+        self.store(busy=False)
+        self.site.wait_until("the gateway is ready",
+                             lambda: call(self.site.operators, "/readyz", timeout=2)[0] == 200, READY_S)
+        self.assertNotIn("has not confirmed", self.site.log_text()[earlier:])
+
     # Guards against a start that takes as long as others like, because it reads all that they keep in the store.
     def test_items_of_other_writers_are_not_listed(self):
         others = {f"a{number:02}": "x" for number in range(20)} | {f"q/{number}": "x" for number in range(20)}
