Store: other writers do not set the rate of watches

One gateway called the store 4,756 times a second while another writer wrote as fast as the store took it; the stores of the deployments bear 2,000 reading calls a second from all machines together and refuse the rest, so callers would lose gateways that cannot confirm what they know.

Cause: the delay that joins changes was applied only if an item of ours had changed; each write of others was answered with another watch at once. Class: a loop whose rate another system sets.

Evidence: test_writes_of_others_do_not_set_the_rate_of_watches fails before with 4,756 calls a second (111 allowed) and passes now.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -217,9 +217,10 @@
 {
     progress_ = {};
     unansweredWatches_ = 0;
+    // Other writers' changes count as well: each would be answered with a call otherwise.
+    const bool changed = items.position > position_;
     position_ = std::max(position_, items.position);
     listener_.onStoreChanged(items, sentAt_);
-    const bool changed = !items.items.empty() || !items.faults.empty();
     const Duration delay =
         std::max(delayAfter(items), changed ? settings_.coalesceDelay : Duration{});
     if (delay > Duration{}) {
--- a/test/process/pagedlist_test.py
+++ b/test/process/pagedlist_test.py
@@ -101,6 +101,13 @@
                              lambda: call(self.site.operators, "/readyz", timeout=2)[0] == 200, READY_S)
         self.assertNotIn("has not confirmed", self.site.log_text()[earlier:])
 
+    # Guards against gateways that call the store as often as other writers write to it.
+    def test_writes_of_others_do_not_set_the_rate_of_watches(self):
+        before, until, after = self.store()["calls"], time.monotonic() + 4.0, 0
+        while time.monotonic() < until:
+            after = self.store(putText={"zz": "x"})["calls"]
+        self.assertLessEqual((after - before) / 4.0, CALLS_PER_S)
+
     # Guards against a start that takes as long as others like, because it reads all that they keep in the store.
     def test_items_of_other_writers_are_not_listed(self):
         others = {f"a{number:02}": "x" for number in range(20)} | {f"q/{number}": "x" for number in range(20)}
