--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,7 +5,8 @@
 and holds answers) and `reset` (resets open and new connections). Held bytes are forwarded when the mode
 changes back. `plant` selects a planted fault that the soak's checks must detect: `twice` sends each
 request again on a separate connection, `skip` removes one event from every stream, `deaf` renames the
-Retry-After header of answers, and `unbound` renames their Server-Limit header.
+Retry-After header of answers, `unbound` renames their Server-Limit header, and `flood` adds
+many requests to each.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 import struct
 import threading
 
+_FLOOD = 200 * b"GET /flood HTTP/1.1\r\nHost: store.example\r\n\r\n"
 _EVENT = re.compile(rb"id: 5\ndata: token 5\n\n")
 
 
@@ -44,7 +46,7 @@
 class Proxy:
     def __init__(self, loop, address, target, plant=""):
         self.loop, self.address, self.target, self.plant = loop, address, target, plant
-        self.mode, self.writers = "pass", set()
+        self.mode, self.writers, self.requests = "pass", set(), 0  # The requests forwarded so far.
         host, port = address.split(":")
         self.server = loop.run(self._start(host, int(port)))
 
@@ -101,14 +103,15 @@
                     await asyncio.sleep(0.15)
                 if not chunk:
                     break
-                if self.plant == "twice" and to_target:
-                    asyncio.ensure_future(self._send_duplicate(chunk))
+                if self.plant in ("twice", "flood") and to_target:
+                    asyncio.ensure_future(self._send_apart(chunk if self.plant == "twice" else _FLOOD))
                 if self.plant == "skip" and not to_target:
                     chunk = self._without_event(chunk)
                 if self.plant == "deaf" and not to_target:
                     chunk = chunk.replace(b"Retry-After", b"X-Not-Heard")
                 if self.plant == "unbound" and not to_target:
                     chunk = chunk.replace(b"Server-Limit", b"X-Not-Heard-")
+                self.requests += self._requests_in(chunk) if to_target else 0
                 writer.write(chunk)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
@@ -116,10 +119,15 @@
         finally:
             writer.close()
 
-    async def _send_duplicate(self, chunk):
+    @staticmethod
+    def _requests_in(chunk):
+        return chunk.count(b" HTTP/1.1\r\n")
+
+    async def _send_apart(self, requests):
         host, port = self.target.split(":")
         _, writer = await asyncio.open_connection(host, int(port))
-        writer.write(chunk)
+        self.requests += self._requests_in(requests)
+        writer.write(requests)
         await asyncio.sleep(0.5)
         writer.close()
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,11 +6,13 @@
 delayed, reset, silenced or blocked in one direction; upstreams fail, refuse, send Retry-After, lose
 answers and break streams; gateways are stopped, paused, killed and restarted; configurations change,
 keys are revoked, upstreams leave and restart under the same id, and the store reverts to an older copy.
-One upstream at a time announces a rate limit for all gateways together, and one warms up. A hall is
-drained and then restored. Some callers are slow, an account sends bursts, and account priorities change
-(hardload.py). Some callers send several requests at once and close their sending direction (pipelines.py). The checks use only what callers and upstreams observed. A seed determines the
-faults; the timing between them depends on the machine. The system has no persistent storage and does
-not use the time of day, so the soak injects no disk or clock faults.
+One upstream at a time announces a rate limit for all gateways together, and one warms up. A hall is drained and
+then restored. Some callers are slow, an account sends bursts, and account priorities change (hardload.py).
+Lists of the store have short pages, which fail now and then and hold other writers' keys, and many gateways are
+killed at the same moment (storefaults.py). Some callers send several requests at once and close their sending
+direction (pipelines.py). The checks use only what callers and upstreams observed. A seed determines the faults;
+the timing between them depends on the machine. The system has no persistent storage and does not use the time
+of day, so the soak injects no disk or clock faults.
 
     soak/soak.py --seed 7 --seconds 20       one run
     soak/soak.py --seeds 100-149             a series
@@ -38,6 +40,7 @@
 from localsite import BIN, Process, call, control, free_address  # noqa: E402
 import hardload  # noqa: E402
 import pipelines  # noqa: E402
+import storefaults  # noqa: E402
 from proxy import Proxy, ProxyLoop  # noqa: E402
 
 NOT_RUN = {408, 421, 429, 503}  # Statuses that guarantee that the request does not run.
@@ -57,7 +60,7 @@
 RETRY_SLACK = 12.0              # Retries allowed in addition in each window.
 RETRY_WINDOW_S = 10.0           # Window in which the check counts retries.
 PLANTED = {"lies": 1, "twice": 1, "skip": 1, "deaf": 1, "unbound": 1, "warm": 1, "undrained": 1,
-           "hoards": 1}  # Seed by fault.
+           "hoards": 1, "endless": 1, "flood": 1}  # Seed by fault.
 STREAM = [f"id: {n}\ndata: token {n}" for n in range(1, 11)]
 LINK_MODES = ("delay", "reset", "silent", "one_way")
 UPSTREAM_TROUBLES = ({"fail": True}, {"full": True}, {"dropAnswers": True}, {"foreignId": True},
@@ -74,8 +77,10 @@
         self.version, self.keys = 0, ["key-0"]
         self.priorities = {"bids": hardload.URGENT, "crowd": hardload.PATIENT}
         self.hard_random = random.Random(f"hard load of {args.seed}")  # Separate, so that seeds keep their faults.
+        self.store_random = random.Random(f"store of {args.seed}")  # Separate for the same reason.
         self.store = free_address()
         self.start("seamarch-standin", "store", "--listen", self.store)
+        control(self.store, storefaults.short_pages(self.store_random))
         self.upstreams, self.links, self.starts = {}, {}, {}
         self.warming, self.plant = set(), args.plant
         for number in range(args.upstreams):
@@ -91,7 +96,7 @@
         seeds = ",".join(list(peers.values())[:2])
         self.gateways = {}
         for name, peer in peers.items():
-            self.links[name] = Proxy(self.loop, free_address(), self.store)
+            self.links[name] = Proxy(self.loop, free_address(), self.store, "flood" if args.plant == "flood" else "")
             self.gateways[name] = Gateway(self, name, peer, seeds, self.links[name].address)
         for gateway in self.gateways.values():
             gateway.start()
@@ -242,6 +247,7 @@
         self.bursts = []
         self.active_faults = {}  # (end time, undo function) by the name of the affected process.
         self.disturbances = []  # (name, from, to) of faults that may delay a gateway's reaction.
+        self.store_faults = storefaults.StoreFaults(self)
 
     def new_request(self, kind, gateway, drawn, account="bids"):
         with self.lock:
@@ -333,6 +339,8 @@
         self.active_faults[name] = (time.monotonic() + length, fault(name))
 
     def end_faults(self, everything=False):
+        if everything:
+            self.store_faults.end_spell()
         for name, (until, undo) in list(self.active_faults.items()):
             if everything or time.monotonic() >= until:
                 undo()
@@ -472,12 +480,12 @@
                 self.fail(f"{gateway.name} reverted from configuration version {held}")
             self.versions[gateway.name, incarnation] = max(held, status["configVersion"])
 
-    def wait_ready(self, seconds=12):
+    def wait_ready(self, seconds=12, event="all faults ended"):
         end = time.monotonic() + seconds
         for gateway in self.site.gateways.values():
             while call(gateway.operators, "/readyz", timeout=1)[0] != 200:
                 if time.monotonic() > end:
-                    self.fail(f"{gateway.name} is not ready {seconds} s after all faults ended")
+                    self.fail(f"{gateway.name} is not ready {seconds} s after {event}")
                     return
                 time.sleep(0.05)
 
@@ -486,7 +494,7 @@
         callers = [Caller(self, number) for number in range(self.args.callers)]
         callers += [hardload.SlowCaller(self, number) for number in range(self.args.slow_callers)]
         callers += [pipelines.PipeliningCaller(self, number) for number in range(self.args.pipelining_callers)]
-        for thread in callers + [hardload.HeldMemoryWatch(self)]:
+        for thread in callers + [hardload.HeldMemoryWatch(self), storefaults.CallWatch(self)]:
             thread.start()
         end = time.monotonic() + self.args.seconds
         leave_at = time.monotonic() + self.args.seconds / 2
@@ -495,6 +503,7 @@
         while time.monotonic() < end:
             self.inject_fault()
             self.end_faults()
+            self.store_faults.step()
             if self.random.random() < 0.08:
                 self.change()
             if self.site.hard_random.random() < 0.03:
@@ -512,7 +521,7 @@
                 self.move_limit()
                 self.warm_up()
             time.sleep(self.random.uniform(0.05, 0.25))
-        self.end_faults(everything=True)
+        self.store_faults.kill_many()
         self.wait_ready()
         self.over = True
         for caller in callers:
